Lay out the workspace, the kernel and the contracts

Cause: an empty repository. Change: the crates of the frame as empty layers, the kernel (clock, identifiers, registry), the protocols at the edges and the contracts between crates, so that the parts can be written side by side.

--- /dev/null
+++ b/crates/barleyctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/barleypind/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry host daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Profiles, versions, customers and settings, checked and revisioned.
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: cascade, health, endpoint choice, limits, retries and sessions.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of model engines and plain services.
--- /dev/null
+++ b/crates/fakes/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the platform, the engines and plain services.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, news and evidence between hosts, as a pure core.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,21 @@
+//! The micro-kernel: the clock, the identifiers that every layer speaks, and
+//! the registry through which services find each other by name.
+//!
+//! This crate knows nothing of requests, endpoints, networks or files. It is
+//! the only crate that every other one may depend on; see
+//! `docs/ARCHITECTURE.md`.
+
+mod clock;
+mod id;
+mod money;
+mod registry;
+mod secret;
+
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use id::{
+    AttemptId, ChangeId, Customer, DataCentre, HostName, Incarnation, ProfileName, Region,
+    RequestId, RequestKey, Revision, ServiceName, VersionId,
+};
+pub use money::Money;
+pub use registry::{Mailbox, Registry, Service};
+pub use secret::Secret;
--- /dev/null
+++ b/crates/kernel/src/secret.rs
@@ -0,0 +1,34 @@
+//! Key material.
+
+use std::fmt;
+
+/// A 32 byte key that never shows in a log: its `Debug` prints no byte.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret([u8; 32]);
+
+impl Secret {
+    /// Derives the key for `purpose` from the text of a key file, so that one
+    /// file serves several purposes without one standing in for another.
+    #[must_use]
+    pub fn derive(purpose: &str, material: &[u8]) -> Self {
+        Self(blake3::derive_key(purpose, material))
+    }
+
+    /// The keyed hash of `message`.
+    #[must_use]
+    pub fn sign(&self, message: &[u8]) -> [u8; 32] {
+        *blake3::keyed_hash(&self.0, message).as_bytes()
+    }
+
+    /// Whether `mac` is this key's hash of `message`, compared in constant time.
+    #[must_use]
+    pub fn verify(&self, message: &[u8], mac: &[u8; 32]) -> bool {
+        blake3::keyed_hash(&self.0, message) == blake3::Hash::from_bytes(*mac)
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution and billing, as a pure core.
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! QUIC transport of frames between hosts, with mutual TLS.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the table service, object store, host list and rating service.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames between hosts.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Chores: demo, load, experiment, capacity and soak.
+
+fn main() {}
