gate: parse calls, chats, tokens and operators' headers

The daemon and the operators' tool need one set of types at the edge. Pure parsing and building: each refusal is a problem with a closed reason, and a reason that cannot prove that nothing ran never says so.

--- /dev/null
+++ b/crates/gate/src/call.rs
@@ -0,0 +1,141 @@
+//! The headers that every call may carry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::problem::{Problem, Reason};
+
+/// The name of the header that carries the caller's idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The name of the header that carries a [`crate::ticket::Ticket`].
+pub const TICKET: &str = "barleypin-ticket";
+/// The name of the header that carries a [`crate::session::Token`].
+pub const SESSION: &str = "barleypin-session";
+/// The name of the header that bounds the call, in milliseconds from arrival.
+pub const DEADLINE: &str = "barleypin-deadline-ms";
+/// The name of the header that states the [`Priority`].
+pub const PRIORITY: &str = "barleypin-priority";
+
+const MAX_KEY: usize = 128;
+const MAX_DEADLINE: Duration = Duration::from_hours(1);
+
+/// How urgent a call is.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// A person or a bus waits at a gate.
+    #[display("urgent")]
+    Urgent,
+    /// A person reads along.
+    #[default]
+    #[display("interactive")]
+    Interactive,
+    /// Nobody waits.
+    #[display("batch")]
+    Batch,
+}
+
+/// What the headers of a call say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers {
+    /// The caller's idempotency key.
+    pub key: Option<Arc<str>>,
+    /// The ticket, still sealed.
+    pub ticket: Option<String>,
+    /// The session token, still sealed.
+    pub session: Option<String>,
+    /// The time the caller gives the call, from its arrival.
+    pub deadline: Option<Duration>,
+    /// The priority, if the caller states one.
+    pub priority: Option<Priority>,
+}
+
+impl Headers {
+    /// Reads the headers, each through `get`.
+    ///
+    /// # Errors
+    /// A 400 problem that names the header and what it accepts.
+    pub fn parse<'a>(get: impl Fn(&str) -> Option<&'a str>) -> Result<Self, Problem> {
+        Ok(Self {
+            key: get(IDEMPOTENCY_KEY).map(parse_key).transpose()?,
+            ticket: get(TICKET).map(str::to_owned),
+            session: get(SESSION).map(str::to_owned),
+            deadline: get(DEADLINE).map(parse_deadline).transpose()?,
+            priority: get(PRIORITY).map(parse_priority).transpose()?,
+        })
+    }
+}
+
+/// The key in an `authorization: Bearer` header.
+///
+/// # Errors
+/// A 401 problem when the header is missing or of another scheme.
+pub fn bearer(authorization: Option<&str>) -> Result<&str, Problem> {
+    authorization
+        .and_then(|value| value.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+        .map(|(_, key)| key.trim())
+        .filter(|key| !key.is_empty())
+        .ok_or_else(|| {
+            Problem::not_run(
+                Reason::Unauthorized,
+                "authorization: expected `Bearer <key>`",
+            )
+        })
+}
+
+fn parse_key(text: &str) -> Result<Arc<str>, Problem> {
+    let accepted = text.len() <= MAX_KEY
+        && !text.is_empty()
+        && text
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && byte != b'/');
+    if accepted {
+        Ok(text.into())
+    } else {
+        Err(fault(
+            IDEMPOTENCY_KEY,
+            "expected 1 to 128 visible ASCII characters other than `/`",
+        ))
+    }
+}
+
+fn parse_deadline(text: &str) -> Result<Duration, Problem> {
+    text.parse()
+        .ok()
+        .map(Duration::from_millis)
+        .filter(|deadline| !deadline.is_zero() && *deadline <= MAX_DEADLINE)
+        .ok_or_else(|| fault(DEADLINE, "expected whole milliseconds from 1 to 3600000"))
+}
+
+fn parse_priority(text: &str) -> Result<Priority, Problem> {
+    match text {
+        "urgent" => Ok(Priority::Urgent),
+        "interactive" => Ok(Priority::Interactive),
+        "batch" => Ok(Priority::Batch),
+        _ => Err(fault(
+            PRIORITY,
+            "expected `urgent`, `interactive` or `batch`",
+        )),
+    }
+}
+
+fn fault(header: &str, expected: &str) -> Problem {
+    Problem::not_run(Reason::BadRequest, format!("{header}: {expected}"))
+}
--- /dev/null
+++ b/crates/gate/src/chat.rs
@@ -0,0 +1,353 @@
+//! Chat completions: the caller's request and the whole answer.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use kernel::{Money, ProfileName, VersionId};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::problem::{Problem, Reason};
+
+/// The class of a request that names none.
+pub const DEFAULT_CLASS: &str = "general";
+
+const MAX_NAME: usize = 64;
+
+/// Fields that change what an answer means and that the engines don't take.
+/// Ignoring them would hand the caller an answer to another question.
+const UNSUPPORTED: [&str; 6] = [
+    "tools",
+    "functions",
+    "response_format",
+    "logprobs",
+    "audio",
+    "modalities",
+];
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Messages in a request.
+    pub messages: usize,
+    /// Bytes of all messages' content.
+    pub content: usize,
+    /// Tokens that a caller may ask for.
+    pub max_tokens: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            messages: 512,
+            content: 2 * 1024 * 1024,
+            max_tokens: 32_768,
+        }
+    }
+}
+
+/// Who speaks.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Instructions by the service.
+    #[display("system")]
+    System,
+    /// The person or service that asks.
+    #[display("user")]
+    User,
+    /// An earlier answer.
+    #[display("assistant")]
+    Assistant,
+}
+
+/// One message of a conversation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: Role,
+    /// What is said.
+    pub content: String,
+}
+
+/// How the answer is to come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// As server-sent events.
+    Stream,
+    /// As one object.
+    Whole,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The profile that the caller picked by name.
+    pub profile: ProfileName,
+    /// The conversation, at least one message.
+    pub messages: Vec<Message>,
+    /// How the answer is to come.
+    pub mode: Mode,
+    /// Bound on the answer's length.
+    pub max_tokens: Option<u32>,
+    /// The request class under which quality is learned.
+    pub class: Arc<str>,
+}
+
+impl Request {
+    /// Reads a body.
+    ///
+    /// Fields that only tune sampling are accepted and left out, as callers'
+    /// libraries send them by default; fields that change the meaning of the
+    /// answer are refused.
+    ///
+    /// # Errors
+    /// A 400 problem that names the field and what it accepts, or 413 when a
+    /// limit is exceeded.
+    pub fn parse(body: &[u8], limits: &Limits) -> Result<Self, Problem> {
+        let body: Map<String, Value> = serde_json::from_slice(body)
+            .map_err(|err| bad(format!("body: expected a JSON object: {err}")))?;
+        refuse_unsupported(&body)?;
+        Ok(Self {
+            profile: parse_profile(&body)?,
+            messages: parse_messages(&body, limits)?,
+            mode: parse_mode(&body)?,
+            max_tokens: parse_max_tokens(&body, limits)?,
+            class: parse_class(&body)?,
+        })
+    }
+
+    /// Bytes of all messages' content.
+    #[must_use]
+    pub fn content_len(&self) -> usize {
+        self.messages.iter().map(|it| it.content.len()).sum()
+    }
+}
+
+/// Tokens in and out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub completion_tokens: u64,
+    /// Their sum.
+    pub total_tokens: u64,
+}
+
+/// What this system adds to an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extra {
+    /// The version that answered.
+    pub version: VersionId,
+    /// What the customer is billed, all attempts that count included.
+    pub cost_microcents: Money,
+    /// How many attempts were dispatched.
+    pub attempts: u32,
+    /// The request as the host named it.
+    pub request: String,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The request as the host named it.
+    pub id: String,
+    /// Always `chat.completion`.
+    pub object: String,
+    /// Wall time in seconds since the Unix epoch.
+    pub created: u64,
+    /// The version that answered.
+    pub model: VersionId,
+    /// One choice.
+    pub choices: Vec<Choice>,
+    /// Tokens of the answering attempt.
+    pub usage: Usage,
+    /// What this system adds.
+    pub barleypin: Extra,
+}
+
+/// The choice in an [`Answer`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Choice {
+    /// Always zero.
+    pub index: u32,
+    /// The answer.
+    pub message: Message,
+    /// Why the answer ended.
+    pub finish_reason: String,
+}
+
+impl Answer {
+    /// Builds the answer of one choice.
+    #[must_use]
+    pub fn new(created: u64, content: String, finish: &str, usage: Usage, extra: Extra) -> Self {
+        Self {
+            id: extra.request.clone(),
+            object: "chat.completion".to_owned(),
+            created,
+            model: extra.version.clone(),
+            choices: vec![Choice {
+                index: 0,
+                message: Message {
+                    role: Role::Assistant,
+                    content,
+                },
+                finish_reason: finish.to_owned(),
+            }],
+            usage,
+            barleypin: extra,
+        }
+    }
+
+    /// The answer as JSON.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("an answer holds only text and numbers")
+    }
+}
+
+fn refuse_unsupported(body: &Map<String, Value>) -> Result<(), Problem> {
+    for field in UNSUPPORTED {
+        let asked = body
+            .get(field)
+            .is_some_and(|value| !matches!(value, Value::Null | Value::Bool(false)));
+        if asked {
+            return Err(bad(format!("{field}: is not supported; leave it out")));
+        }
+    }
+    match body.get("n") {
+        None | Some(Value::Null) => Ok(()),
+        Some(value) if value.as_u64() == Some(1) => Ok(()),
+        Some(_) => Err(bad("n: expected 1".to_owned())),
+    }
+}
+
+fn parse_profile(body: &Map<String, Value>) -> Result<ProfileName, Problem> {
+    body.get("model")
+        .and_then(Value::as_str)
+        .filter(|name| !name.is_empty() && name.len() <= MAX_NAME)
+        .map(ProfileName::from)
+        .ok_or_else(|| bad("model: expected the name of a profile".to_owned()))
+}
+
+fn parse_messages(body: &Map<String, Value>, limits: &Limits) -> Result<Vec<Message>, Problem> {
+    let messages = body
+        .get("messages")
+        .and_then(Value::as_array)
+        .filter(|messages| !messages.is_empty())
+        .ok_or_else(|| bad("messages: expected an array of at least one message".to_owned()))?;
+    if messages.len() > limits.messages {
+        return Err(too_large(format!(
+            "messages: {} messages, at most {} are accepted",
+            messages.len(),
+            limits.messages
+        )));
+    }
+    let messages = messages
+        .iter()
+        .enumerate()
+        .map(|(idx, message)| parse_message(idx, message))
+        .collect::<Result<Vec<_>, _>>()?;
+    let content: usize = messages.iter().map(|it| it.content.len()).sum();
+    if content > limits.content {
+        return Err(too_large(format!(
+            "messages: {content} bytes of content, at most {} are accepted",
+            limits.content
+        )));
+    }
+    Ok(messages)
+}
+
+fn parse_message(idx: usize, message: &Value) -> Result<Message, Problem> {
+    let role = match message.get("role").and_then(Value::as_str) {
+        Some("system" | "developer") => Role::System,
+        Some("user") => Role::User,
+        Some("assistant") => Role::Assistant,
+        _ => {
+            return Err(bad(format!(
+                "messages[{idx}].role: expected `system`, `user` or `assistant`"
+            )));
+        }
+    };
+    let content = match message.get("content") {
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Array(parts)) => parse_parts(idx, parts)?,
+        _ => {
+            return Err(bad(format!(
+                "messages[{idx}].content: expected text or an array of text parts"
+            )));
+        }
+    };
+    Ok(Message { role, content })
+}
+
+fn parse_parts(idx: usize, parts: &[Value]) -> Result<String, Problem> {
+    let mut content = String::new();
+    for (part_idx, part) in parts.iter().enumerate() {
+        let text = part
+            .get("text")
+            .and_then(Value::as_str)
+            .filter(|_| part.get("type").and_then(Value::as_str) == Some("text"))
+            .ok_or_else(|| {
+                bad(format!(
+                    "messages[{idx}].content[{part_idx}]: expected a part of type `text`"
+                ))
+            })?;
+        content.push_str(text);
+    }
+    Ok(content)
+}
+
+fn parse_mode(body: &Map<String, Value>) -> Result<Mode, Problem> {
+    match body.get("stream") {
+        None | Some(Value::Null | Value::Bool(false)) => Ok(Mode::Whole),
+        Some(Value::Bool(true)) => Ok(Mode::Stream),
+        Some(_) => Err(bad("stream: expected `true` or `false`".to_owned())),
+    }
+}
+
+fn parse_max_tokens(body: &Map<String, Value>, limits: &Limits) -> Result<Option<u32>, Problem> {
+    for field in ["max_tokens", "max_completion_tokens"] {
+        let Some(value) = body.get(field).filter(|value| !value.is_null()) else {
+            continue;
+        };
+        return value
+            .as_u64()
+            .and_then(|tokens| u32::try_from(tokens).ok())
+            .filter(|tokens| (1..=limits.max_tokens).contains(tokens))
+            .map(Some)
+            .ok_or_else(|| {
+                bad(format!(
+                    "{field}: expected a whole number from 1 to {}",
+                    limits.max_tokens
+                ))
+            });
+    }
+    Ok(None)
+}
+
+fn parse_class(body: &Map<String, Value>) -> Result<Arc<str>, Problem> {
+    match body.get("class") {
+        None | Some(Value::Null) => Ok(DEFAULT_CLASS.into()),
+        Some(Value::String(class)) if is_class(class) => Ok(class.as_str().into()),
+        Some(_) => Err(bad(
+            "class: expected 1 to 64 of the characters a-z, 0-9, `-` and `_`".to_owned(),
+        )),
+    }
+}
+
+fn is_class(text: &str) -> bool {
+    (1..=MAX_NAME).contains(&text.len())
+        && text
+            .bytes()
+            .all(|it| it.is_ascii_lowercase() || it.is_ascii_digit() || it == b'-' || it == b'_')
+}
+
+fn bad(detail: String) -> Problem {
+    Problem::not_run(Reason::BadRequest, detail)
+}
+
+fn too_large(detail: String) -> Problem {
+    Problem::not_run(Reason::TooLarge, detail)
+}
--- /dev/null
+++ b/crates/gate/src/seal.rs
@@ -0,0 +1,55 @@
+//! Values that a caller carries and this system reads back.
+
+use kernel::Secret;
+use serde::{Serialize, de::DeserializeOwned};
+
+const MAC_LEN: usize = 32;
+/// More than any token that this system mints; longer input is not decoded.
+const MAX_TEXT: usize = 2048;
+
+/// Writes `value` with its keyed hash as text that fits a header.
+pub(crate) fn seal<T: Serialize>(secret: &Secret, prefix: &str, value: &T) -> String {
+    let mut bytes = postcard::to_stdvec(value).expect("tokens hold only text and numbers");
+    let mac = secret.sign(&bytes);
+    bytes.extend_from_slice(&mac);
+    let mut text = String::with_capacity(prefix.len() + bytes.len() * 2);
+    text.push_str(prefix);
+    for byte in bytes {
+        text.push(digit(byte >> 4));
+        text.push(digit(byte & 0xf));
+    }
+    text
+}
+
+/// Reads back what [`seal`] wrote with the same secret and prefix. Nothing
+/// comes back from a text that was changed, cut or minted by someone else.
+pub(crate) fn open<T: DeserializeOwned>(secret: &Secret, prefix: &str, text: &str) -> Option<T> {
+    if text.len() > MAX_TEXT {
+        return None;
+    }
+    let bytes = unhex(text.strip_prefix(prefix)?)?;
+    let split = bytes.len().checked_sub(MAC_LEN)?;
+    let (body, mac) = bytes.split_at(split);
+    if !secret.verify(body, mac.try_into().ok()?) {
+        return None;
+    }
+    postcard::from_bytes(body).ok()
+}
+
+fn digit(nibble: u8) -> char {
+    char::from_digit(u32::from(nibble), 16).expect("a nibble is below sixteen")
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) {
+        return None;
+    }
+    text.as_bytes()
+        .chunks_exact(2)
+        .map(|pair| {
+            let high = char::from(pair[0]).to_digit(16)?;
+            let low = char::from(pair[1]).to_digit(16)?;
+            u8::try_from(high << 4 | low).ok()
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/gate/src/ticket.rs
@@ -0,0 +1,47 @@
+//! The ticket that ties a request key to one host incarnation.
+//!
+//! Only the incarnation that minted a ticket may run the calls made under it,
+//! so that it alone can tell whether a key was run, without the store; see
+//! `docs/design/ledger.md`.
+
+use std::time::Duration;
+
+use kernel::{HostName, Incarnation, Secret};
+use serde::{Deserialize, Serialize};
+
+use crate::problem::{Problem, Reason};
+use crate::seal;
+
+const PREFIX: &str = "t1.";
+
+/// A ticket, minted with the answer to `GET /v1/hosts`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// The incarnation that may run calls under this ticket.
+    pub incarnation: Incarnation,
+    /// The host of that incarnation.
+    pub host: HostName,
+    /// Wall time since the Unix epoch after which it starts no call.
+    pub expiry: Duration,
+}
+
+impl Ticket {
+    /// The ticket as a header value.
+    #[must_use]
+    pub fn seal(&self, secret: &Secret) -> String {
+        seal::seal(secret, PREFIX, self)
+    }
+
+    /// Reads a ticket.
+    ///
+    /// # Errors
+    /// A 400 problem when it wasn't minted by this system.
+    pub fn open(secret: &Secret, text: &str) -> Result<Self, Problem> {
+        seal::open(secret, PREFIX, text).ok_or_else(|| {
+            Problem::not_run(
+                Reason::BadRequest,
+                "barleypin-ticket: is not a ticket of this system; GET /v1/hosts gives one",
+            )
+        })
+    }
+}
