--- /dev/null
+++ b/crates/ledger/src/lease.rs
@@ -0,0 +1,16 @@
+//! Leases for single-holder jobs; see `docs/design/lease.md`.
+//!
+//! A [`Lease`] is the state of one candidate. It does no IO: the caller feeds
+//! what the table answered and performs the actions.
+
+mod action;
+mod event;
+mod row;
+mod state;
+mod tuning;
+
+pub use action::Action;
+pub use event::{Event, Written};
+pub use row::Row;
+pub use state::{Denied, Endpoint, Fencing, Lease};
+pub use tuning::Tuning;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,35 @@
 //! At-most-once execution and billing, as a pure core.
+//!
+//! [`Ledger::handle`] takes what happened and says what to do; it does no IO,
+//! so that a test or the daemon can drive it alike. See
+//! [ledger.md](../../../docs/design/ledger.md) for the ways weighed and
+//! [lease.md](../../../docs/design/lease.md) for single-holder jobs.
+
+pub mod lease;
+pub mod table;
+
+mod action;
+mod arrival;
+mod event;
+mod ledger;
+mod message;
+mod outcome;
+mod peer;
+mod record;
+mod refusal;
+mod status;
+mod ticket;
+mod tuning;
+
+pub use action::{Action, Safety};
+pub use arrival::{Arrival, Fingerprint, Repeat};
+pub use event::{End, Event, Forward};
+pub use ledger::Ledger;
+pub use message::{Message, Verdict};
+pub use outcome::Outcome;
+pub use peer::{Peer, Reach, State};
+pub use record::{Charge, Record, Serial};
+pub use refusal::{Reason, Refusal, Run};
+pub use status::{Counters, Status};
+pub use ticket::Ticket;
+pub use tuning::Tuning;
