--- /dev/null
+++ b/crates/decide/src/evidence.rs
@@ -0,0 +1,41 @@
+//! What hosts tell each other of versions.
+
+use kernel::VersionId;
+use serde::{Deserialize, Serialize};
+
+use crate::{endpoint, key};
+
+/// The number of confidence buckets.
+pub const BUCKETS: usize = 8;
+
+/// What one host has seen since it last published. Counts are differences: each
+/// is to be delivered to each other host at most once.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// One entry for each version and class that something happened to.
+    pub items: Vec<Item>,
+}
+
+/// What happened to one version in one class.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    /// The version.
+    pub version: VersionId,
+    /// The class.
+    pub class: key::Class,
+    /// Whole answers by confidence bucket.
+    pub answered: [u32; BUCKETS],
+    /// Failures that speak against the version.
+    pub failed: u32,
+    /// Of the failures, two endpoints where they happened, so that one broken
+    /// endpoint isn't taken for a broken version.
+    pub failed_at: [Option<endpoint::Id>; 2],
+    /// Good ratings by confidence bucket.
+    pub good: [u32; BUCKETS],
+    /// Bad ratings by confidence bucket.
+    pub bad: [u32; BUCKETS],
+    /// The sum of the completion tokens of the answers.
+    pub completion_tokens: u64,
+    /// The sum of the answers' latencies in milliseconds.
+    pub latency_ms: u64,
+}
--- /dev/null
+++ b/crates/decide/src/key.rs
@@ -0,0 +1,79 @@
+//! Small `Copy` keys, so that the hot path compares numbers and never text.
+//!
+//! [`Version`], [`Profile`], [`Customer`] and [`Service`] index the lists of the
+//! [`Policy`](crate::Policy) that was last passed to
+//! [`Event::Configure`](crate::Event::Configure); a new policy renumbers them.
+
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+macro_rules! index_key {
+    ($($(#[$meta:meta])* $name:ident;)*) => {$(
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, Default, Display, From, Into, PartialEq, Eq, PartialOrd, Ord, Hash,
+        )]
+        pub struct $name(pub u16);
+
+        impl $name {
+            /// The place in the policy's list.
+            #[must_use]
+            pub fn index(self) -> usize {
+                usize::from(self.0)
+            }
+
+            /// The key of the entry at `index`; lists are far shorter than `u16::MAX`.
+            #[must_use]
+            pub fn at(index: usize) -> Self {
+                Self(u16::try_from(index).unwrap_or(u16::MAX))
+            }
+        }
+    )*};
+}
+
+index_key! {
+    /// An entry of [`Policy::versions`](crate::Policy::versions).
+    Version;
+    /// An entry of [`Policy::profiles`](crate::Policy::profiles).
+    Profile;
+    /// An entry of [`Policy::customers`](crate::Policy::customers).
+    Customer;
+    /// An entry of [`Policy::services`](crate::Policy::services).
+    Service;
+}
+
+/// A request as the driver numbers it; unique in the life of one decider.
+#[derive(
+    Clone, Copy, Debug, Default, Display, From, Into, PartialEq, Eq, PartialOrd, Ord, Hash,
+)]
+pub struct Request(pub u64);
+
+/// A request class, named by a hash of its text so that it is the same on every host.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Class(u64);
+
+impl Class {
+    /// The class that callers name with `text`.
+    #[must_use]
+    pub fn named(text: &str) -> Self {
+        Self(hash(text.as_bytes()))
+    }
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self::named("general")
+    }
+}
+
+/// FNV-1a: stable over builds and hosts, which the standard hasher isn't.
+pub(crate) fn hash(bytes: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    bytes.iter().fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
+    })
+}
