Give the configuration its types and the settings their reader

The daemon, the decisions and the operators' tool need the document, its entries, changes and the settings before the checks stand. Settings are read by a schema that is data, so that the reader, the errors and the reference page follow from one list; every fault of a file is found in one run.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,43 @@
-//! Profiles, versions, customers and settings, checked and revisioned.
+//! Profiles, versions, customers, services and roll-outs, checked and
+//! revisioned, and the settings of a host.
+//!
+//! The crate does no input or output: it turns text into checked values, and a
+//! [`Document`] and a [`Change`] into the next [`Document`] or a reason why not.
+//! The operators' reference is in docs/reference/profiles.md and
+//! docs/reference/settings.md; what the other crates rely on is in
+//! docs/design/contracts.md.
+
+mod change;
+mod check;
+mod commit;
+mod customer;
+mod document;
+mod entry;
+mod fault;
+mod millis;
+mod name;
+mod priority;
+mod profile;
+mod repeat;
+mod rollout;
+pub mod schema;
+mod service;
+pub mod settings;
+mod source;
+mod table;
+mod version;
+
+pub use change::{Change, Edit, Mode};
+pub use commit::{Action, Commit};
+pub use customer::Customer;
+pub use document::{Conflict, Document, Refused};
+pub use entry::Entry;
+pub use fault::{Fault, Faults, Found, Place};
+pub use name::{Kind, Name};
+pub use priority::Priority;
+pub use profile::{Grant, Profile, WhenStale};
+pub use repeat::Repeat;
+pub use rollout::{Rollout, RolloutState};
+pub use service::{Route, Service};
+pub use settings::Settings;
+pub use version::{Version, VersionState};
--- /dev/null
+++ b/crates/config/src/name.rs
@@ -0,0 +1,112 @@
+//! The name of an entry.
+
+use derive_more::Display;
+use kernel::{Customer, ProfileName, ServiceName, VersionId};
+use serde::{Deserialize, Serialize};
+
+/// The kind and name of an entry of the document.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind", content = "name")]
+pub enum Name {
+    /// A version.
+    #[display("version {_0}")]
+    Version(VersionId),
+    /// A profile.
+    #[display("profile {_0}")]
+    Profile(ProfileName),
+    /// A customer.
+    #[display("customer {_0}")]
+    Customer(Customer),
+    /// A plain service.
+    #[display("service {_0}")]
+    Service(ServiceName),
+    /// The roll-out of a version.
+    #[display("rollout {_0}")]
+    Rollout(VersionId),
+}
+
+impl Name {
+    /// The name of an entry of that kind.
+    #[must_use]
+    pub fn new(kind: Kind, name: &str) -> Self {
+        match kind {
+            Kind::Version => Self::Version(name.into()),
+            Kind::Profile => Self::Profile(name.into()),
+            Kind::Customer => Self::Customer(name.into()),
+            Kind::Service => Self::Service(name.into()),
+            Kind::Rollout => Self::Rollout(name.into()),
+        }
+    }
+
+    /// The kind of the entry.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Version(_) => Kind::Version,
+            Self::Profile(_) => Kind::Profile,
+            Self::Customer(_) => Kind::Customer,
+            Self::Service(_) => Kind::Service,
+            Self::Rollout(_) => Kind::Rollout,
+        }
+    }
+
+    /// The name without its kind.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        match self {
+            Self::Version(id) | Self::Rollout(id) => id.as_str(),
+            Self::Profile(name) => name.as_str(),
+            Self::Customer(name) => name.as_str(),
+            Self::Service(name) => name.as_str(),
+        }
+    }
+}
+
+/// The kinds of entries, in the order in which the document keeps them.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Versions.
+    #[display("version")]
+    Version,
+    /// Profiles.
+    #[display("profile")]
+    Profile,
+    /// Customers.
+    #[display("customer")]
+    Customer,
+    /// Plain services.
+    #[display("service")]
+    Service,
+    /// Roll-outs.
+    #[display("rollout")]
+    Rollout,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 5] = [
+        Self::Version,
+        Self::Profile,
+        Self::Customer,
+        Self::Service,
+        Self::Rollout,
+    ];
+
+    /// The plural that stands in paths (`/operator/v1/profiles/…`) and in the document.
+    #[must_use]
+    pub fn plural(self) -> &'static str {
+        match self {
+            Self::Version => "versions",
+            Self::Profile => "profiles",
+            Self::Customer => "customers",
+            Self::Service => "services",
+            Self::Rollout => "rollouts",
+        }
+    }
+
+    /// The kind that a path segment names.
+    #[must_use]
+    pub fn from_plural(plural: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.plural() == plural)
+    }
+}
--- /dev/null
+++ b/crates/config/src/priority.rs
@@ -0,0 +1,33 @@
+//! How urgent a request is.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// How urgent a request is; the most urgent sorts first.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Priority {
+    /// Seat holds and gate scans, which can't wait.
+    #[display("urgent")]
+    Urgent,
+    /// A person waits for the answer.
+    #[default]
+    #[display("interactive")]
+    Interactive,
+    /// Nobody waits: summaries overnight.
+    #[display("batch")]
+    Batch,
+}
--- /dev/null
+++ b/crates/config/src/settings/freshness.rs
@@ -0,0 +1,53 @@
+//! `[freshness]`.
+
+use std::time::Duration;
+
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
+/// How the host keeps its configuration the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Freshness {
+    /// The age of the last proof that the configuration is the newest, past
+    /// which a profile's `when_stale` decides.
+    pub bound: Duration,
+    /// The time between two reads of the table by the hosts that poll it.
+    pub poll: Duration,
+}
+
+impl Freshness {
+    pub(crate) const SECTION: Section = Section {
+        name: "freshness",
+        about: "how the host keeps its configuration the newest",
+        shape: Shape::One,
+        keys: &[&BOUND_MS, &POLL_MS],
+        sections: &[],
+    };
+
+    pub(crate) fn read(file: &Table<'_>) -> Self {
+        let table = file.one(&Self::SECTION);
+        Self {
+            bound: table.duration(&BOUND_MS),
+            poll: table.duration(&POLL_MS),
+        }
+    }
+}
+
+const BOUND_MS: Key = Key {
+    name: "bound_ms",
+    accepts: Accepts::Millis {
+        min: 100,
+        max: 600_000,
+    },
+    fallback: Fallback::Whole(10_000),
+    about: "the age of the last proof that the configuration is the newest, past which the `when_stale` of a profile decides",
+};
+const POLL_MS: Key = Key {
+    name: "poll_ms",
+    accepts: Accepts::Millis {
+        min: 10,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(1_000),
+    about: "the time between two reads of the table by the hosts that poll it",
+};
--- /dev/null
+++ b/crates/config/src/settings/host.rs
@@ -0,0 +1,67 @@
+//! `[host]`.
+
+use std::time::Duration;
+
+use kernel::{DataCentre, HostName, Region};
+
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
+/// Who the host is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// Its name, unique in the fleet.
+    pub name: HostName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its region.
+    pub region: Region,
+    /// The longest that a drain may take: the longest request and the time
+    /// for which callers keep the answer to `GET /v1/hosts`.
+    pub drain_limit: Duration,
+}
+
+impl Host {
+    pub(crate) const SECTION: Section = Section {
+        name: "host",
+        about: "who the host is",
+        shape: Shape::One,
+        keys: &[&NAME, &DATA_CENTRE, &REGION, &DRAIN_LIMIT_S],
+        sections: &[],
+    };
+
+    pub(crate) fn read(file: &Table<'_>) -> Self {
+        let table = file.one(&Self::SECTION);
+        Self {
+            name: table.text(&NAME).into(),
+            data_centre: table.text(&DATA_CENTRE).into(),
+            region: table.text(&REGION).into(),
+            drain_limit: table.duration(&DRAIN_LIMIT_S),
+        }
+    }
+}
+
+const NAME: Key = Key {
+    name: "name",
+    accepts: Accepts::Name,
+    fallback: Fallback::Required,
+    about: "its name, unique in the fleet and the same as in the host list",
+};
+const DATA_CENTRE: Key = Key {
+    name: "data_centre",
+    accepts: Accepts::Name,
+    fallback: Fallback::Required,
+    about: "its data centre",
+};
+const REGION: Key = Key {
+    name: "region",
+    accepts: Accepts::Name,
+    fallback: Fallback::Required,
+    about: "its region",
+};
+const DRAIN_LIMIT_S: Key = Key {
+    name: "drain_limit_s",
+    accepts: Accepts::Seconds { min: 1, max: 3_600 },
+    fallback: Fallback::Whole(330),
+    about: "the longest that a drain may take: at least the longest request and `limits.hosts_keep_ms`",
+};
--- /dev/null
+++ b/crates/config/src/settings/ledger.rs
@@ -0,0 +1,95 @@
+//! `[ledger]`.
+
+use std::time::Duration;
+
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
+/// How the host keeps billing records until the table has them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ledger {
+    /// The time for which records are gathered into one batch.
+    pub batch: Duration,
+    /// The records of a batch at most.
+    pub batch_records: usize,
+    /// The records that may wait for the table before new work is refused.
+    pub held_records: usize,
+    /// The time within which the partner has to acknowledge a copy before
+    /// another host is asked.
+    pub partner: Duration,
+    /// The time for which the answer to an idempotency key is remembered.
+    pub remember: Duration,
+}
+
+impl Ledger {
+    pub(crate) const SECTION: Section = Section {
+        name: "ledger",
+        about: "how the host keeps billing records until the table has them",
+        shape: Shape::One,
+        keys: &[
+            &BATCH_MS,
+            &BATCH_RECORDS,
+            &HELD_RECORDS,
+            &PARTNER_MS,
+            &REMEMBER_MS,
+        ],
+        sections: &[],
+    };
+
+    pub(crate) fn read(file: &Table<'_>) -> Self {
+        let table = file.one(&Self::SECTION);
+        Self {
+            batch: table.duration(&BATCH_MS),
+            batch_records: table.size(&BATCH_RECORDS),
+            held_records: table.size(&HELD_RECORDS),
+            partner: table.duration(&PARTNER_MS),
+            remember: table.duration(&REMEMBER_MS),
+        }
+    }
+}
+
+const BATCH_MS: Key = Key {
+    name: "batch_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(200),
+    about: "the time for which records are gathered into one batch",
+};
+const BATCH_RECORDS: Key = Key {
+    name: "batch_records",
+    accepts: Accepts::Whole {
+        min: 1,
+        max: 100_000,
+    },
+    fallback: Fallback::Whole(500),
+    about: "the records of a batch at most",
+};
+const HELD_RECORDS: Key = Key {
+    name: "held_records",
+    accepts: Accepts::Whole {
+        min: 1,
+        max: 10_000_000,
+    },
+    fallback: Fallback::Whole(100_000),
+    about: "the records that may wait for the table before new work is refused",
+};
+const PARTNER_MS: Key = Key {
+    name: "partner_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(250),
+    about: "the time within which the partner has to acknowledge a copy before another host is asked",
+};
+const REMEMBER_MS: Key = Key {
+    name: "remember_ms",
+    accepts: Accepts::Millis {
+        min: 1_000,
+        max: 86_400_000,
+    },
+    fallback: Fallback::Whole(600_000),
+    about: "the time for which the answer to an idempotency key is remembered",
+};
--- /dev/null
+++ b/crates/config/src/settings/listen.rs
@@ -0,0 +1,55 @@
+//! `[listen]`.
+
+use std::net::SocketAddr;
+
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
+/// Where the host listens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// TCP, for callers.
+    pub callers: SocketAddr,
+    /// TCP, for operators; may be the same as for callers.
+    pub operators: SocketAddr,
+    /// UDP, for the other hosts.
+    pub fleet: SocketAddr,
+}
+
+impl Listen {
+    pub(crate) const SECTION: Section = Section {
+        name: "listen",
+        about: "where the host listens",
+        shape: Shape::One,
+        keys: &[&CALLERS, &OPERATORS, &FLEET],
+        sections: &[],
+    };
+
+    pub(crate) fn read(file: &Table<'_>) -> Self {
+        let table = file.one(&Self::SECTION);
+        Self {
+            callers: table.address(&CALLERS),
+            operators: table.address(&OPERATORS),
+            fleet: table.address(&FLEET),
+        }
+    }
+}
+
+const CALLERS: Key = Key {
+    name: "callers",
+    accepts: Accepts::Address,
+    fallback: Fallback::Required,
+    about: "TCP, for callers",
+};
+const OPERATORS: Key = Key {
+    name: "operators",
+    accepts: Accepts::Address,
+    fallback: Fallback::Required,
+    about: "TCP, for operators; may be the same as for callers",
+};
+const FLEET: Key = Key {
+    name: "fleet",
+    accepts: Accepts::Address,
+    fallback: Fallback::Required,
+    about: "UDP, for the other hosts",
+};
--- /dev/null
+++ b/crates/config/src/settings/log.rs
@@ -0,0 +1,90 @@
+//! `[log]`.
+
+use derive_more::Display;
+
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
+/// How the host logs; the events are listed in docs/reference/events.md.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Log {
+    /// The shape of a line.
+    pub format: Format,
+    /// The least severe level that is logged.
+    pub level: Level,
+}
+
+impl Log {
+    pub(crate) const SECTION: Section = Section {
+        name: "log",
+        about: "how the host logs",
+        shape: Shape::One,
+        keys: &[&FORMAT, &LEVEL],
+        sections: &[],
+    };
+
+    pub(crate) fn read(file: &Table<'_>) -> Self {
+        let table = file.one(&Self::SECTION);
+        Self {
+            format: table.word(&FORMAT, &FORMATS),
+            level: table.word(&LEVEL, &LEVELS),
+        }
+    }
+}
+
+const FORMAT: Key = Key {
+    name: "format",
+    accepts: Accepts::OneOf(&["text", "json", "auto"]),
+    fallback: Fallback::Word("auto"),
+    about: "the shape of a line; `auto` is text on a terminal, otherwise JSON",
+};
+const LEVEL: Key = Key {
+    name: "level",
+    accepts: Accepts::OneOf(&["error", "warning", "info", "debug"]),
+    fallback: Fallback::Word("info"),
+    about: "the least severe level that is logged",
+};
+
+/// The shape of a log line.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    #[display("text")]
+    Text,
+    /// One JSON object a line.
+    #[display("json")]
+    Json,
+    /// Text on a terminal, otherwise JSON.
+    #[display("auto")]
+    Auto,
+}
+
+/// The levels of log events, the most severe first.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Something failed that an operator should see to.
+    #[display("error")]
+    Error,
+    /// Something failed that the host got over.
+    #[display("warning")]
+    Warning,
+    /// What happens to the host.
+    #[display("info")]
+    Info,
+    /// What happens to each request.
+    #[display("debug")]
+    Debug,
+}
+
+const FORMATS: [(&str, Format); 3] = [
+    ("text", Format::Text),
+    ("json", Format::Json),
+    ("auto", Format::Auto),
+];
+
+const LEVELS: [(&str, Level); 4] = [
+    ("error", Level::Error),
+    ("warning", Level::Warning),
+    ("info", Level::Info),
+    ("debug", Level::Debug),
+];
--- /dev/null
+++ b/crates/config/src/settings/platform.rs
@@ -0,0 +1,122 @@
+//! `[platform]`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
+/// Where the platform's services are, and how long the host waits for them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Platform {
+    /// The table service.
+    pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
+    /// The host list.
+    pub host_list: SocketAddr,
+    /// The rating service.
+    pub ratings: SocketAddr,
+    /// The time to connect to any of them.
+    pub connect: Duration,
+    /// The time to the whole answer of any of them.
+    pub request: Duration,
+    /// The time between two reads of the host list.
+    pub host_list_poll: Duration,
+    /// The time between two reads of ratings.
+    pub ratings_poll: Duration,
+}
+
+impl Platform {
+    pub(crate) const SECTION: Section = Section {
+        name: "platform",
+        about: "where the platform's services are, and how long the host waits for them",
+        shape: Shape::One,
+        keys: &[
+            &TABLE,
+            &OBJECTS,
+            &HOST_LIST,
+            &RATINGS,
+            &CONNECT_MS,
+            &REQUEST_MS,
+            &HOST_LIST_POLL_MS,
+            &RATINGS_POLL_MS,
+        ],
+        sections: &[],
+    };
+
+    pub(crate) fn read(file: &Table<'_>) -> Self {
+        let table = file.one(&Self::SECTION);
+        Self {
+            table: table.address(&TABLE),
+            objects: table.address(&OBJECTS),
+            host_list: table.address(&HOST_LIST),
+            ratings: table.address(&RATINGS),
+            connect: table.duration(&CONNECT_MS),
+            request: table.duration(&REQUEST_MS),
+            host_list_poll: table.duration(&HOST_LIST_POLL_MS),
+            ratings_poll: table.duration(&RATINGS_POLL_MS),
+        }
+    }
+}
+
+const TABLE: Key = Key {
+    name: "table",
+    accepts: Accepts::Address,
+    fallback: Fallback::Required,
+    about: "the table service",
+};
+const OBJECTS: Key = Key {
+    name: "objects",
+    accepts: Accepts::Address,
+    fallback: Fallback::Required,
+    about: "the object store",
+};
+const HOST_LIST: Key = Key {
+    name: "host_list",
+    accepts: Accepts::Address,
+    fallback: Fallback::Required,
+    about: "the host list",
+};
+const RATINGS: Key = Key {
+    name: "ratings",
+    accepts: Accepts::Address,
+    fallback: Fallback::Required,
+    about: "the rating service",
+};
+const CONNECT_MS: Key = Key {
+    name: "connect_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(500),
+    about: "the time to connect to any of them",
+};
+const REQUEST_MS: Key = Key {
+    name: "request_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(2_000),
+    about: "the time to the whole answer of any of them",
+};
+const HOST_LIST_POLL_MS: Key = Key {
+    name: "host_list_poll_ms",
+    accepts: Accepts::Millis {
+        min: 10,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(1_000),
+    about: "the time between two reads of the host list",
+};
+const RATINGS_POLL_MS: Key = Key {
+    name: "ratings_poll_ms",
+    accepts: Accepts::Millis {
+        min: 10,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(1_000),
+    about: "the time between two reads of ratings",
+};
--- /dev/null
+++ b/crates/config/src/settings/pool.rs
@@ -0,0 +1,64 @@
+//! `[http]`.
+
+use std::time::Duration;
+
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
+/// The pooled connections to endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pool {
+    /// The time to connect.
+    pub connect: Duration,
+    /// The idle connections that are kept to each address.
+    pub idle_connections: usize,
+    /// The time for which an idle connection is kept.
+    pub idle: Duration,
+}
+
+impl Pool {
+    pub(crate) const SECTION: Section = Section {
+        name: "http",
+        about: "the pooled connections to endpoints",
+        shape: Shape::One,
+        keys: &[&CONNECT_MS, &IDLE_CONNECTIONS, &IDLE_MS],
+        sections: &[],
+    };
+
+    pub(crate) fn read(file: &Table<'_>) -> Self {
+        let table = file.one(&Self::SECTION);
+        Self {
+            connect: table.duration(&CONNECT_MS),
+            idle_connections: table.size(&IDLE_CONNECTIONS),
+            idle: table.duration(&IDLE_MS),
+        }
+    }
+}
+
+const CONNECT_MS: Key = Key {
+    name: "connect_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 60_000,
+    },
+    fallback: Fallback::Whole(250),
+    about: "the time to connect",
+};
+const IDLE_CONNECTIONS: Key = Key {
+    name: "idle_connections",
+    accepts: Accepts::Whole {
+        min: 0,
+        max: 10_000,
+    },
+    fallback: Fallback::Whole(64),
+    about: "the idle connections that are kept to each address",
+};
+const IDLE_MS: Key = Key {
+    name: "idle_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 3_600_000,
+    },
+    fallback: Fallback::Whole(30_000),
+    about: "the time for which an idle connection is kept",
+};
--- /dev/null
+++ b/crates/config/src/table.rs
@@ -0,0 +1,341 @@
+//! A table of a text, read by its schema.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use kernel::VersionId;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use crate::Found;
+use crate::check;
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::source::Source;
+
+/// A table of a text, read by its schema.
+pub(crate) struct Table<'a> {
+    source: &'a Source<'a>,
+    rows: Option<&'a DeTable<'a>>,
+    section: &'static Section,
+    path: String,
+    at: usize,
+}
+
+impl<'a> Table<'a> {
+    /// The table that is the whole file.
+    pub(crate) fn root(
+        source: &'a Source<'a>,
+        table: &'a DeTable<'a>,
+        section: &'static Section,
+    ) -> Self {
+        let root = Self {
+            source,
+            rows: Some(table),
+            section,
+            path: String::new(),
+            at: 0,
+        };
+        root.refuse_unknown_keys();
+        root
+    }
+
+    /// A table that stands once; when it is absent, each of its keys is.
+    pub(crate) fn one(&self, section: &'static Section) -> Self {
+        debug_assert_eq!(section.shape, Shape::One);
+        match self.get(section.name) {
+            Some((at, value)) => self.child(section, section.name, at, value),
+            None => Self {
+                source: self.source,
+                rows: None,
+                section,
+                path: self.path_of(section.name),
+                at: self.at,
+            },
+        }
+    }
+
+    /// The tables of a section that stand under names of their own.
+    pub(crate) fn named(&self, section: &'static Section) -> Vec<(String, Self)> {
+        debug_assert_eq!(section.shape, Shape::Named);
+        let Some((_, value)) = self.get(section.name) else {
+            return Vec::new();
+        };
+        let Some(tables) = value.get_ref().as_table() else {
+            self.refuse(section.name, value, "a table for each name");
+            return Vec::new();
+        };
+        tables
+            .iter()
+            .map(|(name, value)| {
+                let path = format!("{}.{}", section.name, name.get_ref());
+                let table = self.child(section, &path, name.span().start, value);
+                (name.get_ref().to_string(), table)
+            })
+            .collect()
+    }
+
+    /// The tables of a section that stand in a list.
+    pub(crate) fn list(&self, section: &'static Section) -> Vec<Self> {
+        debug_assert_eq!(section.shape, Shape::List);
+        let Some((_, value)) = self.get(section.name) else {
+            return Vec::new();
+        };
+        let Some(array) = value.get_ref().as_array() else {
+            self.refuse(section.name, value, "a list of tables");
+            return Vec::new();
+        };
+        array
+            .iter()
+            .enumerate()
+            .map(|(idx, value)| {
+                let path = format!("{}[{idx}]", section.name);
+                self.child(section, &path, value.span().start, value)
+            })
+            .collect()
+    }
+
+    /// A time, in the unit that the key names.
+    pub(crate) fn duration(&self, key: &'static Key) -> Duration {
+        match key.accepts {
+            Accepts::Seconds { .. } => Duration::from_secs(self.whole(key)),
+            _ => Duration::from_millis(self.whole(key)),
+        }
+    }
+
+    /// A count that fits a `u32`, as the key's bounds have to make sure.
+    pub(crate) fn count(&self, key: &'static Key) -> u32 {
+        u32::try_from(self.whole(key)).unwrap_or(u32::MAX)
+    }
+
+    /// A count of things in memory.
+    pub(crate) fn size(&self, key: &'static Key) -> usize {
+        usize::try_from(self.whole(key)).unwrap_or(usize::MAX)
+    }
+
+    /// A whole number.
+    pub(crate) fn whole(&self, key: &'static Key) -> u64 {
+        let (Accepts::Whole { min, max }
+        | Accepts::Millis { min, max }
+        | Accepts::Seconds { min, max }) = key.accepts
+        else {
+            return 0;
+        };
+        self.value(key, |value| {
+            let number = whole(value)?;
+            (min..=max).contains(&number).then_some(number)
+        })
+        .unwrap_or(match key.fallback {
+            Fallback::Whole(number) => number,
+            _ => min,
+        })
+    }
+
+    /// A share of a whole.
+    pub(crate) fn fraction(&self, key: &'static Key) -> f64 {
+        self.value(key, |value| {
+            fraction(value).filter(|it| check::is_fraction(*it))
+        })
+        .unwrap_or(match key.fallback {
+            Fallback::Fraction(share) => share,
+            _ => 0.0,
+        })
+    }
+
+    /// The shares of a roll-out's steps.
+    pub(crate) fn steps(&self, key: &'static Key) -> Vec<f64> {
+        self.value(key, |value| {
+            let steps: Option<Vec<f64>> = value.as_array()?.iter().map(number).collect();
+            steps.filter(|steps| check::are_steps(steps))
+        })
+        .unwrap_or_else(|| match key.fallback {
+            Fallback::Steps(steps) => steps.to_vec(),
+            _ => Vec::new(),
+        })
+    }
+
+    /// One of a closed set of words, as the value that it stands for.
+    pub(crate) fn word<T: Copy>(&self, key: &'static Key, words: &[(&str, T)]) -> T {
+        let find = |text: &str| words.iter().find(|(word, _)| *word == text);
+        self.value(key, |value| find(value.as_str()?).map(|(_, it)| *it))
+            .unwrap_or_else(|| {
+                let fallback = match key.fallback {
+                    Fallback::Word(word) => find(word),
+                    _ => None,
+                };
+                fallback.unwrap_or(&words[0]).1
+            })
+    }
+
+    /// A text that has the form which the key asks for.
+    pub(crate) fn text(&self, key: &'static Key) -> String {
+        self.value(key, |value| {
+            let text = value.as_str()?;
+            let fits = match key.accepts {
+                Accepts::Name => check::is_name(text),
+                Accepts::Version => check::is_version(text),
+                Accepts::Hash => check::is_hash(text),
+                Accepts::Method => check::is_method(text),
+                Accepts::Prefix => check::is_prefix(text),
+                _ => !text.is_empty(),
+            };
+            fits.then(|| text.to_owned())
+        })
+        .unwrap_or_default()
+    }
+
+    /// Some versions; nothing when the key may be absent and is.
+    pub(crate) fn versions(&self, key: &'static Key) -> Option<Vec<VersionId>> {
+        self.value(key, |value| {
+            let version = |value: &Spanned<DeValue<'_>>| {
+                let text = value.get_ref().as_str()?;
+                check::is_version(text).then(|| VersionId::from(text))
+            };
+            let versions: Option<Vec<VersionId>> = value.as_array()?.iter().map(version).collect();
+            versions.filter(|versions| !versions.is_empty() && check::are_distinct(versions))
+        })
+    }
+
+    /// An address.
+    pub(crate) fn address(&self, key: &'static Key) -> SocketAddr {
+        self.value(key, |value| value.as_str()?.parse().ok())
+            .unwrap_or_else(|| ([0, 0, 0, 0], 0).into())
+    }
+
+    /// The path of a file.
+    pub(crate) fn path(&self, key: &'static Key) -> PathBuf {
+        self.text(key).into()
+    }
+
+    /// The value of a key as `parse` takes it; nothing, and a fault where one
+    /// is due, when it is absent or `parse` doesn't take it.
+    fn value<T>(
+        &self,
+        key: &'static Key,
+        parse: impl FnOnce(&DeValue<'_>) -> Option<T>,
+    ) -> Option<T> {
+        debug_assert!(
+            self.section.keys.iter().any(|known| known.name == key.name),
+            "the schema of {} has no key {}",
+            self.section.name,
+            key.name,
+        );
+        let Some((_, value)) = self.get(key.name) else {
+            if key.fallback == Fallback::Required {
+                let field = self.path_of(key.name);
+                let accepted = key.accepts.to_string();
+                self.source.add(self.at, field, Found::Missing, accepted);
+            }
+            return None;
+        };
+        let parsed = parse(value.get_ref());
+        if parsed.is_none() {
+            self.refuse_as(key, value);
+        }
+        parsed
+    }
+
+    fn refuse_as(&self, key: &Key, value: &Spanned<DeValue<'_>>) {
+        let shown = match key.accepts {
+            // Somebody may have pasted the key instead of its hash.
+            Accepts::Hash => "a text that isn't shown".to_owned(),
+            _ => self.source.show(value),
+        };
+        self.source.add(
+            value.span().start,
+            self.path_of(key.name),
+            Found::Value(shown),
+            key.accepts.to_string(),
+        );
+    }
+
+    fn refuse(&self, name: &str, value: &Spanned<DeValue<'_>>, accepted: &str) {
+        let found = Found::Value(self.source.show(value));
+        let field = self.path_of(name);
+        self.source
+            .add(value.span().start, field, found, accepted.to_owned());
+    }
+
+    fn child(
+        &self,
+        section: &'static Section,
+        name: &str,
+        at: usize,
+        value: &'a Spanned<DeValue<'a>>,
+    ) -> Self {
+        let table = value.get_ref().as_table();
+        if table.is_none() {
+            self.refuse(name, value, "a table");
+        }
+        let child = Self {
+            source: self.source,
+            rows: table,
+            section,
+            path: self.path_of(name),
+            at,
+        };
+        child.refuse_unknown_keys();
+        child
+    }
+
+    fn refuse_unknown_keys(&self) {
+        let Some(table) = self.rows else { return };
+        let keys = self.section.keys.iter().map(|key| key.name);
+        let sections = self.section.sections.iter().map(|section| section.name);
+        let known: Vec<_> = keys.chain(sections).collect();
+        for name in table.keys() {
+            if known.contains(&name.get_ref().as_ref()) {
+                continue;
+            }
+            let field = self.path_of(name.get_ref());
+            let accepted = suggest(name.get_ref(), &known);
+            self.source
+                .add(name.span().start, field, Found::UnknownKey, accepted);
+        }
+    }
+
+    fn get(&self, name: &str) -> Option<(usize, &'a Spanned<DeValue<'a>>)> {
+        let (key, value) = self.rows?.get_key_value(name)?;
+        Some((key.span().start, value))
+    }
+
+    fn path_of(&self, name: &str) -> String {
+        if self.path.is_empty() {
+            name.to_owned()
+        } else {
+            format!("{}.{name}", self.path)
+        }
+    }
+}
+
+fn whole(value: &DeValue<'_>) -> Option<u64> {
+    let integer = value.as_integer()?;
+    u64::from_str_radix(integer.as_str(), integer.radix()).ok()
+}
+
+/// A share may be written as a whole number, `0` or `1`.
+fn fraction(value: &DeValue<'_>) -> Option<f64> {
+    let text = value
+        .as_float()
+        .map(toml::de::DeFloat::as_str)
+        .or_else(|| value.as_integer().map(toml::de::DeInteger::as_str))?;
+    text.parse().ok()
+}
+
+fn number(value: &Spanned<DeValue<'_>>) -> Option<f64> {
+    fraction(value.get_ref())
+}
+
+fn suggest(name: &str, known: &[&str]) -> String {
+    /// Below this, another name is no likely slip of the pen.
+    const ALIKE: f64 = 0.7;
+    let nearest = known
+        .iter()
+        .map(|known| (strsim::jaro_winkler(name, known), known))
+        .filter(|(alike, _)| *alike >= ALIKE)
+        .max_by(|(left, _), (right, _)| left.total_cmp(right));
+    match nearest {
+        Some((_, known)) => format!("did you mean `{known}`?"),
+        None => format!("known here: {}", known.join(", ")),
+    }
+}
