--- /dev/null
+++ b/crates/barleypind/src/log.rs
@@ -0,0 +1,79 @@
+//! The log: numbered events, as text on a terminal and as JSON otherwise.
+
+use std::fmt::Display;
+use std::io::{IsTerminal, stderr};
+
+use slog::{Drain, KV, Key, Level, Logger, Record, Serializer, o};
+
+use crate::event::Event;
+
+/// How many records may wait for a slow reader before further ones are dropped
+/// and counted, so that logging never stops a call.
+const QUEUE: usize = 4096;
+
+/// A field beside an event. Never pass key material: fields are printed.
+pub type Field<'a> = (&'static str, &'a dyn Display);
+
+/// Where events go.
+#[derive(Clone, Debug)]
+pub struct Log {
+    logger: Logger,
+}
+
+impl Log {
+    /// Logs to the standard error stream, down to `level`.
+    #[must_use]
+    pub fn to_stderr(level: Level) -> Self {
+        if stderr().is_terminal() {
+            let drain = slog_term::FullFormat::new(slog_term::TermDecorator::new().build()).build();
+            Self::to(drain.fuse(), level)
+        } else {
+            Self::to(slog_json::Json::default(stderr()).fuse(), level)
+        }
+    }
+
+    /// Drops everything, for tests.
+    #[must_use]
+    pub fn discard() -> Self {
+        Self {
+            logger: Logger::root(slog::Discard, o!()),
+        }
+    }
+
+    /// Logs `event` with what it is about.
+    pub fn emit(&self, event: Event, fields: &[Field<'_>]) {
+        let (log, number, fields) = (&self.logger, event.number(), Fields(fields));
+        let message = event.message();
+        match event.level() {
+            Level::Critical => slog::crit!(log, "{message}"; "event" => number, fields),
+            Level::Error => slog::error!(log, "{message}"; "event" => number, fields),
+            Level::Warning => slog::warn!(log, "{message}"; "event" => number, fields),
+            Level::Info => slog::info!(log, "{message}"; "event" => number, fields),
+            Level::Debug => slog::debug!(log, "{message}"; "event" => number, fields),
+            Level::Trace => slog::trace!(log, "{message}"; "event" => number, fields),
+        }
+    }
+
+    fn to<D>(drain: D, level: Level) -> Self
+    where
+        D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+    {
+        let drain = slog_async::Async::new(drain.filter_level(level).fuse())
+            .chan_size(QUEUE)
+            .build();
+        Self {
+            logger: Logger::root(drain.fuse(), o!()),
+        }
+    }
+}
+
+struct Fields<'a>(&'a [Field<'a>]);
+
+impl KV for Fields<'_> {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        for &(key, value) in self.0 {
+            serializer.emit_arguments(Key::from(key), &format_args!("{value}"))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/barleypind/tests/catalogue.rs
@@ -0,0 +1,59 @@
+//! The reference pages list what the code has, no more and no less.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::time::Duration;
+
+use barleypind::event::Event;
+use barleypind::metrics::{CATALOGUE, Kind, Metrics};
+use expect_test::expect_file;
+
+#[test]
+fn the_event_page_lists_every_event() {
+    let mut page = String::from(
+        "# Events\n\nWhat the daemon logs. Numbers are never reused. Beside the event stand fields that say about what; key material is never among them.\n\n| number | level | name | message |\n|---|---|---|---|\n",
+    );
+    for event in Event::ALL {
+        writeln!(
+            page,
+            "| {} | {} | {event:?} | {} |",
+            event.number(),
+            event.level().as_str().to_lowercase(),
+            event.message()
+        )
+        .unwrap();
+    }
+    expect_file!["../../../docs/reference/events.md"].assert_eq(&page);
+}
+
+#[test]
+fn event_numbers_rise_and_are_unique() {
+    let numbers: Vec<u16> = Event::ALL.iter().map(|it| it.number()).collect();
+    assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
+}
+
+#[test]
+fn the_metrics_page_lists_every_metric() {
+    let mut page = String::from(
+        "# Metrics\n\n`GET /metrics` answers in Prometheus' text. Every reason of a refusal or retry is there as zero from the start.\n\n| metric | tells |\n|---|---|\n",
+    );
+    for (name, help) in CATALOGUE {
+        writeln!(page, "| `{name}` | {help} |").unwrap();
+    }
+    expect_file!["../../../docs/reference/metrics.md"].assert_eq(&page);
+}
+
+#[test]
+fn the_catalogue_is_what_is_exported() {
+    let metrics = Metrics::new();
+    metrics.call_ended(Kind::Chat, Duration::ZERO);
+    metrics.first_token(Duration::ZERO);
+    metrics.decided(Duration::ZERO);
+    let text = metrics.text();
+    let exported: BTreeSet<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next())
+        .collect();
+    let listed: BTreeSet<&str> = CATALOGUE.iter().map(|(name, _)| *name).collect();
+    assert_eq!(exported, listed);
+}
--- a/crates/gate/src/seal.rs
+++ b/crates/gate/src/seal.rs
@@ -10,7 +10,7 @@
 /// Writes `value` with its keyed hash as text that fits a header.
 pub(crate) fn seal<T: Serialize>(secret: &Secret, prefix: &str, value: &T) -> String {
     let mut bytes = postcard::to_stdvec(value).expect("tokens hold only text and numbers");
-    let mac = secret.sign(&bytes);
+    let mac = secret.sign(&signed(prefix, &bytes));
     bytes.extend_from_slice(&mac);
     let mut text = String::with_capacity(prefix.len() + bytes.len() * 2);
     text.push_str(prefix);
@@ -30,12 +30,18 @@
     let bytes = unhex(text.strip_prefix(prefix)?)?;
     let split = bytes.len().checked_sub(MAC_LEN)?;
     let (body, mac) = bytes.split_at(split);
-    if !secret.verify(body, mac.try_into().ok()?) {
+    if !secret.verify(&signed(prefix, body), mac.try_into().ok()?) {
         return None;
     }
     postcard::from_bytes(body).ok()
 }
 
+/// The prefix is signed too, so that a token of one kind can't be passed off as
+/// one of another kind whose bytes happen to read alike.
+fn signed(prefix: &str, body: &[u8]) -> Vec<u8> {
+    [prefix.as_bytes(), body].concat()
+}
+
 fn digit(nibble: u8) -> char {
     char::from_digit(u32::from(nibble), 16).expect("a nibble is below sixteen")
 }
