http: add the pooled client and the limiting server

The daemon, the stand-ins and the tool all need HTTP. async-h1 alone drops what it read past a head, asserts that header values are ASCII, takes an answer without a length for an empty one, and its chunk decoder may wait for a wake-up that nobody asked for. Heads are read and checked in this crate and handed to it byte for byte; bodies are guarded against early ends.

--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,266 @@
+//! Bodies: bytes, or a stream of them.
+
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use async_std::channel::{self, Receiver};
+use futures::Stream;
+use futures::io::{AsyncBufRead, AsyncBufReadExt, AsyncRead};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{Cause, Error};
+
+type Reader = Box<dyn AsyncBufRead + Send + Sync + Unpin>;
+
+/// A body. It reads as [`AsyncBufRead`], piece by piece as the bytes come.
+pub struct Body {
+    source: Source,
+}
+
+enum Source {
+    Bytes { bytes: Arc<Vec<u8>>, pos: usize },
+    Reader { reader: Reader, len: Option<u64> },
+    Channel(Incoming),
+}
+
+impl Body {
+    /// No bytes.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::bytes(Vec::new())
+    }
+
+    /// Bytes that are all there.
+    #[must_use]
+    pub fn bytes(bytes: impl Into<Vec<u8>>) -> Self {
+        let bytes = Arc::new(bytes.into());
+        Self {
+            source: Source::Bytes { bytes, pos: 0 },
+        }
+    }
+
+    /// `value` as JSON.
+    ///
+    /// A value that has no JSON form (a map whose keys aren't text) gives an empty body,
+    /// which the peer refuses; the types of this workspace have one.
+    #[must_use]
+    pub fn json<T: Serialize + ?Sized>(value: &T) -> Self {
+        Self::bytes(serde_json::to_vec(value).unwrap_or_default())
+    }
+
+    /// Bytes that a task sends while the body is being written.
+    #[must_use]
+    pub fn channel(capacity: usize) -> (Sender, Self) {
+        let (sender, receiver) = channel::bounded(capacity.max(1));
+        let body = Self {
+            source: Source::Channel(Incoming {
+                receiver,
+                piece: Vec::new(),
+                pos: 0,
+                state: State::Open,
+            }),
+        };
+        (Sender { sender }, body)
+    }
+
+    /// Bytes from a reader, `len` of them when that is known.
+    #[must_use]
+    pub fn reader(
+        reader: impl AsyncBufRead + Send + Sync + Unpin + 'static,
+        len: Option<u64>,
+    ) -> Self {
+        let reader: Reader = Box::new(reader);
+        Self {
+            source: Source::Reader { reader, len },
+        }
+    }
+
+    /// How many bytes there are in all, when that is known before the end.
+    #[must_use]
+    pub fn len(&self) -> Option<u64> {
+        match &self.source {
+            Source::Bytes { bytes, .. } => Some(bytes.len() as u64),
+            Source::Reader { len, .. } => *len,
+            Source::Channel(_) => None,
+        }
+    }
+
+    /// Whether it is known that there are no bytes.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == Some(0)
+    }
+
+    /// Reads to the end, at most `limit` bytes.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`] past the limit, [`Error::Cut`] when the body broke off.
+    pub async fn collect(mut self, limit: usize) -> Result<Vec<u8>, Error> {
+        if self.len().is_some_and(|len| len > limit as u64) {
+            return Err(Error::TooLarge { limit });
+        }
+        if let Source::Bytes { bytes, pos: 0 } = self.source {
+            return Ok(Arc::unwrap_or_clone(bytes));
+        }
+        let mut all = Vec::new();
+        while let Some(piece) = self.piece().await? {
+            if all.len() + piece.len() > limit {
+                return Err(Error::TooLarge { limit });
+            }
+            all.extend_from_slice(&piece);
+        }
+        Ok(all)
+    }
+
+    /// Reads to the end as JSON, at most `limit` bytes.
+    ///
+    /// # Errors
+    /// As [`Body::collect`], and [`Error::Json`] when the bytes aren't a `T`.
+    pub async fn parse<T: DeserializeOwned>(self, limit: usize) -> Result<T, Error> {
+        let bytes = self.collect(limit).await?;
+        serde_json::from_slice(&bytes).map_err(|err| Error::from(&err))
+    }
+
+    /// The next bytes as they come, nothing at the end.
+    ///
+    /// # Errors
+    /// [`Error::Cut`] when the body broke off.
+    pub async fn piece(&mut self) -> Result<Option<Vec<u8>>, Error> {
+        let bytes = self.fill_buf().await.map_err(|err| Error::body(&err))?;
+        let piece = bytes.to_vec();
+        self.consume_unpin(piece.len());
+        Ok((!piece.is_empty()).then_some(piece))
+    }
+
+    /// A second body of the same bytes, when they are all there.
+    pub(crate) fn try_clone(&self) -> Option<Self> {
+        let Source::Bytes { bytes, pos } = &self.source else {
+            return None;
+        };
+        let source = Source::Bytes {
+            bytes: Arc::clone(bytes),
+            pos: *pos,
+        };
+        Some(Self { source })
+    }
+}
+
+impl Default for Body {
+    fn default() -> Self {
+        Self::empty()
+    }
+}
+
+impl AsyncBufRead for Body {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        match &mut self.get_mut().source {
+            Source::Bytes { bytes, pos } => Poll::Ready(Ok(&bytes[*pos..])),
+            Source::Reader { reader, .. } => Pin::new(reader).poll_fill_buf(cx),
+            Source::Channel(incoming) => incoming.poll_fill_buf(cx),
+        }
+    }
+
+    fn consume(self: Pin<&mut Self>, amt: usize) {
+        match &mut self.get_mut().source {
+            Source::Bytes { pos, .. } => *pos += amt,
+            Source::Reader { reader, .. } => Pin::new(reader).consume(amt),
+            Source::Channel(incoming) => incoming.pos += amt,
+        }
+    }
+}
+
+impl AsyncRead for Body {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let len = bytes.len().min(buf.len());
+        buf[..len].copy_from_slice(&bytes[..len]);
+        self.consume(len);
+        Poll::Ready(Ok(len))
+    }
+}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Body").field("len", &self.len()).finish()
+    }
+}
+
+/// The end into which the pieces of a streamed body are put.
+///
+/// Dropping it without [`Sender::finish`] cuts the body, so that a producer that
+/// died halfway can't look like one that had no more to say.
+#[derive(Clone, Debug)]
+pub struct Sender {
+    sender: channel::Sender<Piece>,
+}
+
+#[derive(Debug)]
+enum Piece {
+    Bytes(Vec<u8>),
+    End,
+}
+
+impl Sender {
+    /// Puts in a piece, waiting while the reader is behind.
+    ///
+    /// # Errors
+    /// [`Cause::Closed`] when nobody reads any more: the caller went away.
+    pub async fn send(&self, bytes: impl Into<Vec<u8>>) -> Result<(), Cause> {
+        let piece = Piece::Bytes(bytes.into());
+        self.sender.send(piece).await.map_err(|_| Cause::Closed)
+    }
+
+    /// Ends the body as whole.
+    ///
+    /// # Errors
+    /// [`Cause::Closed`] when nobody reads any more.
+    pub async fn finish(self) -> Result<(), Cause> {
+        self.sender
+            .send(Piece::End)
+            .await
+            .map_err(|_| Cause::Closed)
+    }
+
+    /// Whether nobody reads any more.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+struct Incoming {
+    receiver: Receiver<Piece>,
+    piece: Vec<u8>,
+    pos: usize,
+    state: State,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Open,
+    Ended,
+}
+
+impl Incoming {
+    fn poll_fill_buf(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        while self.pos >= self.piece.len() && self.state == State::Open {
+            match ready!(Pin::new(&mut self.receiver).poll_next(cx)) {
+                Some(Piece::Bytes(bytes)) => {
+                    self.piece = bytes;
+                    self.pos = 0;
+                }
+                Some(Piece::End) => self.state = State::Ended,
+                None => return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
+            }
+        }
+        Poll::Ready(Ok(self.piece.get(self.pos..).unwrap_or_default()))
+    }
+}
--- /dev/null
+++ b/crates/http/src/client/answer.rs
@@ -0,0 +1,170 @@
+//! The body of an answer and the end of its connection's use.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
+
+use async_std::task::sleep;
+use futures::io::{AsyncBufRead, AsyncRead, BufReader};
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+
+use super::left;
+use crate::conn::Conn;
+use crate::h1;
+use crate::{Body, Cause, Error, Method, Response, Status};
+
+type Release = Box<dyn FnOnce(Conn) + Send + Sync>;
+type Timer = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
+
+/// How an answer's end is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length(u64),
+    Chunked,
+    Close,
+}
+
+/// Makes the response of a head. `release` gets the connection when the body
+/// was read to its end and the peer keeps it open.
+pub(super) fn open(
+    mut head: http_types::Response,
+    method: Method,
+    conn: Conn,
+    deadline: Instant,
+    release: impl FnOnce(Conn) + Send + Sync + 'static,
+) -> Result<Response, Error> {
+    let framing = framing(&head, method).ok_or(Error::Cut(Cause::Malformed))?;
+    let keep = framing != Framing::Close && !says_close(&head);
+    let mut response = Response::new(head.status());
+    response.headers = h1::decode_headers(head.as_ref());
+    if framing == Framing::Length(0) {
+        if keep {
+            release(conn);
+        }
+        return Ok(response);
+    }
+    let (len, reader): (_, Box<dyn AsyncBufRead + Send + Sync + Unpin>) = match framing {
+        Framing::Length(len) => (Some(len), Box::new(head.take_body())),
+        Framing::Chunked => (None, Box::new(head.take_body())),
+        Framing::Close => (None, Box::new(BufReader::new(conn.clone()))),
+    };
+    conn.release_body(len);
+    let release = keep.then(|| Box::new(release) as Release);
+    let answer = Answer {
+        reader,
+        left: len,
+        end: Some((conn, release)),
+        deadline,
+        timer: None,
+    };
+    response.body = Body::reader(answer, len);
+    Ok(response)
+}
+
+/// The library takes an answer without a length for an empty one. One that
+/// ends with its connection would come back as whole and empty.
+fn framing(head: &http_types::Response, method: Method) -> Option<Framing> {
+    let status = head.status();
+    if method == Method::Head || matches!(status, Status::NoContent | Status::NotModified) {
+        return Some(Framing::Length(0));
+    }
+    if let Some(codings) = head.header(TRANSFER_ENCODING) {
+        return (codings.last().as_str() == "chunked").then_some(Framing::Chunked);
+    }
+    match head.header(CONTENT_LENGTH) {
+        Some(len) => len.last().as_str().parse().ok().map(Framing::Length),
+        None => Some(Framing::Close),
+    }
+}
+
+fn says_close(head: &http_types::Response) -> bool {
+    head.header(CONNECTION)
+        .is_some_and(|it| it.last().as_str().eq_ignore_ascii_case("close"))
+}
+
+struct Answer {
+    reader: Box<dyn AsyncBufRead + Send + Sync + Unpin>,
+    left: Option<u64>,
+    /// The connection until the body has ended, and where it goes then.
+    end: Option<(Conn, Option<Release>)>,
+    deadline: Instant,
+    timer: Option<Timer>,
+}
+
+impl Answer {
+    fn poll_more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.left == Some(0) {
+            self.finish();
+            return Poll::Ready(Ok(()));
+        }
+        if let Poll::Ready(bytes) = Pin::new(&mut self.reader).poll_fill_buf(cx) {
+            if !bytes?.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            // The library reads the connection's end as the body's.
+            if self.left.is_some() {
+                return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+            }
+            self.finish();
+            return Poll::Ready(Ok(()));
+        }
+        self.keep_armed(cx);
+        ready!(self.poll_deadline(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    /// The library's chunk decoder waits without asking the connection when
+    /// the last line end comes in two parts. Nothing would wake this task.
+    fn keep_armed(&self, cx: &Context<'_>) {
+        if self.end.as_ref().is_some_and(|(conn, _)| !conn.is_armed()) {
+            cx.waker().wake_by_ref();
+        }
+    }
+
+    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let deadline = self.deadline;
+        self.timer
+            .get_or_insert_with(|| Box::pin(sleep(left(deadline))))
+            .as_mut()
+            .poll(cx)
+    }
+
+    fn finish(&mut self) {
+        if let Some((conn, Some(release))) = self.end.take() {
+            release(conn);
+        }
+    }
+}
+
+impl AsyncBufRead for Answer {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        ready!(this.poll_more(cx))?;
+        if this.end.is_none() {
+            return Poll::Ready(Ok(&[]));
+        }
+        Pin::new(&mut this.reader).poll_fill_buf(cx)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amt: usize) {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(amt as u64);
+        }
+        Pin::new(&mut self.reader).consume(amt);
+    }
+}
+
+impl AsyncRead for Answer {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let len = bytes.len().min(buf.len());
+        buf[..len].copy_from_slice(&bytes[..len]);
+        self.consume(len);
+        Poll::Ready(Ok(len))
+    }
+}
--- /dev/null
+++ b/crates/http/src/h1.rs
@@ -0,0 +1,122 @@
+//! Between this crate's types and those of `http-types`.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use futures::io::{AsyncBufRead, AsyncRead};
+use http_types::Url;
+
+use crate::{Body, Headers, Method, Request, Response};
+
+/// Fields that describe one connection or the framing of one message; passing
+/// them on would make the next peer wait for bytes that never come.
+const HOP_BY_HOP: [&str; 12] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// `request` for the peer at `to`, or nothing when its target is no path.
+pub(crate) fn encode_request(
+    request: &Request,
+    to: SocketAddr,
+    body: Body,
+) -> Option<http_types::Request> {
+    if !request.target.starts_with('/') {
+        return None;
+    }
+    let url = Url::parse(&format!("http://{to}{}", request.target)).ok()?;
+    let mut res = http_types::Request::new(request.method, url);
+    for (name, value) in end_to_end(&request.headers) {
+        res.append_header(name, value);
+    }
+    if !body.is_empty() || has_body(request.method) {
+        res.set_body(encode_body(body));
+    }
+    Some(res)
+}
+
+pub(crate) fn encode_response(response: Response) -> http_types::Response {
+    let mut res = http_types::Response::new(response.status);
+    for (name, value) in end_to_end(&response.headers) {
+        res.append_header(name, value);
+    }
+    if !response.body.is_empty() {
+        res.set_body(encode_body(response.body));
+    }
+    res
+}
+
+pub(crate) fn decode_headers(headers: &http_types::Headers) -> Headers {
+    headers
+        .iter()
+        .flat_map(|(name, values)| values.iter().map(move |value| (name, value)))
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_str()))
+        .collect()
+}
+
+fn end_to_end(headers: &Headers) -> impl Iterator<Item = (&str, &str)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.iter().any(|it| it.eq_ignore_ascii_case(name)))
+}
+
+fn has_body(method: Method) -> bool {
+    matches!(method, Method::Post | Method::Put | Method::Patch)
+}
+
+fn encode_body(body: Body) -> http_types::Body {
+    let len = body.len();
+    let whole = Whole { body, left: len };
+    http_types::Body::from_reader(whole, len.and_then(|len| usize::try_from(len).ok()))
+}
+
+/// A body that fails when it ends before its stated length: the encoder
+/// would take the end for the message's and leave the peer waiting.
+struct Whole {
+    body: Body,
+    left: Option<u64>,
+}
+
+impl AsyncBufRead for Whole {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        let bytes = ready!(Pin::new(&mut this.body).poll_fill_buf(cx))?;
+        if bytes.is_empty() && this.left.is_some_and(|left| left > 0) {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        Poll::Ready(Ok(bytes))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amt: usize) {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(amt as u64);
+        }
+        Pin::new(&mut self.body).consume(amt);
+    }
+}
+
+impl AsyncRead for Whole {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let len = bytes.len().min(buf.len());
+        buf[..len].copy_from_slice(&bytes[..len]);
+        self.consume(len);
+        Poll::Ready(Ok(len))
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,1 +1,26 @@
-//! HTTP/1.1 client and server around async-h1.
+//! HTTP/1.1 client and server around `async-h1`.
+//!
+//! The client pools connections and tells precisely whether a request may have
+//! reached its peer; the server enforces limits on what peers may send. Other
+//! crates see only the types of this one, so that the library underneath can
+//! be replaced; see `docs/PROTOCOLS.md` for what is spoken over it.
+
+mod body;
+mod client;
+mod conn;
+mod error;
+mod h1;
+mod headers;
+mod relay;
+mod request;
+mod response;
+mod server;
+
+pub use body::{Body, Sender};
+pub use client::{Client, Options, Pool, Repeat};
+pub use error::{Cause, Error};
+pub use headers::Headers;
+pub use http_types::{Method, StatusCode as Status};
+pub use request::{Hangup, Request};
+pub use response::Response;
+pub use server::{Drained, Limits, Server};
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,127 @@
+//! The server: an accept loop, limits on what peers may send, a graceful stop.
+
+mod connection;
+mod incoming;
+mod limits;
+mod shared;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::{self, sleep};
+use futures::future::{Either, select};
+use futures::pin_mut;
+
+use crate::{Request, Response, Status};
+use shared::Shared;
+
+pub use limits::Limits;
+
+/// How long a failing accept is left alone. It fails when the process has no
+/// file descriptor left, and would otherwise keep a core busy until it has.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A running server. Dropping it doesn't stop it; [`Server::drain`] does.
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+/// What a graceful stop left behind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drained {
+    /// Requests that were still in flight when the time was over.
+    pub left: usize,
+}
+
+impl Server {
+    /// Listens on `address` and hands each request to `handler`. Port 0 takes
+    /// any free port, see [`Server::address`].
+    ///
+    /// The handler runs to its end also when the caller hangs up, so that it
+    /// can settle what it began; [`Request::hangup`] tells it.
+    ///
+    /// # Errors
+    /// What the operating system says about the address.
+    pub async fn bind<H, F>(address: SocketAddr, limits: Limits, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request) -> F + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::new(limits));
+        task::spawn(accept(listener, Arc::clone(&shared), Arc::new(handler)));
+        Ok(Self { address, shared })
+    }
+
+    /// The address on which it listens, with the port that was taken.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// How many requests are between their head and the last byte of their answer.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight()
+    }
+
+    /// Stops gracefully: serves as before for `grace` but asks callers to close
+    /// their connections, then accepts no more and waits up to `limit` for the
+    /// requests in flight.
+    pub async fn drain(&self, grace: Duration, limit: Duration) -> Drained {
+        self.shared.retire();
+        if !grace.is_zero() {
+            sleep(grace).await;
+        }
+        self.shared.stop();
+        let _ = timeout(limit, self.shared.idle()).await;
+        Drained {
+            left: self.shared.in_flight(),
+        }
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, shared: Arc<Shared>, handler: Arc<H>)
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let stopped = shared.stopped();
+    pin_mut!(stopped);
+    loop {
+        let accepted = listener.accept();
+        pin_mut!(accepted);
+        let stream = match select(accepted, &mut stopped).await {
+            Either::Left((Ok((stream, _)), _)) => stream,
+            Either::Left((Err(_), _)) => {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+            Either::Right(_) => return,
+        };
+        let _ = stream.set_nodelay(true);
+        match shared.connection() {
+            Some(slot) => {
+                let (shared, handler) = (Arc::clone(&shared), Arc::clone(&handler));
+                task::spawn(async move {
+                    connection::serve(stream, &shared, &*handler).await;
+                    drop(slot);
+                });
+            }
+            None => {
+                task::spawn(turn_away(stream, Arc::clone(&shared)));
+            }
+        }
+    }
+}
+
+async fn turn_away(stream: TcpStream, shared: Arc<Shared>) {
+    let refusal = connection::problem(Status::ServiceUnavailable, "too many connections");
+    connection::refuse(&stream, &shared, refusal).await;
+}
--- /dev/null
+++ b/crates/http/tests/round_trip.rs
@@ -0,0 +1,74 @@
+//! Client and server against each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task::block_on;
+use googletest::prelude::*;
+use http::{Body, Client, Limits, Options, Pool, Request, Response, Server, Status};
+use kernel::SystemClock;
+
+fn client() -> Client {
+    Client::new(Arc::new(SystemClock::new()), Pool::default())
+}
+
+async fn echo(request: Request) -> Response {
+    let path = request.target.clone();
+    match request.body.collect(1024).await {
+        Ok(bytes) => Response::new(Status::Ok)
+            .header("echo-target", path)
+            .body(Body::bytes(bytes)),
+        Err(err) => Response::text(Status::PayloadTooLarge, err.to_string()),
+    }
+}
+
+async fn server() -> Server {
+    let address = ([127, 0, 0, 1], 0).into();
+    Server::bind(address, Limits::default(), echo)
+        .await
+        .unwrap()
+}
+
+#[gtest]
+fn a_body_comes_back_with_its_target() {
+    block_on(async {
+        let server = server().await;
+        let client = client();
+        for text in ["first", "second"] {
+            let request = Request::post("/a/b?c=d", text);
+            let response = client
+                .send(server.address(), request, &Options::default())
+                .await
+                .unwrap();
+            expect_that!(response.status, eq(Status::Ok));
+            expect_that!(response.headers.get("Echo-Target"), some(eq("/a/b?c=d")));
+            expect_that!(response.body.parse::<String>(64).await, ok(eq(text)));
+        }
+    });
+}
+
+#[gtest]
+fn pieces_of_a_stream_pass_through_one_by_one() {
+    block_on(async {
+        let (pieces, body) = Body::channel(1);
+        let body = std::sync::Mutex::new(Some(body));
+        let server = Server::bind(([127, 0, 0, 1], 0).into(), Limits::default(), move |_| {
+            let body = body.lock().unwrap().take().unwrap();
+            async move { Response::new(Status::Ok).body(body) }
+        })
+        .await
+        .unwrap();
+        let response = client()
+            .send(server.address(), Request::get("/"), &Options::default())
+            .await;
+        let mut body = response.unwrap().body;
+        for piece in ["one", "two", "three"] {
+            pieces.send(piece).await.unwrap();
+            expect_that!(body.piece().await, ok(some(eq(piece.as_bytes()))));
+        }
+        pieces.finish().await.unwrap();
+        expect_that!(body.piece().await, ok(none()));
+        let drained = server.drain(Duration::ZERO, Duration::from_secs(5)).await;
+        expect_that!(drained.left, eq(0));
+    });
+}
