Add the stand-ins of the platform, the engines and the plain services

Cause: the whole path has to run, break and be measured on one machine. Change: barleypin-fakes runs a table service, an object store, a lagging host list, model engines, plain services and a rating service from one TOML file, each with faults that are switched over HTTP and with its own record of what really ran. Answers carry a mark and an end, so that a caller can tell a whole answer to its own request. Shown by: scripts of calls and answers for each stand-in.

--- /dev/null
+++ b/crates/fakes/src/answer.rs
@@ -0,0 +1,90 @@
+//! What a stand-in answers.
+
+use std::io;
+
+use futures::channel::mpsc;
+use futures::{StreamExt, TryStreamExt};
+use http_types::{Body, Response, StatusCode};
+use serde::Serialize;
+use serde_json::json;
+
+/// The outcome of one call.
+#[derive(Debug)]
+pub enum Answer {
+    /// A whole body.
+    Json {
+        /// The HTTP status.
+        status: u16,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// Server-sent events; an error in the stream cuts the connection.
+    Events(mpsc::Receiver<io::Result<Vec<u8>>>),
+    /// The connection closes without an answer, as when a host dies after its work.
+    Lost,
+}
+
+impl Answer {
+    /// A JSON body with status 200.
+    #[must_use]
+    pub fn ok<T: Serialize>(value: &T) -> Self {
+        Self::json(200, value)
+    }
+
+    /// A JSON body with its status.
+    #[must_use]
+    pub fn json<T: Serialize>(status: u16, value: &T) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::Json { status, body },
+            Err(err) => Self::error(500, &err.to_string()),
+        }
+    }
+
+    /// An error with a code, in the shape of `docs/PROTOCOLS.md`.
+    #[must_use]
+    pub fn error(status: u16, code: &str) -> Self {
+        let body = json!({"error": {"code": code}}).to_string().into_bytes();
+        Self::Json { status, body }
+    }
+
+    /// Reads the answer to its end as status and text, for tests.
+    pub async fn text(self) -> String {
+        match self {
+            Self::Json { status, body } => {
+                format!("{status} {}", String::from_utf8_lossy(&body))
+            }
+            Self::Events(events) => {
+                let parts: Vec<_> = events.collect().await;
+                let mut text = String::from("200\n");
+                for part in parts {
+                    match part {
+                        Ok(bytes) => text.push_str(&String::from_utf8_lossy(&bytes)),
+                        Err(_) => text.push_str("(cut)\n"),
+                    }
+                }
+                text
+            }
+            Self::Lost => "(connection closed)".to_owned(),
+        }
+    }
+
+    /// The HTTP response; none when the connection is to close without one.
+    pub(crate) fn response(self) -> Option<Response> {
+        match self {
+            Self::Json { status, body } => {
+                let status = StatusCode::try_from(status).unwrap_or(StatusCode::Ok);
+                let mut res = Response::new(status);
+                res.set_body(body);
+                res.insert_header("content-type", "application/json");
+                Some(res)
+            }
+            Self::Events(events) => {
+                let mut res = Response::new(StatusCode::Ok);
+                res.set_body(Body::from_reader(events.into_async_read(), None));
+                res.insert_header("content-type", "text/event-stream");
+                Some(res)
+            }
+            Self::Lost => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,232 @@
+//! A model engine that writes marked answers at a set pace.
+
+mod cache;
+mod execution;
+mod faults;
+mod generation;
+mod loads;
+mod prompt;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use futures::channel::mpsc;
+use http_types::Method;
+use kernel::Clock;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::answer::Answer;
+use crate::call::Call;
+use crate::control;
+use crate::engine::cache::Cache;
+use crate::engine::faults::Faults;
+use crate::engine::generation::Generation;
+use crate::engine::loads::{Loads, Wanted};
+use crate::engine::prompt::Prompt;
+use crate::lagged::Lagged;
+use crate::plain::millis;
+use crate::settings::{EngineSettings, Truth};
+use crate::slots::Slots;
+
+pub use execution::{End, Execution};
+
+/// How many events may wait for a slow reader before generation waits as well.
+const STREAM_BUFFER: usize = 64;
+
+/// A model engine; a copy is the same engine.
+#[derive(Clone)]
+pub struct Engine {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    clock: Arc<dyn Clock>,
+    settings: EngineSettings,
+    truth: BTreeMap<String, Truth>,
+    seed: u64,
+    slots: Slots,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    executions: Vec<Execution>,
+    refusals: BTreeMap<String, u64>,
+    cancels: Vec<String>,
+    loads: Loads,
+    load: Lagged<(usize, usize)>,
+    cache: Cache,
+    faults: Faults,
+}
+
+#[derive(Debug, Deserialize)]
+struct Order {
+    fencing: u64,
+    version: String,
+    wanted: Wanted,
+}
+
+impl Engine {
+    /// Starts an engine with its settings' versions loaded.
+    #[must_use]
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        settings: EngineSettings,
+        truth: BTreeMap<String, Truth>,
+        seed: u64,
+    ) -> Self {
+        let inner = Inner {
+            executions: Vec::new(),
+            refusals: BTreeMap::new(),
+            cancels: Vec::new(),
+            loads: Loads::new(&settings),
+            load: Lagged::new(Duration::from_millis(settings.load_lag_ms), (0, 0)),
+            cache: Cache::new(settings.prefixes),
+            faults: Faults::new(settings.incarnation),
+        };
+        let shared = Shared {
+            clock,
+            slots: Slots::new(settings.slots, settings.queue),
+            settings,
+            truth,
+            seed,
+            inner: Mutex::new(inner),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Answers one call.
+    pub async fn answer(&self, call: &Call) -> Answer {
+        let now = self.shared.clock.now();
+        match (call.method, call.segments().as_slice()) {
+            (Method::Post, ["v1", "chat", "completions"]) => self.chat(call).await,
+            (Method::Get, ["v1", "load"]) => self.load(now),
+            (Method::Post, ["v1", "orders"]) => self.shared.with(|it| it.order(now, call)),
+            (Method::Delete, ["v1", "attempts", id]) => self.shared.with(|it| it.cancel(id)),
+            (Method::Post, ["control", "faults"]) => {
+                self.shared.with(|it| control::switch(&mut it.faults, call))
+            }
+            (Method::Get, ["control", "records"]) => self.shared.with(|it| it.records()),
+            _ => Answer::error(404, "not_found"),
+        }
+    }
+
+    async fn chat(&self, call: &Call) -> Answer {
+        let prompt: Prompt = match call.json() {
+            Ok(it) => it,
+            Err(answer) => return answer,
+        };
+        let now = self.shared.clock.now();
+        if let Some(code) = self.shared.with(|it| it.refusal(now, call, &prompt)) {
+            return self.refuse(&code);
+        }
+        let Some(slot) = self.shared.slots.enter(call.header("x-priority")).await else {
+            return self.refuse("overloaded");
+        };
+        self.note_load();
+        let stream = prompt.stream;
+        let generation = Generation::new(self.clone(), slot, call, &prompt);
+        if stream {
+            let (sender, events) = mpsc::channel(STREAM_BUFFER);
+            async_std::task::spawn(generation.stream(sender));
+            return Answer::Events(events);
+        }
+        generation.whole().await
+    }
+
+    fn refuse(&self, code: &str) -> Answer {
+        self.shared
+            .with(|it| *it.refusals.entry(code.to_owned()).or_default() += 1);
+        Answer::error(503, code)
+    }
+
+    fn load(&self, now: Duration) -> Answer {
+        let settings = &self.shared.settings;
+        self.shared.with(|it| {
+            let (running, waiting) = *it.load.seen(now);
+            Answer::ok(&json!({
+                "name": settings.name,
+                "incarnation": it.faults.incarnation,
+                "state": if it.faults.leaving { "leaving" } else { "live" },
+                "running": running,
+                "waiting": waiting,
+                "slots": settings.slots,
+                "versions": it.loads.report(now),
+                "age_ms": settings.load_lag_ms,
+            }))
+        })
+    }
+
+    fn note_load(&self) {
+        let now = self.shared.clock.now();
+        let load = (self.shared.slots.running(), self.shared.slots.waiting());
+        self.shared.with(|it| it.load.set(now, load));
+    }
+}
+
+impl Shared {
+    fn with<T>(&self, work: impl FnOnce(&mut Inner) -> T) -> T {
+        work(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn wall_ms(&self) -> u64 {
+        millis(self.clock.wall())
+    }
+}
+
+impl Inner {
+    fn refusal(&mut self, now: Duration, call: &Call, prompt: &Prompt) -> Option<String> {
+        let meant_for = call.header("x-incarnation");
+        if let Some(code) = &self.faults.refuse {
+            return Some(code.clone());
+        }
+        if !meant_for.is_empty() && meant_for.parse() != Ok(self.faults.incarnation) {
+            return Some("wrong_incarnation".to_owned());
+        }
+        if self.faults.leaving {
+            return Some("leaving".to_owned());
+        }
+        (!self.loads.is_loaded(now, &prompt.model)).then(|| "not_loaded".to_owned())
+    }
+
+    fn order(&mut self, now: Duration, call: &Call) -> Answer {
+        let order: Order = match call.json() {
+            Ok(it) => it,
+            Err(answer) => return answer,
+        };
+        match self
+            .loads
+            .order(now, order.fencing, &order.version, order.wanted)
+        {
+            Ok(()) => Answer::ok(&json!({})),
+            Err(highest) => Answer::json(
+                409,
+                &json!({"error": {"code": "stale_fencing", "highest": highest}}),
+            ),
+        }
+    }
+
+    /// Asks the attempt's generation to stop before its next token.
+    fn cancel(&mut self, attempt: &str) -> Answer {
+        self.cancels.push(attempt.to_owned());
+        for it in &mut self.executions {
+            if it.attempt == attempt && it.end == End::Running {
+                it.end = End::Cancelled;
+            }
+        }
+        Answer::ok(&json!({}))
+    }
+
+    fn records(&self) -> Answer {
+        Answer::ok(&json!({
+            "executions": self.executions,
+            "refusals": self.refusals,
+            "cancels": self.cancels,
+            "loads": self.loads.changes(),
+            "cache_hits": self.cache.hits(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine/cache.rs
@@ -0,0 +1,55 @@
+//! Cached prompt prefixes in limited memory.
+
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::engine::prompt::Prompt;
+
+/// The prefixes last used, the newest at the back.
+#[derive(Debug)]
+pub(crate) struct Cache {
+    limit: usize,
+    prefixes: VecDeque<u64>,
+    hits: u64,
+}
+
+impl Cache {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            prefixes: VecDeque::new(),
+            hits: 0,
+        }
+    }
+
+    pub(crate) fn hits(&self) -> u64 {
+        self.hits
+    }
+
+    /// Remembers a prompt and says how many of its tokens were cached.
+    pub(crate) fn remember(&mut self, prompt: &Prompt) -> u64 {
+        if self.limit == 0 {
+            return 0;
+        }
+        let mut cached = 0;
+        for (tokens, text) in prompt.prefixes() {
+            let digest = digest(&text);
+            if let Some(idx) = self.prefixes.iter().position(|it| *it == digest) {
+                self.prefixes.remove(idx);
+                cached = tokens;
+            }
+            self.prefixes.push_back(digest);
+        }
+        while self.prefixes.len() > self.limit {
+            self.prefixes.pop_front();
+        }
+        self.hits += u64::from(cached > 0);
+        cached
+    }
+}
+
+fn digest(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/fakes/src/engine/generation.rs
@@ -0,0 +1,253 @@
+//! One attempt: its truth is drawn, its tokens are written at the version's pace.
+
+use std::io;
+use std::time::Duration;
+
+use async_std::task;
+use futures::SinkExt;
+use futures::channel::mpsc;
+use kernel::Money;
+use rand::RngExt;
+use serde_json::{Value, json};
+
+use crate::answer::Answer;
+use crate::call::Call;
+use crate::engine::prompt::Prompt;
+use crate::engine::{End, Engine, Execution};
+use crate::mark::Mark;
+use crate::rng;
+use crate::settings::Truth;
+use crate::slots::Slot;
+
+type Events = mpsc::Sender<io::Result<Vec<u8>>>;
+
+/// The version's confidence in an answer lies around these, as far as it knows.
+const SURE: f64 = 0.9;
+const UNSURE: f64 = 0.2;
+const SPREAD: f64 = 0.2;
+
+/// An attempt that holds a slot.
+pub(crate) struct Generation {
+    engine: Engine,
+    slot: Option<Slot>,
+    idx: usize,
+    attempt: String,
+    texts: Vec<String>,
+    truth: Truth,
+    prompt_tokens: u64,
+    confidence: f64,
+    first_after: Duration,
+    plan: Plan,
+}
+
+/// The faults drawn for this attempt.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    fails: bool,
+    cut_after: Option<usize>,
+    duplicate: bool,
+    reorder: bool,
+}
+
+impl Generation {
+    /// Draws the attempt's truth and enters it into the engine's record.
+    pub(crate) fn new(engine: Engine, slot: Slot, call: &Call, prompt: &Prompt) -> Self {
+        let shared = &engine.shared;
+        let truth = shared.truth.get(&prompt.model).cloned().unwrap_or_default();
+        let request = call.header("x-request-id").to_owned();
+        let attempt = call.header("x-attempt-id").to_owned();
+        let mut rng = rng::drawn_for(shared.seed, &(&request, &attempt, &prompt.model));
+        let (faults, cached) = shared.with(|it| (it.faults.clone(), it.cache.remember(prompt)));
+        let spoilt = faults.bad.get(&prompt.model).copied().unwrap_or(0.0);
+        let is_good = rng.random::<f64>() < truth.good(&prompt.class);
+        let good = rng.random::<f64>() >= spoilt && is_good;
+        let plan = Plan {
+            fails: rng.random::<f64>() < faults.errors,
+            cut_after: (rng.random::<f64>() < faults.cut)
+                .then(|| usize::try_from(faults.cut_after).unwrap_or(usize::MAX)),
+            duplicate: rng.random::<f64>() < faults.duplicate,
+            reorder: rng.random::<f64>() < faults.reorder,
+        };
+        let known = if good { SURE } else { UNSURE };
+        let guess = truth.good(&prompt.class);
+        let noise = (rng.random::<f64>() - 0.5) * SPREAD;
+        let confidence = (guess + truth.confidence * (known - guess) + noise).clamp(0.0, 1.0);
+        let mark = Mark {
+            request: request.clone(),
+            attempt: attempt.clone(),
+            version: prompt.model.clone(),
+            call: prompt.call(),
+            good,
+        };
+        let prompt_tokens = prompt.tokens();
+        let uncached = prompt_tokens - cached;
+        let first_after = Duration::from_millis(faults.delay_ms)
+            + Duration::from_micros(truth.prompt_us.saturating_mul(uncached));
+        let execution = Execution {
+            request,
+            attempt: attempt.clone(),
+            call: mark.call.clone(),
+            version: prompt.model.clone(),
+            class: prompt.class.clone(),
+            good,
+            started_ms: shared.wall_ms(),
+            prompt_tokens,
+            cached_tokens: cached,
+            completion_tokens: 0,
+            cost_microcents: 0,
+            end: End::Running,
+        };
+        let idx = shared.with(|it| {
+            it.executions.push(execution);
+            it.executions.len() - 1
+        });
+        let words = truth.words.min(prompt.max_tokens.unwrap_or(u64::MAX));
+        Self {
+            texts: texts(&mark, words),
+            slot: Some(slot),
+            idx,
+            attempt,
+            truth,
+            prompt_tokens,
+            confidence,
+            first_after,
+            plan,
+            engine,
+        }
+    }
+
+    /// Writes the answer as server-sent events.
+    pub(crate) async fn stream(mut self, mut events: Events) {
+        task::sleep(self.first_after).await;
+        if self.plan.fails {
+            let _ = events.send(Err(cut())).await;
+            return self.end(0, End::Failed);
+        }
+        for idx in self.order() {
+            if self.plan.cut_after == Some(idx) {
+                let _ = events.send(Err(cut())).await;
+                return self.end(idx, End::Cut);
+            }
+            self.pace(idx).await;
+            if self.is_cancelled() {
+                return self.end(idx, End::Cancelled);
+            }
+            if events.send(Ok(event(&self.chunk(idx)))).await.is_err() {
+                return self.end(idx, End::Disconnected);
+            }
+        }
+        let tokens = self.texts.len();
+        let last = event(&self.last_chunk());
+        let done = b"data: [DONE]\n\n".to_vec();
+        // The record is closed before the reader can know that the answer is whole.
+        self.end(tokens, End::Complete);
+        let _ = events.send(Ok(last)).await;
+        let _ = events.send(Ok(done)).await;
+    }
+
+    /// Writes the answer as one object.
+    pub(crate) async fn whole(mut self) -> Answer {
+        task::sleep(self.first_after).await;
+        let tokens = self.texts.len();
+        let pace = Duration::from_micros(self.truth.token_us);
+        task::sleep(pace * u32::try_from(tokens).unwrap_or(u32::MAX)).await;
+        if self.is_cancelled() {
+            self.end(tokens, End::Cancelled);
+            return Answer::Lost;
+        }
+        if self.plan.fails {
+            self.end(tokens, End::Failed);
+            return Answer::error(500, "failed");
+        }
+        if self.plan.cut_after.is_some() {
+            self.end(tokens, End::Cut);
+            return Answer::Lost;
+        }
+        let mut body = self.last_chunk();
+        body["choices"] = json!([{
+            "index": 0,
+            "message": {"role": "assistant", "content": self.texts.concat()},
+            "finish_reason": "stop",
+        }]);
+        self.end(tokens, End::Complete);
+        Answer::ok(&body)
+    }
+
+    /// The chunks' numbers as they are sent, with the faults drawn for this attempt.
+    fn order(&self) -> Vec<usize> {
+        let mut order: Vec<_> = (0..self.texts.len()).collect();
+        if self.plan.reorder && order.len() > 2 {
+            order.swap(1, 2);
+        }
+        if self.plan.duplicate && order.len() > 1 {
+            order.insert(2, order[1]);
+        }
+        order
+    }
+
+    async fn pace(&self, idx: usize) {
+        if idx > 0 && self.truth.token_us > 0 {
+            task::sleep(Duration::from_micros(self.truth.token_us)).await;
+        }
+    }
+
+    fn chunk(&self, idx: usize) -> Value {
+        json!({
+            "id": self.attempt,
+            "object": "chat.completion.chunk",
+            "index": idx,
+            "choices": [{"index": 0, "delta": {"content": self.texts[idx]}}],
+        })
+    }
+
+    fn last_chunk(&self) -> Value {
+        json!({
+            "id": self.attempt,
+            "object": "chat.completion.chunk",
+            "index": self.texts.len(),
+            "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+            "finish_reason": "stop",
+            "usage": {
+                "prompt_tokens": self.prompt_tokens,
+                "completion_tokens": self.texts.len(),
+            },
+            "confidence": self.confidence,
+        })
+    }
+
+    fn is_cancelled(&self) -> bool {
+        self.engine
+            .shared
+            .with(|it| it.executions[self.idx].end == End::Cancelled)
+    }
+
+    fn end(&mut self, tokens: usize, end: End) {
+        let completion_tokens = tokens as u64;
+        let cost = Money(self.truth.price_prompt).per_million(self.prompt_tokens)
+            + Money(self.truth.price_completion).per_million(completion_tokens);
+        self.engine.shared.with(|it| {
+            let execution = &mut it.executions[self.idx];
+            execution.completion_tokens = completion_tokens;
+            execution.cost_microcents = cost.0;
+            execution.end = end;
+        });
+        self.slot = None;
+        self.engine.note_load();
+    }
+}
+
+fn texts(mark: &Mark, words: u64) -> Vec<String> {
+    let mut texts = vec![mark.text()];
+    texts.extend((1..=words).map(|it| format!(" w{it}")));
+    let words = texts.len() - 1;
+    texts.push(Mark::end(&mark.attempt, words));
+    texts
+}
+
+fn event(chunk: &Value) -> Vec<u8> {
+    format!("data: {chunk}\n\n").into_bytes()
+}
+
+fn cut() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionReset, "cut by a fault")
+}
--- /dev/null
+++ b/crates/fakes/src/engine/prompt.rs
@@ -0,0 +1,70 @@
+//! The body of a chat call to an engine.
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::mark::Mark;
+
+/// A text of so many characters is counted as one token.
+const CHARS_PER_TOKEN: usize = 4;
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct Prompt {
+    pub(crate) model: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    #[serde(default)]
+    pub(crate) max_tokens: Option<u64>,
+    #[serde(default = "general")]
+    pub(crate) class: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: Value,
+}
+
+impl Prompt {
+    /// The caller's own name for its call; the newest message that has one counts.
+    pub(crate) fn call(&self) -> String {
+        let named = |it: &Message| it.content.as_str().and_then(Mark::call).map(str::to_owned);
+        self.messages
+            .iter()
+            .rev()
+            .find_map(named)
+            .unwrap_or_default()
+    }
+
+    pub(crate) fn tokens(&self) -> u64 {
+        self.messages.iter().map(Message::tokens).sum()
+    }
+
+    /// Every beginning of the conversation, the longest last: how many tokens
+    /// it has and its text.
+    pub(crate) fn prefixes(&self) -> Vec<(u64, String)> {
+        let mut tokens = 0;
+        let mut text = self.model.clone();
+        let mut prefixes = Vec::new();
+        for message in &self.messages {
+            tokens += message.tokens();
+            text.push('\n');
+            text.push_str(message.content.as_str().unwrap_or_default());
+            prefixes.push((tokens, text.clone()));
+        }
+        prefixes
+    }
+}
+
+impl Message {
+    fn tokens(&self) -> u64 {
+        let chars = self.content.as_str().map_or(0, str::len);
+        chars.div_ceil(CHARS_PER_TOKEN) as u64
+    }
+}
+
+fn general() -> String {
+    "general".to_owned()
+}
--- /dev/null
+++ b/crates/fakes/src/hosts.rs
@@ -0,0 +1,153 @@
+//! The lagging host list.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use http_types::Method;
+use kernel::Clock;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::answer::Answer;
+use crate::call::Call;
+use crate::control;
+use crate::lagged::Lagged;
+
+/// Shows callers which hosts there were some time ago.
+pub struct Hosts {
+    clock: Arc<dyn Clock>,
+    inner: Mutex<Inner>,
+}
+
+/// One entry of the list; see `docs/PROTOCOLS.md` for its fields.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// The host's name.
+    pub name: String,
+    /// `entry`, `engine` or `service`.
+    pub kind: String,
+    /// Which life of the host this is.
+    pub incarnation: u64,
+    /// Where callers or entry hosts connect to.
+    pub address: String,
+    /// Where other entry hosts connect to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet_address: Option<String>,
+    /// The data centre it stands in.
+    pub data_centre: String,
+    /// The region of that data centre.
+    pub region: String,
+    /// `live` or `leaving`.
+    pub state: String,
+    /// The plain service it serves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// The versions it was started with.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<String>,
+    /// Whether it refuses orders that carry an old fencing number.
+    #[serde(default)]
+    pub fences: bool,
+}
+
+struct Inner {
+    hosts: Lagged<BTreeMap<String, Host>>,
+    reads: u64,
+    faults: Faults,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Faults {
+    outage: bool,
+    delay_ms: u64,
+    lag_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Change {
+    #[serde(default)]
+    hosts: Vec<Host>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+impl Hosts {
+    /// Starts with hosts that are seen at once.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, lag: Duration, hosts: Vec<Host>) -> Self {
+        let hosts = hosts.into_iter().map(|it| (it.name.clone(), it)).collect();
+        let faults = Faults {
+            lag_ms: u64::try_from(lag.as_millis()).unwrap_or(u64::MAX),
+            ..Faults::default()
+        };
+        let inner = Inner {
+            hosts: Lagged::new(lag, hosts),
+            reads: 0,
+            faults,
+        };
+        Self {
+            clock,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Answers one call.
+    pub async fn answer(&self, call: &Call) -> Answer {
+        if call.path.first().is_some_and(|it| it == "v1") {
+            let delay = self.with(|it| it.faults.delay_ms);
+            task::sleep(Duration::from_millis(delay)).await;
+        }
+        let now = self.clock.now();
+        self.with(|it| it.answer(now, call))
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut Inner) -> T) -> T {
+        work(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Inner {
+    fn answer(&mut self, now: Duration, call: &Call) -> Answer {
+        match (call.method, call.segments().as_slice()) {
+            (Method::Post, ["control", "faults"]) => self.switch(call),
+            (Method::Post, ["control", "hosts"]) => self.change(now, call),
+            (Method::Get, ["control", "records"]) => Answer::ok(&json!({
+                "reads": self.reads,
+                "hosts": self.hosts.newest().values().collect::<Vec<_>>(),
+            })),
+            (_, ["v1", ..]) if self.faults.outage => Answer::error(503, "outage"),
+            (Method::Get, ["v1", "hosts"]) => {
+                self.reads += 1;
+                let hosts = self.hosts.seen(now);
+                Answer::ok(&json!({ "hosts": hosts.values().collect::<Vec<_>>() }))
+            }
+            _ => Answer::error(404, "not_found"),
+        }
+    }
+
+    fn switch(&mut self, call: &Call) -> Answer {
+        let answer = control::switch(&mut self.faults, call);
+        self.hosts
+            .set_lag(Duration::from_millis(self.faults.lag_ms));
+        answer
+    }
+
+    fn change(&mut self, now: Duration, call: &Call) -> Answer {
+        let change: Change = match call.json() {
+            Ok(it) => it,
+            Err(answer) => return answer,
+        };
+        let mut hosts = self.hosts.newest().clone();
+        for name in &change.remove {
+            hosts.remove(name);
+        }
+        hosts.extend(change.hosts.into_iter().map(|it| (it.name.clone(), it)));
+        self.hosts.set(now, hosts);
+        Answer::ok(&json!({}))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,39 @@
+//! Stand-ins for the platform, the engines and the plain services, so that the
+//! whole path can be run, broken and measured on one machine.
+//!
+//! Each stand-in keeps its own record of what really ran; tests and chores set
+//! that record against what callers were told. The protocols are those of
+//! `docs/PROTOCOLS.md`; settings and faults are in `docs/operate/stand-ins.md`.
+
+mod answer;
+mod call;
+mod control;
+mod engine;
+mod hosts;
+mod lagged;
+mod mark;
+mod objects;
+mod plain;
+mod rating;
+mod rng;
+mod server;
+mod settings;
+mod slots;
+mod stand_in;
+mod started;
+mod table;
+
+pub use answer::Answer;
+pub use call::Call;
+pub use engine::{End, Engine, Execution};
+pub use hosts::{Host, Hosts};
+pub use mark::Mark;
+pub use objects::Objects;
+pub use plain::{Plain, Run};
+pub use rating::Rating;
+pub use settings::{
+    EngineSettings, HostsSettings, PlainSettings, RatingSettings, Settings, StoreSettings, Truth,
+};
+pub use stand_in::StandIn;
+pub use started::Started;
+pub use table::Table;
--- /dev/null
+++ b/crates/fakes/src/plain.rs
@@ -0,0 +1,238 @@
+//! A plain service, which counts what it executes.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use http_types::Method;
+use kernel::Clock;
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::answer::Answer;
+use crate::call::Call;
+use crate::control;
+use crate::lagged::Lagged;
+use crate::rng;
+use crate::settings::PlainSettings;
+use crate::slots::Slots;
+
+/// An endpoint of a plain service.
+pub struct Plain {
+    clock: Arc<dyn Clock>,
+    settings: PlainSettings,
+    seed: u64,
+    slots: Slots,
+    inner: Mutex<Inner>,
+}
+
+/// One execution of a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Run {
+    /// The request, as the entry host named it.
+    pub request: String,
+    /// The attempt, as the entry host named it.
+    pub attempt: String,
+    /// The caller's own name for its call: the body's field `call`, or the
+    /// query's, or its idempotency key.
+    pub call: String,
+    /// The HTTP method.
+    pub method: String,
+    /// The path below the service.
+    pub path: String,
+    /// When it ran, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Whether an answer was given for it.
+    pub answered: bool,
+}
+
+struct Inner {
+    runs: Vec<Run>,
+    by_call: BTreeMap<String, u64>,
+    by_request: BTreeMap<String, u64>,
+    refused: u64,
+    load: Lagged<(usize, usize)>,
+    faults: Faults,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Faults {
+    /// Each call takes so much longer.
+    delay_ms: u64,
+    /// This share of calls is answered 500 after it has been executed.
+    errors: f64,
+    /// So many calls are executed while the connection closes without an answer.
+    lose_answers: u64,
+    /// Calls are refused with this code and not executed.
+    refuse: Option<String>,
+    /// Work is refused, and the load report says so.
+    leaving: bool,
+    /// The endpoint's life; calls meant for another are refused.
+    incarnation: u64,
+}
+
+impl Plain {
+    /// Starts an endpoint without records.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, settings: PlainSettings, seed: u64) -> Self {
+        let faults = Faults {
+            incarnation: settings.incarnation,
+            ..Faults::default()
+        };
+        let inner = Inner {
+            runs: Vec::new(),
+            by_call: BTreeMap::new(),
+            by_request: BTreeMap::new(),
+            refused: 0,
+            load: Lagged::new(Duration::from_millis(settings.load_lag_ms), (0, 0)),
+            faults,
+        };
+        Self {
+            clock,
+            slots: Slots::new(settings.slots, settings.queue),
+            settings,
+            seed,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Answers one call.
+    pub async fn answer(&self, call: &Call) -> Answer {
+        match (call.method, call.segments().as_slice()) {
+            (Method::Post, ["control", "faults"]) => {
+                self.with(|it| control::switch(&mut it.faults, call))
+            }
+            (Method::Get, ["control", "records"]) => self.with(|it| it.records()),
+            (Method::Get, ["v1", "load"]) => self.load(),
+            _ => self.execute(call).await,
+        }
+    }
+
+    async fn execute(&self, call: &Call) -> Answer {
+        if let Some(code) = self.with(|it| it.refusal(call)) {
+            return Answer::error(503, &code);
+        }
+        let Some(slot) = self.slots.enter(call.header("x-priority")).await else {
+            self.with(|it| it.refused += 1);
+            return Answer::error(503, "overloaded");
+        };
+        self.note_load();
+        let run = Run {
+            request: call.header("x-request-id").to_owned(),
+            attempt: call.header("x-attempt-id").to_owned(),
+            call: caller_name(call),
+            method: call.method.to_string(),
+            path: format!("/{}", call.path.join("/")),
+            started_ms: millis(self.clock.wall()),
+            answered: false,
+        };
+        let idx = self.with(|it| it.start(run.clone()));
+        let delay = self.with(|it| it.faults.delay_ms) + self.settings.work_ms;
+        if delay > 0 {
+            task::sleep(Duration::from_millis(delay)).await;
+        }
+        let draw = rng::drawn_for(self.seed, &(&run.request, &run.attempt)).random::<f64>();
+        let answer = self.with(|it| it.finish(idx, draw));
+        drop(slot);
+        self.note_load();
+        answer
+    }
+
+    fn load(&self) -> Answer {
+        let now = self.clock.now();
+        let (state, incarnation, (running, waiting)) = self.with(|it| {
+            let state = if it.faults.leaving { "leaving" } else { "live" };
+            (state, it.faults.incarnation, *it.load.seen(now))
+        });
+        Answer::ok(&json!({
+            "name": self.settings.name,
+            "incarnation": incarnation,
+            "state": state,
+            "running": running,
+            "waiting": waiting,
+            "slots": self.settings.slots,
+            "versions": [],
+            "age_ms": self.settings.load_lag_ms,
+        }))
+    }
+
+    fn note_load(&self) {
+        let now = self.clock.now();
+        let load = (self.slots.running(), self.slots.waiting());
+        self.with(|it| it.load.set(now, load));
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut Inner) -> T) -> T {
+        work(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Inner {
+    fn refusal(&mut self, call: &Call) -> Option<String> {
+        let meant_for = call.header("x-incarnation");
+        let code = if let Some(code) = &self.faults.refuse {
+            code.clone()
+        } else if self.faults.leaving {
+            "leaving".to_owned()
+        } else if !meant_for.is_empty() && meant_for.parse() != Ok(self.faults.incarnation) {
+            "wrong_incarnation".to_owned()
+        } else {
+            return None;
+        };
+        self.refused += 1;
+        Some(code)
+    }
+
+    fn start(&mut self, run: Run) -> usize {
+        *self.by_call.entry(run.call.clone()).or_default() += 1;
+        *self.by_request.entry(run.request.clone()).or_default() += 1;
+        self.runs.push(run);
+        self.runs.len() - 1
+    }
+
+    fn finish(&mut self, idx: usize, draw: f64) -> Answer {
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            return Answer::Lost;
+        }
+        if draw < self.faults.errors {
+            return Answer::error(500, "failed");
+        }
+        let run = &mut self.runs[idx];
+        run.answered = true;
+        Answer::ok(&json!({
+            "call": run.call,
+            "path": run.path,
+            "request": run.request,
+            "attempt": run.attempt,
+            "execution": self.by_call[&run.call],
+        }))
+    }
+
+    fn records(&self) -> Answer {
+        Answer::ok(&json!({
+            "runs": self.runs,
+            "by_call": self.by_call,
+            "by_request": self.by_request,
+            "refused": self.refused,
+        }))
+    }
+}
+
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn caller_name(call: &Call) -> String {
+    let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
+    if let Some(name) = body["call"].as_str() {
+        return name.to_owned();
+    }
+    if let Some(name) = call.query.get("call") {
+        return name.clone();
+    }
+    call.header("idempotency-key").to_owned()
+}
--- /dev/null
+++ b/crates/fakes/src/server.rs
@@ -0,0 +1,61 @@
+//! The accept loop of one stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::stream::StreamExt;
+use async_std::task::{self, JoinHandle};
+use http_types::{Request, Response, StatusCode};
+
+use crate::call::Call;
+use crate::stand_in::StandIn;
+
+/// A stand-in that listens on an address until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    accepting: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    pub(crate) fn start(listener: TcpListener, stand_in: StandIn) -> std::io::Result<Self> {
+        let address = listener.local_addr()?;
+        let accepting = Some(task::spawn(accept(listener, Arc::new(stand_in))));
+        Ok(Self { address, accepting })
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        if let Some(accepting) = self.accepting.take() {
+            task::spawn(accepting.cancel());
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, stand_in: Arc<StandIn>) {
+    let mut incoming = listener.incoming();
+    while let Some(connection) = incoming.next().await {
+        if let Ok(io) = connection {
+            task::spawn(serve(io, Arc::clone(&stand_in)));
+        }
+    }
+}
+
+async fn serve(io: TcpStream, stand_in: Arc<StandIn>) {
+    // Without this each small event would wait for the answer to the one before.
+    let _ = io.set_nodelay(true);
+    // An error here is a caller that went away or an answer that is to be lost;
+    // both end in a closed connection, which is what the caller is to see.
+    let _ = async_h1::accept(io, |req| respond(Arc::clone(&stand_in), req)).await;
+}
+
+async fn respond(stand_in: Arc<StandIn>, req: Request) -> http_types::Result<Response> {
+    let call = Call::read(req).await?;
+    stand_in
+        .answer(&call)
+        .await
+        .response()
+        .ok_or_else(|| http_types::Error::from_str(StatusCode::ServiceUnavailable, "lost answer"))
+}
--- /dev/null
+++ b/crates/fakes/src/table.rs
@@ -0,0 +1,124 @@
+//! The transactional table service.
+
+mod rows;
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::answer::Answer;
+use crate::call::Call;
+use crate::control;
+use crate::table::rows::{Rows, Transaction};
+
+const SCAN_LIMIT: usize = 1000;
+
+/// Rows behind atomic transactions, with the outages and lost answers of a real one.
+#[derive(Debug, Default)]
+pub struct Table {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: Rows,
+    reads: u64,
+    writes: u64,
+    refused: u64,
+    faults: Faults,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Faults {
+    /// Every call is answered 503 and has no effect.
+    outage: bool,
+    /// Each call takes so much longer.
+    delay_ms: u64,
+    /// So many writes take effect while the connection closes without an answer.
+    lose_answers: u64,
+}
+
+impl Table {
+    /// Answers one call.
+    pub async fn answer(&self, call: &Call) -> Answer {
+        if call.path.first().is_some_and(|it| it == "v1") {
+            let delay = self.with(|it| it.faults.delay_ms);
+            if delay > 0 {
+                task::sleep(Duration::from_millis(delay)).await;
+            }
+        }
+        self.with(|it| it.answer(call))
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut Inner) -> T) -> T {
+        work(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Inner {
+    fn answer(&mut self, call: &Call) -> Answer {
+        match (call.method, call.segments().as_slice()) {
+            (Method::Post, ["control", "faults"]) => control::switch(&mut self.faults, call),
+            (Method::Get, ["control", "records"]) => self.records(),
+            (_, ["v1", ..]) if self.faults.outage => {
+                self.refused += 1;
+                Answer::error(503, "outage")
+            }
+            (Method::Post, ["v1", "transact"]) => self.transact(call),
+            (Method::Get, ["v1", "rows"]) => self.scan(call),
+            (Method::Get, ["v1", "rows", key]) => self.get(key),
+            _ => Answer::error(404, "not_found"),
+        }
+    }
+
+    fn transact(&mut self, call: &Call) -> Answer {
+        let transaction: Transaction = match call.json() {
+            Ok(it) => it,
+            Err(answer) => return answer,
+        };
+        self.writes += 1;
+        let outcome = self.rows.transact(transaction);
+        if self.faults.lose_answers > 0 {
+            self.faults.lose_answers -= 1;
+            return Answer::Lost;
+        }
+        match outcome {
+            Ok(versions) => Answer::ok(&json!({ "versions": versions })),
+            Err(failed) => Answer::json(409, &json!({ "failed": failed })),
+        }
+    }
+
+    fn get(&mut self, key: &str) -> Answer {
+        self.reads += 1;
+        match self.rows.get(key) {
+            Some(row) => Answer::ok(&row),
+            None => Answer::error(404, "not_found"),
+        }
+    }
+
+    fn scan(&mut self, call: &Call) -> Answer {
+        self.reads += 1;
+        let text = |name| call.query.get(name).map_or("", String::as_str);
+        let limit = call
+            .number("limit")
+            .and_then(|it| usize::try_from(it).ok())
+            .unwrap_or(SCAN_LIMIT);
+        let (rows, more) = self.rows.scan(text("prefix"), text("after"), limit);
+        Answer::ok(&json!({ "rows": rows, "more": more }))
+    }
+
+    fn records(&self) -> Answer {
+        let (rows, _) = self.rows.scan("", "", usize::MAX);
+        Answer::ok(&json!({
+            "reads": self.reads,
+            "writes": self.writes,
+            "refused": self.refused,
+            "rows": rows,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/table/rows.rs
@@ -0,0 +1,137 @@
+//! The table's rows and its transactions, without time or faults.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// All rows, and the counter their versions come from.
+#[derive(Debug, Default)]
+pub(crate) struct Rows {
+    rows: BTreeMap<String, Stored>,
+    last: u64,
+}
+
+/// Conditions that must all hold for the writes to take effect.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Transaction {
+    #[serde(default)]
+    conditions: Vec<Condition>,
+    #[serde(default)]
+    puts: Vec<Put>,
+    #[serde(default)]
+    deletes: Vec<String>,
+}
+
+/// A row as callers see it.
+#[derive(Debug, Serialize)]
+pub(crate) struct Row<'a> {
+    key: &'a str,
+    version: u64,
+    value: &'a Value,
+}
+
+/// A condition that did not hold, with the row's real version.
+#[derive(Debug, Serialize)]
+pub(crate) struct Failed {
+    key: String,
+    version: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Stored {
+    version: u64,
+    value: Value,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Condition {
+    key: String,
+    #[serde(default)]
+    absent: bool,
+    version: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Put {
+    key: String,
+    value: Value,
+}
+
+impl Rows {
+    /// Applies all writes, or none when a condition fails.
+    pub(crate) fn transact(
+        &mut self,
+        transaction: Transaction,
+    ) -> Result<BTreeMap<String, u64>, Vec<Failed>> {
+        let failed: Vec<_> = transaction
+            .conditions
+            .into_iter()
+            .filter_map(|it| self.failed(it))
+            .collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        for key in &transaction.deletes {
+            self.rows.remove(key);
+        }
+        let mut versions = BTreeMap::new();
+        for Put { key, value } in transaction.puts {
+            self.last += 1;
+            let version = self.last;
+            versions.insert(key.clone(), version);
+            self.rows.insert(key, Stored { version, value });
+        }
+        Ok(versions)
+    }
+
+    pub(crate) fn get(&self, key: &str) -> Option<Row<'_>> {
+        let (key, stored) = self.rows.get_key_value(key)?;
+        Some(row(key, stored))
+    }
+
+    /// Rows whose keys start with the prefix and sort behind `after`, and
+    /// whether there are more than the limit.
+    pub(crate) fn scan(&self, prefix: &str, after: &str, limit: usize) -> (Vec<Row<'_>>, bool) {
+        let from = if after >= prefix && !after.is_empty() {
+            Bound::Excluded(after)
+        } else {
+            Bound::Included(prefix)
+        };
+        let mut found = self
+            .rows
+            .range::<str, _>((from, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(prefix));
+        let rows = found
+            .by_ref()
+            .take(limit)
+            .map(|(key, stored)| row(key, stored))
+            .collect();
+        (rows, found.next().is_some())
+    }
+
+    fn failed(&self, condition: Condition) -> Option<Failed> {
+        let version = self.rows.get(&condition.key).map(|it| it.version);
+        let wanted = if condition.absent {
+            None
+        } else {
+            condition.version
+        };
+        (version != wanted).then_some(Failed {
+            key: condition.key,
+            version,
+        })
+    }
+}
+
+fn row<'a>(key: &'a str, stored: &'a Stored) -> Row<'a> {
+    Row {
+        key,
+        version: stored.version,
+        value: &stored.value,
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/scripts.rs
@@ -0,0 +1,93 @@
+//! Each stand-in's behaviour, as scripts of calls and their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use datadriven::TestCase;
+use fakes::{Call, Engine, Host, Hosts, Objects, Plain, Rating, Settings, StandIn, Table};
+use http_types::{Request, Url};
+use kernel::ManualClock;
+
+#[test]
+fn scripts() {
+    datadriven::walk("tests/scripts", |file| {
+        let clock = Arc::new(ManualClock::default());
+        let mut stand_in = None;
+        file.run(|case| match case.directive.as_str() {
+            "start" => {
+                let (made, said) = start(&clock, case);
+                stand_in = Some(made);
+                said
+            }
+            "advance" => {
+                clock.advance(Duration::from_millis(arg(case, "ms")));
+                "ok\n".to_owned()
+            }
+            "call" => run(
+                stand_in.as_ref().expect("a script starts with `start`"),
+                &case.input,
+            ),
+            other => panic!("no such directive: {other}"),
+        });
+    });
+}
+
+fn start(clock: &Arc<ManualClock>, case: &TestCase) -> (StandIn, String) {
+    let settings = Settings::parse(&case.input).expect("the script's settings");
+    let kind = case.args.keys().next().expect("a stand-in's kind").as_str();
+    let seed = settings.seed;
+    let stand_in = match kind {
+        "table" => Table::default().into(),
+        "objects" => Objects::default().into(),
+        "hosts" => {
+            let lag = Duration::from_millis(settings.hosts[0].lag_ms);
+            Hosts::new(clock.clone(), lag, Vec::<Host>::new()).into()
+        }
+        "engine" => {
+            let engine = settings.engine[0].clone();
+            Engine::new(clock.clone(), engine, settings.versions, seed).into()
+        }
+        "service" => Box::new(Plain::new(clock.clone(), settings.service[0].clone(), seed)).into(),
+        "rating" => Rating::new(clock.clone(), &settings.rating[0], seed).into(),
+        other => panic!("no such stand-in: {other}"),
+    };
+    (stand_in, "ok\n".to_owned())
+}
+
+/// Makes the calls in the input, which stand apart by empty lines: the method and
+/// path, then `header: value` lines, then the body.
+fn run(stand_in: &StandIn, input: &str) -> String {
+    let answers = input.split("\n\n").map(|text| {
+        let call = parse(text);
+        task::block_on(async { stand_in.answer(&call).await.text().await })
+    });
+    answers.fold(String::new(), |said, answer| {
+        said + answer.replace("\n\n", "\n").trim_end() + "\n"
+    })
+}
+
+fn parse(text: &str) -> Call {
+    let mut lines = text.trim().lines();
+    let (method, path) = lines
+        .next()
+        .and_then(|it| it.split_once(' '))
+        .expect("a call starts with its method and path");
+    let url = Url::parse(&format!("http://stand-in{path}")).expect("a path");
+    let mut req = Request::new(method.parse().expect("a method"), url);
+    let mut body = String::new();
+    for line in lines {
+        match line.split_once(": ") {
+            Some((name, value)) if !line.starts_with('{') => {
+                req.insert_header(name, value);
+            }
+            _ => body.push_str(line),
+        }
+    }
+    req.set_body(body);
+    task::block_on(Call::read(req)).expect("a body in memory")
+}
+
+fn arg(case: &TestCase, name: &str) -> u64 {
+    case.args[name][0].parse().expect("a number")
+}
