gate: speak the configuration's types to operators

Priority, history lines and conflicts stand once, in config. A change may name its author and lift the guards; a ticket carries the ledger's floor.

--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::Display;
-use serde::{Deserialize, Serialize};
+use config::Priority;
 
 use crate::problem::{Problem, Reason};
 
@@ -22,35 +21,6 @@
 const MAX_KEY: usize = 128;
 const MAX_DEADLINE: Duration = Duration::from_hours(1);
 
-/// How urgent a call is.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum Priority {
-    /// A person or a bus waits at a gate.
-    #[display("urgent")]
-    Urgent,
-    /// A person reads along.
-    #[default]
-    #[display("interactive")]
-    Interactive,
-    /// Nobody waits.
-    #[display("batch")]
-    Batch,
-}
-
 /// What the headers of a call say.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers {
--- a/crates/gate/src/operator.rs
+++ b/crates/gate/src/operator.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use config::{Commit, Document, Faults, Mode, Refused};
 use derive_more::Display;
 use kernel::{ChangeId, DataCentre, HostName, Incarnation, Revision, VersionId};
 use serde::{Deserialize, Serialize};
@@ -13,15 +14,21 @@
 /// The name of the header that carries the [`ChangeId`].
 pub const CHANGE: &str = "barleypin-change";
 
+/// The name of the header that says who makes a change.
+pub const AUTHOR: &str = "barleypin-author";
+/// The name of the header that states the [`Mode`]: `guarded` or `forced`.
+pub const MODE: &str = "barleypin-mode";
+
+const MAX_AUTHOR: usize = 64;
 const MAX_CHANGE: usize = 128;
 
-/// The answer to `GET /operator/v1/document`; `D` is the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot<D> {
-    /// The committed revision.
+/// The answer to `GET /operator/v1/document`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The revision that the host has in force.
     pub revision: Revision,
     /// The whole configuration.
-    pub document: D,
+    pub document: Document,
 }
 
 /// The answer to a change that is committed.
@@ -33,17 +40,55 @@
     pub repeated: bool,
 }
 
-/// The answer to a change whose entry was changed by someone else meanwhile;
-/// `E` is the entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Conflict<E> {
-    /// The refusal, [`Reason::Conflict`].
+/// The answer to a change that was not made: the problem, and what is to be
+/// known to make it well.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The refusal.
     #[serde(flatten)]
     pub problem: Problem,
-    /// The entry as it stands, nothing when it was deleted.
-    pub current: Option<E>,
-    /// The revision of its last change, zero when it was deleted.
-    pub current_revision: Revision,
+    /// With [`Reason::Conflict`]: the entry as it stands, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current: Option<serde_json::Value>,
+    /// With [`Reason::Conflict`]: the revision of its last change, zero when
+    /// there is no such entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current_revision: Option<Revision>,
+    /// With [`Reason::BadRequest`]: every fault that the change would make.
+    #[serde(default, skip_serializing_if = "Faults::is_empty")]
+    pub faults: Faults,
+}
+
+impl From<Problem> for Refusal {
+    fn from(problem: Problem) -> Self {
+        Self {
+            problem,
+            current: None,
+            current_revision: None,
+            faults: Faults::default(),
+        }
+    }
+}
+
+impl From<Refused> for Refusal {
+    fn from(refused: Refused) -> Self {
+        match refused {
+            Refused::Conflict(conflict) => Self {
+                current: conflict
+                    .current
+                    .as_ref()
+                    .and_then(|entry| serde_json::to_value(entry).ok()),
+                current_revision: Some(conflict.current_revision),
+                ..Problem::not_run(Reason::Conflict, conflict.to_string()).into()
+            },
+            Refused::Faults(faults) => Self {
+                problem: Problem::not_run(Reason::BadRequest, faults.to_string()),
+                current: None,
+                current_revision: None,
+                faults,
+            },
+        }
+    }
 }
 
 /// The conditions under which a change is to be made.
@@ -53,6 +98,10 @@
     pub read_at: Revision,
     /// The change's own name.
     pub change: ChangeId,
+    /// Who makes it, as the tool says.
+    pub author: String,
+    /// Whether the guards against accidents apply.
+    pub mode: Mode,
 }
 
 impl Condition {
@@ -80,28 +129,23 @@
                     "expected 1 to 128 of the characters a-z, A-Z, 0-9, `-`, `_` and `.`",
                 )
             })?;
-        Ok(Self { read_at, change })
+        Ok(Self {
+            read_at,
+            change,
+            author: get(AUTHOR)
+                .map(parse_author)
+                .transpose()?
+                .unwrap_or_default(),
+            mode: get(MODE).map_or(Ok(Mode::default()), parse_mode)?,
+        })
     }
 }
 
-/// One committed change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// The revision that it made.
-    pub revision: Revision,
-    /// Its name.
-    pub change: ChangeId,
-    /// What it did, in a few words.
-    pub what: String,
-    /// Wall time of the commit in milliseconds since the Unix epoch.
-    pub at_ms: u64,
-}
-
 /// The answer to `GET /operator/v1/history`, newest first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct History {
     /// The changes.
-    pub entries: Vec<Entry>,
+    pub entries: Vec<Commit>,
 }
 
 /// The state of an entry host.
@@ -207,6 +251,25 @@
             .all(|it| it.is_ascii_alphanumeric() || matches!(it, b'-' | b'_' | b'.'))
 }
 
+fn parse_author(text: &str) -> Result<String, Problem> {
+    if text.len() <= MAX_AUTHOR && text.bytes().all(|it| it.is_ascii_graphic() || it == b' ') {
+        Ok(text.to_owned())
+    } else {
+        Err(fault(
+            AUTHOR,
+            "expected at most 64 printable ASCII characters",
+        ))
+    }
+}
+
+fn parse_mode(text: &str) -> Result<Mode, Problem> {
+    match text {
+        "guarded" => Ok(Mode::Guarded),
+        "forced" => Ok(Mode::Forced),
+        _ => Err(fault(MODE, "expected `guarded` or `forced`")),
+    }
+}
+
 fn fault(header: &str, expected: &str) -> Problem {
     Problem::not_run(Reason::BadRequest, format!("{header}: {expected}"))
 }
--- a/crates/gate/src/ticket.rs
+++ b/crates/gate/src/ticket.rs
@@ -23,6 +23,8 @@
     pub host: HostName,
     /// Wall time since the Unix epoch after which it starts no call.
     pub expiry: Duration,
+    /// The number of the incarnation's next billing record when it was minted.
+    pub floor: u64,
 }
 
 impl Ticket {
--- a/crates/gate/tests/token.rs
+++ b/crates/gate/tests/token.rs
@@ -25,6 +25,7 @@
         incarnation: Incarnation(7),
         host: "entry-1".into(),
         expiry: Duration::from_mins(1),
+        floor: 3,
     }
 }
 
