Add the frames between hosts, the link and the surface of fleet

Cause: the daemon and the ledger need what hosts say to each other and the calls of fleet and link to build on. Change: wire::Frame with its codec (version byte, size limit, property tests on arbitrary bytes and round trips); link over QUIC with mutual TLS, whose certificate's only name is the host's, and keys to issue them; fleet's events, actions and tuning with a body that finds hosts from the list, applies polled revisions and answers fetches. Addresses travel without an IPv6 scope. The bounds are chosen, not yet measured.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,16 @@
-//! Membership, news and evidence between hosts, as a pure core.
+//! Membership, news, configuration spread and evidence between hosts, as a
+//! pure core: it is told the time and what happened, and answers with what to
+//! do. It knows no network and no clock.
+//!
+//! `docs/design/membership.md` tells how it works and what was weighed.
+
+mod action;
+mod event;
+mod fleet;
+mod rendezvous;
+mod tuning;
+
+pub use action::{Action, Change};
+pub use event::{Event, Polled, Ruled};
+pub use fleet::Fleet;
+pub use tuning::Tuning;
--- /dev/null
+++ b/crates/link/src/keys.rs
@@ -0,0 +1,92 @@
+//! The fleet's CA, and certificates by which hosts prove their names.
+
+use error_stack::{Report, ResultExt};
+use kernel::HostName;
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+
+use crate::Error;
+
+/// What one host needs to prove its name and to check others', as PEM.
+#[derive(Clone)]
+pub struct Keys {
+    /// The CA's certificate; several may stand here while a CA is replaced.
+    pub ca: String,
+    /// The host's certificate.
+    pub certificate: String,
+    /// The host's private key.
+    pub key: String,
+}
+
+/// A CA with its private key, as PEM. Only the operator keeps the key; no host needs it.
+#[derive(Clone)]
+pub struct Authority {
+    /// The CA's certificate.
+    pub certificate: String,
+    /// The CA's private key.
+    pub key: String,
+}
+
+impl Authority {
+    /// Makes a new CA for the fleet that is called `fleet`.
+    ///
+    /// # Errors
+    /// [`Error::Keys`] when the library can't make one.
+    pub fn generate(fleet: &str) -> Result<Self, Report<Error>> {
+        let key = KeyPair::generate().change_context(Error::Keys)?;
+        let mut params = CertificateParams::default();
+        params.distinguished_name.push(DnType::CommonName, fleet);
+        params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+        let certificate = params.self_signed(&key).change_context(Error::Keys)?;
+        Ok(Self {
+            certificate: certificate.pem(),
+            key: key.serialize_pem(),
+        })
+    }
+
+    /// Makes the key and certificate of `host`, whose name must be a DNS label
+    /// or name.
+    ///
+    /// # Errors
+    /// [`Error::Keys`] when the name can't stand in a certificate or the CA
+    /// can't be used.
+    pub fn issue(&self, host: &HostName) -> Result<Keys, Report<Error>> {
+        let ca_key = KeyPair::from_pem(&self.key).change_context(Error::Keys)?;
+        let issuer =
+            Issuer::from_ca_cert_pem(&self.certificate, ca_key).change_context(Error::Keys)?;
+        let key = KeyPair::generate().change_context(Error::Keys)?;
+        let names = vec![host.as_str().to_owned()];
+        let mut params = CertificateParams::new(names).change_context(Error::Keys)?;
+        params
+            .distinguished_name
+            .push(DnType::CommonName, host.as_str());
+        params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+        params.extended_key_usages = vec![
+            ExtendedKeyUsagePurpose::ServerAuth,
+            ExtendedKeyUsagePurpose::ClientAuth,
+        ];
+        let certificate = params
+            .signed_by(&key, &issuer)
+            .change_context(Error::Keys)?;
+        Ok(Keys {
+            ca: self.certificate.clone(),
+            certificate: certificate.pem(),
+            key: key.serialize_pem(),
+        })
+    }
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Keys").finish_non_exhaustive()
+    }
+}
+
+impl std::fmt::Debug for Authority {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Authority").finish_non_exhaustive()
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,36 @@
-//! Frames between hosts.
+//! What hosts say to each other: the frames and their binary form.
+//!
+//! This crate knows the shape of each message and nothing of when it is sent;
+//! `fleet` decides that for membership, news and evidence, and `ledger` for
+//! records. See `docs/design/membership.md`.
+
+mod codec;
+mod digest;
+mod document;
+mod error;
+mod evidence;
+mod frame;
+mod identity;
+mod ledger;
+mod load;
+mod member;
+mod millis;
+mod news;
+mod probe;
+mod proof;
+mod verdict;
+
+pub use codec::{MAX_FRAME_BYTES, VERSION};
+pub use digest::{Bucket, Digest};
+pub use document::{Document, Fetch};
+pub use error::Error;
+pub use evidence::{Delta, Evidence, Reach, Topic};
+pub use frame::Frame;
+pub use identity::Identity;
+pub use ledger::{Answer, Forward, Forwarded, Hold, Outcome, Question, Release};
+pub use load::Load;
+pub use member::{Member, State};
+pub use news::{Endpoint, EndpointState, Newest, News};
+pub use probe::{Ack, Probe, ProbeRequest};
+pub use proof::{Age, Proof};
+pub use verdict::{Ruling, Verdict};
--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,373 @@
+//! The decoder takes nothing but whole frames, and no input makes it panic.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use kernel::{Customer, HostName, Incarnation, RequestKey, Revision, VersionId};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use wire::{
+    Ack, Age, Answer, Bucket, Delta, Digest, Document, Endpoint, EndpointState, Error, Evidence,
+    Fetch, Forward, Forwarded, Frame, Hold, Identity, Load, MAX_FRAME_BYTES, Member, Newest, News,
+    Outcome, Probe, ProbeRequest, Proof, Question, Reach, Release, Ruling, State, Topic, VERSION,
+    Verdict,
+};
+
+fn text() -> impl Strategy<Value = String> {
+    "[a-z0-9.@-]{0,24}"
+}
+
+fn blob() -> impl Strategy<Value = Vec<u8>> {
+    vec(any::<u8>(), 0..64)
+}
+
+fn millis() -> impl Strategy<Value = Duration> {
+    any::<u64>().prop_map(Duration::from_millis)
+}
+
+fn identity() -> impl Strategy<Value = Identity> {
+    (text(), any::<u64>()).prop_map(|(host, incarnation)| Identity {
+        host: HostName::from(host),
+        incarnation: Incarnation(incarnation),
+    })
+}
+
+fn proof() -> impl Strategy<Value = Proof> {
+    (any::<u64>(), proptest::option::of(millis())).prop_map(|(revision, age)| Proof {
+        revision: Revision(revision),
+        age: age.map(Age),
+    })
+}
+
+/// Addresses have no scope: hosts speak by plain IP numbers, and a scope means
+/// nothing on another machine.
+fn address() -> impl Strategy<Value = SocketAddr> {
+    (any::<IpAddr>(), any::<u16>()).prop_map(SocketAddr::from)
+}
+
+fn state() -> impl Strategy<Value = State> {
+    prop_oneof![
+        Just(State::Alive),
+        Just(State::Leaving),
+        Just(State::Suspect),
+        Just(State::Unreachable),
+        Just(State::Dead),
+    ]
+}
+
+fn member() -> impl Strategy<Value = Member> {
+    let addresses = (address(), address());
+    let places = (text(), text());
+    (identity(), any::<u32>(), state(), addresses, places).prop_map(
+        |(identity, refutation, state, (fleet_address, address), (data_centre, region))| Member {
+            identity,
+            refutation,
+            state,
+            fleet_address,
+            address,
+            data_centre: data_centre.into(),
+            region: region.into(),
+        },
+    )
+}
+
+fn verdict() -> impl Strategy<Value = Verdict> {
+    let ruling = prop_oneof![Just(Ruling::Lift), Just(Ruling::Quarantine)];
+    (text(), any::<u64>(), ruling, identity(), blob()).prop_map(
+        |(version, round, ruling, by, evidence)| Verdict {
+            version: VersionId::from(version),
+            round,
+            ruling,
+            by,
+            evidence,
+        },
+    )
+}
+
+fn endpoint() -> impl Strategy<Value = Endpoint> {
+    let state = prop_oneof![
+        Just(EndpointState::Live),
+        Just(EndpointState::Leaving),
+        Just(EndpointState::Gone),
+    ];
+    (identity(), state).prop_map(|(identity, state)| Endpoint {
+        host: identity.host,
+        incarnation: identity.incarnation,
+        state,
+    })
+}
+
+fn news() -> impl Strategy<Value = Vec<News>> {
+    let newest = (any::<u64>(), identity()).prop_map(|(revision, holder)| Newest {
+        revision: Revision(revision),
+        holder,
+    });
+    let one = prop_oneof![
+        member().prop_map(News::Member),
+        newest.prop_map(News::Revision),
+        verdict().prop_map(News::Verdict),
+        endpoint().prop_map(News::Endpoint),
+    ];
+    vec(one, 0..4)
+}
+
+fn loads() -> impl Strategy<Value = Vec<Load>> {
+    let one = (text(), any::<u8>(), millis()).prop_map(|(host, level, age)| Load {
+        host: host.into(),
+        level,
+        age,
+    });
+    vec(one, 0..4)
+}
+
+fn membership() -> impl Strategy<Value = Frame> {
+    let extras = || (proof(), any::<u64>(), news(), loads());
+    let buckets = vec((any::<u8>(), any::<u32>()), 0..8);
+    prop_oneof![
+        (any::<u32>(), identity(), address(), extras()).prop_map(
+            |(sequence, from, address, (proof, view, news, loads))| {
+                Frame::Probe(Probe {
+                    sequence,
+                    from,
+                    address,
+                    proof,
+                    view,
+                    news,
+                    loads,
+                })
+            }
+        ),
+        (any::<u32>(), identity(), extras()).prop_map(
+            |(sequence, from, (proof, view, news, loads))| {
+                Frame::Ack(Ack {
+                    sequence,
+                    from,
+                    proof,
+                    view,
+                    news,
+                    loads,
+                })
+            }
+        ),
+        (any::<u32>(), identity(), identity(), address()).prop_map(
+            |(sequence, from, target, address)| {
+                Frame::ProbeRequest(ProbeRequest {
+                    sequence,
+                    from,
+                    target,
+                    address,
+                })
+            }
+        ),
+        news().prop_map(Frame::News),
+        (identity(), buckets, news(), any::<bool>()).prop_map(|(from, buckets, news, reply)| {
+            let buckets = buckets
+                .into_iter()
+                .map(|(index, hash)| Bucket { index, hash })
+                .collect();
+            Frame::Digest(Digest {
+                from,
+                buckets,
+                news,
+                reply,
+            })
+        }),
+    ]
+}
+
+fn configuration() -> impl Strategy<Value = Frame> {
+    let ids = (any::<u32>(), any::<u64>());
+    prop_oneof![
+        (ids, identity()).prop_map(|((sequence, revision), from)| {
+            Frame::Fetch(Fetch {
+                sequence,
+                from,
+                newer_than: Revision(revision),
+            })
+        }),
+        (ids, proptest::option::of(millis()), blob()).prop_map(
+            |((sequence, revision), age, json)| {
+                Frame::Document(Document {
+                    sequence,
+                    revision: Revision(revision),
+                    age: age.map(Age),
+                    json,
+                })
+            }
+        ),
+    ]
+}
+
+fn evidence() -> impl Strategy<Value = Frame> {
+    let reach = prop_oneof![
+        Just(Reach::Direct),
+        Just(Reach::Host),
+        Just(Reach::DataCentre),
+        Just(Reach::Fleet),
+        Just(Reach::Final),
+    ];
+    let topic = prop_oneof![
+        (text(), text()).prop_map(|(version, class)| Topic::Version {
+            version: version.into(),
+            class: class.into(),
+        }),
+        text().prop_map(|it| Topic::Customer(it.into())),
+    ];
+    let counts = (any::<u32>(), any::<u32>(), any::<u32>(), any::<u32>());
+    let delta = (topic, counts, millis(), any::<u64>()).prop_map(
+        |(topic, (ok, errors, good, bad), latency, tokens)| Delta {
+            topic,
+            ok,
+            errors,
+            good,
+            bad,
+            latency,
+            tokens,
+        },
+    );
+    (identity(), reach, vec(delta, 0..4)).prop_map(|(from, reach, deltas)| {
+        Frame::Evidence(Evidence {
+            from,
+            reach,
+            deltas,
+        })
+    })
+}
+
+fn ledger() -> impl Strategy<Value = Frame> {
+    let key = || {
+        (text(), any::<u64>(), text()).prop_map(|(customer, home, key)| RequestKey {
+            customer: Customer::from(customer),
+            home: Incarnation(home),
+            key: key.into(),
+        })
+    };
+    let release =
+        || (identity(), any::<u64>()).prop_map(|(owner, through)| Release { owner, through });
+    let outcome = prop_oneof![
+        Just(Outcome::NeverSeen),
+        Just(Outcome::InFlight),
+        blob().prop_map(Outcome::Done),
+        Just(Outcome::Gone),
+    ];
+    prop_oneof![
+        (identity(), any::<u64>(), vec(blob(), 0..4)).prop_map(|(owner, first, records)| {
+            Frame::Hold(Hold {
+                owner,
+                first,
+                records,
+            })
+        }),
+        release().prop_map(Frame::Held),
+        release().prop_map(Frame::Release),
+        key().prop_map(|key| Frame::Question(Question { key })),
+        (key(), outcome).prop_map(|(key, outcome)| Frame::Answer(Answer { key, outcome })),
+        (key(), text(), blob()).prop_map(|(key, from, payload)| Frame::Forward(Forward {
+            key,
+            from: from.into(),
+            payload,
+        })),
+        (key(), blob()).prop_map(|(key, payload)| Frame::Forwarded(Forwarded { key, payload })),
+        identity().prop_map(Frame::Drain),
+        Just(Frame::Done),
+        Just(Frame::Refused),
+    ]
+}
+
+fn frame() -> impl Strategy<Value = Frame> {
+    prop_oneof![membership(), configuration(), evidence(), ledger()]
+}
+
+proptest! {
+    #[test]
+    fn what_is_encoded_decodes_to_the_same(frame in frame()) {
+        let bytes = frame.encode().unwrap();
+        prop_assert_eq!(Frame::decode(&bytes), Ok(frame));
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in vec(any::<u8>(), 0..512)) {
+        let _ = Frame::decode(&bytes);
+    }
+
+    #[test]
+    fn arbitrary_bodies_never_panic(body in vec(any::<u8>(), 0..512)) {
+        let bytes = [vec![VERSION], body].concat();
+        let _ = Frame::decode(&bytes);
+    }
+
+    #[test]
+    fn a_cut_frame_is_refused(frame in frame(), cut in any::<prop::sample::Index>()) {
+        let bytes = frame.encode().unwrap();
+        let cut = cut.index(bytes.len());
+        prop_assert!(Frame::decode(&bytes[..cut]).is_err());
+    }
+
+    #[test]
+    fn a_changed_byte_never_panics(
+        frame in frame(),
+        at in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut bytes = frame.encode().unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        let _ = Frame::decode(&bytes);
+    }
+}
+
+fn check(bytes: &[u8], expected: Error) {
+    assert_eq!(Frame::decode(bytes), Err(expected));
+}
+
+#[test]
+fn each_fault_has_its_error() {
+    let done = Frame::Done.encode().unwrap();
+    check(&[], Error::Empty);
+    check(&[VERSION + 1, 0], Error::UnknownVersion(VERSION + 1));
+    check(&[VERSION, 0xff], Error::Malformed);
+    check(&[done, vec![0]].concat(), Error::TrailingBytes(1));
+    check(
+        &vec![VERSION; MAX_FRAME_BYTES + 1],
+        Error::TooLarge(MAX_FRAME_BYTES + 1),
+    );
+}
+
+#[test]
+fn a_length_that_promises_too_much_is_refused() {
+    // A news frame that claims u32::MAX items and holds none must not reserve
+    // memory for them.
+    check(
+        &[VERSION, 3, 0xff, 0xff, 0xff, 0xff, 0x0f],
+        Error::Malformed,
+    );
+}
+
+#[test]
+fn an_age_never_gets_younger_on_the_wire() {
+    let age = Age(Duration::from_micros(1500));
+    let document = Document {
+        sequence: 1,
+        revision: Revision(1),
+        age: Some(age),
+        json: vec![],
+    };
+    let bytes = Frame::Document(document).encode().unwrap();
+    let Ok(Frame::Document(document)) = Frame::decode(&bytes) else {
+        panic!("no document");
+    };
+    assert_eq!(document.age, Some(Age(Duration::from_millis(2))));
+}
+
+#[test]
+fn a_frame_over_the_limit_is_not_sent() {
+    let frame = Frame::Hold(Hold {
+        owner: Identity {
+            host: "a".into(),
+            incarnation: Incarnation(1),
+        },
+        first: 0,
+        records: vec![vec![0; MAX_FRAME_BYTES]],
+    });
+    assert!(matches!(frame.encode(), Err(Error::TooLarge(_))));
+}
