--- /dev/null
+++ b/crates/platform/src/percent.rs
@@ -0,0 +1,54 @@
+//! Percent-encoding of text that becomes part of a path, a query or a row key.
+
+use std::fmt::Write as _;
+
+/// Encodes every byte but letters, digits, `-`, `_`, `.` and `~`.
+pub(crate) fn encode(text: &str) -> String {
+    encode_except(text, |byte| {
+        byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte)
+    })
+}
+
+/// Encodes only what would be taken for a separator of row keys.
+pub(crate) fn escape(text: &str) -> String {
+    encode_except(text, |byte| byte != b'/' && byte != b'%')
+}
+
+/// Undoes [`escape`] and [`encode`]; nothing when `text` is neither's work.
+pub(crate) fn decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte == b'%' {
+            bytes.push(hex(rest.next()?)? * 16 + hex(rest.next()?)?);
+        } else {
+            bytes.push(byte);
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
+
+fn encode_except(text: &str, keep: impl Fn(u8) -> bool) -> String {
+    if text.bytes().all(&keep) {
+        return text.to_owned();
+    }
+    let mut out = Vec::with_capacity(text.len() + 8);
+    for byte in text.bytes() {
+        if keep(byte) {
+            out.push(byte);
+        } else {
+            let mut code = String::with_capacity(3);
+            // Writing to a string can't fail.
+            let _ = write!(code, "%{byte:02X}");
+            out.extend_from_slice(code.as_bytes());
+        }
+    }
+    // Whole characters were kept or became ASCII; nothing is ever lost here.
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+fn hex(digit: u8) -> Option<u8> {
+    char::from(digit)
+        .to_digit(16)
+        .and_then(|it| u8::try_from(it).ok())
+}
--- /dev/null
+++ b/crates/platform/src/row/key.rs
@@ -0,0 +1,119 @@
+//! The key of a row.
+
+use std::fmt;
+use std::sync::Arc;
+
+use kernel::{ChangeId, Customer, Incarnation, RequestKey, Revision, VersionId};
+
+use crate::percent::{decode, escape};
+
+/// The key of a row, see the list in `docs/PROTOCOLS.md`.
+///
+/// Parts that others choose are escaped: a `/` in a caller's idempotency key
+/// would otherwise make two different requests share a row.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    /// The configuration document and its revision.
+    ConfigHead,
+    /// An operator's change, once it has been committed.
+    ConfigChange(ChangeId),
+    /// What a revision changed.
+    ConfigHistory(Revision),
+    /// The claim to run a request at most once.
+    Claim(RequestKey),
+    /// A batch of billing records.
+    Bill {
+        /// The host's life that wrote it.
+        incarnation: Incarnation,
+        /// Its number among that life's batches.
+        sequence: u64,
+    },
+    /// Where a request's billing record stands.
+    BillKey {
+        /// The host's life that wrote it.
+        incarnation: Incarnation,
+        /// The request.
+        key: RequestKey,
+    },
+    /// A life of a host that must write no more.
+    Fence(Incarnation),
+    /// The lease on a job that one host does at a time.
+    Lease(Arc<str>),
+    /// The progress of a version's roll-out.
+    Rollout(VersionId),
+}
+
+impl Key {
+    /// Reads a key as [`fmt::Display`] writes it; nothing for another's row.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let parts: Vec<_> = text.split('/').collect();
+        match parts.as_slice() {
+            ["config", "head"] => Some(Self::ConfigHead),
+            ["config", "change", id] => Some(Self::ConfigChange(decode(id)?.into())),
+            ["config", "history", revision] => {
+                Some(Self::ConfigHistory(Revision(number(revision)?)))
+            }
+            ["claim", customer, home, key] => Some(Self::Claim(request_key(customer, home, key)?)),
+            ["bill", incarnation, "key", customer, home, key] => Some(Self::BillKey {
+                incarnation: Incarnation(number(incarnation)?),
+                key: request_key(customer, home, key)?,
+            }),
+            ["bill", incarnation, sequence] => Some(Self::Bill {
+                incarnation: Incarnation(number(incarnation)?),
+                sequence: number(sequence)?,
+            }),
+            ["fence", incarnation] => Some(Self::Fence(Incarnation(number(incarnation)?))),
+            ["lease", name] => Some(Self::Lease(decode(name)?.into())),
+            ["rollout", version] => Some(Self::Rollout(decode(version)?.into())),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ConfigHead => f.write_str("config/head"),
+            Self::ConfigChange(id) => write!(f, "config/change/{}", escape(id.as_str())),
+            // Numbers that sort as text do, since the table sorts by key.
+            Self::ConfigHistory(revision) => write!(f, "config/history/{:020}", revision.0),
+            Self::Claim(key) => write!(f, "claim/{}", Escaped(key)),
+            Self::Bill {
+                incarnation,
+                sequence,
+            } => write!(f, "bill/{incarnation}/{sequence:020}"),
+            Self::BillKey { incarnation, key } => {
+                write!(f, "bill/{incarnation}/key/{}", Escaped(key))
+            }
+            Self::Fence(incarnation) => write!(f, "fence/{incarnation}"),
+            Self::Lease(name) => write!(f, "lease/{}", escape(name)),
+            Self::Rollout(version) => write!(f, "rollout/{}", escape(version.as_str())),
+        }
+    }
+}
+
+struct Escaped<'a>(&'a RequestKey);
+
+impl fmt::Display for Escaped<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let RequestKey {
+            customer,
+            home,
+            key,
+        } = self.0;
+        write!(f, "{}/{home}/{}", escape(customer.as_str()), escape(key))
+    }
+}
+
+fn request_key(customer: &str, home: &str, key: &str) -> Option<RequestKey> {
+    Some(RequestKey {
+        customer: Customer::from(decode(customer)?),
+        home: Incarnation(number(home)?),
+        key: decode(key)?.into(),
+    })
+}
+
+fn number(text: &str) -> Option<u64> {
+    text.parse().ok()
+}
