engine: add the client of engines and plain services

A streamed answer is checked as its bytes come: attempt, order, finish and end mark; everything else is a fault, so two attempts can't be spliced. Failures tell whether a call can have run; only a code of the closed list counts as the endpoint's own refusal.

--- /dev/null
+++ b/crates/engine/src/chat/reader.rs
@@ -0,0 +1,159 @@
+//! The check of a streamed answer.
+
+use super::chunk::{Chunk, confidence};
+use super::{Answer, Fault, Usage};
+use crate::sse::{Event, Parser};
+
+/// The greatest answer, in bytes of text.
+const MAX_CONTENT: usize = 32 * 1024 * 1024;
+const DONE: &str = "[DONE]";
+
+/// How far an answer has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// More is to come.
+    Open,
+    /// The end mark came.
+    Done,
+}
+
+/// Reads a streamed answer as its bytes come, and accepts only the whole
+/// answer to its own attempt.
+#[derive(Debug)]
+pub struct Reader {
+    parser: Parser,
+    state: State,
+}
+
+#[derive(Debug)]
+struct State {
+    attempt: String,
+    next_index: u64,
+    content: String,
+    finish: Option<Finish>,
+    done: bool,
+}
+
+#[derive(Debug)]
+struct Finish {
+    reason: String,
+    usage: Usage,
+    confidence: Option<f64>,
+}
+
+impl Reader {
+    /// A reader of the answer to the attempt of this name.
+    #[must_use]
+    pub fn new(attempt: impl Into<String>) -> Self {
+        Self {
+            parser: Parser::default(),
+            state: State {
+                attempt: attempt.into(),
+                next_index: 0,
+                content: String::new(),
+                finish: None,
+                done: false,
+            },
+        }
+    }
+
+    /// Takes the next bytes. What they add to the text is at the end of
+    /// [`Reader::content`], also when a fault follows it.
+    ///
+    /// # Errors
+    /// The fault that ends the answer. No further bytes may follow it.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Progress, Fault> {
+        let Self { parser, state } = self;
+        parser.feed(bytes, |event| state.take(event))?;
+        Ok(self.progress())
+    }
+
+    /// How far the answer has come.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        if self.state.done {
+            Progress::Done
+        } else {
+            Progress::Open
+        }
+    }
+
+    /// The text that has come.
+    #[must_use]
+    pub fn content(&self) -> &str {
+        &self.state.content
+    }
+
+    /// How many chunks have come.
+    #[must_use]
+    pub fn chunks(&self) -> u64 {
+        self.state.next_index
+    }
+
+    /// The answer, after the last byte.
+    ///
+    /// # Errors
+    /// [`Fault::Unfinished`] when the end mark hasn't come.
+    pub fn finish(self) -> Result<Answer, Fault> {
+        let State {
+            content,
+            finish,
+            done,
+            ..
+        } = self.state;
+        match finish {
+            Some(finish) if done => Ok(Answer {
+                content,
+                finish_reason: finish.reason,
+                usage: finish.usage,
+                confidence: finish.confidence,
+            }),
+            _ => Err(Fault::Unfinished),
+        }
+    }
+}
+
+impl State {
+    fn take(&mut self, event: Event<'_>) -> Result<(), Fault> {
+        match event.name {
+            "" | "message" => {}
+            "error" => return Err(Fault::Failed),
+            _ => return Err(Fault::Malformed),
+        }
+        if self.done {
+            return Err(Fault::Disordered);
+        }
+        if event.data == DONE {
+            if self.finish.is_none() {
+                return Err(Fault::Unfinished);
+            }
+            self.done = true;
+            return Ok(());
+        }
+        let chunk = serde_json::from_str(event.data).map_err(|_| Fault::Malformed)?;
+        self.chunk(&chunk)
+    }
+
+    fn chunk(&mut self, chunk: &Chunk<'_>) -> Result<(), Fault> {
+        if chunk.id != self.attempt {
+            return Err(Fault::Foreign);
+        }
+        if chunk.index != self.next_index || self.finish.is_some() {
+            return Err(Fault::Disordered);
+        }
+        let content = chunk.content();
+        if self.content.len() + content.len() > MAX_CONTENT {
+            return Err(Fault::TooLarge);
+        }
+        if let Some(reason) = chunk.finish_reason() {
+            self.finish = Some(Finish {
+                reason: reason.to_owned(),
+                usage: chunk.usage.ok_or(Fault::Malformed)?,
+                confidence: confidence(chunk.confidence)?,
+            });
+        }
+        self.next_index += 1;
+        self.content.push_str(content);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/engine/src/failure.rs
@@ -0,0 +1,108 @@
+//! Why a call has no answer, told by whether it can have run.
+
+use derive_more::{Display, Error};
+use http::{Body, Cause, Response, Status};
+use serde::Deserialize;
+
+use crate::Fault;
+
+/// The greatest refusal that is read, in bytes.
+pub(crate) const MAX_REFUSAL: usize = 64 * 1024;
+
+/// Why a call has no whole answer.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing left this host.
+    #[display("not sent: {_0}")]
+    NotSent(#[error(not(source))] Cause),
+    /// The endpoint says that it ran nothing.
+    #[display("refused: {_0}")]
+    Refused(#[error(not(source))] Code),
+    /// The call may have run, or may still.
+    #[display("may have run: {_0}")]
+    MayHaveRun(#[error(not(source))] Why),
+    /// The answer began and didn't come whole.
+    #[display("answer cut: {_0}")]
+    Cut(#[error(not(source))] Why),
+}
+
+/// The endpoint's own reason to run nothing.
+#[derive(Clone, Copy, Debug, Display, Deserialize, PartialEq, Eq, Hash)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The version isn't loaded.
+    #[display("not_loaded")]
+    NotLoaded,
+    /// It has no room.
+    #[display("overloaded")]
+    Overloaded,
+    /// It takes no new work any more.
+    #[display("leaving")]
+    Leaving,
+    /// It isn't the life that was meant.
+    #[display("wrong_incarnation")]
+    WrongIncarnation,
+}
+
+/// What went wrong with a call that left this host.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Why {
+    /// The connection.
+    #[display("{_0}")]
+    Link(Cause),
+    /// A status that isn't an own refusal.
+    #[display("status {_0}")]
+    Status(u16),
+    /// The answer's content.
+    #[display("{_0}")]
+    Content(Fault),
+}
+
+impl From<http::Error> for Failure {
+    fn from(err: http::Error) -> Self {
+        match err {
+            http::Error::NotSent(cause) => Self::NotSent(cause),
+            http::Error::MaybeSent(cause) => Self::MayHaveRun(Why::Link(cause)),
+            http::Error::Cut(cause) => Self::Cut(Why::Link(cause)),
+            http::Error::TooLarge { .. } => Self::Cut(Why::Content(Fault::TooLarge)),
+            http::Error::Json { .. } => Self::Cut(Why::Content(Fault::Malformed)),
+        }
+    }
+}
+
+/// Reads the endpoint's own refusal; gives the response back when it is none.
+///
+/// Only a code of the closed list proves that nothing ran. A 503 by the service
+/// behind the endpoint, or by something between, proves nothing.
+pub(crate) async fn refusal(response: Response) -> Result<Code, Response> {
+    #[derive(Deserialize)]
+    struct Refusal {
+        error: Reason,
+    }
+    #[derive(Deserialize)]
+    struct Reason {
+        code: Code,
+    }
+    if response.status != Status::ServiceUnavailable
+        || response
+            .body
+            .len()
+            .is_some_and(|it| it > MAX_REFUSAL as u64)
+    {
+        return Err(response);
+    }
+    let Response {
+        status,
+        headers,
+        body,
+    } = response;
+    let bytes = body.collect(MAX_REFUSAL).await.unwrap_or_default();
+    match serde_json::from_slice::<Refusal>(&bytes) {
+        Ok(refusal) => Ok(refusal.error.code),
+        Err(_) => Err(Response {
+            status,
+            headers,
+            body: Body::bytes(bytes),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/sse.rs
@@ -0,0 +1,140 @@
+//! Server-sent events: bytes in, events out, wherever the bytes are split.
+
+/// The greatest line, and the greatest event, in bytes. A peer that never ends
+/// a line would otherwise fill the memory.
+const MAX_EVENT: usize = 1024 * 1024;
+
+/// An event, borrowed from the parser until the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event<'a> {
+    /// The event's name, empty when it has none.
+    pub name: &'a str,
+    /// Its data, lines joined by `\n`.
+    pub data: &'a str,
+}
+
+/// Why the bytes are no events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// A line isn't UTF-8.
+    Encoding,
+    /// A line or an event is too long.
+    TooLarge,
+}
+
+/// The incremental parser.
+#[derive(Debug, Default)]
+pub struct Parser {
+    /// The start of a line whose end hasn't come.
+    partial: Vec<u8>,
+    name: String,
+    data: String,
+    has_data: bool,
+    /// Whether the last byte was a carriage return, which a line feed may follow.
+    after_cr: bool,
+    started: bool,
+}
+
+impl Parser {
+    /// Takes the next bytes and hands out the events that they complete, until
+    /// `take` refuses one.
+    ///
+    /// # Errors
+    /// What `take` says, and `E` made of [`Error`]. No further bytes may follow an error.
+    pub fn feed<E: From<Error>>(
+        &mut self,
+        mut bytes: &[u8],
+        mut take: impl FnMut(Event<'_>) -> Result<(), E>,
+    ) -> Result<(), E> {
+        while let Some(&first) = bytes.first() {
+            if std::mem::take(&mut self.after_cr) && first == b'\n' {
+                bytes = &bytes[1..];
+                continue;
+            }
+            let Some(end) = bytes.iter().position(|it| matches!(it, b'\n' | b'\r')) else {
+                self.hold(bytes)?;
+                break;
+            };
+            self.after_cr = bytes[end] == b'\r';
+            self.line(&bytes[..end], &mut take)?;
+            bytes = &bytes[end + 1..];
+        }
+        Ok(())
+    }
+
+    fn hold(&mut self, bytes: &[u8]) -> Result<(), Error> {
+        if self.partial.len() + bytes.len() > MAX_EVENT {
+            return Err(Error::TooLarge);
+        }
+        self.partial.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn line<E: From<Error>>(
+        &mut self,
+        rest: &[u8],
+        take: impl FnMut(Event<'_>) -> Result<(), E>,
+    ) -> Result<(), E> {
+        if self.partial.is_empty() {
+            return self.whole_line(rest, take);
+        }
+        self.hold(rest)?;
+        let mut line = std::mem::take(&mut self.partial);
+        let result = self.whole_line(&line, take);
+        line.clear();
+        self.partial = line;
+        result
+    }
+
+    fn whole_line<E: From<Error>>(
+        &mut self,
+        line: &[u8],
+        take: impl FnMut(Event<'_>) -> Result<(), E>,
+    ) -> Result<(), E> {
+        if line.len() > MAX_EVENT {
+            return Err(Error::TooLarge.into());
+        }
+        let mut line = str::from_utf8(line).map_err(|_| Error::Encoding)?;
+        if !std::mem::replace(&mut self.started, true) {
+            line = line.strip_prefix('\u{feff}').unwrap_or(line);
+        }
+        if line.is_empty() {
+            return self.end(take);
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => value.clone_into(&mut self.name),
+            "data" => self.data(value)?,
+            // Comments, `id` and `retry` mean nothing here.
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn data(&mut self, value: &str) -> Result<(), Error> {
+        if self.data.len() + value.len() > MAX_EVENT {
+            return Err(Error::TooLarge);
+        }
+        if std::mem::replace(&mut self.has_data, true) {
+            self.data.push('\n');
+        }
+        self.data.push_str(value);
+        Ok(())
+    }
+
+    fn end<E>(&mut self, mut take: impl FnMut(Event<'_>) -> Result<(), E>) -> Result<(), E> {
+        let result = if self.has_data {
+            take(Event {
+                name: &self.name,
+                data: &self.data,
+            })
+        } else {
+            Ok(())
+        };
+        self.name.clear();
+        self.data.clear();
+        self.has_data = false;
+        result
+    }
+}
