--- a/crates/barleypind/src/log.rs
+++ b/crates/barleypind/src/log.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 use std::io::{IsTerminal, stderr};
 
+use config::settings::{self, Format};
 use slog::{Drain, KV, Key, Level, Logger, Record, Serializer, o};
 
 use crate::event::Event;
@@ -21,12 +22,18 @@
 }
 
 impl Log {
-    /// Logs to the standard error stream, down to `level`.
+    /// Logs to the standard error stream as the settings say.
     #[must_use]
-    pub fn to_stderr(level: Level) -> Self {
-        if stderr().is_terminal() {
-            let drain = slog_term::FullFormat::new(slog_term::TermDecorator::new().build()).build();
-            Self::to(drain.fuse(), level)
+    pub fn to_stderr(settings: settings::Log) -> Self {
+        let text = match settings.format {
+            Format::Text => true,
+            Format::Json => false,
+            Format::Auto => stderr().is_terminal(),
+        };
+        let level = level(settings.level);
+        if text {
+            let decorator = slog_term::TermDecorator::new().build();
+            Self::to(slog_term::FullFormat::new(decorator).build().fuse(), level)
         } else {
             Self::to(slog_json::Json::default(stderr()).fuse(), level)
         }
@@ -67,6 +74,15 @@
     }
 }
 
+fn level(level: settings::Level) -> Level {
+    match level {
+        settings::Level::Error => Level::Error,
+        settings::Level::Warning => Level::Warning,
+        settings::Level::Info => Level::Info,
+        settings::Level::Debug => Level::Debug,
+    }
+}
+
 struct Fields<'a>(&'a [Field<'a>]);
 
 impl KV for Fields<'_> {
--- /dev/null
+++ b/crates/barleypind/src/policy.rs
@@ -0,0 +1,159 @@
+//! The configuration, compiled for decisions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use config::{Document, RolloutState, VersionState};
+use decide::key;
+use decide::policy::{
+    Allowance, Customer, Pace, Policy, Priority, Profile, Repeat, Rollout, Service, State, Version,
+};
+use kernel::VersionId;
+
+/// Calls that one host may have in flight at one plain service. A service's
+/// own endpoints refuse earlier when they are full; this bounds the host.
+const SERVICE_CONCURRENCY: u32 = 1024;
+
+/// Compiles `document`. What it names that isn't there is left out, which a
+/// committed document has none of.
+#[must_use]
+pub(crate) fn compile(document: &Document) -> Policy {
+    let versions = Index::new(document.versions.keys());
+    let customers: HashMap<_, _> = document
+        .customers
+        .keys()
+        .enumerate()
+        .map(|(at, name)| (name, key::Customer::at(at)))
+        .collect();
+    Policy {
+        revision: document.revision,
+        versions: document
+            .versions
+            .iter()
+            .map(|(id, it)| version(document, id, it))
+            .collect(),
+        profiles: document
+            .profiles
+            .iter()
+            .map(|(name, it)| Profile {
+                name: name.clone(),
+                allowed: allowances(it, &customers, &versions),
+                target: it.quality,
+                cap: Some(it.cost_cap),
+                repeat: repeat(it.repeat),
+                priority: priority(it.priority),
+                deadline: it.deadline,
+            })
+            .collect(),
+        customers: document
+            .customers
+            .iter()
+            .map(|(name, it)| Customer {
+                name: name.clone(),
+                rate: f64::from(it.rate),
+                burst: f64::from(it.burst),
+                concurrency: it.concurrency,
+                weight: f64::from(it.weight),
+            })
+            .collect(),
+        services: document
+            .services
+            .iter()
+            .map(|(name, it)| Service {
+                name: name.clone(),
+                repeat: Repeat::AtMostOnce,
+                priority: Priority::Interactive,
+                deadline: it.total,
+                concurrency: SERVICE_CONCURRENCY,
+            })
+            .collect(),
+        rollouts: document
+            .rollouts
+            .iter()
+            .filter_map(|(id, it)| rollout(id, it, &versions))
+            .collect(),
+    }
+}
+
+/// The decider's word for a repeat setting.
+#[must_use]
+pub(crate) fn repeat(repeat: config::Repeat) -> Repeat {
+    match repeat {
+        config::Repeat::Idempotent => Repeat::Idempotent,
+        config::Repeat::AtMostOnce => Repeat::AtMostOnce,
+    }
+}
+
+/// The decider's word for a priority.
+#[must_use]
+pub(crate) fn priority(priority: config::Priority) -> Priority {
+    match priority {
+        config::Priority::Urgent => Priority::Urgent,
+        config::Priority::Interactive => Priority::Interactive,
+        config::Priority::Batch => Priority::Batch,
+    }
+}
+
+struct Index<'a>(HashMap<&'a VersionId, key::Version>);
+
+impl<'a> Index<'a> {
+    fn new(ids: impl Iterator<Item = &'a VersionId>) -> Self {
+        Self(
+            ids.enumerate()
+                .map(|(at, id)| (id, key::Version::at(at)))
+                .collect(),
+        )
+    }
+
+    fn get(&self, id: &VersionId) -> Option<key::Version> {
+        self.0.get(id).copied()
+    }
+}
+
+fn version(document: &Document, id: &VersionId, version: &config::Version) -> Version {
+    let state = match (version.state, document.rollouts.get(id)) {
+        (VersionState::Withdrawn, _) => State::Withdrawn,
+        (VersionState::Active, Some(rollout)) if rollout.state != RolloutState::Done => {
+            State::Trial(rollout.share())
+        }
+        (VersionState::Active, _) => State::Active,
+    };
+    Version {
+        id: id.clone(),
+        state,
+        prompt_price: version.prompt,
+        completion_price: version.completion,
+    }
+}
+
+fn allowances(
+    profile: &config::Profile,
+    customers: &HashMap<&kernel::Customer, key::Customer>,
+    versions: &Index<'_>,
+) -> Vec<Allowance> {
+    profile
+        .customers
+        .iter()
+        .filter_map(|(name, grant)| {
+            let allow = grant.allow.as_ref().unwrap_or(&profile.allow);
+            Some(Allowance {
+                customer: *customers.get(name)?,
+                versions: allow.iter().filter_map(|id| versions.get(id)).collect(),
+            })
+        })
+        .collect()
+}
+
+fn rollout(id: &VersionId, rollout: &config::Rollout, versions: &Index<'_>) -> Option<Rollout> {
+    let pace = match rollout.state {
+        RolloutState::Running => Pace::Running,
+        RolloutState::Paused => Pace::Paused,
+        RolloutState::Aborted | RolloutState::Done => return None,
+    };
+    Some(Rollout {
+        id: Arc::from(id.as_str()),
+        version: versions.get(id)?,
+        replaces: versions.get(&rollout.replaces),
+        pace,
+    })
+}
