Check documents and changes, read entries from files

Operators write entries as TOML and the document is checked before a change is accepted. Files and changes are judged by the same schema, so both tell every fault in one run with the same words. A change conflicts when its entry moved, never because another entry did; a withdrawal that leaves somebody with no version needs force; a fault that an older release let in elsewhere doesn't block a sound change.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,55 +1,135 @@
-//! What a document has to satisfy; see docs/reference/profiles.md.
+//! What a document has to satisfy, and what a change may do to it; see
+//! docs/reference/profiles.md.
 
-use std::collections::BTreeSet;
+use kernel::{Customer, VersionId};
 
-use crate::{Change, Document, Faults};
-
-/// The longest name of an entry, in bytes.
-pub(crate) const MAX_NAME: usize = 64;
+use crate::entry_check::EntryCheck;
+use crate::schema::Accepts;
+use crate::{
+    Change, Document, Edit, Fault, Faults, Found, Mode, Name, Place, Profile, RolloutState,
+    Version, form,
+};
 
 /// Every fault of the document as it stands.
-pub(crate) fn document(_document: &Document) -> Faults {
-    Faults::default()
+pub(crate) fn document(document: &Document) -> Faults {
+    let faults = document.names().flat_map(|name| entry(document, &name));
+    Faults(faults.collect())
 }
 
 /// Every fault for which `change`, which makes `next` out of `current`, is refused.
-pub(crate) fn change(_current: &Document, _change: &Change, next: &Document) -> Faults {
-    document(next)
-}
-
-pub(crate) fn is_name(text: &str) -> bool {
-    let fits = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    (1..=MAX_NAME).contains(&text.len()) && text.bytes().all(fits)
-}
-
-pub(crate) fn is_version(text: &str) -> bool {
-    text.split_once('@')
-        .is_some_and(|(model, version)| is_name(model) && is_name(version))
+///
+/// Faults of other entries count only when the change brings them about: a
+/// document that an earlier release accepted under milder rules can still be
+/// changed, one entry after the other.
+pub(crate) fn change(current: &Document, change: &Change, next: &Document) -> Faults {
+    let name = change.edit.name();
+    let earlier = document(current);
+    let mut faults = document(next);
+    faults
+        .0
+        .retain(|fault| fault.place == Place::Entry(name.clone()) || !earlier.0.contains(fault));
+    let mut check = EntryCheck::new(name);
+    edit(&mut check, current, change, next);
+    faults.0.extend(check.finish());
+    faults
 }
 
-pub(crate) fn is_hash(text: &str) -> bool {
-    let fits = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
-    text.len() == 64 && text.bytes().all(fits)
+fn entry(document: &Document, name: &Name) -> Vec<Fault> {
+    let mut check = EntryCheck::new(name.clone());
+    check_name(&mut check, name);
+    match name {
+        Name::Version(id) => document.versions[id].check(&mut check),
+        Name::Profile(name) => document.profiles[name].check(&mut check, document),
+        Name::Customer(name) => document.customers[name].check(&mut check, name, document),
+        Name::Service(name) => document.services[name].check(&mut check),
+        Name::Rollout(id) => document.rollouts[id].check(&mut check, id, document),
+    }
+    check.finish()
 }
 
-pub(crate) fn is_method(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_uppercase())
+fn check_name(check: &mut EntryCheck, name: &Name) {
+    let (fits, accepted) = match name {
+        Name::Version(id) | Name::Rollout(id) => (form::is_version(id.as_str()), Accepts::Version),
+        Name::Profile(_) | Name::Customer(_) | Name::Service(_) => {
+            (form::is_name(name.as_str()), Accepts::Name)
+        }
+    };
+    if !fits {
+        let found = Found::Value(format!("{:?}", name.as_str()));
+        check.add("name", found, accepted.to_string());
+    }
 }
 
-pub(crate) fn is_prefix(text: &str) -> bool {
-    text.starts_with('/') && text.bytes().all(|byte| byte.is_ascii_graphic())
+/// What a change may not do although the next document makes sense.
+fn edit(check: &mut EntryCheck, current: &Document, change: &Change, next: &Document) {
+    match &change.edit {
+        Edit::PutProfile(_, profile) => name_no_withdrawn(check, profile, next),
+        Edit::PutRollout(id, rollout) => {
+            let withdrawn = next.versions.get(id).is_some_and(|it| !it.is_active());
+            if withdrawn && rollout.state == RolloutState::Running {
+                let found = Found::Value(format!("`{id}`"));
+                check.add("name", found, "a version that isn't withdrawn".into());
+            }
+        }
+        Edit::PutVersion(id, version) => {
+            if change.mode == Mode::Guarded && !version.is_active() {
+                leave_none_without(check, id, current, next);
+            }
+        }
+        Edit::PutCustomer(..) | Edit::PutService(..) => {}
+        Edit::RemoveVersion(_)
+        | Edit::RemoveProfile(_)
+        | Edit::RemoveCustomer(_)
+        | Edit::RemoveService(_)
+        | Edit::RemoveRollout(_) => {
+            if current.entry(&change.edit.name()).is_none() {
+                check.add("name", Found::Missing, "the name of an entry".into());
+            }
+        }
+    }
 }
 
-pub(crate) fn is_fraction(share: f64) -> bool {
-    (0.0..=1.0).contains(&share)
+fn name_no_withdrawn(check: &mut EntryCheck, profile: &Profile, next: &Document) {
+    let withdrawn = |id: &&VersionId| next.versions.get(*id).is_some_and(|it| !it.is_active());
+    for id in profile.allow.iter().filter(withdrawn) {
+        let found = Found::Value(format!("`{id}`"));
+        check.add("allow", found, "a version that isn't withdrawn".into());
+    }
 }
 
-pub(crate) fn are_steps(steps: &[f64]) -> bool {
-    let rising = steps.windows(2).all(|pair| pair[0] < pair[1]);
-    let shares = steps.iter().all(|share| *share > 0.0 && *share <= 1.0);
-    !steps.is_empty() && rising && shares
+/// Refuses a withdrawal after which somebody who could be answered can't.
+fn leave_none_without(check: &mut EntryCheck, id: &VersionId, current: &Document, next: &Document) {
+    if !current.versions.get(id).is_some_and(Version::is_active) {
+        return;
+    }
+    for (name, profile) in &current.profiles {
+        let mut stranded: Vec<&Customer> = Vec::new();
+        for customer in profile.customers.keys() {
+            let before = current.usable(name, customer);
+            if !before.is_empty() && next.usable(name, customer).is_empty() {
+                stranded.push(customer);
+            }
+        }
+        let whole_profile = !profile.has_active(current) || profile.has_active(next);
+        if stranded.is_empty() && whole_profile {
+            continue;
+        }
+        let whom = match stranded.as_slice() {
+            [] => String::new(),
+            some => format!(" for {}", join(some)),
+        };
+        check.add(
+            "state",
+            Found::Harmful,
+            format!(
+                "profile {name} would have no version left{whom}: give it another version first, \
+                 or force the withdrawal"
+            ),
+        );
+    }
 }
 
-pub(crate) fn are_distinct<T: Ord>(items: &[T]) -> bool {
-    items.iter().collect::<BTreeSet<_>>().len() == items.len()
+fn join(customers: &[&Customer]) -> String {
+    let names: Vec<_> = customers.iter().map(|it| it.as_str()).collect();
+    names.join(", ")
 }
--- a/crates/config/src/customer.rs
+++ b/crates/config/src/customer.rs
@@ -3,6 +3,11 @@
 use kernel::Revision;
 use serde::{Deserialize, Serialize};
 
+use crate::entry_check::EntryCheck;
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+use crate::{Document, Found, form};
+
 /// How a customer is recognised and how much it may ask for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +49,53 @@
         blake3::hash(key).to_hex().to_string()
     }
 
+    pub(crate) const SECTION: Section = Section {
+        name: "",
+        about: "how a customer is recognised and how much it may ask for",
+        shape: Shape::One,
+        keys: &[&KEY_BLAKE3, &RATE, &BURST, &CONCURRENCY, &WEIGHT],
+        sections: &[],
+    };
+
+    pub(crate) fn read(table: &Table<'_>) -> Self {
+        Self {
+            key_blake3: table.text(&KEY_BLAKE3),
+            rate: table.count(&RATE),
+            burst: table.count(&BURST),
+            concurrency: table.count(&CONCURRENCY),
+            weight: table.count(&WEIGHT),
+            changed: Revision(0),
+        }
+    }
+
+    pub(crate) fn check(
+        &self,
+        check: &mut EntryCheck,
+        name: &kernel::Customer,
+        document: &Document,
+    ) {
+        if !form::is_hash(&self.key_blake3) {
+            // Somebody may have sent the key instead of its hash.
+            check.refuse(&KEY_BLAKE3, "a text that isn't shown");
+        }
+        // Of two with the same key, the one that came later is at fault.
+        let mut others = document
+            .customers
+            .iter()
+            .filter(|(other, _)| *other != name);
+        let twin =
+            others.find(|(_, it)| it.key_blake3 == self.key_blake3 && it.changed <= self.changed);
+        if let Some((other, _)) = twin {
+            let found = Found::Value(format!("the key of customer {other}"));
+            let accepted = "a key that no other customer has".into();
+            check.add(KEY_BLAKE3.name, found, accepted);
+        }
+        check.whole(&RATE, self.rate.into());
+        check.whole(&BURST, self.burst.into());
+        check.whole(&CONCURRENCY, self.concurrency.into());
+        check.whole(&WEIGHT, self.weight.into());
+    }
+
     fn default_rate() -> u32 {
         Self::DEFAULT_RATE
     }
@@ -60,3 +112,47 @@
         Self::DEFAULT_WEIGHT
     }
 }
+
+const KEY_BLAKE3: Key = Key {
+    name: "key_blake3",
+    accepts: Accepts::Hash,
+    fallback: Fallback::Required,
+    about: "the BLAKE3 hash of the customer's bearer key",
+};
+
+const RATE: Key = Key {
+    name: "rate_per_s",
+    accepts: Accepts::Whole {
+        min: 1,
+        max: 1_000_000,
+    },
+    fallback: Fallback::Whole(Customer::DEFAULT_RATE as u64),
+    about: "requests a second over all hosts",
+};
+
+const BURST: Key = Key {
+    name: "burst",
+    accepts: Accepts::Whole {
+        min: 1,
+        max: 1_000_000,
+    },
+    fallback: Fallback::Whole(Customer::DEFAULT_BURST as u64),
+    about: "requests that may come at once above the rate",
+};
+
+const CONCURRENCY: Key = Key {
+    name: "concurrency",
+    accepts: Accepts::Whole {
+        min: 1,
+        max: 1_000_000,
+    },
+    fallback: Fallback::Whole(Customer::DEFAULT_CONCURRENCY as u64),
+    about: "requests that may run at the same time over all hosts",
+};
+
+const WEIGHT: Key = Key {
+    name: "weight",
+    accepts: Accepts::Whole { min: 1, max: 1_000 },
+    fallback: Fallback::Whole(Customer::DEFAULT_WEIGHT as u64),
+    about: "the share when there is too little for all, against the weights of the others",
+};
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -203,14 +203,22 @@
 }
 
 /// The entry as it is, where the change's author saw another.
-#[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
-#[display("{entry} is at revision {current_revision}")]
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display("{}", self.describe())]
 pub struct Conflict {
     /// Which entry.
     pub entry: Name,
     /// The entry now; nothing when it doesn't exist.
-    #[serde(skip_deserializing)]
     pub current: Option<Entry>,
     /// The revision that last changed it; zero when it doesn't exist.
     pub current_revision: Revision,
 }
+
+impl Conflict {
+    fn describe(&self) -> String {
+        match self.current {
+            Some(_) => format!("{} is at revision {}", self.entry, self.current_revision),
+            None => format!("{} does not exist", self.entry),
+        }
+    }
+}
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -9,7 +9,7 @@
 
 /// One fault: where it is, what was found there and what is accepted.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
-#[display("{place}: {}{found}; {accepted}", Self::label(field))]
+#[display("{place}: {}{found}{accepted}", Self::label(field))]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// Where it is.
@@ -18,7 +18,7 @@
     pub field: String,
     /// What was found there.
     pub found: Found,
-    /// What is accepted instead.
+    /// What is accepted instead, or how to get the change through.
     pub accepted: String,
 }
 
@@ -54,17 +54,20 @@
 #[serde(rename_all = "snake_case")]
 pub enum Found {
     /// Nothing.
-    #[display("missing")]
+    #[display("missing; expected ")]
     Missing,
     /// This value.
-    #[display("{_0} is not accepted")]
+    #[display("{_0} is not accepted; expected ")]
     Value(String),
     /// A key that isn't known.
-    #[display("unknown key")]
+    #[display("unknown key; ")]
     UnknownKey,
     /// Text that isn't TOML.
-    #[display("not TOML")]
+    #[display("not TOML; ")]
     Syntax,
+    /// A value that is sound by itself, but would do harm.
+    #[display("refused; ")]
+    Harmful,
 }
 
 /// Every fault that was found.
--- a/crates/config/src/priority.rs
+++ b/crates/config/src/priority.rs
@@ -31,3 +31,11 @@
     #[display("batch")]
     Batch,
 }
+
+impl Priority {
+    pub(crate) const WORDS: [(&str, Self); 3] = [
+        ("urgent", Self::Urgent),
+        ("interactive", Self::Interactive),
+        ("batch", Self::Batch),
+    ];
+}
--- a/crates/config/src/repeat.rs
+++ b/crates/config/src/repeat.rs
@@ -14,3 +14,10 @@
     #[display("at_most_once")]
     AtMostOnce,
 }
+
+impl Repeat {
+    pub(crate) const WORDS: [(&str, Self); 2] = [
+        ("idempotent", Self::Idempotent),
+        ("at_most_once", Self::AtMostOnce),
+    ];
+}
--- a/crates/config/src/rollout.rs
+++ b/crates/config/src/rollout.rs
@@ -4,6 +4,11 @@
 use kernel::{Revision, VersionId};
 use serde::{Deserialize, Serialize};
 
+use crate::entry_check::EntryCheck;
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+use crate::{Document, Found, form};
+
 /// A version that takes over another's work in steps; the document keeps it
 /// under the id of the new version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -30,7 +35,7 @@
 
 impl Rollout {
     /// The steps of a roll-out that names none.
-    pub const DEFAULT_STEPS: [f64; 4] = [0.01, 0.1, 0.5, 1.0];
+    pub const DEFAULT_STEPS: &[f64] = &[0.01, 0.1, 0.5, 1.0];
 
     /// The share of the work that the new version gets now.
     #[must_use]
@@ -43,6 +48,69 @@
             RolloutState::Done => 1.0,
         }
     }
+
+    pub(crate) const SECTION: Section = Section {
+        name: "",
+        about: "a version that takes over the work of another in steps, under the id of the new version",
+        shape: Shape::One,
+        keys: &[&REPLACES, &STEPS, &STATE, &STEP],
+        sections: &[],
+    };
+
+    pub(crate) fn read(table: &Table<'_>) -> Self {
+        Self {
+            replaces: table.text(&REPLACES).into(),
+            steps: table.steps(&STEPS),
+            state: table.word(&STATE, &RolloutState::WORDS),
+            step: table.size(&STEP),
+            begun: Revision(0),
+            changed: Revision(0),
+        }
+    }
+
+    pub(crate) fn check(&self, check: &mut EntryCheck, id: &VersionId, document: &Document) {
+        if !document.versions.contains_key(id) {
+            let found = Found::Value(format!("`{id}`"));
+            check.add("name", found, "a version that is configured".into());
+        }
+        if !document.versions.contains_key(&self.replaces) || self.replaces == *id {
+            let found = Found::Value(format!("`{}`", self.replaces));
+            check.add(
+                "replaces",
+                found,
+                "another version that is configured".into(),
+            );
+        }
+        if !form::are_steps(&self.steps) {
+            check.refuse(&STEPS, format_args!("{:?}", self.steps));
+        }
+        if self.step >= self.steps.len() {
+            let found = Found::Value(self.step.to_string());
+            check.add(
+                "step",
+                found,
+                "the index of one of the `steps`, from 0 on".into(),
+            );
+        }
+        self.check_alone(check, id, document);
+    }
+
+    /// Two roll-outs that take over the same version's work at the same time
+    /// would both claim their shares of it; the one that came later is at fault.
+    fn check_alone(&self, check: &mut EntryCheck, id: &VersionId, document: &Document) {
+        if !self.state.is_open() {
+            return;
+        }
+        let mut others = document.rollouts.iter().filter(|(other, _)| *other != id);
+        let same = |it: &Self| {
+            it.state.is_open() && it.replaces == self.replaces && it.changed <= self.changed
+        };
+        if let Some((other, _)) = others.find(|(_, it)| same(it)) {
+            let found = Found::Value(format!("`{}`", self.replaces));
+            let accepted = format!("a version that the roll-out of {other} doesn't replace now");
+            check.add("replaces", found, accepted);
+        }
+    }
 }
 
 /// How a roll-out stands.
@@ -63,3 +131,46 @@
     #[display("done")]
     Done,
 }
+
+impl RolloutState {
+    const WORDS: [(&str, Self); 4] = [
+        ("running", Self::Running),
+        ("paused", Self::Paused),
+        ("aborted", Self::Aborted),
+        ("done", Self::Done),
+    ];
+
+    /// Whether it may still move.
+    #[must_use]
+    pub fn is_open(self) -> bool {
+        matches!(self, Self::Running | Self::Paused)
+    }
+}
+
+const REPLACES: Key = Key {
+    name: "replaces",
+    accepts: Accepts::Version,
+    fallback: Fallback::Required,
+    about: "the version whose work is taken over",
+};
+
+const STEPS: Key = Key {
+    name: "steps",
+    accepts: Accepts::Steps,
+    fallback: Fallback::Steps(Rollout::DEFAULT_STEPS),
+    about: "the share of that work that each step gives to the new version",
+};
+
+const STATE: Key = Key {
+    name: "state",
+    accepts: Accepts::OneOf(&["running", "paused", "aborted", "done"]),
+    fallback: Fallback::Word("running"),
+    about: "how the roll-out stands; a paused one stays at its step",
+};
+
+const STEP: Key = Key {
+    name: "step",
+    accepts: Accepts::Whole { min: 0, max: 100 },
+    fallback: Fallback::Whole(0),
+    about: "the index of the step in force, from 0 on",
+};
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -54,7 +54,7 @@
     /// A name that stands in paths and logs.
     #[display(
         "a name of 1 to {} letters, digits, `-`, `_` or `.`",
-        crate::check::MAX_NAME
+        crate::form::MAX_NAME
     )]
     Name,
     /// One version.
@@ -113,6 +113,18 @@
     Prefix,
 }
 
+impl Accepts {
+    /// Whether a number is within the bounds; what isn't a number has none.
+    pub(crate) fn admits(self, number: u64) -> bool {
+        match self {
+            Self::Whole { min, max } | Self::Millis { min, max } | Self::Seconds { min, max } => {
+                (min..=max).contains(&number)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// What stands for a key that is absent.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
 pub enum Fallback {
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -5,7 +5,10 @@
 use kernel::Revision;
 use serde::{Deserialize, Serialize};
 
-use crate::{Priority, Repeat};
+use crate::entry_check::EntryCheck;
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+use crate::{Found, Priority, Repeat, form};
 
 /// A plain service beside the model engines, and which of its calls may run again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,10 +38,10 @@
 }
 
 impl Service {
-    /// The time to the first byte for a service that names none.
-    pub const DEFAULT_FIRST_BYTE: Duration = Duration::from_secs(2);
-    /// The time to the whole answer for a service that names none.
-    pub const DEFAULT_TOTAL: Duration = Duration::from_secs(10);
+    /// The time to the first byte for a service that names none, in milliseconds.
+    pub const DEFAULT_FIRST_BYTE_MS: u64 = 2_000;
+    /// The time to the whole answer for a service that names none, in milliseconds.
+    pub const DEFAULT_TOTAL_MS: u64 = 10_000;
 
     /// The route of a call: of those that match, the one with the longest
     /// prefix, and among these the one that names the method.
@@ -50,12 +53,49 @@
             .max_by_key(|route| (route.prefix.len(), route.method != Route::ANY))
     }
 
+    pub(crate) const SECTION: Section = Section {
+        name: "",
+        about: "a plain service, and which of its calls may run again",
+        shape: Shape::One,
+        keys: &[&FIRST_BYTE, &TOTAL],
+        sections: &[&Route::SECTION],
+    };
+
+    pub(crate) fn read(table: &Table<'_>) -> Self {
+        let routes = table.list(&Route::SECTION);
+        Self {
+            first_byte: table.duration(&FIRST_BYTE),
+            total: table.duration(&TOTAL),
+            routes: routes.iter().map(Route::read).collect(),
+            changed: Revision(0),
+        }
+    }
+
+    pub(crate) fn check(&self, check: &mut EntryCheck) {
+        check.duration(&FIRST_BYTE, self.first_byte);
+        check.duration(&TOTAL, self.total);
+        if self.first_byte > self.total {
+            let found = Found::Value(self.first_byte.as_millis().to_string());
+            check.add(FIRST_BYTE.name, found, "no more than `total_ms`".into());
+        }
+        for (idx, route) in self.routes.iter().enumerate() {
+            route.check(check, idx);
+            let earlier = &self.routes[..idx];
+            let same = |it: &Route| it.method == route.method && it.prefix == route.prefix;
+            if earlier.iter().any(same) {
+                let found = Found::Value(format!("{} {}", route.method, route.prefix));
+                let accepted = "each method and prefix once".into();
+                check.add(format!("routes[{idx}]"), found, accepted);
+            }
+        }
+    }
+
     fn default_first_byte() -> Duration {
-        Self::DEFAULT_FIRST_BYTE
+        Duration::from_millis(Self::DEFAULT_FIRST_BYTE_MS)
     }
 
     fn default_total() -> Duration {
-        Self::DEFAULT_TOTAL
+        Duration::from_millis(Self::DEFAULT_TOTAL_MS)
     }
 }
 
@@ -78,6 +118,37 @@
     /// The method that stands for all methods.
     pub const ANY: &str = "ANY";
 
+    const SECTION: Section = Section {
+        name: "routes",
+        about: "calls with one method below one path",
+        shape: Shape::List,
+        keys: &[&METHOD, &PREFIX, &REPEAT, &PRIORITY],
+        sections: &[],
+    };
+
+    fn read(table: &Table<'_>) -> Self {
+        Self {
+            method: table.text(&METHOD),
+            prefix: table.text(&PREFIX),
+            repeat: table.word(&REPEAT, &Repeat::WORDS),
+            priority: table.word(&PRIORITY, &Priority::WORDS),
+        }
+    }
+
+    fn check(&self, check: &mut EntryCheck, idx: usize) {
+        let mut refuse = |key: &Key, value: &str| {
+            let found = Found::Value(format!("{value:?}"));
+            let field = format!("routes[{idx}].{}", key.name);
+            check.add(field, found, key.accepts.to_string());
+        };
+        if !form::is_method(&self.method) {
+            refuse(&METHOD, &self.method);
+        }
+        if !form::is_prefix(&self.prefix) {
+            refuse(&PREFIX, &self.prefix);
+        }
+    }
+
     fn matches(&self, method: &str, path: &str) -> bool {
         let method_fits = self.method == Self::ANY || self.method == method;
         let Some(rest) = path.strip_prefix(self.prefix.as_str()) else {
@@ -86,3 +157,51 @@
         method_fits && (rest.is_empty() || rest.starts_with('/') || self.prefix.ends_with('/'))
     }
 }
+
+const FIRST_BYTE: Key = Key {
+    name: "first_byte_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 3_600_000,
+    },
+    fallback: Fallback::Whole(Service::DEFAULT_FIRST_BYTE_MS),
+    about: "the time to the first byte of the answer",
+};
+
+const TOTAL: Key = Key {
+    name: "total_ms",
+    accepts: Accepts::Millis {
+        min: 1,
+        max: 3_600_000,
+    },
+    fallback: Fallback::Whole(Service::DEFAULT_TOTAL_MS),
+    about: "the time to the whole answer",
+};
+
+const METHOD: Key = Key {
+    name: "method",
+    accepts: Accepts::Method,
+    fallback: Fallback::Required,
+    about: "the method of the calls",
+};
+
+const PREFIX: Key = Key {
+    name: "prefix",
+    accepts: Accepts::Prefix,
+    fallback: Fallback::Required,
+    about: "the beginning of their paths, which ends at a whole segment",
+};
+
+const REPEAT: Key = Key {
+    name: "repeat",
+    accepts: Accepts::OneOf(&["idempotent", "at_most_once"]),
+    fallback: Fallback::Required,
+    about: "whether such a call may run again",
+};
+
+const PRIORITY: Key = Key {
+    name: "priority",
+    accepts: Accepts::OneOf(&["urgent", "interactive", "batch"]),
+    fallback: Fallback::Word("interactive"),
+    about: "the priority of a call that states none",
+};
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -59,9 +59,8 @@
     /// How a value is shown in a fault.
     pub(crate) fn show(&self, value: &Spanned<DeValue<'_>>) -> String {
         match value.get_ref() {
-            DeValue::Array(_) => "a list".to_owned(),
             DeValue::Table(_) => "a table".to_owned(),
-            DeValue::String(text) => format!("{:?}", shorten(text)),
+            DeValue::String(text) => format!("\"{}\"", shorten(text)),
             _ => shorten(self.text.get(value.span()).unwrap_or_default()),
         }
     }
@@ -92,9 +91,12 @@
 /// Keeps an error on one line, whatever was pasted into the file.
 fn shorten(text: &str) -> String {
     const LONGEST: usize = 60;
-    if text.chars().count() <= LONGEST {
-        return text.to_owned();
+    let mut chars = text
+        .chars()
+        .map(|it| if it.is_control() { ' ' } else { it });
+    let mut head: String = chars.by_ref().take(LONGEST).collect();
+    if chars.next().is_some() {
+        head.push('…');
     }
-    let head: String = text.chars().take(LONGEST).collect();
-    format!("{head}…")
+    head
 }
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -9,7 +9,7 @@
 use toml::de::{DeTable, DeValue};
 
 use crate::Found;
-use crate::check;
+use crate::form;
 use crate::schema::{Accepts, Fallback, Key, Section, Shape};
 use crate::source::Source;
 
@@ -115,26 +115,19 @@
 
     /// A whole number.
     pub(crate) fn whole(&self, key: &'static Key) -> u64 {
-        let (Accepts::Whole { min, max }
-        | Accepts::Millis { min, max }
-        | Accepts::Seconds { min, max }) = key.accepts
-        else {
-            return 0;
-        };
         self.value(key, |value| {
-            let number = whole(value)?;
-            (min..=max).contains(&number).then_some(number)
+            whole(value).filter(|number| key.accepts.admits(*number))
         })
         .unwrap_or(match key.fallback {
             Fallback::Whole(number) => number,
-            _ => min,
+            _ => 0,
         })
     }
 
     /// A share of a whole.
     pub(crate) fn fraction(&self, key: &'static Key) -> f64 {
         self.value(key, |value| {
-            fraction(value).filter(|it| check::is_fraction(*it))
+            fraction(value).filter(|it| form::is_fraction(*it))
         })
         .unwrap_or(match key.fallback {
             Fallback::Fraction(share) => share,
@@ -146,7 +139,7 @@
     pub(crate) fn steps(&self, key: &'static Key) -> Vec<f64> {
         self.value(key, |value| {
             let steps: Option<Vec<f64>> = value.as_array()?.iter().map(number).collect();
-            steps.filter(|steps| check::are_steps(steps))
+            steps.filter(|steps| form::are_steps(steps))
         })
         .unwrap_or_else(|| match key.fallback {
             Fallback::Steps(steps) => steps.to_vec(),
@@ -172,11 +165,11 @@
         self.value(key, |value| {
             let text = value.as_str()?;
             let fits = match key.accepts {
-                Accepts::Name => check::is_name(text),
-                Accepts::Version => check::is_version(text),
-                Accepts::Hash => check::is_hash(text),
-                Accepts::Method => check::is_method(text),
-                Accepts::Prefix => check::is_prefix(text),
+                Accepts::Name => form::is_name(text),
+                Accepts::Version => form::is_version(text),
+                Accepts::Hash => form::is_hash(text),
+                Accepts::Method => form::is_method(text),
+                Accepts::Prefix => form::is_prefix(text),
                 _ => !text.is_empty(),
             };
             fits.then(|| text.to_owned())
@@ -189,10 +182,10 @@
         self.value(key, |value| {
             let version = |value: &Spanned<DeValue<'_>>| {
                 let text = value.get_ref().as_str()?;
-                check::is_version(text).then(|| VersionId::from(text))
+                form::is_version(text).then(|| VersionId::from(text))
             };
             let versions: Option<Vec<VersionId>> = value.as_array()?.iter().map(version).collect();
-            versions.filter(|versions| !versions.is_empty() && check::are_distinct(versions))
+            versions.filter(|versions| !versions.is_empty() && form::are_distinct(versions))
         })
     }
 
--- a/crates/config/src/version.rs
+++ b/crates/config/src/version.rs
@@ -4,6 +4,10 @@
 use kernel::{Money, Revision};
 use serde::{Deserialize, Serialize};
 
+use crate::entry_check::EntryCheck;
+use crate::schema::{Accepts, Fallback, Key, Section, Shape};
+use crate::table::Table;
+
 /// One version of a model: whether it may get work, and what its tokens cost.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -34,6 +38,28 @@
     pub fn is_active(&self) -> bool {
         self.state == VersionState::Active
     }
+
+    pub(crate) const SECTION: Section = Section {
+        name: "",
+        about: "a version of a model, and what its tokens cost",
+        shape: Shape::One,
+        keys: &[&STATE, &PROMPT, &COMPLETION],
+        sections: &[],
+    };
+
+    pub(crate) fn read(table: &Table<'_>) -> Self {
+        Self {
+            state: table.word(&STATE, &VersionState::WORDS),
+            prompt: Money(table.whole(&PROMPT)),
+            completion: Money(table.whole(&COMPLETION)),
+            changed: Revision(0),
+        }
+    }
+
+    pub(crate) fn check(&self, check: &mut EntryCheck) {
+        check.whole(&PROMPT, self.prompt.0);
+        check.whole(&COMPLETION, self.completion.0);
+    }
 }
 
 /// Whether a version may get new work.
@@ -48,3 +74,34 @@
     #[display("withdrawn")]
     Withdrawn,
 }
+
+impl VersionState {
+    const WORDS: [(&str, Self); 2] = [("active", Self::Active), ("withdrawn", Self::Withdrawn)];
+}
+
+const STATE: Key = Key {
+    name: "state",
+    accepts: Accepts::OneOf(&["active", "withdrawn"]),
+    fallback: Fallback::Word("active"),
+    about: "whether the version may get new work",
+};
+
+const PROMPT: Key = Key {
+    name: "prompt_microcents_per_million",
+    accepts: Accepts::Whole {
+        min: 1,
+        max: 1_000_000_000_000_000,
+    },
+    fallback: Fallback::Required,
+    about: "the price of a million prompt tokens, in microcents",
+};
+
+const COMPLETION: Key = Key {
+    name: "completion_microcents_per_million",
+    accepts: Accepts::Whole {
+        min: 1,
+        max: 1_000_000_000_000_000,
+    },
+    fallback: Fallback::Required,
+    about: "the price of a million completion tokens, in microcents",
+};
--- /dev/null
+++ b/crates/config/tests/changes.rs
@@ -0,0 +1,101 @@
+//! Sessions of operators on one document.
+
+use config::{Change, Document, Edit, File, Kind, Mode, Name, Refused, diff};
+use datadriven::TestCase;
+use kernel::Revision;
+
+/// Three versions, two customers, and the profile `dossier` made from them.
+fn document() -> Document {
+    let mut document = Document::default();
+    let prices = "prompt_microcents_per_million = 100\ncompletion_microcents_per_million = 400\n";
+    let profile = "allow = [\"oak@1\", \"oak@2\"]\nquality = 0.9\ncost_cap_microcents = 500\n\
+                   repeat = \"idempotent\"\n[customers.desk]\n[customers.portal]\nallow = [\"oak@1\"]\n";
+    let customer = |hash: &str| format!("key_blake3 = \"{}\"\n", hash.repeat(32));
+    for (kind, name, text) in [
+        (Kind::Version, "oak@1", prices),
+        (Kind::Version, "oak@2", prices),
+        (Kind::Version, "fern@1", prices),
+        (Kind::Customer, "desk", &customer("0a")),
+        (Kind::Customer, "portal", &customer("0b")),
+        (Kind::Profile, "dossier", profile),
+    ] {
+        let file = File::parse(kind, text, "start").expect("the start is sound");
+        let edit = Edit::put(Name::new(kind, name), file.entry).expect("the kinds agree");
+        document = document
+            .apply(&change(edit, 0))
+            .expect("the start is sound");
+    }
+    document
+}
+
+fn change(edit: Edit, base: u64) -> Change {
+    Change {
+        id: "c1".into(),
+        base: Revision(base),
+        author: "salma".to_owned(),
+        mode: Mode::Guarded,
+        edit,
+    }
+}
+
+fn name_of(case: &mut TestCase) -> Name {
+    let kind: String = case.take_arg("kind").expect("a kind");
+    let kind = Kind::ALL.into_iter().find(|it| it.to_string() == kind);
+    let name: String = case.take_arg("name").expect("a name");
+    // An argument can't hold an `@`.
+    Name::new(kind.expect("a known kind"), &name.replace('.', "@"))
+}
+
+fn run(document: &mut Document, case: &mut TestCase) -> String {
+    let name = name_of(case);
+    let edit = match case.directive.as_str() {
+        "put" => {
+            let file = File::parse(name.kind(), &case.input, "file.toml").expect("sound files");
+            Edit::put(name.clone(), file.entry).expect("the kinds agree")
+        }
+        "remove" => Edit::remove(name.clone()),
+        "show" => {
+            let entry = document.entry(&name);
+            return entry.map_or("absent\n".to_owned(), |entry| File::show(&name, &entry));
+        }
+        other => panic!("unknown directive {other}"),
+    };
+    let base = case.take_arg("base").expect("a base");
+    let mut change = change(edit, base);
+    if case.take_flag("forced").expect("a flag") {
+        change.mode = Mode::Forced;
+    }
+    match document.apply(&change) {
+        Ok(next) => {
+            let text = diff::documents(document, &next);
+            *document = next;
+            format!("revision {}\n{text}", document.revision)
+        }
+        Err(Refused::Conflict(conflict)) => {
+            let Change { edit, .. } = change;
+            let mine = match edit {
+                Edit::PutProfile(_, profile) => Some(profile.into()),
+                Edit::PutVersion(_, version) => Some(version.into()),
+                _ => None,
+            };
+            let text = diff::entries(&name, conflict.current.as_ref(), mine.as_ref());
+            format!("conflict: {conflict}\n{text}")
+        }
+        Err(Refused::Faults(faults)) => format!("{faults}\n"),
+    }
+}
+
+#[test]
+fn changes_are_accepted_in_conflict_or_at_fault() {
+    datadriven::walk("tests/changes", |file| {
+        let mut document = document();
+        file.run(|case| without_trailing_space(&run(&mut document, case)));
+    });
+}
+
+/// A fixture can hold a blank line, but no line of one space.
+fn without_trailing_space(text: &str) -> String {
+    let mut lines: Vec<_> = text.lines().map(str::trim_end).collect();
+    lines.push("");
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/config/tests/documents.rs
@@ -0,0 +1,106 @@
+//! What the rest of the product asks a document.
+
+use config::{Change, Edit, Mode, Repeat, Service};
+use config::{Document, Refused, Route};
+use googletest::prelude::*;
+use kernel::{Customer, Revision};
+
+const DOCUMENT: &str = r#"{
+    "revision": 9,
+    "versions": {
+        "oak@1": {"prompt_microcents_per_million": 3, "completion_microcents_per_million": 2000000},
+        "oak@2": {"state": "withdrawn", "prompt_microcents_per_million": 1, "completion_microcents_per_million": 1}
+    },
+    "profiles": {
+        "dossier": {
+            "allow": ["oak@1", "oak@2"], "quality": 0.9, "cost_cap_microcents": 9, "repeat": "idempotent",
+            "customers": {"desk": {}, "portal": {"allow": ["oak@2"]}}
+        }
+    },
+    "customers": {
+        "desk": {"key_blake3": "KEY"}
+    }
+}"#;
+
+fn document() -> Document {
+    let key = config::Customer::hash(b"desk-key");
+    Document::parse(&DOCUMENT.replace("KEY", &key)).expect("a sound document")
+}
+
+#[gtest]
+fn a_customer_gets_the_active_versions_it_may_use() {
+    let usable = |customer: &str| document().usable(&"dossier".into(), &customer.into());
+    expect_that!(usable("desk"), elements_are![eq(&"oak@1".into())]);
+    expect_that!(usable("portal"), is_empty());
+    expect_that!(usable("stranger"), is_empty());
+}
+
+#[gtest]
+fn a_customer_is_recognised_by_its_key_alone() {
+    let document = document();
+    expect_that!(
+        document.customer_of(b"desk-key"),
+        some(eq(&Customer::from("desk")))
+    );
+    expect_that!(document.customer_of(b"desk-key "), none());
+}
+
+#[gtest]
+fn no_used_token_is_free() {
+    let document = document();
+    let cost = document.versions["oak@1"].cost(1, 1);
+    expect_that!(cost.0, eq(1 + 2));
+}
+
+#[gtest]
+fn the_longest_prefix_of_whole_segments_decides() {
+    let route = |method: &str, prefix: &str, repeat| Route {
+        method: method.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat,
+        priority: config::Priority::Urgent,
+    };
+    let service = Service {
+        first_byte: std::time::Duration::from_secs(1),
+        total: std::time::Duration::from_secs(1),
+        routes: vec![
+            route("ANY", "/", Repeat::AtMostOnce),
+            route("ANY", "/holds", Repeat::Idempotent),
+            route("POST", "/holds", Repeat::AtMostOnce),
+        ],
+        changed: Revision(1),
+    };
+    let repeat = |method: &str, path: &str| service.route(method, path).map(|it| it.repeat);
+    expect_that!(repeat("GET", "/holds/7"), some(eq(Repeat::Idempotent)));
+    expect_that!(repeat("POST", "/holds"), some(eq(Repeat::AtMostOnce)));
+    expect_that!(repeat("GET", "/holdsall"), some(eq(Repeat::AtMostOnce)));
+    expect_that!(repeat("GET", "holds"), none());
+}
+
+/// An operator can't save anything any more after an update, although the
+/// change is sound: a document that an earlier release accepted has a fault
+/// by the rules of the new one, in an entry that the change doesn't touch.
+#[gtest]
+fn an_old_fault_elsewhere_does_not_block_a_change() {
+    let document = document();
+    expect_that!(document.faults().0, not(is_empty()));
+    let service = Service {
+        first_byte: std::time::Duration::from_secs(1),
+        total: std::time::Duration::from_secs(1),
+        routes: Vec::new(),
+        changed: Revision(0),
+    };
+    let mut change = Change {
+        id: "c1".into(),
+        base: Revision(0),
+        author: "salma".to_owned(),
+        mode: Mode::Guarded,
+        edit: Edit::PutService("tickets".into(), service),
+    };
+    expect_that!(document.apply(&change), ok(anything()));
+    change.edit = Edit::PutProfile("dossier".into(), document.profiles["dossier"].clone());
+    expect_that!(
+        document.apply(&change),
+        err(matches_pattern!(Refused::Faults(_)))
+    );
+}
