xtask: add the caller model, the workload and the reconciliation

Cause: the demo's counts have to come from the stand-ins' own records, set against what callers were told, and never from a host's word. Change: a seeded plan of both organisations' work; a caller that keeps the hosts' answer and repeats elsewhere under the same key and ticket; a tally of what ran, was billed, was refused as not run or came back cut. The mark's reader took the "words=N" of an answer's end for a word and so called every whole answer cut; it now reads only what lies between.

--- a/crates/fakes/src/mark.rs
+++ b/crates/fakes/src/mark.rs
@@ -1,6 +1,9 @@
 //! The mark that an engine stand-in writes into its answers, so that the rating
 //! service and the callers can tell what they were given.
 
+/// What comes before the attempt in the text that closes an answer.
+const END: &str = " [[end=";
+
 /// The readable mark at the head of an answer:
 /// `[[request=… attempt=… version=… call=… good=1]]`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -55,17 +58,22 @@
         let Some(mark) = Self::parse(answer) else {
             return false;
         };
-        let words = answer.split(' ').filter(|it| it.starts_with('w'));
-        let in_order = words
-            .enumerate()
-            .all(|(idx, word)| word[1..].parse() == Ok(idx + 1));
-        let count = answer.split(' ').filter(|it| it.starts_with('w')).count();
-        in_order && answer.ends_with(&Self::end(&mark.attempt, count))
+        let Some((body, _)) = answer.rsplit_once(END) else {
+            return false;
+        };
+        let words: Vec<_> = body
+            .split(' ')
+            .skip_while(|it| !it.ends_with("]]"))
+            .collect();
+        let words = &words[1..];
+        let is_next = |(idx, word): (usize, &&str)| **word == format!("w{}", idx + 1);
+        words.iter().enumerate().all(is_next)
+            && answer.ends_with(&Self::end(&mark.attempt, words.len()))
     }
 
     /// The text that closes an answer of so many words.
     pub(crate) fn end(attempt: &str, words: usize) -> String {
-        format!(" [[end={attempt} words={words}]]")
+        format!("{END}{attempt} words={words}]]")
     }
 
     /// The caller's name for its call, from a prompt.
--- a/crates/gate/tests/headers.rs
+++ b/crates/gate/tests/headers.rs
@@ -95,11 +95,15 @@
 fn a_change_needs_its_revision_and_name() {
     check(
         condition("12", "c-1"),
-        &expect![[r#"Condition { read_at: Revision(12), change: ChangeId("c-1"), author: "", mode: Guarded }"#]],
+        &expect![[
+            r#"Condition { read_at: Revision(12), change: ChangeId("c-1"), author: "", mode: Guarded }"#
+        ]],
     );
     check(
         condition("\"12\"", "c-1"),
-        &expect![[r#"Condition { read_at: Revision(12), change: ChangeId("c-1"), author: "", mode: Guarded }"#]],
+        &expect![[
+            r#"Condition { read_at: Revision(12), change: ChangeId("c-1"), author: "", mode: Guarded }"#
+        ]],
     );
     check(
         condition("latest", "c-1"),
--- /dev/null
+++ b/xtask/src/caller/request.rs
@@ -0,0 +1,82 @@
+//! What a caller asks for.
+
+use http::{Body, Method, Request};
+use serde_json::{Value, json};
+
+use crate::caller::{Answer, End};
+use crate::workload::{Kind, Route};
+
+/// One call to be made.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The caller's name for it, its idempotency key as well.
+    pub name: String,
+    /// What it is.
+    pub kind: Kind,
+    /// The customer on whose account it runs.
+    pub customer: &'static str,
+    /// The conversation so far, its newest message last: role and text.
+    pub messages: Vec<(&'static str, String)>,
+    /// The session token of the answer before.
+    pub session: Option<String>,
+}
+
+impl Ask {
+    /// The request, the same at every try.
+    pub(crate) fn request(&self, key: &str, ticket: &str) -> Request {
+        let request = match self.kind.route() {
+            Route::Chat { profile, class } => {
+                Request::post("/v1/chat/completions", &self.chat(profile, class))
+            }
+            Route::Plain { method, path } => self.plain(method, path),
+        };
+        let request = request
+            .header("authorization", format!("Bearer {key}"))
+            .header("idempotency-key", self.name.clone())
+            .header("barleypin-ticket", ticket)
+            .header("barleypin-priority", self.kind.priority());
+        match &self.session {
+            Some(session) => request.header("barleypin-session", session.clone()),
+            None => request,
+        }
+    }
+
+    /// Reads an answer that was not streamed.
+    pub(crate) fn read(&self, body: &[u8], answer: Answer) -> End {
+        let Ok(body) = serde_json::from_slice::<Value>(body) else {
+            return End::Failed("the answer isn't JSON".to_owned());
+        };
+        let text = match self.kind.route() {
+            Route::Chat { .. } => &body["choices"][0]["message"]["content"],
+            Route::Plain { .. } => &body["call"],
+        };
+        let text = text.as_str().unwrap_or_default().to_owned();
+        End::Answered(Answer { text, ..answer })
+    }
+
+    fn chat(&self, profile: &str, class: &str) -> Value {
+        let messages: Vec<_> = self
+            .messages
+            .iter()
+            .map(|(role, content)| json!({"role": role, "content": content}))
+            .collect();
+        json!({
+            "model": profile,
+            "class": class,
+            "messages": messages,
+            "stream": self.kind.is_streamed(),
+            "max_tokens": 256,
+        })
+    }
+
+    fn plain(&self, method: &str, path: &str) -> Request {
+        let target = format!("/services/{path}");
+        if method == "GET" {
+            return Request::get(format!("{target}?call={}", self.name));
+        }
+        let body = Body::json(&json!({"call": self.name, "seats": 2}));
+        Request::new(Method::Post, target)
+            .header("content-type", "application/json")
+            .body(body)
+    }
+}
--- /dev/null
+++ b/xtask/src/reconcile/allowed.rs
@@ -0,0 +1,26 @@
+//! Which versions a customer may be answered by, as the chore configured it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The versions by customer and profile.
+#[derive(Clone, Debug, Default)]
+pub struct Allowed {
+    versions: BTreeMap<(String, String), BTreeSet<String>>,
+}
+
+impl Allowed {
+    /// Lets a customer be answered by these versions under a profile.
+    pub fn insert(&mut self, customer: &str, profile: &str, versions: &[&str]) {
+        let key = (customer.to_owned(), profile.to_owned());
+        let versions = versions.iter().map(|it| (*it).to_owned());
+        self.versions.entry(key).or_default().extend(versions);
+    }
+
+    /// Whether the customer may be answered by the version.
+    #[must_use]
+    pub fn contains(&self, customer: &str, profile: &str, version: &str) -> bool {
+        self.versions
+            .get(&(customer.to_owned(), profile.to_owned()))
+            .is_some_and(|it| it.contains(version))
+    }
+}
--- /dev/null
+++ b/xtask/src/reconcile/line.rs
@@ -0,0 +1,102 @@
+//! One line of the report: a kind of work.
+
+use std::collections::BTreeMap;
+
+use fakes::Mark;
+
+use crate::caller::{Answer, Call, End};
+use crate::reconcile::Evidence;
+use crate::reconcile::tally::{is_own, percentiles};
+use crate::workload::Kind;
+
+/// The figures of one kind of work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// The kind.
+    pub kind: Kind,
+    /// How many calls there were.
+    pub calls: u64,
+    /// How many were answered.
+    pub answered: u64,
+    /// How many of the answers are good, by the engines' own mark.
+    pub good: u64,
+    /// How many calls had to be repeated.
+    pub repeated: u64,
+    /// What its executions cost, by the engines' own record.
+    pub microcents: u64,
+    /// What was billed for it.
+    pub billed: u64,
+    /// The median time of answered calls.
+    pub p50_ms: f64,
+    /// The 99th percentile of these.
+    pub p99_ms: f64,
+    /// Why calls were refused for good.
+    pub refusals: BTreeMap<String, u64>,
+    /// Why calls were lost.
+    pub losses: BTreeMap<String, u64>,
+}
+
+/// The lines of all kinds.
+#[must_use]
+pub fn lines(calls: &[Call], evidence: &Evidence) -> Vec<Line> {
+    Kind::ALL
+        .iter()
+        .map(|kind| line(*kind, calls, evidence))
+        .collect()
+}
+
+fn line(kind: Kind, calls: &[Call], evidence: &Evidence) -> Line {
+    let calls: BTreeMap<_, _> = calls
+        .iter()
+        .filter(|it| it.kind == kind)
+        .map(|it| (it.name.as_str(), it))
+        .collect();
+    let answers: Vec<_> = calls.values().filter_map(|it| own(it)).collect();
+    let times: Vec<_> = answers.iter().map(|(call, _)| call.took).collect();
+    let (p50_ms, p99_ms) = percentiles(&times);
+    let is_good = |answer: &Answer| Mark::parse(&answer.text).is_some_and(|it| it.good);
+    let mut line = Line {
+        kind,
+        calls: calls.len() as u64,
+        answered: answers.len() as u64,
+        good: answers.iter().filter(|(_, it)| is_good(it)).count() as u64,
+        repeated: calls.values().filter(|it| it.tries.len() > 1).count() as u64,
+        microcents: evidence
+            .executions
+            .iter()
+            .filter(|it| calls.contains_key(it.call.as_str()))
+            .map(|it| it.cost_microcents)
+            .sum(),
+        billed: evidence
+            .bills
+            .iter()
+            .filter(|it| calls.contains_key(it.key.as_str()))
+            .map(|it| it.microcents)
+            .sum(),
+        p50_ms,
+        p99_ms,
+        refusals: BTreeMap::new(),
+        losses: BTreeMap::new(),
+    };
+    for call in calls.values() {
+        match call.end() {
+            End::Refused(it) => {
+                *line.refusals.entry(it.reason.to_string()).or_default() += 1;
+            }
+            End::Failed(why) => *line.losses.entry(why.clone()).or_default() += 1,
+            End::Answered(answer) if !is_own(call, answer) => {
+                let why = "not a whole answer to this call".to_owned();
+                *line.losses.entry(why).or_default() += 1;
+            }
+            End::Answered(_) => {}
+        }
+    }
+    line
+}
+
+fn own(call: &Call) -> Option<(&Call, &Answer)> {
+    match call.end() {
+        End::Answered(answer) if is_own(call, answer) => Some((call, answer)),
+        _ => None,
+    }
+}
