--- /dev/null
+++ b/crates/experiment/src/coin.rs
@@ -0,0 +1,54 @@
+/// Random numbers that belong to a request and a version, not to a moment.
+///
+/// Every router under comparison sees the same coin for the same request and
+/// version, whatever it asked before, so that differences between routers are
+/// not noise.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Coin {
+    seed: u64,
+}
+
+/// What a coin decides; each purpose has its own sequence.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Purpose {
+    Good = 1,
+    Confidence,
+    Fault,
+    Difficulty,
+    Rating,
+    Flip,
+    Delay,
+    Choice,
+    Host,
+    Plan,
+}
+
+impl Coin {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self { seed }
+    }
+
+    /// A number in `0.0..1.0`.
+    pub(crate) fn toss(self, purpose: Purpose, request: usize, other: usize) -> f64 {
+        let request = u64::try_from(request).unwrap_or(u64::MAX);
+        let other = u64::try_from(other).unwrap_or(u64::MAX);
+        let mut bits = mix(self.seed ^ mix(purpose as u64));
+        bits = mix(bits ^ request.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        bits = mix(bits ^ other.wrapping_mul(0xD1B5_4A32_D192_ED03));
+        unit(bits)
+    }
+}
+
+/// The finaliser of `SplitMix64`, which spreads each input bit over the output.
+fn mix(mut bits: u64) -> u64 {
+    bits = bits.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    bits ^ (bits >> 31)
+}
+
+/// Maps the upper 32 bits to `0.0..1.0`.
+fn unit(bits: u64) -> f64 {
+    let high = u32::try_from(bits >> 32).unwrap_or(u32::MAX);
+    f64::from(high) / (f64::from(u32::MAX) + 1.0)
+}
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -1,1 +1,33 @@
 //! The decision core measured against small fakes and baselines on a virtual clock.
+//!
+//! See `docs/design/experiment.md` for what is measured and how, and
+//! `docs/scenarios.md` for the language of the scenarios.
+
+mod arrival;
+mod attempt;
+mod coin;
+mod configuration;
+mod endpoint;
+mod error;
+mod options;
+mod plan;
+mod queue;
+mod ratings;
+mod record;
+mod report;
+mod router;
+mod run;
+mod scenario;
+mod sim;
+mod tally;
+mod truth;
+mod workload;
+
+pub use error::Error;
+pub use options::{Options, REPORTED, Seeds, TUNED};
+pub use plan::{Choice, Plan, Problem};
+pub use report::{Aim, Case, ClassFigures, Figures, Latency, Quarantine, Report, Served};
+pub use router::Kind;
+pub use run::{case, run};
+pub use scenario::Scenario;
+pub use workload::Workload;
--- /dev/null
+++ b/crates/experiment/src/plan/search.rs
@@ -0,0 +1,197 @@
+use super::{Choice, Node, Problem};
+
+/// The most steps of the search for the price of a good answer.
+const STEPS: u32 = 24;
+
+/// The most versions that one plan asks.
+const MOST_CHOICES: usize = 4;
+
+/// A plan, or two of which the second is used for a share of the requests.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub(crate) nodes: [Node; 2],
+    /// The share of requests that follow the second.
+    pub(crate) mix: f64,
+    /// The expected cost of a request.
+    pub cost: f64,
+    /// The expected share of good answers.
+    pub good: f64,
+}
+
+/// What a plan is expected to do, and how.
+#[derive(Clone, Debug)]
+struct Outcome {
+    cost: f64,
+    good: f64,
+    node: Node,
+}
+
+/// What is known about a request halfway.
+#[derive(Clone, Copy, Debug)]
+struct Belief {
+    /// The chance of what was seen, jointly with an easy and a hard request.
+    weight: [f64; 2],
+    /// For each answer, the chance that it is good, for easy and hard requests.
+    answers: [[f64; 2]; MOST_CHOICES],
+    /// The choice that each answer is of.
+    asked: [usize; MOST_CHOICES],
+    /// How many of both there are.
+    len: usize,
+}
+
+impl Plan {
+    /// The least cost at which the expected share of good answers is `target`;
+    /// where that is out of reach, the most good answers.
+    #[must_use]
+    pub fn solve(problem: &Problem, target: f64) -> Self {
+        let dearest = problem.choices.iter().map(|it| it.cost).fold(0.0, f64::max);
+        let mut low = (0.0, best(problem, 0.0));
+        if low.1.good >= target {
+            return Self::pure(low.1);
+        }
+        let price = dearest * 1.0e4;
+        let mut high = (price, best(problem, price));
+        if high.1.good <= target {
+            return Self::pure(high.1);
+        }
+        for _ in 0..STEPS {
+            let price = between(low.0, high.0, dearest);
+            let outcome = best(problem, price);
+            if outcome.good < target {
+                low = (price, outcome);
+            } else {
+                high = (price, outcome);
+            }
+        }
+        Self::mixed(low.1, high.1, target)
+    }
+
+    fn pure(outcome: Outcome) -> Self {
+        Self {
+            nodes: [outcome.node.clone(), outcome.node],
+            mix: 0.0,
+            cost: outcome.cost,
+            good: outcome.good,
+        }
+    }
+
+    fn mixed(low: Outcome, high: Outcome, target: f64) -> Self {
+        let gap = high.good - low.good;
+        if gap < 1.0e-9 {
+            return Self::pure(high);
+        }
+        let mix = (target - low.good) / gap;
+        Self {
+            mix,
+            cost: low.cost + mix * (high.cost - low.cost),
+            good: target,
+            nodes: [low.node, high.node],
+        }
+    }
+}
+
+/// The middle of two prices; on a logarithmic scale once both are above zero.
+fn between(low: f64, high: f64, dearest: f64) -> f64 {
+    if low > 0.0 {
+        (low * high).sqrt()
+    } else {
+        (dearest * 1.0e-3).min(high / 2.0)
+    }
+}
+
+fn best(problem: &Problem, price: f64) -> Outcome {
+    let start = Belief {
+        weight: [1.0 - problem.hard, problem.hard],
+        answers: [[0.0; 2]; MOST_CHOICES],
+        asked: [0; MOST_CHOICES],
+        len: 0,
+    };
+    step(problem, price, &start)
+}
+
+/// The best outcome from a belief on, weighed by the chance of the belief.
+fn step(problem: &Problem, price: f64, belief: &Belief) -> Outcome {
+    let mut best = deliver(belief);
+    if belief.len == problem.depth.min(MOST_CHOICES) {
+        return best.expect("depth is at least one, so that something was asked");
+    }
+    for (idx, choice) in problem.choices.iter().enumerate() {
+        let weight = belief.weight[0] + belief.weight[1];
+        if belief.asked[..belief.len].contains(&idx)
+            || cannot_win(best.as_ref(), choice, weight, price)
+        {
+            continue;
+        }
+        let outcome = ask(problem, price, belief, idx);
+        if best
+            .as_ref()
+            .is_none_or(|it| value(&outcome, price) < value(it, price))
+        {
+            best = Some(outcome);
+        }
+    }
+    best.expect("a problem has at least one choice")
+}
+
+/// At best, asking costs the choice alone and all answers are good.
+fn cannot_win(best: Option<&Outcome>, choice: &Choice, weight: f64, price: f64) -> bool {
+    best.is_some_and(|it| (choice.cost - price) * weight >= value(it, price))
+}
+
+fn value(outcome: &Outcome, price: f64) -> f64 {
+    outcome.cost - price * outcome.good
+}
+
+/// Delivers the answer that is most likely good.
+fn deliver(belief: &Belief) -> Option<Outcome> {
+    let chances = belief.answers[..belief.len]
+        .iter()
+        .map(|it| it[0] * belief.weight[0] + it[1] * belief.weight[1]);
+    chances
+        .enumerate()
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(place, good)| Outcome {
+            cost: 0.0,
+            good,
+            node: Node::Deliver(place),
+        })
+}
+
+fn ask(problem: &Problem, price: f64, belief: &Belief, idx: usize) -> Outcome {
+    let choice = &problem.choices[idx];
+    let mut total = Outcome {
+        cost: choice.cost * (belief.weight[0] + belief.weight[1]),
+        good: 0.0,
+        node: Node::Deliver(0),
+    };
+    let mut then = Vec::with_capacity(choice.steps.len());
+    for steps in &choice.steps {
+        let next = step(problem, price, &belief.after(idx, choice, *steps));
+        total.cost += next.cost;
+        total.good += next.good;
+        then.push(next.node);
+    }
+    total.node = Node::Ask { choice: idx, then };
+    total
+}
+
+impl Belief {
+    /// The belief once the choice's confidence is seen to lie in a step.
+    fn after(&self, idx: usize, choice: &Choice, [bad, good]: [f64; 2]) -> Self {
+        let mut next = *self;
+        let mut answer = [0.0; 2];
+        for (level, chance) in choice.good.into_iter().enumerate() {
+            let seen = chance * good + (1.0 - chance) * bad;
+            answer[level] = if seen > 0.0 {
+                chance * good / seen
+            } else {
+                0.0
+            };
+            next.weight[level] *= seen;
+        }
+        next.answers[self.len] = answer;
+        next.asked[self.len] = idx;
+        next.len += 1;
+        next
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/queue.rs
@@ -0,0 +1,57 @@
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+/// What happens when; events of the same moment come in the order in which they were added.
+#[derive(Debug)]
+pub(crate) struct Queue<T> {
+    heap: BinaryHeap<Reverse<Entry<T>>>,
+    added: u64,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    at: Duration,
+    number: u64,
+    event: T,
+}
+
+impl<T> Queue<T> {
+    pub(crate) fn new() -> Self {
+        Self {
+            heap: BinaryHeap::new(),
+            added: 0,
+        }
+    }
+
+    pub(crate) fn push(&mut self, at: Duration, event: T) {
+        self.added += 1;
+        self.heap.push(Reverse(Entry {
+            at,
+            number: self.added,
+            event,
+        }));
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<(Duration, T)> {
+        self.heap.pop().map(|Reverse(it)| (it.at, it.event))
+    }
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl<T> Eq for Entry<T> {}
+
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/record.rs
@@ -0,0 +1,46 @@
+use std::time::Duration;
+
+use crate::truth::{Answer, VersionIdx};
+
+/// What became of a request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Record {
+    pub(crate) host: usize,
+    pub(crate) fate: Fate,
+    /// When the caller saw the first token.
+    pub(crate) first: Option<Duration>,
+    pub(crate) end: Duration,
+    /// In millionths of a cent.
+    pub(crate) cost: u64,
+    pub(crate) dispatches: u32,
+    /// The versions asked, each once.
+    pub(crate) asked: Vec<VersionIdx>,
+    /// A fault spoilt an answer that was made for it, delivered or not.
+    pub(crate) touched: bool,
+    /// Its session went on with another version although its own takes work.
+    pub(crate) moved: bool,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum Fate {
+    #[default]
+    Pending,
+    /// With an answer; none at a plain service.
+    Delivered(Option<(VersionIdx, Answer)>),
+    Refused(&'static str),
+}
+
+impl Record {
+    /// The answer of a model that the caller got.
+    pub(crate) fn answer(&self) -> Option<(VersionIdx, Answer)> {
+        match self.fate {
+            Fate::Delivered(answer) => answer,
+            Fate::Pending | Fate::Refused(_) => None,
+        }
+    }
+
+    pub(crate) fn delivered(&self) -> bool {
+        matches!(self.fate, Fate::Delivered(_))
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/report/aim.rs
@@ -0,0 +1,145 @@
+use serde::Serialize;
+
+use super::{Case, ClassFigures, Figures};
+use crate::{Workload, router::Kind};
+
+/// What is wanted, and what was measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct Aim {
+    /// The workload.
+    pub workload: Workload,
+    /// What is measured.
+    pub what: &'static str,
+    /// The bound.
+    pub wanted: String,
+    /// The figure.
+    pub measured: String,
+    /// Whether the figure keeps the bound.
+    pub met: bool,
+}
+
+/// The aims that the cases can tell of.
+pub(super) fn aims(cases: &[Case]) -> Vec<Aim> {
+    let of = |workload| cases.iter().filter(move |it| it.workload == workload);
+    let mut aims = Vec::new();
+    for workload in Workload::ALL {
+        let calm = of(workload).find(|it| it.scenario == "calm");
+        for case in of(workload) {
+            aims.extend(case_aims(case, calm));
+        }
+    }
+    aims
+}
+
+fn case_aims(case: &Case, calm: Option<&Case>) -> Vec<Aim> {
+    let Some(core) = case.of(Kind::Core) else {
+        return Vec::new();
+    };
+    let aim = Maker {
+        workload: case.workload,
+    };
+    match case.scenario.as_str() {
+        "calm" => cost_aims(&aim, case, core),
+        "turns_bad" => vec![aim.below("harmed, wholly bad version", core.harmed, 20.0)],
+        "fifth_bad" => vec![aim.below("harmed, a fifth bad", core.harmed, 200.0)],
+        "overload" => overload_aims(&aim, core, calm),
+        "flood" => vec![aim.least("least share beside a flood", least_share(core), 0.95)],
+        "pool_runs_out" => vec![aim.below("tries a step, pool runs out", core.tries, 1.1)],
+        _ => Vec::new(),
+    }
+}
+
+fn cost_aims(aim: &Maker, case: &Case, core: &Figures) -> Vec<Aim> {
+    let mut aims = vec![aim.most("cost to the oracle's", core.cost_to_oracle, 1.15)];
+    let missed = core
+        .classes
+        .iter()
+        .filter(|it| it.good < it.target - MARGIN)
+        .map(|it| format!("{} {:.3} of {:.2}", it.class, it.good, it.target))
+        .collect::<Vec<_>>();
+    aims.push(Aim {
+        workload: aim.workload,
+        what: "target met by class",
+        wanted: format!("each, to {MARGIN}"),
+        met: missed.is_empty(),
+        measured: if missed.is_empty() {
+            "each".to_owned()
+        } else {
+            missed.join(", ")
+        },
+    });
+    if let Some(strongest) = case.of(Kind::Strongest) {
+        let saved = 1.0 - core.mean_cost / strongest.mean_cost;
+        aims.push(aim.least("cheaper than strongest", saved, 0.40));
+    }
+    aims
+}
+
+/// Below the target by less than this is noise of a run's length.
+const MARGIN: f64 = 0.005;
+
+fn overload_aims(aim: &Maker, core: &Figures, calm: Option<&Case>) -> Vec<Aim> {
+    let wrong = f64::from(u32::try_from(core.quarantine.wrong).unwrap_or(u32::MAX));
+    let mut aims = vec![aim.most("wrong quarantines in overload", wrong, 0.0)];
+    let calm = calm.and_then(|it| it.of(Kind::Core));
+    let plain = |it: &&ClassFigures| it.target == 0.0;
+    for class in core.classes.iter().filter(plain) {
+        let before = calm.and_then(|it| it.classes.iter().find(|it| it.class == class.class));
+        if let Some(before) = before {
+            let ratio = class.latency.p99 / before.latency.p99;
+            aims.push(aim.most("p99 of plain calls over unloaded", ratio, 1.2));
+        }
+    }
+    aims
+}
+
+/// The least share that a customer beside the flooding one got.
+fn least_share(core: &Figures) -> f64 {
+    core.customers
+        .iter()
+        .enumerate()
+        .filter(|(idx, _)| *idx != FLOODING)
+        .map(|(_, it)| it.share)
+        .fold(1.0, f64::min)
+}
+
+/// The customer that the shipped scenario lets flood.
+const FLOODING: usize = 4;
+
+struct Maker {
+    workload: Workload,
+}
+
+impl Maker {
+    fn most(&self, what: &'static str, measured: f64, bound: f64) -> Aim {
+        self.aim(
+            what,
+            format!("at most {bound}"),
+            measured,
+            measured <= bound,
+        )
+    }
+
+    fn below(&self, what: &'static str, measured: f64, bound: f64) -> Aim {
+        self.aim(what, format!("below {bound}"), measured, measured < bound)
+    }
+
+    fn least(&self, what: &'static str, measured: f64, bound: f64) -> Aim {
+        self.aim(
+            what,
+            format!("at least {bound}"),
+            measured,
+            measured >= bound,
+        )
+    }
+
+    fn aim(&self, what: &'static str, wanted: String, measured: f64, met: bool) -> Aim {
+        Aim {
+            workload: self.workload,
+            what,
+            wanted,
+            measured: format!("{measured:.3}"),
+            met,
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/report/case.rs
@@ -0,0 +1,34 @@
+use serde::Serialize;
+
+use super::Figures;
+use crate::{Scenario, Workload, router::Kind};
+
+/// One scenario of one workload under every router.
+#[derive(Clone, Debug, Serialize)]
+pub struct Case {
+    /// The workload.
+    pub workload: Workload,
+    /// The scenario's name.
+    pub scenario: String,
+    /// What the scenario is about.
+    pub about: String,
+    /// The figures, the core's first.
+    pub figures: Vec<Figures>,
+}
+
+impl Case {
+    pub(crate) fn new(workload: Workload, scenario: &Scenario, figures: Vec<Figures>) -> Self {
+        Self {
+            workload,
+            scenario: scenario.name.clone(),
+            about: scenario.about.clone(),
+            figures,
+        }
+    }
+
+    /// The figures of one router.
+    #[must_use]
+    pub fn of(&self, router: Kind) -> Option<&Figures> {
+        self.figures.iter().find(|it| it.router == router)
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/router/core/names.rs
@@ -0,0 +1,128 @@
+use decide::{endpoint, key, policy::Priority as CorePriority, refusal::Reason};
+use kernel::{HostName, Incarnation, ServiceName, VersionId};
+
+use crate::{
+    truth::VersionIdx,
+    workload::{ClassIdx, Priority, World},
+};
+
+/// The names under which the core knows what the experiment counts.
+#[derive(Clone, Debug)]
+pub(super) struct Names {
+    pub(super) hosts: Vec<HostName>,
+    pub(super) endpoints: Vec<Endpoint>,
+    pub(super) data_centres: usize,
+    profiles: Vec<Option<key::Profile>>,
+    classes: Vec<key::Class>,
+}
+
+/// What doesn't change about an endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct Endpoint {
+    pub(super) name: HostName,
+    pub(super) role: endpoint::Role,
+    pub(super) data_centre: usize,
+    pub(super) slots: usize,
+}
+
+impl Names {
+    pub(super) fn new(world: &World) -> Self {
+        let mut models = 0;
+        let profiles = world.classes.iter().map(|it| {
+            it.is_model().then(|| {
+                models += 1;
+                key::Profile::at(models - 1)
+            })
+        });
+        Self {
+            hosts: (0..world.hosts)
+                .map(|it| HostName::from(format!("entry-{it}")))
+                .collect(),
+            endpoints: endpoints(world),
+            data_centres: world.data_centres,
+            profiles: profiles.collect(),
+            classes: world
+                .classes
+                .iter()
+                .map(|it| key::Class::named(it.name))
+                .collect(),
+        }
+    }
+
+    /// The profile of a class; none for a plain service's.
+    pub(super) fn profile(&self, class: ClassIdx) -> Option<key::Profile> {
+        self.profiles[class.idx()]
+    }
+
+    pub(super) fn class(&self, class: ClassIdx) -> key::Class {
+        self.classes[class.idx()]
+    }
+
+    /// The endpoint that the core knows by this identity.
+    pub(super) fn endpoint(&self, id: endpoint::Id) -> Option<usize> {
+        self.endpoints
+            .iter()
+            .position(|it| endpoint::Id::new(&it.name, Incarnation::default()).host == id.host)
+    }
+}
+
+/// The policy lists the versions in the same order.
+pub(super) fn version(key: key::Version) -> VersionIdx {
+    VersionIdx::ALL[key.index()]
+}
+
+pub(super) fn version_key(version: VersionIdx) -> key::Version {
+    key::Version::at(version.idx())
+}
+
+pub(super) fn version_id(version: VersionIdx) -> VersionId {
+    VersionId::from(version.name())
+}
+
+pub(super) fn priority(priority: CorePriority) -> Priority {
+    match priority {
+        CorePriority::Urgent => Priority::Urgent,
+        CorePriority::Interactive => Priority::Interactive,
+        CorePriority::Batch => Priority::Batch,
+    }
+}
+
+/// The reason as callers read it.
+pub(super) fn reason(reason: Reason) -> &'static str {
+    match reason {
+        Reason::UnknownProfile => "unknown_profile",
+        Reason::UnknownService => "unknown_service",
+        Reason::NotAllowed => "not_allowed",
+        Reason::RateLimited => "rate_limited",
+        Reason::ConcurrencyLimited => "concurrency_limited",
+        Reason::Overloaded => "overloaded",
+        Reason::Deadline => "deadline",
+        Reason::NoVersion => "no_version",
+        Reason::NoEndpoint => "no_endpoint",
+        Reason::CostCap => "cost_cap",
+        Reason::UpstreamFailed => "upstream_failed",
+        Reason::AnswerCut => "answer_cut",
+        Reason::NotReady => "not_ready",
+    }
+}
+
+fn endpoints(world: &World) -> Vec<Endpoint> {
+    let pools = world.pools.iter();
+    pools
+        .flat_map(|it| (0..it.replicas).map(move |replica| (it, replica)))
+        .enumerate()
+        .map(|(idx, (it, replica))| Endpoint {
+            name: HostName::from(format!("{}-{replica}", it.name)),
+            role: role(world, &it.versions),
+            data_centre: idx % world.data_centres,
+            slots: it.slots,
+        })
+        .collect()
+}
+
+fn role(world: &World, versions: &[VersionIdx]) -> endpoint::Role {
+    if versions.is_empty() {
+        return endpoint::Role::Service(ServiceName::from(world.service));
+    }
+    endpoint::Role::Engine(versions.iter().copied().map(version_id).collect())
+}
--- /dev/null
+++ b/crates/experiment/src/router/core/policy.rs
@@ -0,0 +1,144 @@
+use decide::{
+    Policy, key,
+    policy::{
+        Allowance, Customer, Pace, Priority as CorePriority, Profile, Repeat, Rollout, Service,
+        State as CoreState, Version,
+    },
+};
+use kernel::{ProfileName, ServiceName};
+
+use super::names;
+use crate::{
+    configuration::{Configuration, State},
+    truth::VersionIdx,
+    workload::{Call, Class, Priority, World},
+};
+
+/// A customer's limit on its rate, as a multiple of its usual one.
+const RATE_HEADROOM: f64 = 6.0;
+
+/// Seconds of a customer's limit that may come at once.
+const BURST_SECONDS: f64 = 10.0;
+
+/// A customer's limit of requests in flight for each request a second of its usual rate.
+const CONCURRENCY_SECONDS: f64 = 60.0;
+
+/// Calls of the plain service that one host may have in flight.
+const SERVICE_CONCURRENCY: u32 = 64;
+
+/// Compiles the configuration as the daemon does.
+pub(super) fn compile(world: &World, configuration: &Configuration) -> Policy {
+    Policy {
+        revision: configuration.revision,
+        versions: versions(world, configuration),
+        profiles: profiles(world, configuration),
+        customers: (0..world.customers.len())
+            .map(|it| customer(world, it))
+            .collect(),
+        services: vec![Service {
+            name: ServiceName::from(world.service),
+            repeat: Repeat::AtMostOnce,
+            priority: CorePriority::Interactive,
+            deadline: std::time::Duration::from_secs(5),
+            concurrency: SERVICE_CONCURRENCY,
+        }],
+        rollouts: rollouts(configuration),
+    }
+}
+
+pub(super) fn priority(priority: Priority) -> CorePriority {
+    match priority {
+        Priority::Urgent => CorePriority::Urgent,
+        Priority::Interactive => CorePriority::Interactive,
+        Priority::Batch => CorePriority::Batch,
+    }
+}
+
+pub(super) fn repeat(class: &Class) -> Repeat {
+    if class.idempotent {
+        Repeat::Idempotent
+    } else {
+        Repeat::AtMostOnce
+    }
+}
+
+fn versions(world: &World, configuration: &Configuration) -> Vec<Version> {
+    VersionIdx::ALL
+        .into_iter()
+        .map(|it| Version {
+            id: names::version_id(it),
+            state: match configuration.states[it.idx()] {
+                State::Active => CoreState::Active,
+                State::Trial(share) => CoreState::Trial(share),
+                State::Unlisted | State::Withdrawn => CoreState::Withdrawn,
+            },
+            prompt_price: world.version(it).prompt_price,
+            completion_price: world.version(it).completion_price,
+        })
+        .collect()
+}
+
+fn profiles(world: &World, configuration: &Configuration) -> Vec<Profile> {
+    let allowed = VersionIdx::ALL
+        .into_iter()
+        .filter(|it| configuration.states[it.idx()] != State::Unlisted)
+        .map(names::version_key)
+        .collect::<Vec<_>>();
+    let models = world.classes.iter().filter(|it| it.is_model());
+    models
+        .map(|class| Profile {
+            name: ProfileName::from(class.name),
+            allowed: (0..world.customers.len())
+                .map(|customer| Allowance {
+                    customer: key::Customer::at(customer),
+                    versions: allowed.clone(),
+                })
+                .collect(),
+            target: class.target(),
+            cap: None,
+            repeat: repeat(class),
+            priority: priority(class.priority),
+            deadline: class.deadline,
+        })
+        .collect()
+}
+
+fn customer(world: &World, customer: usize) -> Customer {
+    let usual = world
+        .classes
+        .iter()
+        .map(|class| class.rate * turns(class) * world.share(customer))
+        .sum::<f64>();
+    Customer {
+        name: world.customers[customer].name.into(),
+        rate: usual * RATE_HEADROOM,
+        burst: usual * RATE_HEADROOM * BURST_SECONDS,
+        concurrency: whole(usual * CONCURRENCY_SECONDS) + 20,
+        weight: f64::from(world.customers[customer].weight),
+    }
+}
+
+fn turns(class: &Class) -> f64 {
+    match &class.call {
+        Call::Model { turns, .. } => f64::from(turns.low + turns.high) / 2.0,
+        Call::Plain { .. } => 1.0,
+    }
+}
+
+/// The number of whole units.
+fn whole(amount: f64) -> u32 {
+    std::time::Duration::from_secs_f64(amount)
+        .as_secs()
+        .try_into()
+        .unwrap_or(u32::MAX)
+}
+
+fn rollouts(configuration: &Configuration) -> Vec<Rollout> {
+    let rollout = configuration.rollout.map(|(version, replaces)| Rollout {
+        id: version.name().into(),
+        version: names::version_key(version),
+        replaces: Some(names::version_key(replaces)),
+        pace: Pace::Running,
+    });
+    rollout.into_iter().collect()
+}
--- /dev/null
+++ b/crates/experiment/src/router/oracle.rs
@@ -0,0 +1,165 @@
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use crate::{
+    arrival::Arrival,
+    coin::{Coin, Purpose},
+    configuration::Configuration,
+    plan::{Choice, Node, Plan, Problem, bin},
+    scenario::Manner,
+    truth::{Truth, VersionIdx},
+    workload::{Call, ClassIdx},
+};
+
+/// A share of bad answers is taken in steps of this size.
+const DAMAGE_STEPS: u32 = 25;
+
+/// The most versions that the oracle asks for one request.
+const DEPTH: usize = 3;
+
+/// The plans of who knows every distribution, worked out once for each state of the world.
+pub(crate) struct Oracle<'a> {
+    truth: Truth<'a>,
+    plans: BTreeMap<Circumstance, Rc<Guide>>,
+}
+
+/// What a plan depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Circumstance {
+    class: ClassIdx,
+    /// By version: the part of bad answers in steps, whether they show, whether it takes work.
+    versions: [(u32, bool, bool); 4],
+}
+
+/// A plan and the versions that its choices stand for.
+#[derive(Debug)]
+pub(crate) struct Guide {
+    plan: Plan,
+    versions: Vec<VersionIdx>,
+}
+
+/// What a request does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Next {
+    Ask(VersionIdx),
+    /// Delivers the answer asked in this place.
+    Deliver(usize),
+}
+
+impl<'a> Oracle<'a> {
+    pub(crate) fn new(truth: Truth<'a>) -> Self {
+        Self {
+            truth,
+            plans: BTreeMap::new(),
+        }
+    }
+
+    /// The plan for a request that comes now.
+    pub(crate) fn guide(
+        &mut self,
+        now: Duration,
+        arrival: &Arrival,
+        configuration: &Configuration,
+    ) -> Rc<Guide> {
+        let versions = VersionIdx::ALL.map(|it| {
+            let damage = self.truth.damage(it, now);
+            let steps = (0..DAMAGE_STEPS)
+                .take_while(|it| f64::from(*it) / f64::from(DAMAGE_STEPS) < damage.share)
+                .count();
+            (
+                u32::try_from(steps).unwrap_or(0),
+                damage.manner == Manner::Confident,
+                configuration.takes_work(it),
+            )
+        });
+        let key = Circumstance {
+            class: arrival.class,
+            versions,
+        };
+        let truth = self.truth;
+        Rc::clone(
+            self.plans
+                .entry(key)
+                .or_insert_with(|| Rc::new(key.solve(&truth))),
+        )
+    }
+}
+
+impl Circumstance {
+    fn solve(&self, truth: &Truth<'_>) -> Guide {
+        let class = truth.world.class(self.class);
+        let Call::Model {
+            target,
+            hard,
+            prompt,
+            completion,
+            turns,
+            ..
+        } = &class.call
+        else {
+            unreachable!("plain calls have no plan");
+        };
+        let versions = VersionIdx::ALL
+            .into_iter()
+            .filter(|it| self.versions[it.idx()].2)
+            .collect::<Vec<_>>();
+        let choices = versions
+            .iter()
+            .map(|it| {
+                let version = truth.world.version(*it);
+                let (steps, disguised, _) = self.versions[it.idx()];
+                let share = f64::from(steps) / f64::from(DAMAGE_STEPS);
+                let skill = version.skill(self.class);
+                let bad = 1.0 - mean(skill.damaged(share).easy, skill.damaged(share).hard, *hard);
+                let by_fault = share * mean(skill.easy, skill.hard, *hard);
+                let hidden = if disguised { by_fault / bad } else { 0.0 };
+                let cost = version.cost(prompt.mean(), completion.mean()).0;
+                Choice::from_skill(
+                    money(cost),
+                    skill.damaged(share),
+                    version.confidence,
+                    hidden,
+                )
+            })
+            .collect();
+        // A session stays on the version of its first answer, so that asking
+        // several would pin the dearest of them for all turns that follow.
+        let depth = if turns.high > 1 { 1 } else { DEPTH };
+        let problem = Problem {
+            hard: *hard,
+            depth,
+            choices,
+        };
+        Guide {
+            plan: Plan::solve(&problem, *target),
+            versions,
+        }
+    }
+}
+
+impl Guide {
+    /// What follows on the confidences so far, in the order of asking.
+    pub(crate) fn next(&self, coin: Coin, arrival: &Arrival, seen: &[f64]) -> Next {
+        // All turns of a session follow one of the two plans.
+        let whose = arrival.session.unwrap_or(arrival.idx);
+        let second = coin.toss(Purpose::Plan, whose, 0) < self.plan.mix;
+        let mut node = &self.plan.nodes[usize::from(second)];
+        for confidence in seen {
+            match node {
+                Node::Deliver(place) => return Next::Deliver(*place),
+                Node::Ask { then, .. } => node = &then[bin(*confidence)],
+            }
+        }
+        match node {
+            Node::Deliver(place) => Next::Deliver(*place),
+            Node::Ask { choice, .. } => Next::Ask(self.versions[*choice]),
+        }
+    }
+}
+
+fn mean(easy: f64, hard: f64, share: f64) -> f64 {
+    easy * (1.0 - share) + hard * share
+}
+
+fn money(microcents: u64) -> f64 {
+    f64::from(u32::try_from(microcents).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/experiment/src/run.rs
@@ -0,0 +1,68 @@
+use crate::{
+    Error, Options, Report, Scenario, Workload,
+    arrival::arrivals,
+    coin::Coin,
+    report::Case,
+    router::Kind,
+    sim::Sim,
+    tally::{Tally, clairvoyant},
+    truth::Truth,
+};
+
+/// How many times as fast scenarios run in quick mode.
+const QUICK: u32 = 20;
+
+/// The number of hosts in quick mode.
+const QUICK_HOSTS: usize = 3;
+
+/// Runs the scenarios that the options name under every router.
+///
+/// # Errors
+/// No scenario has the name in the options, or a scenario isn't understood.
+pub fn run(options: &Options) -> Result<Report, Error> {
+    let scenarios = match &options.scenario {
+        Some(name) => vec![Scenario::shipped(name)?],
+        None => Scenario::names()
+            .map(Scenario::shipped)
+            .collect::<Result<_, _>>()?,
+    };
+    let workloads = Workload::ALL
+        .into_iter()
+        .filter(|it| options.workload.is_none_or(|only| only == *it));
+    let mut cases = Vec::new();
+    for workload in workloads {
+        for scenario in &scenarios {
+            cases.push(case(options, workload, scenario));
+        }
+    }
+    Ok(Report::new(options, cases))
+}
+
+/// Runs one scenario, also one that doesn't ship, under every router.
+#[must_use]
+pub fn case(options: &Options, workload: Workload, scenario: &Scenario) -> Case {
+    let mut world = workload.world();
+    let mut scenario = scenario.clone();
+    if options.quick {
+        world.hosts = QUICK_HOSTS;
+        scenario = scenario.shortened(QUICK);
+    }
+    let mut tallies = Kind::ALL.map(|kind| Tally::new(kind, &world, &scenario));
+    for seed in options.seeds.list() {
+        let arrivals = arrivals(&world, &scenario, seed);
+        let truth = Truth {
+            world: &world,
+            scenario: &scenario,
+            coin: Coin::new(seed),
+        };
+        let logs = Kind::ALL.map(|kind| Sim::run(kind, truth, &arrivals, seed));
+        let bound = clairvoyant(&truth, &arrivals);
+        let oracle = Kind::ALL.iter().position(|it| *it == Kind::Oracle);
+        let oracle = &logs[oracle.unwrap_or(0)];
+        for (tally, log) in tallies.iter_mut().zip(&logs) {
+            tally.add(&arrivals, log, oracle, bound);
+        }
+    }
+    let figures = tallies.map(Tally::finish).into_iter().collect();
+    Case::new(workload, &scenario, figures)
+}
--- /dev/null
+++ b/crates/experiment/src/sim.rs
@@ -0,0 +1,283 @@
+//! One scenario under one router, on a virtual clock.
+
+mod caller;
+mod event;
+mod fault;
+mod replica;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use decide::action::Verdict;
+
+use self::event::Event;
+use crate::{
+    arrival::Arrival,
+    attempt::{Attempt, AttemptKey},
+    configuration::Configuration,
+    endpoint::Endpoint,
+    queue::Queue,
+    ratings::Ratings,
+    record::{Fate, Record},
+    router::{Baseline, Core, Input, Kind, Output, Router},
+    scenario::Fault,
+    truth::{Truth, VersionIdx},
+};
+
+/// One way between an entry host and an endpoint.
+const NETWORK: Duration = Duration::from_millis(1);
+
+/// Until one host's news is at the others.
+const NEWS: Duration = Duration::from_millis(100);
+
+/// Until a change of configuration or of the host list is at all hosts.
+const PROPAGATION: Duration = Duration::from_secs(1);
+
+/// How often an endpoint reports its load, and how old the report is when it is read.
+const REPORT: Duration = Duration::from_secs(1);
+const REPORT_LAG: Duration = Duration::from_millis(500);
+
+/// How long after the scenario requests may still end.
+const DRAIN: Duration = Duration::from_mins(15);
+
+/// What a run leaves behind.
+#[derive(Debug)]
+pub(crate) struct Log {
+    /// By arrival.
+    pub(crate) records: Vec<Record>,
+    pub(crate) verdicts: Vec<VerdictNote>,
+}
+
+/// A verdict of one host on a version.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VerdictNote {
+    pub(crate) at: Duration,
+    pub(crate) version: VersionIdx,
+    pub(crate) verdict: Verdict,
+    /// The share of bad answers that a fault caused when the verdict was given.
+    pub(crate) damage: f64,
+}
+
+pub(crate) struct Sim<'a> {
+    now: Duration,
+    truth: Truth<'a>,
+    arrivals: &'a [Arrival],
+    router: Router<'a>,
+    queue: Queue<Event>,
+    endpoints: Vec<Endpoint>,
+    attempts: BTreeMap<AttemptKey, Attempt>,
+    records: Vec<Record>,
+    /// By session.
+    pins: Vec<Option<VersionIdx>>,
+    configuration: Configuration,
+    ratings: Ratings,
+    hosts_up: Vec<bool>,
+    verdicts: Vec<VerdictNote>,
+    pending: usize,
+}
+
+impl<'a> Sim<'a> {
+    /// Runs all arrivals to their end under one router.
+    pub(crate) fn run(kind: Kind, truth: Truth<'a>, arrivals: &'a [Arrival], seed: u64) -> Log {
+        let mut sim = Self::new(kind, truth, arrivals, seed);
+        sim.schedule();
+        while let Some((at, event)) = sim.queue.pop() {
+            if sim.pending == 0 || at > truth.scenario.duration + DRAIN {
+                break;
+            }
+            sim.now = at;
+            sim.handle(event);
+        }
+        Log {
+            records: sim.records,
+            verdicts: sim.verdicts,
+        }
+    }
+
+    fn new(kind: Kind, truth: Truth<'a>, arrivals: &'a [Arrival], seed: u64) -> Self {
+        let world = truth.world;
+        let router = match kind {
+            Kind::Core => Router::Core(Box::new(Core::new(world, seed))),
+            other => Router::Baseline(Box::new(Baseline::new(other, truth))),
+        };
+        let pools = world.pools.iter();
+        let replicas = pools.flat_map(|it| (0..it.replicas).map(|_| Endpoint::new(it)));
+        let sessions = arrivals.iter().filter_map(|it| it.session);
+        let sessions = sessions.map(|it| it + 1).max().unwrap_or(0);
+        Self {
+            now: Duration::ZERO,
+            truth,
+            arrivals,
+            router,
+            queue: Queue::new(),
+            endpoints: replicas.collect(),
+            attempts: BTreeMap::new(),
+            records: vec![Record::default(); arrivals.len()],
+            pins: vec![None; sessions],
+            configuration: Configuration::new(),
+            ratings: Ratings::new(truth.coin),
+            hosts_up: vec![true; world.hosts],
+            verdicts: Vec::new(),
+            pending: arrivals.len(),
+        }
+    }
+
+    fn schedule(&mut self) {
+        for (idx, it) in self.truth.scenario.events.iter().enumerate() {
+            self.queue.push(it.at, Event::FaultBegins(idx));
+            self.queue.push(it.until, Event::FaultEnds(idx));
+        }
+        for it in self.arrivals {
+            let deadline = self.truth.world.class(it.class).deadline;
+            self.queue.push(it.at, Event::Arrive(it.idx));
+            self.queue.push(it.at + deadline, Event::GiveUp(it.idx));
+        }
+        self.queue.push(Duration::ZERO, Event::Report);
+        if let Some(tick) = self.router.tick() {
+            self.queue.push(tick, Event::Tick);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(idx) => self.arrive(idx),
+            Event::GiveUp(idx) => self.give_up(idx),
+            Event::Submit(attempt) => self.submit(attempt),
+            Event::FirstToken(attempt) => self.first_token(attempt),
+            Event::Finish(attempt) => self.finish(attempt),
+            Event::Ended(attempt, end) => self.ended(attempt, end),
+            Event::Timeout(attempt) => self.time_out(attempt),
+            Event::Report => self.report(),
+            Event::Load {
+                endpoint,
+                load,
+                age,
+            } => self.tell_all(&Input::Load {
+                endpoint,
+                load,
+                age,
+            }),
+            Event::Endpoint {
+                endpoint,
+                incarnation,
+                up,
+            } => self.tell_all(&Input::Endpoint {
+                endpoint,
+                incarnation,
+                up,
+            }),
+            Event::Rated(it) => {
+                let class = self.arrivals[it.request].class;
+                let input = Input::Rated {
+                    request: it.request,
+                    version: it.version,
+                    class,
+                    good: it.good,
+                };
+                self.tell(it.host, &input);
+            }
+            Event::News { from, news } => {
+                for host in (0..self.hosts_up.len()).filter(|it| *it != from) {
+                    self.tell(host, &Input::News(&news));
+                }
+            }
+            Event::Configured(it) => self.tell_all(&Input::Configured(&it)),
+            Event::FaultBegins(idx) => self.fault_begins(idx),
+            Event::FaultEnds(idx) => self.fault_ends(idx),
+            Event::Tick => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.tell_all(&Input::Tick);
+        if let Some(tick) = self.router.tick() {
+            self.queue.push(self.now + tick, Event::Tick);
+        }
+    }
+
+    /// Every endpoint reports its load, which comes late.
+    fn report(&mut self) {
+        let stale = self.truth.scenario.active(self.now).find_map(|it| {
+            if let Fault::LoadStale { by } = it.fault {
+                Some(by)
+            } else {
+                None
+            }
+        });
+        let age = REPORT_LAG + stale.unwrap_or_default();
+        for endpoint in 0..self.endpoints.len() {
+            if self.endpoints[endpoint].up {
+                let load = self.endpoints[endpoint].load();
+                let event = Event::Load {
+                    endpoint,
+                    load,
+                    age,
+                };
+                self.queue.push(self.now + age, event);
+            }
+        }
+        self.queue.push(self.now + REPORT, Event::Report);
+    }
+
+    fn tell_all(&mut self, input: &Input<'_>) {
+        for host in 0..self.hosts_up.len() {
+            self.tell(host, input);
+        }
+    }
+
+    fn tell(&mut self, host: usize, input: &Input<'_>) {
+        if !self.hosts_up[host] {
+            return;
+        }
+        let mut outputs = Vec::new();
+        self.router.handle(self.now, host, input, &mut outputs);
+        for output in outputs {
+            self.carry_out(host, output);
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, output: Output) {
+        match output {
+            Output::Dispatch {
+                attempt,
+                request,
+                endpoint,
+                version,
+                priority,
+                relay,
+                timeout,
+            } => {
+                let it = Attempt::new(request, endpoint, version, priority, relay);
+                self.dispatch(attempt, it, timeout);
+            }
+            Output::Deliver { request, attempt } => self.deliver(request, attempt),
+            Output::Refuse { request, reason } => self.close(request, Fate::Refused(reason)),
+            Output::Cancel { attempt } => self.cancel(attempt),
+            Output::Sample { attempt } => self.sample(attempt),
+            Output::Verdict { version, verdict } => self.verdicts.push(VerdictNote {
+                at: self.now,
+                version,
+                verdict,
+                damage: self.truth.damage(version, self.now).share,
+            }),
+            Output::Broadcast(news) => {
+                let event = Event::News { from: host, news };
+                self.queue.push(self.now + NEWS, event);
+            }
+            Output::Step {
+                version,
+                to,
+                revision,
+            } => {
+                if self.configuration.step(version, to, revision) {
+                    self.publish();
+                }
+            }
+        }
+    }
+
+    /// The configuration goes to all hosts.
+    fn publish(&mut self) {
+        let event = Event::Configured(Arc::new(self.configuration.clone()));
+        self.queue.push(self.now + PROPAGATION, event);
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/sim/caller.rs
@@ -0,0 +1,83 @@
+//! What callers do: ask, wait, get an answer or give up.
+
+use std::time::Duration;
+
+use super::Sim;
+use crate::{
+    arrival::Arrival,
+    attempt::{AttemptKey, State},
+    coin::Purpose,
+    record::Fate,
+    router::{Input, place},
+};
+
+/// Each customer has this many callers, which choose entry hosts on their own.
+const CALLERS: usize = 8;
+
+/// How long a caller keeps an entry host's address.
+const KEEP: Duration = Duration::from_mins(1);
+
+impl Sim<'_> {
+    pub(super) fn arrive(&mut self, idx: usize) {
+        let arrivals = self.arrivals;
+        let arrival = &arrivals[idx];
+        let Some(host) = self.host(arrival) else {
+            return self.close(idx, Fate::Refused("no_host"));
+        };
+        self.records[idx].host = host;
+        let pin = arrival.session.and_then(|it| self.pins[it]);
+        self.tell(host, &Input::Arrive { arrival, pin });
+    }
+
+    pub(super) fn give_up(&mut self, idx: usize) {
+        let record = &self.records[idx];
+        if record.fate != Fate::Pending || record.first.is_some() {
+            return;
+        }
+        let host = record.host;
+        self.close(idx, Fate::Refused("caller_gave_up"));
+        self.tell(host, &Input::Cancelled { request: idx });
+    }
+
+    pub(super) fn deliver(&mut self, idx: usize, attempt: AttemptKey) {
+        let Some(it) = self.attempts.get(&attempt) else {
+            return self.close(idx, Fate::Refused("delivered_unknown_attempt"));
+        };
+        let State::Done { answer, .. } = it.state else {
+            return self.close(idx, Fate::Refused("delivered_unfinished_attempt"));
+        };
+        let version = it.version;
+        self.close(idx, Fate::Delivered(version.zip(answer)));
+        if let (Some(session), Some(version)) = (self.arrivals[idx].session, version) {
+            let pin = self.pins[session].replace(version);
+            let kept = pin.is_none_or(|it| it == version || !self.configuration.takes_work(it));
+            self.records[idx].moved = !kept;
+        }
+    }
+
+    /// Ends a request; the first end counts.
+    pub(super) fn close(&mut self, idx: usize, fate: Fate) {
+        let record = &mut self.records[idx];
+        if record.fate != Fate::Pending {
+            return;
+        }
+        record.fate = fate;
+        record.end = self.now;
+        if record.delivered() {
+            record.first.get_or_insert(self.now);
+        }
+        self.pending -= 1;
+        self.attempts
+            .retain(|_, it| it.request != idx || !matches!(it.state, State::Done { .. }));
+    }
+
+    /// The entry host whose address the caller keeps just now.
+    fn host(&self, arrival: &Arrival) -> Option<usize> {
+        let caller = arrival.customer * CALLERS + arrival.idx % CALLERS;
+        let period = usize::try_from(self.now.as_secs() / KEEP.as_secs()).unwrap_or(0);
+        let toss = self.truth.coin.toss(Purpose::Host, caller, period);
+        let up = (0..self.hosts_up.len()).filter(|it| self.hosts_up[*it]);
+        let up = up.collect::<Vec<_>>();
+        up.get(place(toss, up.len())).copied()
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/tally.rs
@@ -0,0 +1,202 @@
+//! From what happened to figures.
+
+mod bound;
+mod class;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use decide::action::Verdict;
+
+pub(crate) use bound::clairvoyant;
+
+use self::class::ClassTally;
+use crate::{
+    arrival::Arrival,
+    record::{Fate, Record},
+    report::{Figures, Quarantine, Served},
+    router::Kind,
+    scenario::{Fault, Scenario},
+    sim::{Log, VerdictNote},
+    workload::World,
+};
+
+/// The counts of one router over all seeds.
+///
+/// Only requests that arrive while a fault is in force are counted; where none
+/// is, all are.
+pub(crate) struct Tally<'a> {
+    kind: Kind,
+    world: &'a World,
+    window: [Duration; 2],
+    classes: Vec<ClassTally>,
+    customers: Vec<[u64; 2]>,
+    refusals: BTreeMap<&'static str, u64>,
+    harmed: u64,
+    touched: u64,
+    moved: u64,
+    unfinished: u64,
+    dispatched: u64,
+    dispatches: u64,
+    steps: u64,
+    bound: f64,
+    seeds: u32,
+    quarantine: Quarantine,
+}
+
+impl<'a> Tally<'a> {
+    pub(crate) fn new(kind: Kind, world: &'a World, scenario: &Scenario) -> Self {
+        Self {
+            kind,
+            world,
+            window: window(scenario),
+            classes: world.classes.iter().map(|_| ClassTally::new()).collect(),
+            customers: vec![[0; 2]; world.customers.len()],
+            refusals: BTreeMap::new(),
+            harmed: 0,
+            touched: 0,
+            moved: 0,
+            unfinished: 0,
+            dispatched: 0,
+            dispatches: 0,
+            steps: 0,
+            bound: 0.0,
+            seeds: 0,
+            quarantine: Quarantine::default(),
+        }
+    }
+
+    /// Counts a run; `oracle` is the oracle's over the same arrivals.
+    pub(crate) fn add(&mut self, arrivals: &[Arrival], log: &Log, oracle: &Log, bound: f64) {
+        self.seeds += 1;
+        self.bound += bound;
+        for (arrival, record) in arrivals.iter().zip(&log.records) {
+            if self.window[0] <= arrival.at && arrival.at < self.window[1] {
+                self.add_request(arrival, record, &oracle.records[arrival.idx]);
+            }
+        }
+        self.add_verdicts(&log.verdicts);
+    }
+
+    fn add_request(&mut self, arrival: &Arrival, record: &Record, oracle: &Record) {
+        self.classes[arrival.class.idx()].add(arrival, record, oracle);
+        if self.world.class(arrival.class).is_model() {
+            let [offered, served] = &mut self.customers[arrival.customer];
+            *offered += 1;
+            *served += u64::from(record.delivered());
+        }
+        match record.fate {
+            Fate::Refused(reason) => *self.refusals.entry(reason).or_default() += 1,
+            Fate::Pending => self.unfinished += 1,
+            Fate::Delivered(_) => {}
+        }
+        self.harmed += u64::from(record.answer().is_some_and(|(_, it)| it.harmed));
+        self.touched += u64::from(record.touched);
+        self.moved += u64::from(record.moved);
+        if record.dispatches > 0 {
+            self.dispatched += 1;
+            self.dispatches += u64::from(record.dispatches);
+            self.steps += u64::try_from(record.asked.len().max(1)).unwrap_or(1);
+        }
+    }
+
+    fn add_verdicts(&mut self, verdicts: &[VerdictNote]) {
+        let mut first = None;
+        for it in verdicts {
+            match it.verdict {
+                Verdict::Healthy => self.quarantine.lifted += 1,
+                Verdict::Quarantined(_) if it.damage > 0.0 => {
+                    self.quarantine.right += 1;
+                    first = first.or(Some(it.at));
+                }
+                Verdict::Quarantined(cause) => {
+                    self.quarantine.wrong += 1;
+                    let key = format!("{} {cause:?}", it.version.name());
+                    *self.quarantine.wrong_causes.entry(key).or_default() += 1;
+                }
+            }
+        }
+        if let Some(first) = first {
+            let after = first.saturating_sub(self.window[0]).as_secs_f64();
+            self.quarantine.first_after_s.push(after);
+        }
+    }
+
+    pub(crate) fn finish(self) -> Figures {
+        let classes = self
+            .classes
+            .iter()
+            .zip(&self.world.classes)
+            .map(|(it, class)| it.figures(class))
+            .collect::<Vec<_>>();
+        let sum = |part: fn(&ClassTally) -> u64| self.classes.iter().map(part).sum::<u64>();
+        let models = || {
+            let all = self.classes.iter().zip(&self.world.classes);
+            all.filter(|(_, class)| class.is_model()).map(|(it, _)| it)
+        };
+        let answers = models().map(|it| it.delivered).sum::<u64>();
+        let seeds = f64::from(self.seeds.max(1));
+        Figures {
+            router: self.kind,
+            requests: sum(|it| it.offered),
+            delivered: sum(|it| it.delivered),
+            mean_cost: ratio(models().map(|it| it.cost).sum(), answers),
+            cost_to_oracle: ratio(
+                models().map(|it| it.paired[0]).sum(),
+                models().map(|it| it.paired[1]).sum(),
+            ),
+            cost_to_clairvoyant: float(models().map(|it| it.cost).sum()) / self.bound,
+            good: ratio(models().map(|it| it.good).sum(), answers),
+            harmed: float(self.harmed) / seeds,
+            touched: float(self.touched) / seeds,
+            quarantine: self.quarantine,
+            tries: 1.0 + ratio(self.dispatches - self.steps, self.dispatched),
+            dispatches: ratio(self.dispatches, self.dispatched),
+            moved_sessions: self.moved,
+            unfinished: self.unfinished,
+            refusals: self.refusals,
+            customers: self
+                .customers
+                .iter()
+                .zip(&self.world.customers)
+                .map(|([offered, served], it)| Served {
+                    customer: it.name.to_owned(),
+                    offered: *offered,
+                    share: ratio(*served, *offered),
+                })
+                .collect(),
+            classes,
+        }
+    }
+}
+
+/// From when to when requests count.
+fn window(scenario: &Scenario) -> [Duration; 2] {
+    let events = &scenario.events;
+    // Beside a flood, the traffic before it only sets the scene.
+    let flood = events
+        .iter()
+        .find(|it| matches!(it.fault, Fault::Flood { .. }));
+    if let Some(it) = flood {
+        return [it.at, it.until];
+    }
+    let begin = events.iter().map(|it| it.at).min();
+    let end = events.iter().map(|it| it.until).max();
+    [
+        begin.unwrap_or(Duration::ZERO),
+        end.unwrap_or(scenario.duration),
+    ]
+}
+
+pub(crate) fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    float(part) / float(whole)
+}
+
+/// Exact below 2^53, which no count of an experiment reaches.
+pub(crate) fn float(number: u64) -> f64 {
+    let high = u32::try_from(number >> 32).unwrap_or(u32::MAX);
+    let low = u32::try_from(number & u64::from(u32::MAX)).unwrap_or(u32::MAX);
+    f64::from(high) * 4_294_967_296.0 + f64::from(low)
+}
--- /dev/null
+++ b/crates/experiment/src/tally/bound.rs
@@ -0,0 +1,56 @@
+use super::float;
+use crate::{
+    arrival::Arrival,
+    truth::Truth,
+    workload::{ClassIdx, World},
+};
+
+/// The least cost at which each class meets its target for who knows each coin
+/// before it falls: the cheapest version that will answer well, and a bad answer
+/// of the cheapest where that saves most.
+///
+/// No router can reach it; it ignores capacity, sessions and the window of the tally.
+pub(crate) fn clairvoyant(truth: &Truth<'_>, arrivals: &[Arrival]) -> f64 {
+    let models = truth.world.classes().filter(|(_, it)| it.is_model());
+    models
+        .map(|(idx, class)| class_bound(truth, arrivals, idx, class.target()))
+        .sum()
+}
+
+fn class_bound(truth: &Truth<'_>, arrivals: &[Arrival], class: ClassIdx, target: f64) -> f64 {
+    let mut extras = Vec::new();
+    let mut total = 0;
+    let mut missed = 0;
+    for arrival in arrivals.iter().filter(|it| it.class == class) {
+        let cost = |it| {
+            truth
+                .world
+                .version(it)
+                .cost(arrival.prompt, arrival.completion)
+                .0
+        };
+        let cheapest = World::ACTIVE.map(cost).into_iter().min().unwrap_or(0);
+        let good = World::ACTIVE
+            .into_iter()
+            .filter(|it| truth.answer(arrival, *it, arrival.at).good)
+            .map(cost)
+            .min();
+        total += cheapest;
+        match good {
+            Some(good) => extras.push(good - cheapest),
+            None => missed += 1,
+        }
+    }
+    extras.sort_unstable();
+    let all = extras.len() + missed;
+    let needed = (1..=all)
+        .take_while(|it| share(*it, all) <= target)
+        .count()
+        .min(extras.len());
+    float(total + extras.iter().take(needed).sum::<u64>())
+}
+
+fn share(part: usize, whole: usize) -> f64 {
+    let [part, whole] = [part, whole].map(|it| f64::from(u32::try_from(it).unwrap_or(u32::MAX)));
+    part / whole
+}
--- /dev/null
+++ b/crates/experiment/src/truth/version.rs
@@ -0,0 +1,58 @@
+use std::time::Duration;
+
+use kernel::Money;
+
+use super::{Confidence, Skill};
+use crate::workload::ClassIdx;
+
+/// One of the versions that both workloads have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct VersionIdx(u8);
+
+impl VersionIdx {
+    pub(crate) const SMALL: Self = Self(0);
+    pub(crate) const MEDIUM: Self = Self(1);
+    pub(crate) const MEDIUM_NEXT: Self = Self(2);
+    pub(crate) const LARGE: Self = Self(3);
+    pub(crate) const ALL: [Self; 4] = [Self::SMALL, Self::MEDIUM, Self::MEDIUM_NEXT, Self::LARGE];
+
+    pub(crate) fn name(self) -> &'static str {
+        ["small@1", "medium@3", "medium@4", "large@2"][self.idx()]
+    }
+
+    pub(crate) fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|it| it.name() == name)
+    }
+
+    pub(crate) fn idx(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+/// A version's prices, speed and quality.
+#[derive(Clone, Debug)]
+pub(crate) struct VersionTruth {
+    /// For a million prompt tokens.
+    pub(crate) prompt_price: Money,
+    /// For a million completion tokens.
+    pub(crate) completion_price: Money,
+    /// Time to read a thousand prompt tokens.
+    pub(crate) prefill: Duration,
+    /// Time between two tokens of an answer.
+    pub(crate) token: Duration,
+    pub(crate) confidence: Confidence,
+    /// By class.
+    pub(crate) skills: Vec<Skill>,
+}
+
+impl VersionTruth {
+    pub(crate) fn skill(&self, class: ClassIdx) -> Skill {
+        self.skills[class.idx()]
+    }
+
+    /// What an answer costs.
+    pub(crate) fn cost(&self, prompt: u32, completion: u32) -> Money {
+        self.prompt_price.per_million(u64::from(prompt))
+            + self.completion_price.per_million(u64::from(completion))
+    }
+}
--- /dev/null
+++ b/crates/experiment/tests/plan.rs
@@ -0,0 +1,71 @@
+//! The plan's solver on cases that can be worked out by hand.
+
+use experiment::{Choice, Plan, Problem};
+use googletest::prelude::*;
+
+/// Confidence so sharp that it tells all but about one answer in a million.
+const SURE: f64 = 400.0;
+
+/// Confidence that tells nothing: good and bad answers have the same distribution.
+const BLIND: f64 = 1.0;
+
+fn check(depth: usize, choices: &[(f64, f64, f64)], target: f64, cost: f64, good: f64) {
+    let choices = choices
+        .iter()
+        .map(|(cost, good, sharpness)| Choice::new(*cost, [*good, *good], *sharpness));
+    let problem = Problem {
+        hard: 0.0,
+        depth,
+        choices: choices.collect(),
+    };
+    let plan = Plan::solve(&problem, target);
+    expect_that!(plan.cost, near(cost, cost * 1.0e-3));
+    expect_that!(plan.good, near(good, 1.0e-3));
+}
+
+#[gtest]
+fn a_cheap_version_that_is_good_enough_is_asked_alone() {
+    check(
+        2,
+        &[(1.0, 0.95, BLIND), (10.0, 0.99, BLIND)],
+        0.9,
+        1.0,
+        0.95,
+    );
+}
+
+#[gtest]
+fn without_a_cascade_two_versions_are_mixed_to_the_target() {
+    // Half of the requests at 1 and 0.8, half at 10 and 1.0 are good in 0.9.
+    check(1, &[(1.0, 0.8, BLIND), (10.0, 1.0, BLIND)], 0.9, 5.5, 0.9);
+}
+
+#[gtest]
+fn a_sure_confidence_pays_the_dear_version_for_the_failures_only() {
+    // All at 1, and half of the 0.2 that fail at 10 more.
+    check(2, &[(1.0, 0.8, SURE), (10.0, 1.0, SURE)], 0.9, 2.0, 0.9);
+}
+
+#[gtest]
+fn the_cheap_step_is_left_out_where_it_does_not_pay() {
+    // Asking first costs 9 and saves 10 in one of ten only.
+    check(2, &[(9.0, 0.1, SURE), (10.0, 1.0, SURE)], 1.0, 10.0, 1.0);
+}
+
+#[gtest]
+fn out_of_reach_of_the_target_the_most_good_answers_are_given() {
+    check(1, &[(1.0, 0.5, BLIND), (10.0, 0.8, BLIND)], 0.9, 10.0, 0.8);
+}
+
+#[gtest]
+fn what_a_version_fails_at_may_be_hard_for_the_next() {
+    // Both versions answer easy requests and no hard one: a second is no help.
+    let same = |cost| Choice::new(cost, [1.0, 0.0], SURE);
+    let problem = Problem {
+        hard: 0.2,
+        depth: 2,
+        choices: vec![same(1.0), same(10.0)],
+    };
+    let plan = Plan::solve(&problem, 0.9);
+    expect_that!(plan.good, near(0.8, 1.0e-3));
+}
