xtask: add the trial site and the chores demo, load and experiment

Cause: the whole path has to be run, broken and measured as processes. Change: a trial site starts the stand-ins and entry hosts in a temporary directory and ends them by their own handles whatever happens; demo drives the mixed workload while a version is rolled out, another withdrawn and a host killed; load measures what a host adds to the stand-in's latency, open loop, in turn; experiment runs the decisions. Not run against a host yet: the daemon's path is not there.

--- /dev/null
+++ b/xtask/src/demo/report.rs
@@ -0,0 +1,83 @@
+//! What the demo prints.
+
+use std::collections::BTreeMap;
+
+use comfy_table::Table;
+
+use crate::caller::Call;
+use crate::reconcile::{Evidence, Line, Tally, lines};
+use crate::site::TableRecords;
+
+const MICROCENTS: u64 = 1_000_000;
+
+/// Prints a table for people and, as the last line, the figures as JSON.
+pub(crate) fn print(
+    calls: &[Call],
+    evidence: &Evidence,
+    table: &TableRecords,
+    ended: &[String],
+    tally: &Tally,
+) {
+    let mut rows = Table::new();
+    rows.set_header([
+        "work", "calls", "answered", "good", "repeated", "cost c", "billed c", "p50 ms", "p99 ms",
+        "refused", "lost",
+    ]);
+    for line in lines(calls, evidence) {
+        rows.add_row(row(&line));
+    }
+    println!("{rows}");
+    println!("hosts: {}", ended.join(", "));
+    println!(
+        "table: {} reads, {} writes; executions: {} on engines, {} on services; {} billing records",
+        table.reads,
+        table.writes,
+        evidence.executions.len(),
+        evidence.runs.len(),
+        evidence.bills.len()
+    );
+    let json = serde_json::to_string(tally).expect("the figures are plain numbers");
+    println!("{json}");
+}
+
+/// Whether every promise held that allows no exception.
+pub(crate) fn is_whole(tally: &Tally) -> bool {
+    let broken = [
+        tally.not_run_but_ran,
+        tally.lost,
+        tally.doubled,
+        tally.billed_twice,
+        tally.disallowed,
+    ];
+    tally.answered > 0 && broken.iter().all(|it| *it == 0)
+}
+
+fn row(line: &Line) -> Vec<String> {
+    vec![
+        line.kind.to_string(),
+        line.calls.to_string(),
+        line.answered.to_string(),
+        line.good.to_string(),
+        line.repeated.to_string(),
+        cents(line.microcents),
+        cents(line.billed),
+        format!("{:.1}", line.p50_ms),
+        format!("{:.1}", line.p99_ms),
+        reasons(&line.refusals),
+        reasons(&line.losses),
+    ]
+}
+
+/// Cents with four digits behind the point.
+fn cents(microcents: u64) -> String {
+    let rest = microcents % MICROCENTS / 100;
+    format!("{}.{rest:04}", microcents / MICROCENTS)
+}
+
+fn reasons(reasons: &BTreeMap<String, u64>) -> String {
+    let list: Vec<_> = reasons
+        .iter()
+        .map(|(reason, count)| format!("{count} {reason}"))
+        .collect();
+    list.join("\n")
+}
--- /dev/null
+++ b/xtask/src/experiment.rs
@@ -0,0 +1,106 @@
+//! `cargo xtask experiment`: the decisions measured on a virtual clock.
+
+use std::env;
+use std::process::{self, ExitCode};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use error_stack::{Report, ResultExt};
+use experiment::{Options, Scenario, Seeds, Workload};
+
+use crate::error::Error;
+
+/// The sub-command.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("experiment")
+        .about("Measures the decisions against an oracle and baselines on a virtual clock")
+        .arg(
+            Arg::new("workload")
+                .long("workload")
+                .help("Only this workload"),
+        )
+        .arg(
+            Arg::new("scenario")
+                .long("scenario")
+                .help("Only this scenario")
+                .value_parser(Scenario::names().collect::<Vec<_>>()),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .help("Only this seed, not the reported ones")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("tuned")
+                .long("tuned")
+                .help("The seeds that constants are tuned on, not the reported ones")
+                .conflicts_with("seed")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("quick")
+                .long("quick")
+                .help("A few minutes of virtual time and three hosts, for a first look")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .help("Prints the figures as JSON")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+/// Runs the experiment, optimised also when the chore itself is not.
+///
+/// # Errors
+/// When a workload or scenario is unknown.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, Report<Error>> {
+    if cfg!(debug_assertions) {
+        return again_optimised();
+    }
+    let workload = matches
+        .get_one::<String>("workload")
+        .map(|it| Workload::named(it))
+        .transpose()
+        .change_context(Error::Measure)?;
+    let options = Options {
+        seeds: seeds(matches),
+        scenario: matches.get_one::<String>("scenario").cloned(),
+        workload,
+        quick: matches.get_flag("quick"),
+    };
+    let report = experiment::run(&options).change_context(Error::Measure)?;
+    if matches.get_flag("json") {
+        let json = serde_json::to_string_pretty(&report).change_context(Error::Measure)?;
+        println!("{json}");
+    } else {
+        print!("{}", report.table());
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn seeds(matches: &ArgMatches) -> Seeds {
+    match matches.get_one::<u64>("seed") {
+        Some(seed) => Seeds::One(*seed),
+        None if matches.get_flag("tuned") => Seeds::Tuned,
+        None => Seeds::Reported,
+    }
+}
+
+/// Runs this chore once more, built with optimisation: without it the virtual
+/// days take as long as real minutes.
+fn again_optimised() -> Result<ExitCode, Report<Error>> {
+    let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let status = process::Command::new(cargo)
+        .args(["run", "--quiet", "--release", "-p", "xtask", "--"])
+        .args(env::args_os().skip(1))
+        .status()
+        .change_context(Error::Start)?;
+    Ok(if status.success() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -4,6 +4,10 @@
 //! `docs/DEVELOPERS.md`.
 
 pub mod caller;
+pub mod demo;
 pub mod error;
+pub mod experiment;
+pub mod load;
 pub mod reconcile;
+pub mod site;
 pub mod workload;
--- /dev/null
+++ b/xtask/src/load/report.rs
@@ -0,0 +1,112 @@
+//! The figures of a load measurement.
+
+use std::time::Duration;
+
+use comfy_table::Table;
+use serde_json::{Value, json};
+
+use crate::load::measure::Measure;
+
+/// Everything that was measured.
+#[derive(Debug)]
+pub(crate) struct Figures {
+    offered_requests: u32,
+    offered_tokens: u32,
+    pub(crate) direct: Pair,
+    pub(crate) host: Pair,
+    /// The host's processor time under whole answers.
+    pub(crate) cpu_whole: Duration,
+    /// The host's processor time under streams.
+    pub(crate) cpu_stream: Duration,
+    /// The host's peak memory.
+    pub(crate) peak_kib: u64,
+}
+
+/// Both kinds of load on one target.
+#[derive(Debug, Default)]
+pub(crate) struct Pair {
+    pub(crate) whole: Measure,
+    pub(crate) stream: Measure,
+}
+
+impl Figures {
+    pub(crate) fn new(offered_requests: u32, offered_tokens: u32) -> Self {
+        Self {
+            offered_requests,
+            offered_tokens,
+            direct: Pair::default(),
+            host: Pair::default(),
+            cpu_whole: Duration::ZERO,
+            cpu_stream: Duration::ZERO,
+            peak_kib: 0,
+        }
+    }
+
+    pub(crate) fn json(&self) -> Value {
+        json!({
+            "offered_requests_per_s": self.offered_requests,
+            "offered_tokens_per_s": self.offered_tokens,
+            "added_p50_ms": self.added(0.5),
+            "added_p99_ms": self.added(0.99),
+            "direct": target(&self.direct),
+            "host": target(&self.host),
+            "cpu_us_per_request": per(self.cpu_whole, self.host.whole.answered),
+            "cpu_us_per_token": per(self.cpu_stream, self.host.stream.tokens),
+            "cpu_ms_total": millis(self.cpu_whole + self.cpu_stream),
+            "peak_memory_kib": self.peak_kib,
+        })
+    }
+
+    pub(crate) fn print(&self) {
+        let mut rows = Table::new();
+        rows.set_header(["target", "p50 ms", "p99 ms", "req/s", "tokens/s", "failed"]);
+        for (name, pair) in [("stand-in", &self.direct), ("host", &self.host)] {
+            rows.add_row([
+                name.to_owned(),
+                format!("{:.3}", millis(pair.whole.quantile(0.5))),
+                format!("{:.3}", millis(pair.whole.quantile(0.99))),
+                format!("{:.0}", pair.whole.per_second(pair.whole.answered)),
+                format!("{:.0}", pair.stream.per_second(pair.stream.tokens)),
+                (pair.whole.failed + pair.stream.failed).to_string(),
+            ]);
+        }
+        println!("{rows}");
+        println!(
+            "added by the host: p50 {:.3} ms, p99 {:.3} ms; processor {:.1} us a request, {:.2} us a token; peak memory {} KiB",
+            self.added(0.5),
+            self.added(0.99),
+            per(self.cpu_whole, self.host.whole.answered),
+            per(self.cpu_stream, self.host.stream.tokens),
+            self.peak_kib,
+        );
+    }
+
+    /// What the host adds at a quantile, in milliseconds; below zero when the
+    /// machine's noise is larger than that.
+    fn added(&self, quantile: f64) -> f64 {
+        millis(self.host.whole.quantile(quantile)) - millis(self.direct.whole.quantile(quantile))
+    }
+}
+
+fn target(pair: &Pair) -> Value {
+    json!({
+        "p50_ms": millis(pair.whole.quantile(0.5)),
+        "p99_ms": millis(pair.whole.quantile(0.99)),
+        "requests_per_s": pair.whole.per_second(pair.whole.answered),
+        "requests_failed": pair.whole.failed,
+        "stream_p50_ms": millis(pair.stream.quantile(0.5)),
+        "stream_p99_ms": millis(pair.stream.quantile(0.99)),
+        "tokens_per_s": pair.stream.per_second(pair.stream.tokens),
+        "streams_failed": pair.stream.failed,
+    })
+}
+
+/// Microseconds for each of so many.
+fn per(time: Duration, count: u64) -> f64 {
+    let count = u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+    time.as_secs_f64() * 1e6 / f64::from(count)
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,32 @@
 //! Chores: demo, load, experiment, capacity and soak.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Command;
+use error_stack::Report;
+use xtask::error::Error;
+use xtask::{demo, experiment, load};
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let done = match matches.subcommand() {
+        Some(("demo", matches)) => demo::run(matches),
+        Some(("load", matches)) => load::run(matches),
+        Some(("experiment", matches)) => experiment::run(matches),
+        _ => unreachable!("clap requires one of the sub-commands"),
+    };
+    done.unwrap_or_else(|report: Report<Error>| {
+        eprintln!("{report:?}");
+        ExitCode::FAILURE
+    })
+}
+
+fn command() -> Command {
+    Command::new("xtask")
+        .about("The chores of this repository")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(demo::command())
+        .subcommand(load::command())
+        .subcommand(experiment::command())
+}
--- /dev/null
+++ b/xtask/src/site.rs
@@ -0,0 +1,183 @@
+//! A trial site on this machine: the stand-ins and some hosts, as plain processes
+//! on loopback addresses, in a directory that goes with them.
+
+mod binaries;
+mod certificates;
+mod entry;
+mod operator;
+mod process;
+mod stand_ins;
+
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use error_stack::{Report, ResultExt};
+use http::{Client, Options, Pool, Request};
+use kernel::{Clock, SystemClock};
+use tempfile::TempDir;
+
+use crate::error::Error;
+use crate::site::certificates::Authority;
+
+pub use binaries::{Binaries, Profile};
+pub use entry::Entry;
+pub use operator::Operator;
+pub use process::Process;
+pub use stand_ins::{Row, StandIns, TableRecords};
+
+/// How long a host may take until it is ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// The site. Its processes end when it is dropped, whatever happened before.
+pub struct Site {
+    /// The clock of the chore.
+    pub clock: Arc<dyn Clock>,
+    /// The client of the chore.
+    pub client: Client,
+    /// The stand-ins.
+    pub stand_ins: StandIns,
+    /// The entry hosts, in the order in which they were started.
+    pub entries: Vec<Entry>,
+    binaries: Binaries,
+    authority: Authority,
+    operator_key: String,
+    dir: TempDir,
+}
+
+impl Site {
+    /// Starts the stand-ins.
+    ///
+    /// # Errors
+    /// When a file can't be written or the stand-ins don't start.
+    pub fn start(binaries: Binaries, settings: &fakes::Settings) -> Result<Self, Report<Error>> {
+        let dir = TempDir::new().change_context(Error::Site)?;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let pool = Pool {
+            max_idle: 4096,
+            ..Pool::default()
+        };
+        let client = Client::new(Arc::clone(&clock), pool);
+        let stand_ins = StandIns::start(&binaries.fakes, dir.path(), settings, client.clone())?;
+        let operator_key = format!("operator-{}", std::process::id());
+        write(dir.path(), "operator.key", &operator_key)?;
+        write(
+            dir.path(),
+            "session.key",
+            &format!("session-key-of-{}-which-is-long-enough", std::process::id()),
+        )?;
+        let authority = Authority::new(dir.path())?;
+        Ok(Self {
+            clock,
+            client,
+            stand_ins,
+            entries: Vec::new(),
+            binaries,
+            authority,
+            operator_key,
+            dir,
+        })
+    }
+
+    /// Starts an entry host and enters it into the host list.
+    ///
+    /// # Errors
+    /// When it can't be started; see [`Self::ready`] for the rest.
+    pub async fn add(&mut self, name: &str, data_centre: &str) -> Result<(), Report<Error>> {
+        let entry = Entry::start(self, name, data_centre)?;
+        self.stand_ins.register(&entry.host()).await?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Waits until every host answers that it is ready.
+    ///
+    /// # Errors
+    /// When one is not in time, with the end of its log.
+    pub async fn ready(&self) -> Result<(), Report<Error>> {
+        for entry in &self.entries {
+            self.wait_for(entry, "/readyz").await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every host answers at all.
+    ///
+    /// # Errors
+    /// When one is not in time, with the end of its log.
+    pub async fn alive(&self) -> Result<(), Report<Error>> {
+        for entry in &self.entries {
+            self.wait_for(entry, "/healthz").await?;
+        }
+        Ok(())
+    }
+
+    /// An operator's tool that speaks to the first host.
+    #[must_use]
+    pub fn operator(&self) -> Operator {
+        let addresses = self.entries.iter().map(|it| it.operators).collect();
+        Operator::new(self.client.clone(), addresses, self.operator_key.clone())
+    }
+
+    /// Where callers reach the hosts.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|it| it.callers).collect()
+    }
+
+    /// The end of a host's log, for people.
+    #[must_use]
+    pub fn log(&self, name: &str, lines: usize) -> String {
+        let text = fs::read_to_string(log_path(self.dir.path(), name)).unwrap_or_default();
+        let from = text.lines().count().saturating_sub(lines);
+        text.lines().skip(from).collect::<Vec<_>>().join("\n")
+    }
+
+    async fn wait_for(&self, entry: &Entry, path: &str) -> Result<(), Report<Error>> {
+        let deadline = Instant::now() + READY_LIMIT;
+        let options = Options::default();
+        while Instant::now() < deadline {
+            let res = self
+                .client
+                .send(entry.callers, Request::get(path), &options)
+                .await;
+            if res.is_ok_and(|it| it.status.is_success()) {
+                return Ok(());
+            }
+            task::sleep(READY_POLL).await;
+        }
+        Err(Report::new(Error::NotReady).attach(self.log(&entry.name, 20)))
+    }
+}
+
+fn write(dir: &Path, name: &str, text: &str) -> Result<PathBuf, Report<Error>> {
+    let path = dir.join(name);
+    fs::write(&path, text).change_context(Error::Site)?;
+    Ok(path)
+}
+
+fn log_path(dir: &Path, name: &str) -> PathBuf {
+    dir.join(format!("{name}.log"))
+}
+
+fn log_file(dir: &Path, name: &str) -> Result<File, Report<Error>> {
+    File::create(log_path(dir, name)).change_context(Error::Site)
+}
+
+/// A loopback address whose port is free for TCP now.
+fn free_tcp() -> Result<SocketAddr, Report<Error>> {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|it| it.local_addr())
+        .change_context(Error::Site)
+}
+
+/// A loopback address whose port is free for UDP now.
+fn free_udp() -> Result<SocketAddr, Report<Error>> {
+    UdpSocket::bind("127.0.0.1:0")
+        .and_then(|it| it.local_addr())
+        .change_context(Error::Site)
+}
