--- a/crates/ledger/src/arrival.rs
+++ b/crates/ledger/src/arrival.rs
@@ -23,6 +23,8 @@
     pub fingerprint: Fingerprint,
     /// Whether a second run does harm.
     pub repeat: Repeat,
+    /// Who brought it.
+    pub via: Via,
 }
 
 /// A short hash of a call's path and body.
@@ -39,3 +41,13 @@
     /// It runs at most once, such as a booking or a catalogue entry.
     NonIdempotent,
 }
+
+/// Who brought a call to this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Via {
+    /// The caller.
+    Caller,
+    /// Another host, on [`crate::Action::Forward`]. It isn't forwarded again,
+    /// so that hosts with different views can't pass a call in a circle.
+    Peer,
+}
--- /dev/null
+++ b/crates/ledger/src/cx.rs
@@ -0,0 +1,186 @@
+//! What every part of the ledger needs while it handles an event.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use kernel::{DataCentre, Incarnation, RequestId};
+use slotmap::SlotMap;
+
+use crate::book::EntryKey;
+use crate::calls::CallKey;
+use crate::status::Counters;
+use crate::table::{Op, Transaction};
+use crate::timers::{Timer, Timers};
+use crate::{Action, Message, Reason, Refusal, Run, Serial, Tuning, rows};
+
+/// How many writes in a row must fail before the table counts as out.
+const FAILURES: u32 = 2;
+
+/// How long a refused caller is asked to wait where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// State that the parts share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) me: Incarnation,
+    pub(crate) data_centre: DataCentre,
+    pub(crate) tuning: Tuning,
+    pub(crate) draining: bool,
+    /// Incarnations whose fence is known to be in the table.
+    pub(crate) fenced: BTreeSet<Incarnation>,
+    /// Earlier incarnations of this process.
+    pub(crate) former: BTreeSet<Incarnation>,
+    pub(crate) timers: Timers,
+    pub(crate) ops: SlotMap<Op, Purpose>,
+    pub(crate) counters: Counters,
+    failures: u32,
+    failed_at: Duration,
+    nonce: u64,
+}
+
+/// What an operation on the table is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Claim(EntryKey),
+    ReadClaim(EntryKey),
+    ReadOutcome(CallKey),
+    Batch,
+    ReadBatch,
+    Fence(Incarnation),
+    Scan(Incarnation),
+    Insert(Incarnation),
+    Mark,
+    ReadFree,
+    Free,
+}
+
+/// One event's time and actions, with the shared state.
+#[derive(Debug)]
+pub(crate) struct Cx<'a> {
+    pub(crate) now: Duration,
+    pub(crate) actions: &'a mut Vec<Action>,
+    pub(crate) shared: &'a mut Shared,
+}
+
+impl Shared {
+    pub(crate) fn new(me: Incarnation, data_centre: DataCentre, tuning: Tuning) -> Self {
+        Self {
+            me,
+            data_centre,
+            tuning,
+            draining: false,
+            fenced: BTreeSet::new(),
+            former: BTreeSet::new(),
+            timers: Timers::default(),
+            ops: SlotMap::with_key(),
+            counters: Counters::default(),
+            failures: 0,
+            failed_at: Duration::ZERO,
+            nonce: 0,
+        }
+    }
+
+    /// Whether no other host will ever write a batch of `home`, and `home` neither.
+    ///
+    /// For this host's own incarnation the same process decides, so no fence is needed.
+    pub(crate) fn is_closed(&self, home: Incarnation) -> bool {
+        home == self.me || self.fenced.contains(&home)
+    }
+}
+
+impl Cx<'_> {
+    pub(crate) fn push(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    pub(crate) fn send(&mut self, to: Incarnation, message: Message) {
+        self.push(Action::Send { to, message });
+    }
+
+    pub(crate) fn permit(&mut self, request: RequestId) {
+        self.push(Action::Permit { request });
+    }
+
+    pub(crate) fn refuse(&mut self, request: RequestId, reason: Reason, run: Run) {
+        let retry_after = match reason {
+            Reason::StoreOut | Reason::InProgress | Reason::Overloaded | Reason::Leaving => {
+                Some(RETRY_AFTER)
+            }
+            Reason::HolderGone | Reason::KeyReused | Reason::AnswerCut | Reason::UpstreamFailed => {
+                None
+            }
+        };
+        self.push(Action::Refuse {
+            request,
+            refusal: Refusal {
+                reason,
+                run,
+                retry_after,
+            },
+        });
+    }
+
+    pub(crate) fn transact(&mut self, purpose: Purpose, transaction: Transaction) {
+        let op = self.shared.ops.insert(purpose);
+        self.push(Action::Transact { op, transaction });
+    }
+
+    pub(crate) fn read(&mut self, purpose: Purpose, key: String) {
+        let op = self.shared.ops.insert(purpose);
+        self.push(Action::Read { op, key });
+    }
+
+    pub(crate) fn arm(&mut self, after: Duration, timer: Timer) {
+        self.shared.timers.arm(self.now + after, timer);
+    }
+
+    /// When a failed write is repeated.
+    pub(crate) fn retry_at(&self) -> Duration {
+        self.now + self.shared.tuning.retry_interval
+    }
+
+    /// A number that no other claim of this process has.
+    pub(crate) fn nonce(&mut self) -> u64 {
+        self.shared.nonce += 1;
+        self.shared.nonce
+    }
+
+    pub(crate) fn table_answered(&mut self) {
+        self.shared.failures = 0;
+    }
+
+    pub(crate) fn table_failed(&mut self) {
+        self.shared.failures = self.shared.failures.saturating_add(1);
+        self.shared.failed_at = self.now;
+    }
+
+    /// Whether the table didn't answer the last writes.
+    pub(crate) fn table_out(&self) -> bool {
+        self.shared.failures >= FAILURES
+    }
+
+    /// Whether asking the table now would only make a caller wait: it failed
+    /// just before. One call a retry interval still asks, and finds out when it is back.
+    pub(crate) fn table_hopeless(&self) -> bool {
+        self.table_out() && self.now < self.shared.failed_at + self.shared.tuning.retry_interval
+    }
+}
+
+impl Cx<'_> {
+    /// Asks for the batches of `home` after the one that ends with `after`.
+    pub(crate) fn scan(
+        &mut self,
+        purpose: Purpose,
+        home: Incarnation,
+        after: Serial,
+        limit: usize,
+    ) {
+        let op = self.shared.ops.insert(purpose);
+        self.push(Action::Scan {
+            op,
+            prefix: rows::batches(home),
+            after: rows::batch(home, after),
+            limit,
+        });
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/holdings/held.rs
@@ -0,0 +1,121 @@
+//! One record that isn't in the table yet.
+
+use std::time::Duration;
+
+use kernel::{Incarnation, RequestId};
+
+use crate::cx::Cx;
+use crate::{Outcome, Record, Serial};
+
+/// One record that isn't in the table yet.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) record: Record,
+    pub(crate) lane: Lane,
+    pub(crate) phase: Phase,
+    pub(crate) since: Duration,
+    pub(crate) waiting: Vec<Waiting>,
+    copies: Vec<Copied>,
+}
+
+/// How a record gets into the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lane {
+    /// In the next batch of this incarnation.
+    Batch,
+    /// By itself, under the home that its key names.
+    Single(Incarnation),
+}
+
+/// How far a record is that gets into the table by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Nothing was done.
+    New,
+    /// Its home was asked to adopt it.
+    Offered,
+    /// No batch of its home has its key, and none ever will.
+    Absent,
+}
+
+/// What waits for a record to be safe.
+#[derive(Debug)]
+pub(crate) enum Waiting {
+    /// The end of the answer that it bills.
+    Answer(RequestId),
+    /// A repeat that gets the same answer.
+    Repeat(RequestId, Outcome),
+    /// The host at which the work ran, and its number of the record.
+    Adopter(Incarnation, Serial),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Copied {
+    to: Incarnation,
+    confirmed: bool,
+}
+
+impl Lane {
+    pub(crate) fn of(cx: &Cx, record: &Record) -> Self {
+        let home = record.key.home;
+        if home == cx.shared.me && !cx.shared.fenced.contains(&home) {
+            Self::Batch
+        } else {
+            Self::Single(home)
+        }
+    }
+}
+
+impl Held {
+    pub(crate) fn new(record: Record, lane: Lane, waiting: Vec<Waiting>, since: Duration) -> Self {
+        Self {
+            record,
+            lane,
+            phase: Phase::New,
+            since,
+            waiting,
+            copies: Vec::new(),
+        }
+    }
+
+    /// How many other hosts hold it for sure.
+    pub(crate) fn confirmed(&self) -> usize {
+        self.copies.iter().filter(|it| it.confirmed).count()
+    }
+
+    /// The hosts that hold it for sure.
+    pub(crate) fn holders(&self) -> Vec<Incarnation> {
+        self.copies
+            .iter()
+            .filter(|it| it.confirmed)
+            .map(|it| it.to)
+            .collect()
+    }
+
+    /// The hosts that may hold it.
+    pub(crate) fn receivers(&self) -> impl Iterator<Item = Incarnation> {
+        self.copies.iter().map(|it| it.to)
+    }
+
+    pub(crate) fn sent(&mut self, to: Incarnation) {
+        if self.copies.iter().all(|it| it.to != to) {
+            self.copies.push(Copied {
+                to,
+                confirmed: false,
+            });
+        }
+    }
+
+    pub(crate) fn confirm(&mut self, from: Incarnation) {
+        for copy in &mut self.copies {
+            copy.confirmed |= copy.to == from;
+        }
+    }
+
+    /// Counts on no host any more that `keeps` doesn't name.
+    pub(crate) fn lose(&mut self, keeps: impl Fn(Incarnation) -> bool) {
+        for copy in &mut self.copies {
+            copy.confirmed &= keeps(copy.to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/intake.rs
@@ -0,0 +1,359 @@
+//! Decides for each call whether it may run here.
+
+mod adopt;
+mod claim;
+mod finish;
+mod outcome;
+
+use std::time::Duration;
+
+use kernel::RequestId;
+
+use crate::book::{Book, Entry, EntryKey, State};
+use crate::calls::{Call, CallKey, Calls, Scope, Stage};
+use crate::chores::Chores;
+use crate::cx::Cx;
+use crate::holdings::{Holdings, Waiting};
+use crate::peers::Peers;
+use crate::timers::Timer;
+use crate::{Action, Arrival, Forward, Reason, Repeat, Run, Serial, Via};
+
+/// How often expired keys are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// For how long a key is kept on that can't be forgotten yet.
+const EXTENSION: Duration = Duration::from_mins(1);
+
+/// Decides for each call whether it may run here.
+///
+/// The rule that everything follows from: a key that may not run twice is
+/// decided by one incarnation alone. That is the one that minted the
+/// ticket; without a ticket it is the one whose claim is in the table. No
+/// other ever runs it, also when the decider is gone.
+#[derive(Debug, Default)]
+pub(crate) struct Intake {
+    calls: Calls,
+    book: Book,
+    pub(crate) chores: Chores,
+}
+
+/// What the parts of the ledger that a call is checked against know.
+pub(crate) struct View<'a> {
+    pub(crate) peers: &'a Peers,
+    pub(crate) holdings: &'a mut Holdings,
+}
+
+impl Intake {
+    pub(crate) fn book(&self) -> &Book {
+        &self.book
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    pub(crate) fn arrive(&mut self, cx: &mut Cx, view: &mut View, arrival: Arrival) {
+        let call = Call::new(cx.shared.me, arrival);
+        let found = match call.scope {
+            Scope::Keyless => None,
+            _ => self.book.find(&call.key),
+        };
+        let (scope, repeat) = (call.scope, call.repeat);
+        let call = self.calls.add(call);
+        if let Some(entry) = found {
+            return self.revisit(cx, view, entry, call);
+        }
+        match (scope, repeat) {
+            (Scope::Keyless, _) => self.begin(cx, view, call, Run::NotRun),
+            (Scope::Home { remaining } | Scope::Foreign { remaining }, _)
+                if remaining.is_zero() =>
+            {
+                // Its home may have run it and forgotten it since.
+                self.refuse(cx, call, Reason::HolderGone, Run::Unknown);
+            }
+            (Scope::Home { remaining }, _) => self.begin_at_home(cx, view, call, remaining),
+            (Scope::Foreign { .. } | Scope::Unticketed, Repeat::Idempotent) => {
+                self.begin(cx, view, call, Run::Unknown);
+            }
+            (Scope::Foreign { .. }, Repeat::NonIdempotent) => self.pass_on(cx, view, call),
+            (Scope::Unticketed, Repeat::NonIdempotent) => self.claim(cx, view, call),
+        }
+    }
+
+    fn is_full(&self, cx: &Cx) -> bool {
+        self.book.len() >= cx.shared.tuning.keys
+    }
+
+    /// Starts a call whose key isn't remembered.
+    fn begin(&mut self, cx: &mut Cx, view: &View, call: CallKey, run: Run) {
+        match closed(cx, view) {
+            Some(reason) => self.refuse(cx, call, reason, run),
+            None => self.start(cx, call, None),
+        }
+    }
+
+    /// Starts the first call of a key under a ticket of this incarnation:
+    /// nobody else ever ran it, and what ran here is remembered for longer
+    /// than the ticket is good.
+    fn begin_at_home(&mut self, cx: &mut Cx, view: &View, call: CallKey, remaining: Duration) {
+        let full = self.is_full(cx).then_some(Reason::Overloaded);
+        if let Some(reason) = closed(cx, view).or(full) {
+            return self.refuse(cx, call, reason, Run::NotRun);
+        }
+        let expires = cx.now + remaining + cx.shared.tuning.key_linger;
+        if let Some(entry) = self.remember(cx, call, State::Free, expires) {
+            self.start(cx, call, Some(entry));
+        }
+    }
+
+    fn remember(
+        &mut self,
+        cx: &mut Cx,
+        call: CallKey,
+        state: State,
+        expires: Duration,
+    ) -> Option<EntryKey> {
+        let call = self.calls.get_mut(call)?;
+        let entry = Entry::new(call.key.clone(), call.fingerprint, state);
+        let entry = self.book.add(entry, expires);
+        call.entry = Some(entry);
+        cx.arm(SWEEP_INTERVAL, Timer::Sweep);
+        Some(entry)
+    }
+
+    /// A call whose key is remembered.
+    fn revisit(&mut self, cx: &mut Cx, view: &mut View, entry: EntryKey, key: CallKey) {
+        let (Some(it), Some(call)) = (self.book.get_mut(entry), self.calls.get_mut(key)) else {
+            return;
+        };
+        call.entry = Some(entry);
+        let repeat = call.repeat;
+        if repeat == Repeat::NonIdempotent && it.fingerprint != call.fingerprint {
+            // Once the key is decided here, every run of it was for the other body.
+            let run = if it.state == State::Claiming {
+                Run::Unknown
+            } else {
+                Run::NotRun
+            };
+            return self.refuse(cx, key, Reason::KeyReused, run);
+        }
+        match (it.state.clone(), repeat) {
+            (State::Answered(Some(outcome)), _) => {
+                let billed = it.billed.unwrap_or_default();
+                self.replay(cx, view, key, billed, outcome);
+            }
+            (State::Free, _) => self.restart(cx, view, entry, key),
+            (_, Repeat::Idempotent) => self.begin_again(cx, view, entry, key),
+            (State::Claiming | State::Running, Repeat::NonIdempotent) => {
+                if it.waiters.len() < cx.shared.tuning.waiters {
+                    it.waiters.push_back(key);
+                } else {
+                    self.refuse(cx, key, Reason::InProgress, Run::Unknown);
+                }
+            }
+            (State::Answered(None), Repeat::NonIdempotent) => self.read_outcome(cx, key),
+            (State::Unknown, Repeat::NonIdempotent) => {
+                self.refuse(cx, key, Reason::UpstreamFailed, Run::Unknown);
+            }
+        }
+    }
+
+    /// Starts a call of a key of which nothing ever ran to an end.
+    fn restart(&mut self, cx: &mut Cx, view: &View, entry: EntryKey, call: CallKey) {
+        let sent = self.book.get(entry).map_or(0, |it| it.sent);
+        let run = if sent == 0 { Run::NotRun } else { Run::Unknown };
+        match closed(cx, view) {
+            Some(reason) => self.refuse(cx, call, reason, run),
+            None => self.start(cx, call, Some(entry)),
+        }
+    }
+
+    fn begin_again(&mut self, cx: &mut Cx, view: &View, entry: EntryKey, call: CallKey) {
+        match closed(cx, view) {
+            Some(reason) => self.refuse(cx, call, reason, Run::Unknown),
+            None => self.start(cx, call, Some(entry)),
+        }
+    }
+
+    fn start(&mut self, cx: &mut Cx, key: CallKey, entry: Option<EntryKey>) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        call.stage = Stage::Permitted { sent: 0 };
+        call.entry = entry;
+        if let Some(it) = entry.and_then(|entry| self.book.get_mut(entry)) {
+            it.running += 1;
+            if call.repeat == Repeat::NonIdempotent {
+                it.state = State::Running;
+            }
+        }
+        cx.permit(call.request.clone());
+    }
+
+    /// Starts the first call that waits for a key of which nothing ran.
+    fn start_next(&mut self, cx: &mut Cx, entry: EntryKey) {
+        while let Some(it) = self.book.get_mut(entry) {
+            let fingerprint = it.fingerprint;
+            let Some(key) = it.waiters.pop_front() else {
+                return;
+            };
+            let Some(call) = self.calls.get(key) else {
+                continue;
+            };
+            if call.fingerprint == fingerprint {
+                return self.start(cx, key, Some(entry));
+            }
+            self.refuse(cx, key, Reason::KeyReused, Run::NotRun);
+        }
+    }
+
+    /// Takes the calls that wait for a key.
+    fn take_waiters(&mut self, entry: EntryKey) -> Vec<CallKey> {
+        self.book
+            .get_mut(entry)
+            .map(|it| it.waiters.drain(..).collect())
+            .unwrap_or_default()
+    }
+
+    /// Passes a call on to its home, or looks for its answer where the home is gone.
+    fn pass_on(&mut self, cx: &mut Cx, view: &View, key: CallKey) {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        let home = call.key.home;
+        if view.peers.is_live(home) {
+            self.forward(cx, key, home);
+        } else {
+            self.read_outcome(cx, key);
+        }
+    }
+
+    fn forward(&mut self, cx: &mut Cx, key: CallKey, home: kernel::Incarnation) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        if call.via == Via::Peer {
+            return self.refuse(cx, key, Reason::InProgress, Run::Unknown);
+        }
+        call.stage = Stage::Forwarded;
+        let request = call.request.clone();
+        cx.push(Action::Forward { request, home });
+    }
+
+    /// A forwarded call has ended.
+    pub(crate) fn forwarded(&mut self, cx: &mut Cx, request: &RequestId, end: Forward) {
+        let Some(key) = self.find(request, |call| call.stage == Stage::Forwarded) else {
+            return;
+        };
+        match end {
+            Forward::Relayed => {
+                self.calls.remove(key);
+            }
+            Forward::Failed => self.read_outcome(cx, key),
+        }
+    }
+
+    /// The caller of a call that isn't permitted has gone.
+    pub(crate) fn cancel(&mut self, request: &RequestId) {
+        let Some(key) = self.find(request, |call| !call.is_permitted()) else {
+            return;
+        };
+        let entry = self.calls.remove(key).and_then(|call| call.entry);
+        if let Some(it) = entry.and_then(|entry| self.book.get_mut(entry)) {
+            it.waiters.retain(|waiter| *waiter != key);
+        }
+    }
+
+    fn find(&self, request: &RequestId, is: impl Fn(&Call) -> bool) -> Option<CallKey> {
+        let key = self.calls.find(request)?;
+        is(self.calls.get(key)?).then_some(key)
+    }
+
+    fn refuse(&mut self, cx: &mut Cx, key: CallKey, reason: Reason, run: Run) {
+        if let Some(call) = self.calls.remove(key) {
+            cx.refuse(call.request, reason, run);
+        }
+    }
+
+    /// Repeats an answer once the record that bills it is safe.
+    fn replay(
+        &mut self,
+        cx: &mut Cx,
+        view: &mut View,
+        key: CallKey,
+        billed: Serial,
+        outcome: crate::Outcome,
+    ) {
+        let Some(call) = self.calls.remove(key) else {
+            return;
+        };
+        let waiting = Waiting::Repeat(call.request, outcome);
+        if let Err(Waiting::Repeat(request, outcome)) = view.holdings.wait(billed, waiting) {
+            cx.shared.counters.replays += 1;
+            cx.push(Action::Replay { request, outcome });
+        }
+    }
+
+    /// Forgets the keys whose time is over and that nothing depends on.
+    pub(crate) fn sweep(&mut self, cx: &mut Cx, holdings: &Holdings) {
+        while let Some(entry) = self.book.take_expired(cx.now) {
+            if self.can_forget(entry, holdings) {
+                self.give_back(entry);
+                self.book.forget(entry);
+            } else {
+                self.book.extend(entry, cx.now + EXTENSION);
+            }
+        }
+        if self.book.len() > 0 {
+            cx.arm(SWEEP_INTERVAL, Timer::Sweep);
+        }
+    }
+
+    /// Whether what came of a key can still be told once it is forgotten
+    /// here: by its expired ticket, or by its claim's row.
+    fn can_forget(&self, entry: EntryKey, holdings: &Holdings) -> bool {
+        let Some(it) = self.book.get(entry) else {
+            return true;
+        };
+        let in_table = it
+            .billed
+            .is_none_or(|serial| holdings.get(serial).is_none());
+        let told = it.state != State::Unknown || it.claim.is_none() || it.marked;
+        it.is_idle() && in_table && told
+    }
+
+    /// Deletes the claim of a key of which nothing ran.
+    fn give_back(&mut self, entry: EntryKey) {
+        let Some(it) = self.book.get(entry) else {
+            return;
+        };
+        if let (State::Free, Some(claim)) = (&it.state, it.claim) {
+            self.chores.free(it.key.clone(), claim.nonce);
+        }
+    }
+
+    /// Gives back every claim of which nothing ran: this host leaves.
+    pub(crate) fn give_back_all(&mut self) {
+        let free: Vec<EntryKey> = self
+            .book
+            .entries()
+            .filter(|(_, it)| it.state == State::Free && it.claim.is_some())
+            .map(|(entry, _)| entry)
+            .collect();
+        for entry in free {
+            self.give_back(entry);
+            self.book.remove(entry);
+        }
+    }
+}
+
+/// Why no new call is started now.
+fn closed(cx: &mut Cx, view: &View) -> Option<Reason> {
+    if cx.shared.draining {
+        return Some(Reason::Leaving);
+    }
+    if view.holdings.len() >= cx.shared.tuning.held_records {
+        cx.shared.counters.refused_full += 1;
+        return Some(Reason::StoreOut);
+    }
+    None
+}
--- /dev/null
+++ b/crates/ledger/src/intake/claim.rs
@@ -0,0 +1,168 @@
+//! Claims in the table, for calls without a ticket.
+
+use crate::book::{Claiming, EntryKey, State};
+use crate::calls::CallKey;
+use crate::cx::{Cx, Purpose};
+use crate::intake::{Intake, View, closed};
+use crate::rows::Claim;
+use crate::table::{Condition, Expect, Row, Transaction, Unavailable, Written};
+use crate::timers::Timer;
+use crate::{Reason, Run, rows};
+
+impl Intake {
+    /// Claims the key of a call in the table. The call waits for it.
+    pub(super) fn claim(&mut self, cx: &mut Cx, view: &View, key: CallKey) {
+        let hopeless = cx.table_hopeless().then_some(Reason::StoreOut);
+        let full = self.is_full(cx).then_some(Reason::Overloaded);
+        if let Some(reason) = closed(cx, view).or(hopeless).or(full) {
+            // Another host may have run the key before; only the table knows.
+            return self.refuse(cx, key, reason, Run::Unknown);
+        }
+        let expires = cx.now + cx.shared.tuning.key_linger;
+        let Some(entry) = self.remember(cx, key, State::Claiming, expires) else {
+            return;
+        };
+        let claim = Claiming {
+            nonce: cx.nonce(),
+            until: cx.now + cx.shared.tuning.claim_bound,
+        };
+        if let Some(it) = self.book.get_mut(entry) {
+            it.claim = Some(claim);
+            it.waiters.push_back(key);
+        }
+        self.write_claim(cx, entry, Expect::Absent);
+    }
+
+    /// Writes the claim, for the first time or again. The nonce stays the
+    /// same, so that a write that took effect while its answer was lost is recognised.
+    fn write_claim(&mut self, cx: &mut Cx, entry: EntryKey, expect: Expect) {
+        let Some(it) = self.book.get(entry) else {
+            return;
+        };
+        let Some(claim) = it.claim else {
+            return;
+        };
+        let key = rows::claim(&it.key);
+        let row = Claim::Claimed {
+            holder: cx.shared.me,
+            nonce: claim.nonce,
+            fingerprint: it.fingerprint,
+        };
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                key: key.clone(),
+                expect,
+            }],
+            puts: vec![rows::put(key, &row)],
+            deletes: Vec::new(),
+        };
+        cx.transact(Purpose::Claim(entry), transaction);
+    }
+
+    /// Takes the answer to a claim's write.
+    pub(crate) fn claimed(&mut self, cx: &mut Cx, entry: EntryKey, result: &Written) {
+        let Some(it) = self.book.get(entry) else {
+            return;
+        };
+        match result {
+            Written::Applied => self.won(cx, entry),
+            Written::Failed { .. } => cx.read(Purpose::ReadClaim(entry), rows::claim(&it.key)),
+            Written::NotApplied => self.give_up(cx, entry),
+            Written::Unknown => self.wait_for_table(cx, entry),
+        }
+    }
+
+    /// A claim's timer: it is written again.
+    pub(crate) fn retry_claim(&mut self, cx: &mut Cx, entry: EntryKey) {
+        if self
+            .book
+            .get(entry)
+            .is_some_and(|it| it.state == State::Claiming)
+        {
+            self.write_claim(cx, entry, Expect::Absent);
+        }
+    }
+
+    fn wait_for_table(&mut self, cx: &mut Cx, entry: EntryKey) {
+        let until = self.book.get(entry).and_then(|it| it.claim);
+        if until.is_some_and(|claim| cx.now < claim.until) {
+            let at = cx.retry_at();
+            cx.shared.timers.arm(at, Timer::Claim(entry));
+        } else {
+            self.give_up(cx, entry);
+        }
+    }
+
+    /// Gives up a claim that couldn't be settled. If its write took effect all
+    /// the same, or does so later, the row names this host, and whoever finds
+    /// it passes the call on to here.
+    fn give_up(&mut self, cx: &mut Cx, entry: EntryKey) {
+        for waiter in self.take_waiters(entry) {
+            self.refuse(cx, waiter, Reason::StoreOut, Run::Unknown);
+        }
+        self.book.remove(entry);
+    }
+
+    /// The claim is in the table: only this host may run the key.
+    fn won(&mut self, cx: &mut Cx, entry: EntryKey) {
+        if let Some(it) = self.book.get_mut(entry) {
+            it.state = State::Free;
+        }
+        self.start_next(cx, entry);
+    }
+
+    /// Takes the row that was there before the claim.
+    pub(crate) fn read_claim(
+        &mut self,
+        cx: &mut Cx,
+        view: &View,
+        entry: EntryKey,
+        result: Result<Option<Row>, Unavailable>,
+    ) {
+        let Some(it) = self.book.get(entry) else {
+            return;
+        };
+        let nonce = it.claim.map_or(0, |claim| claim.nonce);
+        let row = match result {
+            Ok(Some(row)) => row,
+            // It was given back meanwhile.
+            Ok(None) => return self.write_claim(cx, entry, Expect::Absent),
+            Err(Unavailable) => return self.wait_for_table(cx, entry),
+        };
+        match serde_json::from_str(&row.value) {
+            Ok(Claim::Claimed {
+                holder,
+                nonce: found,
+                ..
+            }) if holder == cx.shared.me => {
+                if found == nonce {
+                    cx.shared.counters.lost_answers += 1;
+                    self.won(cx, entry);
+                } else {
+                    // A claim that this host gave up, whose write took effect
+                    // all the same. Nothing ran under it: a key that ran is
+                    // remembered until its row says so. It is written anew, so
+                    // that a deletion of the old one under way can't hit it.
+                    self.write_claim(cx, entry, Expect::Version(row.version));
+                }
+            }
+            claim => self.lost(cx, view, entry, claim.ok().as_ref()),
+        }
+    }
+
+    /// The key is decided elsewhere: every call that waits for it is told so.
+    fn lost(&mut self, cx: &mut Cx, view: &View, entry: EntryKey, claim: Option<&Claim>) {
+        for waiter in self.take_waiters(entry) {
+            if let Some(call) = self.calls.get_mut(waiter) {
+                call.entry = None;
+            }
+            match claim {
+                Some(Claim::Claimed { holder, .. }) if view.peers.is_live(*holder) => {
+                    self.forward(cx, waiter, *holder);
+                }
+                claim => self.tell(cx, waiter, claim, Reason::HolderGone),
+            }
+        }
+        self.book.remove(entry);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/intake/finish.rs
@@ -0,0 +1,201 @@
+//! How permitted calls go on and end.
+
+use kernel::RequestId;
+
+use crate::book::{EntryKey, State};
+use crate::calls::{Call, Scope, Stage};
+use crate::cx::Cx;
+use crate::holdings::{Lane, Waiting};
+use crate::intake::{Intake, View};
+use crate::{Action, Charge, End, Outcome, Reason, Record, Repeat, Replay, Run, Safety, Serial};
+
+impl Intake {
+    /// An attempt may leave from now on.
+    pub(crate) fn sending(&mut self, request: &RequestId) {
+        self.count_sent(request, u32::checked_add);
+    }
+
+    /// An attempt is proved not to have run.
+    pub(crate) fn returned(&mut self, request: &RequestId) {
+        self.count_sent(request, u32::checked_sub);
+    }
+
+    fn count_sent(&mut self, request: &RequestId, step: fn(u32, u32) -> Option<u32>) {
+        let Some(call) = self
+            .calls
+            .find(request)
+            .and_then(|key| self.calls.get_mut(key))
+        else {
+            return;
+        };
+        let Stage::Permitted { sent } = &mut call.stage else {
+            return;
+        };
+        // A return without a send before proves nothing and changes nothing.
+        let Some(count) = step(*sent, 1) else {
+            return;
+        };
+        *sent = count;
+        let entry = call.entry.and_then(|entry| self.book.get_mut(entry));
+        if let Some(it) = entry {
+            it.sent = step(it.sent, 1).unwrap_or(it.sent);
+        }
+    }
+
+    /// A permitted call has ended.
+    pub(crate) fn finish(&mut self, cx: &mut Cx, view: &mut View, request: &RequestId, end: End) {
+        let Some(key) = self.find(request, Call::is_permitted) else {
+            return;
+        };
+        let Some(call) = self.calls.remove(key) else {
+            return;
+        };
+        if let Some(it) = call.entry.and_then(|entry| self.book.get_mut(entry)) {
+            it.running = it.running.saturating_sub(1);
+        }
+        match end {
+            End::Answered { outcome, charge } => self.answered(cx, view, &call, outcome, charge),
+            End::Unanswered => self.unanswered(cx, &call),
+        }
+    }
+
+    fn answered(
+        &mut self,
+        cx: &mut Cx,
+        view: &mut View,
+        call: &Call,
+        outcome: Option<Outcome>,
+        charge: Charge,
+    ) {
+        let outcome = outcome.filter(|it| it.len() <= cx.shared.tuning.outcome_bytes);
+        let answer = Waiting::Answer(call.request.clone());
+        let record = to_record(call, charge, outcome.clone());
+        let lane = Lane::of(cx, &record);
+        let Some(entry) = call.entry else {
+            view.holdings.hold(cx, record, lane, vec![answer]);
+            return;
+        };
+        let billed = self.book.get(entry).and_then(|it| it.billed);
+        let serial = if let Some(serial) = billed {
+            if view.holdings.wait(serial, answer).is_err() {
+                cx.push(Action::Release {
+                    request: call.request.clone(),
+                    safety: Safety::Billed,
+                });
+            }
+            serial
+        } else {
+            view.holdings.hold(cx, record, lane, vec![answer])
+        };
+        self.note_answer(cx, entry, serial, call.repeat, outcome.clone());
+        self.tell_waiters(cx, view, entry, serial, outcome.as_ref());
+    }
+
+    fn note_answer(
+        &mut self,
+        cx: &Cx,
+        entry: EntryKey,
+        serial: Serial,
+        repeat: Repeat,
+        outcome: Option<Outcome>,
+    ) {
+        if let Some(it) = self.book.get_mut(entry) {
+            it.billed = Some(serial);
+        }
+        if outcome.is_some() || repeat == Repeat::NonIdempotent {
+            let total = cx.shared.tuning.outcome_total;
+            self.book.answer(entry, outcome, total);
+        }
+    }
+
+    fn tell_waiters(
+        &mut self,
+        cx: &mut Cx,
+        view: &mut View,
+        entry: EntryKey,
+        serial: Serial,
+        outcome: Option<&Outcome>,
+    ) {
+        for waiter in self.take_waiters(entry) {
+            match outcome {
+                Some(outcome) => self.replay(cx, view, waiter, serial, outcome.clone()),
+                None => self.refuse(cx, waiter, Reason::AnswerCut, Run::Unknown),
+            }
+        }
+    }
+
+    fn unanswered(&mut self, cx: &mut Cx, call: &Call) {
+        let sent = call.stage != Stage::Permitted { sent: 0 };
+        let run = self.run(call, sent);
+        cx.push(Action::Close {
+            request: call.request.clone(),
+            run,
+        });
+        let Some(entry) = call.entry else {
+            return;
+        };
+        if call.repeat == Repeat::Idempotent {
+            return;
+        }
+        if sent {
+            self.note_unknown(cx, entry);
+        } else {
+            if let Some(it) = self.book.get_mut(entry) {
+                it.state = State::Free;
+            }
+            self.start_next(cx, entry);
+        }
+    }
+
+    /// What is known about the execution of a call's key. It is `not_run`
+    /// only where every arrival of the key would be known here.
+    fn run(&self, call: &Call, sent: bool) -> Run {
+        let known = match call.entry.and_then(|entry| self.book.get(entry)) {
+            Some(it) => it.sent == 0,
+            None => call.scope == Scope::Keyless,
+        };
+        if known && !sent {
+            Run::NotRun
+        } else {
+            Run::Unknown
+        }
+    }
+
+    /// The key was sent and not answered: it stays unknown for ever.
+    fn note_unknown(&mut self, cx: &mut Cx, entry: EntryKey) {
+        if let Some(it) = self.book.get_mut(entry) {
+            it.state = State::Unknown;
+            if it.claim.is_some() {
+                self.chores.mark(it.key.clone(), it.fingerprint);
+            }
+        }
+        for waiter in self.take_waiters(entry) {
+            self.refuse(cx, waiter, Reason::UpstreamFailed, Run::Unknown);
+        }
+    }
+
+    /// Rows say by now that the outcome of these keys is unknown.
+    pub(crate) fn note_marked(&mut self, keys: &[kernel::RequestKey]) {
+        for key in keys {
+            let entry = self.book.find(key);
+            if let Some(it) = entry.and_then(|entry| self.book.get_mut(entry)) {
+                it.marked = true;
+            }
+        }
+    }
+}
+
+fn to_record(call: &Call, charge: Charge, outcome: Option<Outcome>) -> Record {
+    let keyed = call.scope != Scope::Keyless;
+    let replay = (keyed && call.repeat == Repeat::NonIdempotent).then_some(Replay {
+        fingerprint: call.fingerprint,
+        outcome,
+    });
+    Record {
+        serial: Serial::default(),
+        key: call.key.clone(),
+        floor: call.floor,
+        charge,
+        replay,
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/intake/outcome.rs
@@ -0,0 +1,85 @@
+//! Answers of earlier runs that are looked up in the table.
+
+use crate::calls::{CallKey, Stage};
+use crate::cx::{Cx, Purpose};
+use crate::intake::Intake;
+use crate::rows::Claim;
+use crate::table::{Row, Unavailable};
+use crate::{Action, Reason, Run, rows};
+
+impl Intake {
+    /// Looks in the table for the answer of an earlier run.
+    pub(super) fn read_outcome(&mut self, cx: &mut Cx, key: CallKey) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        call.stage = Stage::Reading;
+        let row = rows::claim(&call.key);
+        if cx.table_hopeless() {
+            return self.tell_missing(cx, key);
+        }
+        cx.read(Purpose::ReadOutcome(key), row);
+    }
+
+    /// Takes the row that was looked up.
+    pub(crate) fn outcome_read(
+        &mut self,
+        cx: &mut Cx,
+        key: CallKey,
+        result: Result<Option<Row>, Unavailable>,
+    ) {
+        let row = result.ok().flatten();
+        let claim = row.and_then(|row| serde_json::from_str::<Claim>(&row.value).ok());
+        match claim {
+            Some(claim) => self.tell(cx, key, Some(&claim), Reason::HolderGone),
+            None => self.tell_missing(cx, key),
+        }
+    }
+
+    fn tell_missing(&mut self, cx: &mut Cx, key: CallKey) {
+        let is_own = self.calls.get(key).is_some_and(|call| call.entry.is_some());
+        let reason = if is_own {
+            Reason::AnswerCut
+        } else {
+            Reason::HolderGone
+        };
+        self.tell(cx, key, None, reason);
+    }
+
+    /// Tells a call what the table says of its key; `missing` where it says nothing of use.
+    pub(super) fn tell(
+        &mut self,
+        cx: &mut Cx,
+        key: CallKey,
+        claim: Option<&Claim>,
+        missing: Reason,
+    ) {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        if claim.is_some_and(|claim| claim.fingerprint() != call.fingerprint) {
+            return self.refuse(cx, key, Reason::KeyReused, Run::NotRun);
+        }
+        match claim {
+            Some(Claim::Answered {
+                outcome: Some(outcome),
+                ..
+            }) => {
+                let request = call.request.clone();
+                self.calls.remove(key);
+                cx.shared.counters.replays += 1;
+                cx.push(Action::Replay {
+                    request,
+                    outcome: outcome.clone(),
+                });
+            }
+            Some(Claim::Answered { outcome: None, .. }) => {
+                self.refuse(cx, key, Reason::AnswerCut, Run::Unknown);
+            }
+            Some(Claim::Unknown { .. }) => {
+                self.refuse(cx, key, Reason::UpstreamFailed, Run::Unknown);
+            }
+            Some(Claim::Claimed { .. }) | None => self.refuse(cx, key, missing, Run::Unknown),
+        }
+    }
+}
--- a/crates/ledger/src/lease/row.rs
+++ b/crates/ledger/src/lease/row.rs
@@ -15,7 +15,7 @@
     pub holder: Option<Incarnation>,
     /// Rises with each new holder.
     pub fencing: Fencing,
-    /// Rises with each write of one holder, so that a holder recognises its
-    /// own write after a lost answer.
+    /// Differs with each write of one holder, so that a holder recognises its
+    /// own write after a lost answer, and knows when it sent it.
     pub renewal: u64,
 }
--- a/crates/ledger/src/lease/state.rs
+++ b/crates/ledger/src/lease/state.rs
@@ -6,7 +6,8 @@
 use kernel::Incarnation;
 use serde::{Deserialize, Serialize};
 
-use crate::lease::{Action, Event, Tuning};
+use crate::lease::{Action, Event, Row, Tuning, Written};
+use crate::table::{Expect, Unavailable};
 
 /// The number by which an endpoint tells a newer holder's order from an older one's.
 #[derive(
@@ -37,34 +38,339 @@
 }
 
 /// One candidate for the lease of one job.
+///
+/// It needs no clock in common with the others. The holder stops by its own
+/// clock, counted from before it asked for its last renewal; the next one has
+/// to see the row unchanged for longer than that on its own.
 #[derive(Debug)]
 pub struct Lease {
     me: Incarnation,
     tuning: Tuning,
+    seen: Option<Seen>,
+    held: Option<Held>,
+    /// The write that hasn't been answered.
+    writing: Option<Pending>,
+    /// Writes whose answers were lost and that may still take effect.
+    lost: Vec<Pending>,
+    /// Counts the writes, so that each writes a row that no other does.
+    writes: u64,
+    reading: bool,
+    next: Duration,
+    stage: Stage,
+}
+
+/// Whether the candidate wants the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Wanting,
+    Resigned,
+}
+
+/// The row as it was last seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Seen {
+    row: Option<(u64, Row)>,
+    /// When it was first seen like this.
+    since: Duration,
+}
+
+/// What the holder knows.
+#[derive(Clone, Debug)]
+struct Held {
+    version: u64,
+    row: Row,
+    deadline: Duration,
+    settling: Settling,
+}
+
+/// How far a new holder is with what the last one left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Settling {
+    /// Orders of the last holder may be on their way until then.
+    Until(Duration),
+    /// The state that they left is being read back.
+    ReadingBack,
+    /// Nothing of the last holder can surprise any more.
+    Done,
+}
+
+/// A write that hasn't been answered, or whose answer was lost.
+#[derive(Clone, Debug)]
+struct Pending {
+    expect: Expect,
+    row: Row,
+    /// When it was sent: what it grants counts from then.
+    started: Duration,
+    /// Whether the row belonged to somebody before.
+    takes_over: bool,
 }
 
 impl Lease {
     /// A candidate that has seen nothing.
     #[must_use]
     pub fn new(me: Incarnation, tuning: Tuning) -> Self {
-        Self { me, tuning }
+        Self {
+            me,
+            tuning,
+            seen: None,
+            held: None,
+            writing: None,
+            lost: Vec::new(),
+            writes: 0,
+            reading: false,
+            next: Duration::ZERO,
+            stage: Stage::Wanting,
+        }
     }
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
-        let _ = (self.me, event);
-        actions.push(Action::Wake {
-            at: now + self.tuning.renew_every,
-        });
+        self.lapse(now, actions);
+        match event {
+            Event::Tick => {}
+            Event::Read(result) => self.read(now, result, actions),
+            Event::Written(result) => self.written(now, result, actions),
+            Event::ReadBack => self.read_back(),
+            Event::Resign => self.resign(actions),
+        }
+        self.settle(now, actions);
+        self.step(now, actions);
+        if self.stage == Stage::Wanting {
+            actions.push(Action::Wake { at: self.wake(now) });
+        }
     }
 
     /// Whether an order may be issued now, and under which number. To be
-    /// asked before each order.
+    /// asked before each order, with the time of that moment: a holder that
+    /// was frozen finds its lease lapsed here before it has handled any event.
     ///
     /// # Errors
     /// Why not; see [`Denied`].
     pub fn order(&self, now: Duration, endpoint: Endpoint) -> Result<Fencing, Denied> {
-        let _ = (now, endpoint);
-        Err(Denied::NotHeld)
+        let held = self
+            .held
+            .as_ref()
+            .filter(|held| now < held.deadline)
+            .ok_or(Denied::NotHeld)?;
+        match (endpoint, held.settling) {
+            (Endpoint::Checks, _) | (Endpoint::Ignores, Settling::Done) => Ok(held.row.fencing),
+            (Endpoint::Ignores, _) => Err(Denied::Settling),
+        }
+    }
+
+    /// Gives up what lapsed by this host's clock.
+    fn lapse(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.held.as_ref().is_some_and(|held| now >= held.deadline) {
+            self.lose(actions);
+        }
+    }
+
+    fn lose(&mut self, actions: &mut Vec<Action>) {
+        if self.held.take().is_some() {
+            actions.push(Action::Lost);
+        }
+    }
+
+    /// Takes the row as the table has it.
+    fn read(
+        &mut self,
+        now: Duration,
+        result: Result<Option<(u64, Row)>, Unavailable>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.reading = false;
+        let Ok(row) = result else {
+            self.next = now + self.retry();
+            return;
+        };
+        if let Some((version, found)) = &row
+            && let Some(index) = self.lost.iter().position(|it| it.row == *found)
+        {
+            // The write took effect and its answer was lost.
+            let pending = self.lost.swap_remove(index);
+            return self.hold(now, *version, pending, actions);
+        }
+        let expect = row
+            .as_ref()
+            .map_or(Expect::Absent, |(version, _)| Expect::Version(*version));
+        self.lost.retain(|it| it.expect == expect);
+        let gone = self.held.as_ref().is_some_and(|held| {
+            row.as_ref()
+                .is_none_or(|(version, _)| *version != held.version)
+        });
+        if gone {
+            self.lose(actions);
+        }
+        if self.seen.as_ref().is_none_or(|seen| seen.row != row) {
+            self.seen = Some(Seen { row, since: now });
+        }
+    }
+
+    fn written(&mut self, now: Duration, result: Written, actions: &mut Vec<Action>) {
+        // The answer to giving the lease back changes nothing.
+        let Some(pending) = self.writing.take() else {
+            return;
+        };
+        match result {
+            Written::Applied { version } => self.hold(now, version, pending, actions),
+            // Somebody else wrote, or an earlier write of this candidate took
+            // effect late. The row tells.
+            Written::Failed => {
+                self.next = now;
+                self.seek(actions);
+            }
+            Written::NotApplied => self.next = now + self.retry(),
+            Written::Unknown => {
+                self.lost.push(pending);
+                self.next = now;
+                self.seek(actions);
+            }
+        }
+    }
+
+    /// The row is this candidate's. The grant counts from before the write
+    /// was sent: however long the answer took, the table can't have shown the
+    /// row to anybody before that.
+    fn hold(&mut self, now: Duration, version: u64, pending: Pending, actions: &mut Vec<Action>) {
+        let deadline = pending.started + self.tuning.length.saturating_sub(self.tuning.margin);
+        self.lost.clear();
+        let settling = match &self.held {
+            Some(held) if held.row.fencing == pending.row.fencing => held.settling,
+            _ if pending.takes_over => Settling::Until(now + self.tuning.order_bound),
+            _ => Settling::Done,
+        };
+        self.seen = Some(Seen {
+            row: Some((version, pending.row.clone())),
+            since: now,
+        });
+        self.next = pending.started + self.tuning.renew_every;
+        self.held = Some(Held {
+            version,
+            row: pending.row,
+            deadline,
+            settling,
+        });
+        self.lapse(now, actions);
+    }
+
+    /// Starts reading back once no order of the last holder can be on its way.
+    fn settle(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        if let Settling::Until(until) = held.settling
+            && now >= until
+        {
+            held.settling = Settling::ReadingBack;
+            actions.push(Action::ReadBack);
+        }
+    }
+
+    fn read_back(&mut self) {
+        if let Some(held) = &mut self.held
+            && held.settling == Settling::ReadingBack
+        {
+            held.settling = Settling::Done;
+        }
+    }
+
+    /// Renews, takes over or looks, whichever is due.
+    fn step(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let busy = self.reading || self.writing.is_some();
+        if now < self.next || busy || self.stage == Stage::Resigned {
+            return;
+        }
+        self.next = now + self.tuning.renew_every;
+        if let Some(held) = &self.held {
+            let (expect, fencing) = (Expect::Version(held.version), held.row.fencing);
+            return self.write(now, expect, fencing, false, actions);
+        }
+        match self.claim(now) {
+            Some((expect, fencing, over)) => self.write(now, expect, fencing, over, actions),
+            None => self.seek(actions),
+        }
+    }
+
+    /// On which condition and under which number the lease can be taken, and
+    /// whether from somebody, if the row as last seen is free to be taken.
+    fn claim(&self, now: Duration) -> Option<(Expect, Fencing, bool)> {
+        let seen = self.seen.as_ref()?;
+        let Some((version, row)) = &seen.row else {
+            return Some((Expect::Absent, Fencing(1), false));
+        };
+        let lapsed = now >= seen.since + self.tuning.length + self.tuning.margin;
+        let free = match row.holder {
+            None => true,
+            Some(holder) => holder == self.me || lapsed,
+        };
+        let next = Fencing(row.fencing.0 + 1);
+        free.then(|| (Expect::Version(*version), next, row.holder.is_some()))
+    }
+
+    fn write(
+        &mut self,
+        now: Duration,
+        expect: Expect,
+        fencing: Fencing,
+        takes_over: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        self.writes += 1;
+        let row = Row {
+            holder: Some(self.me),
+            fencing,
+            renewal: self.writes,
+        };
+        self.writing = Some(Pending {
+            expect,
+            row: row.clone(),
+            started: now,
+            takes_over,
+        });
+        actions.push(Action::Write { expect, row });
+    }
+
+    fn seek(&mut self, actions: &mut Vec<Action>) {
+        if !self.reading {
+            self.reading = true;
+            actions.push(Action::Read);
+        }
+    }
+
+    /// Gives the lease back, so that the next holder need not wait. To be
+    /// asked for once no order is on its way any more.
+    fn resign(&mut self, actions: &mut Vec<Action>) {
+        self.stage = Stage::Resigned;
+        self.writing = None;
+        let Some(held) = self.held.take() else {
+            return;
+        };
+        let row = Row {
+            holder: None,
+            renewal: self.writes + 1,
+            ..held.row
+        };
+        let expect = Expect::Version(held.version);
+        actions.push(Action::Lost);
+        actions.push(Action::Write { expect, row });
+    }
+
+    fn retry(&self) -> Duration {
+        self.tuning.renew_every / 4
+    }
+
+    fn wake(&self, now: Duration) -> Duration {
+        let held = self.held.as_ref();
+        let settling = held.and_then(|held| match held.settling {
+            Settling::Until(until) => Some(until),
+            Settling::ReadingBack | Settling::Done => None,
+        });
+        let deadline = held.map(|held| held.deadline);
+        let soonest = now + self.retry();
+        [Some(self.next.max(now)), deadline, settling]
+            .into_iter()
+            .flatten()
+            .min()
+            .map_or(soonest, |at| if at > now { at } else { soonest })
     }
 }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -4,7 +4,7 @@
 use kernel::{Money, ProfileName, RequestKey, Revision, VersionId};
 use serde::{Deserialize, Serialize};
 
-use crate::Outcome;
+use crate::{Fingerprint, Outcome};
 
 /// The number of a record in the incarnation that made it; it only rises.
 #[derive(
@@ -46,12 +46,40 @@
 /// The billing record of an answered request. There is one a [`RequestKey`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// Its number in the incarnation that owns it.
+    /// Its number in the incarnation that holds it.
     pub serial: Serial,
     /// The request; it names the customer.
     pub key: RequestKey,
+    /// The number from which the home's batches may hold a record of the same key.
+    pub floor: Serial,
     /// What is billed.
     pub charge: Charge,
-    /// The answer of a non-idempotent call, so that a repeat gets it when this host is gone.
+    /// For a call that may not run again, what a repeat is told.
+    pub replay: Option<Replay>,
+}
+
+/// What a repeat of a non-idempotent call is told when its host is gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replay {
+    /// What the call asks for.
+    pub fingerprint: Fingerprint,
+    /// The answer, unless it was too large to keep.
     pub outcome: Option<Outcome>,
 }
+
+impl Record {
+    /// The bytes of the answer that is kept with it.
+    pub(crate) fn outcome_bytes(&self) -> usize {
+        self.replay
+            .as_ref()
+            .and_then(|replay| replay.outcome.as_ref())
+            .map_or(0, Outcome::len)
+    }
+
+    /// Gives up the answer, so that what is billed can still be kept.
+    pub(crate) fn drop_outcome(&mut self) {
+        if let Some(replay) = &mut self.replay {
+            replay.outcome = None;
+        }
+    }
+}
--- a/crates/ledger/src/tuning.rs
+++ b/crates/ledger/src/tuning.rs
@@ -62,3 +62,14 @@
         }
     }
 }
+
+impl Tuning {
+    /// The time between two batches of a host in a fleet of `hosts`: long
+    /// enough that all of them together stay within their share of the table's writes.
+    #[must_use]
+    pub fn interval(&self, hosts: usize) -> Duration {
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let share = Duration::from_secs(hosts.into()) / self.fleet_batches_per_second.max(1);
+        self.flush_interval.max(share)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/writer.rs
@@ -0,0 +1,213 @@
+//! Writes this incarnation's records to the table in batches.
+
+use std::time::Duration;
+
+use crate::cx::{Cx, Purpose};
+use crate::holdings::Holdings;
+use crate::peers::Peers;
+use crate::table::{Row, Transaction, Unavailable, Written};
+use crate::timers::Timer;
+use crate::{Record, Serial, rows};
+
+/// The shortest time between two batches when an answer waits for the table,
+/// because there is no host to copy to.
+const URGENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Writes batches, one at a time.
+///
+/// A batch is a row of its own that must be absent, on the condition that
+/// this incarnation isn't fenced. Its contents never change once it was sent:
+/// after a lost answer the same transaction is repeated, and a row that is
+/// there already with these contents is the batch itself.
+#[derive(Debug, Default)]
+pub(crate) struct Writer {
+    flight: Option<Flight>,
+    written_at: Option<Duration>,
+    retry_at: Option<Duration>,
+}
+
+#[derive(Debug)]
+struct Flight {
+    key: String,
+    serials: Vec<Serial>,
+    transaction: Transaction,
+    stage: Stage,
+    /// Whether an answer of the table was lost before.
+    lost: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// To be sent, for the first time or again.
+    Ready,
+    /// Sent.
+    Writing,
+    /// The row that was there already is read.
+    Reading,
+}
+
+/// What a batch's answer means for everyone else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// Nothing.
+    None,
+    /// Another host has fenced this incarnation.
+    Fenced,
+}
+
+impl Writer {
+    /// Sends the next batch if it is due.
+    pub(crate) fn pump(&mut self, cx: &mut Cx, peers: &Peers, holdings: &Holdings, urgent: bool) {
+        if let Some(flight) = &mut self.flight {
+            let waits = self.retry_at.is_some_and(|at| cx.now < at);
+            if flight.stage == Stage::Ready && !waits {
+                flight.stage = Stage::Writing;
+                cx.transact(Purpose::Batch, flight.transaction.clone());
+            }
+            return;
+        }
+        let Some(due) = self.due(cx, peers, holdings, urgent) else {
+            return;
+        };
+        if due > cx.now {
+            cx.shared.timers.arm(due, Timer::Flush);
+            return;
+        }
+        self.start(cx, holdings);
+    }
+
+    /// When the next batch is due, if there is anything to write.
+    fn due(&self, cx: &Cx, peers: &Peers, holdings: &Holdings, urgent: bool) -> Option<Duration> {
+        let first = holdings.batch().next()?;
+        let since = holdings.get(first)?.since;
+        if cx.shared.draining || holdings.batch().len() >= cx.shared.tuning.batch_records {
+            return Some(cx.now);
+        }
+        if urgent {
+            let after = self.written_at.map(|at| at + URGENT_INTERVAL);
+            return Some(after.unwrap_or(cx.now));
+        }
+        Some(since + cx.shared.tuning.interval(peers.hosts()))
+    }
+
+    fn start(&mut self, cx: &mut Cx, holdings: &Holdings) {
+        let serials: Vec<Serial> = holdings
+            .batch()
+            .take(cx.shared.tuning.batch_records)
+            .collect();
+        let records: Vec<Record> = serials
+            .iter()
+            .filter_map(|serial| holdings.get(*serial))
+            .map(|held| held.record.clone())
+            .collect();
+        let Some(&last) = serials.last() else {
+            return;
+        };
+        let me = cx.shared.me;
+        let key = rows::batch(me, last);
+        let mut puts: Vec<_> = records.iter().filter_map(rows::outcome).collect();
+        puts.push(rows::put(key.clone(), &rows::Batch { records }));
+        let transaction = Transaction {
+            conditions: vec![rows::absent(key.clone()), rows::absent(rows::fence(me))],
+            puts,
+            deletes: Vec::new(),
+        };
+        cx.shared.timers.disarm(Timer::Flush);
+        cx.transact(Purpose::Batch, transaction.clone());
+        self.flight = Some(Flight {
+            key,
+            serials,
+            transaction,
+            stage: Stage::Writing,
+            lost: false,
+        });
+        self.retry_at = None;
+        self.written_at = Some(cx.now);
+    }
+
+    /// Takes the answer to a batch.
+    pub(crate) fn written(
+        &mut self,
+        cx: &mut Cx,
+        holdings: &mut Holdings,
+        result: &Written,
+    ) -> Finding {
+        let Some(flight) = &mut self.flight else {
+            return Finding::None;
+        };
+        match result {
+            Written::Applied => self.settle(cx, holdings),
+            Written::Failed { keys } if keys.contains(&flight.key) => {
+                flight.stage = Stage::Reading;
+                cx.read(Purpose::ReadBatch, flight.key.clone());
+            }
+            Written::Failed { .. } => return self.fenced(),
+            Written::NotApplied => self.retry(cx),
+            Written::Unknown => {
+                flight.lost = true;
+                self.retry(cx);
+            }
+        }
+        Finding::None
+    }
+
+    /// Takes the row that was there already.
+    pub(crate) fn read(
+        &mut self,
+        cx: &mut Cx,
+        holdings: &mut Holdings,
+        result: Result<Option<Row>, Unavailable>,
+    ) -> Finding {
+        let Some(flight) = &self.flight else {
+            return Finding::None;
+        };
+        let Ok(row) = result else {
+            self.retry(cx);
+            return Finding::None;
+        };
+        let sent = flight.transaction.puts.last().map(|put| &put.value);
+        match row {
+            Some(row) if Some(&row.value) == sent => {
+                self.settle(cx, holdings);
+                Finding::None
+            }
+            // Someone else writes in this incarnation's name. Nothing may be
+            // taken as written any more: the records are settled one by one,
+            // each against what the table has.
+            Some(_) => self.fenced(),
+            None => {
+                self.retry(cx);
+                Finding::None
+            }
+        }
+    }
+
+    fn settle(&mut self, cx: &mut Cx, holdings: &mut Holdings) {
+        let Some(flight) = self.flight.take() else {
+            return;
+        };
+        cx.shared.counters.batches += 1;
+        cx.shared.counters.lost_answers += u64::from(flight.lost);
+        holdings.settle(cx, &flight.serials);
+    }
+
+    fn retry(&mut self, cx: &mut Cx) {
+        if let Some(flight) = &mut self.flight {
+            flight.stage = Stage::Ready;
+        }
+        let at = cx.retry_at();
+        self.retry_at = Some(at);
+        cx.shared.timers.arm(at, Timer::Flush);
+    }
+
+    fn fenced(&mut self) -> Finding {
+        self.stop();
+        Finding::Fenced
+    }
+
+    /// Writes no batch of the present incarnation any more. An answer that
+    /// is still to come changes nothing: the batch is looked for in the table.
+    pub(crate) fn stop(&mut self) {
+        *self = Self::default();
+    }
+}
