Add the script language for failures over real processes

Cause: kills, freezes and outages need real processes, and the users ask for scripts in a small test language. Not run against the daemon yet, which has no whole path.

--- /dev/null
+++ b/crates/scenario/src/call.rs
@@ -0,0 +1,188 @@
+//! One call by a caller, and what came of it in a line.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fakes::Mark;
+use http::{Method, Request};
+use serde_json::{Value, json};
+
+use crate::client::{Answer, Client};
+use crate::command::Arguments;
+use crate::defaults::{CUSTOMER, KEY_PREFIX};
+
+/// A call, ready to be made.
+pub(crate) struct Call {
+    pub(crate) to: SocketAddr,
+    pub(crate) limit: Duration,
+    pub(crate) request: Request,
+    shape: Shape,
+}
+
+/// What came of a call.
+pub(crate) struct Outcome {
+    /// For the golden text.
+    pub(crate) line: String,
+    /// The session token that came with the answer.
+    pub(crate) session: Option<String>,
+}
+
+#[derive(Clone, Copy)]
+enum Shape {
+    Chat,
+    Stream,
+    Plain,
+}
+
+impl Call {
+    /// A call of the arguments: `profile=` asks for a chat, `path=` a plain service.
+    pub(crate) fn new(
+        args: &Arguments<'_>,
+        to: SocketAddr,
+        ticket: Option<String>,
+        session: Option<String>,
+    ) -> Self {
+        let customer = args.maybe("customer").unwrap_or(CUSTOMER);
+        let (shape, request) = match args.maybe("path") {
+            Some(path) => (Shape::Plain, plain(args, path)),
+            None if args.has("stream") => (Shape::Stream, chat(args, true)),
+            None => (Shape::Chat, chat(args, false)),
+        };
+        let mut request = request.header("authorization", format!("Bearer {KEY_PREFIX}{customer}"));
+        if let Some(key) = args.maybe("key") {
+            request = request.header("idempotency-key", key);
+        }
+        if let Some(ticket) = ticket {
+            request = request.header("barleypin-ticket", ticket);
+        }
+        if let Some(session) = session {
+            request = request.header("barleypin-session", session);
+        }
+        if let Some(deadline) = args.maybe("deadline_ms") {
+            request = request.header("barleypin-deadline-ms", deadline);
+        }
+        Self {
+            to,
+            limit: Duration::from_millis(args.parsed("patience_ms", 20_000)),
+            request,
+            shape,
+        }
+    }
+
+    /// Makes the call.
+    pub(crate) async fn perform(self, client: Client) -> Outcome {
+        match client.send(self.to, self.request, self.limit).await {
+            Ok(answer) if answer.status.is_success() => answered(self.shape, &answer),
+            Ok(answer) => Outcome {
+                line: refused(u16::from(answer.status), &answer.json()),
+                session: None,
+            },
+            Err(_) => Outcome {
+                line: "no answer".to_owned(),
+                session: None,
+            },
+        }
+    }
+}
+
+fn chat(args: &Arguments<'_>, stream: bool) -> Request {
+    let call = args.maybe("key").unwrap_or("unnamed");
+    let prompt = args.maybe("prompt").unwrap_or("hello");
+    let body = json!({
+        "model": args.one("profile"),
+        "class": args.maybe("class").unwrap_or("general"),
+        "stream": stream,
+        "max_tokens": 64,
+        "messages": [{"role": "user", "content": format!("[[call={call}]] {prompt}")}],
+    });
+    Request::post("/v1/chat/completions", &body)
+}
+
+fn plain(args: &Arguments<'_>, path: &str) -> Request {
+    let call = args.maybe("key").unwrap_or("unnamed");
+    let service = args.maybe("service").unwrap_or("seats");
+    let target = format!("/services/{service}{path}");
+    match args.maybe("method").unwrap_or("POST") {
+        "GET" => Request::get(format!("{target}?call={call}")),
+        _ => Request::new(Method::Post, target).json(&json!({"call": call, "seats": 2})),
+    }
+}
+
+fn answered(shape: Shape, answer: &Answer) -> Outcome {
+    let header = |name| answer.headers.get(name).map(str::to_owned);
+    let session = header("barleypin-session");
+    let moved = header("barleypin-session-moved");
+    match shape {
+        Shape::Plain => Outcome {
+            line: format!("200 execution={}", answer.json()["execution"]),
+            session,
+        },
+        Shape::Chat => {
+            let body = answer.json();
+            let text = body["choices"][0]["message"]["content"].as_str();
+            let version = header("barleypin-version").unwrap_or_default();
+            let line = told(&version, text.unwrap_or_default(), moved);
+            Outcome { line, session }
+        }
+        Shape::Stream => streamed(&answer.body, moved, session),
+    }
+}
+
+fn told(version: &str, text: &str, moved: Option<String>) -> String {
+    let whole = if Mark::is_whole(text) { "yes" } else { "NO" };
+    let wrote = Mark::parse(text).map(|it| it.version).unwrap_or_default();
+    let honest = if wrote == version {
+        ""
+    } else {
+        " WRONG-VERSION"
+    };
+    let moved = moved.map(|it| format!(" moved={it}")).unwrap_or_default();
+    format!("200 version={version} whole={whole}{honest}{moved}")
+}
+
+fn streamed(body: &[u8], moved: Option<String>, session: Option<String>) -> Outcome {
+    let body = String::from_utf8_lossy(body);
+    let mut text = String::new();
+    let mut version = String::new();
+    let mut session = session;
+    for event in body.split("\n\n") {
+        let data = event.lines().find_map(|it| it.strip_prefix("data: "));
+        let Some(data) = data else { continue };
+        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+        if event.lines().any(|it| it == "event: error") {
+            let line = format!("cut {}", refused(0, &chunk));
+            return Outcome { line, session };
+        }
+        if data == "[DONE]" {
+            let line = told(&version, &text, moved);
+            return Outcome { line, session };
+        }
+        if let Some(piece) = chunk["choices"][0]["delta"]["content"].as_str() {
+            text.push_str(piece);
+        }
+        if let Some(it) = chunk["barleypin"]["version"].as_str() {
+            it.clone_into(&mut version);
+        }
+        if let Some(it) = chunk["barleypin"]["session"].as_str() {
+            session = Some(it.to_owned());
+        }
+    }
+    Outcome {
+        line: "cut without a word".to_owned(),
+        session,
+    }
+}
+
+fn refused(status: u16, problem: &Value) -> String {
+    let word = |name: &str| problem[name].as_str().unwrap_or("?").to_owned();
+    let later = if problem["retry_after_ms"].is_null() {
+        ""
+    } else {
+        " retry-later"
+    };
+    let status = match status {
+        0 => String::new(),
+        status => format!(" {status}"),
+    };
+    format!("refused{status} {} {}{later}", word("reason"), word("run"))
+}
--- /dev/null
+++ b/crates/scenario/src/client.rs
@@ -0,0 +1,76 @@
+//! Plain calls to any process of a scenario.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Options, Pool, Repeat, Request, Status};
+use kernel::SystemClock;
+use serde_json::Value;
+
+/// More than any answer of a scenario.
+const BODY_LIMIT: usize = 16 << 20;
+
+/// A client that opens a connection of its own for each request, so that no
+/// scenario depends on what an earlier step left in a pool.
+#[derive(Clone)]
+pub(crate) struct Client {
+    http: http::Client,
+}
+
+impl Client {
+    pub(crate) fn new() -> Self {
+        let pool = Pool {
+            max_idle: 0,
+            max_age: Duration::ZERO,
+        };
+        Self {
+            http: http::Client::new(Arc::new(SystemClock::new()), pool),
+        }
+    }
+
+    /// Sends and gives the answer with its whole body, or why there is none.
+    pub(crate) async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request,
+        limit: Duration,
+    ) -> Result<Answer, String> {
+        let options = Options {
+            connect: Duration::from_secs(2),
+            first_byte: limit,
+            total: limit,
+            repeat: Repeat::Never,
+        };
+        let res = self.http.send(to, request, &options).await;
+        let res = res.map_err(|err| err.to_string())?;
+        let (status, headers) = (res.status, res.headers);
+        let body = res.body.collect(BODY_LIMIT).await;
+        Ok(Answer {
+            status,
+            headers,
+            body: body.map_err(|err| err.to_string())?,
+        })
+    }
+
+    /// The JSON that a `GET` gives, or nothing.
+    pub(crate) async fn get(&self, to: SocketAddr, target: &str, key: &str) -> Option<Value> {
+        let request = Request::get(target).header("authorization", format!("Bearer {key}"));
+        let answer = self.send(to, request, Duration::from_secs(2)).await.ok()?;
+        answer.status.is_success().then(|| answer.json())
+    }
+}
+
+/// An answer, read to its end.
+pub(crate) struct Answer {
+    pub(crate) status: Status,
+    pub(crate) headers: http::Headers,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Answer {
+    /// The body as JSON, or null.
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/defaults.rs
@@ -0,0 +1,150 @@
+//! The stand-ins and the configuration that every scenario begins with.
+
+use serde_json::{Value, json};
+
+/// The customer of every call that names no other.
+pub(crate) const CUSTOMER: &str = "kivuli";
+/// The bearer key of a customer is its name with this before it.
+pub(crate) const KEY_PREFIX: &str = "key-of-";
+/// The operators' bearer key.
+pub(crate) const OPERATOR_KEY: &str = "the operators' key of a scenario";
+
+/// One entry of the configuration.
+pub(crate) struct Entry {
+    pub(crate) kind: &'static str,
+    pub(crate) name: &'static str,
+    pub(crate) value: Value,
+}
+
+/// The configuration, in the order in which it can be accepted.
+pub(crate) fn entries() -> Vec<Entry> {
+    vec![
+        customer(CUSTOMER),
+        customer("salt"),
+        version("small@1", 100_000),
+        version("big@1", 1_000_000),
+        version("big@2", 1_000_000),
+        profile("tag", &["small@1"], "idempotent"),
+        profile("dossier", &["big@1", "big@2"], "idempotent"),
+        profile("chat", &["small@1", "big@1"], "idempotent"),
+        profile("entry", &["big@1"], "at_most_once"),
+        Entry {
+            kind: "services",
+            name: "seats",
+            value: json!({"routes": [
+                {"method": "POST", "prefix": "/holds", "repeat": "at_most_once", "priority": "urgent"},
+                {"method": "GET", "prefix": "/", "repeat": "idempotent", "priority": "urgent"},
+            ]}),
+        },
+    ]
+}
+
+/// The settings of the stand-ins, without the engines.
+pub(crate) const STAND_INS: &str = r#"
+seed = 7
+
+[versions."small@1"]
+good = { default = 0.95 }
+confidence = 0.9
+price_prompt = 100000
+price_completion = 100000
+words = 8
+token_us = 1000
+
+[versions."big@1"]
+good = { default = 1.0 }
+confidence = 0.9
+price_prompt = 1000000
+price_completion = 1000000
+words = 8
+token_us = 1000
+
+[versions."big@2"]
+good = { default = 1.0 }
+confidence = 0.9
+price_prompt = 1000000
+price_completion = 1000000
+words = 8
+token_us = 1000
+
+[[table]]
+name = "table"
+
+[[objects]]
+name = "objects"
+
+[[hosts]]
+name = "hosts"
+
+[[rating]]
+name = "rating"
+
+[[service]]
+name = "seats-1"
+service = "seats"
+data_centre = "dc-a"
+slots = 32
+queue = 64
+
+[[service]]
+name = "seats-2"
+service = "seats"
+data_centre = "dc-b"
+slots = 32
+queue = 64
+"#;
+
+/// The settings of one engine.
+pub(crate) fn engine(idx: usize, fences: &str) -> String {
+    let data_centre = ["dc-a", "dc-b", "dc-c"][idx % 3];
+    format!(
+        "\n[[engine]]\nname = \"engine-{number}\"\ndata_centre = \"{data_centre}\"\n\
+         slots = 16\nqueue = 32\nfences = {fences}\n\
+         versions = [\"small@1\", \"big@1\", \"big@2\"]\n",
+        number = idx + 1,
+    )
+}
+
+fn customer(name: &'static str) -> Entry {
+    let key = blake3::hash(format!("{KEY_PREFIX}{name}").as_bytes());
+    let value = json!({
+        "key_blake3": key.to_hex().as_str(),
+        "rate_per_s": 10_000,
+        "burst": 10_000,
+        "concurrency": 1_000,
+    });
+    Entry {
+        kind: "customers",
+        name,
+        value,
+    }
+}
+
+fn version(name: &'static str, price: u64) -> Entry {
+    let value = json!({
+        "state": "active",
+        "prompt_microcents_per_million": price,
+        "completion_microcents_per_million": price,
+    });
+    Entry {
+        kind: "versions",
+        name,
+        value,
+    }
+}
+
+fn profile(name: &'static str, allow: &[&str], repeat: &str) -> Entry {
+    let value = json!({
+        "allow": allow,
+        "quality": 0.9,
+        "cost_cap_microcents": 1_000_000_000,
+        "repeat": repeat,
+        "when_stale": "serve",
+        "customers": {CUSTOMER: {}, "salt": {}},
+    });
+    Entry {
+        kind: "profiles",
+        name,
+        value,
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/stage.rs
@@ -0,0 +1,307 @@
+//! A script's commands, one after the other.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use async_std::task::{self, JoinHandle};
+use datadriven::TestCase;
+use futures::future;
+use rustix::process::Signal;
+use serde_json::Value;
+
+use crate::call::{Call, Outcome};
+use crate::command::{Arguments, parse_line};
+use crate::defaults::{CUSTOMER, KEY_PREFIX};
+use crate::limit::until;
+use crate::records;
+use crate::world::World;
+
+/// Runs the commands of one script.
+pub struct Stage {
+    binary: PathBuf,
+    world: Option<World>,
+    begun: BTreeMap<String, JoinHandle<Outcome>>,
+    tickets: BTreeMap<String, String>,
+    sessions: BTreeMap<String, String>,
+}
+
+impl Stage {
+    /// A stage on which nothing runs yet; `binary` is the entry hosts' program.
+    #[must_use]
+    pub fn new(binary: &Path) -> Self {
+        Self {
+            binary: binary.to_owned(),
+            world: None,
+            begun: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+        }
+    }
+
+    /// Runs one command and gives the text to set against the golden one.
+    ///
+    /// # Panics
+    /// When the script is wrong, or a host doesn't come up.
+    pub fn run(&mut self, case: &TestCase) -> String {
+        let mut text = task::block_on(self.dispatch(case));
+        text.push('\n');
+        text
+    }
+
+    async fn dispatch(&mut self, case: &TestCase) -> String {
+        let args = Arguments::new(&case.args);
+        match case.directive.as_str() {
+            "start" => self.start(&args, &case.input).await,
+            "start-host" => self.start_host(&args).await,
+            "kill" => self.kill(&args),
+            "freeze" => self.signal(&args, Signal::STOP),
+            "thaw" => self.signal(&args, Signal::CONT),
+            "drain" => self.signal(&args, Signal::TERM),
+            "ended" => self.ended(&args).await,
+            "ready" => self.ready(&args).await,
+            "fault" => self.fault(&args, &case.input).await,
+            "put" => self.put(&args, &case.input).await,
+            "in-force" => self.in_force(&args).await,
+            "ticket" => self.ticket(&args).await,
+            "hand-out" => self.hand_out(&args).await,
+            "call" => self.call(&args).await,
+            "together" => self.together(&case.input).await,
+            "begin" => self.begin(&args),
+            "end" => self.end(&args).await,
+            "executions" => self.executions(&args).await,
+            "of-version" => self.of_version(&args).await,
+            "bills" => self.bills(&args).await,
+            other => panic!("there is no command {other}; docs/scripts.md lists them"),
+        }
+    }
+
+    async fn start(&mut self, args: &Arguments<'_>, extra: &str) -> String {
+        let engines = args.parsed("engines", 3);
+        let fences = args.maybe("fences").unwrap_or("true");
+        let mut world = World::start(&self.binary, engines, fences, extra).await;
+        let hosts = args.many("hosts");
+        for host in &hosts {
+            world.start_host(host).await;
+        }
+        world.configure_first(&hosts).await;
+        let revision = world.revision(hosts[0]).await;
+        self.world = Some(world);
+        format!("ready at revision {}", revision.unwrap_or_default())
+    }
+
+    async fn start_host(&mut self, args: &Arguments<'_>) -> String {
+        let host = args.one("host");
+        let world = self.world_mut();
+        world.start_host(host).await;
+        if args.has("unready") {
+            return "started".to_owned();
+        }
+        world.await_ready(host).await;
+        "ready".to_owned()
+    }
+
+    fn kill(&mut self, args: &Arguments<'_>) -> String {
+        self.world_mut().kill(args.one("host"));
+        "killed".to_owned()
+    }
+
+    fn signal(&mut self, args: &Arguments<'_>, signal: Signal) -> String {
+        self.world_mut().signal(args.one("host"), signal);
+        "sent".to_owned()
+    }
+
+    async fn ended(&mut self, args: &Arguments<'_>) -> String {
+        let status = self
+            .world_mut()
+            .ended(args.one("host"), args.within())
+            .await;
+        match status.map(|it| it.code()) {
+            Some(Some(code)) => format!("ended with exit code {code}"),
+            Some(None) => "ended by a signal".to_owned(),
+            None => "still running".to_owned(),
+        }
+    }
+
+    async fn ready(&mut self, args: &Arguments<'_>) -> String {
+        let ready = self.world().is_ready(args.one("host"), args.within());
+        if ready.await { "ready" } else { "not ready" }.to_owned()
+    }
+
+    async fn fault(&mut self, args: &Arguments<'_>, input: &str) -> String {
+        let faults = read_json(input);
+        for stand_in in args.many("at") {
+            self.world().fault(stand_in, &faults).await;
+        }
+        "switched".to_owned()
+    }
+
+    async fn put(&mut self, args: &Arguments<'_>, input: &str) -> String {
+        let target = format!("/operator/v1/{}/{}", args.one("kind"), args.one("name"));
+        let read_at = args.parsed("read_at", 0);
+        let (host, change) = (args.one("host"), args.one("change"));
+        let value = read_json(input);
+        self.world()
+            .put(host, &target, read_at, change, &value)
+            .await
+    }
+
+    async fn in_force(&mut self, args: &Arguments<'_>) -> String {
+        let revision = args.parsed("revision", 0);
+        let hosts = args.many("hosts");
+        let laggards = self.world().laggards(&hosts, revision, args.within()).await;
+        match laggards.as_slice() {
+            [] => format!("in force on {}", hosts.join(" ")),
+            laggards => format!("not in force on {}", laggards.join(" ")),
+        }
+    }
+
+    /// Asks a host for a ticket and keeps it under the host's name.
+    async fn ticket(&mut self, args: &Arguments<'_>) -> String {
+        let host = args.one("host");
+        let answer = self.ask_hand_out(host).await;
+        let ticket = answer["ticket"].as_str().map(str::to_owned);
+        let name = args.maybe("as").unwrap_or(host).to_owned();
+        match ticket {
+            Some(ticket) => {
+                self.tickets.insert(name, ticket);
+                "kept".to_owned()
+            }
+            None => "none".to_owned(),
+        }
+    }
+
+    /// Waits until a host hands out just these hosts, in any order.
+    async fn hand_out(&mut self, args: &Arguments<'_>) -> String {
+        let host = args.one("host");
+        let mut wanted = args.many("hosts");
+        wanted.sort_unstable();
+        let this = &*self;
+        let wanted = &wanted;
+        let reached = until(args.within(), || async move {
+            let answer = this.ask_hand_out(host).await;
+            (names(&answer) == *wanted).then_some(())
+        });
+        if reached.await.is_some() {
+            return format!("hands out {}", wanted.join(" "));
+        }
+        format!(
+            "hands out {}",
+            names(&self.ask_hand_out(host).await).join(" ")
+        )
+    }
+
+    async fn call(&mut self, args: &Arguments<'_>) -> String {
+        let outcome = self.prepare(args).perform(self.world().client.clone());
+        let outcome = outcome.await;
+        self.keep_session(args, outcome)
+    }
+
+    /// Calls at the same moment, a line each: `call` arguments as in a script.
+    async fn together(&self, input: &str) -> String {
+        let lines = input.lines().filter(|it| !it.trim().is_empty());
+        let given: Vec<_> = lines.map(parse_line).collect();
+        let calls = given.iter().map(|it| self.prepare(&Arguments::new(it)));
+        let client = &self.world().client;
+        let calls = calls.map(|it| it.perform(client.clone()));
+        let mut outcomes: Vec<_> = future::join_all(calls)
+            .await
+            .into_iter()
+            .map(|it| it.line)
+            .collect();
+        // Which of equal callers comes first is chance; what they are told together isn't.
+        outcomes.sort();
+        outcomes.join("\n")
+    }
+
+    fn begin(&mut self, args: &Arguments<'_>) -> String {
+        let call = self.prepare(args).perform(self.world().client.clone());
+        let name = args.one("as").to_owned();
+        self.begun.insert(name, task::spawn(call));
+        "begun".to_owned()
+    }
+
+    async fn end(&mut self, args: &Arguments<'_>) -> String {
+        let name = args.one("as");
+        let begun = self.begun.remove(name);
+        let begun = begun.unwrap_or_else(|| panic!("nothing begun as {name}"));
+        let outcome = begun.await;
+        self.keep_session(args, outcome)
+    }
+
+    /// Counts executions of a call; with `count=`, waits for so many.
+    async fn executions(&mut self, args: &Arguments<'_>) -> String {
+        let (world, call) = (self.world(), args.one("call"));
+        let wanted = args.parsed("count", 0);
+        let wait = until(args.within(), || async move {
+            (records::executions(world, call).await >= wanted).then_some(())
+        });
+        wait.await;
+        records::executions(world, call).await.to_string()
+    }
+
+    async fn of_version(&mut self, args: &Arguments<'_>) -> String {
+        let count = records::of_version(self.world(), args.one("version"));
+        count.await.to_string()
+    }
+
+    /// Counts billing records of a call; with `count=`, waits for so many.
+    async fn bills(&mut self, args: &Arguments<'_>) -> String {
+        let (world, key) = (self.world(), args.one("call"));
+        let wanted = args.parsed("count", 0);
+        let wait = until(args.within(), || async move {
+            (records::bills(world, key).await >= wanted).then_some(())
+        });
+        wait.await;
+        records::bills(world, key).await.to_string()
+    }
+
+    fn prepare(&self, args: &Arguments<'_>) -> Call {
+        let to = self.world().host(args.one("host")).callers();
+        let ticket = args.maybe("ticket").map(|it| {
+            let ticket = self.tickets.get(it);
+            ticket
+                .unwrap_or_else(|| panic!("no ticket {it} is kept"))
+                .clone()
+        });
+        let session = args.maybe("session").map(|it| {
+            let session = self.sessions.get(it);
+            session
+                .unwrap_or_else(|| panic!("no session {it} is kept"))
+                .clone()
+        });
+        Call::new(args, to, ticket, session)
+    }
+
+    fn keep_session(&mut self, args: &Arguments<'_>, outcome: Outcome) -> String {
+        if let (Some(name), Some(session)) = (args.maybe("keep_session"), outcome.session) {
+            self.sessions.insert(name.to_owned(), session);
+        }
+        outcome.line
+    }
+
+    async fn ask_hand_out(&self, host: &str) -> Value {
+        let key = format!("{KEY_PREFIX}{CUSTOMER}");
+        let to = self.world().host(host).callers();
+        let answer = self.world().client.get(to, "/v1/hosts", &key).await;
+        answer.unwrap_or_default()
+    }
+
+    fn world(&self) -> &World {
+        self.world.as_ref().expect("a script begins with `start`")
+    }
+
+    fn world_mut(&mut self) -> &mut World {
+        self.world.as_mut().expect("a script begins with `start`")
+    }
+}
+
+fn names(hand_out: &Value) -> Vec<&str> {
+    let hosts = hand_out["hosts"].as_array().into_iter().flatten();
+    let mut names: Vec<_> = hosts.filter_map(|it| it["name"].as_str()).collect();
+    names.sort_unstable();
+    names
+}
+
+fn read_json(input: &str) -> Value {
+    serde_json::from_str(input).unwrap_or_else(|err| panic!("the script's JSON is wrong: {err}"))
+}
