--- a/crates/experiment/src/report/figures.rs
+++ b/crates/experiment/src/report/figures.rs
@@ -30,6 +30,9 @@
     pub touched: f64,
     /// Verdicts on versions.
     pub quarantine: Quarantine,
+    /// By pool, the part of the slots that was in use, over the whole scenario;
+    /// the last pool is the plain service's.
+    pub use_of_pools: Vec<f64>,
     /// Attempts per step of a cascade: above one by retries and hedges only.
     pub tries: f64,
     /// Attempts per request that was sent at all.
--- a/crates/experiment/src/report/table.rs
+++ b/crates/experiment/src/report/table.rs
@@ -54,6 +54,7 @@
         "tries",
         "dispatches",
         "moved",
+        "slots in use",
         "refusals",
     ]);
     for it in &case.figures {
@@ -74,12 +75,18 @@
             format!("{:.3}", it.tries),
             format!("{:.3}", it.dispatches),
             it.moved_sessions.to_string(),
+            used(&it.use_of_pools),
             refusals.collect::<Vec<_>>().join(", "),
         ]);
     }
     finish(&table)
 }
 
+fn used(pools: &[f64]) -> String {
+    let each = pools.iter().map(|it| format!("{it:.2}"));
+    each.collect::<Vec<_>>().join(" ")
+}
+
 fn classes(case: &Case, core: &Figures) -> String {
     let mut table = table([
         "class",
--- a/crates/experiment/src/router/core/policy.rs
+++ b/crates/experiment/src/router/core/policy.rs
@@ -14,14 +14,15 @@
     workload::{Call, Class, Priority, World},
 };
 
-/// A customer's limit on its rate, as a multiple of its usual one.
-const RATE_HEADROOM: f64 = 6.0;
+/// A customer's limit on its rate, as a multiple of its usual one: loose, so that
+/// fair sharing and not the limit is what a flood meets.
+const RATE_HEADROOM: f64 = 40.0;
 
 /// Seconds of a customer's limit that may come at once.
-const BURST_SECONDS: f64 = 10.0;
+const BURST_SECONDS: f64 = 5.0;
 
 /// A customer's limit of requests in flight for each request a second of its usual rate.
-const CONCURRENCY_SECONDS: f64 = 60.0;
+const CONCURRENCY_SECONDS: f64 = 120.0;
 
 /// Calls of the plain service that one host may have in flight.
 const SERVICE_CONCURRENCY: u32 = 64;
--- a/crates/experiment/src/sim.rs
+++ b/crates/experiment/src/sim.rs
@@ -45,6 +45,8 @@
     /// By arrival.
     pub(crate) records: Vec<Record>,
     pub(crate) verdicts: Vec<VerdictNote>,
+    /// By pool, the part of its slots that was in use.
+    pub(crate) use_of_pools: Vec<f64>,
 }
 
 /// A verdict of one host on a version.
@@ -64,6 +66,8 @@
     router: Router<'a>,
     queue: Queue<Event>,
     endpoints: Vec<Endpoint>,
+    /// By endpoint, the time that slots were taken by attempts that ended.
+    busy: Vec<Duration>,
     attempts: BTreeMap<AttemptKey, Attempt>,
     records: Vec<Record>,
     /// By session.
@@ -88,6 +92,7 @@
             sim.handle(event);
         }
         Log {
+            use_of_pools: sim.use_of_pools(),
             records: sim.records,
             verdicts: sim.verdicts,
         }
@@ -110,6 +115,7 @@
             router,
             queue: Queue::new(),
             endpoints: replicas.collect(),
+            busy: vec![Duration::ZERO; world.pools.iter().map(|it| it.replicas).sum()],
             attempts: BTreeMap::new(),
             records: vec![Record::default(); arrivals.len()],
             pins: vec![None; sessions],
@@ -137,6 +143,21 @@
         }
     }
 
+    fn use_of_pools(&self) -> Vec<f64> {
+        let length = self.truth.scenario.duration.as_secs_f64();
+        let mut first = 0;
+        let mut parts = Vec::new();
+        for pool in &self.truth.world.pools {
+            let slots = u32::try_from(pool.replicas * pool.slots).unwrap_or(u32::MAX);
+            let busy = self.busy[first..first + pool.replicas]
+                .iter()
+                .sum::<Duration>();
+            parts.push(busy.as_secs_f64() / f64::from(slots) / length);
+            first += pool.replicas;
+        }
+        parts
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(idx) => self.arrive(idx),
--- a/crates/experiment/src/sim/replica.rs
+++ b/crates/experiment/src/sim/replica.rs
@@ -106,7 +106,7 @@
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return;
         };
-        let State::Running { answer, .. } = attempt.state else {
+        let State::Running { since, answer, .. } = attempt.state else {
             return;
         };
         let arrival = &self.arrivals[attempt.request];
@@ -120,6 +120,7 @@
             },
             None => End::Served,
         };
+        self.busy[endpoint] += self.now.saturating_sub(since);
         attempt.state = State::Done { answer };
         if let (Some(version), End::Answered { .. }) = (version, end) {
             let it = self.truth.world.version(version);
--- a/crates/experiment/src/tally.rs
+++ b/crates/experiment/src/tally.rs
@@ -22,8 +22,8 @@
 
 /// The counts of one router over all seeds.
 ///
-/// Only requests that arrive while a fault is in force are counted; where none
-/// is, all are.
+/// Only requests that are under way while a fault is in force are counted; where
+/// none is, all are.
 pub(crate) struct Tally<'a> {
     kind: Kind,
     world: &'a World,
@@ -40,6 +40,7 @@
     steps: u64,
     bound: f64,
     seeds: u32,
+    use_of_pools: Vec<f64>,
     quarantine: Quarantine,
 }
 
@@ -61,6 +62,7 @@
             steps: 0,
             bound: 0.0,
             seeds: 0,
+            use_of_pools: vec![0.0; world.pools.len()],
             quarantine: Quarantine::default(),
         }
     }
@@ -70,11 +72,15 @@
         self.seeds += 1;
         self.bound += bound;
         for (arrival, record) in arrivals.iter().zip(&log.records) {
-            if self.window[0] <= arrival.at && arrival.at < self.window[1] {
+            let over = record.fate != Fate::Pending && record.end < self.window[0];
+            if !over && arrival.at < self.window[1] {
                 self.add_request(arrival, record, &oracle.records[arrival.idx]);
             }
         }
         self.add_verdicts(&log.verdicts);
+        for (sum, part) in self.use_of_pools.iter_mut().zip(&log.use_of_pools) {
+            *sum += part;
+        }
     }
 
     fn add_request(&mut self, arrival: &Arrival, record: &Record, oracle: &Record) {
@@ -149,6 +155,7 @@
             harmed: float(self.harmed) / seeds,
             touched: float(self.touched) / seeds,
             quarantine: self.quarantine,
+            use_of_pools: self.use_of_pools.iter().map(|it| it / seeds).collect(),
             tries: 1.0 + ratio(self.dispatches - self.steps, self.dispatched),
             dispatches: ratio(self.dispatches, self.dispatched),
             moved_sessions: self.moved,
--- a/crates/experiment/src/workload/association.rs
+++ b/crates/experiment/src/workload/association.rs
@@ -196,22 +196,22 @@
         Pool {
             name: "small",
             replicas: 5,
-            slots: 8,
-            waiting: 16,
+            slots: 4,
+            waiting: 8,
             versions: vec![VersionIdx::SMALL],
         },
         Pool {
             name: "medium",
             replicas: 8,
-            slots: 6,
-            waiting: 12,
+            slots: 3,
+            waiting: 6,
             versions: vec![VersionIdx::MEDIUM, VersionIdx::MEDIUM_NEXT],
         },
         Pool {
             name: "large",
             replicas: 7,
             slots: 6,
-            waiting: 12,
+            waiting: 8,
             versions: vec![VersionIdx::LARGE],
         },
         Pool {
