--- a/crates/scenario/src/stage.rs
+++ b/crates/scenario/src/stage.rs
@@ -191,9 +191,17 @@
     }
 
     async fn call(&mut self, args: &Arguments<'_>) -> String {
-        let outcome = self.prepare(args).perform(self.world().client.clone());
-        let outcome = outcome.await;
-        self.keep_session(args, outcome)
+        let perform = || self.prepare(args).perform(self.world().client.clone());
+        let outcome = if args.has("until_answered") {
+            let answer = || async { Some(perform().await).filter(|it| it.line.starts_with("200")) };
+            until(args.within(), answer).await
+        } else {
+            Some(perform().await)
+        };
+        match outcome {
+            Some(it) => self.keep_session(args, it),
+            None => "not answered".to_owned(),
+        }
     }
 
     /// Calls at the same moment, a line each: `call` arguments as in a script.
