--- /dev/null
+++ b/crates/decide/src/attempt.rs
@@ -0,0 +1,56 @@
+//! An attempt in flight.
+
+use std::time::Duration;
+
+use kernel::AttemptId;
+use slotmap::{Key as _, KeyData};
+
+use crate::action::Relay;
+use crate::directory::Target;
+use crate::plan::Step;
+use crate::{replica, request};
+
+slotmap::new_key_type! {
+    /// An attempt in flight.
+    pub(crate) struct Key;
+}
+
+impl From<Key> for AttemptId {
+    fn from(key: Key) -> Self {
+        Self(key.data().as_ffi())
+    }
+}
+
+impl From<AttemptId> for Key {
+    fn from(id: AttemptId) -> Self {
+        KeyData::from_ffi(id.0).into()
+    }
+}
+
+/// An attempt from its dispatch to its end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) request: request::Key,
+    pub(crate) replica: replica::Key,
+    pub(crate) target: Target,
+    pub(crate) step: Step,
+    pub(crate) relay: Relay,
+    pub(crate) sent: Duration,
+    pub(crate) progress: Progress,
+    /// How full the endpoint was when it was sent.
+    pub(crate) fill: Fill,
+}
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    Sent,
+    Started,
+}
+
+/// How full an endpoint was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fill {
+    Free,
+    Full,
+}
--- /dev/null
+++ b/crates/decide/src/bucket.rs
@@ -0,0 +1,43 @@
+//! A token bucket.
+
+use std::time::Duration;
+
+/// A token bucket whose rate and depth are given at each use, since they
+/// change with the demand at other hosts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bucket {
+    tokens: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    pub(crate) fn new(tokens: f64, now: Duration) -> Self {
+        Self { tokens, at: now }
+    }
+
+    pub(crate) fn refill(&mut self, now: Duration, rate: f64, depth: f64) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.tokens = (self.tokens + passed * rate).min(depth);
+        self.at = now;
+    }
+
+    pub(crate) fn earn(&mut self, amount: f64, depth: f64) {
+        self.tokens = (self.tokens + amount).min(depth);
+    }
+
+    /// Takes `amount`, or nothing and returns false when there is less.
+    pub(crate) fn take(&mut self, amount: f64) -> bool {
+        let enough = self.tokens >= amount;
+        if enough {
+            self.tokens -= amount;
+        }
+        enough
+    }
+
+    /// How long until one token is there, at `rate`.
+    pub(crate) fn wait(&self, rate: f64) -> Duration {
+        const LONGEST: f64 = 3600.0;
+        let missing = (1.0 - self.tokens).max(0.0);
+        Duration::from_secs_f64((missing / rate.max(1e-9)).min(LONGEST))
+    }
+}
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -1,44 +1,91 @@
 //! The decider.
 
-use std::collections::HashMap;
+mod arrive;
+mod choose;
+mod configure;
+mod end;
+mod evidence;
+mod learn;
+mod place;
+mod plan;
+mod tick;
+mod wait;
+
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{AttemptId, Money};
 use rand_pcg::Pcg64Mcg;
+use slotmap::SlotMap;
 
-use crate::action::{Deliver, Dispatch, Relay, Session};
-use crate::arrival::{Chat, Pin, Work};
-use crate::endpoint::{Role, State, Update};
+use crate::attempt::{self, Attempt};
+use crate::bucket::Bucket;
+use crate::directory::Directory;
 use crate::event::Event;
-use crate::outcome::Outcome;
-use crate::policy::{Priority, Repeat};
-use crate::refusal::{Reason, Refusal, Run};
-use crate::{Action, Arrival, Policy, Tuning, endpoint, key};
-
-const MAX_ATTEMPTS: u32 = 4;
+use crate::health::Health;
+use crate::knowledge::Knowledge;
+use crate::limiter::Limiter;
+use crate::outbox::Outbox;
+use crate::peers::Peers;
+use crate::pilot::Pilot;
+use crate::plans::Plans;
+use crate::pool::Pools;
+use crate::request::{self, Request};
+use crate::samples::Samples;
+use crate::{Action, Policy, Tuning, endpoint, key};
+
+/// Retries that a host may make before it has seen any traffic.
+const FIRST_RETRIES: f64 = 5.0;
 
 /// Decides for one entry host.
+///
+/// Same seed, tuning and events, same actions.
 pub struct Decider {
     tuning: Tuning,
-    _random: Pcg64Mcg,
-    policy: Option<Arc<Policy>>,
-    endpoints: Vec<Update>,
-    requests: HashMap<key::Request, Pending>,
-    attempts: HashMap<AttemptId, (key::Request, endpoint::Id)>,
-    last_attempt: u64,
+    random: Pcg64Mcg,
+    policy: Arc<Policy>,
+    readiness: Readiness,
+    live: u32,
+    directory: Directory,
+    requests: SlotMap<request::Key, Request>,
+    by_id: HashMap<key::Request, request::Key>,
+    attempts: SlotMap<attempt::Key, Attempt>,
+    /// Urgent attempts that may get a second one beside them.
+    hedgeable: Vec<attempt::Key>,
+    pools: Pools,
+    knowledge: Knowledge,
+    health: Health,
+    plans: Plans,
+    limiters: Vec<Limits>,
+    peers: Peers,
+    samples: Samples,
+    outbox: Outbox,
+    pilots: Vec<Pilot>,
+    /// Last resorts that have been told.
+    told: BTreeSet<Resort>,
+    retries: Bucket,
+    sampling: Bucket,
+    next_second: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Readiness {
+    Unconfigured,
+    Configured,
 }
 
-struct Pending {
-    arrival: Arrival,
-    deadline: Duration,
-    repeat: Repeat,
-    priority: Priority,
-    version: Option<key::Version>,
-    session: Session,
-    attempts: u32,
-    run: Run,
-    started: bool,
+/// A customer's limits; those of plain services are their own, so that a flood
+/// of model requests never has its seat holds refused.
+struct Limits {
+    chat: Limiter,
+    calls: Limiter,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Resort {
+    version: key::Version,
+    profile: key::Profile,
+    customer: key::Customer,
 }
 
 impl Decider {
@@ -46,13 +93,29 @@
     #[must_use]
     pub fn new(seed: u64, tuning: Tuning) -> Self {
         Self {
+            random: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+            policy: Arc::default(),
+            readiness: Readiness::Unconfigured,
+            live: 1,
+            directory: Directory::new(&tuning.host),
+            requests: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            attempts: SlotMap::with_key(),
+            hedgeable: Vec::new(),
+            pools: Pools::default(),
+            knowledge: Knowledge::default(),
+            health: Health::default(),
+            plans: Plans::default(),
+            limiters: Vec::new(),
+            peers: Peers::default(),
+            samples: Samples::default(),
+            outbox: Outbox::default(),
+            pilots: Vec::new(),
+            told: BTreeSet::new(),
+            retries: Bucket::new(FIRST_RETRIES, Duration::ZERO),
+            sampling: Bucket::new(tuning.sample_rate, Duration::ZERO),
+            next_second: Duration::ZERO,
             tuning,
-            _random: Pcg64Mcg::new(u128::from(seed)),
-            policy: None,
-            endpoints: Vec::new(),
-            requests: HashMap::new(),
-            attempts: HashMap::new(),
-            last_attempt: 0,
         }
     }
 
@@ -62,267 +125,44 @@
         &self.tuning
     }
 
-    /// Takes an event at `now`, which never goes back, and appends what to do.
-    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
-        match event {
-            Event::Configure(policy) => self.configure(policy),
-            Event::Endpoint(update) => {
-                self.endpoints.retain(|it| {
-                    it.id.host != update.id.host || it.role_kind() != update.role_kind()
-                });
-                if update.state != State::Gone {
-                    self.endpoints.push(update);
-                }
-            }
-            Event::Arrive(arrival) => self.arrive(now, arrival, actions),
-            Event::Started { attempt } => {
-                let request = self.attempts.get(&attempt).map(|it| it.0);
-                if let Some(pending) = request.and_then(|it| self.requests.get_mut(&it)) {
-                    pending.started = true;
-                }
-            }
-            Event::Ended { attempt, outcome } => self.end(now, attempt, outcome, actions),
-            Event::Cancelled { request } => {
-                self.requests.remove(&request);
-                let attempts = self.attempts.iter().filter(|it| it.1.0 == request);
-                let attempts: Vec<_> = attempts.map(|it| *it.0).collect();
-                for attempt in attempts {
-                    self.attempts.remove(&attempt);
-                    actions.push(Action::Cancel { attempt });
-                }
-            }
-            Event::Rated(_)
-            | Event::Evidence(_)
-            | Event::Verdict { .. }
-            | Event::Hosts { .. }
-            | Event::Demand(_)
-            | Event::Tick => {}
-        }
-    }
-
-    fn configure(&mut self, policy: Arc<Policy>) {
-        if self
-            .policy
-            .as_ref()
-            .is_none_or(|it| it.revision <= policy.revision)
-        {
-            self.policy = Some(policy);
-        }
-    }
-
-    fn arrive(&mut self, now: Duration, arrival: Arrival, actions: &mut Vec<Action>) {
-        let request = arrival.request;
-        match self.admit(now, arrival) {
-            Ok(pending) => {
-                self.requests.insert(request, pending);
-                self.dispatch(now, request, actions);
-            }
-            Err(reason) => actions.push(refuse(request, reason, Run::NotRun)),
-        }
+    /// The policy in force.
+    #[must_use]
+    pub fn policy(&self) -> &Arc<Policy> {
+        &self.policy
     }
 
-    fn admit(&self, now: Duration, arrival: Arrival) -> Result<Pending, Reason> {
-        let policy = self.policy.as_ref().ok_or(Reason::NotReady)?;
-        let (repeat, priority, deadline) = match &arrival.work {
-            Work::Chat(chat) => {
-                let profile = policy.profiles.get(chat.profile.index());
-                let profile = profile.ok_or(Reason::UnknownProfile)?;
-                (profile.repeat, profile.priority, profile.deadline)
-            }
-            Work::Call(call) => {
-                let service = policy.services.get(call.service.index());
-                let service = service.ok_or(Reason::UnknownService)?;
-                (
-                    call.repeat.unwrap_or(service.repeat),
-                    service.priority,
-                    service.deadline,
-                )
-            }
-        };
-        Ok(Pending {
-            deadline: arrival.deadline.unwrap_or(now + deadline),
-            repeat,
-            priority: arrival.priority.unwrap_or(priority),
-            version: None,
-            session: Session::Free,
-            attempts: 0,
-            run: Run::NotRun,
-            started: false,
-            arrival,
-        })
+    /// The endpoints that this host sends to; the load of others needn't be
+    /// asked for. Changes with `Configure` and `Endpoint` events.
+    #[must_use]
+    pub fn watched(&self) -> Vec<endpoint::Id> {
+        self.directory.watched()
     }
 
-    fn dispatch(&mut self, now: Duration, request: key::Request, actions: &mut Vec<Action>) {
-        let Some(policy) = self.policy.clone() else {
-            return;
-        };
-        let Some(pending) = self.requests.get_mut(&request) else {
-            return;
-        };
-        let run = pending.run;
-        let choice = match &pending.arrival.work {
-            Work::Chat(chat) => {
-                choose(&policy, pending.arrival.customer, chat).map(|it| (Some(it.0), it.1))
-            }
-            Work::Call(_) => Ok((None, Session::Free)),
-        };
-        let choice = choice.and_then(|(version, session)| {
-            let endpoint = find(&self.endpoints, &policy, &pending.arrival.work, version)?;
-            Ok((version, session, endpoint))
-        });
-        let (version, session, endpoint) = match choice {
-            Ok(it) => it,
-            Err(reason) => {
-                self.requests.remove(&request);
-                return actions.push(refuse(request, reason, run));
-            }
-        };
-        self.last_attempt += 1;
-        pending.attempts += 1;
-        pending.version = version;
-        pending.session = session;
-        let attempt = AttemptId(self.last_attempt);
-        self.attempts.insert(attempt, (request, endpoint));
-        actions.push(Action::Dispatch(Dispatch {
-            request,
-            attempt,
-            endpoint,
-            version,
-            relay: Relay::Now,
-            timeout: pending.deadline.saturating_sub(now),
-            revision: policy.revision,
-            session,
-            number: pending.attempts,
-            priority: pending.priority,
-        }));
+    /// Requests that have arrived and have not ended.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.requests.len()
     }
 
-    fn end(
-        &mut self,
-        now: Duration,
-        attempt: AttemptId,
-        outcome: Outcome,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some((request, _)) = self.attempts.remove(&attempt) else {
-            return;
-        };
-        let Some(pending) = self.requests.get_mut(&request) else {
-            return;
-        };
-        if !outcome.not_run() {
-            pending.run = Run::Unknown;
-        }
-        let cost = match (outcome, pending.version, self.policy.as_ref()) {
-            (Outcome::Answered(answer), Some(version), Some(policy)) => policy
-                .versions
-                .get(version.index())
-                .map_or(Money::ZERO, |it| {
-                    it.cost(answer.prompt_tokens.into(), answer.completion_tokens.into())
-                }),
-            _ => Money::ZERO,
-        };
-        match outcome {
-            Outcome::Answered(_) | Outcome::Served => {
-                if let (Some(version), Work::Chat(chat)) = (pending.version, &pending.arrival.work)
-                {
-                    actions.push(Action::Sample {
-                        request,
-                        attempt,
-                        version,
-                        class: chat.class,
-                    });
-                }
-                actions.push(Action::Deliver(Deliver {
-                    request,
-                    attempt,
-                    version: pending.version,
-                    cost,
-                    attempts: pending.attempts,
-                }));
-                self.requests.remove(&request);
-            }
-            _ if pending.started => {
-                actions.push(refuse(request, Reason::AnswerCut, Run::Unknown));
-                self.requests.remove(&request);
-            }
-            _ if pending.attempts < MAX_ATTEMPTS
-                && (outcome.not_run() || pending.repeat == Repeat::Idempotent) =>
-            {
-                self.dispatch(now, request, actions);
+    /// Takes an event at `now`, which never goes back, and appends what to do.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Configure(policy) => self.configure(now, policy, actions),
+            Event::Endpoint(update) => self.endpoint(now, &update, actions),
+            Event::Arrive(arrival) => self.arrive(now, arrival, actions),
+            Event::Started { attempt } => self.started(now, attempt.into(), actions),
+            Event::Ended { attempt, outcome } => {
+                self.ended(now, attempt.into(), outcome, actions);
             }
-            _ => {
-                actions.push(refuse(request, Reason::UpstreamFailed, pending.run));
-                self.requests.remove(&request);
+            Event::Cancelled { request } => self.cancelled(now, request, actions),
+            Event::Rated(rating) => self.rated(now, &rating, actions),
+            Event::Evidence(evidence) => self.evidence(now, &evidence, actions),
+            Event::Verdict { version, verdict } => {
+                self.verdict(now, &version, verdict, actions);
             }
+            Event::Hosts { live } => self.live = live.max(1),
+            Event::Demand(demand) => self.peers.heard(now, &self.policy, &demand),
+            Event::Tick => self.tick(now, actions),
         }
     }
 }
-
-impl Update {
-    fn role_kind(&self) -> Option<&str> {
-        match &self.role {
-            Role::Engine(_) => None,
-            Role::Service(name) => Some(name.as_str()),
-        }
-    }
-}
-
-fn choose(
-    policy: &Policy,
-    customer: key::Customer,
-    chat: &Chat,
-) -> Result<(key::Version, Session), Reason> {
-    let allowed = policy.allowed(chat.profile, customer);
-    if allowed.is_empty() {
-        return Err(Reason::NotAllowed);
-    }
-    let permitted = |it: &key::Version| policy.permits(chat.profile, customer, *it);
-    if let Some(Pin::Version(pin)) = chat.pin
-        && permitted(&pin)
-    {
-        return Ok((pin, Session::Kept));
-    }
-    let session = if chat.pin.is_some() {
-        Session::Moved
-    } else {
-        Session::Free
-    };
-    let strongest = allowed.iter().copied().filter(permitted);
-    strongest
-        .max_by_key(|it| policy.versions[it.index()].completion_price)
-        .map(|it| (it, session))
-        .ok_or(Reason::NoVersion)
-}
-
-fn find(
-    endpoints: &[Update],
-    policy: &Policy,
-    work: &Work,
-    version: Option<key::Version>,
-) -> Result<endpoint::Id, Reason> {
-    let serves = |it: &&Update| match (&it.role, work) {
-        (Role::Engine(versions), Work::Chat(_)) => version
-            .and_then(|it| policy.versions.get(it.index()))
-            .is_some_and(|it| versions.contains(&it.id)),
-        (Role::Service(name), Work::Call(call)) => policy
-            .services
-            .get(call.service.index())
-            .is_some_and(|it| it.name == *name),
-        _ => false,
-    };
-    let live = endpoints.iter().filter(|it| it.state == State::Live);
-    live.filter(serves)
-        .min_by_key(|it| it.load.map_or(0, |it| it.running + it.waiting))
-        .map(|it| it.id)
-        .ok_or(Reason::NoEndpoint)
-}
-
-fn refuse(request: key::Request, reason: Reason, run: Run) -> Action {
-    let refusal = Refusal {
-        reason,
-        run,
-        retry_after: None,
-    };
-    Action::Refuse { request, refusal }
-}
--- /dev/null
+++ b/crates/decide/src/decider/arrive.rs
@@ -0,0 +1,151 @@
+//! Requests that come in, and callers that go away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::Money;
+
+use super::{Decider, Readiness};
+use crate::action::Session;
+use crate::arrival::{Call, Chat, Work};
+use crate::knowledge::ClassIndex;
+use crate::plan::Plan;
+use crate::policy::{Priority, Repeat};
+use crate::refusal::{Reason, Refusal, Run};
+use crate::request::{self, Request};
+use crate::{Action, Arrival, key};
+
+/// What the policy says of a request.
+struct Terms {
+    repeat: Repeat,
+    priority: Priority,
+    deadline: Duration,
+}
+
+impl Decider {
+    /// Admits a request and sends it, or refuses it at once.
+    pub(super) fn arrive(&mut self, now: Duration, arrival: Arrival, actions: &mut Vec<Action>) {
+        let id = arrival.request;
+        if self.by_id.contains_key(&id) {
+            // A driver's mistake; answering would end the first request twice.
+            return;
+        }
+        match self.admit(now, arrival) {
+            Ok(key) => self.place(now, key, actions),
+            Err(refusal) => actions.push(Action::Refuse {
+                request: id,
+                refusal,
+            }),
+        }
+    }
+
+    /// The caller went away: nothing is sent for it any more.
+    pub(super) fn cancelled(&mut self, now: Duration, id: key::Request, actions: &mut Vec<Action>) {
+        if let Some(key) = self.by_id.get(&id).copied() {
+            self.close(now, key, actions);
+        }
+    }
+
+    fn admit(&mut self, now: Duration, arrival: Arrival) -> Result<request::Key, Refusal> {
+        if self.readiness == Readiness::Unconfigured {
+            return Err(not_run(Reason::NotReady));
+        }
+        let terms = self.terms(&arrival).map_err(not_run)?;
+        let deadline = arrival.deadline.unwrap_or(now + terms.deadline);
+        if deadline <= now {
+            return Err(not_run(Reason::Deadline));
+        }
+        self.admit_customer(now, &arrival)?;
+        let class = self.class(&arrival.work);
+        let id = arrival.request;
+        let key = self.requests.insert(Request {
+            id,
+            customer: arrival.customer,
+            work: arrival.work,
+            class,
+            priority: arrival.priority.unwrap_or(terms.priority),
+            repeat: terms.repeat,
+            deadline,
+            plan: Plan::default(),
+            step: 0,
+            session: Session::Free,
+            attempts: 0,
+            spent: Money::ZERO,
+            run: Run::NotRun,
+            flights: [None; 2],
+            kept: None,
+            relayed: false,
+            avoid: None,
+            failed: None,
+            waits: None,
+        });
+        self.by_id.insert(id, key);
+        self.retries.earn(self.tuning.retry_share, MOST_RETRIES);
+        Ok(key)
+    }
+
+    fn terms(&self, arrival: &Arrival) -> Result<Terms, Reason> {
+        match &arrival.work {
+            Work::Chat(chat) => self.chat_terms(arrival.customer, chat),
+            Work::Call(call) => self.call_terms(call),
+        }
+    }
+
+    fn chat_terms(&self, customer: key::Customer, chat: &Chat) -> Result<Terms, Reason> {
+        let profile = self.policy.profiles.get(chat.profile.index());
+        let profile = profile.ok_or(Reason::UnknownProfile)?;
+        if self.policy.allowed(chat.profile, customer).is_empty() {
+            return Err(Reason::NotAllowed);
+        }
+        Ok(Terms {
+            repeat: profile.repeat,
+            priority: profile.priority,
+            deadline: profile.deadline,
+        })
+    }
+
+    fn call_terms(&self, call: &Call) -> Result<Terms, Reason> {
+        let service = self.policy.services.get(call.service.index());
+        let service = service.ok_or(Reason::UnknownService)?;
+        Ok(Terms {
+            repeat: call.repeat.unwrap_or(service.repeat),
+            priority: service.priority,
+            deadline: service.deadline,
+        })
+    }
+
+    fn admit_customer(&mut self, now: Duration, arrival: &Arrival) -> Result<(), Refusal> {
+        let policy = Arc::clone(&self.policy);
+        let at = arrival.customer.index();
+        let limits = policy.customers.get(at).zip(self.limiters.get_mut(at));
+        let Some((customer, limits)) = limits else {
+            return Err(not_run(Reason::NotAllowed));
+        };
+        match arrival.work {
+            Work::Chat(_) => limits.chat.admit(now, customer),
+            Work::Call(_) => limits.calls.admit(now, customer),
+        }
+    }
+
+    fn class(&mut self, work: &Work) -> ClassIndex {
+        match work {
+            Work::Chat(chat) => {
+                let class = self.knowledge.class(chat.class);
+                self.knowledge.arrived(class, chat.prompt_tokens);
+                class
+            }
+            Work::Call(_) => ClassIndex(0),
+        }
+    }
+}
+
+/// The most retries that may be saved up for a bad moment.
+const MOST_RETRIES: f64 = 20.0;
+
+fn not_run(reason: Reason) -> Refusal {
+    Refusal {
+        reason,
+        run: Run::NotRun,
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/choose.rs
@@ -0,0 +1,234 @@
+//! The choice of versions.
+
+use std::time::Duration;
+
+use super::place::Next;
+use super::{Decider, Resort};
+use crate::action::Session;
+use crate::arrival::{Chat, Pin, Work};
+use crate::directory::Target;
+use crate::knowledge::ClassIndex;
+use crate::plan::{Plan, STEPS, Step};
+use crate::policy::{Priority, Repeat};
+use crate::refusal::Reason;
+use crate::request::Request;
+use crate::tuning::Pins;
+use crate::{Action, key, request};
+
+/// How far below the target a version may be expected and still stand in for
+/// one that has no room.
+const SPILL_SLACK: f64 = 0.02;
+
+/// A request for an answer and what its choice depends on.
+pub(super) struct Ask {
+    pub(super) profile: key::Profile,
+    pub(super) customer: key::Customer,
+    pub(super) class: ClassIndex,
+    /// The most steps of its plan.
+    pub(super) steps: usize,
+}
+
+impl Decider {
+    /// What the request needs next, by the newest policy. Asked again before
+    /// each dispatch, so that a version that was withdrawn while the request
+    /// waited or was tried elsewhere gets nothing more.
+    pub(super) fn next(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        actions: &mut Vec<Action>,
+    ) -> Result<Next, Reason> {
+        let request = self.requests.get(key).ok_or(Reason::NoEndpoint)?;
+        let chat = match &request.work {
+            Work::Call(call) => {
+                let target = Target::Service(call.service);
+                let known = self.policy.services.get(call.service.index());
+                known.ok_or(Reason::UnknownService)?;
+                self.reach(target)?;
+                let step = Step::default();
+                return Ok(Next { target, step });
+            }
+            Work::Chat(chat) => chat.clone(),
+        };
+        let step = self.version_step(now, key, &chat, actions)?;
+        let step = self.affordable(key, &chat, step)?;
+        let target = Target::Version(step.version);
+        Ok(Next { target, step })
+    }
+
+    /// Other versions that could answer the request, the cheapest first.
+    pub(super) fn alternatives(&self, key: request::Key) -> Vec<Next> {
+        let Some(request) = self.requests.get(key) else {
+            return Vec::new();
+        };
+        let Work::Chat(chat) = &request.work else {
+            return Vec::new();
+        };
+        if request.session == Session::Kept || request.kept.is_some() {
+            return Vec::new();
+        }
+        let ask = Ask::new(request, chat);
+        let tried = request.plan.step(request.step).map(|it| it.version);
+        let target = self.policy.profiles[chat.profile.index()].target;
+        let mut it = self.forecasts(&ask);
+        it.retain(|it| Some(it.version) != tried && it.quality() >= target - SPILL_SLACK);
+        it.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let nexts = it.into_iter().map(|it| Next {
+            target: Target::Version(it.version),
+            step: Step::last(it.version),
+        });
+        nexts
+            .filter(|it| self.fits_cap(key, chat, it.step))
+            .collect()
+    }
+
+    /// Another version for a request that `failed` has failed.
+    pub(super) fn replacement(&self, key: request::Key, failed: key::Version) -> Option<Plan> {
+        let request = self.requests.get(key)?;
+        let Work::Chat(chat) = &request.work else {
+            return None;
+        };
+        if request.session == Session::Kept {
+            return None;
+        }
+        let target = self.policy.profiles.get(chat.profile.index())?.target;
+        let mut it = self.forecasts(&Ask::new(request, chat));
+        it.retain(|it| it.version != failed);
+        let enough = it.iter().filter(|it| it.quality() >= target);
+        let best = enough
+            .min_by(|a, b| a.cost.total_cmp(&b.cost))
+            .or_else(|| it.iter().max_by(|a, b| a.quality().total_cmp(&b.quality())))?;
+        Some(Plan::of(&[Step::last(best.version)]))
+    }
+
+    /// The step under way if it still may be taken, else the first of a new plan.
+    fn version_step(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        chat: &Chat,
+        actions: &mut Vec<Action>,
+    ) -> Result<Step, Reason> {
+        let request = &self.requests[key];
+        let (customer, profile) = (request.customer, chat.profile);
+        if profile.index() >= self.policy.profiles.len() {
+            return Err(Reason::UnknownProfile);
+        }
+        if self.policy.allowed(profile, customer).is_empty() {
+            return Err(Reason::NotAllowed);
+        }
+        if let Some(Pin::Version(pin)) = chat.pin
+            && self.policy.permits(profile, customer, pin)
+            && !self.moves_off(pin)
+        {
+            let step = Step::last(pin);
+            let request = &mut self.requests[key];
+            request.session = Session::Kept;
+            request.plan = Plan::of(&[step]);
+            request.step = 0;
+            self.reach(Target::Version(pin))?;
+            return Ok(step);
+        }
+        let step = request.plan.step(request.step);
+        if let Some(step) = step.filter(|it| self.may_take(profile, customer, *it)) {
+            return Ok(step);
+        }
+        let mut plan = self.plan(now, key, chat, actions)?;
+        let request = &mut self.requests[key];
+        if chat.pin.is_some() {
+            // Moved once: from here on the request has no pin any more.
+            request.session = Session::Moved;
+            if let Work::Chat(chat) = &mut request.work {
+                chat.pin = None;
+            }
+        }
+        if let (Some(_), Some(last)) = (request.kept, plan.last()) {
+            plan = Plan::of(&[Step::last(last.version)]);
+        }
+        request.plan = plan;
+        request.step = 0;
+        plan.step(0).ok_or(Reason::NoVersion)
+    }
+
+    /// Whether a session leaves a quarantined version, see `docs/design/decide-sessions.md`.
+    fn moves_off(&self, pin: key::Version) -> bool {
+        match self.tuning.pins {
+            Pins::Keep => false,
+            Pins::Move => self.health.is_quarantined(pin),
+        }
+    }
+
+    pub(super) fn may_take(
+        &self,
+        profile: key::Profile,
+        customer: key::Customer,
+        step: Step,
+    ) -> bool {
+        let healthy = step.is_probe()
+            || !self.health.is_quarantined(step.version)
+            || self.is_last_resort(profile, customer, step.version);
+        healthy
+            && self.policy.permits(profile, customer, step.version)
+            && !self.directory.is_empty(Target::Version(step.version))
+    }
+
+    fn is_last_resort(
+        &self,
+        profile: key::Profile,
+        customer: key::Customer,
+        version: key::Version,
+    ) -> bool {
+        self.told.contains(&Resort {
+            version,
+            profile,
+            customer,
+        })
+    }
+
+    fn reach(&self, target: Target) -> Result<(), Reason> {
+        if self.directory.is_empty(target) {
+            return Err(Reason::NoEndpoint);
+        }
+        Ok(())
+    }
+
+    /// The step, or the best one that the request's cost cap leaves room for.
+    fn affordable(&mut self, key: request::Key, chat: &Chat, step: Step) -> Result<Step, Reason> {
+        if self.fits_cap(key, chat, step) {
+            return Ok(step);
+        }
+        let request = &self.requests[key];
+        if request.attempts > 0 || request.session == Session::Kept {
+            return Err(Reason::CostCap);
+        }
+        let mut it = self.forecasts(&Ask::new(request, chat));
+        it.retain(|it| self.fits_cap(key, chat, Step::last(it.version)));
+        let best = it.iter().max_by(|a, b| a.quality().total_cmp(&b.quality()));
+        let step = Step::last(best.ok_or(Reason::CostCap)?.version);
+        let request = &mut self.requests[key];
+        request.plan = Plan::of(&[step]);
+        request.step = 0;
+        Ok(step)
+    }
+
+    fn fits_cap(&self, key: request::Key, chat: &Chat, step: Step) -> bool {
+        let cap = self.policy.profiles.get(chat.profile.index());
+        let Some(cap) = cap.and_then(|it| it.cap) else {
+            return true;
+        };
+        let spent = self.requests.get(key).map(|it| it.spent);
+        spent.unwrap_or_default() + self.price(key, step) <= cap
+    }
+}
+
+impl Ask {
+    pub(super) fn new(request: &Request, chat: &Chat) -> Self {
+        let single = request.repeat == Repeat::AtMostOnce || request.priority == Priority::Urgent;
+        Self {
+            profile: chat.profile,
+            customer: request.customer,
+            class: request.class,
+            steps: if single { 1 } else { STEPS },
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/configure.rs
@@ -0,0 +1,183 @@
+//! A new policy, and endpoints that come and go.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Decider, Limits, Readiness};
+use crate::arrival::{Pin, Work};
+use crate::directory::Target;
+use crate::endpoint::Update;
+use crate::limiter::Limiter;
+use crate::monitor::Monitor;
+use crate::pilot::Pilot;
+use crate::plan::Plan;
+use crate::request::{self, Request};
+use crate::{Action, Policy, key};
+
+/// Where the entries of an old policy are in a new one, by old index.
+struct Moves {
+    versions: Vec<Option<key::Version>>,
+    profiles: Vec<Option<key::Profile>>,
+    customers: Vec<Option<key::Customer>>,
+    services: Vec<Option<key::Service>>,
+}
+
+impl Decider {
+    /// Puts a policy in force. A lower revision than the present one is a late
+    /// message of a slow path: it is ignored, so that nothing ever reverts.
+    pub(super) fn configure(
+        &mut self,
+        now: Duration,
+        policy: Arc<Policy>,
+        actions: &mut Vec<Action>,
+    ) {
+        let configured = self.readiness == Readiness::Configured;
+        if configured && policy.revision < self.policy.revision {
+            return;
+        }
+        self.readiness = Readiness::Configured;
+        let waiting = self.take_waiting();
+        let forward = Moves::new(&self.policy, &policy);
+        let back = Moves::new(&policy, &self.policy);
+        let old = std::mem::replace(&mut self.policy, policy);
+        self.knowledge.configure(&self.policy, &back.versions);
+        self.health.configure(&self.policy, &back.versions);
+        self.pools
+            .configure(&self.policy, &back.versions, &back.services);
+        self.plans.configure(&self.policy);
+        self.directory.configure(&self.policy);
+        self.move_limits(now, &old, &back.customers);
+        self.move_pilots(now);
+        self.told.clear();
+        self.hedgeable.clear();
+        for attempt in self.attempts.values_mut() {
+            forward.attempt(&mut attempt.target);
+            let version = attempt.step.version;
+            attempt.step.version = forward.version(version);
+        }
+        for request in self.requests.values_mut() {
+            forward.request(request);
+        }
+        for key in waiting {
+            self.place(now, key, actions);
+        }
+    }
+
+    /// Takes news of an endpoint and sends what waited for it.
+    pub(super) fn endpoint(&mut self, now: Duration, update: &Update, actions: &mut Vec<Action>) {
+        let before = self.directory.outline();
+        let key = self.directory.update(now, &self.policy, update);
+        if self.directory.outline() != before {
+            // Some version has its first endpoint or lost its last.
+            self.plans.invalidate();
+        }
+        if let Some(key) = key {
+            self.drain_replica(now, key, actions);
+        }
+    }
+
+    /// Takes all waiting requests out of the queues, those to be served first in front.
+    fn take_waiting(&mut self) -> Vec<request::Key> {
+        let mut waiting = Vec::new();
+        for target in self.pools.waiting() {
+            let Some(pool) = self.pools.get_mut(target) else {
+                continue;
+            };
+            while let Some(key) = pool.queue.pop() {
+                if let Some(request) = self.requests.get_mut(key) {
+                    request.waits = None;
+                    waiting.push(key);
+                }
+            }
+        }
+        waiting
+    }
+
+    fn move_limits(&mut self, now: Duration, old: &Policy, from: &[Option<key::Customer>]) {
+        let mut limits: Vec<Option<Limits>> = self.limiters.drain(..).map(Some).collect();
+        debug_assert_eq!(limits.len(), old.customers.len());
+        let live = f64::from(self.live);
+        for (customer, was) in self.policy.customers.iter().zip(from) {
+            let known = was.and_then(|it| limits.get_mut(it.index())?.take());
+            self.limiters.push(known.unwrap_or_else(|| Limits {
+                chat: Limiter::new(now, customer, live),
+                calls: Limiter::new(now, customer, live),
+            }));
+        }
+        self.peers.configure(from);
+    }
+
+    fn move_pilots(&mut self, now: Duration) {
+        let old = std::mem::take(&mut self.pilots);
+        for rollout in &self.policy.rollouts {
+            let known = old.iter().find(|it| it.is_of(rollout));
+            let totals = self.health.get(rollout.version).map(Monitor::totals);
+            let totals = totals.unwrap_or_default();
+            self.pilots
+                .push(Pilot::new(now, &self.policy, rollout, totals, known));
+        }
+    }
+}
+
+impl Moves {
+    fn new(from: &Policy, to: &Policy) -> Self {
+        let versions = from.versions.iter().map(|it| to.version(&it.id));
+        let profiles = from.profiles.iter().map(|it| to.profile(&it.name));
+        let customers = from.customers.iter().map(|it| to.customer(&it.name));
+        let services = from.services.iter().map(|it| to.service(&it.name));
+        Self {
+            versions: versions.collect(),
+            profiles: profiles.collect(),
+            customers: customers.collect(),
+            services: services.collect(),
+        }
+    }
+
+    /// The new key of a version. One that is gone gets a key that no policy
+    /// has, so that nothing is permitted to use it.
+    fn version(&self, old: key::Version) -> key::Version {
+        let new = self.versions.get(old.index()).copied().flatten();
+        new.unwrap_or(key::Version(u16::MAX))
+    }
+
+    fn attempt(&self, target: &mut Target) {
+        *target = match *target {
+            Target::Version(old) => Target::Version(self.version(old)),
+            Target::Service(old) => Target::Service(self.service(old)),
+        };
+    }
+
+    fn service(&self, old: key::Service) -> key::Service {
+        let new = self.services.get(old.index()).copied().flatten();
+        new.unwrap_or(key::Service(u16::MAX))
+    }
+
+    fn request(&self, request: &mut Request) {
+        let customer = self.customers.get(request.customer.index());
+        request.customer = customer
+            .copied()
+            .flatten()
+            .unwrap_or(key::Customer(u16::MAX));
+        match &mut request.work {
+            Work::Call(call) => call.service = self.service(call.service),
+            Work::Chat(chat) => {
+                let profile = self.profiles.get(chat.profile.index());
+                chat.profile = profile.copied().flatten().unwrap_or(key::Profile(u16::MAX));
+                if let Some(Pin::Version(pin)) = chat.pin {
+                    let pin = self.versions.get(pin.index()).copied().flatten();
+                    chat.pin = Some(pin.map_or(Pin::Gone, Pin::Version));
+                }
+            }
+        }
+        let steps: Vec<_> = request.plan.steps().to_vec();
+        let mut steps = steps;
+        for step in &mut steps {
+            step.version = self.version(step.version);
+        }
+        request.plan = Plan::of(&steps);
+        request.failed = request.failed.map(|it| self.version(it));
+        if let Some(kept) = &mut request.kept {
+            kept.version = self.version(kept.version);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/evidence.rs
@@ -0,0 +1,125 @@
+//! What other hosts say of versions.
+
+use std::time::Duration;
+
+use kernel::VersionId;
+
+use super::Decider;
+use super::learn::{Rated, Seen};
+use crate::action::Verdict;
+use crate::belief::{Bucket, Turn};
+use crate::directory::Target;
+use crate::evidence::{Evidence, Item};
+use crate::knowledge::ClassIndex;
+use crate::number::float;
+use crate::samples::Sample;
+use crate::{Action, key};
+
+/// Outcomes after which a host trusts its own verdict more than another's.
+const OWN_VERDICT: f64 = 50.0;
+
+impl Decider {
+    /// Takes another host's evidence.
+    pub(super) fn evidence(
+        &mut self,
+        now: Duration,
+        evidence: &Evidence,
+        actions: &mut Vec<Action>,
+    ) {
+        for item in &evidence.items {
+            if let Some(version) = self.policy.version(&item.version) {
+                self.learn_item(now, version, item, actions);
+            }
+        }
+    }
+
+    /// Takes another host's verdict, if this host has seen too little of the
+    /// version to judge: a new host doesn't have to harm callers to find out.
+    pub(super) fn verdict(
+        &mut self,
+        now: Duration,
+        version: &VersionId,
+        verdict: Verdict,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(version) = self.policy.version(version) else {
+            return;
+        };
+        self.judge(now, version, actions, |it| {
+            if it.outcomes() < OWN_VERDICT {
+                it.adopt(now, verdict);
+            }
+        });
+    }
+
+    pub(super) fn learn_item(
+        &mut self,
+        now: Duration,
+        version: key::Version,
+        item: &Item,
+        actions: &mut Vec<Action>,
+    ) {
+        let class = self.knowledge.class(item.class);
+        for bucket in Bucket::all() {
+            let at = bucket.index();
+            let first = Sample {
+                bucket,
+                turn: Turn::First,
+            };
+            let later = Sample {
+                bucket,
+                turn: Turn::Later,
+            };
+            if item.answered[at] > 0 {
+                let seen = Seen {
+                    sample: first,
+                    count: f64::from(item.answered[at]),
+                };
+                self.learn_answers(now, version, class, seen, actions);
+            }
+            for (sample, good, bad) in [
+                (first, item.good[at], item.bad[at]),
+                (later, item.later_good[at], item.later_bad[at]),
+            ] {
+                if good + bad > 0 {
+                    let rated = Rated {
+                        sample,
+                        good: f64::from(good),
+                        bad: f64::from(bad),
+                    };
+                    self.learn_rating(now, version, class, rated, actions);
+                }
+            }
+        }
+        self.learn_item_outcomes(now, version, class, item, actions);
+    }
+
+    pub(super) fn learn_item_outcomes(
+        &mut self,
+        now: Duration,
+        version: key::Version,
+        class: ClassIndex,
+        item: &Item,
+        actions: &mut Vec<Action>,
+    ) {
+        let endpoints = self.directory.len(Target::Version(version));
+        let normal = self.health.normal(version, endpoints);
+        let later = f64::from(item.later_answered);
+        let failed = f64::from(item.failed);
+        self.judge(now, version, actions, |it| {
+            if later > 0.0 {
+                it.answered(now, normal, later);
+            }
+            if failed > 0.0 {
+                it.failed(now, normal, failed, &item.failed_at);
+            }
+        });
+        let answers = item.answered.iter().sum::<u32>() + item.later_answered;
+        if answers > 0 {
+            let answers = f64::from(answers);
+            let tokens = float(item.completion_tokens) / answers;
+            let seconds = float(item.latency_ms) / 1000.0 / answers;
+            self.knowledge.measured(version, class, tokens, seconds);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/learn.rs
@@ -0,0 +1,345 @@
+//! What outcomes, ratings and other hosts' evidence teach.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::Decider;
+use crate::attempt::{self, Attempt, Fill};
+use crate::belief::{Bucket, Turn};
+use crate::directory::Target;
+use crate::event::{Quality, Rating};
+use crate::knowledge::ClassIndex;
+use crate::monitor::{Confidence, Monitor};
+use crate::outcome::{Answer, Denial, Outcome};
+use crate::samples::Sample;
+use crate::{Action, key};
+
+/// Answers after which a version's usual confidence is known.
+const ANSWERS: f64 = 60.0;
+/// Ratings after which a version's usual quality is known.
+const RATINGS: f64 = 40.0;
+/// Without that a version is only taken for bad when most of it is.
+const UNKNOWN_BAD: f64 = 0.5;
+
+/// Answers of one kind.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Seen {
+    pub(super) sample: Sample,
+    pub(super) count: f64,
+}
+
+/// Ratings of answers of one kind.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rated {
+    pub(super) sample: Sample,
+    pub(super) good: f64,
+    pub(super) bad: f64,
+}
+
+impl Decider {
+    /// Learns from how an attempt ended.
+    pub(super) fn learn(
+        &mut self,
+        now: Duration,
+        attempt: &Attempt,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(pool) = self.pools.get_mut(attempt.target) {
+            pool.departed(now);
+        }
+        self.learn_of_replica(now, attempt, outcome);
+        let Target::Version(version) = attempt.target else {
+            if outcome == Outcome::Served {
+                self.learn_seconds(now, attempt);
+            }
+            return;
+        };
+        match outcome {
+            Outcome::Answered(answer) => self.learn_answer(now, attempt, version, answer, actions),
+            Outcome::Failed | Outcome::Cut | Outcome::TimedOut => {
+                self.learn_failure(now, attempt, version, outcome, actions);
+            }
+            // Nothing ran, so nothing is said of the version.
+            Outcome::NotSent | Outcome::Denied(_) | Outcome::Served => {}
+        }
+    }
+
+    /// Asks for a rating of an answer, as far as ratings are worth having.
+    pub(super) fn sample(
+        &mut self,
+        now: Duration,
+        key: attempt::Key,
+        attempt: &Attempt,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        let rate = self.tuning.sample_rate;
+        self.sampling.refill(now, rate, rate);
+        let version = attempt.step.version;
+        let Some(request) = self.requests.get(attempt.request) else {
+            return;
+        };
+        let known = self.knowledge.ratings(version, request.class);
+        let wanted = known < 4.0 * RATINGS
+            || attempt.step.is_probe()
+            || self.health.get(version).is_some_and(Monitor::is_suspect)
+            || self.random.random::<f64>() < self.tuning.sample_share;
+        let class = self.knowledge.class_key(request.class);
+        let Some(entry) = self.policy.versions.get(version.index()) else {
+            return;
+        };
+        if !wanted || !self.sampling.take(1.0) {
+            return;
+        }
+        let sample = Sample {
+            bucket: Bucket::from(answer.confidence),
+            turn: turn(attempt, request.kept.is_some()),
+        };
+        self.samples.insert(request.id, &entry.id, sample);
+        actions.push(Action::Sample {
+            request: request.id,
+            attempt: key.into(),
+            version,
+            class,
+        });
+    }
+
+    /// Takes a rating of an answer of this host.
+    pub(super) fn rated(&mut self, now: Duration, rating: &Rating, actions: &mut Vec<Action>) {
+        let Some(version) = self.policy.version(&rating.version) else {
+            return;
+        };
+        let Some(sample) = self.samples.take(rating.request, &rating.version) else {
+            return;
+        };
+        self.outbox
+            .rated(&rating.version, rating.class, sample, rating.verdict);
+        let class = self.knowledge.class(rating.class);
+        let (good, bad) = match rating.verdict {
+            Quality::Good => (1.0, 0.0),
+            Quality::Bad => (0.0, 1.0),
+        };
+        let rated = Rated { sample, good, bad };
+        self.learn_rating(now, version, class, rated, actions);
+    }
+
+    fn learn_of_replica(&mut self, now: Duration, attempt: &Attempt, outcome: Outcome) {
+        let key = attempt.replica;
+        match outcome {
+            Outcome::Denied(Denial::Leaving | Denial::WrongIncarnation) => {
+                return self.directory.leave(key);
+            }
+            Outcome::Denied(Denial::NotLoaded) => {
+                let version = attempt.step.version;
+                if let Some(entry) = self.policy.versions.get(version.index()) {
+                    let id = entry.id.clone();
+                    self.directory.unload(key, version, &id);
+                }
+                return;
+            }
+            _ => {}
+        }
+        let Some(replica) = self.directory.get_mut(key) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered(_) | Outcome::Served => replica.succeeded(),
+            Outcome::Denied(_) => replica.overloaded(now),
+            Outcome::NotSent | Outcome::Failed | Outcome::TimedOut | Outcome::Cut => {
+                replica.failed(now);
+            }
+        }
+    }
+
+    fn learn_seconds(&mut self, now: Duration, attempt: &Attempt) {
+        let seconds = now.saturating_sub(attempt.sent).as_secs_f64();
+        if let Some(pool) = self.pools.get_mut(attempt.target) {
+            pool.answered(seconds);
+            if attempt.progress == attempt::Progress::Sent {
+                pool.first_byte(seconds);
+            }
+        }
+    }
+
+    fn learn_answer(
+        &mut self,
+        now: Duration,
+        attempt: &Attempt,
+        version: key::Version,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        self.learn_seconds(now, attempt);
+        let Some(request) = self.requests.get(attempt.request) else {
+            return;
+        };
+        let class = request.class;
+        let sample = Sample {
+            bucket: Bucket::from(answer.confidence),
+            turn: turn(attempt, request.kept.is_some()),
+        };
+        let took = now.saturating_sub(attempt.sent);
+        let usual = self.knowledge.latency(version, class);
+        if let Some(usual) = usual.and_then(|it| it.value(20))
+            && attempt.fill == Fill::Free
+        {
+            let scope = self.health.latency_scope(version);
+            let ratio = took.as_secs_f64() / usual.max(1e-3);
+            self.judge(now, version, actions, |it| it.took(now, scope, ratio));
+        }
+        let tokens = answer.completion_tokens;
+        self.knowledge
+            .measured(version, class, f64::from(tokens), took.as_secs_f64());
+        if let Some(entry) = self.policy.versions.get(version.index()) {
+            let key = self.knowledge.class_key(class);
+            self.outbox.answered(&entry.id, key, sample);
+            self.outbox.measured(&entry.id, key, tokens, took);
+        }
+        let seen = Seen { sample, count: 1.0 };
+        self.learn_answers(now, version, class, seen, actions);
+    }
+
+    pub(super) fn learn_answers(
+        &mut self,
+        now: Duration,
+        version: key::Version,
+        class: ClassIndex,
+        seen: Seen,
+        actions: &mut Vec<Action>,
+    ) {
+        let Seen { sample, count } = seen;
+        let endpoints = self.directory.len(Target::Version(version));
+        let normal = self.health.normal(version, endpoints);
+        self.judge(now, version, actions, |it| it.answered(now, normal, count));
+        if sample.turn == Turn::Later {
+            return;
+        }
+        if let Some(baseline) = self.baseline(version, class) {
+            let seen = Confidence {
+                bucket: sample.bucket,
+                normal: self.knowledge.spread(baseline, class),
+                bad: self.knowledge.bad_spread(baseline),
+                scope: self.health.quality_scope(version),
+            };
+            self.judge(now, version, actions, |it| it.confident(now, &seen, count));
+        }
+        self.knowledge
+            .answered(version, class, sample.bucket, count);
+    }
+
+    fn learn_failure(
+        &mut self,
+        now: Duration,
+        attempt: &Attempt,
+        version: key::Version,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        if outcome == Outcome::TimedOut && attempt.fill == Fill::Full {
+            // It waited in a full engine: that is overload, not the version.
+            return;
+        }
+        let endpoints = self.directory.len(Target::Version(version));
+        let normal = self.health.normal(version, endpoints);
+        let place = self.directory.get(attempt.replica).map(|it| it.id);
+        self.judge(now, version, actions, |it| {
+            it.failed(now, normal, 1.0, &[place]);
+        });
+        let request = self.requests.get(attempt.request);
+        let entry = self.policy.versions.get(version.index());
+        if let (Some(request), Some(entry), Some(place)) = (request, entry, place) {
+            let class = self.knowledge.class_key(request.class);
+            self.outbox.failed(&entry.id, class, place);
+        }
+    }
+
+    pub(super) fn learn_rating(
+        &mut self,
+        now: Duration,
+        version: key::Version,
+        class: ClassIndex,
+        rated: Rated,
+        actions: &mut Vec<Action>,
+    ) {
+        let Rated { sample, good, bad } = rated;
+        let scope = self.health.quality_scope(version);
+        let normal = self.usually_bad(version, class, sample);
+        self.judge(now, version, actions, |it| {
+            it.rated(now, scope, normal, good, bad);
+        });
+        self.knowledge
+            .rated(version, class, sample.bucket, sample.turn, good, bad);
+    }
+
+    /// The version whose past tells what is usual: itself, or the one that it
+    /// replaces as long as it has little past of its own.
+    fn baseline(&self, version: key::Version, class: ClassIndex) -> Option<key::Version> {
+        let known = |it: &key::Version| self.knowledge.answers(*it, class) >= ANSWERS;
+        if known(&version) {
+            return Some(version);
+        }
+        self.replaced(version).filter(known)
+    }
+
+    fn replaced(&self, version: key::Version) -> Option<key::Version> {
+        let mut rollouts = self.policy.rollouts.iter();
+        rollouts.find(|it| it.version == version)?.replaces
+    }
+
+    /// How often such an answer is bad as a rule.
+    fn usually_bad(&self, version: key::Version, class: ClassIndex, sample: Sample) -> f64 {
+        let known = |it: &key::Version| self.knowledge.ratings(*it, class) >= RATINGS;
+        let baseline = Some(version)
+            .filter(known)
+            .or_else(|| self.replaced(version).filter(known));
+        let of = |it: key::Version| match sample.turn {
+            Turn::First => 1.0 - self.knowledge.chance(it, class, sample.bucket).mean(),
+            Turn::Later => 1.0 - self.knowledge.later(it, class),
+        };
+        match baseline {
+            Some(it) => of(it),
+            None => of(version).max(UNKNOWN_BAD),
+        }
+    }
+
+    /// Lets `observe` look at a version, and tells of a change of its verdict.
+    pub(super) fn judge(
+        &mut self,
+        now: Duration,
+        version: key::Version,
+        actions: &mut Vec<Action>,
+        observe: impl FnOnce(&mut Monitor),
+    ) {
+        let Some(monitor) = self.health.get_mut(version) else {
+            return;
+        };
+        let before = monitor.verdict();
+        observe(monitor);
+        let verdict = monitor.verdict();
+        if verdict == before {
+            return;
+        }
+        actions.push(Action::Version { version, verdict });
+        self.health.count_quarantined();
+        self.plans.invalidate();
+        self.told.retain(|it| it.version != version);
+        let policy = Arc::clone(&self.policy);
+        if version.index() < policy.versions.len() {
+            // What waits for it is to go elsewhere.
+            self.drain(now, Target::Version(version), actions);
+        }
+    }
+}
+
+/// Whether the answer is to a request as requests come, or to one that another
+/// version's answer wasn't good enough for.
+fn turn(attempt: &Attempt, kept: bool) -> Turn {
+    if kept && !attempt.step.is_probe() {
+        Turn::Later
+    } else {
+        Turn::First
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/place.rs
@@ -0,0 +1,283 @@
+//! Sending requests, and letting them wait.
+
+use std::time::Duration;
+
+use super::Decider;
+use crate::action::{Deliver, Dispatch, Relay};
+use crate::arrival::Work;
+use crate::attempt::{Attempt, Fill, Progress};
+use crate::directory::{Target, Want};
+use crate::plan::{Plan, Step};
+use crate::policy::{Priority, Repeat};
+use crate::refusal::{Reason, Refusal};
+use crate::{Action, attempt, replica, request};
+
+/// What a request needs next.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Next {
+    pub(super) target: Target,
+    pub(super) step: Step,
+}
+
+impl Decider {
+    /// Sends the request's present step, or lets it wait, or refuses it.
+    pub(super) fn place(&mut self, now: Duration, key: request::Key, actions: &mut Vec<Action>) {
+        let next = match self.next(now, key, actions) {
+            Ok(next) => next,
+            Err(reason) => return self.give_up(now, key, reason, None, actions),
+        };
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let priority = request.priority;
+        let pool = self.pools.get(next.target);
+        let free = pool.is_some_and(|it| !it.queue.is_ahead(priority));
+        if free && self.send(now, key, next, actions) {
+            return;
+        }
+        if next.step.is_probe() {
+            // A probe isn't worth waiting for.
+            return self.skip_step(now, key, actions);
+        }
+        match self.expected_wait(now, key, next) {
+            Ok(()) => self.enqueue(key, next.target),
+            Err(refused) => {
+                if !self.spill(now, key, actions) {
+                    self.give_up(now, key, refused.reason, refused.retry_after, actions);
+                }
+            }
+        }
+    }
+
+    /// Goes on to the step after this one.
+    pub(super) fn skip_step(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.step += 1;
+            self.place(now, key, actions);
+        }
+    }
+
+    /// Sends what waits for `target`, as far as there is room.
+    pub(super) fn drain(&mut self, now: Duration, target: Target, actions: &mut Vec<Action>) {
+        while let Some(key) = self.pools.get(target).and_then(|it| it.queue.first()) {
+            let next = self.next(now, key, actions);
+            if let Ok(next) = next
+                && next.target == target
+            {
+                if !self.send(now, key, next, actions) {
+                    return;
+                }
+                continue;
+            }
+            self.unqueue(key);
+            match next {
+                Ok(_) => self.place(now, key, actions),
+                Err(reason) => self.give_up(now, key, reason, None, actions),
+            }
+        }
+    }
+
+    /// Sends what waits for anything that the endpoint serves.
+    pub(super) fn drain_replica(
+        &mut self,
+        now: Duration,
+        key: replica::Key,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(it) = self.directory.get(key) else {
+            return;
+        };
+        let versions = it.versions.iter().map(|it| Target::Version(*it));
+        let service = it.service.iter().map(|it| Target::Service(*it));
+        let mut targets: Vec<Target> = service
+            .chain(versions)
+            .filter(|it| self.pools.get(*it).is_some_and(|it| !it.queue.is_empty()))
+            .collect();
+        // The most urgent go first, whichever version they wait for.
+        targets.sort_by_key(|it| {
+            let queue = self.pools.get(*it).map(|it| &it.queue);
+            let ahead = |priority: &Priority| queue.is_some_and(|it| it.is_ahead(*priority));
+            Priority::ALL.iter().position(ahead)
+        });
+        for target in targets {
+            self.drain(now, target, actions);
+        }
+    }
+
+    /// Sends to an endpoint with room, if there is one.
+    pub(super) fn send(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        next: Next,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
+        };
+        if self.is_at_limit(next.target) {
+            return false;
+        }
+        let want = Want {
+            target: next.target,
+            priority: request.priority,
+            prefix: request.prefix(),
+            avoid: request.avoid,
+        };
+        let Some(replica) = self.directory.choose(now, &want, &mut self.random) else {
+            return false;
+        };
+        self.unqueue(key);
+        self.dispatch(now, key, next, replica, actions);
+        true
+    }
+
+    pub(super) fn dispatch(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        next: Next,
+        replica: replica::Key,
+        actions: &mut Vec<Action>,
+    ) {
+        self.charge(key, next.target);
+        let timeout = self.timeout(now, key, next);
+        let (Some(request), Some(endpoint)) =
+            (self.requests.get_mut(key), self.directory.get_mut(replica))
+        else {
+            return;
+        };
+        let relay = if next.step.threshold == 0 {
+            Relay::Now
+        } else {
+            Relay::AfterCheck
+        };
+        let fill = if endpoint.is_full() {
+            Fill::Full
+        } else {
+            Fill::Free
+        };
+        endpoint.sent();
+        let endpoint = endpoint.id;
+        let attempt = self.attempts.insert(Attempt {
+            request: key,
+            replica,
+            target: next.target,
+            step: next.step,
+            relay,
+            sent: now,
+            progress: Progress::Sent,
+            fill,
+        });
+        request.attempts += 1;
+        request.took_off(attempt);
+        let version = match next.target {
+            Target::Version(version) => Some(version),
+            Target::Service(_) => None,
+        };
+        actions.push(Action::Dispatch(Dispatch {
+            request: request.id,
+            attempt: attempt.into(),
+            endpoint,
+            version,
+            relay,
+            timeout,
+            revision: self.policy.revision,
+            session: request.session,
+            number: request.attempts,
+            priority: request.priority,
+        }));
+        if request.priority == Priority::Urgent && request.repeat == Repeat::Idempotent {
+            self.hedgeable.push(attempt);
+        }
+        let prefix = request.prefix();
+        self.directory.remember(prefix, replica);
+    }
+
+    /// The answer that is kept, or a refusal that says what is known of the run.
+    pub(super) fn give_up(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        reason: Reason,
+        retry_after: Option<Duration>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        if let Some(kept) = request.kept
+            && !request.relayed
+        {
+            let deliver = Deliver {
+                request: request.id,
+                attempt: kept.attempt,
+                version: Some(kept.version),
+                cost: request.spent,
+                attempts: request.attempts,
+            };
+            self.close(now, key, actions);
+            return actions.push(Action::Deliver(deliver));
+        }
+        let refusal = Refusal {
+            reason,
+            run: request.run,
+            retry_after,
+        };
+        let request = request.id;
+        self.close(now, key, actions);
+        actions.push(Action::Refuse { request, refusal });
+    }
+
+    /// Forgets a request: it is answered, refused or abandoned. What is still
+    /// in flight for it is cancelled.
+    pub(super) fn close(&mut self, now: Duration, key: request::Key, actions: &mut Vec<Action>) {
+        self.unqueue(key);
+        let Some(request) = self.requests.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&request.id);
+        if let Some(limits) = self.limiters.get_mut(request.customer.index()) {
+            match request.work {
+                Work::Chat(_) => limits.chat.released(),
+                Work::Call(_) => limits.calls.released(),
+            }
+        }
+        for attempt in request.flights.into_iter().flatten() {
+            self.cancel(now, attempt, actions);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, now: Duration, key: attempt::Key, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        if let Some(it) = self.directory.get_mut(attempt.replica) {
+            it.freed();
+        }
+        actions.push(Action::Cancel {
+            attempt: key.into(),
+        });
+        self.drain_replica(now, attempt.replica, actions);
+    }
+
+    /// Tries an allowed version that costs more but has room, before a request
+    /// is refused for want of room.
+    fn spill(&mut self, now: Duration, key: request::Key, actions: &mut Vec<Action>) -> bool {
+        for next in self.alternatives(key) {
+            if self.send(now, key, next, actions) {
+                if let Some(request) = self.requests.get_mut(key) {
+                    request.plan = Plan::of(&[next.step]);
+                    request.step = 0;
+                }
+                return true;
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/plan.rs
@@ -0,0 +1,240 @@
+//! The making of plans.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::choose::Ask;
+use super::{Decider, Resort};
+use crate::action::{Cause, Verdict};
+use crate::arrival::Chat;
+use crate::directory::Target;
+use crate::forecast::Forecast;
+use crate::monitor::Monitor;
+use crate::number::float;
+use crate::plan::{Plan, STEPS, Step};
+use crate::planner::{Goal, Mix, plan};
+use crate::plans::{Entry, Explore, Name};
+use crate::policy::State;
+use crate::refusal::Reason;
+use crate::{Action, Policy, key, request};
+
+/// Ratings from which on a version is known well enough.
+const KNOWN: f64 = 300.0;
+
+impl Decider {
+    /// The plan for a request: the usual one, or one that takes part in a
+    /// roll-out, a probe or an exploration.
+    pub(super) fn plan(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        chat: &Chat,
+        actions: &mut Vec<Action>,
+    ) -> Result<Plan, Reason> {
+        let request = &self.requests[key];
+        let first = request.plan.steps().is_empty();
+        let ask = Ask::new(request, chat);
+        let entry = self.entry(now, &ask)?;
+        if let Some(version) = entry.last_resort {
+            self.tell(&ask, version, actions);
+        }
+        let usual = if self.random.random::<f64>() < entry.mix.share {
+            entry.mix.cheap
+        } else {
+            entry.mix.good
+        };
+        let usual = self.with_trials(&ask, usual);
+        if ask.steps < STEPS || !first {
+            return Ok(usual);
+        }
+        Ok(self.with_probe(now, &ask, &entry, usual))
+    }
+
+    /// Whatever the roll-outs under way want this request to take.
+    pub(super) fn with_trials(&mut self, ask: &Ask, plan: Plan) -> Plan {
+        let policy = Arc::clone(&self.policy);
+        let mut plan = plan;
+        for rollout in &policy.rollouts {
+            let version = rollout.version;
+            let Some(State::Trial(share)) = policy.versions.get(version.index()).map(|it| it.state)
+            else {
+                continue;
+            };
+            let usable = self.may_take(ask.profile, ask.customer, Step::last(version));
+            if !usable || self.random.random::<f64>() >= share {
+                continue;
+            }
+            plan = match rollout.replaces {
+                Some(old) => plan.replaced(old, version),
+                None => Plan::of(&[Step::last(version)]),
+            };
+        }
+        plan
+    }
+
+    /// A probe of a quarantined version that is due, or a try of one of which
+    /// little is known. Neither answer reaches the caller.
+    pub(super) fn with_probe(
+        &mut self,
+        now: Duration,
+        ask: &Ask,
+        entry: &Entry,
+        plan: Plan,
+    ) -> Plan {
+        if self.health.has_quarantined() {
+            let policy = Arc::clone(&self.policy);
+            for version in policy.allowed(ask.profile, ask.customer) {
+                let free = self.may_take(ask.profile, ask.customer, Step::probe(*version))
+                    && !plan.uses(*version);
+                let monitor = self.health.get_mut(*version);
+                if free && monitor.is_some_and(|it| it.take_probe(now)) {
+                    return plan.after(*version);
+                }
+            }
+        }
+        match entry.explore {
+            Some(it) if self.random.random::<f64>() < it.share && !plan.uses(it.version) => {
+                plan.after(it.version)
+            }
+            _ => plan,
+        }
+    }
+
+    pub(super) fn entry(&mut self, now: Duration, ask: &Ask) -> Result<Entry, Reason> {
+        let menu = self.plans.menu(ask.profile, ask.customer);
+        let name = Name {
+            profile: ask.profile,
+            menu: menu.ok_or(Reason::NotAllowed)?,
+            class: ask.class,
+            steps: ask.steps,
+        };
+        if let Some(entry) = self.plans.get(now, self.knowledge.changes(), name) {
+            return Ok(entry);
+        }
+        let entry = self.make_entry(now, ask)?;
+        self.plans.insert(name, entry);
+        Ok(entry)
+    }
+
+    pub(super) fn make_entry(&self, now: Duration, ask: &Ask) -> Result<Entry, Reason> {
+        let healthy = self.forecasts(ask);
+        let (usable, last_resort) = if healthy.is_empty() {
+            let it = self.least_bad(ask)?;
+            let resort = self.health.is_quarantined(it.version);
+            (vec![it], resort.then_some(it.version))
+        } else {
+            (healthy, None)
+        };
+        let profile = &self.policy.profiles[ask.profile.index()];
+        let goal = Goal {
+            target: profile.target,
+            cap: profile.cap.map_or(f64::MAX, |it| float(it.0)),
+            steps: ask.steps,
+        };
+        let mix = plan(&usable, &goal).ok_or(Reason::NoVersion)?;
+        Ok(Entry {
+            mix,
+            explore: self.explore(&usable, &mix, &goal),
+            last_resort,
+            made: now,
+            changes: self.knowledge.changes(),
+        })
+    }
+
+    /// The version of which it pays most to know more.
+    pub(super) fn explore(&self, usable: &[Forecast], mix: &Mix, goal: &Goal) -> Option<Explore> {
+        let short = mix.quality < goal.target;
+        let unused = usable
+            .iter()
+            .filter(|it| !mix.cheap.uses(it.version) && !mix.good.uses(it.version));
+        // What costs more than the plan could only help where the target is missed.
+        let useful = unused.filter(|it| short || it.cost < mix.cost);
+        let least = useful.min_by(|a, b| {
+            let known = |it: &Forecast| it.ratings.min(KNOWN);
+            let order = known(a).total_cmp(&known(b));
+            order.then(a.cost.total_cmp(&b.cost))
+        })?;
+        let part = match least.ratings {
+            few if few < 40.0 => 1.0,
+            some if some < 120.0 => 0.5,
+            many if many < KNOWN => 0.2,
+            _ => 0.04,
+        };
+        Some(Explore {
+            version: least.version,
+            share: part * self.tuning.explore_share,
+        })
+    }
+
+    /// What to expect of the versions that may be used as things are. Versions
+    /// on trial only count where there is no other.
+    pub(super) fn forecasts(&self, ask: &Ask) -> Vec<Forecast> {
+        let policy: &Policy = &self.policy;
+        let usable = |active: bool| {
+            let allowed = policy.allowed(ask.profile, ask.customer).iter().copied();
+            let fitting = allowed.filter(move |it| {
+                let state = policy.versions.get(it.index()).map(|it| it.state);
+                match state {
+                    Some(State::Active) => active,
+                    Some(State::Trial(_)) => !active,
+                    Some(State::Withdrawn) | None => false,
+                }
+            });
+            fitting
+                .filter(|it| !self.health.is_quarantined(*it))
+                .filter(|it| !self.directory.is_empty(Target::Version(*it)))
+                .map(|it| self.knowledge.forecast(policy, it, ask.class))
+                .collect::<Vec<_>>()
+        };
+        let active = usable(true);
+        if active.is_empty() {
+            usable(false)
+        } else {
+            active
+        }
+    }
+
+    /// The best of the versions that are all quarantined or out of reach.
+    pub(super) fn least_bad(&self, ask: &Ask) -> Result<Forecast, Reason> {
+        let allowed = self.policy.allowed(ask.profile, ask.customer).iter();
+        let permitted = allowed.filter(|it| self.policy.permits(ask.profile, ask.customer, **it));
+        let permitted: Vec<_> = permitted.copied().collect();
+        if permitted.is_empty() {
+            return Err(Reason::NoVersion);
+        }
+        let reachable = permitted
+            .into_iter()
+            .filter(|it| !self.directory.is_empty(Target::Version(*it)));
+        let forecasts = reachable.map(|it| self.knowledge.forecast(&self.policy, it, ask.class));
+        forecasts
+            .max_by(|a, b| {
+                let order = self.answers(a.version).cmp(&self.answers(b.version));
+                order.then(a.quality().total_cmp(&b.quality()))
+            })
+            .ok_or(Reason::NoEndpoint)
+    }
+
+    /// Whether a quarantined version at least answers.
+    pub(super) fn answers(&self, version: key::Version) -> bool {
+        let verdict = self.health.get(version).map(Monitor::verdict);
+        verdict != Some(Verdict::Quarantined(Cause::Errors))
+    }
+
+    /// Says once that a customer only has a quarantined version left.
+    pub(super) fn tell(&mut self, ask: &Ask, version: key::Version, actions: &mut Vec<Action>) {
+        let resort = Resort {
+            version,
+            profile: ask.profile,
+            customer: ask.customer,
+        };
+        if self.told.insert(resort) {
+            actions.push(Action::LastResort {
+                version,
+                profile: ask.profile,
+                customer: ask.customer,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/tick.rs
@@ -0,0 +1,151 @@
+//! What happens as time passes.
+
+use std::time::Duration;
+
+use super::Decider;
+use crate::attempt::{self, Progress};
+use crate::demand::{Demand, Rate};
+use crate::directory::{Target, Want};
+use crate::pool::Pool;
+use crate::refusal::Reason;
+use crate::{Action, key, request};
+
+/// How often limits are shared out anew and roll-outs are looked at.
+const SECOND: Duration = Duration::from_secs(1);
+
+impl Decider {
+    pub(super) fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if let Some(evidence) = self.outbox.take(now) {
+            actions.push(Action::Publish(evidence));
+        }
+        self.share_limits(now);
+        self.expire(now, actions);
+        for target in self.pools.waiting() {
+            self.drain(now, target, actions);
+        }
+        self.hedge(now, actions);
+        if now >= self.next_second {
+            self.next_second = now + SECOND;
+            self.publish_demand(now, actions);
+            self.step_rollouts(now, actions);
+        }
+    }
+
+    fn share_limits(&mut self, now: Duration) {
+        self.peers.settle(now);
+        let live = f64::from(self.live);
+        for (at, limits) in self.limiters.iter_mut().enumerate() {
+            let elsewhere = self.peers.elsewhere(key::Customer::at(at));
+            limits.chat.share(now, live, elsewhere.chat);
+            limits.calls.share(now, live, elsewhere.calls);
+        }
+    }
+
+    /// Refuses what can't be done in time any more, so that nobody waits for a
+    /// late refusal, and lets retries go back to the endpoint that they avoided.
+    fn expire(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let mut late = Vec::new();
+        for target in self.pools.waiting() {
+            let Some(pool) = self.pools.get(target) else {
+                continue;
+            };
+            for key in pool.queue.iter() {
+                if self.is_late(now, key, target) {
+                    late.push(key);
+                } else if let Some(request) = self.requests.get_mut(key) {
+                    request.avoid = None;
+                }
+            }
+        }
+        for key in late {
+            self.give_up(now, key, Reason::Deadline, None, actions);
+        }
+    }
+
+    fn is_late(&self, now: Duration, key: request::Key, target: Target) -> bool {
+        let needed = self.latency(key, target) / 2;
+        let request = self.requests.get(key);
+        request.is_some_and(|it| now + needed >= it.deadline)
+    }
+
+    /// Sends urgent idempotent attempts that take unusually long a second time,
+    /// elsewhere and from the budget of retries.
+    fn hedge(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let mut hedgeable = std::mem::take(&mut self.hedgeable);
+        hedgeable.retain(|key| self.hedge_one(now, *key, actions));
+        hedgeable.append(&mut self.hedgeable);
+        self.hedgeable = hedgeable;
+    }
+
+    /// Whether the attempt may still be hedged later.
+    fn hedge_one(&mut self, now: Duration, key: attempt::Key, actions: &mut Vec<Action>) -> bool {
+        let Some(attempt) = self.attempts.get(key).copied() else {
+            return false;
+        };
+        if attempt.progress == Progress::Started {
+            return false;
+        }
+        let pool = self.pools.get(attempt.target);
+        let Some(after) = pool.and_then(Pool::hedge_after) else {
+            return true;
+        };
+        if now < attempt.sent + after {
+            return true;
+        }
+        let Some(request) = self.requests.get_mut(attempt.request) else {
+            return false;
+        };
+        let single = request.flights.iter().flatten().count() == 1;
+        if !single || request.attempts >= self.tuning.attempts {
+            return false;
+        }
+        request.avoid = Some(attempt.replica);
+        let want = Want {
+            target: attempt.target,
+            priority: request.priority,
+            prefix: 0,
+            avoid: Some(attempt.replica),
+        };
+        let same = |next: super::place::Next| next.target == attempt.target;
+        if !self.next(now, attempt.request, actions).is_ok_and(same) {
+            return false;
+        }
+        let Some(replica) = self.directory.choose(now, &want, &mut self.random) else {
+            return true;
+        };
+        if !self.retries.take(1.0) {
+            return true;
+        }
+        let next = super::place::Next {
+            target: attempt.target,
+            step: attempt.step,
+        };
+        self.dispatch(now, attempt.request, next, replica, actions);
+        false
+    }
+
+    fn publish_demand(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.live < 2 {
+            return;
+        }
+        let customers = self.policy.customers.iter().zip(&self.limiters);
+        let rates = customers.map(|(customer, limits)| Rate {
+            customer: customer.name.clone(),
+            chat: limits.chat.flow(now),
+            calls: limits.calls.flow(now),
+        });
+        // A customer that isn't here takes no room in the message.
+        let busy = rates.filter(|it| !it.chat.is_idle() || !it.calls.is_idle());
+        actions.push(Action::Demand(Demand {
+            host: self.tuning.host.clone(),
+            rates: busy.collect(),
+        }));
+    }
+
+    fn step_rollouts(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for pilot in &mut self.pilots {
+            let step = pilot.step(now, &self.policy, &self.health, &self.knowledge);
+            actions.extend(step.map(Action::Step));
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decider/wait.rs
@@ -0,0 +1,196 @@
+//! How long things take, and who waits for them.
+
+use std::time::Duration;
+
+use kernel::Money;
+
+use super::Decider;
+use super::place::Next;
+use crate::arrival::Work;
+use crate::directory::Target;
+use crate::number::{count, floor};
+use crate::plan::Step;
+use crate::policy::{Priority, Repeat};
+use crate::queue::Entry;
+use crate::refusal::Reason;
+use crate::{key, pool, request};
+
+impl Decider {
+    /// Lets the request wait, unless it would wait too long or too many do.
+    pub(super) fn expected_wait(
+        &self,
+        now: Duration,
+        key: request::Key,
+        next: Next,
+    ) -> Result<(), Refused> {
+        let (Some(request), Some(pool)) = (self.requests.get(key), self.pools.get(next.target))
+        else {
+            return Err(Refused::new(Reason::NoEndpoint, None));
+        };
+        let weight = self.weight(request.customer);
+        let in_flight = self.directory.in_flight(next.target);
+        let wait = pool.wait(now, request.customer, request.priority, weight, in_flight);
+        let own = pool.queue.own(request.customer, request.priority);
+        if own >= self.queue_share(weight) || pool.queue.len() >= 2 * self.tuning.queue {
+            return Err(Refused::new(Reason::Overloaded, Some(wait)));
+        }
+        let seconds = self.latency(key, next.target);
+        if now + wait + seconds > request.deadline {
+            return Err(Refused::new(Reason::Deadline, Some(wait)));
+        }
+        if wait > longest_wait(request.priority) {
+            return Err(Refused::new(Reason::Overloaded, Some(wait)));
+        }
+        Ok(())
+    }
+
+    pub(super) fn enqueue(&mut self, key: request::Key, target: Target) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.waits = Some(target);
+        let entry = Entry {
+            request: key,
+            customer: request.customer,
+            priority: request.priority,
+        };
+        let retried = request.attempts > 0;
+        let weight = self.weight(entry.customer);
+        if let Some(pool) = self.pools.get_mut(target) {
+            if retried {
+                pool.queue.push_front(entry, weight);
+            } else {
+                pool.queue.push(entry, weight);
+            }
+        }
+    }
+
+    pub(super) fn unqueue(&mut self, key: request::Key) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let Some(target) = request.waits.take() else {
+            return;
+        };
+        let entry = Entry {
+            request: key,
+            customer: request.customer,
+            priority: request.priority,
+        };
+        if let Some(pool) = self.pools.get_mut(target) {
+            pool.queue.remove(entry);
+        }
+    }
+
+    pub(super) fn charge(&mut self, key: request::Key, target: Target) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let (customer, priority) = (request.customer, request.priority);
+        let work = self.latency(key, target).as_secs_f64().max(0.001);
+        let weight = self.weight(customer);
+        if let Some(pool) = self.pools.get_mut(target) {
+            pool.queue.charge(customer, priority, work, weight);
+        }
+    }
+
+    /// Whether a plain service has as much in flight from here as it may.
+    pub(super) fn is_at_limit(&self, target: Target) -> bool {
+        match target {
+            Target::Version(_) => false,
+            Target::Service(service) => {
+                let limits = self.policy.services.get(service.index());
+                limits.is_none_or(|it| self.directory.in_flight(target) >= it.concurrency)
+            }
+        }
+    }
+
+    /// How long an attempt may take. One that may be repeated gets no more than
+    /// half of the time that is left, if that is plenty, so that a hung endpoint
+    /// leaves time for another.
+    pub(super) fn timeout(&self, now: Duration, key: request::Key, next: Next) -> Duration {
+        const PLENTY: u32 = 5;
+        let Some(request) = self.requests.get(key) else {
+            return Duration::ZERO;
+        };
+        let left = request.deadline.saturating_sub(now);
+        if request.repeat == Repeat::AtMostOnce {
+            return left;
+        }
+        let usual = self.latency(key, next.target);
+        if usual.is_zero() {
+            return left;
+        }
+        left.min((usual * PLENTY).max(left / 2))
+    }
+
+    /// How long an attempt takes as a rule.
+    pub(super) fn latency(&self, key: request::Key, target: Target) -> Duration {
+        let class = self.requests.get(key).map(|it| it.class);
+        let seconds = match (target, class) {
+            (Target::Version(version), Some(class)) => self
+                .knowledge
+                .latency(version, class)
+                .and_then(|it| it.value(5)),
+            _ => None,
+        };
+        let pool = || self.pools.get(target).map_or(0.0, pool::Pool::seconds);
+        Duration::from_secs_f64(seconds.unwrap_or_else(pool))
+    }
+
+    /// The most that a step can be expected to cost.
+    pub(super) fn price(&self, key: request::Key, step: Step) -> Money {
+        let (Some(request), Some(version)) = (
+            self.requests.get(key),
+            self.policy.versions.get(step.version.index()),
+        ) else {
+            return Money::ZERO;
+        };
+        let (_, most) = self.knowledge.completion(step.version, request.class);
+        let most = floor(most) + 1;
+        let most = match &request.work {
+            Work::Chat(chat) if chat.max_tokens > 0 => most.min(u64::from(chat.max_tokens)),
+            _ => most,
+        };
+        version.cost(u64::from(request.prompt_tokens()), most)
+    }
+
+    pub(super) fn weight(&self, customer: key::Customer) -> f64 {
+        let customer = self.policy.customers.get(customer.index());
+        let weight = customer.map(|it| it.weight);
+        weight.filter(|it| *it > 0.0).unwrap_or(1.0)
+    }
+
+    /// How many requests of a customer of this weight may wait for one target.
+    pub(super) fn queue_share(&self, weight: f64) -> usize {
+        const LEAST: usize = 4;
+        let customers = self.policy.customers.iter();
+        let total: f64 = customers.map(|it| it.weight).sum();
+        let share = count(self.tuning.queue) * (2.0 * weight / total).min(1.0);
+        usize::try_from(floor(share)).unwrap_or(LEAST).max(LEAST)
+    }
+}
+
+/// Why a request may not wait.
+pub(super) struct Refused {
+    pub(super) reason: Reason,
+    pub(super) retry_after: Option<Duration>,
+}
+
+impl Refused {
+    fn new(reason: Reason, retry_after: Option<Duration>) -> Self {
+        Self {
+            reason,
+            retry_after,
+        }
+    }
+}
+
+/// Nobody is kept waiting longer than this, whatever the deadline says.
+fn longest_wait(priority: Priority) -> Duration {
+    match priority {
+        Priority::Urgent => Duration::from_secs(2),
+        Priority::Interactive => Duration::from_secs(15),
+        Priority::Batch => Duration::from_mins(2),
+    }
+}
--- a/crates/decide/src/demand.rs
+++ b/crates/decide/src/demand.rs
@@ -1,5 +1,6 @@
 //! What hosts tell each other of their customers' demand.
 
+use derive_more::AddAssign;
 use kernel::{Customer, HostName};
 use serde::{Deserialize, Serialize};
 
@@ -17,8 +18,25 @@
 pub struct Rate {
     /// The customer.
     pub customer: Customer,
-    /// Requests a second, refused ones included.
-    pub rate: f32,
+    /// Requests for answers.
+    pub chat: Flow,
+    /// Calls of plain services, which have limits of their own.
+    pub calls: Flow,
+}
+
+/// How much of one kind of work arrives and is under way.
+#[derive(Clone, Copy, Debug, Default, AddAssign, PartialEq, Serialize, Deserialize)]
+pub struct Flow {
+    /// Arrivals a second, refused ones included.
+    pub rate: f64,
     /// Requests in flight or waiting.
-    pub in_flight: u32,
+    pub in_flight: f64,
+}
+
+impl Flow {
+    /// Whether next to nothing comes and nothing is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        const NOTHING: f64 = 0.001;
+        self.rate < NOTHING && self.in_flight < NOTHING
+    }
 }
--- /dev/null
+++ b/crates/decide/src/directory.rs
@@ -0,0 +1,337 @@
+//! The endpoints that this host knows, and the choice among them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use kernel::VersionId;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use slotmap::SlotMap;
+
+use crate::endpoint::{Distance, Id, Role, State, Update};
+use crate::policy::Priority;
+use crate::replica::{Key, Replica};
+use crate::{Policy, key};
+
+/// Endpoints of a version or service that one host sends to; see
+/// `docs/design/decide-endpoints.md`.
+const SUBSET: usize = 24;
+/// Prompt prefixes whose endpoint is remembered.
+const PREFIXES: usize = 4096;
+/// Above this an endpoint gets no work only because it has the prefix cached.
+const AFFINITY_FILL: f64 = 0.75;
+
+/// What a request needs an endpoint for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) enum Target {
+    Version(key::Version),
+    Service(key::Service),
+}
+
+/// What the choice of an endpoint depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Want {
+    pub(crate) target: Target,
+    pub(crate) priority: Priority,
+    pub(crate) prefix: u64,
+    /// The endpoint of the attempt before, which isn't tried again at once.
+    pub(crate) avoid: Option<Key>,
+}
+
+/// The endpoints that this host knows.
+#[derive(Debug)]
+pub(crate) struct Directory {
+    host: u64,
+    replicas: SlotMap<Key, Replica>,
+    by_name: HashMap<Name, Key>,
+    by_version: Vec<Vec<Candidate>>,
+    by_service: Vec<Vec<Candidate>>,
+    prefixes: Vec<Prefix>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Name {
+    host: u64,
+    service: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    distance: Distance,
+    rank: u64,
+    key: Key,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Prefix {
+    hash: u64,
+    key: Key,
+}
+
+impl Directory {
+    pub(crate) fn new(host: &kernel::HostName) -> Self {
+        Self {
+            host: key::hash(host.as_str().as_bytes()),
+            replicas: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            by_version: Vec::new(),
+            by_service: Vec::new(),
+            prefixes: vec![Prefix::default(); PREFIXES],
+        }
+    }
+
+    pub(crate) fn get(&self, key: Key) -> Option<&Replica> {
+        self.replicas.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: Key) -> Option<&mut Replica> {
+        self.replicas.get_mut(key)
+    }
+
+    /// Takes an update and returns the endpoint's key, if it still has one.
+    pub(crate) fn update(
+        &mut self,
+        now: Duration,
+        policy: &Policy,
+        update: &Update,
+    ) -> Option<Key> {
+        let name = Name::of(update);
+        let known = self.by_name.get(&name).copied();
+        let same = known.filter(|it| self.replicas[*it].id == update.id);
+        if let (Some(old), None) = (known, same) {
+            self.remove(name, old);
+        }
+        if update.state == State::Gone {
+            if let Some(key) = same {
+                self.remove(name, key);
+            }
+            return None;
+        }
+        let Some(key) = same else {
+            let key = self.replicas.insert(Replica::new(now, update));
+            self.by_name.insert(name, key);
+            self.list(key, policy);
+            return Some(key);
+        };
+        let it = &mut self.replicas[key];
+        it.report(update.load);
+        let moved = it.distance != update.distance || it.state != update.state;
+        if moved || !same_role(&it.role, &update.role) {
+            self.unlist(key);
+            let it = &mut self.replicas[key];
+            it.role = update.role.clone();
+            it.distance = update.distance;
+            it.state = update.state;
+            self.list(key, policy);
+        }
+        Some(key)
+    }
+
+    /// Lists all endpoints anew under the keys of `policy`.
+    pub(crate) fn configure(&mut self, policy: &Policy) {
+        self.by_version = vec![Vec::new(); policy.versions.len()];
+        self.by_service = vec![Vec::new(); policy.services.len()];
+        let keys: Vec<Key> = self.replicas.keys().collect();
+        for key in keys {
+            self.list(key, policy);
+        }
+    }
+
+    /// The endpoint itself says that it takes no new work.
+    pub(crate) fn leave(&mut self, key: Key) {
+        self.unlist(key);
+        if let Some(it) = self.replicas.get_mut(key) {
+            it.state = State::Leaving;
+        }
+    }
+
+    /// The endpoint itself says that it doesn't have the version. It is listed
+    /// again when an update says otherwise.
+    pub(crate) fn unload(&mut self, key: Key, version: key::Version, id: &VersionId) {
+        if let Some(list) = self.by_version.get_mut(version.index()) {
+            list.retain(|it| it.key != key);
+        }
+        if let Some(it) = self.replicas.get_mut(key) {
+            it.versions.retain(|it| *it != version);
+            if let Role::Engine(loaded) = &it.role {
+                let rest = loaded.iter().filter(|it| *it != id);
+                it.role = Role::Engine(rest.cloned().collect());
+            }
+        }
+    }
+
+    pub(crate) fn is_empty(&self, target: Target) -> bool {
+        self.candidates(target).is_empty()
+    }
+
+    /// Live endpoints of `target` that this host knows.
+    pub(crate) fn len(&self, target: Target) -> usize {
+        self.candidates(target).len()
+    }
+
+    /// A number that changes when some version or service gets its first
+    /// endpoint or loses its last.
+    pub(crate) fn outline(&self) -> u64 {
+        let lists = self.by_version.iter().chain(&self.by_service);
+        let filled = (1..).zip(lists).filter(|(_, list)| !list.is_empty());
+        filled.fold(0, |outline, (at, _)| outline ^ key::mix(at, 1))
+    }
+
+    /// The endpoints that this host sends to, whose load it has to know.
+    pub(crate) fn watched(&self) -> Vec<Id> {
+        let lists = self.by_version.iter().chain(&self.by_service);
+        let near = lists.flat_map(|it| it.iter().take(SUBSET));
+        let ids: BTreeSet<Id> = near.map(|it| self.replicas[it.key].id).collect();
+        ids.into_iter().collect()
+    }
+
+    /// This host's own work at the endpoints of `target`.
+    pub(crate) fn in_flight(&self, target: Target) -> u32 {
+        let near = self.candidates(target).iter().take(SUBSET);
+        near.map(|it| self.replicas[it.key].in_flight()).sum()
+    }
+
+    /// Chooses an endpoint with room: the one with the prefix cached unless it
+    /// is rather full, else the less full of two random ones, nearer ones first.
+    pub(crate) fn choose(&self, now: Duration, want: &Want, random: &mut Pcg64Mcg) -> Option<Key> {
+        let list = self.candidates(want.target);
+        let list = &list[..list.len().min(SUBSET)];
+        if let Some(key) = self.cached(now, want) {
+            return Some(key);
+        }
+        list.chunk_by(|a, b| a.distance == b.distance)
+            .find_map(|near| self.choose_among(now, want, near, random))
+    }
+
+    /// Remembers that the endpoint has the prefix cached now.
+    pub(crate) fn remember(&mut self, prefix: u64, key: Key) {
+        if prefix != 0 {
+            self.prefixes[slot(prefix)] = Prefix { hash: prefix, key };
+        }
+    }
+
+    fn cached(&self, now: Duration, want: &Want) -> Option<Key> {
+        if want.prefix == 0 {
+            return None;
+        }
+        let entry = self.prefixes[slot(want.prefix)];
+        let it = self.replicas.get(entry.key)?;
+        let usable = entry.hash == want.prefix
+            && it.state == State::Live
+            && want.avoid != Some(entry.key)
+            && it.fill(now) < AFFINITY_FILL
+            && it.has_room(now, want.priority);
+        let serves = match want.target {
+            Target::Version(version) => it.serves(version),
+            Target::Service(service) => it.service == Some(service),
+        };
+        (usable && serves).then_some(entry.key)
+    }
+
+    fn choose_among(
+        &self,
+        now: Duration,
+        want: &Want,
+        near: &[Candidate],
+        random: &mut Pcg64Mcg,
+    ) -> Option<Key> {
+        let first = random.random_range(0..near.len());
+        let second = random.random_range(0..near.len());
+        let two = [near[first].key, near[second].key];
+        self.emptiest(now, want, two.into_iter())
+            .or_else(|| self.emptiest(now, want, near.iter().map(|it| it.key)))
+    }
+
+    fn emptiest(&self, now: Duration, want: &Want, keys: impl Iterator<Item = Key>) -> Option<Key> {
+        let usable = keys.filter(|it| {
+            want.avoid != Some(*it) && self.replicas[*it].has_room(now, want.priority)
+        });
+        let fill = |key: &Key| self.replicas[*key].fill(now);
+        usable.min_by(|a, b| fill(a).total_cmp(&fill(b)))
+    }
+
+    fn candidates(&self, target: Target) -> &[Candidate] {
+        let list = match target {
+            Target::Version(version) => self.by_version.get(version.index()),
+            Target::Service(service) => self.by_service.get(service.index()),
+        };
+        list.map_or(&[], Vec::as_slice)
+    }
+
+    fn remove(&mut self, name: Name, key: Key) {
+        self.unlist(key);
+        self.replicas.remove(key);
+        self.by_name.remove(&name);
+    }
+
+    fn list(&mut self, key: Key, policy: &Policy) {
+        let it = &mut self.replicas[key];
+        it.versions.clear();
+        it.service = None;
+        match &it.role {
+            Role::Engine(ids) => it
+                .versions
+                .extend(ids.iter().filter_map(|id| policy.version(id))),
+            Role::Service(name) => it.service = policy.service(name),
+        }
+        if it.state != State::Live {
+            return;
+        }
+        let candidate = Candidate {
+            distance: it.distance,
+            rank: key::mix(self.host, key::mix(it.id.host, it.id.incarnation.0)),
+            key,
+        };
+        for version in &it.versions {
+            insert(&mut self.by_version[version.index()], candidate);
+        }
+        if let Some(service) = it.service {
+            insert(&mut self.by_service[service.index()], candidate);
+        }
+    }
+
+    fn unlist(&mut self, key: Key) {
+        let Some(it) = self.replicas.get(key) else {
+            return;
+        };
+        for version in &it.versions {
+            self.by_version[version.index()].retain(|it| it.key != key);
+        }
+        if let Some(service) = it.service {
+            self.by_service[service.index()].retain(|it| it.key != key);
+        }
+    }
+}
+
+impl Name {
+    fn of(update: &Update) -> Self {
+        let service = match &update.role {
+            Role::Engine(_) => 0,
+            Role::Service(name) => key::hash(name.as_str().as_bytes()),
+        };
+        Self {
+            host: update.id.host,
+            service,
+        }
+    }
+}
+
+fn same_role(a: &Role, b: &Role) -> bool {
+    match (a, b) {
+        (Role::Engine(a), Role::Engine(b)) => a == b,
+        (Role::Service(a), Role::Service(b)) => a == b,
+        _ => false,
+    }
+}
+
+fn insert(list: &mut Vec<Candidate>, candidate: Candidate) {
+    let at = list.partition_point(|it| *it < candidate);
+    if list.get(at) != Some(&candidate) {
+        list.insert(at, candidate);
+    }
+}
+
+fn slot(prefix: u64) -> usize {
+    let size = u64::try_from(PREFIXES).unwrap_or(1);
+    usize::try_from(key::mix(prefix, 0) % size).unwrap_or(0)
+}
--- a/crates/decide/src/evidence.rs
+++ b/crates/decide/src/evidence.rs
@@ -23,17 +23,23 @@
     pub version: VersionId,
     /// The class.
     pub class: key::Class,
-    /// Whole answers by confidence bucket.
+    /// Whole answers of first steps by confidence bucket.
     pub answered: [u32; BUCKETS],
+    /// Whole answers to requests for which another version's answer was rejected.
+    pub later_answered: u32,
     /// Failures that speak against the version.
     pub failed: u32,
     /// Of the failures, two endpoints where they happened, so that one broken
     /// endpoint isn't taken for a broken version.
     pub failed_at: [Option<endpoint::Id>; 2],
-    /// Good ratings by confidence bucket.
+    /// Good ratings of first steps by confidence bucket.
     pub good: [u32; BUCKETS],
-    /// Bad ratings by confidence bucket.
+    /// Bad ratings of first steps by confidence bucket.
     pub bad: [u32; BUCKETS],
+    /// Good ratings of later steps by confidence bucket.
+    pub later_good: [u32; BUCKETS],
+    /// Bad ratings of later steps by confidence bucket.
+    pub later_bad: [u32; BUCKETS],
     /// The sum of the completion tokens of the answers.
     pub completion_tokens: u64,
     /// The sum of the answers' latencies in milliseconds.
--- /dev/null
+++ b/crates/decide/src/health.rs
@@ -0,0 +1,95 @@
+//! The health of all versions.
+
+use crate::monitor::{Monitor, Normal, Scope};
+use crate::{Policy, key};
+
+/// Outcomes that a version must have had to be compared with.
+const COMPARABLE: f64 = 20.0;
+
+/// The health of all versions, each judged beside the others: what befalls
+/// many at once isn't a version's fault.
+#[derive(Debug, Default)]
+pub(crate) struct Health {
+    monitors: Vec<Monitor>,
+    quarantined: usize,
+}
+
+impl Health {
+    /// Keeps the monitors under the new policy's keys.
+    pub(crate) fn configure(&mut self, policy: &Policy, moved: &[Option<key::Version>]) {
+        let mut old = std::mem::take(&mut self.monitors);
+        for was in moved.iter().take(policy.versions.len()) {
+            let known = was.and_then(|it| old.get_mut(it.index()));
+            self.monitors
+                .push(known.map(std::mem::take).unwrap_or_default());
+        }
+        self.count_quarantined();
+    }
+
+    pub(crate) fn get(&self, version: key::Version) -> Option<&Monitor> {
+        self.monitors.get(version.index())
+    }
+
+    pub(crate) fn get_mut(&mut self, version: key::Version) -> Option<&mut Monitor> {
+        self.monitors.get_mut(version.index())
+    }
+
+    /// Whether any version is out of use.
+    pub(crate) fn has_quarantined(&self) -> bool {
+        self.quarantined > 0
+    }
+
+    /// Counts anew, after a verdict changed.
+    pub(crate) fn count_quarantined(&mut self) {
+        let quarantined = self.monitors.iter().filter(|it| it.is_quarantined());
+        self.quarantined = quarantined.count();
+    }
+
+    pub(crate) fn is_quarantined(&self, version: key::Version) -> bool {
+        self.get(version).is_some_and(Monitor::is_quarantined)
+    }
+
+    /// How often `version` fails as things are: as often as it used to, or as
+    /// others do now.
+    pub(crate) fn normal(&self, version: key::Version, endpoints: usize) -> Normal {
+        let others = self.others(version);
+        let (sum, number) = others.fold((0.0, 0.0), |(sum, number), it| {
+            (sum + it.failure_share(), number + 1.0)
+        });
+        let others = if number > 0.0 { sum / number } else { 0.0 };
+        Normal {
+            errors: (2.0 * others).clamp(0.01, 0.5),
+            endpoints,
+        }
+    }
+
+    /// Whether the answers of many other versions have become worse as well.
+    pub(crate) fn quality_scope(&self, version: key::Version) -> Scope {
+        self.scope(version, Monitor::is_suspect)
+    }
+
+    /// Whether the answers of many other versions have become slow as well, as
+    /// they do under plain overload.
+    pub(crate) fn latency_scope(&self, version: key::Version) -> Scope {
+        self.scope(version, Monitor::is_slow)
+    }
+
+    fn scope(&self, version: key::Version, suspect: impl Fn(&Monitor) -> bool) -> Scope {
+        let others = self.others(version).count();
+        let suspects = self.others(version).filter(|it| suspect(it)).count();
+        if suspects > 0 && 2 * suspects >= others {
+            Scope::Shared
+        } else {
+            Scope::Own
+        }
+    }
+
+    fn others(&self, version: key::Version) -> impl Iterator<Item = &Monitor> {
+        let others = self.monitors.iter().enumerate();
+        others
+            .filter(move |(at, it)| {
+                *at != version.index() && !it.is_quarantined() && it.outcomes() >= COMPARABLE
+            })
+            .map(|(_, it)| it)
+    }
+}
--- a/crates/decide/src/key.rs
+++ b/crates/decide/src/key.rs
@@ -77,3 +77,11 @@
         (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
     })
 }
+
+/// Mixes two hashes so that every bit of both counts (the finisher of `splitmix64`).
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    let mut it = a ^ b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    it = (it ^ (it >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    it = (it ^ (it >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    it ^ (it >> 31)
+}
--- /dev/null
+++ b/crates/decide/src/limiter.rs
@@ -0,0 +1,94 @@
+//! A customer's limits at this host.
+
+use std::time::Duration;
+
+use crate::bucket::Bucket;
+use crate::demand::Flow;
+use crate::meter::Meter;
+use crate::policy::Customer;
+use crate::refusal::{Reason, Refusal, Run};
+
+/// How far back demand is looked at.
+const DEMAND_MEMORY: Duration = Duration::from_secs(2);
+/// The part of a limit that is split evenly over the hosts, so that a customer
+/// that turns to another host isn't refused until the hosts have heard of it.
+const EVEN_PART: f64 = 0.05;
+
+/// One customer's limits at this host: its fleet-wide limits times the share of
+/// its demand that arrives here.
+#[derive(Clone, Debug)]
+pub(crate) struct Limiter {
+    bucket: Bucket,
+    arrivals: Meter,
+    in_flight: u32,
+    /// This host's share of the rate and of the concurrency.
+    rate_share: f64,
+    concurrency_share: f64,
+}
+
+impl Limiter {
+    pub(crate) fn new(now: Duration, limits: &Customer, live: f64) -> Self {
+        Self {
+            bucket: Bucket::new((limits.burst / live).max(1.0), now),
+            arrivals: Meter::new(DEMAND_MEMORY),
+            in_flight: 0,
+            rate_share: 1.0 / live,
+            concurrency_share: 1.0 / live,
+        }
+    }
+
+    /// Counts an arrival, and admits it or says when to come back.
+    pub(crate) fn admit(&mut self, now: Duration, limits: &Customer) -> Result<(), Refusal> {
+        self.arrivals.add(now, 1.0);
+        let rate = limits.rate * self.rate_share;
+        self.bucket
+            .refill(now, rate, (limits.burst * self.rate_share).max(1.0));
+        let most = (f64::from(limits.concurrency) * self.concurrency_share).max(1.0);
+        if f64::from(self.in_flight) >= most {
+            return Err(Refusal {
+                reason: Reason::ConcurrencyLimited,
+                run: Run::NotRun,
+                retry_after: None,
+            });
+        }
+        if !self.bucket.take(1.0) {
+            return Err(Refusal {
+                reason: Reason::RateLimited,
+                run: Run::NotRun,
+                retry_after: Some(self.bucket.wait(rate)),
+            });
+        }
+        self.in_flight += 1;
+        Ok(())
+    }
+
+    pub(crate) fn released(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    pub(crate) fn flow(&self, now: Duration) -> Flow {
+        Flow {
+            rate: self.arrivals.rate(now),
+            in_flight: f64::from(self.in_flight),
+        }
+    }
+
+    /// Takes its share of the limits after what the others say of theirs.
+    pub(crate) fn share(&mut self, now: Duration, live: f64, elsewhere: Flow) {
+        let own = self.flow(now);
+        self.rate_share = share(own.rate, elsewhere.rate, live);
+        // With nothing in flight here the arrivals tell whose turn it is.
+        let near = own.in_flight.max(own.rate);
+        let far = elsewhere.in_flight.max(elsewhere.rate);
+        self.concurrency_share = share(near, far, live);
+    }
+}
+
+fn share(own: f64, elsewhere: f64, live: f64) -> f64 {
+    const IDLE: f64 = 0.01;
+    let even = 1.0 / live;
+    if own + elsewhere < IDLE {
+        return even;
+    }
+    (1.0 - EVEN_PART) * own / (own + elsewhere) + EVEN_PART * even
+}
--- /dev/null
+++ b/crates/decide/src/outbox.rs
@@ -0,0 +1,118 @@
+//! Evidence that is still to be published.
+
+use std::time::Duration;
+
+use kernel::VersionId;
+
+use crate::belief::Turn;
+use crate::event::Quality;
+use crate::evidence::{BUCKETS, Evidence, Item};
+use crate::samples::Sample;
+use crate::{endpoint, key};
+
+/// Time between two publications when all is well.
+const CALM: Duration = Duration::from_secs(1);
+
+/// Evidence that is still to be published.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    items: Vec<Item>,
+    urgency: Urgency,
+    published: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Urgency {
+    #[default]
+    Calm,
+    /// Something speaks against a version: other hosts should hear at once.
+    Bad,
+}
+
+impl Outbox {
+    pub(crate) fn answered(&mut self, version: &VersionId, class: key::Class, sample: Sample) {
+        let it = self.item(version, class);
+        match sample.turn {
+            Turn::First => it.answered[sample.bucket.index()] += 1,
+            Turn::Later => it.later_answered += 1,
+        }
+    }
+
+    pub(crate) fn measured(
+        &mut self,
+        version: &VersionId,
+        class: key::Class,
+        tokens: u32,
+        latency: Duration,
+    ) {
+        let it = self.item(version, class);
+        it.completion_tokens += u64::from(tokens);
+        it.latency_ms += u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+    }
+
+    pub(crate) fn failed(&mut self, version: &VersionId, class: key::Class, at: endpoint::Id) {
+        let it = self.item(version, class);
+        it.failed += 1;
+        let [first, second] = &mut it.failed_at;
+        match *first {
+            None => *first = Some(at),
+            Some(known) if known != at => *second = Some(at),
+            Some(_) => {}
+        }
+        self.urgency = Urgency::Bad;
+    }
+
+    pub(crate) fn rated(
+        &mut self,
+        version: &VersionId,
+        class: key::Class,
+        sample: Sample,
+        quality: Quality,
+    ) {
+        let it = self.item(version, class);
+        let counts = match (sample.turn, quality) {
+            (Turn::First, Quality::Good) => &mut it.good,
+            (Turn::First, Quality::Bad) => &mut it.bad,
+            (Turn::Later, Quality::Good) => &mut it.later_good,
+            (Turn::Later, Quality::Bad) => &mut it.later_bad,
+        };
+        counts[sample.bucket.index()] += 1;
+        if quality == Quality::Bad {
+            self.urgency = Urgency::Bad;
+        }
+    }
+
+    /// What is due to be published.
+    pub(crate) fn take(&mut self, now: Duration) -> Option<Evidence> {
+        let due = now.saturating_sub(self.published) >= CALM || self.urgency == Urgency::Bad;
+        if self.items.is_empty() || !due {
+            return None;
+        }
+        self.published = now;
+        self.urgency = Urgency::Calm;
+        let items = std::mem::take(&mut self.items);
+        Some(Evidence { items })
+    }
+
+    fn item(&mut self, version: &VersionId, class: key::Class) -> &mut Item {
+        let known = |it: &Item| it.class == class && it.version == *version;
+        let at = self.items.iter().position(known).unwrap_or_else(|| {
+            self.items.push(Item {
+                version: version.clone(),
+                class,
+                answered: [0; BUCKETS],
+                failed: 0,
+                failed_at: [None; 2],
+                good: [0; BUCKETS],
+                bad: [0; BUCKETS],
+                later_answered: 0,
+                later_good: [0; BUCKETS],
+                later_bad: [0; BUCKETS],
+                completion_tokens: 0,
+                latency_ms: 0,
+            });
+            self.items.len() - 1
+        });
+        &mut self.items[at]
+    }
+}
--- /dev/null
+++ b/crates/decide/src/pilot.rs
@@ -0,0 +1,165 @@
+//! The steps of a roll-out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::action::Step;
+use crate::health::Health;
+use crate::knowledge::Knowledge;
+use crate::monitor::Totals;
+use crate::policy::{Pace, Rollout, State};
+use crate::{Policy, key};
+
+/// The shares that a roll-out goes through.
+const RUNGS: [Rung; 4] = [
+    Rung::new(0.01, 20.0, 8.0),
+    Rung::new(0.05, 60.0, 20.0),
+    Rung::new(0.2, 150.0, 40.0),
+    Rung::new(0.5, 300.0, 80.0),
+];
+/// The least time at a share, so that slow faults show.
+const DWELL: Duration = Duration::from_secs(30);
+/// How often a step is asked for until it is taken.
+const AGAIN: Duration = Duration::from_secs(5);
+/// How much worse a version may be than the one that it replaces.
+const SLACK: f64 = 0.02;
+
+/// What has to be seen at a share before the next.
+#[derive(Clone, Copy, Debug)]
+struct Rung {
+    share: f64,
+    answers: f64,
+    ratings: f64,
+}
+
+impl Rung {
+    const fn new(share: f64, answers: f64, ratings: f64) -> Self {
+        Self {
+            share,
+            answers,
+            ratings,
+        }
+    }
+}
+
+/// A roll-out as this host follows it. All that has to last stands in the
+/// policy, so any host that holds the lease can take the next step.
+#[derive(Clone, Debug)]
+pub(crate) struct Pilot {
+    id: Arc<str>,
+    version: key::Version,
+    replaces: Option<key::Version>,
+    pace: Pace,
+    share: Option<f64>,
+    since: Duration,
+    /// What had been seen when the share began.
+    before: Totals,
+    next: Duration,
+}
+
+impl Pilot {
+    /// Follows a roll-out; evidence counts from when its share last changed.
+    pub(crate) fn new(
+        now: Duration,
+        policy: &Policy,
+        rollout: &Rollout,
+        totals: Totals,
+        known: Option<&Self>,
+    ) -> Self {
+        let state = policy.versions.get(rollout.version.index());
+        let share = state.and_then(|it| match it.state {
+            State::Trial(share) => Some(share),
+            State::Active | State::Withdrawn => None,
+        });
+        let same = known.filter(|it| it.share == share);
+        Self {
+            id: Arc::clone(&rollout.id),
+            version: rollout.version,
+            replaces: rollout.replaces,
+            pace: rollout.pace,
+            share,
+            since: same.map_or(now, |it| it.since),
+            before: same.map_or(totals, |it| it.before),
+            next: same.map_or(now, |it| it.next),
+        }
+    }
+
+    pub(crate) fn is_of(&self, rollout: &Rollout) -> bool {
+        self.id == rollout.id
+    }
+
+    /// The step that is due, if any.
+    pub(crate) fn step(
+        &mut self,
+        now: Duration,
+        policy: &Policy,
+        health: &Health,
+        knowledge: &Knowledge,
+    ) -> Option<Step> {
+        let from = self.share?;
+        if now < self.next {
+            return None;
+        }
+        let to = self.judge(now, from, health, knowledge)?;
+        self.next = now + AGAIN;
+        Some(Step {
+            rollout: Arc::clone(&self.id),
+            version: self.version,
+            from,
+            to,
+            revision: policy.revision,
+        })
+    }
+
+    /// The share that it should have, where that is another than it has.
+    fn judge(
+        &self,
+        now: Duration,
+        from: f64,
+        health: &Health,
+        knowledge: &Knowledge,
+    ) -> Option<f64> {
+        let monitor = health.get(self.version)?;
+        if from <= 0.0 {
+            // Taken back: only an operator starts it again.
+            return None;
+        }
+        if monitor.is_quarantined() {
+            return Some(0.0);
+        }
+        let seen = monitor.totals();
+        let answers = seen.answers - self.before.answers;
+        let ratings = seen.ratings - self.before.ratings;
+        let compared = self.replaces.map(|it| knowledge.compare(self.version, it));
+        if let Some(it) = compared
+            && it.difference + 2.5 * it.error < -SLACK
+        {
+            return Some(previous(from));
+        }
+        let rung = RUNGS.iter().rfind(|it| it.share <= from + 1e-9);
+        let rung = rung.unwrap_or(&RUNGS[0]);
+        let enough = answers >= rung.answers
+            && ratings >= rung.ratings
+            && now.saturating_sub(self.since) >= DWELL;
+        let as_good = compared.is_none_or(|it| it.difference + it.error >= -SLACK);
+        let calm = !monitor.is_suspect() && self.pace == Pace::Running;
+        (enough && as_good && calm).then(|| following(from))
+    }
+}
+
+/// How much better one version is than another, and how sure that is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Comparison {
+    pub(crate) difference: f64,
+    pub(crate) error: f64,
+}
+
+fn following(share: f64) -> f64 {
+    let next = RUNGS.iter().find(|it| it.share > share + 1e-9);
+    next.map_or(1.0, |it| it.share)
+}
+
+fn previous(share: f64) -> f64 {
+    let before = RUNGS.iter().rfind(|it| it.share < share - 1e-9);
+    before.map_or(0.0, |it| it.share)
+}
--- /dev/null
+++ b/crates/decide/src/planner.rs
@@ -0,0 +1,244 @@
+//! The choice of a plan for a profile and class.
+
+use crate::evidence::BUCKETS;
+use crate::forecast::Forecast;
+use crate::number::floor;
+use crate::plan::{Plan, Step};
+
+/// Versions that are combined with each other; more don't pay for the time.
+const COMBINED: usize = 7;
+/// Places on the scale of quality on which the cheapest plan is remembered.
+const PLACES: usize = 128;
+/// How many standard errors of doubt a plan has to make up for.
+const DOUBT: f64 = 0.7;
+
+/// Two plans and how often each is used, so that the target is met on the
+/// whole and not overshot.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Mix {
+    /// The cheaper one.
+    pub(crate) cheap: Plan,
+    /// The better one.
+    pub(crate) good: Plan,
+    /// The share of requests (0 to 1) that take the cheaper one.
+    pub(crate) share: f64,
+    /// The expected cost in microcents.
+    pub(crate) cost: f64,
+    /// The expected share of good answers, less the margin for doubt.
+    pub(crate) quality: f64,
+}
+
+/// What a plan has to achieve.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Goal {
+    /// The share of answers that have to be good.
+    pub(crate) target: f64,
+    /// The most that a request may cost, in microcents.
+    pub(crate) cap: f64,
+    /// The most steps.
+    pub(crate) steps: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    plan: Plan,
+    cost: f64,
+    quality: f64,
+}
+
+/// Finds the mix of plans of least cost that meets the goal, or the best plan
+/// where none does. Nothing when there is no version.
+pub(crate) fn plan(forecasts: &[Forecast], goal: &Goal) -> Option<Mix> {
+    let mut offers = Offers::new(goal);
+    for it in forecasts {
+        offers.add(single(it));
+    }
+    let useful = frontier(forecasts);
+    if goal.steps >= 2 {
+        pairs(&useful, &mut offers);
+    }
+    if goal.steps >= 3 {
+        triples(&useful, &mut offers);
+    }
+    offers.mix()
+}
+
+/// The versions for which no cheaper one is better even with the doubt in its
+/// favour, the cheapest first.
+fn frontier(forecasts: &[Forecast]) -> Vec<Forecast> {
+    let mut sorted = forecasts.to_vec();
+    sorted.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+    let mut best = 0.0;
+    sorted.retain(|it| {
+        let keep = it.quality() + it.error() > best;
+        best = f64::max(best, it.quality());
+        keep
+    });
+    if sorted.len() > COMBINED {
+        // The cheapest and the best ones combine well; those between rarely do.
+        let best = sorted.split_off(sorted.len() - COMBINED / 2);
+        sorted.truncate(COMBINED - best.len());
+        sorted.extend(best);
+    }
+    sorted
+}
+
+fn single(it: &Forecast) -> Offer {
+    Offer {
+        plan: Plan::of(&[Step::last(it.version)]),
+        cost: it.cost,
+        quality: it.quality() - DOUBT * it.error(),
+    }
+}
+
+fn pairs(useful: &[Forecast], offers: &mut Offers) {
+    for (at, first) in useful.iter().enumerate() {
+        for second in &useful[at + 1..] {
+            for threshold in 1..BUCKETS {
+                let left = 1.0 - first.pass[threshold];
+                let variance = first.variance[threshold] + left * left * second.later_variance;
+                let quality = first.good[threshold] + left * second.later;
+                offers.add_if(first.cost + left * second.cost, quality, variance, || {
+                    Plan::of(&[step(first, threshold), Step::last(second.version)])
+                });
+            }
+        }
+    }
+}
+
+fn triples(useful: &[Forecast], offers: &mut Offers) {
+    for (at, first) in useful.iter().enumerate() {
+        for (then, second) in useful.iter().enumerate().skip(at + 1) {
+            // The second step sees the requests that the first one found hard.
+            let harder = second.later / second.quality().max(1e-6);
+            for third in &useful[then + 1..] {
+                for one in 1..BUCKETS {
+                    let left = 1.0 - first.pass[one];
+                    for two in 1..BUCKETS {
+                        let rest = left * (1.0 - second.pass[two]);
+                        let cost = first.cost + left * second.cost + rest * third.cost;
+                        let quality =
+                            first.good[one] + left * second.good[two] * harder + rest * third.later;
+                        let variance = first.variance[one]
+                            + left * left * second.variance[two]
+                            + rest * rest * third.later_variance;
+                        offers.add_if(cost, quality, variance, || {
+                            let last = Step::last(third.version);
+                            Plan::of(&[step(first, one), step(second, two), last])
+                        });
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn step(it: &Forecast, threshold: usize) -> Step {
+    Step {
+        version: it.version,
+        threshold,
+    }
+}
+
+/// The cheapest plan at each place of the scale of quality.
+struct Offers {
+    goal: Goal,
+    places: [Option<Offer>; PLACES],
+    best: Option<Offer>,
+    cheapest: Option<Offer>,
+}
+
+impl Offers {
+    fn new(goal: &Goal) -> Self {
+        Self {
+            goal: *goal,
+            places: [None; PLACES],
+            best: None,
+            cheapest: None,
+        }
+    }
+
+    fn add_if(&mut self, cost: f64, quality: f64, variance: f64, plan: impl FnOnce() -> Plan) {
+        let quality = quality - DOUBT * variance.sqrt();
+        let place = place(quality);
+        if self.places[place].is_none_or(|it| cost < it.cost) {
+            let plan = plan();
+            self.add(Offer {
+                plan,
+                cost,
+                quality,
+            });
+        }
+    }
+
+    fn add(&mut self, offer: Offer) {
+        if self.cheapest.is_none_or(|it| offer.cost < it.cost) {
+            self.cheapest = Some(offer);
+        }
+        if offer.cost > self.goal.cap {
+            return;
+        }
+        if self.best.is_none_or(|it| offer.quality > it.quality) {
+            self.best = Some(offer);
+        }
+        let place = &mut self.places[place(offer.quality)];
+        if place.is_none_or(|it| offer.cost < it.cost) {
+            *place = Some(offer);
+        }
+    }
+
+    fn mix(&self) -> Option<Mix> {
+        let best = self.best.or(self.cheapest)?;
+        let offers = || self.places.iter().flatten();
+        let target = self.goal.target;
+        let enough = offers().filter(|it| it.quality >= target);
+        let Some(one) = enough.clone().min_by(|a, b| a.cost.total_cmp(&b.cost)) else {
+            return Some(Mix::one(&best));
+        };
+        let mut mix = Mix::one(one);
+        for good in enough {
+            for cheap in offers().filter(|it| it.quality < target && it.cost < good.cost) {
+                let share = (good.quality - target) / (good.quality - cheap.quality);
+                let cost = share * cheap.cost + (1.0 - share) * good.cost;
+                if cost < mix.cost {
+                    mix = Mix {
+                        cheap: cheap.plan,
+                        good: good.plan,
+                        share,
+                        cost,
+                        quality: target,
+                    };
+                }
+            }
+        }
+        Some(mix)
+    }
+}
+
+impl Mix {
+    fn one(offer: &Offer) -> Self {
+        Self {
+            cheap: offer.plan,
+            good: offer.plan,
+            share: 0.0,
+            cost: offer.cost,
+            quality: offer.quality,
+        }
+    }
+}
+
+/// The place of a quality; the scale is finer towards 1, where targets lie.
+fn place(quality: f64) -> usize {
+    const SCALE: [f64; 4] = [0.0, 0.5, 0.8, 1.0];
+    let bands = [16.0, 48.0, 63.0];
+    let quality = quality.clamp(0.0, 1.0);
+    let mut start = 0.0;
+    for (band, width) in SCALE.windows(2).zip(bands) {
+        if quality <= band[1] {
+            let at = start + (quality - band[0]) / (band[1] - band[0]) * width;
+            return usize::try_from(floor(at)).unwrap_or(0);
+        }
+        start += width;
+    }
+    PLACES - 1
+}
--- /dev/null
+++ b/crates/decide/src/pool.rs
@@ -0,0 +1,139 @@
+//! What waits for, and what is known of, the endpoints of a version or service.
+
+use std::time::Duration;
+
+use crate::directory::Target;
+use crate::meter::{Mean, Meter};
+use crate::policy::Priority;
+use crate::queue::Queue;
+use crate::{Policy, key};
+
+/// How far back departures are looked at.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(4);
+
+/// What waits for, and what is known of, the endpoints of a version or service.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    pub(crate) queue: Queue,
+    departures: Meter,
+    /// Seconds that an attempt takes.
+    seconds: Mean,
+    /// Seconds to the first byte, or to the end where no first byte is told.
+    first_byte: Mean,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            queue: Queue::default(),
+            departures: Meter::new(DEPARTURE_MEMORY),
+            seconds: Mean::default(),
+            first_byte: Mean::default(),
+        }
+    }
+}
+
+impl Pool {
+    pub(crate) fn departed(&mut self, now: Duration) {
+        self.departures.add(now, 1.0);
+    }
+
+    pub(crate) fn answered(&mut self, seconds: f64) {
+        self.seconds.add(seconds);
+    }
+
+    pub(crate) fn first_byte(&mut self, seconds: f64) {
+        self.first_byte.add(seconds);
+    }
+
+    /// Seconds that an attempt takes, as far as is known.
+    pub(crate) fn seconds(&self) -> f64 {
+        self.seconds.value(1).unwrap_or(0.0)
+    }
+
+    /// How long to wait for a first byte before another endpoint is worth a try.
+    pub(crate) fn hedge_after(&self) -> Option<Duration> {
+        const LEAST: u32 = 30;
+        let high = self.first_byte.high(LEAST)?;
+        Some(Duration::from_secs_f64(high.max(0.01)))
+    }
+
+    /// How long a new request of this customer would wait, when `in_flight` of
+    /// this host's requests run there now.
+    pub(crate) fn wait(
+        &self,
+        now: Duration,
+        customer: key::Customer,
+        priority: Priority,
+        weight: f64,
+        in_flight: u32,
+    ) -> Duration {
+        const LONGEST: f64 = 600.0;
+        let ahead = self.queue.ahead(customer, priority, weight) + 1.0;
+        let seconds = self.seconds().max(0.001);
+        // By Little's law, what runs here leaves at this rate.
+        let running = f64::from(in_flight) / seconds;
+        let rate = running.max(self.departures.rate(now)).max(0.2 / seconds);
+        Duration::from_secs_f64((ahead / rate).min(LONGEST))
+    }
+}
+
+/// The pools of all versions and services.
+#[derive(Debug, Default)]
+pub(crate) struct Pools {
+    versions: Vec<Pool>,
+    services: Vec<Pool>,
+}
+
+impl Pools {
+    pub(crate) fn get(&self, target: Target) -> Option<&Pool> {
+        match target {
+            Target::Version(it) => self.versions.get(it.index()),
+            Target::Service(it) => self.services.get(it.index()),
+        }
+    }
+
+    pub(crate) fn get_mut(&mut self, target: Target) -> Option<&mut Pool> {
+        match target {
+            Target::Version(it) => self.versions.get_mut(it.index()),
+            Target::Service(it) => self.services.get_mut(it.index()),
+        }
+    }
+
+    /// All targets for which something waits.
+    pub(crate) fn waiting(&self) -> Vec<Target> {
+        let versions = self.versions.iter().enumerate();
+        let versions = versions.filter(|(_, it)| !it.queue.is_empty());
+        let versions = versions.map(|(at, _)| Target::Version(key::Version::at(at)));
+        let services = self.services.iter().enumerate();
+        let services = services.filter(|(_, it)| !it.queue.is_empty());
+        let services = services.map(|(at, _)| Target::Service(key::Service::at(at)));
+        services.chain(versions).collect()
+    }
+
+    /// Keeps what is known under the new policy's keys; the queues start empty.
+    pub(crate) fn configure(
+        &mut self,
+        policy: &Policy,
+        versions: &[Option<key::Version>],
+        services: &[Option<key::Service>],
+    ) {
+        let versions = versions.iter().take(policy.versions.len());
+        let versions = versions.map(|it| it.map(key::Version::index));
+        self.versions = moved(&mut self.versions, versions);
+        let services = services.iter().take(policy.services.len());
+        let services = services.map(|it| it.map(key::Service::index));
+        self.services = moved(&mut self.services, services);
+    }
+}
+
+fn moved(old: &mut [Pool], from: impl Iterator<Item = Option<usize>>) -> Vec<Pool> {
+    let take = |it: Option<usize>| {
+        let known = it.and_then(|it| old.get_mut(it)).map(std::mem::take);
+        Pool {
+            queue: Queue::default(),
+            ..known.unwrap_or_default()
+        }
+    };
+    from.map(take).collect()
+}
