barleypind: serve the thin whole path

Callers' chats and plain calls run under the ledger's permit and the decider's directives; operators read the document and commit changes in one conditional transaction; the configuration is polled; SIGTERM drains. wire gets two payload frames for what ledgers and deciders tell their like, since both cores have their own message types.

--- /dev/null
+++ b/crates/barleypind/src/call.rs
@@ -0,0 +1,52 @@
+//! A caller's call, from its arrival to the end of its answer.
+
+pub(crate) mod attempt;
+mod caller;
+mod forward;
+mod reason;
+mod replay;
+mod run;
+mod start;
+mod work;
+
+use std::time::Duration;
+
+use gate::call::Headers;
+use gate::problem::{Problem, Reason};
+use gate::ticket::Ticket;
+use kernel::{Customer, RequestId};
+use ledger::Serial;
+
+use crate::host::{Host, Open};
+
+pub(crate) use start::{chat, plain};
+
+/// A call whose caller is known.
+pub(crate) struct Call {
+    pub(crate) number: decide::key::Request,
+    pub(crate) request: RequestId,
+    pub(crate) customer: Customer,
+    pub(crate) headers: Headers,
+    pub(crate) arrived: Duration,
+    /// Holds the call's place among those that are open.
+    pub(crate) open: Option<Open>,
+}
+
+impl Call {
+    /// The ticket that came with the call, as the ledger takes it.
+    fn ticket(&self, host: &Host) -> Result<Option<ledger::Ticket>, Problem> {
+        let Some(text) = &self.headers.ticket else {
+            return Ok(None);
+        };
+        let ticket = Ticket::open(&host.secrets.ticket, text)?;
+        Ok(Some(ledger::Ticket {
+            home: ticket.incarnation,
+            floor: Serial(ticket.floor),
+            remaining: ticket.expiry.saturating_sub(host.clock.wall()),
+        }))
+    }
+
+    fn refuse(&self, reason: Reason, detail: impl Into<String>) -> Problem {
+        Problem::not_run(reason, detail).of_request(self.request.as_str())
+    }
+}
--- /dev/null
+++ b/crates/barleypind/src/call/caller.rs
@@ -0,0 +1,104 @@
+//! The one way back to the caller.
+
+use futures::channel::oneshot;
+use gate::chat::{Extra, Usage};
+use gate::problem::Problem;
+use gate::sse;
+use http::{Headers, Response, Sender};
+use kernel::VersionId;
+
+use crate::host::Host;
+use crate::reply;
+
+/// Pieces of a stream that wait for a slow caller before the engine's stream does.
+const STREAM_BUFFER: usize = 64;
+
+/// The way back to the caller. It has one owner, the call's run, so that the
+/// bytes of two attempts can't mix.
+pub(crate) enum Caller {
+    /// Nothing was sent yet.
+    Waiting(oneshot::Sender<Response>),
+    /// A stream has begun.
+    Streaming(Sender, sse::Stream),
+    /// Nobody reads any more.
+    Gone,
+}
+
+impl Caller {
+    pub(crate) fn is_gone(&self) -> bool {
+        matches!(self, Self::Gone)
+    }
+
+    /// Begins a stream, if nothing was sent yet.
+    pub(crate) fn begin(
+        &mut self,
+        request: &str,
+        created: u64,
+        version: VersionId,
+        headers: &Headers,
+    ) {
+        *self = match std::mem::replace(self, Self::Gone) {
+            Self::Waiting(head) => {
+                let (sender, mut response) = Response::events(STREAM_BUFFER);
+                add(&mut response, headers);
+                let events = sse::Stream::new(request.to_owned(), created, version);
+                match head.send(response) {
+                    Ok(()) => Self::Streaming(sender, events),
+                    Err(_) => Self::Gone,
+                }
+            }
+            other => other,
+        };
+    }
+
+    /// Relays a piece of the answer, waiting for a slow caller.
+    pub(crate) async fn relay(&mut self, text: &str) {
+        if let Self::Streaming(sender, events) = self
+            && sender.send(events.chunk(text)).await.is_err()
+        {
+            *self = Self::Gone;
+        }
+    }
+
+    /// Ends a stream as whole. The end mark is the last thing that is sent.
+    pub(crate) async fn end(self, finish: &str, usage: Usage, extra: &Extra) {
+        if let Self::Streaming(sender, events) = self {
+            let last = events.last(finish, usage, extra) + sse::END;
+            if sender.send(last).await.is_ok() {
+                // Whoever reads no more has the end mark or went away.
+                let _ = sender.finish().await;
+            }
+        }
+    }
+
+    /// Answers in one piece.
+    pub(crate) fn answer(self, response: Response) {
+        if let Self::Waiting(head) = self {
+            // A caller that left needs no answer.
+            let _ = head.send(response);
+        }
+    }
+
+    /// Refuses, or ends a stream that has begun with an error and no end mark.
+    pub(crate) async fn refuse(self, host: &Host, problem: &Problem, headers: &Headers) {
+        let mut response = reply::refuse(host, problem);
+        match self {
+            Self::Waiting(head) => {
+                add(&mut response, headers);
+                let _ = head.send(response);
+            }
+            Self::Streaming(sender, _) => {
+                if sender.send(sse::error(problem)).await.is_ok() {
+                    let _ = sender.finish().await;
+                }
+            }
+            Self::Gone => {}
+        }
+    }
+}
+
+pub(crate) fn add(response: &mut Response, headers: &Headers) {
+    for (name, value) in headers.iter() {
+        response.headers.set(name.to_owned(), value);
+    }
+}
--- /dev/null
+++ b/crates/barleypind/src/call/forward.rs
@@ -0,0 +1,101 @@
+//! Calls that only their home may run are passed to it whole.
+
+use std::sync::Arc;
+
+use gate::problem::{Problem, Reason, Run};
+use http::{Body, Headers, Method, Options, Request, Response};
+use kernel::Incarnation;
+use ledger::{Event, Forward};
+
+use super::Call;
+use crate::context::Context;
+use crate::reply;
+use crate::service::fleet;
+
+/// A call as its caller made it.
+pub(crate) struct Original {
+    pub(crate) method: Method,
+    pub(crate) target: String,
+    headers: Headers,
+}
+
+impl Original {
+    pub(crate) fn of(request: &Request) -> Self {
+        Self {
+            method: request.method,
+            target: request.target.clone(),
+            headers: request.headers.clone(),
+        }
+    }
+}
+
+/// Passes the call to its home and the home's answer to the caller.
+pub(crate) async fn relay(
+    cx: Arc<Context>,
+    call: Call,
+    original: Original,
+    body: Vec<u8>,
+    home: Incarnation,
+) -> Response {
+    let answer = ask(&cx, original, body, home).await;
+    let end = match &answer {
+        Ok(_) => Forward::Relayed,
+        Err(_) => Forward::Failed,
+    };
+    let request = call.request.clone();
+    cx.books.handle(Event::Forwarded { request, end });
+    answer.unwrap_or_else(|run| {
+        let problem = Problem::new(
+            Reason::HolderGone,
+            run,
+            "the host that alone may run this key does not answer",
+        );
+        reply::refuse(&cx.host, &problem.of_request(call.request.as_str()))
+    })
+}
+
+async fn ask(
+    cx: &Context,
+    original: Original,
+    body: Vec<u8>,
+    home: Incarnation,
+) -> Result<Response, Run> {
+    let fleet = cx.host.registry.find::<fleet::Fleet>();
+    let fleet = fleet.ok_or(Run::NotRun)?;
+    let member = fleet
+        .ask(|reply| fleet::Message::Find(home, reply))
+        .await
+        .flatten()
+        .ok_or(Run::NotRun)?;
+    let mut request = Request::new(original.method, original.target).body(Body::bytes(body));
+    for (name, value) in original.headers.iter().filter(|(name, _)| passes(name)) {
+        request.headers.append(name.to_owned(), value);
+    }
+    let options = Options {
+        connect: cx.host.settings.http.connect,
+        total: cx.host.settings.host.drain_limit,
+        first_byte: cx.host.settings.host.drain_limit,
+        repeat: http::Repeat::Never,
+    };
+    cx.host
+        .http
+        .send(member.address, request, &options)
+        .await
+        .map_err(|err| match err {
+            http::Error::NotSent(_) => Run::NotRun,
+            _ => Run::Unknown,
+        })
+}
+
+/// Whether a header belongs to the call and not to the caller's connection.
+fn passes(name: &str) -> bool {
+    const CONNECTION: [&str; 6] = [
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "transfer-encoding",
+        "expect",
+    ];
+    !CONNECTION.iter().any(|it| it.eq_ignore_ascii_case(name))
+}
--- /dev/null
+++ b/crates/barleypind/src/context.rs
@@ -0,0 +1,22 @@
+//! The services that calls and operators' requests use.
+
+use std::sync::Arc;
+
+use platform::{HostList, Ratings, Table};
+
+use crate::host::Host;
+use crate::service::decide::Decide;
+use crate::service::endpoints::Endpoints;
+use crate::service::ledger::Books;
+
+/// The services of this process.
+pub(crate) struct Context {
+    pub(crate) host: Arc<Host>,
+    pub(crate) decide: Arc<Decide>,
+    pub(crate) books: Arc<Books>,
+    pub(crate) endpoints: Arc<Endpoints>,
+    pub(crate) engine: engine::Client,
+    pub(crate) table: Table,
+    pub(crate) ratings: Ratings,
+    pub(crate) list: HostList,
+}
--- /dev/null
+++ b/crates/barleypind/src/daemon.rs
@@ -0,0 +1,281 @@
+//! The daemon: its services, in the order in which they start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::channel::{Receiver, bounded};
+use async_std::task;
+use config::Settings;
+use error_stack::{Report, ResultExt};
+use http::{Options, Server};
+use kernel::{Clock, SystemClock};
+use link::Link;
+use platform::{Circuit, HostList, Ratings, Service, Table};
+use wire::{Identity, Member, State};
+
+use crate::context::Context;
+use crate::error::Error;
+use crate::event::Event;
+use crate::host::Host;
+use crate::log::Log;
+use crate::metrics::Level;
+use crate::secrets::Secrets;
+use crate::service::decide::Decide;
+use crate::service::drain::{self, Ended, Parts};
+use crate::service::endpoints::{self, Endpoints};
+use crate::service::ledger::Books;
+use crate::service::{fleet, notices, rate, table};
+use crate::{gate, operate, renew, tuning};
+
+/// How often the gauges are read.
+const GAUGES: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// A running daemon.
+pub struct Daemon {
+    host: Arc<Host>,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    fleet: SocketAddr,
+    ended: Receiver<Ended>,
+}
+
+impl Daemon {
+    /// Starts all services.
+    ///
+    /// # Errors
+    /// [`Error`] when a key file can't be used or an address can't be listened on.
+    pub async fn start(settings: Settings, log: Log) -> Result<Self, Report<Error>> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let secrets = Secrets::read(&settings.keys)?;
+        let incarnation = renew::incarnation(clock.wall());
+        let link_settings = link::Settings::new(settings.listen.fleet, secrets.fleet.clone());
+        let (link, frames) = Link::bind(&link_settings).change_context(Error::Link)?;
+        let fleet_address = link.address().change_context(Error::Link)?;
+        let host = Arc::new(Host::new(settings, secrets, clock, log, incarnation));
+        let fleet_queue = host.registry.register::<fleet::Fleet>();
+        let rate_queue = host.registry.register::<rate::Rate>();
+        let drain_queue = host.registry.register::<drain::Drain>();
+
+        let (decide, decided) = Decide::new(
+            Arc::clone(&host),
+            incarnation.0,
+            tuning::decide(&host.settings),
+        );
+        let (books, errands) = Books::new(Arc::clone(&host), tuning::ledger(&host.settings));
+        let cx = context(&host, decide, books);
+
+        let servers = listen(&cx).await?;
+        let callers = servers[0].address();
+        let operators = servers.last().map_or(callers, Server::address);
+        let core = ::fleet::Fleet::new(
+            me(&host, callers, fleet_address),
+            incarnation.0,
+            tuning::fleet(&host.settings),
+        );
+        let (drained_sender, drained) = bounded(1);
+        let (ended_sender, ended) = bounded(1);
+        task::spawn(fleet::run(Arc::clone(&cx), core, link.clone(), fleet_queue));
+        task::spawn(fleet::receive(Arc::clone(&cx), frames));
+        task::spawn(table::run(Arc::clone(&cx), errands, drained_sender));
+        task::spawn(notices::run(Arc::clone(&cx), decided));
+        task::spawn(notices::tick(Arc::clone(&cx)));
+        task::spawn(rate::submit(Arc::clone(&cx), rate_queue));
+        task::spawn(rate::collect(Arc::clone(&cx)));
+        task::spawn(watch_list(&cx));
+        task::spawn(endpoints::watch_load(
+            Arc::clone(&host),
+            Arc::clone(&cx.endpoints),
+        ));
+        task::spawn(watch_gauges(Arc::clone(&cx), link.clone()));
+        let parts = Parts {
+            servers,
+            drained,
+            link,
+            ended: ended_sender,
+        };
+        task::spawn(drain::run(Arc::clone(&cx), drain_queue, parts));
+        host.log.emit(
+            Event::Started,
+            &[
+                ("host", &host.settings.host.name),
+                ("incarnation", &incarnation),
+            ],
+        );
+        for address in [callers, operators, fleet_address] {
+            host.log.emit(Event::Listening, &[("address", &address)]);
+        }
+        Ok(Self {
+            host,
+            callers,
+            operators,
+            fleet: fleet_address,
+            ended,
+        })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where operators connect.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Where other hosts connect.
+    #[must_use]
+    pub fn fleet(&self) -> SocketAddr {
+        self.fleet
+    }
+
+    /// Asks the daemon to drain; [`Daemon::ended`] tells when it has.
+    pub fn drain(&self) {
+        drain::begin(&self.host);
+    }
+
+    /// Waits until the daemon has drained.
+    pub async fn ended(&self) -> Ended {
+        self.ended.recv().await.unwrap_or(Ended::AtBound)
+    }
+}
+
+fn context(host: &Arc<Host>, decide: Arc<Decide>, books: Arc<Books>) -> Arc<Context> {
+    let settings = &host.settings;
+    let options = Options {
+        connect: settings.platform.connect,
+        first_byte: settings.platform.request,
+        total: settings.platform.request,
+        repeat: http::Repeat::Never,
+    };
+    let service = |address: SocketAddr| {
+        let circuit = Circuit::new(host.incarnation().0, platform::Tuning::default());
+        Service::new(
+            host.http.clone(),
+            address,
+            Arc::clone(&host.clock),
+            options,
+            circuit,
+        )
+    };
+    let engine = engine::Client::new(host.http.clone());
+    let endpoints = Endpoints::new(Arc::clone(host), Arc::clone(&decide), engine.clone());
+    Arc::new(Context {
+        decide,
+        books,
+        endpoints: Arc::new(endpoints),
+        engine,
+        table: Table::new(service(settings.platform.table)),
+        ratings: Ratings::new(service(settings.platform.ratings)),
+        list: HostList::new(service(settings.platform.host_list)),
+        host: Arc::clone(host),
+    })
+}
+
+/// Listens for callers and for operators, on one address when the settings
+/// name the same for both.
+async fn listen(cx: &Arc<Context>) -> Result<Vec<Server>, Report<Error>> {
+    let settings = &cx.host.settings.listen;
+    let limits = tuning::http(&cx.host.settings);
+    let bind = async |address: SocketAddr, side: Side| {
+        let cx = Arc::clone(cx);
+        Server::bind(address, limits, move |request| {
+            serve(Arc::clone(&cx), side, request)
+        })
+        .await
+        .change_context(Error::Listen(address))
+    };
+    if settings.callers == settings.operators && settings.callers.port() != 0 {
+        return Ok(vec![bind(settings.callers, Side::Both).await?]);
+    }
+    let callers = bind(settings.callers, Side::Callers).await?;
+    let operators = bind(settings.operators, Side::Operators).await?;
+    Ok(vec![callers, operators])
+}
+
+/// Whom an address is for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Side {
+    Callers,
+    Operators,
+    Both,
+}
+
+async fn serve(cx: Arc<Context>, side: Side, request: http::Request) -> http::Response {
+    let operator = request.target.starts_with("/operator/");
+    match (side, operator) {
+        (Side::Operators, _) | (Side::Both, true) => operate::serve(cx, request).await,
+        (Side::Callers | Side::Both, _) => gate::serve(cx, request).await,
+    }
+}
+
+fn me(host: &Host, address: SocketAddr, fleet_address: SocketAddr) -> Member {
+    Member {
+        identity: Identity {
+            host: host.settings.host.name.clone(),
+            incarnation: host.incarnation(),
+        },
+        refutation: 0,
+        state: State::Alive,
+        fleet_address,
+        address,
+        data_centre: host.settings.host.data_centre.clone(),
+        region: host.settings.host.region.clone(),
+    }
+}
+
+fn watch_list(cx: &Arc<Context>) -> impl Future<Output = ()> + Send + use<> {
+    let told = Arc::clone(cx);
+    endpoints::watch_list(
+        Arc::clone(&cx.host),
+        cx.list.clone(),
+        Arc::clone(&cx.endpoints),
+        move |entries| {
+            let hosts = fleet::listed(entries);
+            fleet::tell(&told, ::fleet::Event::Hosts(hosts));
+        },
+    )
+}
+
+async fn watch_gauges(cx: Arc<Context>, link: Link) {
+    let mut strangers = 0;
+    loop {
+        let members = match cx.host.registry.find::<fleet::Fleet>() {
+            Some(fleet) => fleet.ask(fleet::Message::Members).await.unwrap_or_default(),
+            None => Vec::new(),
+        };
+        let count = |state: &[State]| {
+            members
+                .iter()
+                .filter(|it| state.contains(&it.state))
+                .count()
+        };
+        let books = cx.books.status();
+        let now = cx.host.now();
+        cx.host.metrics.level(&Level {
+            revision: cx.host.current.get().revision().0,
+            proof_age: cx.host.current.proof_age(now).unwrap_or(now),
+            unwritten: books.held as u64,
+            held: books.copies as u64,
+            live: count(&[State::Alive]) as u64,
+            leaving: count(&[State::Leaving]) as u64,
+            suspect: count(&[State::Suspect, State::Unreachable]) as u64,
+            endpoints: cx.endpoints.live().len() as u64,
+            open: cx.host.open_calls() as u64,
+        });
+        let rejected: u64 = link::Rejection::ALL
+            .iter()
+            .map(|it| link.counters().rejected(*it))
+            .sum();
+        if rejected > strangers {
+            cx.host.metrics.strangers(rejected - strangers);
+            cx.host
+                .log
+                .emit(Event::Stranger, &[("dropped", &(rejected - strangers))]);
+            strangers = rejected;
+        }
+        task::sleep(GAUGES).await;
+    }
+}
--- a/crates/barleypind/src/main.rs
+++ b/crates/barleypind/src/main.rs
@@ -1,3 +1,113 @@
-//! The entry host daemon.
+//! The entry host daemon: settings, then the services, then a drain on SIGTERM.
 
-fn main() {}
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use async_signal::{Signal, Signals};
+use barleypind::log::Log;
+use barleypind::{Daemon, Ended, Error};
+use clap::{Arg, Command, value_parser};
+use config::Settings;
+use error_stack::{Report, ResultExt};
+use futures::StreamExt;
+
+/// Settings or keys can't be used.
+const EXIT_SETTINGS: u8 = 2;
+/// The drain reached its bound with work or records left.
+const EXIT_BOUND: u8 = 3;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let result = match matches.subcommand() {
+        Some(("check", matches)) => check(settings_path(matches)),
+        _ => async_std::task::block_on(run(settings_path(&matches))),
+    };
+    match result {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("{}", describe(&report));
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("The host's settings, a TOML file")
+        .value_parser(value_parser!(PathBuf))
+        .required(true);
+    Command::new("barleypind")
+        .version(clap::crate_version!())
+        .about("An entry host of barleypin: routes requests to models and plain services")
+        .args_conflicts_with_subcommands(true)
+        .subcommand_negates_reqs(true)
+        .arg(settings.clone())
+        .subcommand(
+            Command::new("check")
+                .about("Checks the settings and the key files, and starts nothing")
+                .arg(settings),
+        )
+}
+
+fn settings_path(matches: &clap::ArgMatches) -> &Path {
+    matches
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires --settings")
+}
+
+fn check(path: &Path) -> Result<ExitCode, Report<Error>> {
+    let settings = read(path)?;
+    barleypind::check_keys(&settings)?;
+    println!("{}: no faults", path.display());
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run(path: &Path) -> Result<ExitCode, Report<Error>> {
+    let settings = read(path)?;
+    let log = Log::to_stderr(settings.log);
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).change_context(Error::Signals)?;
+    let daemon = Daemon::start(settings, log).await?;
+    let drain = async {
+        while signals.next().await.is_some() {
+            daemon.drain();
+        }
+    };
+    let ended = daemon.ended();
+    futures::pin_mut!(drain, ended);
+    let ended = match futures::future::select(ended, drain).await {
+        futures::future::Either::Left((ended, _)) => ended,
+        futures::future::Either::Right(((), ended)) => ended.await,
+    };
+    Ok(match ended {
+        Ended::Whole => ExitCode::SUCCESS,
+        Ended::AtBound => ExitCode::from(EXIT_BOUND),
+    })
+}
+
+fn read(path: &Path) -> Result<Settings, Report<Error>> {
+    let text = fs::read_to_string(path).change_context_lazy(|| Error::Settings(path.to_owned()))?;
+    Settings::parse(&text, &path.display().to_string())
+        .map_err(|faults| Report::new(Error::Faults(faults)))
+}
+
+/// The report's causes, one a line, the outermost first.
+fn describe(report: &Report<Error>) -> String {
+    let mut lines = vec![report.current_context().to_string()];
+    for frame in report.frames().skip(1) {
+        if let error_stack::FrameKind::Context(context) = frame.kind() {
+            let line = context.to_string();
+            if !lines.contains(&line) {
+                lines.push(format!("  because: {line}"));
+            }
+        } else if let error_stack::FrameKind::Attachment(error_stack::AttachmentKind::Printable(
+            text,
+        )) = frame.kind()
+        {
+            lines.push(format!("  {text}"));
+        }
+    }
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/barleypind/src/service/endpoints.rs
@@ -0,0 +1,321 @@
+//! The service that knows the endpoints: from the platform's list, from their
+//! own load reports and from other hosts' news.
+
+use std::collections::HashMap;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use async_std::task;
+use decide::endpoint::{Distance, Id, Load, Role, State, Update};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use kernel::{HostName, Incarnation, VersionId};
+use platform::{HostList, Kind};
+
+use crate::event::Event;
+use crate::host::Host;
+use crate::service::decide::Decide;
+
+/// Load reports that are asked for at the same time.
+const POLLS_AT_ONCE: usize = 16;
+/// A report is small; an endpoint that takes longer is busy or gone.
+const REPORT_TIME: Duration = Duration::from_millis(800);
+/// Reports missed in a row after which an endpoint gets no new work.
+const MISSED_BOUND: u32 = 3;
+
+/// An endpoint as an attempt needs it.
+#[derive(Clone, Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) name: HostName,
+    pub(crate) at: engine::Endpoint,
+    pub(crate) role: Role,
+    pub(crate) distance: Distance,
+    state: State,
+    load: Option<Load>,
+    missed: u32,
+}
+
+impl Endpoint {
+    /// Whether it is an engine that has this version loaded.
+    pub(crate) fn has_loaded(&self, version: &VersionId) -> bool {
+        matches!(&self.role, Role::Engine(versions) if versions.contains(version))
+    }
+
+    fn id(&self) -> Id {
+        Id::new(&self.name, self.at.incarnation)
+    }
+
+    fn update(&self) -> Update {
+        Update {
+            id: self.id(),
+            role: self.role.clone(),
+            distance: self.distance,
+            state: self.state,
+            load: self.load,
+        }
+    }
+}
+
+/// The endpoints that this host knows.
+pub(crate) struct Endpoints {
+    host: Arc<Host>,
+    decide: Arc<Decide>,
+    engine: engine::Client,
+    known: RwLock<HashMap<Id, Endpoint>>,
+}
+
+impl Endpoints {
+    pub(crate) fn new(host: Arc<Host>, decide: Arc<Decide>, engine: engine::Client) -> Self {
+        Self {
+            host,
+            decide,
+            engine,
+            known: RwLock::default(),
+        }
+    }
+
+    /// The endpoint with this identity.
+    pub(crate) fn get(&self, id: Id) -> Option<Endpoint> {
+        self.read().get(&id).cloned()
+    }
+
+    /// All endpoints that may get work.
+    pub(crate) fn live(&self) -> Vec<Endpoint> {
+        let known = self.read();
+        known
+            .values()
+            .filter(|it| it.state == State::Live)
+            .cloned()
+            .collect()
+    }
+
+    /// Takes the platform's list, as it was some time ago.
+    ///
+    /// The list lags, so it never brings back what an endpoint said itself: an
+    /// endpoint that is leaving stays so for the rest of its incarnation.
+    pub(crate) fn list(&self, hosts: &[platform::Host]) {
+        let listed: Vec<_> = hosts.iter().filter_map(|it| self.listed(it)).collect();
+        let mut known = self.write();
+        let gone: Vec<Id> = known
+            .keys()
+            .filter(|id| !listed.iter().any(|it| it.id() == **id))
+            .copied()
+            .collect();
+        let mut updates = Vec::new();
+        for id in gone {
+            if let Some(mut endpoint) = known.remove(&id) {
+                endpoint.state = State::Gone;
+                updates.push(endpoint.update());
+            }
+        }
+        for endpoint in listed {
+            match known.get_mut(&endpoint.id()) {
+                None => {
+                    self.host.log.emit(
+                        Event::EndpointUp,
+                        &[
+                            ("endpoint", &endpoint.name),
+                            ("incarnation", &endpoint.at.incarnation),
+                        ],
+                    );
+                    updates.push(endpoint.update());
+                    known.insert(endpoint.id(), endpoint);
+                }
+                Some(old) if old.state == State::Live && endpoint.state == State::Leaving => {
+                    old.state = State::Leaving;
+                    self.log_leaving(&old.name);
+                    updates.push(old.update());
+                }
+                Some(_) => {}
+            }
+        }
+        drop(known);
+        self.publish(updates);
+    }
+
+    /// Notes what another host learned of an endpoint, or an attempt did.
+    pub(crate) fn hear(&self, name: &HostName, incarnation: Incarnation, state: State) {
+        let id = Id::new(name, incarnation);
+        let mut known = self.write();
+        let Some(endpoint) = known.get_mut(&id) else {
+            return;
+        };
+        if endpoint.state == State::Live && state != State::Live {
+            endpoint.state = state;
+            self.log_leaving(name);
+            let update = endpoint.update();
+            drop(known);
+            self.publish(vec![update]);
+        }
+    }
+
+    /// Asks each endpoint for its load once.
+    pub(crate) async fn poll(&self) {
+        let asked: Vec<Endpoint> = self.read().values().cloned().collect();
+        let mut waiting = asked.into_iter();
+        let mut polls: FuturesUnordered<_> = waiting
+            .by_ref()
+            .take(POLLS_AT_ONCE)
+            .map(|it| self.report(it))
+            .collect();
+        while polls.next().await.is_some() {
+            if let Some(next) = waiting.next() {
+                polls.push(self.report(next));
+            }
+        }
+    }
+
+    async fn report(&self, endpoint: Endpoint) {
+        let options = http::Options {
+            connect: REPORT_TIME,
+            first_byte: REPORT_TIME,
+            total: REPORT_TIME,
+            repeat: http::Repeat::Idempotent,
+        };
+        let report = self.engine.load(&endpoint.at, &options).await;
+        let report = report
+            .ok()
+            .filter(|it| it.incarnation == endpoint.at.incarnation);
+        let mut known = self.write();
+        let Some(current) = known.get_mut(&endpoint.id()) else {
+            return;
+        };
+        let before = current.state;
+        match report {
+            Some(report) => current.take(report),
+            None => current.miss(),
+        }
+        if before != current.state {
+            let event = match current.state {
+                State::Live => Event::EndpointUp,
+                State::Leaving => Event::EndpointLeaving,
+                State::Gone => Event::EndpointDown,
+            };
+            self.host.log.emit(event, &[("endpoint", &current.name)]);
+        }
+        let update = current.update();
+        drop(known);
+        self.publish(vec![update]);
+    }
+
+    fn publish(&self, updates: Vec<Update>) {
+        for update in updates {
+            self.decide.handle(decide::Event::Endpoint(update));
+        }
+    }
+
+    fn log_leaving(&self, name: &HostName) {
+        self.host
+            .log
+            .emit(Event::EndpointLeaving, &[("endpoint", name)]);
+    }
+
+    fn listed(&self, host: &platform::Host) -> Option<Endpoint> {
+        let role = match host.kind {
+            Kind::Entry => return None,
+            Kind::Engine => Role::Engine(host.versions.clone().into()),
+            Kind::Service => Role::Service(host.service.clone()?),
+        };
+        let me = &self.host.settings.host;
+        let distance = if host.data_centre == me.data_centre {
+            Distance::DataCentre
+        } else if host.region == me.region {
+            Distance::Region
+        } else {
+            Distance::Far
+        };
+        Some(Endpoint {
+            name: host.name.clone(),
+            at: engine::Endpoint {
+                address: host.address,
+                incarnation: host.incarnation,
+            },
+            role,
+            distance,
+            state: match host.state {
+                platform::State::Live => State::Live,
+                platform::State::Leaving => State::Leaving,
+            },
+            load: None,
+            missed: 0,
+        })
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, HashMap<Id, Endpoint>> {
+        self.known.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> std::sync::RwLockWriteGuard<'_, HashMap<Id, Endpoint>> {
+        self.known.write().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Endpoint {
+    fn take(&mut self, report: engine::Load) {
+        self.missed = 0;
+        self.state = match (self.state, report.state) {
+            (State::Leaving, _) | (_, engine::State::Leaving) => State::Leaving,
+            (_, engine::State::Live) => State::Live,
+        };
+        if let Role::Engine(versions) = &mut self.role {
+            let loaded: Vec<VersionId> = report
+                .versions
+                .into_iter()
+                .filter(|it| it.state == engine::VersionState::Loaded)
+                .map(|it| it.id)
+                .collect();
+            *versions = loaded.into();
+        }
+        self.load = Some(Load {
+            running: report.running,
+            waiting: report.waiting,
+            slots: report.slots,
+            age: Duration::from_millis(report.age_ms),
+        });
+    }
+
+    /// One missed report says little; several in a row take it out of use
+    /// until it reports again.
+    fn miss(&mut self) {
+        self.missed = self.missed.saturating_add(1);
+        if self.missed >= MISSED_BOUND && self.state == State::Live {
+            self.state = State::Gone;
+        }
+    }
+}
+
+/// Reads the platform's list for ever, and tells what it holds.
+pub(crate) async fn watch_list(
+    host: Arc<Host>,
+    list: HostList,
+    endpoints: Arc<Endpoints>,
+    entries: impl Fn(Vec<platform::Host>) + Send,
+) {
+    let mut out = false;
+    loop {
+        match list.fetch().await {
+            Ok(listing) => {
+                out = false;
+                endpoints.list(&listing.hosts);
+                let is_entry = |it: &platform::Host| it.kind == Kind::Entry;
+                entries(listing.hosts.into_iter().filter(is_entry).collect());
+            }
+            Err(err) => {
+                host.metrics.platform_failed("host_list");
+                if !out {
+                    host.log.emit(Event::HostListOut, &[("cause", &err)]);
+                }
+                out = true;
+            }
+        }
+        task::sleep(host.settings.platform.host_list_poll).await;
+    }
+}
+
+/// Asks the endpoints for their load for ever.
+pub(crate) async fn watch_load(host: Arc<Host>, endpoints: Arc<Endpoints>) {
+    loop {
+        endpoints.poll().await;
+        task::sleep(host.settings.decide.load_poll).await;
+    }
+}
--- /dev/null
+++ b/crates/barleypind/src/service/notices.rs
@@ -0,0 +1,74 @@
+//! The service that passes on what the decider says of more than one call.
+
+use std::sync::Arc;
+
+use async_std::task;
+use decide::action::Verdict;
+use futures::StreamExt;
+use futures::channel::mpsc::UnboundedReceiver;
+use wire::Ruling;
+
+use crate::context::Context;
+use crate::event::Event;
+use crate::service::decide::Notice;
+use crate::service::fleet::{self, Told};
+
+/// Passes notices on until the decider is gone.
+pub(crate) async fn run(cx: Arc<Context>, mut notices: UnboundedReceiver<Notice>) {
+    while let Some(notice) = notices.next().await {
+        match notice {
+            Notice::Evidence(evidence) => tell(&cx, Told::Evidence(evidence)),
+            Notice::Demand(demand) => tell(&cx, Told::Demand(demand)),
+            Notice::Verdict(version, verdict) => {
+                let text = format!("{verdict:?}");
+                cx.host.log.emit(
+                    Event::VersionVerdict,
+                    &[("version", &version), ("verdict", &text)],
+                );
+                fleet::tell(
+                    &cx,
+                    ::fleet::Event::Ruled(::fleet::Ruled {
+                        version,
+                        ruling: match verdict {
+                            Verdict::Healthy => Ruling::Lift,
+                            Verdict::Quarantined(_) => Ruling::Quarantine,
+                        },
+                        evidence: postcard::to_stdvec(&verdict).unwrap_or_default(),
+                    }),
+                );
+            }
+            Notice::LastResort(version) => {
+                let verdict = "last resort";
+                cx.host.log.emit(
+                    Event::VersionVerdict,
+                    &[("version", &version), ("verdict", &verdict)],
+                );
+            }
+            Notice::Step(version, step) => {
+                cx.host.log.emit(
+                    Event::RolloutStep,
+                    &[
+                        ("version", &version),
+                        ("from", &step.from),
+                        ("to", &step.to),
+                    ],
+                );
+            }
+        }
+    }
+}
+
+/// Tells the decider that time passes.
+pub(crate) async fn tick(cx: Arc<Context>) {
+    loop {
+        task::sleep(cx.host.settings.decide.tick).await;
+        cx.decide.handle(decide::Event::Tick);
+    }
+}
+
+fn tell(cx: &Context, told: Told) {
+    if let Some(fleet) = cx.host.registry.find::<fleet::Fleet>() {
+        // Evidence that is lost costs a little speed of learning.
+        let _ = fleet.offer(fleet::Message::Decide(told));
+    }
+}
--- /dev/null
+++ b/crates/barleypind/src/service/rate.rs
@@ -0,0 +1,83 @@
+//! The service that hands answers to the rating service and takes its ratings.
+
+use std::sync::Arc;
+
+use async_std::channel::Receiver;
+use async_std::task;
+use decide::event::{Event, Quality, Rating};
+use decide::key::Class;
+use kernel::Service;
+use platform::Sample;
+
+use crate::context::Context;
+use crate::event::Event as Logged;
+
+/// Ratings that are asked for at once.
+const PAGE: usize = 200;
+
+/// The name of the service.
+pub(crate) struct Rate;
+
+impl Service for Rate {
+    type Message = Sample;
+    const NAME: &'static str = "rate";
+    const CAPACITY: usize = 256;
+}
+
+/// Hands in samples, one after the other: the rating service is slow, and a
+/// full queue drops further samples instead of holding up calls.
+pub(crate) async fn submit(cx: Arc<Context>, queue: Receiver<Sample>) {
+    while let Ok(sample) = queue.recv().await {
+        if cx.ratings.submit(&sample).await.is_err() {
+            cx.host.metrics.platform_failed("ratings");
+        }
+    }
+}
+
+/// Takes ratings for ever.
+pub(crate) async fn collect(cx: Arc<Context>) {
+    let mut after = 0;
+    let mut out = false;
+    let host = &cx.host.settings.host.name;
+    loop {
+        match cx.ratings.fetch(host, after, PAGE).await {
+            Ok(ratings) => {
+                out = false;
+                let full = ratings.len() == PAGE;
+                for rating in ratings {
+                    after = after.max(rating.seq);
+                    pass_on(&cx, rating);
+                }
+                if full {
+                    continue;
+                }
+            }
+            Err(err) => {
+                cx.host.metrics.platform_failed("ratings");
+                if !out {
+                    cx.host.log.emit(Logged::RatingsOut, &[("cause", &err)]);
+                }
+                out = true;
+            }
+        }
+        task::sleep(cx.host.settings.platform.ratings_poll).await;
+    }
+}
+
+/// Ratings of an earlier life of this host are passed over: the decider knows
+/// nothing of those requests any more.
+fn pass_on(cx: &Context, rating: platform::Rating) {
+    let Some(request) = cx.host.request_number(rating.request.as_str()) else {
+        return;
+    };
+    cx.decide.handle(Event::Rated(Rating {
+        request,
+        version: rating.version,
+        class: Class::named(&rating.class),
+        verdict: if rating.good {
+            Quality::Good
+        } else {
+            Quality::Bad
+        },
+    }));
+}
--- /dev/null
+++ b/crates/barleypind/src/service/table.rs
@@ -0,0 +1,156 @@
+//! The service that does the ledger's errands: the table, and other hosts.
+
+use std::sync::Arc;
+
+use async_std::channel::Sender;
+use async_std::task;
+use futures::StreamExt;
+use futures::channel::mpsc::UnboundedReceiver;
+use ledger::table::{Expect, Page, Row, Transaction, Unavailable, Written};
+use ledger::{Action, Event};
+use platform::row::{Key, Prefix};
+use platform::{Condition, Error};
+use serde_json::Value;
+
+use crate::context::Context;
+use crate::event::Event as Logged;
+use crate::renew;
+use crate::service::fleet;
+use crate::service::ledger::Errand;
+
+/// Does errands until the ledger is gone. Operations on the table run beside
+/// each other; the ledger bounds how many it starts.
+pub(crate) async fn run(
+    cx: Arc<Context>,
+    mut errands: UnboundedReceiver<Errand>,
+    drained: Sender<()>,
+) {
+    while let Some(errand) = errands.next().await {
+        match errand {
+            Errand::Send(to, message) => {
+                if let Some(fleet) = cx.host.registry.find::<fleet::Fleet>() {
+                    // The ledger repeats what matters.
+                    let _ = fleet.offer(fleet::Message::Ledger(to, message));
+                }
+            }
+            Errand::Table(action) => {
+                task::spawn(perform(Arc::clone(&cx), action));
+            }
+            Errand::Retire(fenced) if fenced == cx.host.incarnation() => renew::renew(&cx),
+            Errand::Retire(_) => {}
+            Errand::Drained => {
+                let _ = drained.try_send(());
+            }
+        }
+    }
+}
+
+async fn perform(cx: Arc<Context>, action: Action) {
+    let event = match action {
+        Action::Transact { op, transaction } => Event::Transacted {
+            op,
+            result: transact(&cx, transaction).await,
+        },
+        Action::Read { op, key } => Event::Read {
+            op,
+            result: read(&cx, &key).await,
+        },
+        Action::Scan {
+            op,
+            prefix,
+            after,
+            limit,
+        } => Event::Scanned {
+            op,
+            result: scan(&cx, &prefix, &after, limit).await,
+        },
+        _ => return,
+    };
+    cx.books.handle(event);
+}
+
+async fn transact(cx: &Context, wanted: Transaction) -> Written {
+    let Some(transaction) = translate(&wanted) else {
+        return Written::NotApplied;
+    };
+    match cx.table.transact(&transaction).await {
+        Ok(_) => Written::Applied,
+        Err(Error::Conflict { failed }) => Written::Failed {
+            keys: failed.into_iter().map(|it| it.key).collect(),
+        },
+        Err(err) => {
+            cx.host.metrics.platform_failed("table");
+            cx.host.log.emit(Logged::BatchFailed, &[("cause", &err)]);
+            match err {
+                Error::NotApplied(_) => Written::NotApplied,
+                _ => Written::Unknown,
+            }
+        }
+    }
+}
+
+/// The transaction in the table client's terms; nothing for a key that is none
+/// of the rows of `docs/PROTOCOLS.md`, which the ledger never writes.
+fn translate(wanted: &Transaction) -> Option<platform::Transaction> {
+    let mut transaction = platform::Transaction::default();
+    for condition in &wanted.conditions {
+        let key = Key::parse(&condition.key)?;
+        transaction = transaction.when(match condition.expect {
+            Expect::Absent => Condition::Absent(key),
+            Expect::Version(version) => Condition::At(key, version.into()),
+        });
+    }
+    for put in &wanted.puts {
+        let value: Value = serde_json::from_str(&put.value).ok()?;
+        transaction = transaction.put(&Key::parse(&put.key)?, &value);
+    }
+    for key in &wanted.deletes {
+        transaction = transaction.delete(&Key::parse(key)?);
+    }
+    Some(transaction)
+}
+
+async fn read(cx: &Context, key: &str) -> Result<Option<Row>, Unavailable> {
+    let key = Key::parse(key).ok_or(Unavailable)?;
+    let row = cx.table.get(&key).await.map_err(|_| {
+        cx.host.metrics.platform_failed("table");
+        Unavailable
+    })?;
+    Ok(row.map(row_of))
+}
+
+async fn scan(cx: &Context, prefix: &str, after: &str, limit: usize) -> Result<Page, Unavailable> {
+    let prefix = parse_prefix(prefix).ok_or(Unavailable)?;
+    let after = Some(after).filter(|it| !it.is_empty());
+    let page = cx.table.scan(prefix, after, limit).await.map_err(|_| {
+        cx.host.metrics.platform_failed("table");
+        Unavailable
+    })?;
+    Ok(Page {
+        rows: page.rows.into_iter().map(row_of).collect(),
+        more: page.more,
+    })
+}
+
+fn row_of(row: platform::Row) -> Row {
+    let value: Value = row.value().unwrap_or_default();
+    Row {
+        key: row.key,
+        version: row.version.into(),
+        value: value.to_string(),
+    }
+}
+
+fn parse_prefix(text: &str) -> Option<Prefix> {
+    let mut parts = text.split('/');
+    match (parts.next()?, parts.next()?) {
+        ("bill", "") => Some(Prefix::Bills),
+        ("bill", incarnation) => Some(Prefix::BillsOf(
+            incarnation.parse().map(kernel::Incarnation).ok()?,
+        )),
+        ("claim", "") => Some(Prefix::Claims),
+        ("fence", "") => Some(Prefix::Fences),
+        ("lease", "") => Some(Prefix::Leases),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/barleypind/src/tuning.rs
@@ -0,0 +1,41 @@
+//! What the settings mean to each core.
+
+use config::Settings;
+
+pub(crate) fn decide(settings: &Settings) -> decide::Tuning {
+    decide::Tuning {
+        host: settings.host.name.clone(),
+        tick: settings.decide.tick,
+    }
+}
+
+pub(crate) fn ledger(settings: &Settings) -> ledger::Tuning {
+    let it = &settings.ledger;
+    ledger::Tuning {
+        flush_interval: it.batch,
+        batch_records: it.batch_records,
+        held_records: it.held_records,
+        copy_timeout: it.partner,
+        key_linger: it.remember,
+        ..ledger::Tuning::default()
+    }
+}
+
+pub(crate) fn fleet(settings: &Settings) -> fleet::Tuning {
+    fleet::Tuning {
+        poll_every: settings.freshness.poll,
+        ..fleet::Tuning::default()
+    }
+}
+
+pub(crate) fn http(settings: &Settings) -> http::Limits {
+    let it = &settings.limits;
+    http::Limits {
+        head_time: it.header_time,
+        body_time: it.body_time,
+        idle_time: it.idle_time,
+        max_body: it.max_body_bytes,
+        max_connections: it.max_connections,
+        ..http::Limits::default()
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Ack, Answer, Digest, Document, Evidence, Fetch, Forward, Forwarded, Hold, Identity, News,
-    Probe, ProbeRequest, Question, Release,
+    Payload, Probe, ProbeRequest, Question, Release,
 };
 
 /// One message between two hosts.
@@ -55,6 +55,12 @@
     /// Answers a question that the receiver can't answer.
     #[from(skip)]
     Refused,
+    /// A message between the ledgers of two hosts, in the ledger's form.
+    #[from(skip)]
+    Ledger(Payload),
+    /// What the decision core of a host tells those of the others, in its form.
+    #[from(skip)]
+    Decide(Payload),
 }
 
 impl Frame {
@@ -80,6 +86,8 @@
             Self::Drain(_) => "drain",
             Self::Done => "done",
             Self::Refused => "refused",
+            Self::Ledger(_) => "ledger",
+            Self::Decide(_) => "decide",
         }
     }
 }
