--- a/crates/barleypind/src/call/forward.rs
+++ b/crates/barleypind/src/call/forward.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 
+use gate::call;
 use gate::problem::{Problem, Reason, Run};
+use gate::ticket;
 use http::{Body, Headers, Method, Options, Request, Response};
 use kernel::Incarnation;
-use ledger::{Event, Forward};
+use ledger::{Event, Forward, Via};
 
 use super::Call;
 use crate::context::Context;
+use crate::host::Host;
 use crate::reply;
 use crate::service::fleet;
 
@@ -27,6 +30,16 @@
             headers: request.headers.clone(),
         }
     }
+
+    /// Who brought the call. Another host proves itself by the keyed hash of
+    /// the ticket, which callers don't have the key for.
+    pub(crate) fn via(&self, host: &Host) -> Via {
+        let ticket = self.headers.get(call::TICKET).unwrap_or_default();
+        match self.headers.get(call::VIA) {
+            Some(proof) if ticket::is_passed_on(&host.secrets.ticket, ticket, proof) => Via::Peer,
+            _ => Via::Caller,
+        }
+    }
 }
 
 /// Passes the call to its home and the home's answer to the caller.
@@ -71,6 +84,9 @@
     for (name, value) in original.headers.iter().filter(|(name, _)| passes(name)) {
         request.headers.append(name.to_owned(), value);
     }
+    let ticket = original.headers.get(call::TICKET).unwrap_or_default();
+    let proof = ticket::pass_on(&cx.host.secrets.ticket, ticket);
+    request.headers.set(call::VIA, proof);
     let options = Options {
         connect: cx.host.settings.http.connect,
         total: cx.host.settings.host.drain_limit,
--- a/crates/barleypind/src/call/start.rs
+++ b/crates/barleypind/src/call/start.rs
@@ -277,6 +277,7 @@
             Repeat::Idempotent => ledger::Repeat::Idempotent,
             Repeat::AtMostOnce => ledger::Repeat::NonIdempotent,
         },
+        via: original.via(host),
     })
 }
 
--- a/crates/gate/src/call.rs
+++ b/crates/gate/src/call.rs
@@ -18,6 +18,10 @@
 /// The name of the header that states the [`Priority`].
 pub const PRIORITY: &str = "barleypin-priority";
 
+/// The name of the header by which a host proves to another that it passes a
+/// call on, see [`crate::ticket::pass_on`].
+pub const VIA: &str = "barleypin-via";
+
 const MAX_KEY: usize = 128;
 const MAX_DEADLINE: Duration = Duration::from_hours(1);
 
--- a/crates/gate/src/ticket.rs
+++ b/crates/gate/src/ticket.rs
@@ -13,6 +13,7 @@
 use crate::seal;
 
 const PREFIX: &str = "t1.";
+const VIA_PREFIX: &str = "v1.";
 
 /// A ticket, minted with the answer to `GET /v1/hosts`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,3 +48,15 @@
         })
     }
 }
+
+/// The proof that a host, not a caller, sends a call under this ticket.
+#[must_use]
+pub fn pass_on(secret: &Secret, ticket: &str) -> String {
+    seal::seal(secret, VIA_PREFIX, &ticket)
+}
+
+/// Whether `proof` is what [`pass_on`] made for this ticket.
+#[must_use]
+pub fn is_passed_on(secret: &Secret, ticket: &str, proof: &str) -> bool {
+    seal::open::<String>(secret, VIA_PREFIX, proof).is_some_and(|it| it == ticket)
+}
--- a/crates/gate/tests/token.rs
+++ b/crates/gate/tests/token.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gate::session::Token;
-use gate::ticket::Ticket;
+use gate::ticket::{Ticket, is_passed_on, pass_on};
 use kernel::{Incarnation, Secret};
 use proptest::prelude::*;
 
@@ -69,6 +69,16 @@
     assert!(Token::open(&secret("a"), &renamed, &"portal".into(), &"dossier".into()).is_err());
 }
 
+#[test]
+fn only_a_host_can_pass_a_ticket_on() {
+    let ticket = ticket().seal(&secret("a"));
+    let proof = pass_on(&secret("a"), &ticket);
+    assert!(is_passed_on(&secret("a"), &ticket, &proof));
+    assert!(!is_passed_on(&secret("a"), "t1.00", &proof));
+    assert!(!is_passed_on(&secret("b"), &ticket, &proof));
+    assert!(!is_passed_on(&secret("a"), &ticket, &ticket));
+}
+
 proptest! {
     #[test]
     fn a_changed_token_is_refused(at in 3_usize..200, digit in "[0-9a-f]") {
