--- a/crates/barleypind/src/tuning.rs
+++ b/crates/barleypind/src/tuning.rs
@@ -3,9 +3,15 @@
 use config::Settings;
 
 pub(crate) fn decide(settings: &Settings) -> decide::Tuning {
+    let it = &settings.decide;
     decide::Tuning {
         host: settings.host.name.clone(),
-        tick: settings.decide.tick,
+        tick: it.tick,
+        attempts: it.max_attempts,
+        retry_share: it.retry_budget,
+        sample_share: it.rating_share,
+        explore_share: it.explore_share,
+        ..decide::Tuning::default()
     }
 }
 
