Give operators their command line

barleyctl reads and changes the configuration through any entry host. A change has one id for all its tries, so that a lost answer neither makes it twice nor shows as a conflict with itself; after a change the tool waits until each live host has it in force and names the hosts that lag. Files carry the revision they were read at. Exit codes are an enum that the reference is compared with.

--- /dev/null
+++ b/crates/barleyctl/src/cli/value.rs
@@ -0,0 +1,27 @@
+//! Values of arguments that aren't plain numbers or texts.
+
+use std::time::Duration;
+
+/// The longest id of a change that hosts take, in bytes.
+const MAX_CHANGE: usize = 128;
+
+/// Seconds, perhaps with a fraction.
+pub(super) fn seconds(text: &str) -> Result<Duration, String> {
+    let seconds: Option<f64> = text.parse().ok();
+    seconds
+        .filter(|seconds| *seconds > 0.0)
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+        .ok_or_else(|| "expected a number of seconds above 0".to_owned())
+}
+
+/// The id of a change.
+pub(super) fn change_id(text: &str) -> Result<String, String> {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if (1..=MAX_CHANGE).contains(&text.len()) && text.bytes().all(fits) {
+        Ok(text.to_owned())
+    } else {
+        Err(format!(
+            "expected 1 to {MAX_CHANGE} letters, digits, `-`, `_` or `.`"
+        ))
+    }
+}
--- /dev/null
+++ b/crates/barleyctl/src/client.rs
@@ -0,0 +1,148 @@
+//! The operators' protocol, spoken to any of several hosts.
+
+mod change;
+mod tried;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::Faults;
+use error_stack::Report;
+use gate::operator::{History, Refusal, Snapshot, Status};
+use gate::problem::{Problem, Reason};
+use http::{Method, Options, Pool, Repeat, Request, Response};
+use kernel::{HostName, SystemClock};
+use serde::de::DeserializeOwned;
+
+use crate::error::{Attempt, Error};
+
+pub(crate) use change::Change;
+use tried::Tried;
+
+/// The largest answer that is read: a document of thousands of entries fits.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// The time to connect to a host before the next one is tried.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// The operators' protocol, spoken to any of several hosts.
+///
+/// All hosts are equal, so each call goes to them in the order given until one
+/// answers.
+pub(crate) struct Client {
+    http: http::Client,
+    hosts: Vec<SocketAddr>,
+    authorization: String,
+    options: Options,
+}
+
+impl Client {
+    /// A client that shows `key` to `hosts` and waits `limit` for each answer.
+    pub(crate) fn new(hosts: Vec<SocketAddr>, key: &str, limit: Duration) -> Self {
+        Self {
+            http: http::Client::new(Arc::new(SystemClock::new()), Pool::default()),
+            hosts,
+            authorization: format!("Bearer {key}"),
+            options: Options {
+                connect: CONNECT.min(limit),
+                first_byte: limit,
+                total: limit,
+                repeat: Repeat::Idempotent,
+            },
+        }
+    }
+
+    pub(crate) async fn document(&self) -> Result<Snapshot, Report<Error>> {
+        self.get("/operator/v1/document").await
+    }
+
+    pub(crate) async fn status(&self) -> Result<Status, Report<Error>> {
+        self.get("/operator/v1/status").await
+    }
+
+    pub(crate) async fn history(&self, limit: usize) -> Result<History, Report<Error>> {
+        self.get(&format!("/operator/v1/history?limit={limit}"))
+            .await
+    }
+
+    /// Asks a host to drain. Asking twice is harmless.
+    pub(crate) async fn drain(&self, host: &HostName) -> Result<(), Report<Error>> {
+        let target = format!("/operator/v1/hosts/{host}/drain");
+        let request = || Request::new(Method::Post, target.clone());
+        self.first(request, |_| Ok(())).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, target: &str) -> Result<T, Report<Error>> {
+        let parse = |body: &[u8]| serde_json::from_slice(body).map_err(|err| err.to_string());
+        self.first(|| Request::get(target), parse).await
+    }
+
+    /// The first answer that a host gives; a host that can't answer now is passed over.
+    async fn first<T>(
+        &self,
+        request: impl Fn() -> Request,
+        parse: impl Fn(&[u8]) -> Result<T, String>,
+    ) -> Result<T, Report<Error>> {
+        let mut attempts = Vec::new();
+        for host in &self.hosts {
+            let outcome = match self.send(*host, request()).await {
+                Tried::Answered(body) => match parse(&body) {
+                    Ok(answer) => return Ok(answer),
+                    Err(fault) => format!("not an answer of this protocol: {fault}"),
+                },
+                Tried::Refused(refusal) if may_differ_elsewhere(&refusal.problem) => {
+                    refusal.problem.detail
+                }
+                Tried::Refused(refusal) => return Err(refused(*refusal).into()),
+                Tried::NotSent(outcome) | Tried::InDoubt(outcome) => outcome,
+            };
+            attempts.push(Attempt {
+                host: *host,
+                outcome,
+            });
+        }
+        Err(Error::Unreachable(attempts).into())
+    }
+
+    async fn send(&self, host: SocketAddr, request: Request) -> Tried {
+        let request = request.header("authorization", self.authorization.clone());
+        match self.http.send(host, request, &self.options).await {
+            Ok(response) => read(response).await,
+            Err(err @ http::Error::NotSent(_)) => Tried::NotSent(err.to_string()),
+            Err(err) => Tried::InDoubt(err.to_string()),
+        }
+    }
+}
+
+/// What a refusal means when no other host can do better.
+fn refused(refusal: Refusal) -> Error {
+    let Refusal {
+        problem, faults, ..
+    } = refusal;
+    if faults.is_empty() {
+        Error::Refused(Box::new(problem))
+    } else {
+        Error::Faults(Faults(faults.0))
+    }
+}
+
+/// Whether another host may answer what this one refuses.
+fn may_differ_elsewhere(problem: &Problem) -> bool {
+    matches!(
+        problem.reason,
+        Reason::NotReady | Reason::Leaving | Reason::StoreOut | Reason::Stale | Reason::Overloaded
+    )
+}
+
+async fn read(response: Response) -> Tried {
+    let status = response.status;
+    match response.body.collect(MAX_ANSWER).await {
+        Ok(body) if status.is_success() => Tried::Answered(body),
+        Ok(body) => match serde_json::from_slice(&body) {
+            Ok(refusal) => Tried::Refused(Box::new(refusal)),
+            Err(_) => Tried::InDoubt(format!("status {status} without a problem document")),
+        },
+        Err(err) => Tried::InDoubt(err.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/barleyctl/src/command.rs
@@ -0,0 +1,79 @@
+//! The commands.
+
+mod completions;
+mod customers;
+mod entries;
+mod hosts;
+mod keys;
+mod rollout;
+mod status;
+mod versions;
+
+use clap::ArgMatches;
+use config::{Kind, Name};
+use error_stack::Report;
+
+use crate::cli::{arg, verb};
+use crate::console::Console;
+use crate::error::Error;
+use crate::session::Session;
+
+/// Runs the command that `matches` name.
+pub(crate) async fn run(
+    matches: &ArgMatches,
+    console: &mut Console<'_>,
+) -> Result<(), Report<Error>> {
+    let (name, matches) = subcommand(matches);
+    match name {
+        verb::COMPLETIONS => {
+            completions::run(matches, console);
+            Ok(())
+        }
+        verb::KEYS => keys::run(matches, console),
+        verb::STATUS => status::run(&mut Session::open(matches, console)?).await,
+        verb::HOSTS => hosts::run(matches, &mut Session::open(matches, console)?).await,
+        plural => {
+            let kind = Kind::from_plural(plural).expect("the command line has no other command");
+            of_kind(kind, matches, console).await
+        }
+    }
+}
+
+async fn of_kind(
+    kind: Kind,
+    matches: &ArgMatches,
+    console: &mut Console<'_>,
+) -> Result<(), Report<Error>> {
+    let (verb, matches) = subcommand(matches);
+    if verb == verb::HASH {
+        return customers::hash(matches, console);
+    }
+    let mut session = Session::open(matches, console)?;
+    match verb {
+        verb::LIST => entries::list(kind, &mut session).await,
+        verb::SHOW => entries::show(&name(kind, matches), &mut session).await,
+        verb::APPLY | verb::EDIT => {
+            entries::apply(name(kind, matches), matches, &mut session).await
+        }
+        verb::DIFF => entries::diff(&name(kind, matches), matches, &mut session).await,
+        verb::REMOVE => entries::remove(name(kind, matches), matches, &mut session).await,
+        verb::HISTORY => entries::history(kind, matches, &mut session).await,
+        verb::PUT => versions::put(name(kind, matches), matches, &mut session).await,
+        verb::WITHDRAW => versions::withdraw(name(kind, matches), matches, &mut session).await,
+        verb::ROLLOUT => rollout::run(matches, &mut session).await,
+        other => unreachable!("the command line has no command {other}"),
+    }
+}
+
+fn subcommand(matches: &ArgMatches) -> (&str, &ArgMatches) {
+    matches
+        .subcommand()
+        .expect("the command line asks for a command at each level")
+}
+
+fn name(kind: Kind, matches: &ArgMatches) -> Name {
+    let name: &String = matches
+        .get_one(arg::NAME)
+        .expect("the command line asks for a name");
+    Name::new(kind, name)
+}
--- /dev/null
+++ b/crates/barleyctl/src/command/entries/columns.rs
@@ -0,0 +1,74 @@
+//! What a list shows of each kind of entry.
+
+use config::{Entry, Kind, Name};
+
+/// The heads of the columns.
+pub(super) fn head(kind: Kind) -> &'static [&'static str] {
+    match kind {
+        Kind::Version => &["VERSION", "STATE", "PROMPT", "COMPLETION", "REVISION"],
+        Kind::Profile => &[
+            "PROFILE",
+            "VERSIONS",
+            "QUALITY",
+            "COST CAP",
+            "REPEAT",
+            "PRIORITY",
+            "CUSTOMERS",
+            "REVISION",
+        ],
+        Kind::Customer => &[
+            "CUSTOMER",
+            "RATE",
+            "BURST",
+            "CONCURRENCY",
+            "WEIGHT",
+            "REVISION",
+        ],
+        Kind::Service => &["SERVICE", "ROUTES", "FIRST BYTE", "TOTAL", "REVISION"],
+        Kind::Rollout => &["VERSION", "REPLACES", "STATE", "STEP", "SHARE", "REVISION"],
+    }
+}
+
+/// The columns of an entry.
+pub(super) fn row(name: &Name, entry: &Entry) -> Vec<String> {
+    let mut row = vec![name.as_str().to_owned()];
+    match entry {
+        Entry::Version(it) => row.extend([
+            it.state.to_string(),
+            it.prompt.to_string(),
+            it.completion.to_string(),
+        ]),
+        Entry::Profile(it) => row.extend([
+            join(&it.allow),
+            it.quality.to_string(),
+            it.cost_cap.to_string(),
+            it.repeat.to_string(),
+            it.priority.to_string(),
+            join(it.customers.keys()),
+        ]),
+        Entry::Customer(it) => row.extend([
+            it.rate.to_string(),
+            it.burst.to_string(),
+            it.concurrency.to_string(),
+            it.weight.to_string(),
+        ]),
+        Entry::Service(it) => row.extend([
+            it.routes.len().to_string(),
+            format!("{} ms", it.first_byte.as_millis()),
+            format!("{} ms", it.total.as_millis()),
+        ]),
+        Entry::Rollout(it) => row.extend([
+            it.replaces.to_string(),
+            it.state.to_string(),
+            format!("{} of {}", it.step + 1, it.steps.len()),
+            it.share().to_string(),
+        ]),
+    }
+    row.push(entry.changed().to_string());
+    row
+}
+
+fn join<T: ToString>(items: impl IntoIterator<Item = T>) -> String {
+    let items: Vec<_> = items.into_iter().map(|it| it.to_string()).collect();
+    items.join(", ")
+}
--- /dev/null
+++ b/crates/barleyctl/src/command/keys.rs
@@ -0,0 +1,114 @@
+//! `keys`: the files that prove who a host or an operator is; see docs/operate/keys.md.
+
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+
+use clap::ArgMatches;
+use error_stack::{Report, ResultExt};
+use kernel::HostName;
+use link::keys::Authority;
+
+use super::subcommand;
+use crate::cli::{arg, verb};
+use crate::console::Console;
+use crate::error::Error;
+
+const CA_CERTIFICATE: &str = "fleet-ca.pem";
+const CA_KEY: &str = "fleet-ca.key";
+const OPERATOR_KEY: &str = "operator.key";
+const SESSION_KEY: &str = "session.key";
+
+/// Who may read a file.
+#[derive(Clone, Copy, Debug)]
+enum Access {
+    /// Everybody: it is no secret.
+    Public = 0o644,
+    /// The user who made it.
+    Private = 0o600,
+}
+
+/// Runs a command on keys.
+pub(super) fn run(matches: &ArgMatches, console: &mut Console<'_>) -> Result<(), Report<Error>> {
+    let (verb, matches) = subcommand(matches);
+    let directory: &PathBuf = matches.get_one(arg::DIRECTORY).expect("it has a default");
+    match verb {
+        verb::INIT => init(matches, directory, console),
+        _ => host(matches, directory, console),
+    }
+}
+
+fn init(
+    matches: &ArgMatches,
+    directory: &Path,
+    console: &mut Console<'_>,
+) -> Result<(), Report<Error>> {
+    let fleet: &String = matches.get_one(arg::FLEET).expect("it has a default");
+    let authority = Authority::generate(fleet).change_context(Error::Keys)?;
+    let files = [
+        (CA_KEY, authority.key, Access::Private),
+        (CA_CERTIFICATE, authority.certificate, Access::Public),
+        (OPERATOR_KEY, random_key(), Access::Private),
+        (SESSION_KEY, random_key(), Access::Private),
+    ];
+    for (name, text, access) in files {
+        write(&directory.join(name), &text, access, console)?;
+    }
+    Ok(())
+}
+
+fn host(
+    matches: &ArgMatches,
+    directory: &Path,
+    console: &mut Console<'_>,
+) -> Result<(), Report<Error>> {
+    let name: &String = matches
+        .get_one(arg::NAME)
+        .expect("the command line asks for a name");
+    if name.contains(['/', '\\']) || name.starts_with('.') {
+        let fault = format!("{name:?} can't name a host's files");
+        return Err(Error::Input(fault).into());
+    }
+    let authority = Authority {
+        certificate: read(&directory.join(CA_CERTIFICATE))?,
+        key: read(&directory.join(CA_KEY))?,
+    };
+    let keys = authority
+        .issue(&HostName::from(name.as_str()))
+        .change_context(Error::Keys)?;
+    let key = directory.join(format!("{name}.key"));
+    let certificate = directory.join(format!("{name}.pem"));
+    write(&key, &keys.key, Access::Private, console)?;
+    write(&certificate, &keys.certificate, Access::Public, console)
+}
+
+/// 256 random bits as one line of text.
+fn random_key() -> String {
+    let [high, low]: [u128; 2] = rand::random();
+    format!("{high:032x}{low:032x}\n")
+}
+
+fn read(path: &Path) -> Result<String, Report<Error>> {
+    std::fs::read_to_string(path).change_context(Error::Read(path.to_owned()))
+}
+
+/// Writes a new file. One that is there stays: a fleet whose authority is
+/// overwritten has hosts that no longer know each other.
+fn write(
+    path: &Path,
+    text: &str,
+    access: Access,
+    console: &mut Console<'_>,
+) -> Result<(), Report<Error>> {
+    let mut file = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(access as u32)
+        .open(path)
+        .change_context_lazy(|| Error::Write(path.to_owned()))?;
+    file.write_all(text.as_bytes())
+        .change_context_lazy(|| Error::Write(path.to_owned()))?;
+    console.print(&format!("{}\n", path.display()));
+    Ok(())
+}
--- /dev/null
+++ b/crates/barleyctl/src/command/rollout.rs
@@ -0,0 +1,94 @@
+//! `versions rollout`.
+
+use clap::ArgMatches;
+use config::{Entry, Kind, Name, Rollout, RolloutState};
+use error_stack::Report;
+use kernel::Revision;
+
+use super::{entries, name, subcommand};
+use crate::cli::{arg, verb};
+use crate::error::Error;
+use crate::session::{Session, is_repeat};
+
+/// Runs a command on roll-outs.
+pub(super) async fn run(
+    matches: &ArgMatches,
+    session: &mut Session<'_, '_>,
+) -> Result<(), Report<Error>> {
+    let (verb, matches) = subcommand(matches);
+    let rollout = || name(Kind::Rollout, matches);
+    match verb {
+        verb::START => start(rollout(), matches, session).await,
+        verb::PAUSE => turn(rollout(), RolloutState::Paused, matches, session).await,
+        verb::RESUME => turn(rollout(), RolloutState::Running, matches, session).await,
+        verb::ABORT => turn(rollout(), RolloutState::Aborted, matches, session).await,
+        _ => entries::list(Kind::Rollout, session).await,
+    }
+}
+
+/// Starts a roll-out from its first step, also where an earlier one ended.
+async fn start(
+    name: Name,
+    matches: &ArgMatches,
+    session: &mut Session<'_, '_>,
+) -> Result<(), Report<Error>> {
+    let document = session.client.document().await?.document;
+    let base = match document.entry(&name) {
+        Some(Entry::Rollout(rollout)) if rollout.state.is_open() => {
+            base_of_repeat(&name, rollout.state, matches)?
+        }
+        current => current.map_or(Revision(0), |entry| entry.changed()),
+    };
+    let replaces: &String = matches
+        .get_one(arg::REPLACES)
+        .expect("the command line asks for it");
+    let steps = matches.get_many::<f64>(arg::STEPS);
+    let rollout = Rollout {
+        replaces: replaces.as_str().into(),
+        steps: steps.into_iter().flatten().copied().collect(),
+        state: RolloutState::Running,
+        step: 0,
+        begun: Revision(0),
+        changed: Revision(0),
+    };
+    session
+        .change(matches, base, name, Some(rollout.into()))
+        .await
+}
+
+/// Pauses, resumes or aborts a roll-out at the step that it has reached.
+async fn turn(
+    name: Name,
+    state: RolloutState,
+    matches: &ArgMatches,
+    session: &mut Session<'_, '_>,
+) -> Result<(), Report<Error>> {
+    let entry = entries::current(&name, session).await?;
+    let Entry::Rollout(rollout) = entry else {
+        return Err(Error::Absent(name).into());
+    };
+    let base = if rollout.state.is_open() {
+        rollout.changed
+    } else {
+        base_of_repeat(&name, rollout.state, matches)?
+    };
+    let rollout = Rollout { state, ..rollout };
+    session
+        .change(matches, base, name, Some(rollout.into()))
+        .await
+}
+
+/// The base of a change for which the roll-out is in the wrong state, unless
+/// the change itself brought it there: a host that knows the change's id takes
+/// it as a repeat, and for any other one it is a conflict.
+fn base_of_repeat(
+    name: &Name,
+    state: RolloutState,
+    matches: &ArgMatches,
+) -> Result<Revision, Report<Error>> {
+    if is_repeat(matches) {
+        return Ok(Revision(0));
+    }
+    let fault = format!("the roll-out of {} is {state} already", name.as_str());
+    Err(Error::Input(fault).into())
+}
--- /dev/null
+++ b/crates/barleyctl/src/lib.rs
@@ -0,0 +1,46 @@
+//! The operators' tool: it reads and changes the configuration through any
+//! entry host, by the protocol of docs/PROTOCOLS.md, and waits until a change
+//! is in force everywhere.
+//!
+//! It is a library so that whole sessions can be run in a test; docs/reference/barleyctl.md
+//! is its reference.
+
+mod cli;
+mod client;
+mod command;
+mod console;
+mod error;
+mod exit;
+mod output;
+mod session;
+mod wait;
+
+use std::ffi::OsString;
+
+use async_std::task::block_on;
+
+pub use cli::command;
+pub use console::Console;
+pub use exit::Exit;
+
+/// Runs the command that `args` give, the program's name first.
+pub fn run(args: impl IntoIterator<Item = OsString>, console: &mut Console<'_>) -> Exit {
+    let matches = match cli::command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(err) if err.use_stderr() => {
+            console.warn(&err.to_string());
+            return Exit::Usage;
+        }
+        Err(help) => {
+            console.print(&help.to_string());
+            return Exit::Done;
+        }
+    };
+    match block_on(command::run(&matches, console)) {
+        Ok(()) => Exit::Done,
+        Err(report) => {
+            output::failure(console, output::Format::of(&matches), &report);
+            report.current_context().exit()
+        }
+    }
+}
--- /dev/null
+++ b/crates/barleyctl/src/output.rs
@@ -0,0 +1,154 @@
+//! How answers and failures are printed.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use clap::ArgMatches;
+use comfy_table::{Table, presets};
+use error_stack::Report;
+use gate::operator::Accepted;
+use serde_json::{Value, json};
+
+use crate::cli::arg;
+use crate::client::Change;
+use crate::console::Console;
+use crate::error::Error;
+use crate::session::Session;
+use crate::wait::Reach;
+
+/// How answers are printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    /// For people.
+    Table,
+    /// For programs, one JSON value.
+    Json,
+}
+
+impl Format {
+    /// The format that the command line asks for.
+    pub(crate) fn of(matches: &ArgMatches) -> Self {
+        match matches.get_one::<String>(arg::OUTPUT).map(String::as_str) {
+            Some("json") => Self::Json,
+            _ => Self::Table,
+        }
+    }
+}
+
+/// Prints rows below a head, or their JSON.
+pub(crate) fn rows(
+    session: &mut Session<'_, '_>,
+    head: &[&str],
+    rows: &[Vec<String>],
+    json: &Value,
+) {
+    match session.format {
+        Format::Table => session.console.print(&table(head, rows)),
+        Format::Json => print_json(session.console, json),
+    }
+}
+
+/// Prints a text, or its JSON.
+pub(crate) fn text(session: &mut Session<'_, '_>, text: &str, json: &Value) {
+    match session.format {
+        Format::Table => session.console.print(text),
+        Format::Json => print_json(session.console, json),
+    }
+}
+
+/// Prints what became of a change.
+pub(crate) fn accepted(
+    session: &mut Session<'_, '_>,
+    change: &Change,
+    accepted: &Accepted,
+    reach: &Reach,
+) {
+    let hosts = Reach::names(&reach.in_force);
+    let (name, revision) = (&change.name, accepted.revision);
+    let mut lines = vec![format!(
+        "{name}: revision {revision} is in force on {hosts}\n"
+    )];
+    if !reach.not_heard_from.is_empty() {
+        let names = Reach::names(&reach.not_heard_from);
+        lines.push(format!("not heard from: {names}\n"));
+    }
+    let json = json!({
+        "entry": change.name,
+        "change": change.id,
+        "revision": accepted.revision,
+        "repeated": accepted.repeated,
+        "in_force": reach.in_force,
+        "not_heard_from": reach.not_heard_from,
+    });
+    text(session, &lines.concat(), &json);
+}
+
+/// Prints why a command failed.
+pub(crate) fn failure(console: &mut Console<'_>, format: Format, report: &Report<Error>) {
+    let error = report.current_context();
+    match format {
+        Format::Table => console.warn(&format!("{}\n", format!("{report:#}").trim_end())),
+        Format::Json => {
+            let json = failure_json(error, &format!("{report:#}"));
+            console.warn(&format!("{json}\n"));
+        }
+    }
+}
+
+/// A table of text, with neither borders nor blanks at the ends of lines.
+pub(crate) fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING).set_header(head.to_vec());
+    for row in rows {
+        table.add_row(row.clone());
+    }
+    let lines: Vec<_> = table
+        .lines()
+        .map(|line| {
+            line.strip_prefix(' ')
+                .unwrap_or(&line)
+                .trim_end()
+                .to_owned()
+        })
+        .collect();
+    lines.join("\n") + "\n"
+}
+
+/// A time since the Unix epoch, for people.
+pub(crate) fn time(when: Duration) -> String {
+    // Years past 9999 have no such form; only a broken clock gives them.
+    let time = UNIX_EPOCH.checked_add(when);
+    let formatted = time.map(|time| humantime::format_rfc3339_seconds(time).to_string());
+    formatted.unwrap_or_else(|| format!("{} s", when.as_secs()))
+}
+
+fn failure_json(error: &Error, message: &str) -> Value {
+    let exit = error.exit();
+    let mut json = json!({
+        "error": exit.to_string(),
+        "exit": exit.code(),
+        "message": message,
+    });
+    match error {
+        Error::Faults(faults) => json["faults"] = json!(faults),
+        Error::Conflict(conflict) => {
+            json["entry"] = json!(conflict.entry);
+            json["current_revision"] = json!(conflict.current_revision);
+            json["diff"] = json!(conflict.diff);
+        }
+        Error::Refused(problem) => json["problem"] = json!(problem),
+        Error::Unknown { change, .. } => json["change"] = json!(change),
+        Error::Lagging(reach) => json["reach"] = json!(reach),
+        Error::Usage(_)
+        | Error::Read(_)
+        | Error::Write(_)
+        | Error::Input(_)
+        | Error::Keys
+        | Error::Absent(_)
+        | Error::Unreachable(_) => {}
+    }
+    json
+}
+
+fn print_json(console: &mut Console<'_>, json: &Value) {
+    console.print(&format!("{json:#}\n"));
+}
--- /dev/null
+++ b/crates/barleyctl/src/session.rs
@@ -0,0 +1,150 @@
+//! What a command that talks to hosts works with.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use clap::ArgMatches;
+use config::{Entry, Mode, Name};
+use error_stack::{Report, ResultExt};
+use kernel::{ChangeId, Revision};
+
+use crate::cli::arg;
+use crate::client::{Change, Client};
+use crate::console::Console;
+use crate::error::Error;
+use crate::output::{self, Format};
+use crate::wait;
+
+/// The longest wait for one answer; a host that takes longer is passed over.
+const ANSWER: Duration = Duration::from_secs(5);
+
+/// The longest author that hosts take, in bytes.
+const MAX_AUTHOR: usize = 64;
+
+/// What a command that talks to hosts works with.
+pub(crate) struct Session<'a, 'b> {
+    /// The process's streams.
+    pub(crate) console: &'a mut Console<'b>,
+    /// The hosts.
+    pub(crate) client: Client,
+    /// How answers are printed.
+    pub(crate) format: Format,
+    timeout: Duration,
+}
+
+impl<'a, 'b> Session<'a, 'b> {
+    /// Opens a session with the hosts and the key file that the command line names.
+    pub(crate) fn open(
+        matches: &ArgMatches,
+        console: &'a mut Console<'b>,
+    ) -> Result<Self, Report<Error>> {
+        let hosts = matches.get_many::<SocketAddr>(arg::HOST);
+        let hosts: Vec<_> = hosts.into_iter().flatten().copied().collect();
+        if hosts.is_empty() {
+            return Err(usage("this command needs `--host ADDRESS`"));
+        }
+        let path: &PathBuf = matches
+            .get_one(arg::KEY_FILE)
+            .ok_or_else(|| usage("this command needs `--key-file FILE`"))?;
+        let timeout = *matches
+            .get_one::<Duration>(arg::TIMEOUT)
+            .expect("it has a default");
+        let client = Client::new(hosts, &read_key(path)?, ANSWER.min(timeout));
+        Ok(Self {
+            console,
+            client,
+            format: Format::of(matches),
+            timeout,
+        })
+    }
+
+    /// Makes a change and waits until it is in force everywhere.
+    pub(crate) async fn change(
+        &mut self,
+        matches: &ArgMatches,
+        base: Revision,
+        name: Name,
+        entry: Option<Entry>,
+    ) -> Result<(), Report<Error>> {
+        let change = Change {
+            id: change_id(matches),
+            base,
+            author: author(matches),
+            mode: mode(matches),
+            name,
+            entry,
+        };
+        // Printed before the first try, so that the operator has it whatever
+        // becomes of this process.
+        self.console.warn(&format!("change {}\n", change.id));
+        let accepted = self.client.change(&change).await?;
+        let again = if accepted.repeated {
+            ", by an earlier try"
+        } else {
+            ""
+        };
+        self.console.warn(&format!(
+            "accepted as revision {}{again}\n",
+            accepted.revision
+        ));
+        let reach = wait::in_force(self, accepted.revision).await;
+        if !reach.lagging.is_empty() || !reach.heard {
+            return Err(Error::Lagging(Box::new(reach)).into());
+        }
+        output::accepted(self, &change, &accepted, &reach);
+        Ok(())
+    }
+
+    /// How long the command may wait for a change to be in force.
+    pub(crate) fn timeout(&self) -> Duration {
+        self.timeout
+    }
+}
+
+pub(crate) fn usage(text: &str) -> Report<Error> {
+    Error::Usage(text.to_owned()).into()
+}
+
+/// Reads the operators' key. It comes from a file alone, since a command line
+/// shows in lists of processes and stays in a shell's history.
+fn read_key(path: &Path) -> Result<String, Report<Error>> {
+    let text = std::fs::read_to_string(path).change_context(Error::Read(path.to_owned()))?;
+    let key = text.trim();
+    let fits = !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
+    if !fits {
+        let text = format!("{} holds no key: expected one line of text", path.display());
+        return Err(Error::Input(text).into());
+    }
+    Ok(key.to_owned())
+}
+
+/// Whether the command repeats a change whose outcome isn't known.
+///
+/// The entry may then show the change already, so that what would be wrong
+/// for a new change is right for this one. The host knows it by its id.
+pub(crate) fn is_repeat(matches: &ArgMatches) -> bool {
+    matches.contains_id(arg::CHANGE)
+}
+
+fn change_id(matches: &ArgMatches) -> ChangeId {
+    match matches.get_one::<String>(arg::CHANGE) {
+        Some(id) => id.as_str().into(),
+        None => format!("{:032x}", rand::random::<u128>()).into(),
+    }
+}
+
+fn author(matches: &ArgMatches) -> String {
+    let given = matches.get_one::<String>(arg::AUTHOR).cloned();
+    let author = given.or_else(|| std::env::var("USER").ok());
+    let printable = |it: &char| it.is_ascii_graphic() || *it == ' ';
+    let author = author.unwrap_or_default();
+    author.chars().filter(printable).take(MAX_AUTHOR).collect()
+}
+
+fn mode(matches: &ArgMatches) -> Mode {
+    match matches.try_get_one::<bool>(arg::FORCE) {
+        Ok(Some(true)) => Mode::Forced,
+        _ => Mode::Guarded,
+    }
+}
--- /dev/null
+++ b/crates/barleyctl/tests/process.rs
@@ -0,0 +1,81 @@
+//! The tool as a process: its exit codes, completions and reference.
+
+use std::process::Command;
+
+use barleyctl::Exit;
+
+const PAGE: &str = include_str!("../../../docs/reference/barleyctl.md");
+
+fn check(args: &[&str]) -> (Option<i32>, String) {
+    let tool = env!("CARGO_BIN_EXE_barleyctl");
+    let output = Command::new(tool).args(args).output().expect("it starts");
+    let text = String::from_utf8(output.stdout).expect("text");
+    (output.status.code(), text)
+}
+
+#[test]
+fn the_exit_code_tells_how_it_ended() {
+    assert_eq!(check(&["--version"]).0, Some(0));
+    assert_eq!(check(&["profiles", "list"]).0, Some(2));
+    assert_eq!(check(&[]).0, Some(2));
+}
+
+#[test]
+fn completions_name_the_commands() {
+    for shell in ["bash", "zsh", "fish"] {
+        let (code, text) = check(&["completions", shell]);
+        assert_eq!(code, Some(0));
+        assert!(text.contains("withdraw"), "{shell}");
+    }
+}
+
+#[test]
+fn the_page_lists_every_exit_code() {
+    for exit in Exit::ALL {
+        let row = format!("| {} | {exit} |", exit.code());
+        assert!(PAGE.contains(&row), "the page lacks {row}");
+    }
+    let rows = PAGE.lines().filter(|line| {
+        let cell = line
+            .strip_prefix("| ")
+            .and_then(|line| line.split(' ').next());
+        cell.is_some_and(|cell| cell.parse::<u8>().is_ok())
+    });
+    assert_eq!(rows.count(), Exit::ALL.len());
+}
+
+#[test]
+fn the_page_lists_every_command_and_no_other() {
+    let mut known = Vec::new();
+    walk(&barleyctl::command(), &[], &mut known);
+    let mut listed: Vec<String> = PAGE
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter(|row| !row.starts_with('-'))
+        .flat_map(commands)
+        .collect();
+    known.sort();
+    listed.sort();
+    assert_eq!(listed, known);
+}
+
+/// The commands without their arguments.
+fn walk(command: &clap::Command, path: &[&str], known: &mut Vec<String>) {
+    if !command.has_subcommands() {
+        known.push(path.join(" "));
+    }
+    for child in command.get_subcommands() {
+        walk(child, &[path, &[child.get_name()]].concat(), known);
+    }
+}
+
+/// The commands in the first cell of a row, without their arguments.
+fn commands(row: &str) -> Vec<String> {
+    let cell = row.split(" |").next().unwrap_or_default();
+    let is_verb = |word: &&str| word.bytes().all(|byte| byte.is_ascii_lowercase());
+    cell.split("`, `")
+        .map(|command| command.trim_end_matches('`'))
+        .map(|command| command.split(' ').take_while(is_verb).collect::<Vec<_>>())
+        .map(|words| words.join(" "))
+        .collect()
+}
--- /dev/null
+++ b/crates/barleyctl/tests/sessions/main.rs
@@ -0,0 +1,152 @@
+//! Whole sessions of operators, against a stand-in for the hosts.
+
+mod operator;
+
+use std::ffi::OsString;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+
+use barleyctl::{Console, run};
+use config::{Change, Document, Edit, File, Kind, Mode, Name};
+use datadriven::TestCase;
+use http::Server;
+use kernel::Revision;
+use operator::Fleet;
+
+/// What takes the place of what differs from run to run.
+struct World {
+    fleet: Arc<Mutex<Fleet>>,
+    hosts: [Server; 2],
+    directory: tempfile::TempDir,
+}
+
+impl World {
+    fn new() -> Self {
+        let fleet = Arc::new(Mutex::new(Fleet::default()));
+        start_document(&mut fleet.lock().expect("nobody else has it"));
+        let directory = tempfile::tempdir().expect("a directory of our own");
+        let write = |name, text| std::fs::write(directory.path().join(name), text);
+        write("key", format!("{}\n", operator::KEY)).expect("a file");
+        write("wrong-key", "guessed\n".to_owned()).expect("a file");
+        write("empty-key", "\n".to_owned()).expect("a file");
+        Self {
+            hosts: operator::start(&fleet),
+            fleet,
+            directory,
+        }
+    }
+
+    fn names(&self) -> Vec<(&'static str, String)> {
+        vec![
+            ("{a}", self.hosts[0].address().to_string()),
+            ("{b}", self.hosts[1].address().to_string()),
+            ("{dir}", self.directory.path().display().to_string()),
+        ]
+    }
+
+    fn ctl(&self, prefix: &str, input: &str) -> String {
+        let (line, stdin) = input.split_once('\n').unwrap_or((input, ""));
+        let mut line = format!("barleyctl {prefix} {line}");
+        for (name, value) in self.names() {
+            line = line.replace(name, &value);
+        }
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let mut console = Console {
+            input: &mut stdin.as_bytes(),
+            out: &mut out,
+            err: &mut err,
+        };
+        let exit = run(line.split_whitespace().map(OsString::from), &mut console);
+        let mut text = String::new();
+        for (stream, bytes) in [("err", err), ("out", out)] {
+            for line in String::from_utf8(bytes).expect("text").lines() {
+                text += format!("{stream}: {line}").trim_end();
+                text += "\n";
+            }
+        }
+        for (name, value) in self.names() {
+            text = text.replace(&value, name);
+        }
+        text + &format!("exit {}: {exit}\n", exit.code())
+    }
+
+    fn case(&self, case: &mut TestCase) -> String {
+        match case.directive.as_str() {
+            "ctl" => self.ctl("--host {a} --key-file {dir}/key", &case.input),
+            "raw" => self.ctl("", &case.input),
+            "fleet" => {
+                let mut fleet = self.fleet.lock().expect("nobody else has it");
+                let arg = |name: &str, case: &mut TestCase| {
+                    case.try_take_args::<String>(name).expect("names")
+                };
+                fleet.lagging = arg("lagging", case).unwrap_or_default();
+                fleet.silent = arg("silent", case).unwrap_or_default();
+                fleet.lose_answers = case.try_take_arg("lose").expect("a number").unwrap_or(0);
+                fleet.store_out = case.take_flag("store_out").expect("a flag");
+                case.expect_empty().expect("known arguments");
+                "ok\n".to_owned()
+            }
+            "revision" => {
+                let fleet = self.fleet.lock().expect("nobody else has it");
+                format!("{}\n", fleet.document.revision)
+            }
+            "file" => {
+                let name: String = case.take_arg("name").expect("a name");
+                std::fs::write(self.directory.path().join(name), &case.input).expect("a file");
+                "ok\n".to_owned()
+            }
+            "list" => list(self.directory.path()),
+            other => panic!("unknown directive {other}"),
+        }
+    }
+}
+
+/// Two versions, a customer and a profile.
+fn start_document(fleet: &mut Fleet) {
+    let prices = "prompt_microcents_per_million = 100\ncompletion_microcents_per_million = 400\n";
+    let customer = format!("key_blake3 = \"{}\"\n", "0a".repeat(32));
+    let profile = "allow = [\"oak@1\", \"oak@2\"]\nquality = 0.9\ncost_cap_microcents = 500\n\
+                   repeat = \"idempotent\"\n[customers.desk]\nallow = [\"oak@1\"]\n";
+    let entries = [
+        (Kind::Version, "oak@1", prices),
+        (Kind::Version, "oak@2", prices),
+        (Kind::Customer, "desk", &customer),
+        (Kind::Profile, "dossier", profile),
+    ];
+    for (idx, (kind, name, text)) in entries.into_iter().enumerate() {
+        let file = File::parse(kind, text, "start").expect("the start is sound");
+        let change = Change {
+            id: format!("start-{idx}").into(),
+            base: Revision(0),
+            author: "installation".to_owned(),
+            mode: Mode::Guarded,
+            edit: Edit::put(Name::new(kind, name), file.entry).expect("the kinds agree"),
+        };
+        fleet.commit(&change).expect("the start is sound");
+    }
+    assert_ne!(fleet.document, Document::default());
+}
+
+/// The names of the files and who may read them.
+fn list(directory: &Path) -> String {
+    use std::os::unix::fs::PermissionsExt;
+
+    let entries = std::fs::read_dir(directory).expect("a directory");
+    let mut lines: Vec<_> = entries
+        .map(|entry| {
+            let entry = entry.expect("an entry");
+            let mode = entry.metadata().expect("a file").permissions().mode();
+            format!("{} {:o}\n", entry.file_name().display(), mode & 0o777)
+        })
+        .collect();
+    lines.sort();
+    lines.concat()
+}
+
+#[test]
+fn sessions_go_as_written() {
+    datadriven::walk("tests/sessions/cases", |file| {
+        let world = World::new();
+        file.run(|case| world.case(case));
+    });
+}
--- /dev/null
+++ b/crates/barleyctl/tests/sessions/operator.rs
@@ -0,0 +1,210 @@
+//! A small stand-in for the operators' side of a fleet of hosts: one document
+//! behind two addresses.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::task::block_on;
+use config::{Change, Commit, Document, Edit, Entry, Kind, Name};
+use gate::operator::{
+    Accepted, Backlog, Condition, Health, History, Host, Refusal, Rollout, Snapshot, State, Status,
+};
+use gate::problem::{Problem, Reason, Run};
+use http::{Body, Limits, Method, Request, Response, Server, Status as Code};
+use kernel::{ChangeId, Incarnation, Revision};
+
+/// The key that the operators show.
+pub(crate) const KEY: &str = "the-operators-key";
+
+/// The wall time of the first commit.
+const EPOCH: Duration = Duration::from_secs(1_790_000_000);
+
+/// What the fleet knows and how it misbehaves.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    /// The committed configuration.
+    pub(crate) document: Document,
+    /// The writes that take effect and whose answers are lost, from now on.
+    pub(crate) lose_answers: u32,
+    /// The hosts that stay at the revision they have.
+    pub(crate) lagging: Vec<String>,
+    /// The hosts that haven't been heard from.
+    pub(crate) silent: Vec<String>,
+    /// Whether the table service is out.
+    pub(crate) store_out: bool,
+    /// The hosts that were asked to drain.
+    pub(crate) drained: Vec<String>,
+    commits: Vec<Commit>,
+    changes: HashMap<ChangeId, Revision>,
+}
+
+/// Starts two hosts of one fleet.
+pub(crate) fn start(fleet: &Arc<Mutex<Fleet>>) -> [Server; 2] {
+    [(); 2].map(|()| {
+        let fleet = Arc::clone(fleet);
+        let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let handler = move |request| answer(Arc::clone(&fleet), request);
+        block_on(Server::bind(address, Limits::default(), handler)).expect("a free port")
+    })
+}
+
+async fn answer(fleet: Arc<Mutex<Fleet>>, mut request: Request) -> Response {
+    let body = std::mem::replace(&mut request.body, Body::empty());
+    let body = body.collect(1 << 20).await.expect("a small body");
+    let mut fleet = fleet.lock().expect("no test failed while holding it");
+    let expected = format!("Bearer {KEY}");
+    if request.headers.get("authorization") != Some(expected.as_str()) {
+        let problem = Problem::not_run(Reason::Unauthorized, "the key is not the operators'");
+        return refuse(&problem.into());
+    }
+    match fleet.route(&request, &body) {
+        Ok(response) => response,
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
+fn refuse(refusal: &Refusal) -> Response {
+    let code = Code::try_from(refusal.problem.status).expect("a known status");
+    Response::json(code, refusal)
+}
+
+impl Fleet {
+    /// Makes a change that no operator's tool had a part in.
+    pub(crate) fn commit(&mut self, change: &Change) -> Result<Accepted, Box<Refusal>> {
+        if let Some(revision) = self.changes.get(&change.id) {
+            return Ok(Accepted {
+                revision: *revision,
+                repeated: true,
+            });
+        }
+        if self.store_out {
+            let detail = "the table service does not answer";
+            let problem = Problem::new(Reason::StoreOut, Run::NotRun, detail);
+            return Err(Box::new(problem.into()));
+        }
+        self.document = self
+            .document
+            .apply(change)
+            .map_err(|refused| Box::new(refused.into()))?;
+        let revision = self.document.revision;
+        let when = EPOCH + Duration::from_mins(1) * u32::try_from(revision.0).unwrap_or(0);
+        self.commits.insert(0, Commit::new(change, revision, when));
+        self.changes.insert(change.id.clone(), revision);
+        Ok(Accepted {
+            revision,
+            repeated: false,
+        })
+    }
+
+    fn route(&mut self, request: &Request, body: &[u8]) -> Result<Response, Box<Refusal>> {
+        let path = request
+            .path()
+            .strip_prefix("/operator/v1/")
+            .unwrap_or_default();
+        let parts: Vec<_> = path.split('/').collect();
+        match (request.method, parts.as_slice()) {
+            (Method::Get, ["document"]) => Ok(Response::json(
+                Code::Ok,
+                &Snapshot {
+                    revision: self.document.revision,
+                    document: self.document.clone(),
+                },
+            )),
+            (Method::Get, ["status"]) => Ok(Response::json(Code::Ok, &self.status())),
+            (Method::Get, ["history"]) => {
+                let entries = self.commits.clone();
+                Ok(Response::json(Code::Ok, &History { entries }))
+            }
+            (Method::Post, ["hosts", name, "drain"]) => {
+                self.drained.push((*name).to_owned());
+                Ok(Response::new(Code::Accepted))
+            }
+            (method, [plural, name]) => {
+                let kind = Kind::from_plural(plural).expect("a known kind");
+                self.write(method, Name::new(kind, name), request, body)
+            }
+            (method, path) => panic!("no such call: {method} {path:?}"),
+        }
+    }
+
+    fn write(
+        &mut self,
+        method: Method,
+        name: Name,
+        request: &Request,
+        body: &[u8],
+    ) -> Result<Response, Box<Refusal>> {
+        let condition = Condition::parse(|name| request.headers.get(name))
+            .map_err(|problem| Box::new(problem.into()))?;
+        let edit = match method {
+            Method::Put => {
+                let entry = Entry::from_json(name.kind(), body).expect("the tool sends entries");
+                Edit::put(name, entry).expect("the kinds agree")
+            }
+            _ => Edit::remove(name),
+        };
+        let accepted = self.commit(&Change {
+            id: condition.change,
+            base: condition.read_at,
+            author: condition.author,
+            mode: condition.mode,
+            edit,
+        })?;
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            let (cut, body) = Body::channel(1);
+            drop(cut);
+            return Ok(Response::new(Code::Ok).body(body));
+        }
+        Ok(Response::json(Code::Ok, &accepted))
+    }
+
+    fn status(&self) -> Status {
+        let [host, peers @ ..] = ["e1", "e2", "e3"].map(|name| self.host(name));
+        let version = |(id, version): (&kernel::VersionId, &config::Version)| Health {
+            version: id.clone(),
+            state: version.state.to_string(),
+            verdict: "healthy".to_owned(),
+            endpoints: 2,
+        };
+        let rollout = |(id, rollout): (&kernel::VersionId, &config::Rollout)| Rollout {
+            version: id.clone(),
+            state: rollout.state.to_string(),
+            step: u32::try_from(rollout.step).unwrap_or(0),
+            steps: u32::try_from(rollout.steps.len()).unwrap_or(0),
+            holder: Some("e2".into()),
+        };
+        Status {
+            host,
+            peers: peers.into(),
+            versions: self.document.versions.iter().map(version).collect(),
+            rollouts: self.document.rollouts.iter().map(rollout).collect(),
+            backlog: Backlog {
+                own: 3,
+                held: 4,
+                oldest_ms: 150,
+            },
+        }
+    }
+
+    fn host(&self, name: &str) -> Host {
+        let is_in = |names: &[String]| names.iter().any(|it| it == name);
+        let behind = u64::from(is_in(&self.lagging) || is_in(&self.silent));
+        Host {
+            name: name.into(),
+            incarnation: Incarnation(7),
+            address: format!("10.0.0.{}:7000", &name[1..]),
+            data_centre: format!("dar-{}", &name[1..]).into(),
+            state: match () {
+                () if is_in(&self.silent) => State::Suspect,
+                () if is_in(&self.drained) => State::Leaving,
+                () => State::Live,
+            },
+            revision: Revision(self.document.revision.0.saturating_sub(behind)),
+            proof_age_ms: 40,
+            load: 5,
+        }
+    }
+}
