Hold the oracle and the static cascade to running once

A catalogue entry runs at most once, so that no plan may ask a second version for it. Requests that ran twice but may not, that went to a version known to be withdrawn, or that got no end are counted.

--- a/crates/experiment/src/record.rs
+++ b/crates/experiment/src/record.rs
@@ -17,6 +17,10 @@
     pub(crate) asked: Vec<VersionIdx>,
     /// A fault spoilt an answer that was made for it, delivered or not.
     pub(crate) touched: bool,
+    /// An attempt went to a version whose withdrawal all hosts knew of.
+    pub(crate) withdrawn: bool,
+    /// Attempts that began to run.
+    pub(crate) runs: u32,
     /// Its session went on with another version although its own takes work.
     pub(crate) moved: bool,
 }
--- a/crates/experiment/src/report/aim.rs
+++ b/crates/experiment/src/report/aim.rs
@@ -38,11 +38,26 @@
     let aim = Maker {
         workload: case.workload,
     };
+    let mut aims = scenario_aims(&aim, case, core, calm);
+    let broken = [core.reruns, core.sent_to_withdrawn, core.unfinished];
+    if broken.iter().any(|it| *it > 0) {
+        aims.push(Aim {
+            workload: aim.workload,
+            what: "ran twice, sent to withdrawn, without an end",
+            wanted: "none".to_owned(),
+            measured: format!("{broken:?} in {}", case.scenario),
+            met: false,
+        });
+    }
+    aims
+}
+
+fn scenario_aims(aim: &Maker, case: &Case, core: &Figures, calm: Option<&Case>) -> Vec<Aim> {
     match case.scenario.as_str() {
-        "calm" => cost_aims(&aim, case, core),
+        "calm" => cost_aims(aim, case, core),
         "turns_bad" => vec![aim.below("harmed, wholly bad version", core.harmed, 20.0)],
         "fifth_bad" => vec![aim.below("harmed, a fifth bad", core.harmed, 200.0)],
-        "overload" => overload_aims(&aim, core, calm),
+        "overload" => overload_aims(aim, core, calm),
         "flood" => vec![aim.least("least share beside a flood", least_share(core), 0.95)],
         "pool_runs_out" => vec![aim.below("tries a step, pool runs out", core.tries, 1.1)],
         _ => Vec::new(),
--- a/crates/experiment/src/report/figures.rs
+++ b/crates/experiment/src/report/figures.rs
@@ -39,6 +39,10 @@
     pub dispatches: f64,
     /// Turns of sessions that left a version that still took work.
     pub moved_sessions: u64,
+    /// Requests that may run once only and ran twice; must be none.
+    pub reruns: u64,
+    /// Requests sent to a withdrawn version after all hosts knew; must be none.
+    pub sent_to_withdrawn: u64,
     /// Requests without an end when the run ended.
     pub unfinished: u64,
     /// Requests that got no answer, by reason.
--- a/crates/experiment/src/report/table.rs
+++ b/crates/experiment/src/report/table.rs
@@ -133,6 +133,18 @@
         "core, share answered: {}\n",
         each.collect::<Vec<_>>().join(", ")
     );
+    for (what, count) in [
+        ("requests that ran twice but may not", core.reruns),
+        (
+            "requests sent to a withdrawn version",
+            core.sent_to_withdrawn,
+        ),
+        ("requests without an end", core.unfinished),
+    ] {
+        if count > 0 {
+            let _ = writeln!(text, "core, BROKEN: {what}: {count}");
+        }
+    }
     if core.quarantine.wrong > 0 {
         let causes = &core.quarantine.wrong_causes;
         let _ = writeln!(
--- a/crates/experiment/src/router/baseline.rs
+++ b/crates/experiment/src/router/baseline.rs
@@ -167,7 +167,10 @@
     }
 
     fn first(&self, request: &Request, active: &[VersionIdx]) -> VersionIdx {
+        let once = !self.world.class(request.arrival.class).idempotent;
         let idx = match self.kind {
+            // What may run once only can't be asked again where it falls short.
+            Kind::StaticCascade if once => active.len() - 1,
             Kind::StaticCascade => 0,
             Kind::Random => place(
                 self.coin.toss(Purpose::Choice, request.arrival.idx, 0),
@@ -196,6 +199,7 @@
         };
         let class = self.world.class(request.arrival.class);
         let last = match self.kind {
+            _ if !class.idempotent => true,
             Kind::Strongest | Kind::Random => true,
             Kind::StaticCascade => request.pin.is_some() || version == Some(VersionIdx::LARGE),
             Kind::Oracle | Kind::Core => request.pin.is_some(),
--- a/crates/experiment/src/router/oracle.rs
+++ b/crates/experiment/src/router/oracle.rs
@@ -122,8 +122,13 @@
             })
             .collect();
         // A session stays on the version of its first answer, so that asking
-        // several would pin the dearest of them for all turns that follow.
-        let depth = if turns.high > 1 { 1 } else { DEPTH };
+        // several would pin the dearest of them for all turns that follow; and
+        // what may run once only can't be asked again.
+        let depth = if turns.high > 1 || !class.idempotent {
+            1
+        } else {
+            DEPTH
+        };
         let problem = Problem {
             hard: *hard,
             depth,
--- a/crates/experiment/src/sim.rs
+++ b/crates/experiment/src/sim.rs
@@ -73,6 +73,8 @@
     /// By session.
     pins: Vec<Option<VersionIdx>>,
     configuration: Configuration,
+    /// By [`VersionIdx`].
+    withdrawn_at: [Option<Duration>; 4],
     ratings: Ratings,
     hosts_up: Vec<bool>,
     verdicts: Vec<VerdictNote>,
@@ -120,6 +122,7 @@
             records: vec![Record::default(); arrivals.len()],
             pins: vec![None; sessions],
             configuration: Configuration::new(),
+            withdrawn_at: [None; 4],
             ratings: Ratings::new(truth.coin),
             hosts_up: vec![true; world.hosts],
             verdicts: Vec::new(),
--- a/crates/experiment/src/sim/fault.rs
+++ b/crates/experiment/src/sim/fault.rs
@@ -13,6 +13,7 @@
             }
             Fault::Withdrawn { version } => {
                 self.configuration.withdraw(version);
+                self.withdrawn_at[version.idx()] = Some(self.now);
                 self.publish();
             }
             Fault::Rollout { version, replaces } => {
--- a/crates/experiment/src/sim/replica.rs
+++ b/crates/experiment/src/sim/replica.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Event, NETWORK, Sim};
+use super::{Event, NETWORK, PROPAGATION, Sim};
 use crate::{
     attempt::{Attempt, AttemptKey, State},
     endpoint::Admission,
@@ -23,10 +23,12 @@
     ) {
         let record = &mut self.records[attempt.request];
         record.dispatches += 1;
-        if let Some(version) = attempt.version
-            && !record.asked.contains(&version)
-        {
-            record.asked.push(version);
+        if let Some(version) = attempt.version {
+            let since = self.withdrawn_at[version.idx()];
+            record.withdrawn |= since.is_some_and(|it| self.now > it + PROPAGATION);
+            if !record.asked.contains(&version) {
+                record.asked.push(version);
+            }
         }
         self.attempts.insert(key, attempt);
         self.queue.push(self.now + NETWORK, Event::Submit(key));
@@ -56,6 +58,7 @@
             return;
         };
         let arrival = &self.arrivals[attempt.request];
+        self.records[attempt.request].runs += 1;
         let Some(version) = attempt.version else {
             attempt.state = State::Running {
                 since: self.now,
--- a/crates/experiment/src/tally.rs
+++ b/crates/experiment/src/tally.rs
@@ -34,6 +34,8 @@
     harmed: u64,
     touched: u64,
     moved: u64,
+    reruns: u64,
+    sent_to_withdrawn: u64,
     unfinished: u64,
     dispatched: u64,
     dispatches: u64,
@@ -56,6 +58,8 @@
             harmed: 0,
             touched: 0,
             moved: 0,
+            reruns: 0,
+            sent_to_withdrawn: 0,
             unfinished: 0,
             dispatched: 0,
             dispatches: 0,
@@ -98,6 +102,9 @@
         self.harmed += u64::from(record.answer().is_some_and(|(_, it)| it.harmed));
         self.touched += u64::from(record.touched);
         self.moved += u64::from(record.moved);
+        let once = !self.world.class(arrival.class).idempotent;
+        self.reruns += u64::from(once && record.runs > 1);
+        self.sent_to_withdrawn += u64::from(record.withdrawn);
         if record.dispatches > 0 {
             self.dispatched += 1;
             self.dispatches += u64::from(record.dispatches);
@@ -159,6 +166,8 @@
             tries: 1.0 + ratio(self.dispatches - self.steps, self.dispatched),
             dispatches: ratio(self.dispatches, self.dispatched),
             moved_sessions: self.moved,
+            reruns: self.reruns,
+            sent_to_withdrawn: self.sent_to_withdrawn,
             unfinished: self.unfinished,
             refusals: self.refusals,
             customers: self
