http: test the client and the server against raw peers

Scripted peers showed what the happy path hides. Changed on the way: an answer that never pauses is held to its time too; a refusal that comes before the whole body was taken is read; a host that moves the border between host and path, and a length with a sign, are refused; the hang-up is told while an answer is being streamed as well.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,12 +1,11 @@
 //! The client.
 
 use http::{Options, Repeat, Request, Response, Status};
+use serde::Deserialize;
 
 use crate::chat::{Whole, Wire};
-use crate::failure::refusal;
-use crate::{
-    Answer, Attempt, Call, Chat, Endpoint, Failure, Fault, Load, Order, Receipt, Stream, Why,
-};
+use crate::failure::{Reply, read};
+use crate::{Answer, Attempt, Call, Chat, Endpoint, Failure, Load, Order, Receipt, Stream, Why};
 
 /// The greatest answer that is read into memory, in bytes.
 const MAX_ANSWER: usize = 32 * 1024 * 1024;
@@ -82,10 +81,7 @@
         if response.status == Status::Ok {
             return Ok(response);
         }
-        Err(match refusal(response).await {
-            Ok(code) => Failure::Refused(code),
-            Err(response) => Failure::MayHaveRun(Why::Status(response.status.into())),
-        })
+        Err(explain(response).await)
     }
 
     /// Passes a call on to a plain service. Whatever the service answers is
@@ -108,9 +104,9 @@
         }
         let request = attempt.mark(to, request);
         let response = self.http.send(to.address, request, options).await?;
-        match refusal(response).await {
-            Ok(code) => Err(Failure::Refused(code)),
-            Err(response) => Ok(response),
+        match read(response).await? {
+            Reply::Refusal(code) => Err(Failure::Refused(code)),
+            Reply::Answer(response) => Ok(response),
         }
     }
 
@@ -144,12 +140,12 @@
         let options = idempotent(options);
         let response = self.http.send(to.address, request, &options).await?;
         match response.status {
-            status if status.is_success() => Ok(Receipt::Taken),
-            Status::Conflict => Ok(Receipt::StaleFencing),
-            _ => Err(match refusal(response).await {
-                Ok(code) => Failure::Refused(code),
-                Err(response) => Failure::MayHaveRun(Why::Status(response.status.into())),
-            }),
+            Status::Ok | Status::Accepted => {
+                drain(response).await;
+                Ok(Receipt::Taken)
+            }
+            Status::Conflict => stale_fencing(response).await,
+            _ => Err(explain(response).await),
         }
     }
 
@@ -169,16 +165,51 @@
             .header("x-incarnation", to.incarnation.to_string());
         let options = idempotent(options);
         let response = self.http.send(to.address, request, &options).await?;
-        let status = response.status;
-        match response.body.collect(MAX_REPORT).await {
-            Ok(_) if status.is_success() || status == Status::NotFound => Ok(()),
-            Ok(_) => Err(Failure::MayHaveRun(Why::Status(status.into()))),
-            Err(http::Error::TooLarge { .. }) => Err(Failure::Cut(Why::Content(Fault::TooLarge))),
-            Err(err) => Err(err.into()),
+        match response.status {
+            // An attempt that it doesn't know doesn't run either.
+            status if status.is_success() || status == Status::NotFound => {
+                drain(response).await;
+                Ok(())
+            }
+            _ => Err(explain(response).await),
         }
     }
 }
 
+/// The failure that an answer other than the call's success stands for.
+async fn explain(response: Response) -> Failure {
+    let status = response.status.into();
+    match read(response).await {
+        Ok(Reply::Refusal(code)) => Failure::Refused(code),
+        // A refusal that broke off may have been any answer.
+        Ok(Reply::Answer(_)) | Err(_) => Failure::MayHaveRun(Why::Status(status)),
+    }
+}
+
+/// Only its own code makes a conflict mean that the lease has passed on.
+async fn stale_fencing(response: Response) -> Result<Receipt, Failure> {
+    #[derive(Deserialize)]
+    struct Conflict {
+        error: Reason,
+    }
+    #[derive(Deserialize)]
+    struct Reason {
+        code: String,
+    }
+    let status = response.status.into();
+    match response.body.parse::<Conflict>(MAX_REPORT).await {
+        Ok(conflict) if conflict.error.code == "stale_fencing" => Ok(Receipt::StaleFencing),
+        Ok(_) | Err(http::Error::Json { .. }) => Err(Failure::MayHaveRun(Why::Status(status))),
+        Err(err) => Err(err.into()),
+    }
+}
+
+/// Reads what is left of an answer that said all by its status, so that the
+/// connection can be used again.
+async fn drain(response: Response) {
+    let _ = response.body.collect(MAX_REPORT).await;
+}
+
 fn idempotent(options: &Options) -> Options {
     Options {
         repeat: Repeat::Idempotent,
--- a/crates/engine/src/failure.rs
+++ b/crates/engine/src/failure.rs
@@ -6,8 +6,8 @@
 
 use crate::Fault;
 
-/// The greatest refusal that is read, in bytes.
-pub(crate) const MAX_REFUSAL: usize = 64 * 1024;
+/// The greatest refusal that is read, in bytes. It comes with its length.
+const MAX_REFUSAL: usize = 64 * 1024;
 
 /// Why a call has no whole answer.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -70,11 +70,20 @@
     }
 }
 
-/// Reads the endpoint's own refusal; gives the response back when it is none.
+/// What an endpoint sent: its own refusal, or an answer.
+pub(crate) enum Reply {
+    Refusal(Code),
+    Answer(Response),
+}
+
+/// Looks for the endpoint's own refusal.
 ///
 /// Only a code of the closed list proves that nothing ran. A 503 by the service
 /// behind the endpoint, or by something between, proves nothing.
-pub(crate) async fn refusal(response: Response) -> Result<Code, Response> {
+///
+/// # Errors
+/// [`http::Error::Cut`] when what could have been a refusal didn't come whole.
+pub(crate) async fn read(response: Response) -> Result<Reply, http::Error> {
     #[derive(Deserialize)]
     struct Refusal {
         error: Reason,
@@ -83,26 +92,22 @@
     struct Reason {
         code: Code,
     }
-    if response.status != Status::ServiceUnavailable
-        || response
-            .body
-            .len()
-            .is_some_and(|it| it > MAX_REFUSAL as u64)
-    {
-        return Err(response);
+    let is_small = |len| len <= MAX_REFUSAL as u64;
+    if response.status != Status::ServiceUnavailable || !response.body.len().is_some_and(is_small) {
+        return Ok(Reply::Answer(response));
     }
     let Response {
         status,
         headers,
         body,
     } = response;
-    let bytes = body.collect(MAX_REFUSAL).await.unwrap_or_default();
-    match serde_json::from_slice::<Refusal>(&bytes) {
-        Ok(refusal) => Ok(refusal.error.code),
-        Err(_) => Err(Response {
-            status,
-            headers,
-            body: Body::bytes(bytes),
-        }),
+    let bytes = body.collect(MAX_REFUSAL).await?;
+    if let Ok(refusal) = serde_json::from_slice::<Refusal>(&bytes) {
+        return Ok(Reply::Refusal(refusal.error.code));
     }
+    Ok(Reply::Answer(Response {
+        status,
+        headers,
+        body: Body::bytes(bytes),
+    }))
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -106,13 +106,15 @@
     ) -> Result<Response, Error> {
         let encoded =
             h1::encode_request(request, to, body).ok_or(Error::NotSent(Cause::Malformed))?;
-        write(&conn, encoded, deadline).await?;
-        let head = loop {
-            let wait = options.first_byte.min(left(deadline));
-            let head = read_head(&conn, wait, deadline).await?;
-            if !head.status().is_informational() {
-                break head;
+        let head = match write(&conn, encoded, deadline).await {
+            Ok(()) => read_final_head(&conn, options.first_byte, deadline).await?,
+            // A peer may answer and close before it took the whole body: its
+            // refusal says more than the broken connection.
+            Err(err @ Error::MaybeSent(Cause::Closed)) => {
+                let early = read_final_head(&conn, options.first_byte, deadline).await;
+                early.map_err(|_| err)?
             }
+            Err(err) => return Err(err),
         };
         let idle = Arc::clone(&self.idle);
         answer::open(head, request.method, conn, deadline, move |conn| {
@@ -158,6 +160,21 @@
     })
 }
 
+/// Reads heads up to the first that isn't informational.
+async fn read_final_head(
+    conn: &Conn,
+    first_byte: Duration,
+    deadline: Instant,
+) -> Result<http_types::Response, Error> {
+    loop {
+        let wait = first_byte.min(left(deadline));
+        let head = read_head(conn, wait, deadline).await?;
+        if !head.status().is_informational() {
+            return Ok(head);
+        }
+    }
+}
+
 async fn read_head(
     conn: &Conn,
     wait: Duration,
--- a/crates/http/src/client/answer.rs
+++ b/crates/http/src/client/answer.rs
@@ -73,6 +73,7 @@
         return (codings.last().as_str() == "chunked").then_some(Framing::Chunked);
     }
     match head.header(CONTENT_LENGTH) {
+        Some(len) if !h1::is_number(len.last().as_str()) => None,
         Some(len) => len.last().as_str().parse().ok().map(Framing::Length),
         None => Some(Framing::Close),
     }
@@ -94,10 +95,14 @@
 
 impl Answer {
     fn poll_more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.left == Some(0) {
+        if self.left == Some(0) || self.end.is_none() {
             self.finish();
             return Poll::Ready(Ok(()));
         }
+        // Also while bytes come: a peer that never ends would hold its caller.
+        if left(self.deadline).is_zero() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         if let Poll::Ready(bytes) = Pin::new(&mut self.reader).poll_fill_buf(cx) {
             if !bytes?.is_empty() {
                 return Poll::Ready(Ok(()));
@@ -124,10 +129,12 @@
 
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let deadline = self.deadline;
-        self.timer
-            .get_or_insert_with(|| Box::pin(sleep(left(deadline))))
-            .as_mut()
-            .poll(cx)
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(sleep(left(deadline))));
+        ready!(timer.as_mut().poll(cx));
+        self.timer = None;
+        Poll::Ready(())
     }
 
     fn finish(&mut self) {
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -17,7 +17,7 @@
     #[display("no answer: {_0}")]
     MaybeSent(#[error(not(source))] Cause),
     /// The answer began and broke off.
-    #[display("answer cut: {_0}")]
+    #[display("cut: {_0}")]
     Cut(#[error(not(source))] Cause),
     /// The body is larger than the reader allows, in bytes.
     #[display("body of more than {limit} bytes")]
--- a/crates/http/src/h1.rs
+++ b/crates/http/src/h1.rs
@@ -66,6 +66,12 @@
         .collect()
 }
 
+/// Whether a length is digits only; number parsers also take a sign, which
+/// another reader of the same message may not.
+pub(crate) fn is_number(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|it| it.is_ascii_digit())
+}
+
 fn end_to_end(headers: &Headers) -> impl Iterator<Item = (&str, &str)> {
     headers
         .iter()
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -91,7 +91,10 @@
     }
 }
 
-/// Tells that the caller closed its connection before it got its answer.
+/// Tells that the caller closed its connection before it got its whole answer.
+///
+/// A caller that only closes its sending side counts as gone: it can't be told
+/// from one that went away.
 #[derive(Clone)]
 pub struct Hangup {
     closed: Option<Shared<oneshot::Receiver<()>>>,
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -4,10 +4,11 @@
 
 use async_std::future::timeout;
 use async_std::net::{Shutdown, TcpStream};
+use futures::channel::oneshot;
 use futures::future::{Either, select};
 use futures::io::{AsyncReadExt, AsyncWriteExt};
 use futures::pin_mut;
-use http_types::headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use serde::Serialize;
 
 use super::incoming::Incoming;
@@ -111,9 +112,15 @@
     };
     if decoded
         .header(CONTENT_LENGTH)
-        .is_some_and(|it| it.iter().count() > 1)
+        .is_some_and(|it| it.iter().count() > 1 || !h1::is_number(it.last().as_str()))
     {
-        return Err(malformed("more than one content-length"));
+        return Err(malformed("not exactly one content-length"));
+    }
+    if decoded
+        .header(HOST)
+        .is_none_or(|it| it.iter().count() > 1 || !it.last().as_str().bytes().all(is_host_byte))
+    {
+        return Err(malformed("not exactly one host"));
     }
     let len = match decoded.len() {
         _ if chunked => None,
@@ -163,7 +170,8 @@
         method,
         mut next,
     } = head;
-    let (hung_up, hangup) = Hangup::new();
+    let (sender, hangup) = Hangup::new();
+    let mut hung_up = Some(sender);
     request.hangup = hangup;
     let response = {
         let work = handler(request);
@@ -172,7 +180,7 @@
         match select(work, closed).await {
             Either::Left((response, _)) => response,
             Either::Right(((), work)) => {
-                let _ = hung_up.send(());
+                tell(&mut hung_up);
                 work.await
             }
         }
@@ -183,7 +191,17 @@
     }
     match write(conn, shared, response, method, next).await {
         Written::Whole => next,
-        Written::Cut => Next::Abort,
+        Written::Cut => {
+            tell(&mut hung_up);
+            Next::Abort
+        }
+    }
+}
+
+fn tell(hung_up: &mut Option<oneshot::Sender<()>>) {
+    if let Some(sender) = hung_up.take() {
+        // Nobody may be listening.
+        let _ = sender.send(());
     }
 }
 
@@ -282,6 +300,12 @@
     .header("content-type", "application/problem+json")
 }
 
+/// The library joins host and path into one URL. Any other byte could move
+/// the border between them, and the request to another path.
+fn is_host_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-._:[]~%".contains(&byte)
+}
+
 fn refusal(status: Status, detail: &'static str) -> Refusal {
     Refusal { status, detail }
 }
--- a/crates/http/src/server/incoming.rs
+++ b/crates/http/src/server/incoming.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task::sleep;
 use futures::io::{AsyncBufRead, AsyncRead};
@@ -22,7 +22,7 @@
     /// How many bytes may still come.
     room: usize,
     limit: usize,
-    time: Duration,
+    deadline: Instant,
     timer: Option<Timer>,
 }
 
@@ -40,15 +40,19 @@
             left,
             room: limit,
             limit,
-            time,
+            deadline: Instant::now() + time,
             timer: None,
         }
     }
 
     fn poll_more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.left == Some(0) {
+        if self.conn.is_body_done() {
             return Poll::Ready(Ok(()));
         }
+        let time = self.deadline.saturating_duration_since(Instant::now());
+        if time.is_zero() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         if let Poll::Ready(bytes) = Pin::new(&mut self.body).poll_fill_buf(cx) {
             let len = bytes?.len();
             if len > self.room {
@@ -67,13 +71,9 @@
         if !self.conn.is_armed() {
             cx.waker().wake_by_ref();
         }
-        let time = self.time;
-        ready!(
-            self.timer
-                .get_or_insert_with(|| Box::pin(sleep(time)))
-                .as_mut()
-                .poll(cx)
-        );
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(time)));
+        ready!(timer.as_mut().poll(cx));
+        self.timer = None;
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
--- /dev/null
+++ b/crates/http/tests/suite/client.rs
@@ -0,0 +1,160 @@
+//! What the client makes of peers that behave and peers that don't.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+use async_std::task::block_on;
+use datadriven::{TestCase, walk};
+use http::{Body, Client, Method, Options, Pool, Repeat, Request};
+use kernel::SystemClock;
+
+use crate::support;
+
+/// The peer: one script a connection, in the order in which they come.
+struct Peer {
+    address: SocketAddr,
+    closed: Receiver<()>,
+    /// Ends the scripts that hold their connection.
+    release: Vec<Sender<()>>,
+}
+
+impl Peer {
+    fn start(script: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tell, closed) = channel();
+        let mut release = Vec::new();
+        let mut scripts = Vec::new();
+        for script in script.split("conn\n").skip(1) {
+            let (sender, hold) = channel();
+            release.push(sender);
+            scripts.push((script.to_owned(), hold));
+        }
+        thread::spawn(move || {
+            for (script, hold) in scripts {
+                let (stream, _) = listener.accept().unwrap();
+                let tell = tell.clone();
+                thread::spawn(move || {
+                    play(stream, &script, &hold);
+                    let _ = tell.send(());
+                });
+            }
+        });
+        Self {
+            address,
+            closed,
+            release,
+        }
+    }
+}
+
+fn play(mut stream: std::net::TcpStream, script: &str, hold: &Receiver<()>) {
+    for line in script.lines() {
+        match line.split_once(' ').unwrap_or((line, "")) {
+            ("recv", _) => drop(support::read_message(&mut stream)),
+            ("send", text) => support::send(&mut stream, text),
+            // Until the test ends.
+            ("hold", _) => drop(hold.recv()),
+            other => panic!("unknown step {other:?}"),
+        }
+    }
+}
+
+async fn ask(client: &Client, to: SocketAddr, method: Method, options: &Options) -> String {
+    let request = Request::new(method, "/").body(Body::bytes("question"));
+    let response = match client.send(to, request, options).await {
+        Ok(response) => response,
+        Err(err) => return format!("{err:?}"),
+    };
+    let status = response.status;
+    match response.body.collect(1 << 20).await {
+        Ok(bytes) if bytes.len() > 64 => format!("{status} {} bytes", bytes.len()),
+        Ok(bytes) => format!("{status} {}", String::from_utf8_lossy(&bytes)),
+        Err(err) => format!("{status} then {err:?}"),
+    }
+}
+
+fn exchange(case: &mut TestCase) -> String {
+    let requests = case.try_take_arg("requests").unwrap().unwrap_or(1);
+    let wait_closed = case.take_flag("await-close").unwrap();
+    let method = case.try_take_arg::<String>("method").unwrap();
+    let method = method.map_or(Method::Post, |it| it.parse().unwrap());
+    let first_byte = case
+        .try_take_arg("first-byte-ms")
+        .unwrap()
+        .unwrap_or(30_000);
+    let total = case.try_take_arg("total-ms").unwrap().unwrap_or(60_000);
+    let repeat = if case.take_flag("idempotent").unwrap() {
+        Repeat::Idempotent
+    } else {
+        Repeat::Never
+    };
+    let options = Options {
+        connect: Duration::from_secs(30),
+        first_byte: Duration::from_millis(first_byte),
+        total: Duration::from_millis(total),
+        repeat,
+    };
+    let peer = Peer::start(&case.input);
+    let client = Client::new(Arc::new(SystemClock::new()), Pool::default());
+    let mut out = String::new();
+    for _ in 0..requests {
+        let line = block_on(ask(&client, peer.address, method, &options));
+        out.push_str(line.trim_end());
+        out.push('\n');
+        if wait_closed {
+            peer.closed.recv().unwrap();
+        }
+    }
+    drop(peer.release);
+    out
+}
+
+#[test]
+fn scripted_peers() {
+    walk("tests/data/client", |file| {
+        file.run(|case| match case.directive.as_str() {
+            "exchange" => exchange(case),
+            other => panic!("unknown directive {other}"),
+        });
+    });
+}
+
+#[test]
+fn a_refused_connection_has_sent_nothing() {
+    // Story: an engine's process has ended and its host refuses connections.
+    // The caller must hear "not run", because nothing left this host.
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let client = Client::new(Arc::new(SystemClock::new()), Pool::default());
+    let line = block_on(ask(&client, address, Method::Post, &Options::default()));
+    expect_test::expect!["NotSent(Refused)"].assert_eq(&line);
+}
+
+#[test]
+fn the_last_line_end_may_come_in_two_parts() {
+    // Story: a stream's last bytes cross the border of a read buffer between
+    // the last carriage return and its line feed. The chunk decoder waits
+    // without asking for a wake-up, and the caller of a whole answer waits
+    // until its time is over.
+    const READ: usize = 8 * 1024;
+    let head = "HTTP/1.1 200 OK\\r\\ntransfer-encoding: chunked\\r\\n\\r\\n";
+    let around = support::unescape(head).len() + "1f00\r\n".len() + "\r\n0\r\n\r".len();
+    let content = READ - around;
+    let script = format!(
+        "conn\nrecv\nsend {head}{content:04x}\\r\\n{}\\r\\n0\\r\\n\\r\\n\nhold\n",
+        "x".repeat(content)
+    );
+    let peer = Peer::start(&script);
+    let client = Client::new(Arc::new(SystemClock::new()), Pool::default());
+    let options = Options {
+        total: Duration::from_secs(5),
+        ..Options::default()
+    };
+    let line = block_on(ask(&client, peer.address, Method::Post, &options));
+    assert_eq!(line, format!("200 {content} bytes"));
+}
--- /dev/null
+++ b/crates/http/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the client and the server, each against raw peers and against each other.
+
+mod client;
+mod round_trip;
+mod server;
+mod support;
--- /dev/null
+++ b/crates/http/tests/suite/server.rs
@@ -0,0 +1,260 @@
+//! What the server makes of callers that behave and callers that don't.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+use async_std::channel::{Receiver, Sender, bounded};
+use async_std::task::block_on;
+use datadriven::{TestCase, walk};
+use googletest::prelude::*;
+use http::{Body, Limits, Request, Response, Server, Status};
+use proptest::prelude::*;
+use serde_json::Value;
+
+use crate::support;
+
+const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+async fn echo(request: Request) -> Response {
+    let seen = format!("{} {}", request.method, request.target);
+    let class = request.headers.get("class").unwrap_or("-").to_owned();
+    match request.body.collect(1 << 20).await {
+        Ok(bytes) => {
+            let body = String::from_utf8_lossy(&bytes).into_owned();
+            Response::text(Status::Ok, format!("{seen} [{class}] {body}"))
+        }
+        Err(err) => Response::text(Status::BadRequest, format!("{seen}: {err}")),
+    }
+}
+
+fn raw(case: &mut TestCase) -> String {
+    let answers = case.try_take_arg("answers").unwrap().unwrap_or(1);
+    let mut limits = Limits::default();
+    if let Some(ms) = case.try_take_arg("head-ms").unwrap() {
+        limits.head_time = Duration::from_millis(ms);
+    }
+    if let Some(ms) = case.try_take_arg("body-ms").unwrap() {
+        limits.body_time = Duration::from_millis(ms);
+    }
+    if let Some(max) = case.try_take_arg("max-body").unwrap() {
+        limits.max_body = max;
+    }
+    if let Some(max) = case.try_take_arg("max-head").unwrap() {
+        limits.max_head = max;
+    }
+    let server = block_on(Server::bind(LOCAL, limits, echo)).unwrap();
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    let input: String = case.input.lines().collect();
+    support::send(&mut stream, &input);
+    let mut out = String::new();
+    let mut is_closed = false;
+    for _ in 0..answers {
+        let Some((head, body)) = support::read_message(&mut stream) else {
+            out.push_str("closed without an answer\n");
+            return out;
+        };
+        is_closed = head.contains("connection: close");
+        out.push_str(&summary(&head, &body));
+    }
+    if is_closed {
+        expect_that!(stream.read(&mut [0]), ok(eq(&0)));
+        out.push_str("closed\n");
+    }
+    out
+}
+
+fn summary(head: &str, body: &str) -> String {
+    let status = head.lines().next().unwrap();
+    if head.contains("application/problem+json") {
+        let problem: Value = serde_json::from_str(body).unwrap();
+        let text = |key: &str| problem[key].as_str().unwrap().to_owned();
+        let (reason, run, detail) = (text("reason"), text("run"), text("detail"));
+        return format!("{status}\n{reason}, {run}: {detail}\n");
+    }
+    format!("{status}\n{body}\n")
+}
+
+#[gtest]
+fn scripted_callers() {
+    walk("tests/data/server", |file| {
+        file.run(|case| match case.directive.as_str() {
+            "raw" => raw(case),
+            other => panic!("unknown directive {other}"),
+        });
+    });
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    #[test]
+    fn no_bytes_stop_the_server(
+        head in "(GET|POST|PUT|X) [ -~]{0,20} HTTP/1\\.[01]\r\n([a-z-]{1,16}: ?[ -ÿ]{0,16}\r\n){0,4}",
+        noise in proptest::collection::vec(any::<u8>(), 0..64),
+    ) {
+        let server = block_on(Server::bind(LOCAL, Limits::default(), echo)).unwrap();
+        for bytes in [head.as_bytes(), &noise] {
+            let mut stream = TcpStream::connect(server.address()).unwrap();
+            let mut all = bytes.to_vec();
+            all.extend_from_slice(b"\r\n\r\n");
+            stream.write_all(&all).unwrap();
+            stream.shutdown(Shutdown::Write).unwrap();
+            // It answers or closes, and never leaves the caller waiting.
+            let _ = stream.read_to_end(&mut Vec::new());
+        }
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        prop_assert!(support::read_message(&mut stream).is_some());
+    }
+}
+
+/// A server whose handler tells that it began and waits to be let go on.
+async fn gated() -> (Server, Receiver<Request>, Sender<Response>) {
+    let (started, requests) = bounded(8);
+    let (go_on, gate) = bounded::<Response>(8);
+    let server = Server::bind(LOCAL, Limits::default(), move |request| {
+        let (started, gate) = (started.clone(), gate.clone());
+        async move {
+            started.send(request).await.unwrap();
+            gate.recv().await.unwrap()
+        }
+    });
+    (server.await.unwrap(), requests, go_on)
+}
+
+#[gtest]
+fn a_drain_waits_for_requests_in_flight() {
+    // Story: an operator restarts an entry host while a dossier is written.
+    // The caller must get its whole answer, and new callers must be turned
+    // away at once so that they use another host.
+    block_on(async {
+        let (server, requests, go_on) = gated().await;
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        requests.recv().await.unwrap();
+
+        let hurried = server.drain(Duration::ZERO, Duration::ZERO).await;
+        expect_that!(hurried.left, eq(1));
+
+        go_on
+            .send(Response::text(Status::Ok, "whole"))
+            .await
+            .unwrap();
+        let patient = server.drain(Duration::ZERO, Duration::from_secs(30)).await;
+        expect_that!(patient.left, eq(0));
+        let (head, body) = support::read_message(&mut stream).unwrap();
+        expect_that!(head, contains_substring("connection: close"));
+        expect_that!(body, eq("whole"));
+    });
+}
+
+#[gtest]
+fn a_drain_closes_idle_connections() {
+    block_on(async {
+        let server = Server::bind(LOCAL, Limits::default(), echo).await.unwrap();
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        support::read_message(&mut stream).unwrap();
+        server.drain(Duration::ZERO, Duration::from_secs(30)).await;
+        expect_that!(stream.read(&mut [0]), ok(eq(&0)));
+    });
+}
+
+#[gtest]
+fn a_handler_hears_that_its_caller_is_gone() {
+    // Story: a visitor closes the chat while the answer is still awaited. The
+    // engine would go on writing for nobody if the handler didn't hear of it.
+    block_on(async {
+        let (server, requests, _go_on) = gated().await;
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        support::send(
+            &mut stream,
+            r"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nhi",
+        );
+        let request = requests.recv().await.unwrap();
+        let hangup = request.hangup.clone();
+        expect_that!(request.body.collect(16).await, ok(eq(b"hi".as_slice())));
+        drop(stream);
+        hangup.wait().await;
+    });
+}
+
+#[gtest]
+fn a_producer_hears_that_its_caller_is_gone() {
+    // Story: the same while the answer is being streamed, also when the
+    // producer has nothing to send at that moment.
+    block_on(async {
+        let (server, requests, go_on) = gated().await;
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        let request = requests.recv().await.unwrap();
+        let (pieces, response) = Response::events(1);
+        go_on.send(response).await.unwrap();
+        pieces.send("data: one\n\n").await.unwrap();
+        let mut seen = [0; 8];
+        stream.read_exact(&mut seen).unwrap();
+        drop(stream);
+        request.hangup.wait().await;
+        while pieces.send("data: two\n\n").await.is_ok() {}
+        expect_that!(pieces.is_closed(), is_true());
+    });
+}
+
+#[gtest]
+fn a_stream_whose_producer_died_is_cut() {
+    // Story: the task that relays an answer dies halfway. Its caller must not
+    // take the half for the whole, so the last chunk never comes.
+    block_on(async {
+        let (server, requests, go_on) = gated().await;
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        requests.recv().await.unwrap();
+        let (pieces, response) = Response::events(1);
+        go_on.send(response).await.unwrap();
+        pieces.send("half").await.unwrap();
+        drop(pieces);
+        let mut all = String::new();
+        stream.read_to_string(&mut all).unwrap();
+        expect_that!(all, ends_with("\r\n\r\n4\r\nhalf\r\n"));
+    });
+}
+
+#[gtest]
+fn a_body_shorter_than_stated_is_cut() {
+    // Story: a thumbnail is passed on from a service whose host dies halfway.
+    // The connection must close, or its caller would take the next answer's
+    // bytes for the rest of the picture.
+    block_on(async {
+        let server = Server::bind(LOCAL, Limits::default(), |_| async {
+            let half = Body::reader(futures::io::Cursor::new("half"), Some(8));
+            Response::new(Status::Ok).body(half)
+        });
+        let server = server.await.unwrap();
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        let mut all = String::new();
+        stream.read_to_string(&mut all).unwrap();
+        expect_that!(all, contains_substring("content-length: 8"));
+        expect_that!(all, ends_with("\r\n\r\nhalf"));
+    });
+}
+
+#[gtest]
+fn connections_beyond_the_limit_are_turned_away() {
+    block_on(async {
+        let limits = Limits {
+            max_connections: 1,
+            ..Limits::default()
+        };
+        let server = Server::bind(LOCAL, limits, echo).await.unwrap();
+        let mut first = TcpStream::connect(server.address()).unwrap();
+        support::send(&mut first, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        support::read_message(&mut first).unwrap();
+        let mut second = TcpStream::connect(server.address()).unwrap();
+        let (head, body) = support::read_message(&mut second).unwrap();
+        expect_that!(head, starts_with("HTTP/1.1 503"));
+        expect_that!(body, contains_substring(r#""reason":"overloaded""#));
+        expect_that!(body, contains_substring(r#""run":"not_run""#));
+    });
+}
--- /dev/null
+++ b/crates/http/tests/suite/support.rs
@@ -0,0 +1,49 @@
+//! What the tests of both sides share.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+/// The bytes that a script line writes as `\r`, `\n` and `\xNN`.
+pub(crate) fn unescape(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'\\' {
+            out.push(byte);
+            continue;
+        }
+        match rest.next().unwrap() {
+            b'r' => out.push(b'\r'),
+            b'n' => out.push(b'\n'),
+            b'x' => {
+                let hex = [rest.next().unwrap(), rest.next().unwrap()];
+                let hex = std::str::from_utf8(&hex).unwrap();
+                out.push(u8::from_str_radix(hex, 16).unwrap());
+            }
+            other => panic!("unknown escape {other}"),
+        }
+    }
+    out
+}
+
+/// One message with a length, or nothing when the connection ends first.
+pub(crate) fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let len = head
+        .lines()
+        .find_map(|it| it.strip_prefix("content-length: "))
+        .map_or(0, |it| it.parse().unwrap());
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8(body).unwrap()))
+}
+
+pub(crate) fn send(stream: &mut TcpStream, text: &str) {
+    stream.write_all(&unescape(text)).unwrap();
+}
