--- a/crates/experiment/src/attempt.rs
+++ b/crates/experiment/src/attempt.rs
@@ -9,6 +9,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct AttemptKey {
     pub(crate) host: usize,
+    /// Which process it was at this host, so that a late end of a lost one's attempt
+    /// isn't taken for one of its successor's.
+    pub(crate) life: u64,
     pub(crate) number: u64,
 }
 
--- a/crates/experiment/src/router/baseline.rs
+++ b/crates/experiment/src/router/baseline.rs
@@ -207,6 +207,7 @@
         self.numbers += 1;
         let attempt = AttemptKey {
             host,
+            life: 0,
             number: self.numbers,
         };
         self.attempts.insert(attempt, idx);
--- a/crates/experiment/src/router/core/host.rs
+++ b/crates/experiment/src/router/core/host.rs
@@ -10,10 +10,6 @@
 use super::names::Names;
 use crate::{attempt::AttemptKey, endpoint::Load, router::End};
 
-/// The place in an attempt's number at which the life of its decider is noted,
-/// so that a late end of a lost host's attempt isn't taken for one of its successor's.
-const LIFE_SHIFT: u32 = 40;
-
 /// One entry host.
 pub(super) struct Host {
     pub(super) decider: Decider,
@@ -86,14 +82,14 @@
     pub(super) fn key(&self, host: usize, attempt: AttemptId) -> AttemptKey {
         AttemptKey {
             host,
-            number: (self.life << LIFE_SHIFT) | attempt.0,
+            life: self.life,
+            number: attempt.0,
         }
     }
 
     /// The decider's own number of an attempt; none when an earlier one made it.
     pub(super) fn number(&self, attempt: AttemptKey) -> Option<AttemptId> {
-        let mine = attempt.number >> LIFE_SHIFT == self.life;
-        mine.then_some(AttemptId(attempt.number & ((1 << LIFE_SHIFT) - 1)))
+        (attempt.life == self.life).then_some(AttemptId(attempt.number))
     }
 }
 
--- a/crates/experiment/src/sim/fault.rs
+++ b/crates/experiment/src/sim/fault.rs
@@ -1,7 +1,7 @@
 //! What faults do to hosts, endpoints and the configuration.
 
 use super::{Event, PROPAGATION, Sim};
-use crate::{attempt::AttemptKey, record::Fate, router::Input, scenario::Fault};
+use crate::{record::Fate, router::Input, scenario::Fault};
 
 impl Sim<'_> {
     pub(super) fn fault_begins(&mut self, idx: usize) {
@@ -93,11 +93,7 @@
                 self.close(idx, Fate::Refused("host_lost"));
             }
         }
-        let range = AttemptKey { host, number: 0 }..=AttemptKey {
-            host,
-            number: u64::MAX,
-        };
-        let lost = self.attempts.range(range).map(|(key, _)| *key);
+        let lost = self.attempts.keys().filter(|it| it.host == host).copied();
         for attempt in lost.collect::<Vec<_>>() {
             self.cancel(attempt);
         }
