Keep settings that do something, and names that paths can hold

The defaults of [decide] and [ledger] were guesses that overrode the measured ones of the two cores; they are the cores' own now, and two keys that nothing read are gone. drain_limit_s is checked against hosts_keep_ms and bound_ms against poll_ms. A name begins with a letter or digit, since `..` would have led to another path of the operators' protocol. The history is asked for in growing parts, as each line costs a host one read, and shows roll-outs too.

--- a/crates/barleyctl/src/cli.rs
+++ b/crates/barleyctl/src/cli.rs
@@ -338,7 +338,7 @@
         .long(arg::LIMIT)
         .value_name("COUNT")
         .default_value(DEFAULT_LIMIT)
-        .value_parser(value_parser!(u32).range(1..=1_000))
+        .value_parser(value_parser!(u32).range(1..=500))
         .help("How many are listed")
 }
 
--- a/crates/barleyctl/src/client.rs
+++ b/crates/barleyctl/src/client.rs
@@ -109,8 +109,9 @@
         let request = request.header("authorization", self.authorization.clone());
         match self.http.send(host, request, &self.options).await {
             Ok(response) => read(response).await,
-            Err(err @ http::Error::NotSent(_)) => Tried::NotSent(err.to_string()),
-            Err(err) => Tried::InDoubt(err.to_string()),
+            Err(http::Error::NotSent(cause)) => Tried::NotSent(format!("not sent: {cause}")),
+            Err(http::Error::MaybeSent(cause)) => Tried::InDoubt(format!("no answer: {cause}")),
+            Err(err) => Tried::InDoubt(unread(err)),
         }
     }
 }
@@ -143,6 +144,13 @@
             Ok(refusal) => Tried::Refused(Box::new(refusal)),
             Err(_) => Tried::InDoubt(format!("status {status} without a problem document")),
         },
-        Err(err) => Tried::InDoubt(err.to_string()),
+        Err(err) => Tried::InDoubt(unread(err)),
+    }
+}
+
+fn unread(err: http::Error) -> String {
+    match err {
+        http::Error::Cut(cause) => format!("answer cut: {cause}"),
+        other => other.to_string(),
     }
 }
--- a/crates/barleyctl/src/command.rs
+++ b/crates/barleyctl/src/command.rs
@@ -10,7 +10,7 @@
 mod versions;
 
 use clap::ArgMatches;
-use config::{Kind, Name};
+use config::{Faults, Kind, Name};
 use error_stack::Report;
 
 use crate::cli::{arg, verb};
@@ -51,15 +51,15 @@
     let mut session = Session::open(matches, console)?;
     match verb {
         verb::LIST => entries::list(kind, &mut session).await,
-        verb::SHOW => entries::show(&name(kind, matches), &mut session).await,
+        verb::SHOW => entries::show(&name(kind, matches)?, &mut session).await,
         verb::APPLY | verb::EDIT => {
-            entries::apply(name(kind, matches), matches, &mut session).await
+            entries::apply(name(kind, matches)?, matches, &mut session).await
         }
-        verb::DIFF => entries::diff(&name(kind, matches), matches, &mut session).await,
-        verb::REMOVE => entries::remove(name(kind, matches), matches, &mut session).await,
+        verb::DIFF => entries::diff(&name(kind, matches)?, matches, &mut session).await,
+        verb::REMOVE => entries::remove(name(kind, matches)?, matches, &mut session).await,
         verb::HISTORY => entries::history(kind, matches, &mut session).await,
-        verb::PUT => versions::put(name(kind, matches), matches, &mut session).await,
-        verb::WITHDRAW => versions::withdraw(name(kind, matches), matches, &mut session).await,
+        verb::PUT => versions::put(name(kind, matches)?, matches, &mut session).await,
+        verb::WITHDRAW => versions::withdraw(name(kind, matches)?, matches, &mut session).await,
         verb::ROLLOUT => rollout::run(matches, &mut session).await,
         other => unreachable!("the command line has no command {other}"),
     }
@@ -71,9 +71,14 @@
         .expect("the command line asks for a command at each level")
 }
 
-fn name(kind: Kind, matches: &ArgMatches) -> Name {
+/// The name that the command line gives, in the form that a path can hold.
+fn name(kind: Kind, matches: &ArgMatches) -> Result<Name, Report<Error>> {
     let name: &String = matches
         .get_one(arg::NAME)
         .expect("the command line asks for a name");
-    Name::new(kind, name)
+    let name = Name::new(kind, name);
+    match name.check() {
+        Ok(()) => Ok(name),
+        Err(fault) => Err(Error::Faults(Faults(vec![fault])).into()),
+    }
 }
--- a/crates/barleyctl/src/command/entries.rs
+++ b/crates/barleyctl/src/command/entries.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
-use config::{Document, Entry, File, Kind, Name, diff};
+use config::{Commit, Document, Entry, File, Kind, Name, diff};
 use error_stack::{Report, ResultExt};
 use kernel::Revision;
 use serde_json::{Value, json};
@@ -99,33 +99,28 @@
     matches: &ArgMatches,
     session: &mut Session<'_, '_>,
 ) -> Result<(), Report<Error>> {
-    let limit = *matches
+    let wanted = *matches
         .get_one::<u32>(arg::LIMIT)
-        .expect("it has a default");
+        .expect("it has a default") as usize;
     let only: Option<&String> = matches.get_one(arg::NAME);
-    // A host knows the history as a whole, so the kind's part of it is taken here.
-    let history = session.client.history(MAX_HISTORY).await?;
-    let commits: Vec<_> = history
-        .entries
-        .into_iter()
-        .filter(|commit| commit.entry.kind() == kind)
-        .filter(|commit| only.is_none_or(|name| commit.entry.as_str() == name))
-        .take(limit as usize)
-        .collect();
+    let is_meant = |commit: &Commit| {
+        is_of(kind, &commit.entry) && only.is_none_or(|name| commit.entry.as_str() == name)
+    };
+    let commits = newest(wanted, is_meant, session).await?;
     let rows: Vec<_> = commits
         .iter()
         .map(|commit| {
             vec![
                 commit.revision.to_string(),
                 output::time(commit.when),
-                commit.entry.as_str().to_owned(),
+                commit.entry.to_string(),
                 commit.action.to_string(),
                 commit.author.clone(),
                 commit.change.to_string(),
             ]
         })
         .collect();
-    let head = ["REVISION", "TIME", "NAME", "WHAT", "AUTHOR", "CHANGE"];
+    let head = ["REVISION", "TIME", "ENTRY", "WHAT", "AUTHOR", "CHANGE"];
     output::rows(session, &head, &rows, &json!(commits));
     Ok(())
 }
@@ -168,8 +163,36 @@
     }
 }
 
-/// The commits that are looked through for those of one kind.
-const MAX_HISTORY: usize = 1_000;
+/// The most commits that a host tells of in one answer.
+const MAX_HISTORY: usize = 500;
+
+/// The newest commits that are meant, at most as many as wanted.
+///
+/// The history is one for all entries and each commit costs the host a read,
+/// so it is asked for more of them only while too few are found.
+async fn newest(
+    wanted: usize,
+    is_meant: impl Fn(&Commit) -> bool,
+    session: &mut Session<'_, '_>,
+) -> Result<Vec<Commit>, Report<Error>> {
+    let mut limit = wanted.min(MAX_HISTORY);
+    loop {
+        let history = session.client.history(limit).await?;
+        let whole = history.entries.len() < limit || limit == MAX_HISTORY;
+        let mut commits = history.entries;
+        commits.retain(&is_meant);
+        commits.truncate(wanted);
+        if whole || commits.len() == wanted {
+            return Ok(commits);
+        }
+        limit = (limit * 2).min(MAX_HISTORY);
+    }
+}
+
+/// The history of versions is also that of their roll-outs.
+fn is_of(kind: Kind, name: &Name) -> bool {
+    name.kind() == kind || (kind == Kind::Version && name.kind() == Kind::Rollout)
+}
 
 fn read_file(
     name: &Name,
--- a/crates/barleyctl/src/command/rollout.rs
+++ b/crates/barleyctl/src/command/rollout.rs
@@ -18,10 +18,10 @@
     let (verb, matches) = subcommand(matches);
     let rollout = || name(Kind::Rollout, matches);
     match verb {
-        verb::START => start(rollout(), matches, session).await,
-        verb::PAUSE => turn(rollout(), RolloutState::Paused, matches, session).await,
-        verb::RESUME => turn(rollout(), RolloutState::Running, matches, session).await,
-        verb::ABORT => turn(rollout(), RolloutState::Aborted, matches, session).await,
+        verb::START => start(rollout()?, matches, session).await,
+        verb::PAUSE => turn(rollout()?, RolloutState::Paused, matches, session).await,
+        verb::RESUME => turn(rollout()?, RolloutState::Running, matches, session).await,
+        verb::ABORT => turn(rollout()?, RolloutState::Aborted, matches, session).await,
         _ => entries::list(Kind::Rollout, session).await,
     }
 }
--- a/crates/barleyctl/tests/sessions/operator.rs
+++ b/crates/barleyctl/tests/sessions/operator.rs
@@ -114,7 +114,10 @@
             )),
             (Method::Get, ["status"]) => Ok(Response::json(Code::Ok, &self.status())),
             (Method::Get, ["history"]) => {
-                let entries = self.commits.clone();
+                let limit = request.query("limit").and_then(|limit| limit.parse().ok());
+                let limit = limit.filter(|limit| (1..=500).contains(limit));
+                let limit = limit.expect("a limit that hosts take");
+                let entries = self.commits.iter().take(limit).cloned().collect();
                 Ok(Response::json(Code::Ok, &History { entries }))
             }
             (Method::Post, ["hosts", name, "drain"]) => {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -4,10 +4,8 @@
 use kernel::{Customer, VersionId};
 
 use crate::entry_check::EntryCheck;
-use crate::schema::Accepts;
 use crate::{
-    Change, Document, Edit, Fault, Faults, Found, Mode, Name, Place, Profile, RolloutState,
-    Version, form,
+    Change, Document, Edit, Fault, Faults, Found, Mode, Name, Place, Profile, RolloutState, Version,
 };
 
 /// Every fault of the document as it stands.
@@ -36,7 +34,6 @@
 
 fn entry(document: &Document, name: &Name) -> Vec<Fault> {
     let mut check = EntryCheck::new(name.clone());
-    check_name(&mut check, name);
     match name {
         Name::Version(id) => document.versions[id].check(&mut check),
         Name::Profile(name) => document.profiles[name].check(&mut check, document),
@@ -44,20 +41,9 @@
         Name::Service(name) => document.services[name].check(&mut check),
         Name::Rollout(id) => document.rollouts[id].check(&mut check, id, document),
     }
-    check.finish()
-}
-
-fn check_name(check: &mut EntryCheck, name: &Name) {
-    let (fits, accepted) = match name {
-        Name::Version(id) | Name::Rollout(id) => (form::is_version(id.as_str()), Accepts::Version),
-        Name::Profile(_) | Name::Customer(_) | Name::Service(_) => {
-            (form::is_name(name.as_str()), Accepts::Name)
-        }
-    };
-    if !fits {
-        let found = Found::Value(format!("{:?}", name.as_str()));
-        check.add("name", found, accepted.to_string());
-    }
+    let mut faults = check.finish();
+    faults.extend(name.check().err());
+    faults
 }
 
 /// What a change may not do although the next document makes sense.
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -5,9 +5,13 @@
 /// The longest name of an entry, in bytes.
 pub(crate) const MAX_NAME: usize = 64;
 
+/// A name stands in paths, where `.` and `..` would lead elsewhere, and on
+/// command lines, where a leading `-` begins an option.
 pub(crate) fn is_name(text: &str) -> bool {
     let fits = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    (1..=MAX_NAME).contains(&text.len()) && text.bytes().all(fits)
+    text.len() <= MAX_NAME
+        && text.starts_with(|first: char| first.is_ascii_alphanumeric())
+        && text.bytes().all(fits)
 }
 
 pub(crate) fn is_version(text: &str) -> bool {
--- a/crates/config/src/name.rs
+++ b/crates/config/src/name.rs
@@ -4,6 +4,9 @@
 use kernel::{Customer, ProfileName, ServiceName, VersionId};
 use serde::{Deserialize, Serialize};
 
+use crate::schema::Accepts;
+use crate::{Fault, Found, Place, form};
+
 /// The kind and name of an entry of the document.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind", content = "name")]
@@ -38,6 +41,30 @@
         }
     }
 
+    /// Whether it has the form of a name, which is also what a path can hold.
+    ///
+    /// # Errors
+    /// The fault, with the form that is accepted.
+    pub fn check(&self) -> Result<(), Fault> {
+        let (fits, accepted) = match self {
+            Self::Version(id) | Self::Rollout(id) => {
+                (form::is_version(id.as_str()), Accepts::Version)
+            }
+            Self::Profile(_) | Self::Customer(_) | Self::Service(_) => {
+                (form::is_name(self.as_str()), Accepts::Name)
+            }
+        };
+        if fits {
+            return Ok(());
+        }
+        Err(Fault {
+            place: Place::Entry(self.clone()),
+            field: "name".to_owned(),
+            found: Found::Value(format!("{:?}", self.as_str())),
+            accepted: accepted.to_string(),
+        })
+    }
+
     /// The kind of the entry.
     #[must_use]
     pub fn kind(&self) -> Kind {
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -53,7 +53,7 @@
 pub enum Accepts {
     /// A name that stands in paths and logs.
     #[display(
-        "a name of 1 to {} letters, digits, `-`, `_` or `.`",
+        "a name of 1 to {} letters, digits, `-`, `_` or `.`, the first one a letter or digit",
         crate::form::MAX_NAME
     )]
     Name,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -27,6 +27,7 @@
 use crate::Faults;
 use crate::schema::{Section, Shape};
 use crate::source::Source;
+use crate::table::Table;
 
 /// The settings of a host, checked.
 #[derive(Clone, Debug, PartialEq)]
@@ -79,17 +80,33 @@
     /// # Errors
     /// Every fault of the text, by line.
     pub fn parse(text: &str, file: &str) -> Result<Self, Faults> {
-        Source::read(file, text, &Self::SCHEMA, |root| Self {
-            host: Host::read(root),
-            listen: Listen::read(root),
-            platform: Platform::read(root),
-            keys: Keys::read(root),
-            log: Log::read(root),
-            limits: Limits::read(root),
-            decide: Decide::read(root),
-            freshness: Freshness::read(root),
-            ledger: Ledger::read(root),
-            http: Pool::read(root),
+        Source::read(file, text, &Self::SCHEMA, |root| {
+            let settings = Self {
+                host: Host::read(root),
+                listen: Listen::read(root),
+                platform: Platform::read(root),
+                keys: Keys::read(root),
+                log: Log::read(root),
+                limits: Limits::read(root),
+                decide: Decide::read(root),
+                freshness: Freshness::read(root),
+                ledger: Ledger::read(root),
+                http: Pool::read(root),
+            };
+            settings.check(root);
+            settings
         })
     }
+
+    /// Checks what has to hold between keys.
+    fn check(&self, root: &Table<'_>) {
+        if self.host.drain_limit < self.limits.hosts_keep {
+            let accepted = "at least `limits.hosts_keep_ms`, for which callers may still come";
+            root.reject(&Host::SECTION, &host::DRAIN_LIMIT_S, accepted);
+        }
+        if self.freshness.bound <= self.freshness.poll {
+            let accepted = "more than `freshness.poll_ms`, after which a proof can be renewed";
+            root.reject(&Freshness::SECTION, &freshness::BOUND_MS, accepted);
+        }
+    }
 }
--- a/crates/config/src/settings/decide.rs
+++ b/crates/config/src/settings/decide.rs
@@ -12,18 +12,16 @@
     pub max_attempts: u32,
     /// Retries and hedges as a share of first attempts.
     pub retry_budget: f64,
-    /// The share of answers that is sent to the rating service.
+    /// The share of answers that is sent to the rating service where enough
+    /// is known of a version already.
     pub rating_share: f64,
-    /// The share of requests that tries what isn't believed to be the best.
+    /// The share of requests on which a version that isn't believed to be the
+    /// best is tried beside it, where little is known of it.
     pub explore_share: f64,
-    /// The time to the first byte after which an idempotent call is hedged.
-    pub hedge_after: Duration,
     /// The time to the first byte after which an attempt is given up.
     pub first_byte: Duration,
     /// The time between two bytes after which a stream is given up.
     pub stall: Duration,
-    /// The time for which a version stays quarantined before it is probed.
-    pub quarantine: Duration,
     /// The time between two reads of an endpoint's load.
     pub load_poll: Duration,
     /// The time between two ticks of the decisions' clock.
@@ -40,10 +38,8 @@
             &RETRY_BUDGET,
             &RATING_SHARE,
             &EXPLORE_SHARE,
-            &HEDGE_AFTER_MS,
             &FIRST_BYTE_MS,
             &STALL_MS,
-            &QUARANTINE_MS,
             &LOAD_POLL_MS,
             &TICK_MS,
         ],
@@ -57,10 +53,8 @@
             retry_budget: table.fraction(&RETRY_BUDGET),
             rating_share: table.fraction(&RATING_SHARE),
             explore_share: table.fraction(&EXPLORE_SHARE),
-            hedge_after: table.duration(&HEDGE_AFTER_MS),
             first_byte: table.duration(&FIRST_BYTE_MS),
             stall: table.duration(&STALL_MS),
-            quarantine: table.duration(&QUARANTINE_MS),
             load_poll: table.duration(&LOAD_POLL_MS),
             tick: table.duration(&TICK_MS),
         }
@@ -70,7 +64,7 @@
 const MAX_ATTEMPTS: Key = Key {
     name: "max_attempts",
     accepts: Accepts::Whole { min: 1, max: 16 },
-    fallback: Fallback::Whole(4),
+    fallback: Fallback::Whole(5),
     about: "the attempts that a request may take, the first one counted",
 };
 const RETRY_BUDGET: Key = Key {
@@ -82,23 +76,14 @@
 const RATING_SHARE: Key = Key {
     name: "rating_share",
     accepts: Accepts::Fraction,
-    fallback: Fallback::Fraction(0.1),
-    about: "the share of answers that is sent to the rating service",
+    fallback: Fallback::Fraction(0.5),
+    about: "the share of answers that is sent to the rating service where enough is known of a version already",
 };
 const EXPLORE_SHARE: Key = Key {
     name: "explore_share",
     accepts: Accepts::Fraction,
-    fallback: Fallback::Fraction(0.02),
-    about: "the share of requests that tries what isn't believed to be the best",
-};
-const HEDGE_AFTER_MS: Key = Key {
-    name: "hedge_after_ms",
-    accepts: Accepts::Millis {
-        min: 1,
-        max: 60_000,
-    },
-    fallback: Fallback::Whole(250),
-    about: "the time to the first byte after which an idempotent call is hedged",
+    fallback: Fallback::Fraction(0.06),
+    about: "the share of requests on which a version that isn't believed to be the best is tried beside it, where little is known of it",
 };
 const FIRST_BYTE_MS: Key = Key {
     name: "first_byte_ms",
@@ -118,15 +103,6 @@
     fallback: Fallback::Whole(5_000),
     about: "the time between two bytes after which a stream is given up",
 };
-const QUARANTINE_MS: Key = Key {
-    name: "quarantine_ms",
-    accepts: Accepts::Millis {
-        min: 1,
-        max: 3_600_000,
-    },
-    fallback: Fallback::Whole(10_000),
-    about: "the time for which a version stays quarantined before it is probed",
-};
 const LOAD_POLL_MS: Key = Key {
     name: "load_poll_ms",
     accepts: Accepts::Millis {
@@ -139,6 +115,6 @@
 const TICK_MS: Key = Key {
     name: "tick_ms",
     accepts: Accepts::Millis { min: 1, max: 1_000 },
-    fallback: Fallback::Whole(20),
+    fallback: Fallback::Whole(100),
     about: "the time between two ticks of the decisions",
 };
--- a/crates/config/src/settings/freshness.rs
+++ b/crates/config/src/settings/freshness.rs
@@ -33,7 +33,7 @@
     }
 }
 
-const BOUND_MS: Key = Key {
+pub(super) const BOUND_MS: Key = Key {
     name: "bound_ms",
     accepts: Accepts::Millis {
         min: 100,
--- a/crates/config/src/settings/host.rs
+++ b/crates/config/src/settings/host.rs
@@ -59,7 +59,7 @@
     fallback: Fallback::Required,
     about: "its region",
 };
-const DRAIN_LIMIT_S: Key = Key {
+pub(super) const DRAIN_LIMIT_S: Key = Key {
     name: "drain_limit_s",
     accepts: Accepts::Seconds { min: 1, max: 3_600 },
     fallback: Fallback::Whole(330),
--- a/crates/config/src/settings/ledger.rs
+++ b/crates/config/src/settings/ledger.rs
@@ -54,7 +54,7 @@
         min: 1,
         max: 60_000,
     },
-    fallback: Fallback::Whole(200),
+    fallback: Fallback::Whole(1_000),
     about: "the time for which records are gathered into one batch",
 };
 const BATCH_RECORDS: Key = Key {
@@ -72,7 +72,7 @@
         min: 1,
         max: 10_000_000,
     },
-    fallback: Fallback::Whole(100_000),
+    fallback: Fallback::Whole(40_000),
     about: "the records that may wait for the table before new work is refused",
 };
 const PARTNER_MS: Key = Key {
@@ -90,6 +90,6 @@
         min: 1_000,
         max: 86_400_000,
     },
-    fallback: Fallback::Whole(600_000),
+    fallback: Fallback::Whole(3_600_000),
     about: "the time for which the answer to an idempotency key is remembered",
 };
--- a/crates/config/src/settings/platform.rs
+++ b/crates/config/src/settings/platform.rs
@@ -70,7 +70,7 @@
     name: "objects",
     accepts: Accepts::Address,
     fallback: Fallback::Required,
-    about: "the object store",
+    about: "the object store; nothing is kept there yet",
 };
 const HOST_LIST: Key = Key {
     name: "host_list",
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -200,6 +200,21 @@
         self.text(key).into()
     }
 
+    /// Refuses a value that doesn't go with the value of another key.
+    pub(crate) fn reject(&self, section: &Section, key: &Key, accepted: &str) {
+        let table = self.get(section.name);
+        let rows = table.and_then(|(_, value)| value.get_ref().as_table());
+        let value = rows.and_then(|rows| rows.get(key.name));
+        let (at, shown) = match (value, table) {
+            (Some(value), _) => (value.span().start, self.source.show(value)),
+            (None, Some((at, _))) => (at, key.fallback.to_string()),
+            (None, None) => (self.at, key.fallback.to_string()),
+        };
+        let field = format!("{}.{}", section.name, key.name);
+        self.source
+            .add(at, field, Found::Value(shown), accepted.to_owned());
+    }
+
     /// The value of a key as `parse` takes it; nothing, and a fault where one
     /// is due, when it is absent or `parse` doesn't take it.
     fn value<T>(
