--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,67 +1,134 @@
-//! The core itself.
+//! The core itself: what it holds, and which part handles which event.
+
+mod choosing;
+mod comparing;
+mod configuring;
+mod pooling;
+mod probing;
+mod spreading;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{DataCentre, HostName, Revision};
-use rand::SeedableRng;
+use kernel::{HostName, Revision};
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use wire::{Document, Frame, Identity, Member, State};
+use wire::{Frame, Identity, Member, State};
+
+use crate::board::Board;
+use crate::configuration::Configuration;
+use crate::cx::Cx;
+use crate::gossip::Gossip;
+use crate::members::Members;
+use crate::neighbours::Neighbours;
+use crate::prober::Prober;
+use crate::view::View;
+use crate::{Action, Event, Tuning};
 
-use crate::{Action, Change, Event, Polled, Tuning, rendezvous};
+use self::pooling::Pooling;
 
 /// This host's view of the fleet.
 pub struct Fleet {
     me: Member,
+    load: u8,
     tuning: Tuning,
-    _rng: Pcg64,
-    members: BTreeMap<HostName, Member>,
-    revision: Revision,
-    json: Option<Arc<[u8]>>,
-    proven: Option<Duration>,
-    next_poll: Duration,
+    rng: Pcg64,
+    members: Members,
+    neighbours: Neighbours,
+    view: View,
+    board: Board,
+    gossip: Gossip,
+    prober: Prober,
+    configuration: Configuration,
+    pooling: Pooling,
+    /// The platform's list of hosts, to find members by.
+    listed: BTreeMap<HostName, Member>,
+    timers: Timers,
+    is_deposed: bool,
+}
+
+/// When what is due next.
+#[derive(Default)]
+struct Timers {
+    probe: Duration,
+    compare: Duration,
+    reconnect: Duration,
+    poll: Duration,
+    housekeeping: Duration,
+    /// When time last passed here.
+    ticked: Duration,
+    /// Since when whose view differs.
+    differs: BTreeMap<HostName, Duration>,
 }
 
 impl Fleet {
     /// A host that knows nobody but itself.
     #[must_use]
     pub fn new(me: Member, seed: u64, tuning: Tuning) -> Self {
+        let mut view = View::default();
+        view.toggle_member(&me);
         Self {
             me,
+            load: 0,
             tuning,
-            _rng: Pcg64::seed_from_u64(seed),
-            members: BTreeMap::new(),
-            revision: Revision(0),
-            json: None,
-            proven: None,
-            next_poll: Duration::ZERO,
+            rng: Pcg64::seed_from_u64(seed),
+            members: Members::default(),
+            neighbours: Neighbours::default(),
+            view,
+            board: Board::default(),
+            gossip: Gossip::default(),
+            prober: Prober::default(),
+            configuration: Configuration::default(),
+            pooling: Pooling::default(),
+            listed: BTreeMap::new(),
+            timers: Timers::default(),
+            is_deposed: false,
         }
     }
 
     /// Takes in what happened and appends what to do.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        let cx = &mut Cx { now, actions };
+        self.wake(cx);
         match event {
-            Event::Tick => self.tick(now, actions),
-            Event::Hosts(hosts) => self.find(hosts, actions),
-            Event::Frame { from, frame } => self.receive(&from, frame, actions),
-            Event::Polled(polled) => self.polled(polled, actions),
-            Event::Leave => self.me.state = State::Leaving,
-            Event::Endpoint(endpoint) => actions.push(Action::Endpoint(endpoint)),
-            Event::PollFailed
-            | Event::Evidence(_)
-            | Event::Ruled(_)
-            | Event::Load(_)
-            | Event::Goodbye
-            | Event::Fenced(_)
-            | Event::Drain(_) => {}
+            Event::Tick => self.tick(cx),
+            Event::Hosts(hosts) => self.listed(cx, hosts),
+            Event::Frame { from, frame } => self.receive(cx, &from, frame),
+            Event::Polled(polled) => self.polled(cx, polled),
+            Event::PollFailed => {}
+            Event::Evidence(deltas) => self.pool_own(cx, &deltas),
+            Event::Ruled(ruled) => self.rule(cx, ruled),
+            Event::Endpoint(endpoint) => self.learn_endpoint(cx, &endpoint, None),
+            Event::Load(load) => self.load = load,
+            Event::Leave => self.say_of_me(State::Leaving),
+            Event::Goodbye => self.say_of_me(State::Dead),
+            Event::Fenced(identity) => self.fenced(cx, &identity),
+            Event::Drain(identity) => self.order_drain(cx, identity),
         }
+        self.neighbours
+            .refresh(&self.me, &self.members, self.tuning.rings);
+        self.push_news(cx);
     }
 
     /// When the next [`Event::Tick`] is due.
     #[must_use]
     pub fn deadline(&self) -> Duration {
-        self.next_poll
+        let timers = &self.timers;
+        let fixed = [
+            timers.probe,
+            timers.compare,
+            timers.reconnect,
+            timers.poll,
+            timers.housekeeping,
+        ];
+        let moving = [
+            self.probing_deadline(),
+            self.push_deadline(),
+            self.fetch_deadline(),
+            self.pooling_deadline(),
+        ];
+        let all = fixed.into_iter().chain(moving.into_iter().flatten());
+        all.min().unwrap_or_default()
     }
 
     /// This host's own record.
@@ -72,122 +139,144 @@
 
     /// All other members, whatever their state.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
+        self.members.iter().map(|it| &it.member)
+    }
+
+    /// The last known load of a member, from 0 (idle) to 255 (full).
+    #[must_use]
+    pub fn load(&self, host: &HostName) -> Option<u8> {
+        if self.me.identity.host == *host {
+            return Some(self.load);
+        }
+        self.members.find(host)?.load.map(|it| it.level)
     }
 
     /// The revision in force; zero when there is none.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.revision
+        self.configuration.revision()
     }
 
-    /// How old the last proof is that no newer revision was committed.
+    /// How old the last proof is that no newer revision was committed; nothing
+    /// when there never was one.
     #[must_use]
     pub fn proof_age(&self, now: Duration) -> Option<Duration> {
-        self.proven.map(|it| now.saturating_sub(it))
+        self.configuration.proof_age(now)
     }
 
     /// Whether a configuration is in force; without one no request is taken.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.json.is_some()
+        self.configuration.json().is_some() && !self.is_deposed
     }
 
-    /// The member that holds copies of the records of `of`: in another data
-    /// centre if there is one.
+    /// Whether the fleet knows this incarnation as dead for good.
     #[must_use]
-    pub fn partner(&self, of: &Identity) -> Option<&Member> {
-        let home = self.find_member(&of.host).map(|it| &it.data_centre);
-        self.members
-            .values()
-            .chain([&self.me])
-            .filter(|it| it.identity.host != of.host && it.state == State::Alive)
-            .max_by_key(|it| {
-                let elsewhere = Some(&it.data_centre) != home;
-                let weight = rendezvous::weight("partner", of, it.identity.host.as_str());
-                (elsewhere, weight)
-            })
-    }
-
-    /// The hosts that a caller in `data_centre` should use, in the order to try.
+    pub fn is_deposed(&self) -> bool {
+        self.is_deposed
+    }
+
+    /// An estimate of the memory that this view takes, in bytes, without the
+    /// configuration's document.
     #[must_use]
-    pub fn handout(&mut self, _now: Duration, data_centre: &DataCentre) -> Vec<Member> {
-        let mut hosts: Vec<_> = self
-            .members
-            .values()
-            .chain([&self.me])
-            .filter(|it| it.state == State::Alive)
-            .cloned()
-            .collect();
-        hosts.sort_by_key(|it| it.data_centre != *data_centre);
-        hosts
-    }
-
-    fn find_member(&self, host: &HostName) -> Option<&Member> {
-        if self.me.identity.host == *host {
-            return Some(&self.me);
+    pub fn bytes(&self) -> usize {
+        size_of::<Self>() + self.members.bytes() + self.board.bytes()
+    }
+
+    fn tick(&mut self, cx: &mut Cx) {
+        self.probe_when_due(cx);
+        self.judge_probes(cx);
+        self.judge_suspects(cx);
+        self.poll_when_due(cx);
+        self.fetch_when_due(cx);
+        self.pool_when_due(cx);
+        self.compare_when_due(cx);
+        self.reconnect_when_due(cx);
+        self.keep_house(cx);
+    }
+
+    /// Failure: the process is frozen (a paused machine, SIGSTOP) and woken. All
+    /// its probes look unanswered and all suspicions expired, so it would
+    /// declare live hosts unreachable. The guard sees the gap between two steps
+    /// and starts the waits anew. A gap that lasts longer than others remember
+    /// the dead ends this incarnation, as nobody could tell it that it is over.
+    fn wake(&mut self, cx: &mut Cx) {
+        let gap = cx.now.saturating_sub(self.timers.ticked);
+        let is_first = self.timers.ticked.is_zero();
+        self.timers.ticked = cx.now;
+        if is_first || gap <= self.tuning.probe_every * 2 {
+            return;
+        }
+        self.prober.reset(cx.now);
+        self.members.postpone(gap);
+        if gap > self.tuning.forget_after {
+            self.depose(cx);
+        }
+    }
+
+    fn receive(&mut self, cx: &mut Cx, from: &HostName, frame: Frame) {
+        match frame {
+            Frame::Probe(probe) => self.probed(cx, from, probe),
+            Frame::Ack(ack) => self.acked(cx, from, ack),
+            Frame::ProbeRequest(request) => self.asked_to_probe(cx, from, request),
+            Frame::News(news) => self.learn(cx, news, from),
+            Frame::Digest(digest) => self.compared(cx, from, digest),
+            Frame::Fetch(fetch) => self.asked_for_document(cx, from, &fetch),
+            Frame::Document(document) => self.fetched(cx, document),
+            Frame::Evidence(evidence) => self.pool(cx, evidence),
+            Frame::Drain(identity) => self.order_drain(cx, identity),
+            Frame::Hold(_)
+            | Frame::Held(_)
+            | Frame::Release(_)
+            | Frame::Question(_)
+            | Frame::Answer(_)
+            | Frame::Forward(_)
+            | Frame::Forwarded(_)
+            | Frame::Done
+            | Frame::Refused
+            | Frame::Ledger(_)
+            | Frame::Decide(_) => {}
         }
-        self.members.get(host)
     }
 
-    fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if now >= self.next_poll {
-            self.next_poll = now + self.tuning.poll_every;
-            actions.push(Action::Poll);
+    fn order_drain(&mut self, cx: &mut Cx, identity: Identity) {
+        if identity == self.me.identity {
+            return cx.push(Action::Drain);
+        }
+        if let Some(entry) = self.members.find_life(&identity) {
+            cx.send(&entry.member, Frame::Drain(identity));
         }
     }
 
-    fn find(&mut self, hosts: Vec<Member>, actions: &mut Vec<Action>) {
-        for host in hosts {
-            let name = host.identity.host.clone();
-            if name == self.me.identity.host {
-                continue;
-            }
-            if self.members.insert(name, host.clone()).is_none() {
-                let before = None;
-                actions.push(Action::Member(Change {
-                    member: host,
-                    before,
-                }));
-            }
+    fn depose(&mut self, cx: &mut Cx) {
+        if !self.is_deposed {
+            self.is_deposed = true;
+            cx.push(Action::Deposed);
         }
     }
 
-    fn receive(&mut self, from: &HostName, frame: Frame, actions: &mut Vec<Action>) {
-        let Some(member) = self.members.get(from) else {
+    fn keep_house(&mut self, cx: &mut Cx) {
+        if cx.now < self.timers.housekeeping {
             return;
-        };
-        match frame {
-            Frame::Fetch(fetch) if fetch.newer_than < self.revision => {
-                let Some(json) = &self.json else { return };
-                actions.push(Action::Send {
-                    host: from.clone(),
-                    address: member.fleet_address,
-                    frame: Frame::Document(Document {
-                        sequence: fetch.sequence,
-                        revision: self.revision,
-                        age: None,
-                        json: json.to_vec(),
-                    }),
-                });
-            }
-            Frame::Evidence(evidence) => actions.push(Action::Evidence(evidence.deltas)),
-            _ => {}
         }
+        self.timers.housekeeping = cx.now + self.tuning.housekeeping_every;
+        let forget = cx.now.saturating_sub(self.tuning.forget_after);
+        self.bury(cx, forget);
+        self.members.forget(forget);
+        let compared = cx.now.saturating_sub(self.tuning.endpoint_age);
+        self.board.age(&mut self.view, compared, forget);
+        self.prober
+            .forget(cx.now.saturating_sub(self.tuning.probe_timeout * 2));
+        self.pooling.forget();
     }
 
-    fn polled(&mut self, polled: Polled, actions: &mut Vec<Action>) {
-        if polled.revision >= self.revision {
-            self.proven = self.proven.max(Some(polled.asked));
-        }
-        let Some(json) = polled.json else { return };
-        if polled.revision > self.revision {
-            self.revision = polled.revision;
-            self.json = Some(json.clone());
-            actions.push(Action::Apply {
-                revision: polled.revision,
-                json,
-            });
+    /// Up to `max` chosen at random.
+    fn sample<T>(&mut self, mut from: Vec<T>, max: usize) -> Vec<T> {
+        let mut chosen = Vec::new();
+        while chosen.len() < max && !from.is_empty() {
+            let at = self.rng.random_range(0..from.len());
+            chosen.push(from.swap_remove(at));
         }
+        chosen
     }
 }
--- /dev/null
+++ b/crates/fleet/src/fleet/choosing.rs
@@ -0,0 +1,104 @@
+//! Whom others should use: partners for records, addresses for callers.
+
+use std::time::Duration;
+
+use kernel::{DataCentre, HostName, Region};
+use rand::RngExt;
+use wire::{Identity, Member, State};
+
+use crate::Fleet;
+use crate::rendezvous::weight;
+
+/// Into how many bands loads fall. Hosts in one band count as equally loaded,
+/// so that callers don't all run to the one that was idle a moment ago.
+const LOAD_BANDS: u8 = 8;
+
+/// The band of a host whose load isn't known.
+const UNKNOWN_BAND: u8 = LOAD_BANDS / 2;
+
+impl Fleet {
+    /// The member that holds copies of the records of `of`.
+    ///
+    /// It stands in another data centre if there is one, in the same region if
+    /// that has one, because a caller waits for the copy. Among equals
+    /// rendezvous hashing chooses, so that a change of one member moves only
+    /// the copies that it held. Nothing when no other member is alive.
+    #[must_use]
+    pub fn partner(&self, of: &Identity) -> Option<&Member> {
+        let owner = self.find_member(&of.host)?;
+        self.members
+            .alive()
+            .chain([&self.me])
+            .filter(|it| it.identity.host != of.host && it.state == State::Alive)
+            .max_by_key(|it| {
+                let is_elsewhere = it.data_centre != owner.data_centre;
+                let is_near = it.region == owner.region;
+                let weight = weight("partner", of.host.as_str(), it.identity.host.as_str());
+                (is_elsewhere, is_near, weight)
+            })
+    }
+
+    /// The hosts that a caller in `data_centre` should use, in the order to
+    /// try: near first, then lightly loaded. Hosts that leave or may be dead
+    /// are omitted.
+    #[must_use]
+    pub fn handout(&mut self, now: Duration, data_centre: &DataCentre) -> Vec<Member> {
+        let region = self.region_of(data_centre);
+        let me = Some(&self.me).filter(|it| it.state == State::Alive);
+        let hosts: Vec<_> = self.members.alive().chain(me).cloned().collect();
+        let is_alone = self.is_alone(now);
+        let mut ranked: Vec<_> = hosts
+            .into_iter()
+            .map(|it| (self.rank(now, &it, data_centre, region.as_ref()), it))
+            .collect();
+        if is_alone {
+            let mine = &self.me.identity;
+            ranked.sort_by_key(|(rank, it)| (it.identity != *mine, *rank));
+        } else {
+            ranked.sort_by_key(|(rank, _)| *rank);
+        }
+        ranked.truncate(self.tuning.handout);
+        ranked.into_iter().map(|(_, it)| it).collect()
+    }
+
+    fn rank(
+        &mut self,
+        now: Duration,
+        host: &Member,
+        data_centre: &DataCentre,
+        region: Option<&Region>,
+    ) -> (u8, u8, u32) {
+        let distance = if host.data_centre == *data_centre {
+            0
+        } else if Some(&host.region) == region {
+            1
+        } else {
+            2
+        };
+        let load = self.fresh_load(now, &host.identity.host);
+        let band = load.map_or(UNKNOWN_BAND, |it| it / (u8::MAX / LOAD_BANDS + 1));
+        (distance, band, self.rng.random())
+    }
+
+    fn fresh_load(&self, now: Duration, host: &HostName) -> Option<u8> {
+        if self.me.identity.host == *host {
+            return Some(self.load);
+        }
+        let load = self.members.find(host)?.load?;
+        let age = now.saturating_sub(load.at);
+        (age <= self.tuning.load_age).then_some(load.level)
+    }
+
+    fn region_of(&self, data_centre: &DataCentre) -> Option<Region> {
+        let mut members = self.members().chain([&self.me]);
+        let member = members.find(|it| it.data_centre == *data_centre)?;
+        Some(member.region.clone())
+    }
+
+    fn find_member(&self, host: &HostName) -> Option<&Member> {
+        if self.me.identity.host == *host {
+            return Some(&self.me);
+        }
+        self.members.find(host).map(|it| &it.member)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/comparing.rs
@@ -0,0 +1,192 @@
+//! Views are compared, so that what got lost is repaired and hosts find each
+//! other.
+
+use std::net::SocketAddr;
+
+use kernel::HostName;
+use wire::{Bucket, Bulletin, Digest, Member, Newest, News, State};
+
+use crate::cx::Cx;
+use crate::view::bucket_of;
+use crate::{Action, Fleet};
+
+/// How many hosts are asked at once while no member is known.
+const JOIN_FANOUT: usize = 3;
+
+impl Fleet {
+    /// Takes in the platform's list. It lags, so it only says whom to ask.
+    pub(super) fn listed(&mut self, cx: &mut Cx, hosts: Vec<Member>) {
+        let others = hosts
+            .into_iter()
+            .filter(|it| it.identity.host != self.me.identity.host);
+        self.listed = others.map(|it| (it.identity.host.clone(), it)).collect();
+        if self.members.reachable().next().is_none() {
+            self.timers.reconnect = cx.now;
+            self.reconnect_when_due(cx);
+        }
+    }
+
+    /// Tries to reach hosts that are listed and unknown, or out of reach: one
+    /// at a time, as all members do the same.
+    pub(super) fn reconnect_when_due(&mut self, cx: &mut Cx) {
+        if cx.now < self.timers.reconnect {
+            return;
+        }
+        let is_joining = self.members.reachable().next().is_none();
+        let (pause, max) = if is_joining {
+            (self.tuning.join_every, JOIN_FANOUT)
+        } else {
+            (self.tuning.reconnect_every, 1)
+        };
+        self.timers.reconnect = cx.now + pause;
+        let lost = self
+            .members
+            .iter()
+            .map(|it| &it.member)
+            .filter(|it| it.state == State::Unreachable);
+        let unknown = self.listed.values().filter(|it| self.is_unknown(it));
+        let candidates: Vec<_> = lost
+            .chain(unknown)
+            .map(|it| (it.identity.host.clone(), it.fleet_address))
+            .collect();
+        for (host, address) in self.sample(candidates, max) {
+            self.introduce(cx, &host, address);
+        }
+    }
+
+    /// Compares with a random member now and then, whatever the neighbours say.
+    pub(super) fn compare_when_due(&mut self, cx: &mut Cx) {
+        if cx.now < self.timers.compare {
+            return;
+        }
+        let is_first = self.timers.compare.is_zero();
+        self.timers.compare = cx.now + self.tuning.compare_every;
+        if is_first {
+            self.timers.compare = cx.now + self.jitter(self.tuning.compare_every);
+            return;
+        }
+        let members = self.members.reachable();
+        let members = members.map(|(_, it)| it.member.clone()).collect();
+        for member in self.sample(members, 1) {
+            self.introduce(cx, &member.identity.host, member.fleet_address);
+        }
+    }
+
+    /// Shows this host's view to another, which answers with what differs.
+    pub(super) fn introduce(&mut self, cx: &mut Cx, host: &HostName, address: SocketAddr) {
+        let digest = Digest {
+            from: self.me.identity.clone(),
+            buckets: self.view.listing(),
+            bulletin: self.bulletin(cx, vec![News::Member(self.me.clone())]),
+            reply: true,
+        };
+        cx.push(Action::Send {
+            host: host.clone(),
+            address,
+            frame: digest.into(),
+        });
+    }
+
+    /// Looks at a neighbour's fingerprint. News under way make views differ
+    /// for a moment, so only a lasting difference is worth a comparison.
+    pub(super) fn see_view(&mut self, cx: &mut Cx, host: &HostName, theirs: u64) {
+        if theirs == self.view.fingerprint() {
+            self.timers.differs.remove(host);
+            return;
+        }
+        let since = self.timers.differs.entry(host.clone()).or_insert(cx.now);
+        if cx.now.saturating_sub(*since) < self.tuning.view_patience {
+            return;
+        }
+        *since = cx.now;
+        let Some(entry) = self.members.find(host) else {
+            return;
+        };
+        let address = entry.member.fleet_address;
+        self.introduce(cx, host, address);
+    }
+
+    pub(super) fn compared(&mut self, cx: &mut Cx, from: &HostName, digest: Digest) {
+        if digest.from.host != *from {
+            return;
+        }
+        let is_joining = self.members.reachable().next().is_none();
+        let differing = if digest.reply {
+            self.view.differing(&digest.buckets)
+        } else {
+            self.still_differing(&digest.buckets)
+        };
+        let theirs = digest.bulletin.news.clone();
+        self.learn(cx, digest.bulletin, from);
+        if is_joining && !digest.reply {
+            self.gossip_only_me();
+        }
+        let Some(entry) = self.members.find(from) else {
+            return;
+        };
+        let to = entry.member.clone();
+        let mut news = self.news_of(&differing);
+        news.retain(|it| !theirs.contains(it));
+        if digest.reply {
+            news.extend(self.newest());
+            let answer = Digest {
+                from: self.me.identity.clone(),
+                buckets: differing,
+                bulletin: self.bulletin(cx, news),
+                reply: false,
+            };
+            cx.send(&to, answer);
+        } else if !news.is_empty() {
+            let bulletin = self.bulletin(cx, news);
+            cx.send(&to, bulletin);
+        }
+    }
+
+    fn bulletin(&self, cx: &Cx, news: Vec<News>) -> Bulletin {
+        Bulletin {
+            reach: self.stated_reach(cx.now),
+            news,
+        }
+    }
+
+    /// What a joining host learns from the first answer is news to nobody but
+    /// itself; only its own record has to be spread.
+    fn gossip_only_me(&mut self) {
+        self.gossip = crate::gossip::Gossip::default();
+        let carries = self.log_size();
+        self.gossip
+            .add(News::Member(self.me.clone()), None, carries);
+    }
+
+    /// The buckets of the other's answer that differ from this host's.
+    fn still_differing(&self, theirs: &[Bucket]) -> Vec<Bucket> {
+        let mut differing = self.view.differing(theirs);
+        differing.retain(|it| theirs.iter().any(|other| other.index == it.index));
+        differing
+    }
+
+    fn news_of(&self, buckets: &[Bucket]) -> Vec<News> {
+        let wanted = |index: u8| buckets.iter().any(|it| it.index == index);
+        let members = self
+            .members
+            .iter()
+            .map(|it| &it.member)
+            .chain([&self.me])
+            .filter(|it| it.state != State::Dead && wanted(bucket_of(it.identity.host.as_str())))
+            .map(|it| News::Member(it.clone()));
+        members.chain(self.board.news(wanted)).collect()
+    }
+
+    fn newest(&self) -> Option<News> {
+        self.configuration.json()?;
+        Some(News::Revision(Newest {
+            revision: self.configuration.revision(),
+            holder: self.me.identity.clone(),
+        }))
+    }
+
+    fn is_unknown(&self, listed: &Member) -> bool {
+        let known = self.members.find(&listed.identity.host);
+        known.is_none_or(|it| it.member.identity.incarnation < listed.identity.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/configuring.rs
@@ -0,0 +1,138 @@
+//! The configuration: who polls the table, and how a newer one is fetched.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::{HostName, Revision};
+use wire::{Age, Document, Fetch, Newest};
+
+use crate::configuration::Fetching;
+use crate::cx::Cx;
+use crate::rendezvous::weight;
+use crate::{Action, Fleet, Polled};
+
+impl Fleet {
+    /// Whether this host is among those of its data centre that poll the table.
+    #[must_use]
+    pub fn polls(&self) -> bool {
+        let weight_of = |host: &HostName| weight("poll", 0_u8, host.as_str());
+        let mine = weight_of(&self.me.identity.host);
+        let ahead = self
+            .members
+            .alive()
+            .filter(|it| it.data_centre == self.me.data_centre)
+            .filter(|it| weight_of(&it.identity.host) > mine)
+            .count();
+        ahead < self.tuning.pollers
+    }
+
+    pub(super) fn poll_when_due(&mut self, cx: &mut Cx) {
+        if cx.now < self.timers.poll {
+            return;
+        }
+        let is_first = self.timers.poll.is_zero();
+        self.timers.poll = cx.now + self.tuning.poll_every;
+        if is_first {
+            self.timers.poll = cx.now + self.jitter(self.tuning.poll_every);
+            return cx.push(Action::Poll);
+        }
+        if self.polls() || self.is_alone(cx.now) {
+            return cx.push(Action::Poll);
+        }
+        self.poll_without_proof(cx);
+    }
+
+    pub(super) fn polled(&mut self, cx: &mut Cx, polled: Polled) {
+        let applied = self.configuration.polled(polled);
+        self.apply(cx, applied);
+    }
+
+    pub(super) fn hear_revision(&mut self, cx: &mut Cx, host: &HostName, revision: Revision) {
+        if self.configuration.heard(host, revision) {
+            self.fetch(cx);
+        }
+    }
+
+    pub(super) fn learn_revision(&mut self, cx: &mut Cx, newest: &Newest) {
+        self.hear_revision(cx, &newest.holder.host, newest.revision);
+    }
+
+    pub(super) fn fetch_deadline(&self) -> Option<Duration> {
+        let fetching = self.configuration.fetching.as_ref()?;
+        Some(fetching.asked + self.tuning.fetch_timeout)
+    }
+
+    pub(super) fn fetch_when_due(&mut self, cx: &mut Cx) {
+        if self.fetch_deadline().is_some_and(|it| it <= cx.now) {
+            self.configuration.fetching = None;
+            self.fetch(cx);
+        }
+    }
+
+    pub(super) fn asked_for_document(&mut self, cx: &mut Cx, from: &HostName, fetch: &Fetch) {
+        let Some(json) = self.configuration.json() else {
+            return;
+        };
+        let Some(asker) = self.members.find(from) else {
+            return;
+        };
+        if fetch.newer_than >= self.configuration.revision() {
+            return;
+        }
+        let document = Document {
+            sequence: fetch.sequence,
+            revision: self.configuration.revision(),
+            age: self.configuration.proof_age(cx.now).map(Age),
+            json: json.to_vec(),
+        };
+        cx.send(&asker.member, document);
+    }
+
+    pub(super) fn fetched(&mut self, cx: &mut Cx, document: Document) {
+        let applied = self.configuration.fetched(document);
+        self.apply(cx, applied);
+    }
+
+    /// Failure: all pollers of a data centre are cut from the table, or hang,
+    /// while the others could read it. Proofs age, and requests are refused
+    /// without need. The guard lets a host whose proof is old ask for itself,
+    /// seldom enough that an outage of the table doesn't make all hosts poll it
+    /// every second.
+    fn poll_without_proof(&mut self, cx: &mut Cx) {
+        let old = self.tuning.poll_when_older;
+        if self.proof_age(cx.now).is_none_or(|it| it > old) {
+            self.timers.poll = cx.now + old / 2 + self.jitter(old);
+            cx.push(Action::Poll);
+        }
+    }
+
+    fn fetch(&mut self, cx: &mut Cx) {
+        if self.configuration.fetching.is_some() {
+            return;
+        }
+        let Some(host) = self.configuration.next_holder() else {
+            return;
+        };
+        let Some(entry) = self.members.find(&host) else {
+            return;
+        };
+        let holder = entry.member.clone();
+        let sequence = self.prober.next_sequence();
+        let asked = cx.now;
+        self.configuration.fetching = Some(Fetching { sequence, asked });
+        let fetch = Fetch {
+            sequence,
+            from: self.me.identity.clone(),
+            newer_than: self.configuration.revision(),
+        };
+        cx.send(&holder, fetch);
+    }
+
+    fn apply(&mut self, cx: &mut Cx, applied: Option<Arc<[u8]>>) {
+        let Some(json) = applied else { return };
+        let revision = self.configuration.revision();
+        cx.push(Action::Apply { revision, json });
+        self.announce_revision();
+        self.fetch(cx);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/spreading.rs
@@ -0,0 +1,272 @@
+//! News: what this host learns, says and passes on.
+
+use std::time::Duration;
+
+use kernel::HostName;
+use wire::{Bulletin, Endpoint, Identity, Member, Newest, News, State, Verdict};
+
+use crate::cx::Cx;
+use crate::members::{Merge, is_accused};
+use crate::{Action, Change, Fleet, Ruled};
+
+impl Fleet {
+    /// Takes in what another host tells.
+    ///
+    /// Failure: a data centre was cut off and finds all others out of reach.
+    /// When it is back, its word would make everybody pass for unreachable
+    /// until each has contradicted. The guard has two sides: who reaches most
+    /// of the fleet doesn't believe accusations by one who reaches at most half
+    /// of it, and who was cut off takes its own back when it hears from most.
+    pub(super) fn learn(&mut self, cx: &mut Cx, bulletin: Bulletin, from: &HostName) {
+        let is_teller_cut_off = self.is_few(bulletin.reach);
+        let is_cut_off = self.is_few(self.stated_reach(cx.now));
+        if is_cut_off && !is_teller_cut_off {
+            self.rejoin(cx);
+        }
+        let is_moot = is_teller_cut_off && !is_cut_off;
+        for piece in bulletin.news {
+            match piece {
+                News::Member(member) if is_moot && is_accused(member.state) => {}
+                News::Member(member) => self.learn_member(cx, &member, Some(from)),
+                News::Revision(newest) => self.learn_revision(cx, &newest),
+                News::Verdict(verdict) => self.learn_verdict(cx, &verdict, Some(from)),
+                News::Endpoint(endpoint) => self.learn_endpoint(cx, &endpoint, Some(from)),
+            }
+        }
+    }
+
+    pub(super) fn learn_member(&mut self, cx: &mut Cx, news: &Member, from: Option<&HostName>) {
+        if news.identity.host == self.me.identity.host {
+            return self.learn_of_me(cx, news);
+        }
+        match self.members.merge(cx.now, &mut self.view, news) {
+            Merge::Known => return,
+            Merge::Stale => return self.correct(cx, &news.identity.host, from),
+            Merge::New => report(cx, news, None),
+            Merge::Changed(before) if before == news.state => {}
+            Merge::Changed(before) => report(cx, news, Some(before)),
+            Merge::Replaced(old) => {
+                report_end(cx, old);
+                report(cx, news, None);
+            }
+        }
+        if news.state > State::Suspect {
+            self.configuration.forget_holder(&news.identity.host);
+        }
+        self.spread(News::Member(news.clone()), from);
+    }
+
+    /// Takes back all accusations; those that are true come back with the
+    /// others' views.
+    fn rejoin(&mut self, cx: &mut Cx) {
+        let accused = self.accused_since(Duration::ZERO);
+        for host in accused {
+            self.acquit(cx, &host);
+        }
+    }
+
+    /// Those who were accused after `since`.
+    pub(super) fn accused_since(&self, since: Duration) -> Vec<HostName> {
+        let accused = self.members.iter().filter(|it| is_accused(it.member.state));
+        accused
+            .filter(|it| it.since > since)
+            .map(|it| it.member.identity.host.clone())
+            .collect()
+    }
+
+    pub(super) fn acquit(&mut self, cx: &mut Cx, host: &HostName) {
+        let acquitted = self.members.acquit(cx.now, &mut self.view, host);
+        if let Some((member, before)) = acquitted {
+            report(cx, &member, Some(before));
+        }
+    }
+
+    pub(super) fn learn_verdict(&mut self, cx: &mut Cx, news: &Verdict, from: Option<&HostName>) {
+        if self.board.merge_verdict(&mut self.view, news) {
+            cx.push(Action::Verdict(news.clone()));
+            self.spread(News::Verdict(news.clone()), from);
+        }
+    }
+
+    pub(super) fn learn_endpoint(&mut self, cx: &mut Cx, news: &Endpoint, from: Option<&HostName>) {
+        if self.board.merge_endpoint(cx.now, &mut self.view, news) {
+            cx.push(Action::Endpoint(news.clone()));
+            self.spread(News::Endpoint(news.clone()), from);
+        }
+    }
+
+    pub(super) fn rule(&mut self, cx: &mut Cx, ruled: Ruled) {
+        let verdict = Verdict {
+            round: self.board.next_round(&ruled.version),
+            version: ruled.version,
+            ruling: ruled.ruling,
+            by: self.me.identity.clone(),
+            evidence: ruled.evidence,
+        };
+        self.learn_verdict(cx, &verdict, None);
+    }
+
+    /// Changes this host's own state and says so; the higher refutation makes
+    /// it override whatever others say.
+    pub(super) fn say_of_me(&mut self, state: State) {
+        if self.me.state < state {
+            self.refute(self.me.refutation, state);
+        }
+    }
+
+    /// Changes another member's state by this host's own judgement.
+    pub(super) fn judge(&mut self, cx: &mut Cx, mut member: Member, state: State) {
+        member.state = state;
+        self.learn_member(cx, &member, None);
+    }
+
+    pub(super) fn fenced(&mut self, cx: &mut Cx, identity: &Identity) {
+        if *identity == self.me.identity {
+            return self.depose(cx);
+        }
+        let Some(entry) = self.members.find_life(identity) else {
+            return;
+        };
+        let member = entry.member.clone();
+        self.judge(cx, member, State::Dead);
+    }
+
+    /// Declares those dead that have been out of reach since `before`.
+    ///
+    /// Where they are more than half of the fleet, it is rather this host that
+    /// was cut off, and the others have buried it: its own incarnation is over.
+    pub(super) fn bury(&mut self, cx: &mut Cx, before: Duration) {
+        let over: Vec<_> = self
+            .members
+            .iter()
+            .filter(|it| it.member.state == State::Unreachable && it.since < before)
+            .map(|it| it.member.clone())
+            .collect();
+        if over.len() > self.size() {
+            return self.depose(cx);
+        }
+        for member in over {
+            self.judge(cx, member, State::Dead);
+        }
+    }
+
+    /// Says that this host holds the revision in force.
+    pub(super) fn announce_revision(&mut self) {
+        let news = News::Revision(Newest {
+            revision: self.configuration.revision(),
+            holder: self.me.identity.clone(),
+        });
+        self.spread(news, None);
+    }
+
+    pub(super) fn push_news(&mut self, cx: &mut Cx) {
+        let Some(due) = self.push_deadline() else {
+            return;
+        };
+        let is_last_word = self.me.state == State::Dead;
+        if cx.now < due && !is_last_word {
+            return;
+        }
+        let reach = self.stated_reach(cx.now);
+        let push = self.gossip.take_push(cx.now, self.tuning.news_bytes);
+        for key in self.neighbours.all() {
+            let Some(entry) = self.members.get(*key) else {
+                continue;
+            };
+            let news = push.news_to(&entry.member.identity.host);
+            if !news.is_empty() {
+                cx.send(&entry.member, Bulletin { reach, news });
+            }
+        }
+    }
+
+    /// When news are pushed next; without neighbours they wait.
+    pub(super) fn push_deadline(&self) -> Option<Duration> {
+        let deadline = self.gossip.deadline(&self.tuning);
+        deadline.filter(|_| !self.neighbours.all().is_empty())
+    }
+
+    /// How many hosts take part, this one included.
+    pub(super) fn size(&self) -> usize {
+        1 + self.members.reachable().count()
+    }
+
+    /// How many hosts this one tells others to reach, itself included.
+    pub(super) fn stated_reach(&self, now: Duration) -> u32 {
+        let reach = if self.is_alone(now) { 1 } else { self.size() };
+        u32::try_from(reach).unwrap_or(u32::MAX)
+    }
+
+    /// Whether so many are at most half of the fleet.
+    fn is_few(&self, reach: u32) -> bool {
+        let known = u32::try_from(1 + self.members.known()).unwrap_or(u32::MAX);
+        reach <= known / 2
+    }
+
+    /// The logarithm by which waits and repeats grow with the fleet, at least one.
+    pub(super) fn log_size(&self) -> u32 {
+        self.size().next_power_of_two().ilog2().max(1)
+    }
+
+    fn spread(&mut self, news: News, from: Option<&HostName>) {
+        let carries = self.log_size();
+        self.gossip.add(news, from, carries);
+    }
+
+    /// Somebody says something of this host. What isn't true is contradicted;
+    /// death is final, so this incarnation ends when it hears of its own, or
+    /// of a later life under its name.
+    fn learn_of_me(&mut self, cx: &mut Cx, news: &Member) {
+        let theirs = news.identity.incarnation;
+        let mine = self.me.identity.incarnation;
+        if theirs > mine || (theirs == mine && news.state == State::Dead) {
+            if self.me.state != State::Dead {
+                self.depose(cx);
+            }
+            return;
+        }
+        let is_later = theirs == mine && news.refutation >= self.me.refutation;
+        if is_later && news != &self.me {
+            self.refute(news.refutation, self.me.state);
+        } else if theirs < mine {
+            self.spread(News::Member(self.me.clone()), None);
+        }
+    }
+
+    fn refute(&mut self, refutation: u32, state: State) {
+        self.view.toggle_member(&self.me);
+        self.me.state = state;
+        self.me.refutation = self.me.refutation.max(refutation.saturating_add(1));
+        self.view.toggle_member(&self.me);
+        self.spread(News::Member(self.me.clone()), None);
+    }
+
+    /// Tells a host that passes on old news what is known since.
+    fn correct(&mut self, cx: &mut Cx, about: &HostName, from: Option<&HostName>) {
+        let Some(entry) = self.members.find(about) else {
+            return;
+        };
+        let Some(to) = from.and_then(|it| self.members.find(it)) else {
+            return;
+        };
+        let bulletin = Bulletin {
+            reach: self.stated_reach(cx.now),
+            news: vec![News::Member(entry.member.clone())],
+        };
+        cx.send(&to.member, bulletin);
+    }
+}
+
+fn report(cx: &mut Cx, member: &Member, before: Option<State>) {
+    let member = member.clone();
+    cx.push(Action::Member(Change { member, before }));
+}
+
+/// Reports the end of a life that a later one replaces.
+fn report_end(cx: &mut Cx, mut old: Member) {
+    let before = old.state;
+    if before != State::Dead {
+        old.state = State::Dead;
+        report(cx, &old, Some(before));
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,10 +5,20 @@
 //! `docs/design/membership.md` tells how it works and what was weighed.
 
 mod action;
+mod board;
+mod configuration;
+mod cx;
 mod event;
 mod fleet;
+mod gossip;
+pub mod measure;
+mod members;
+mod neighbours;
+mod pool;
+mod prober;
 mod rendezvous;
 mod tuning;
+mod view;
 
 pub use action::{Action, Change};
 pub use event::{Event, Polled, Ruled};
--- /dev/null
+++ b/crates/fleet/src/measure/workload.rs
@@ -0,0 +1,294 @@
+//! The fleet that is measured, and what it is given to do.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use kernel::{HostName, Incarnation, Revision};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use wire::{Delta, Identity, Member, State, Topic};
+
+use crate::measure::{Figures, Network, Traffic};
+use crate::{Action, Event, Fleet, Tuning};
+
+/// The target's data centres and regions.
+const DATA_CENTRES: usize = 18;
+const REGIONS: usize = 6;
+
+/// The target's requests a second over its hosts: each host's share.
+const REQUESTS_A_SECOND: f64 = 1_800.0 / 330.0;
+
+/// The target's versions, with as many request classes and customers as are
+/// thought usual.
+const VERSIONS: usize = 34;
+const CLASSES: usize = 4;
+const CUSTOMERS: usize = 30;
+
+/// How often a request fails, and how often one is rated.
+const ERRORS: f64 = 0.01;
+const RATINGS: f64 = 0.05;
+
+/// The configuration's size, and how often it changes in a measurement. That
+/// is more often than in service, so documents are counted apart.
+const DOCUMENT_BYTES: usize = 48 * 1024;
+const CHANGES: u64 = 3;
+
+/// How likely a frame is lost.
+const LOSS: f64 = 0.005;
+
+/// How long the fleet has to come together.
+const WARM_UP: Duration = Duration::from_mins(1);
+
+pub(super) struct Workload {
+    network: Network,
+    rng: Pcg64,
+    members: Vec<Member>,
+}
+
+/// A change of the configuration.
+struct Commit {
+    at: Duration,
+    revision: Revision,
+    /// How long it took until it was in force everywhere.
+    in_force: Option<Duration>,
+}
+
+/// What is seen second by second.
+#[derive(Default)]
+struct Watch {
+    commits: Vec<Commit>,
+    killed: Option<(Duration, BTreeSet<HostName>)>,
+    detection: Duration,
+    proof_age: Duration,
+    false_deaths: usize,
+}
+
+impl Workload {
+    pub(super) fn new(hosts: usize, seed: u64) -> Self {
+        let mut network = Network::new(seed, Tuning::default());
+        network.loss = LOSS;
+        network.table.json = vec![b' '; DOCUMENT_BYTES].into();
+        network.table.commit();
+        let members: Vec<_> = (0..hosts).map(|it| member(it, hosts)).collect();
+        for member in &members {
+            network.start(member.clone());
+        }
+        for member in &members {
+            let hosts = Event::Hosts(members.clone());
+            network.tell(&member.identity.host, hosts);
+        }
+        Self {
+            network,
+            rng: Pcg64::seed_from_u64(seed.wrapping_add(1)),
+            members,
+        }
+    }
+
+    pub(super) fn run(mut self, duration: Duration) -> Figures {
+        self.network.run_until(WARM_UP);
+        self.network.reset_traffic();
+        self.network.observed.clear();
+        self.network.table.reads = 0;
+        let seconds = duration.as_secs();
+        let mut watch = Watch::default();
+        for second in 0..seconds {
+            self.step(second, seconds, &mut watch);
+        }
+        self.figures(seconds, &watch)
+    }
+
+    /// One second: changes and failures at their times, evidence all along.
+    fn step(&mut self, second: u64, seconds: u64, watch: &mut Watch) {
+        let third = (seconds / CHANGES).max(1);
+        if second % third == third / 4 {
+            let revision = self.network.table.commit();
+            watch.commits.push(Commit {
+                at: self.network.now(),
+                revision,
+                in_force: None,
+            });
+        }
+        if second == seconds / 2 {
+            self.kill_some(watch);
+        }
+        self.count_evidence();
+        let parts = 20;
+        for _ in 0..parts {
+            let next = self.network.now() + Duration::from_secs(1) / parts;
+            self.network.run_until(next);
+            self.look(watch);
+        }
+    }
+
+    fn kill_some(&mut self, watch: &mut Watch) {
+        let count = (self.members.len() / 100).max(1);
+        let mut killed = BTreeSet::new();
+        while killed.len() < count {
+            let at = self.rng.random_range(0..self.members.len());
+            killed.insert(self.members[at].identity.host.clone());
+        }
+        for host in &killed {
+            self.network.kill(host);
+        }
+        watch.killed = Some((self.network.now(), killed));
+    }
+
+    fn count_evidence(&mut self) {
+        let hosts: Vec<_> = self
+            .network
+            .fleets()
+            .map(|it| it.me().identity.host.clone())
+            .collect();
+        for host in hosts {
+            let deltas = self.deltas();
+            self.network.tell(&host, Event::Evidence(deltas));
+        }
+    }
+
+    /// One second's evidence of one host.
+    fn deltas(&mut self) -> Vec<Delta> {
+        let mut deltas = Vec::new();
+        let whole = REQUESTS_A_SECOND.floor();
+        let one_more = self.rng.random_bool(REQUESTS_A_SECOND - whole);
+        let mut left = whole + f64::from(u8::from(one_more));
+        while left >= 1.0 {
+            left -= 1.0;
+            deltas.push(self.version_delta());
+            deltas.push(self.customer_delta());
+        }
+        deltas
+    }
+
+    fn version_delta(&mut self) -> Delta {
+        let version = self.skewed(VERSIONS);
+        let class = self.rng.random_range(0..CLASSES);
+        let mut delta = Delta::new(Topic::Version {
+            version: format!("model-{}@{version}", version / 3).as_str().into(),
+            class: format!("class-{class}").into(),
+        });
+        if self.rng.random_bool(ERRORS) {
+            delta.errors = 1;
+        } else {
+            delta.ok = 1;
+            delta.latency = Duration::from_millis(self.rng.random_range(100..3_000));
+            delta.tokens = self.rng.random_range(10..1_000);
+        }
+        if self.rng.random_bool(RATINGS) {
+            delta.good = 1;
+        }
+        delta
+    }
+
+    fn customer_delta(&mut self) -> Delta {
+        let customer = self.skewed(CUSTOMERS);
+        let name = format!("customer-{customer}");
+        let mut delta = Delta::new(Topic::Customer(name.as_str().into()));
+        delta.ok = 1;
+        delta.tokens = self.rng.random_range(10..1_000);
+        delta
+    }
+
+    /// A number below `count`, low ones more often.
+    fn skewed(&mut self, count: usize) -> usize {
+        let a = self.rng.random_range(0..count);
+        let b = self.rng.random_range(0..count);
+        a.min(b)
+    }
+
+    fn look(&mut self, watch: &mut Watch) {
+        let now = self.network.now();
+        let lowest = self.network.fleets().map(Fleet::revision).min();
+        for commit in &mut watch.commits {
+            if lowest >= Some(commit.revision) && commit.in_force.is_none() {
+                commit.in_force = Some(now.saturating_sub(commit.at));
+            }
+        }
+        let ages = self.network.fleets().map(|it| it.proof_age(now));
+        let oldest = ages.map(|it| it.unwrap_or(Duration::MAX)).max();
+        watch.proof_age = watch.proof_age.max(oldest.unwrap_or_default());
+        self.count_deaths(watch);
+    }
+
+    fn count_deaths(&mut self, watch: &mut Watch) {
+        let gone = watch.killed.as_ref();
+        let mut wrong = BTreeSet::new();
+        for observed in self.network.observed.drain(..) {
+            let Action::Member(change) = observed.action else {
+                continue;
+            };
+            if change.member.state < State::Unreachable {
+                continue;
+            }
+            let host = change.member.identity.host;
+            match gone {
+                Some((at, killed)) if killed.contains(&host) => {
+                    let took = observed.at.saturating_sub(*at);
+                    watch.detection = watch.detection.max(took);
+                }
+                _ => {
+                    wrong.insert(host);
+                }
+            }
+        }
+        watch.false_deaths += wrong.len();
+    }
+
+    fn figures(&self, seconds: u64, watch: &Watch) -> Figures {
+        let per_second = |it: f64| it / real(seconds);
+        let count = real(self.network.traffic().count() as u64);
+        let sum = |of: fn(&Traffic) -> u64| real(self.network.traffic().map(of).sum());
+        let most =
+            |of: fn(&Traffic) -> u64| real(self.network.traffic().map(of).max().unwrap_or(0));
+        let processor: Duration = self.network.traffic().map(|it| it.processor).sum();
+        let changes = watch.commits.len().max(1);
+        let took: Vec<_> = watch
+            .commits
+            .iter()
+            .map(|it| it.in_force.unwrap_or(Duration::MAX))
+            .collect();
+        let total = took
+            .iter()
+            .fold(Duration::ZERO, |sum, it| sum.saturating_add(*it));
+        Figures {
+            hosts: self.members.len(),
+            bytes_mean: per_second(sum(Traffic::steady_bytes) / count),
+            bytes_max: per_second(most(Traffic::steady_bytes)),
+            document_mean: sum(|it| it.document_bytes) / count / real(changes as u64),
+            frames: per_second(sum(|it| it.frames_sent) / count),
+            processor: per_second(processor.as_secs_f64() / count),
+            state_bytes: self.network.fleets().map(Fleet::bytes).max().unwrap_or(0),
+            revision_mean: total / u32::try_from(changes).unwrap_or(1),
+            revision_max: took.into_iter().max().unwrap_or_default(),
+            proof_age_max: watch.proof_age,
+            detection_max: watch.detection,
+            false_deaths: watch.false_deaths,
+            table_reads: per_second(real(self.network.table.reads)),
+        }
+    }
+}
+
+/// A count as a real number; counts of a measurement stay far below the bound.
+fn real(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+/// Host `index` of `hosts`, spread over as many data centres as make sense.
+fn member(index: usize, hosts: usize) -> Member {
+    let data_centres = (hosts / 2).clamp(1, DATA_CENTRES);
+    let data_centre = index % data_centres;
+    let region = data_centre % REGIONS;
+    let [_, .., high, low] = index.to_be_bytes();
+    let address = |port: u16| ([10, 0, high, low], port).into();
+    Member {
+        identity: Identity {
+            host: format!("entry-{index}").as_str().into(),
+            incarnation: Incarnation(1_760_000_000_000),
+        },
+        refutation: 0,
+        state: State::Alive,
+        fleet_address: address(7600),
+        address: address(7443),
+        data_centre: format!("centre-{data_centre}").as_str().into(),
+        region: format!("region-{region}").as_str().into(),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/prober.rs
@@ -0,0 +1,132 @@
+//! Probes under way.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kernel::HostName;
+use wire::Identity;
+
+use crate::members::MemberKey;
+
+/// The probes that this host waits for, its own and those it sent for others.
+#[derive(Default)]
+pub(crate) struct Prober {
+    sequence: u32,
+    turn: usize,
+    waiting: BTreeMap<u32, Waiting>,
+    helping: BTreeMap<u32, Helping>,
+    /// When somebody last answered.
+    pub(crate) answered: Duration,
+}
+
+/// A probe of this host's own.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) target: Identity,
+    pub(crate) sent: Duration,
+    pub(crate) is_helped: bool,
+}
+
+/// A probe that was sent because another host asked for it.
+#[derive(Clone, Debug)]
+pub(crate) struct Helping {
+    pub(crate) host: HostName,
+    pub(crate) address: SocketAddr,
+    /// The asker's own number for it.
+    pub(crate) sequence: u32,
+    pub(crate) target: Identity,
+    sent: Duration,
+}
+
+impl Helping {
+    pub(crate) fn new(
+        now: Duration,
+        asker: (HostName, SocketAddr),
+        sequence: u32,
+        target: Identity,
+    ) -> Self {
+        let (host, address) = asker;
+        Self {
+            host,
+            address,
+            sequence,
+            target,
+            sent: now,
+        }
+    }
+}
+
+impl Prober {
+    pub(crate) fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    /// The next of `targets` in turn.
+    pub(crate) fn next_target(&mut self, targets: &[MemberKey]) -> Option<MemberKey> {
+        self.turn = self.turn.wrapping_add(1);
+        targets.get(self.turn.checked_rem(targets.len())?).copied()
+    }
+
+    pub(crate) fn wait(&mut self, sequence: u32, target: Identity, now: Duration) {
+        let sent = now;
+        let is_helped = false;
+        let waiting = Waiting {
+            target,
+            sent,
+            is_helped,
+        };
+        self.waiting.insert(sequence, waiting);
+    }
+
+    /// Ends the wait for the life that answers.
+    pub(crate) fn answer(&mut self, sequence: u32, from: &Identity) -> Option<Waiting> {
+        if self.waiting.get(&sequence)?.target.host != from.host {
+            return None;
+        }
+        self.waiting.remove(&sequence)
+    }
+
+    pub(crate) fn help(&mut self, sequence: u32, helping: Helping) {
+        self.helping.insert(sequence, helping);
+    }
+
+    pub(crate) fn helped(&mut self, sequence: u32, from: &Identity) -> Option<Helping> {
+        if self.helping.get(&sequence)?.target != *from {
+            return None;
+        }
+        self.helping.remove(&sequence)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, &Waiting)> {
+        self.waiting.iter().map(|(sequence, it)| (*sequence, it))
+    }
+
+    /// Marks that others were asked to probe the target.
+    pub(crate) fn set_helped(&mut self, sequence: u32) {
+        if let Some(it) = self.waiting.get_mut(&sequence) {
+            it.is_helped = true;
+        }
+    }
+
+    pub(crate) fn give_up(&mut self, sequence: u32) {
+        self.waiting.remove(&sequence);
+    }
+
+    /// Whether a probe of the host is under way.
+    pub(crate) fn is_waiting_for(&self, host: &HostName) -> bool {
+        self.waiting.values().any(|it| it.target.host == *host)
+    }
+
+    /// Forgets probes for others that were never answered.
+    pub(crate) fn forget(&mut self, before: Duration) {
+        self.helping.retain(|_, it| it.sent >= before);
+    }
+
+    /// Forgets all own probes.
+    pub(crate) fn reset(&mut self, now: Duration) {
+        self.waiting.clear();
+        self.answered = now;
+    }
+}
--- a/crates/fleet/src/rendezvous.rs
+++ b/crates/fleet/src/rendezvous.rs
@@ -13,7 +13,7 @@
 }
 
 /// The finaliser of `MurmurHash3`, because FNV alone spreads short keys badly.
-fn mix(mut it: u64) -> u64 {
+pub(crate) fn mix(mut it: u64) -> u64 {
     it ^= it >> 33;
     it = it.wrapping_mul(0xff51_afd7_ed55_8ccd);
     it ^= it >> 33;
--- a/crates/fleet/src/tuning.rs
+++ b/crates/fleet/src/tuning.rs
@@ -15,49 +15,92 @@
     pub suspicion: Duration,
     /// How many hash rings give this host its neighbours.
     pub rings: usize,
+    /// A host that nobody answers for this long counts as cut off itself; see
+    /// [`crate::Fleet::is_alone`].
+    pub alone_after: Duration,
     /// Between two comparisons of views with a random member.
     pub compare_every: Duration,
+    /// For this long a neighbour's view may differ before it is compared,
+    /// because news under way makes views differ for a moment.
+    pub view_patience: Duration,
     /// Between two attempts to reach members that are out of reach.
     pub reconnect_every: Duration,
+    /// The same while no other member is known.
+    pub join_every: Duration,
+    /// Between two pushes of news.
+    pub push_every: Duration,
+    /// The same while more news wait than one push carries, as after a healed cut.
+    pub push_every_when_full: Duration,
+    /// How many bytes of news one push or probe carries, about.
+    pub news_bytes: usize,
     /// Between two reads of the table by a host that polls.
     pub poll_every: Duration,
+    /// Between two reads by another host whose proof is older than this.
+    pub poll_when_older: Duration,
     /// How many hosts of a data centre poll the table.
     pub pollers: usize,
     /// From a fetch of the configuration to the next try with another host.
     pub fetch_timeout: Duration,
-    /// Between two batches of evidence.
+    /// Between two batches of evidence that tells of something bad, and of all
+    /// evidence in a small fleet.
     pub evidence_every: Duration,
+    /// Between two batches of other evidence to a relay.
+    pub evidence_to_relay: Duration,
+    /// The same from a relay to a home.
+    pub evidence_to_home: Duration,
+    /// The same from a home back to all.
+    pub evidence_to_all: Duration,
     /// Up to this many members evidence goes to all of them directly.
     pub evidence_direct: usize,
-    /// How many homes a topic of evidence has above that size.
+    /// How many homes a group of topics has above that size.
     pub evidence_homes: usize,
-    /// How long a record of a dead or unreachable incarnation is kept.
-    pub forget_after: Duration,
+    /// How many loads of other hosts a probe carries.
+    pub loads: usize,
     /// A load older than this counts as unknown.
     pub load_age: Duration,
-    /// How many bytes of news one probe carries at most.
-    pub news_bytes: usize,
+    /// How many hosts a hand-out names at most.
+    pub handout: usize,
+    /// Between two rounds of forgetting.
+    pub housekeeping_every: Duration,
+    /// For this long news of endpoints are compared; later the host list shows them.
+    pub endpoint_age: Duration,
+    /// An unreachable incarnation is dead after this long, and forgotten after
+    /// as long again.
+    pub forget_after: Duration,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
             probe_every: Duration::from_secs(1),
-            probe_timeout: Duration::from_millis(400),
+            probe_timeout: Duration::from_millis(500),
             helpers: 3,
             suspicion: Duration::from_secs(1),
             rings: 3,
-            compare_every: Duration::from_secs(30),
+            alone_after: Duration::from_secs(10),
+            compare_every: Duration::from_mins(1),
+            view_patience: Duration::from_secs(4),
             reconnect_every: Duration::from_secs(10),
+            join_every: Duration::from_secs(1),
+            push_every: Duration::from_millis(50),
+            push_every_when_full: Duration::from_millis(500),
+            news_bytes: 900,
             poll_every: Duration::from_secs(1),
+            poll_when_older: Duration::from_secs(8),
             pollers: 2,
             fetch_timeout: Duration::from_secs(1),
             evidence_every: Duration::from_millis(250),
+            evidence_to_relay: Duration::from_secs(1),
+            evidence_to_home: Duration::from_secs(2),
+            evidence_to_all: Duration::from_secs(4),
             evidence_direct: 8,
             evidence_homes: 2,
-            forget_after: Duration::from_hours(2),
+            loads: 5,
             load_age: Duration::from_secs(20),
-            news_bytes: 900,
+            handout: 12,
+            housekeeping_every: Duration::from_mins(1),
+            endpoint_age: Duration::from_mins(10),
+            forget_after: Duration::from_hours(2),
         }
     }
 }
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Identity, News};
+use crate::{Bulletin, Identity};
 
 /// A summary of the sender's view. The receiver answers with the news of those
 /// buckets that differ, and with its own digest where `reply` asks for it.
@@ -13,7 +13,7 @@
     /// The fingerprint of each non-empty bucket.
     pub buckets: Vec<Bucket>,
     /// What the sender knows in the buckets that the other's digest showed to differ.
-    pub news: Vec<News>,
+    pub bulletin: Bulletin,
     /// Whether the receiver is asked for the news of the differing buckets.
     pub reply: bool,
 }
--- a/crates/wire/src/evidence.rs
+++ b/crates/wire/src/evidence.rs
@@ -26,8 +26,11 @@
     Direct,
     /// One host's own counts, to be added up by the relay of its data centre.
     Host,
-    /// A data centre's counts, to be added up by the topic's home.
+    /// A data centre's counts, to be added up by the topic's first home, which
+    /// also gives them back to all.
     DataCentre,
+    /// The same for the topic's other homes, which give nothing back.
+    Standby,
     /// All counts, to be passed on by the relay to the hosts of its data centre.
     Fleet,
     /// All counts, at their last stop.
@@ -83,6 +86,12 @@
         }
     }
 
+    /// Whether it tells of something bad, which must not wait.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.errors > 0 || self.bad > 0
+    }
+
     /// Adds the counts of `other`, which must be about the same topic.
     pub fn merge(&mut self, other: &Self) {
         self.ok = self.ok.saturating_add(other.ok);
@@ -92,4 +101,25 @@
         self.latency = self.latency.saturating_add(other.latency);
         self.tokens = self.tokens.saturating_add(other.tokens);
     }
+
+    /// Takes away the counts of `other` as far as they are there.
+    pub fn subtract(&mut self, other: &Self) {
+        self.ok = self.ok.saturating_sub(other.ok);
+        self.errors = self.errors.saturating_sub(other.errors);
+        self.good = self.good.saturating_sub(other.good);
+        self.bad = self.bad.saturating_sub(other.bad);
+        self.latency = self.latency.saturating_sub(other.latency);
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+    }
+
+    /// Whether nothing was counted.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ok == 0
+            && self.errors == 0
+            && self.good == 0
+            && self.bad == 0
+            && self.latency.is_zero()
+            && self.tokens == 0
+    }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Ack, Answer, Digest, Document, Evidence, Fetch, Forward, Forwarded, Hold, Identity, News,
+    Ack, Answer, Bulletin, Digest, Document, Evidence, Fetch, Forward, Forwarded, Hold, Identity,
     Payload, Probe, ProbeRequest, Question, Release,
 };
 
@@ -20,8 +20,7 @@
     /// Asks a third host to probe.
     ProbeRequest(ProbeRequest),
     /// News, pushed at once.
-    #[from]
-    News(Vec<News>),
+    News(Bulletin),
     /// Compares views.
     Digest(Digest),
     /// Asks for the configuration.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -31,7 +31,7 @@
 pub use ledger::{Answer, Forward, Forwarded, Hold, Outcome, Question, Release};
 pub use load::Load;
 pub use member::{Member, State};
-pub use news::{Endpoint, EndpointState, Newest, News};
+pub use news::{Bulletin, Endpoint, EndpointState, Newest, News};
 pub use payload::Payload;
 pub use probe::{Ack, Probe, ProbeRequest};
 pub use proof::{Age, Proof};
--- a/crates/wire/src/news.rs
+++ b/crates/wire/src/news.rs
@@ -5,6 +5,16 @@
 
 use crate::{Identity, Member, Verdict};
 
+/// News as one host tells them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bulletin {
+    /// How many hosts the teller reaches, itself included. What a host that
+    /// reaches few says of others' absence tells more of itself.
+    pub reach: u32,
+    /// The pieces.
+    pub news: Vec<News>,
+}
+
 /// One piece of news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum News {
--- a/crates/wire/src/probe.rs
+++ b/crates/wire/src/probe.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Identity, Load, News, Proof};
+use crate::{Bulletin, Identity, Load, Proof};
 
 /// Asks a host whether it lives.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,7 +22,7 @@
     /// comparison.
     pub view: u64,
     /// News that is still being spread.
-    pub news: Vec<News>,
+    pub bulletin: Bulletin,
     /// The freshest loads that the asker knows.
     pub loads: Vec<Load>,
 }
@@ -39,7 +39,7 @@
     /// As in [`Probe::view`].
     pub view: u64,
     /// News that is still being spread.
-    pub news: Vec<News>,
+    pub bulletin: Bulletin,
     /// The freshest loads that the answerer knows.
     pub loads: Vec<Load>,
 }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -7,10 +7,10 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use wire::{
-    Ack, Age, Answer, Bucket, Delta, Digest, Document, Endpoint, EndpointState, Error, Evidence,
-    Fetch, Forward, Forwarded, Frame, Hold, Identity, Load, MAX_FRAME_BYTES, Member, Newest, News,
-    Outcome, Probe, ProbeRequest, Proof, Question, Reach, Release, Ruling, State, Topic, VERSION,
-    Verdict,
+    Ack, Age, Answer, Bucket, Bulletin, Delta, Digest, Document, Endpoint, EndpointState, Error,
+    Evidence, Fetch, Forward, Forwarded, Frame, Hold, Identity, Load, MAX_FRAME_BYTES, Member,
+    Newest, News, Outcome, Payload, Probe, ProbeRequest, Proof, Question, Reach, Release, Ruling,
+    State, Topic, VERSION, Verdict,
 };
 
 fn text() -> impl Strategy<Value = String> {
@@ -97,7 +97,7 @@
     })
 }
 
-fn news() -> impl Strategy<Value = Vec<News>> {
+fn bulletin() -> impl Strategy<Value = Bulletin> {
     let newest = (any::<u64>(), identity()).prop_map(|(revision, holder)| Newest {
         revision: Revision(revision),
         holder,
@@ -108,7 +108,7 @@
         verdict().prop_map(News::Verdict),
         endpoint().prop_map(News::Endpoint),
     ];
-    vec(one, 0..4)
+    (any::<u32>(), vec(one, 0..4)).prop_map(|(reach, news)| Bulletin { reach, news })
 }
 
 fn loads() -> impl Strategy<Value = Vec<Load>> {
@@ -121,30 +121,30 @@
 }
 
 fn membership() -> impl Strategy<Value = Frame> {
-    let extras = || (proof(), any::<u64>(), news(), loads());
+    let extras = || (proof(), any::<u64>(), bulletin(), loads());
     let buckets = vec((any::<u8>(), any::<u32>()), 0..8);
     prop_oneof![
         (any::<u32>(), identity(), address(), extras()).prop_map(
-            |(sequence, from, address, (proof, view, news, loads))| {
+            |(sequence, from, address, (proof, view, bulletin, loads))| {
                 Frame::Probe(Probe {
                     sequence,
                     from,
                     address,
                     proof,
                     view,
-                    news,
+                    bulletin,
                     loads,
                 })
             }
         ),
         (any::<u32>(), identity(), extras()).prop_map(
-            |(sequence, from, (proof, view, news, loads))| {
+            |(sequence, from, (proof, view, bulletin, loads))| {
                 Frame::Ack(Ack {
                     sequence,
                     from,
                     proof,
                     view,
-                    news,
+                    bulletin,
                     loads,
                 })
             }
@@ -159,19 +159,21 @@
                 })
             }
         ),
-        news().prop_map(Frame::News),
-        (identity(), buckets, news(), any::<bool>()).prop_map(|(from, buckets, news, reply)| {
-            let buckets = buckets
-                .into_iter()
-                .map(|(index, hash)| Bucket { index, hash })
-                .collect();
-            Frame::Digest(Digest {
-                from,
-                buckets,
-                news,
-                reply,
-            })
-        }),
+        bulletin().prop_map(Frame::News),
+        (identity(), buckets, bulletin(), any::<bool>()).prop_map(
+            |(from, buckets, bulletin, reply)| {
+                let buckets = buckets
+                    .into_iter()
+                    .map(|(index, hash)| Bucket { index, hash })
+                    .collect();
+                Frame::Digest(Digest {
+                    from,
+                    buckets,
+                    bulletin,
+                    reply,
+                })
+            }
+        ),
     ]
 }
 
@@ -203,6 +205,7 @@
         Just(Reach::Direct),
         Just(Reach::Host),
         Just(Reach::DataCentre),
+        Just(Reach::Standby),
         Just(Reach::Fleet),
         Just(Reach::Final),
     ];
@@ -269,11 +272,17 @@
         })),
         (key(), blob()).prop_map(|(key, payload)| Frame::Forwarded(Forwarded { key, payload })),
         identity().prop_map(Frame::Drain),
+        payload().prop_map(Frame::Ledger),
+        payload().prop_map(Frame::Decide),
         Just(Frame::Done),
         Just(Frame::Refused),
     ]
 }
 
+fn payload() -> impl Strategy<Value = Payload> {
+    (identity(), blob()).prop_map(|(from, bytes)| Payload { from, bytes })
+}
+
 fn frame() -> impl Strategy<Value = Frame> {
     prop_oneof![membership(), configuration(), evidence(), ledger()]
 }
@@ -338,7 +347,7 @@
     // A news frame that claims u32::MAX items and holds none must not reserve
     // memory for them.
     check(
-        &[VERSION, 3, 0xff, 0xff, 0xff, 0xff, 0x0f],
+        &[VERSION, 3, 0, 0xff, 0xff, 0xff, 0xff, 0x0f],
         Error::Malformed,
     );
 }
