http: let two tests fail where they hung

Without the check of idle connections, and without the check of a body's stated length, the tests of both ran until the harness killed them.

--- a/crates/http/tests/suite/client.rs
+++ b/crates/http/tests/suite/client.rs
@@ -101,13 +101,13 @@
     let peer = Peer::start(&case.input);
     let client = Client::new(Arc::new(SystemClock::new()), Pool::default());
     let mut out = String::new();
-    for _ in 0..requests {
+    for idx in 0..requests {
+        if wait_closed && idx > 0 {
+            peer.closed.recv().unwrap();
+        }
         let line = block_on(ask(&client, peer.address, method, &options));
         out.push_str(line.trim_end());
         out.push('\n');
-        if wait_closed {
-            peer.closed.recv().unwrap();
-        }
     }
     drop(peer.release);
     out
--- a/crates/http/tests/suite/server.rs
+++ b/crates/http/tests/suite/server.rs
@@ -1,7 +1,7 @@
 //! What the server makes of callers that behave and callers that don't.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use async_std::channel::{Receiver, Sender, bounded};
@@ -44,7 +44,7 @@
         limits.max_head = max;
     }
     let server = block_on(Server::bind(LOCAL, limits, echo)).unwrap();
-    let mut stream = TcpStream::connect(server.address()).unwrap();
+    let mut stream = support::connect(server.address());
     let input: String = case.input.lines().collect();
     support::send(&mut stream, &input);
     let mut out = String::new();
@@ -95,15 +95,16 @@
     ) {
         let server = block_on(Server::bind(LOCAL, Limits::default(), echo)).unwrap();
         for bytes in [head.as_bytes(), &noise] {
-            let mut stream = TcpStream::connect(server.address()).unwrap();
+            let mut stream = support::connect(server.address());
             let mut all = bytes.to_vec();
             all.extend_from_slice(b"\r\n\r\n");
             stream.write_all(&all).unwrap();
             stream.shutdown(Shutdown::Write).unwrap();
             // It answers or closes, and never leaves the caller waiting.
-            let _ = stream.read_to_end(&mut Vec::new());
+            let end = stream.read_to_end(&mut Vec::new());
+            prop_assert!(!end.is_err_and(|err| err.kind() == ErrorKind::WouldBlock));
         }
-        let mut stream = TcpStream::connect(server.address()).unwrap();
+        let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
         prop_assert!(support::read_message(&mut stream).is_some());
     }
@@ -130,7 +131,7 @@
     // away at once so that they use another host.
     block_on(async {
         let (server, requests, go_on) = gated().await;
-        let mut stream = TcpStream::connect(server.address()).unwrap();
+        let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
         requests.recv().await.unwrap();
 
@@ -153,7 +154,7 @@
 fn a_drain_closes_idle_connections() {
     block_on(async {
         let server = Server::bind(LOCAL, Limits::default(), echo).await.unwrap();
-        let mut stream = TcpStream::connect(server.address()).unwrap();
+        let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
         support::read_message(&mut stream).unwrap();
         server.drain(Duration::ZERO, Duration::from_secs(30)).await;
@@ -167,7 +168,7 @@
     // engine would go on writing for nobody if the handler didn't hear of it.
     block_on(async {
         let (server, requests, _go_on) = gated().await;
-        let mut stream = TcpStream::connect(server.address()).unwrap();
+        let mut stream = support::connect(server.address());
         support::send(
             &mut stream,
             r"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nhi",
@@ -186,7 +187,7 @@
     // producer has nothing to send at that moment.
     block_on(async {
         let (server, requests, go_on) = gated().await;
-        let mut stream = TcpStream::connect(server.address()).unwrap();
+        let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
         let request = requests.recv().await.unwrap();
         let (pieces, response) = Response::events(1);
@@ -207,7 +208,7 @@
     // take the half for the whole, so the last chunk never comes.
     block_on(async {
         let (server, requests, go_on) = gated().await;
-        let mut stream = TcpStream::connect(server.address()).unwrap();
+        let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
         requests.recv().await.unwrap();
         let (pieces, response) = Response::events(1);
@@ -231,7 +232,7 @@
             Response::new(Status::Ok).body(half)
         });
         let server = server.await.unwrap();
-        let mut stream = TcpStream::connect(server.address()).unwrap();
+        let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
         let mut all = String::new();
         stream.read_to_string(&mut all).unwrap();
@@ -248,10 +249,10 @@
             ..Limits::default()
         };
         let server = Server::bind(LOCAL, limits, echo).await.unwrap();
-        let mut first = TcpStream::connect(server.address()).unwrap();
+        let mut first = support::connect(server.address());
         support::send(&mut first, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
         support::read_message(&mut first).unwrap();
-        let mut second = TcpStream::connect(server.address()).unwrap();
+        let mut second = support::connect(server.address());
         let (head, body) = support::read_message(&mut second).unwrap();
         expect_that!(head, starts_with("HTTP/1.1 503"));
         expect_that!(body, contains_substring(r#""reason":"overloaded""#));
--- a/crates/http/tests/suite/support.rs
+++ b/crates/http/tests/suite/support.rs
@@ -1,7 +1,8 @@
 //! What the tests of both sides share.
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 /// The bytes that a script line writes as `\r`, `\n` and `\xNN`.
 pub(crate) fn unescape(text: &str) -> Vec<u8> {
@@ -44,6 +45,14 @@
     Some((head, String::from_utf8(body).unwrap()))
 }
 
+/// A connection on which a test fails, and doesn't hang, when nothing comes.
+pub(crate) fn connect(to: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(to).unwrap();
+    let patience = Some(Duration::from_secs(20));
+    stream.set_read_timeout(patience).unwrap();
+    stream
+}
+
 pub(crate) fn send(stream: &mut TcpStream, text: &str) {
     stream.write_all(&unescape(text)).unwrap();
 }
