engine: test the stream reader and the client's failures

On the way: a caller's key, and what it says to this system only, went on to plain services; they no longer do.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -18,6 +18,10 @@
     "x-priority",
     "x-incarnation",
 ];
+/// What a caller says to this system only. A service that got the customer's
+/// key could act in the customer's name.
+const CALLER_KEY: &str = "authorization";
+const CALLER_PREFIX: &str = "barleypin-";
 
 /// The client of engines and plain services. Clones share connections.
 #[derive(Clone)]
@@ -98,10 +102,12 @@
         options: &Options,
     ) -> Result<Response, Failure> {
         let mut request = Request::new(call.method, call.target).body(call.body);
-        request.headers = call.headers;
-        for name in OWN_HEADERS {
-            request.headers.remove(name);
-        }
+        request.headers = call
+            .headers
+            .iter()
+            .filter(|(name, _)| is_passed_on(name))
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect();
         let request = attempt.mark(to, request);
         let response = self.http.send(to.address, request, options).await?;
         match read(response).await? {
@@ -210,6 +216,11 @@
     let _ = response.body.collect(MAX_REPORT).await;
 }
 
+fn is_passed_on(name: &str) -> bool {
+    let name = name.to_ascii_lowercase();
+    !OWN_HEADERS.contains(&name.as_str()) && name != CALLER_KEY && !name.starts_with(CALLER_PREFIX)
+}
+
 fn idempotent(options: &Options) -> Options {
     Options {
         repeat: Repeat::Idempotent,
--- /dev/null
+++ b/crates/engine/tests/suite/client.rs
@@ -0,0 +1,214 @@
+//! How the client classifies what endpoints do.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use async_std::task::block_on;
+use datadriven::{TestCase, walk};
+use engine::{Attempt, Call, Chat, Client, Endpoint, Order, Priority, Wanted};
+use http::{Body, Headers, Method, Options, Pool};
+use kernel::{AttemptId, Incarnation, SystemClock};
+use serde_json::json;
+
+/// An endpoint that takes one request and answers by the script: a status
+/// line, a body, and `cut` when it dies before the stated end. Gives back the
+/// request's head.
+struct Fake {
+    endpoint: Endpoint,
+    seen: thread::JoinHandle<String>,
+}
+
+impl Fake {
+    fn start(answer: Vec<u8>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let endpoint = endpoint(listener.local_addr().unwrap());
+        let seen = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let seen = receive(&mut stream);
+            stream.write_all(&answer).unwrap();
+            seen
+        });
+        Self { endpoint, seen }
+    }
+}
+
+fn endpoint(address: SocketAddr) -> Endpoint {
+    Endpoint {
+        address,
+        incarnation: Incarnation(42),
+    }
+}
+
+fn receive(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let len = head
+        .lines()
+        .find_map(|it| it.strip_prefix("content-length: "))
+        .map_or(0, |it| it.parse().unwrap());
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).unwrap();
+    let body = String::from_utf8(body).unwrap();
+    let fields: Vec<_> = head
+        .lines()
+        .filter(|it| !it.starts_with("host: ") && !it.starts_with("content-length: "))
+        .filter(|it| !it.is_empty())
+        .collect();
+    format!("{}\n{body}", fields.join("\n"))
+}
+
+fn answer(case: &mut TestCase) -> Vec<u8> {
+    let status: String = case.take_arg("status").unwrap();
+    let cut = case.take_flag("cut").unwrap();
+    let body = case.input.trim_end();
+    let len = body.len() + if cut { 10 } else { 0 };
+    format!("HTTP/1.1 {status} X\r\ncontent-length: {len}\r\n\r\n{body}").into_bytes()
+}
+
+fn client() -> Client {
+    let http = http::Client::new(Arc::new(SystemClock::new()), Pool::default());
+    Client::new(http)
+}
+
+fn attempt() -> Attempt {
+    Attempt {
+        request: "r1".into(),
+        host: Incarnation(7),
+        id: AttemptId(1),
+        priority: Priority::Urgent,
+    }
+}
+
+fn chat() -> Chat {
+    Chat {
+        model: "small@1".into(),
+        messages: Arc::new(json!([{"role": "user", "content": "hola"}])),
+        max_tokens: Some(16),
+        class: "general".into(),
+    }
+}
+
+fn order() -> Order {
+    Order {
+        order: "o1".to_owned(),
+        fencing: 3,
+        version: "small@2".into(),
+        wanted: Wanted::Loaded,
+    }
+}
+
+fn seat_hold() -> Call {
+    Call {
+        method: Method::Post,
+        target: "/holds?tour=9".to_owned(),
+        headers: [
+            ("x-incarnation", "1"),
+            ("Authorization", "Bearer secret"),
+            ("barleypin-ticket", "t"),
+            ("idempotency-key", "k"),
+            ("accept-language", "es"),
+        ]
+        .into_iter()
+        .collect(),
+        body: Body::bytes("two seats"),
+    }
+}
+
+async fn run(directive: &str, to: &Endpoint) -> String {
+    let (client, attempt, options) = (client(), attempt(), Options::default());
+    match directive {
+        "chat" => format!("{:?}", client.chat(to, &attempt, &chat(), &options).await),
+        "stream" => match client.stream(to, &attempt, &chat(), &options).await {
+            Err(failure) => format!("{failure:?}"),
+            Ok(mut stream) => {
+                let mut text = String::new();
+                while let Some(new) = stream.next().await {
+                    text.push_str(new);
+                }
+                format!("{text:?} {:?}", stream.finish().await)
+            }
+        },
+        "call" => match client.call(to, &attempt, seat_hold(), &options).await {
+            Err(failure) => format!("{failure:?}"),
+            Ok(response) => {
+                let status = response.status;
+                let body = response.body.collect(1 << 20).await;
+                format!("{status} {:?}", body.map(String::from_utf8))
+            }
+        },
+        "load" => format!("{:?}", client.load(to, &options).await),
+        "order" => format!("{:?}", client.order(to, &order(), &options).await),
+        "cancel" => format!("{:?}", client.cancel(to, &attempt, &options).await),
+        other => panic!("unknown directive {other}"),
+    }
+}
+
+#[test]
+fn scripted_endpoints() {
+    walk("tests/data/client", |file| {
+        file.run(|case| {
+            let show = case.take_flag("show-request").unwrap();
+            let fake = Fake::start(answer(case));
+            let result = block_on(run(&case.directive, &fake.endpoint));
+            let seen = fake.seen.join().unwrap();
+            if show {
+                format!("{seen}\n\n{result}\n")
+            } else {
+                format!("{result}\n")
+            }
+        });
+    });
+}
+
+#[test]
+fn an_endpoint_that_refuses_the_connection_ran_nothing() {
+    // Story: an endpoint's process has ended. Its call may go to another.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = endpoint(listener.local_addr().unwrap());
+    drop(listener);
+    for directive in ["chat", "stream", "call", "load", "order", "cancel"] {
+        let line = block_on(run(directive, &to));
+        assert!(line.contains("NotSent(Refused)"), "{directive}: {line}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_hangs_may_have_run() {
+    // Story: an engine takes the request and says nothing. Its host may be
+    // paused and may go on later, so nothing is proved by the silence.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = endpoint(listener.local_addr().unwrap());
+    let options = Options {
+        first_byte: Duration::from_millis(30),
+        ..Options::default()
+    };
+    let result = block_on(client().chat(&to, &attempt(), &chat(), &options));
+    expect_test::expect!["Err(MayHaveRun(Link(Timeout)))"].assert_eq(&format!("{result:?}"));
+}
+
+#[test]
+fn headers_of_the_callers_connection_are_not_passed_on() {
+    let headers: Headers = [("connection", "close"), ("transfer-encoding", "gzip")]
+        .into_iter()
+        .collect();
+    let call = Call {
+        headers,
+        ..seat_hold()
+    };
+    let fake = Fake::start(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_vec());
+    let options = Options::default();
+    block_on(client().call(&fake.endpoint, &attempt(), call, &options)).unwrap();
+    let seen = fake.seen.join().unwrap();
+    assert!(
+        !seen.contains("gzip") && !seen.contains("connection"),
+        "{seen}"
+    );
+}
--- /dev/null
+++ b/crates/engine/tests/suite/sse.rs
@@ -0,0 +1,81 @@
+//! Events out of bytes, in all forms that the format allows.
+
+use engine::sse::{Error, Parser};
+use expect_test::{Expect, expect};
+
+fn check(input: &[u8], expect: &Expect) {
+    let mut parser = Parser::default();
+    let mut events = Vec::new();
+    let result = parser.feed(input, |event| {
+        events.push(format!("{:?} {:?}", event.name, event.data));
+        Ok::<_, Error>(())
+    });
+    if let Err(err) = result {
+        events.push(format!("{err:?}"));
+    }
+    expect.assert_eq(&events.join("\n"));
+}
+
+#[test]
+fn one_event() {
+    check(b"data: a\n\n", &expect![[r#""" "a""#]]);
+}
+
+#[test]
+fn names_and_comments() {
+    check(
+        b": keep-alive\nevent: error\nid: 4\nretry: 5\ndata: a\n\n",
+        &expect![[r#""error" "a""#]],
+    );
+}
+
+#[test]
+fn lines_of_data_are_joined() {
+    check(b"data: a\ndata:b\ndata\n\n", &expect![[r#""" "a\nb\n""#]]);
+}
+
+#[test]
+fn all_line_ends() {
+    check(
+        b"data: a\r\n\r\ndata: b\r\rdata: c\n\n",
+        &expect![[r#"
+            "" "a"
+            "" "b"
+            "" "c""#]],
+    );
+}
+
+#[test]
+fn a_byte_order_mark_is_skipped_once() {
+    check(
+        b"\xef\xbb\xbfdata: a\n\n\xef\xbb\xbfdata: b\n\n",
+        &expect![[r#""" "a""#]],
+    );
+}
+
+#[test]
+fn an_event_without_data_is_none() {
+    check(b"event: a\n\ndata: b\n\n", &expect![[r#""" "b""#]]);
+}
+
+#[test]
+fn an_event_without_its_empty_line_is_none() {
+    check(b"data: a\n", &expect![""]);
+}
+
+#[test]
+fn bytes_that_are_no_text() {
+    check(b"data: \xff\n\n", &expect!["Encoding"]);
+}
+
+#[test]
+fn a_line_without_end_is_not_kept_for_good() {
+    // Story: something that isn't an engine sends without end. Its bytes would
+    // fill the host's memory.
+    check(&vec![b'a'; 2 << 20], &expect!["TooLarge"]);
+}
+
+#[test]
+fn an_event_without_end_is_not_kept_for_good() {
+    check(&b"data: a\n".repeat(2 << 20), &expect!["TooLarge"]);
+}
