platform: test the circuit, the row keys and the clients

12 tests pass: scripts of outages on a virtual clock, row keys to text and back (two properties), and each call against scripted services: conflict, outage by the service's own word, lost and cut answers.

--- /dev/null
+++ b/crates/platform/tests/suite/calls.rs
@@ -0,0 +1,220 @@
+//! How the clients classify what services do.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use async_std::task::block_on;
+use datadriven::{TestCase, walk};
+use http::{Client, Options, Pool};
+use kernel::{Clock, Incarnation, ManualClock, Revision, SystemClock};
+use platform::row::{Key, Prefix};
+use platform::{
+    Circuit, Condition, Error, HostList, Objects, Ratings, Reason, Sample, Service, Table,
+    Transaction, Tuning, Version,
+};
+
+/// Takes one connection after the other, one request on each, and answers
+/// with the next of `answers`; an empty one stands for a lost answer. Gives
+/// back the requests.
+fn serve(answers: Vec<Vec<u8>>) -> (SocketAddr, thread::JoinHandle<Vec<String>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let seen = thread::spawn(move || {
+        let take = |answer: Vec<u8>| {
+            let (mut stream, _) = listener.accept().unwrap();
+            let seen = receive(&mut stream);
+            stream.write_all(&answer).unwrap();
+            seen
+        };
+        answers.into_iter().map(take).collect()
+    });
+    (address, seen)
+}
+
+fn receive(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let len = head
+        .lines()
+        .find_map(|it| it.strip_prefix("content-length: "))
+        .map_or(0, |it| it.parse().unwrap());
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).unwrap();
+    let line = head.lines().next().unwrap().to_owned();
+    format!("{line}\n{}", String::from_utf8(body).unwrap())
+}
+
+fn answer(status: &str, body: &str) -> Vec<u8> {
+    let len = body.len();
+    format!("HTTP/1.1 {status} X\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+fn service(address: SocketAddr, clock: Arc<dyn Clock>, options: Options) -> Service {
+    let client = Client::new(Arc::new(SystemClock::new()), Pool::default());
+    let circuit = Circuit::new(7, Tuning::default());
+    Service::new(client, address, clock, options, circuit)
+}
+
+fn plain_service(address: SocketAddr) -> Service {
+    service(address, Arc::new(SystemClock::new()), Options::default())
+}
+
+fn transaction() -> Transaction {
+    let change = Key::ConfigChange("c/1".into());
+    Transaction::default()
+        .when(Condition::At(Key::ConfigHead, Version(4)))
+        .when(Condition::Absent(change.clone()))
+        .put(&Key::ConfigHead, &Revision(9))
+        .put(&change, &"done")
+        .delete(&Key::Fence(Incarnation(3)))
+}
+
+async fn run(directive: &str, service: Service) -> String {
+    match directive {
+        "transact" => format!("{:?}", Table::new(service).transact(&transaction()).await),
+        "get" => {
+            let key = Key::Lease("a/b".into());
+            let row = Table::new(service).get(&key).await;
+            format!(
+                "{:?}",
+                row.map(|it| it.map(|it| (it.version, it.value::<u64>())))
+            )
+        }
+        "scan" => {
+            let after = Key::ConfigHistory(Revision(4)).to_string();
+            let table = Table::new(service);
+            let page = table.scan(Prefix::ConfigHistory, Some(&after), 2).await;
+            format!("{page:?}")
+        }
+        "put-object" => {
+            let objects = Objects::new(service);
+            format!("{:?}", objects.put("a b", b"bytes".to_vec()).await)
+        }
+        "get-object" => {
+            let bytes = Objects::new(service).get("a b").await;
+            format!("{:?}", bytes.map(|it| it.map(String::from_utf8)))
+        }
+        "hosts" => match HostList::new(service).fetch().await {
+            Ok(listing) => format!("{:?}, {} faulty", listing.hosts, listing.faulty),
+            Err(err) => format!("{err:?}"),
+        },
+        "submit" => {
+            let sample = Sample {
+                request: "r1".into(),
+                version: "small@1".into(),
+                profile: "tags".into(),
+                class: "general".to_owned(),
+                reply_to: "h1".into(),
+                prompt: "era?".to_owned(),
+                answer: "1920s".to_owned(),
+            };
+            format!("{:?}", Ratings::new(service).submit(&sample).await)
+        }
+        "ratings" => {
+            let ratings = Ratings::new(service);
+            format!("{:?}", ratings.fetch(&"h 1".into(), 5, 2).await)
+        }
+        other => panic!("unknown directive {other}"),
+    }
+}
+
+fn call(case: &mut TestCase) -> String {
+    let show = case.take_flag("show-request").unwrap();
+    let cut = case.take_flag("cut").unwrap();
+    let status: Option<String> = case.try_take_arg("status").unwrap();
+    let mut bytes = status.map_or_else(Vec::new, |it| answer(&it, case.input.trim_end()));
+    if cut {
+        bytes.pop();
+    }
+    let (address, seen) = serve(vec![bytes]);
+    let result = block_on(run(&case.directive, plain_service(address)));
+    let seen = seen.join().unwrap().remove(0);
+    if show {
+        format!("{}\n{result}\n", seen.trim_end())
+    } else {
+        format!("{result}\n")
+    }
+}
+
+#[test]
+fn scripted_services() {
+    walk("tests/data/calls", |file| {
+        file.run(call);
+    });
+}
+
+#[test]
+fn a_refused_connection_applies_nothing() {
+    // Story: the table's host is being replaced and refuses connections.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let result = block_on(run("transact", plain_service(address)));
+    expect_test::expect!["Err(NotApplied(Http(NotSent(Refused))))"].assert_eq(&result);
+}
+
+#[test]
+fn a_slow_table_leaves_open_what_it_did() {
+    // Story: the table is slow. A commit's caller gives up; the commit takes
+    // effect all the same, and the operator who repeats it must find that out.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let options = Options {
+        first_byte: Duration::from_millis(30),
+        ..Options::default()
+    };
+    let clock = Arc::new(SystemClock::new());
+    let service = service(listener.local_addr().unwrap(), clock, options);
+    let result = block_on(run("transact", service));
+    expect_test::expect!["Err(Unknown(Http(MaybeSent(Timeout))))"].assert_eq(&result);
+}
+
+#[test]
+fn an_outage_is_noticed_once_for_all_callers() {
+    // Story: the table says that it is down. After three calls the others hear
+    // of it without a connection, until a probe is due and finds it back.
+    let out = answer("503", "");
+    let back = answer("200", r#"{"versions":{}}"#);
+    let (address, seen) = serve(vec![out.clone(), out.clone(), out, back]);
+    let clock = Arc::new(ManualClock::default());
+    let service = service(address, Arc::clone(&clock) as _, Options::default());
+    let table = Table::new(service);
+    block_on(async {
+        for _ in 0..3 {
+            let result = table.transact(&transaction()).await;
+            assert_eq!(result, Err(Error::NotApplied(Reason::Outage)));
+        }
+        assert!(table.is_out());
+        for _ in 0..100 {
+            let result = table.transact(&transaction()).await;
+            assert_eq!(result, Err(Error::NotApplied(Reason::Open)));
+        }
+        clock.advance(Tuning::default().first_wait);
+        assert!(table.transact(&transaction()).await.is_ok());
+        assert!(!table.is_out());
+    });
+    assert_eq!(seen.join().unwrap().len(), 4);
+}
+
+#[test]
+fn a_conflict_is_no_outage() {
+    let conflict = answer("409", r#"{"failed":[]}"#);
+    let (address, seen) = serve(vec![conflict; 5]);
+    let table = Table::new(plain_service(address));
+    block_on(async {
+        for _ in 0..5 {
+            let result = table.transact(&transaction()).await;
+            assert_eq!(result, Err(Error::Conflict { failed: vec![] }));
+        }
+    });
+    assert!(!table.is_out());
+    assert_eq!(seen.join().unwrap().len(), 5);
+}
--- /dev/null
+++ b/crates/platform/tests/suite/circuit.rs
@@ -0,0 +1,92 @@
+//! When an outage is noticed, and when its end is.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use datadriven::walk;
+use platform::{Admission, Circuit, Tuning};
+use proptest::prelude::*;
+
+fn tuning() -> Tuning {
+    Tuning {
+        failures: 3,
+        first_wait: Duration::from_millis(200),
+        max_wait: Duration::from_secs(1),
+        probe_time: Duration::from_secs(10),
+    }
+}
+
+/// Lines of a time in milliseconds and what happens then. The jitter is
+/// drawn from the seed, so that the times are the same on every machine.
+fn run(input: &str) -> String {
+    let mut circuit = Circuit::new(7, tuning());
+    let mut out = String::new();
+    for line in input.lines() {
+        let (at, step) = line.split_once(' ').unwrap();
+        let now = Duration::from_millis(at.parse().unwrap());
+        match step {
+            "fail" => circuit.fail(now),
+            "succeed" => circuit.succeed(),
+            "admit" => {
+                let said = match circuit.admit(now) {
+                    Admission::Admit => "admit".to_owned(),
+                    Admission::Probe => "probe".to_owned(),
+                    Admission::Refuse(wait) => format!("refuse for {} ms", wait.as_millis()),
+                };
+                let _ = writeln!(out, "{at} {said}");
+            }
+            other => panic!("unknown step {other}"),
+        }
+    }
+    out
+}
+
+#[test]
+fn scripted_outages() {
+    walk("tests/data/circuit", |file| {
+        file.run(|case| run(&case.input));
+    });
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Admit,
+    Fail,
+    Succeed,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        Just(Step::Admit),
+        Just(Step::Fail),
+        Just(Step::Succeed),
+        (0..20_000u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn no_history_keeps_a_circuit_open_for_good(
+        seed in any::<u64>(),
+        steps in proptest::collection::vec(step(), 0..40),
+    ) {
+        // Story: a probe's caller goes away before its outcome. If the circuit
+        // waited for it, the store would stay out for this host for good.
+        let mut circuit = Circuit::new(seed, tuning());
+        let mut now = Duration::ZERO;
+        for step in steps {
+            match step {
+                Step::Admit => drop(circuit.admit(now)),
+                Step::Fail => circuit.fail(now),
+                Step::Succeed => circuit.succeed(),
+                Step::Wait(ms) => now += Duration::from_millis(ms),
+            }
+        }
+        let longest = tuning().probe_time.max(tuning().max_wait);
+        if let Admission::Refuse(wait) = circuit.admit(now) {
+            prop_assert!(wait <= longest);
+            prop_assert_eq!(circuit.admit(now + wait), Admission::Probe);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/suite/row.rs
@@ -0,0 +1,111 @@
+//! Row keys, to text and back.
+
+use expect_test::{Expect, expect};
+use kernel::{Incarnation, RequestKey, Revision};
+use platform::row::{Key, Prefix};
+use proptest::prelude::*;
+
+fn check(key: &Key, expect: &Expect) {
+    let text = key.to_string();
+    expect.assert_eq(&text);
+    assert_eq!(Key::parse(&text).as_ref(), Some(key));
+}
+
+fn request_key(customer: &str, key: &str) -> RequestKey {
+    RequestKey {
+        customer: customer.into(),
+        home: Incarnation(7),
+        key: key.into(),
+    }
+}
+
+#[test]
+fn rows_as_the_protocol_lists_them() {
+    check(&Key::ConfigHead, &expect!["config/head"]);
+    check(
+        &Key::ConfigChange("c1".into()),
+        &expect!["config/change/c1"],
+    );
+    check(
+        &Key::ConfigHistory(Revision(41)),
+        &expect!["config/history/00000000000000000041"],
+    );
+    check(
+        &Key::Claim(request_key("kivuli", "k1")),
+        &expect!["claim/kivuli/7/k1"],
+    );
+    check(
+        &Key::Bill {
+            incarnation: Incarnation(7),
+            sequence: 3,
+        },
+        &expect!["bill/7/00000000000000000003"],
+    );
+    check(
+        &Key::BillKey {
+            incarnation: Incarnation(7),
+            key: request_key("kivuli", "k1"),
+        },
+        &expect!["bill/7/key/kivuli/7/k1"],
+    );
+    check(&Key::Fence(Incarnation(7)), &expect!["fence/7"]);
+    check(&Key::Lease("rollouts".into()), &expect!["lease/rollouts"]);
+    check(&Key::Rollout("small@2".into()), &expect!["rollout/small@2"]);
+}
+
+#[test]
+fn other_rows_are_none() {
+    for text in [
+        "",
+        "config",
+        "config/tail",
+        "bill/x/1",
+        "claim/a/b/c",
+        "lease/%",
+    ] {
+        assert_eq!(Key::parse(text), None, "{text}");
+    }
+}
+
+#[test]
+fn prefixes_end_where_names_do() {
+    assert_eq!(Prefix::BillsOf(Incarnation(1)).to_string(), "bill/1/");
+}
+
+fn any_key() -> impl Strategy<Value = Key> {
+    let text = || "[a-c/%é.]{0,6}";
+    let request = (text(), any::<u64>(), text()).prop_map(|(customer, home, key)| RequestKey {
+        customer: customer.into(),
+        home: Incarnation(home),
+        key: key.into(),
+    });
+    prop_oneof![
+        text().prop_map(|it| Key::ConfigChange(it.into())),
+        any::<u64>().prop_map(|it| Key::ConfigHistory(Revision(it))),
+        request.clone().prop_map(Key::Claim),
+        (any::<u64>(), any::<u64>()).prop_map(|(incarnation, sequence)| Key::Bill {
+            incarnation: Incarnation(incarnation),
+            sequence,
+        }),
+        (any::<u64>(), request).prop_map(|(incarnation, key)| Key::BillKey {
+            incarnation: Incarnation(incarnation),
+            key,
+        }),
+        text().prop_map(|it| Key::Lease(it.into())),
+        text().prop_map(|it| Key::Rollout(it.into())),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_key_reads_back_as_itself(key in any_key()) {
+        prop_assert_eq!(Key::parse(&key.to_string()), Some(key));
+    }
+
+    #[test]
+    fn different_keys_are_different_rows(one in any_key(), other in any_key()) {
+        // Story: two callers choose idempotency keys with slashes in them. If
+        // their requests shared a claim, one of the two would never run.
+        prop_assert_eq!(one.to_string() == other.to_string(), one == other);
+    }
+}
