Ask every host how far it is, not one about the others

A host tells of its peers that they live but not which revision they have, so the wait after a change named every other host as lagging although all had it in force.

--- a/crates/barleyctl/src/client.rs
+++ b/crates/barleyctl/src/client.rs
@@ -9,6 +9,7 @@
 
 use config::Faults;
 use error_stack::Report;
+use futures::future::join_all;
 use gate::operator::{History, Refusal, Snapshot, Status};
 use gate::problem::{Problem, Reason};
 use http::{Method, Options, Pool, Repeat, Request, Response};
@@ -57,8 +58,31 @@
         self.get("/operator/v1/document").await
     }
 
-    pub(crate) async fn status(&self) -> Result<Status, Report<Error>> {
-        self.get("/operator/v1/status").await
+    /// What each host that answers knows of the fleet, in the order given; at
+    /// least one answer.
+    ///
+    /// A host knows itself best: what the others know of it has travelled.
+    pub(crate) async fn statuses(&self) -> Result<Vec<Status>, Report<Error>> {
+        let request = || Request::get("/operator/v1/status");
+        let asked = self.hosts.iter().map(|host| {
+            let hosts = std::slice::from_ref(host);
+            self.first(hosts, request, from_json)
+        });
+        let mut statuses = Vec::new();
+        let mut attempts = Vec::new();
+        for answer in join_all(asked).await {
+            match answer {
+                Ok(status) => statuses.push(status),
+                Err(report) => match report.current_context() {
+                    Error::Unreachable(failed) => attempts.extend_from_slice(failed),
+                    _ => return Err(report),
+                },
+            }
+        }
+        if statuses.is_empty() {
+            return Err(Error::Unreachable(attempts).into());
+        }
+        Ok(statuses)
     }
 
     pub(crate) async fn history(&self, limit: usize) -> Result<History, Report<Error>> {
@@ -70,22 +94,23 @@
     pub(crate) async fn drain(&self, host: &HostName) -> Result<(), Report<Error>> {
         let target = format!("/operator/v1/hosts/{host}/drain");
         let request = || Request::new(Method::Post, target.clone());
-        self.first(request, |_| Ok(())).await
+        self.first(&self.hosts, request, |_| Ok(())).await
     }
 
     async fn get<T: DeserializeOwned>(&self, target: &str) -> Result<T, Report<Error>> {
-        let parse = |body: &[u8]| serde_json::from_slice(body).map_err(|err| err.to_string());
-        self.first(|| Request::get(target), parse).await
+        self.first(&self.hosts, || Request::get(target), from_json)
+            .await
     }
 
     /// The first answer that a host gives; a host that can't answer now is passed over.
     async fn first<T>(
         &self,
+        hosts: &[SocketAddr],
         request: impl Fn() -> Request,
         parse: impl Fn(&[u8]) -> Result<T, String>,
     ) -> Result<T, Report<Error>> {
         let mut attempts = Vec::new();
-        for host in &self.hosts {
+        for host in hosts {
             let outcome = match self.send(*host, request()).await {
                 Tried::Answered(body) => match parse(&body) {
                     Ok(answer) => return Ok(answer),
@@ -116,6 +141,10 @@
     }
 }
 
+fn from_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|err| err.to_string())
+}
+
 /// What a refusal means when no other host can do better.
 fn refused(refusal: Refusal) -> Error {
     let Refusal {
--- a/crates/barleyctl/src/command/hosts.rs
+++ b/crates/barleyctl/src/command/hosts.rs
@@ -2,7 +2,7 @@
 
 use clap::ArgMatches;
 use error_stack::Report;
-use gate::operator::{Host, Status};
+use gate::operator::Host;
 use kernel::HostName;
 use serde_json::json;
 
@@ -10,6 +10,7 @@
 use crate::cli::{arg, verb};
 use crate::error::Error;
 use crate::output;
+use crate::roster::Roster;
 use crate::session::Session;
 
 /// The heads of a table of hosts.
@@ -35,13 +36,6 @@
     }
 }
 
-/// The hosts that `status` tells of, by name.
-pub(super) fn sorted(status: &Status) -> Vec<&Host> {
-    let mut hosts: Vec<&Host> = status.peers.iter().chain([&status.host]).collect();
-    hosts.sort_by(|left, right| left.name.cmp(&right.name));
-    hosts
-}
-
 /// The columns of a host.
 pub(super) fn row(host: &Host) -> Vec<String> {
     vec![
@@ -50,16 +44,23 @@
         host.address.clone(),
         host.state.to_string(),
         host.revision.to_string(),
-        format!("{} ms ago", host.proof_age_ms),
+        proof(host),
         host.load.to_string(),
     ]
 }
 
+/// How long ago the host had proof that its configuration is the newest.
+fn proof(host: &Host) -> String {
+    match host.proof_age_ms {
+        u64::MAX => "unknown".to_owned(),
+        age => format!("{age} ms ago"),
+    }
+}
+
 async fn list(session: &mut Session<'_, '_>) -> Result<(), Report<Error>> {
-    let status = session.client.status().await?;
-    let hosts = sorted(&status);
-    let rows: Vec<_> = hosts.iter().map(|host| row(host)).collect();
-    output::rows(session, &HEAD, &rows, &json!(hosts));
+    let roster = Roster::of(&session.client.statuses().await?);
+    let rows: Vec<_> = roster.hosts.iter().map(row).collect();
+    output::rows(session, &HEAD, &rows, &json!(roster.hosts));
     Ok(())
 }
 
@@ -68,8 +69,8 @@
         .get_one(arg::NAME)
         .expect("the command line asks for a name");
     let name = HostName::from(name.as_str());
-    let status = session.client.status().await?;
-    if !sorted(&status).iter().any(|host| host.name == name) {
+    let roster = Roster::of(&session.client.statuses().await?);
+    if !roster.hosts.iter().any(|host| host.name == name) {
         return Err(Error::Input(format!("there is no host {name}")).into());
     }
     session.client.drain(&name).await?;
--- a/crates/barleyctl/src/command/status.rs
+++ b/crates/barleyctl/src/command/status.rs
@@ -7,15 +7,18 @@
 use super::hosts;
 use crate::error::Error;
 use crate::output;
+use crate::roster::Roster;
 use crate::session::Session;
 
-/// Shows the fleet as the host that answers knows it.
+/// Shows the hosts, and what the first one that answers knows besides.
 pub(super) async fn run(session: &mut Session<'_, '_>) -> Result<(), Report<Error>> {
-    let status = session.client.status().await?;
-    let rows: Vec<_> = hosts::sorted(&status).into_iter().map(hosts::row).collect();
+    let statuses = session.client.statuses().await?;
+    let roster = Roster::of(&statuses);
+    let rows: Vec<_> = roster.hosts.iter().map(hosts::row).collect();
+    let status = &statuses[0];
     let mut parts = vec![
-        format!("as {} knows it\n", status.host.name),
         output::table(&hosts::HEAD, &rows),
+        format!("as {} knows it:\n", status.host.name),
     ];
     if !status.versions.is_empty() {
         parts.push(versions(&status.versions));
@@ -24,7 +27,14 @@
         parts.push(rollouts(&status.rollouts));
     }
     parts.push(backlog(status.backlog));
-    output::text(session, &parts.join("\n"), &json!(status));
+    let json = json!({
+        "hosts": roster.hosts,
+        "of": status.host.name,
+        "versions": status.versions,
+        "rollouts": status.rollouts,
+        "backlog": status.backlog,
+    });
+    output::text(session, &parts.join("\n"), &json);
     Ok(())
 }
 
--- a/crates/barleyctl/src/lib.rs
+++ b/crates/barleyctl/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod exit;
 mod output;
+mod roster;
 mod session;
 mod wait;
 
--- a/crates/barleyctl/src/wait.rs
+++ b/crates/barleyctl/src/wait.rs
@@ -4,10 +4,11 @@
 
 use async_std::task::sleep;
 use derive_more::Display;
-use gate::operator::{Host, State, Status};
+use gate::operator::State;
 use kernel::{HostName, Revision};
 use serde::Serialize;
 
+use crate::roster::Roster;
 use crate::session::Session;
 
 /// The time between two looks at the hosts.
@@ -53,8 +54,8 @@
     loop {
         // A host that fails now may answer at the next look, so its failure
         // only ends the wait with the time.
-        if let Ok(status) = session.client.status().await {
-            reach = Reach::of(revision, &status);
+        if let Ok(statuses) = session.client.statuses().await {
+            reach = Reach::of(revision, Roster::of(&statuses));
             let progress = reach.progress();
             if progress != told {
                 session.console.warn(&format!("{progress}\n"));
@@ -72,16 +73,14 @@
 }
 
 impl Reach {
-    fn of(revision: Revision, status: &Status) -> Self {
+    fn of(revision: Revision, roster: Roster) -> Self {
         let mut reach = Self {
             revision,
             heard: true,
             ..Self::default()
         };
-        let mut hosts: Vec<&Host> = status.peers.iter().chain([&status.host]).collect();
-        hosts.sort_by(|left, right| left.name.cmp(&right.name));
-        for host in hosts {
-            let name = host.name.clone();
+        for host in roster.hosts {
+            let name = host.name;
             match host.state {
                 _ if host.revision >= revision => reach.in_force.push(name),
                 State::Suspect => reach.not_heard_from.push(name),
--- a/crates/barleyctl/tests/sessions/main.rs
+++ b/crates/barleyctl/tests/sessions/main.rs
@@ -82,6 +82,7 @@
                 fleet.lagging = arg("lagging", case).unwrap_or_default();
                 fleet.silent = arg("silent", case).unwrap_or_default();
                 fleet.lose_answers = case.try_take_arg("lose").expect("a number").unwrap_or(0);
+                fleet.strangers = case.take_flag("strangers").expect("a flag");
                 fleet.store_out = case.take_flag("store_out").expect("a flag");
                 case.expect_empty().expect("known arguments");
                 "ok\n".to_owned()
--- a/crates/barleyctl/tests/sessions/operator.rs
+++ b/crates/barleyctl/tests/sessions/operator.rs
@@ -34,6 +34,8 @@
     pub(crate) silent: Vec<String>,
     /// Whether the table service is out.
     pub(crate) store_out: bool,
+    /// Whether the hosts know of each other only that they live.
+    pub(crate) strangers: bool,
     /// The hosts that were asked to drain.
     pub(crate) drained: Vec<String>,
     commits: Vec<Commit>,
@@ -42,15 +44,15 @@
 
 /// Starts two hosts of one fleet.
 pub(crate) fn start(fleet: &Arc<Mutex<Fleet>>) -> [Server; 2] {
-    [(); 2].map(|()| {
+    ["e1", "e2"].map(|name| {
         let fleet = Arc::clone(fleet);
         let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let handler = move |request| answer(Arc::clone(&fleet), request);
+        let handler = move |request| answer(Arc::clone(&fleet), name, request);
         block_on(Server::bind(address, Limits::default(), handler)).expect("a free port")
     })
 }
 
-async fn answer(fleet: Arc<Mutex<Fleet>>, mut request: Request) -> Response {
+async fn answer(fleet: Arc<Mutex<Fleet>>, name: &'static str, mut request: Request) -> Response {
     let body = std::mem::replace(&mut request.body, Body::empty());
     let body = body.collect(1 << 20).await.expect("a small body");
     let mut fleet = fleet.lock().expect("no test failed while holding it");
@@ -59,7 +61,7 @@
         let problem = Problem::not_run(Reason::Unauthorized, "the key is not the operators'");
         return refuse(&problem.into());
     }
-    match fleet.route(&request, &body) {
+    match fleet.route(name, &request, &body) {
         Ok(response) => response,
         Err(refusal) => refuse(&refusal),
     }
@@ -98,7 +100,12 @@
         })
     }
 
-    fn route(&mut self, request: &Request, body: &[u8]) -> Result<Response, Box<Refusal>> {
+    fn route(
+        &mut self,
+        me: &str,
+        request: &Request,
+        body: &[u8],
+    ) -> Result<Response, Box<Refusal>> {
         let path = request
             .path()
             .strip_prefix("/operator/v1/")
@@ -112,7 +119,7 @@
                     document: self.document.clone(),
                 },
             )),
-            (Method::Get, ["status"]) => Ok(Response::json(Code::Ok, &self.status())),
+            (Method::Get, ["status"]) => Ok(Response::json(Code::Ok, &self.status(me))),
             (Method::Get, ["history"]) => {
                 let limit = request.query("limit").and_then(|limit| limit.parse().ok());
                 let limit = limit.filter(|limit| (1..=500).contains(limit));
@@ -164,8 +171,9 @@
         Ok(Response::json(Code::Ok, &accepted))
     }
 
-    fn status(&self) -> Status {
-        let [host, peers @ ..] = ["e1", "e2", "e3"].map(|name| self.host(name));
+    fn status(&self, me: &str) -> Status {
+        let peers = ["e1", "e2", "e3"].into_iter().filter(|name| *name != me);
+        let peers = peers.map(|name| self.peer(name)).collect();
         let version = |(id, version): (&kernel::VersionId, &config::Version)| Health {
             version: id.clone(),
             state: version.state.to_string(),
@@ -180,8 +188,8 @@
             holder: Some("e2".into()),
         };
         Status {
-            host,
-            peers: peers.into(),
+            host: self.host(me),
+            peers,
             versions: self.document.versions.iter().map(version).collect(),
             rollouts: self.document.rollouts.iter().map(rollout).collect(),
             backlog: Backlog {
@@ -192,6 +200,19 @@
         }
     }
 
+    /// A host as another one knows it.
+    fn peer(&self, name: &str) -> Host {
+        let host = self.host(name);
+        if !self.strangers {
+            return host;
+        }
+        Host {
+            revision: Revision(0),
+            proof_age_ms: u64::MAX,
+            ..host
+        }
+    }
+
     fn host(&self, name: &str) -> Host {
         let is_in = |names: &[String]| names.iter().any(|it| it == name);
         let behind = u64::from(is_in(&self.lagging) || is_in(&self.silent));
