Learn from the confidence of unrated answers; number attempts from 1

Cause: ratings are a few in a hundred answers, so a share of good answers a bucket, version and class stays unknown for an hour; and attempt numbers that carried an arena's generation overflowed drivers that pack them. Change: how confidence spreads over good and over bad answers is learned from all ratings together; how many of a version's answers are good in a class then shows in the mix of the two in its unrated answers, capped in weight. Wrong ratings are accounted for. Numbers of attempts rise from 1.

--- a/crates/decide/src/attempt.rs
+++ b/crates/decide/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use kernel::AttemptId;
-use slotmap::{Key as _, KeyData};
 
 use crate::action::Relay;
 use crate::directory::Target;
@@ -15,21 +14,11 @@
     pub(crate) struct Key;
 }
 
-impl From<Key> for AttemptId {
-    fn from(key: Key) -> Self {
-        Self(key.data().as_ffi())
-    }
-}
-
-impl From<AttemptId> for Key {
-    fn from(id: AttemptId) -> Self {
-        KeyData::from_ffi(id.0).into()
-    }
-}
-
 /// An attempt from its dispatch to its end.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
+    /// Its number towards the driver.
+    pub(crate) id: AttemptId,
     pub(crate) request: request::Key,
     pub(crate) replica: replica::Key,
     pub(crate) target: Target,
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -18,10 +18,11 @@
 use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
 
-use crate::attempt::{self, Attempt};
+use crate::attempt;
 use crate::bucket::Bucket;
 use crate::directory::Directory;
 use crate::event::Event;
+use crate::flights::Flights;
 use crate::health::Health;
 use crate::knowledge::Knowledge;
 use crate::limiter::Limiter;
@@ -49,7 +50,7 @@
     directory: Directory,
     requests: SlotMap<request::Key, Request>,
     by_id: HashMap<key::Request, request::Key>,
-    attempts: SlotMap<attempt::Key, Attempt>,
+    attempts: Flights,
     /// Urgent attempts that may get a second one beside them.
     hedgeable: Vec<attempt::Key>,
     pools: Pools,
@@ -100,10 +101,10 @@
             directory: Directory::new(&tuning.host),
             requests: SlotMap::with_key(),
             by_id: HashMap::new(),
-            attempts: SlotMap::with_key(),
+            attempts: Flights::default(),
             hedgeable: Vec::new(),
             pools: Pools::default(),
-            knowledge: Knowledge::default(),
+            knowledge: Knowledge::new(tuning.rating_noise),
             health: Health::default(),
             plans: Plans::default(),
             limiters: Vec::new(),
@@ -150,9 +151,15 @@
             Event::Configure(policy) => self.configure(now, policy, actions),
             Event::Endpoint(update) => self.endpoint(now, &update, actions),
             Event::Arrive(arrival) => self.arrive(now, arrival, actions),
-            Event::Started { attempt } => self.started(now, attempt.into(), actions),
+            Event::Started { attempt } => {
+                if let Some(key) = self.attempts.find(attempt) {
+                    self.started(now, key, actions);
+                }
+            }
             Event::Ended { attempt, outcome } => {
-                self.ended(now, attempt.into(), outcome, actions);
+                if let Some(key) = self.attempts.find(attempt) {
+                    self.ended(now, key, outcome, actions);
+                }
             }
             Event::Cancelled { request } => self.cancelled(now, request, actions),
             Event::Rated(rating) => self.rated(now, &rating, actions),
--- a/crates/decide/src/decider/choose.rs
+++ b/crates/decide/src/decider/choose.rs
@@ -57,7 +57,7 @@
     }
 
     /// Other versions that could answer the request, the cheapest first.
-    pub(super) fn alternatives(&self, key: request::Key) -> Vec<Next> {
+    pub(super) fn alternatives(&mut self, key: request::Key) -> Vec<Next> {
         let Some(request) = self.requests.get(key) else {
             return Vec::new();
         };
@@ -68,6 +68,7 @@
             return Vec::new();
         }
         let ask = Ask::new(request, chat);
+        let chat = chat.clone();
         let tried = request.plan.step(request.step).map(|it| it.version);
         let target = self.policy.profiles[chat.profile.index()].target;
         let mut it = self.forecasts(&ask);
@@ -78,12 +79,12 @@
             step: Step::last(it.version),
         });
         nexts
-            .filter(|it| self.fits_cap(key, chat, it.step))
+            .filter(|it| self.fits_cap(key, &chat, it.step))
             .collect()
     }
 
     /// Another version for a request that `failed` has failed.
-    pub(super) fn replacement(&self, key: request::Key, failed: key::Version) -> Option<Plan> {
+    pub(super) fn replacement(&mut self, key: request::Key, failed: key::Version) -> Option<Plan> {
         let request = self.requests.get(key)?;
         let Work::Chat(chat) = &request.work else {
             return None;
--- a/crates/decide/src/decider/configure.rs
+++ b/crates/decide/src/decider/configure.rs
@@ -50,7 +50,7 @@
         self.move_pilots(now);
         self.told.clear();
         self.hedgeable.clear();
-        for attempt in self.attempts.values_mut() {
+        for attempt in self.attempts.iter_mut() {
             forward.attempt(&mut attempt.target);
             let version = attempt.step.version;
             attempt.step.version = forward.version(version);
--- a/crates/decide/src/decider/end.rs
+++ b/crates/decide/src/decider/end.rs
@@ -5,12 +5,12 @@
 use super::Decider;
 use crate::action::{Deliver, Relay};
 use crate::attempt::{self, Attempt, Progress};
-use crate::belief::Bucket;
 use crate::directory::Target;
 use crate::outcome::{Answer, Denial, Outcome};
 use crate::policy::Repeat;
 use crate::refusal::{Reason, Run};
 use crate::request::{self, Kept};
+use crate::tally::Bucket;
 use crate::{Action, key};
 
 /// What a retry after an endpoint's own "not me" takes from the budget. These
@@ -62,8 +62,8 @@
         }
         self.learn(now, &attempt, outcome, actions);
         match outcome {
-            Outcome::Answered(answer) => self.answered(now, key, &attempt, answer, actions),
-            Outcome::Served => self.deliver(now, key, &attempt, actions),
+            Outcome::Answered(answer) => self.answered(now, &attempt, answer, actions),
+            Outcome::Served => self.deliver(now, &attempt, actions),
             _ => self.failed(now, &attempt, outcome, actions),
         }
         self.drain_replica(now, attempt.replica, actions);
@@ -72,13 +72,12 @@
     fn answered(
         &mut self,
         now: Duration,
-        key: attempt::Key,
         attempt: &Attempt,
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
         self.charge_answer(attempt, answer);
-        self.sample(now, key, attempt, answer, actions);
+        self.sample(now, attempt, answer, actions);
         let Some(request) = self.requests.get_mut(attempt.request) else {
             return;
         };
@@ -87,11 +86,11 @@
         let sick = self.health.is_quarantined(version);
         let taken = attempt.relay == Relay::Now || (bucket.passes(attempt.step.threshold) && !sick);
         if taken {
-            return self.deliver(now, key, attempt, actions);
+            return self.deliver(now, attempt, actions);
         }
         if !sick && (request.kept.is_none() || !attempt.step.is_probe()) {
             request.kept = Some(Kept {
-                attempt: key.into(),
+                attempt: attempt.id,
                 version,
             });
         }
@@ -120,19 +119,13 @@
         self.skip_step(now, key, actions);
     }
 
-    fn deliver(
-        &mut self,
-        now: Duration,
-        key: attempt::Key,
-        attempt: &Attempt,
-        actions: &mut Vec<Action>,
-    ) {
+    fn deliver(&mut self, now: Duration, attempt: &Attempt, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(attempt.request) else {
             return;
         };
         let deliver = Deliver {
             request: request.id,
-            attempt: key.into(),
+            attempt: attempt.id,
             version: version(attempt),
             cost: request.spent,
             attempts: request.attempts,
--- a/crates/decide/src/decider/evidence.rs
+++ b/crates/decide/src/decider/evidence.rs
@@ -7,12 +7,13 @@
 use super::Decider;
 use super::learn::{Rated, Seen};
 use crate::action::Verdict;
-use crate::belief::{Bucket, Turn};
+use crate::belief::Turn;
 use crate::directory::Target;
 use crate::evidence::{Evidence, Item};
 use crate::knowledge::ClassIndex;
 use crate::number::float;
 use crate::samples::Sample;
+use crate::tally::Bucket;
 use crate::{Action, key};
 
 /// Outcomes after which a host trusts its own verdict more than another's.
@@ -70,12 +71,12 @@
                 bucket,
                 turn: Turn::Later,
             };
-            if item.answered[at] > 0 {
-                let seen = Seen {
-                    sample: first,
-                    count: f64::from(item.answered[at]),
-                };
-                self.learn_answers(now, version, class, seen, actions);
+            for (sample, count) in [(first, item.answered[at]), (later, item.later_answered[at])] {
+                if count > 0 {
+                    let count = f64::from(count);
+                    let seen = Seen { sample, count };
+                    self.learn_answers(now, version, class, seen, actions);
+                }
             }
             for (sample, good, bad) in [
                 (first, item.good[at], item.bad[at]),
@@ -104,17 +105,17 @@
     ) {
         let endpoints = self.directory.len(Target::Version(version));
         let normal = self.health.normal(version, endpoints);
-        let later = f64::from(item.later_answered);
         let failed = f64::from(item.failed);
         self.judge(now, version, actions, |it| {
-            if later > 0.0 {
-                it.answered(now, normal, later);
-            }
             if failed > 0.0 {
                 it.failed(now, normal, failed, &item.failed_at);
             }
         });
-        let answers = item.answered.iter().sum::<u32>() + item.later_answered;
+        let answers = item
+            .answered
+            .iter()
+            .chain(&item.later_answered)
+            .sum::<u32>();
         if answers > 0 {
             let answers = f64::from(answers);
             let tokens = float(item.completion_tokens) / answers;
--- a/crates/decide/src/decider/learn.rs
+++ b/crates/decide/src/decider/learn.rs
@@ -7,13 +7,14 @@
 
 use super::Decider;
 use crate::attempt::{self, Attempt, Fill};
-use crate::belief::{Bucket, Turn};
+use crate::belief::Turn;
 use crate::directory::Target;
 use crate::event::{Quality, Rating};
-use crate::knowledge::ClassIndex;
+use crate::knowledge::{ClassIndex, Kind};
 use crate::monitor::{Confidence, Monitor};
 use crate::outcome::{Answer, Denial, Outcome};
 use crate::samples::Sample;
+use crate::tally::Bucket;
 use crate::{Action, key};
 
 /// Answers after which a version's usual confidence is known.
@@ -71,7 +72,6 @@
     pub(super) fn sample(
         &mut self,
         now: Duration,
-        key: attempt::Key,
         attempt: &Attempt,
         answer: Answer,
         actions: &mut Vec<Action>,
@@ -101,7 +101,7 @@
         self.samples.insert(request.id, &entry.id, sample);
         actions.push(Action::Sample {
             request: request.id,
-            attempt: key.into(),
+            attempt: attempt.id,
             version,
             class,
         });
@@ -214,20 +214,22 @@
         let endpoints = self.directory.len(Target::Version(version));
         let normal = self.health.normal(version, endpoints);
         self.judge(now, version, actions, |it| it.answered(now, normal, count));
-        if sample.turn == Turn::Later {
-            return;
-        }
-        if let Some(baseline) = self.baseline(version, class) {
+        let kind = Kind {
+            version,
+            class,
+            turn: sample.turn,
+        };
+        if let Some(baseline) = self.baseline(kind) {
             let seen = Confidence {
                 bucket: sample.bucket,
-                normal: self.knowledge.spread(baseline, class),
-                bad: self.knowledge.bad_spread(baseline),
+                normal: self.knowledge.spread(baseline),
+                bad: self.knowledge.bad_spread(baseline.version),
+                answers: self.knowledge.answers(baseline),
                 scope: self.health.quality_scope(version),
             };
             self.judge(now, version, actions, |it| it.confident(now, &seen, count));
         }
-        self.knowledge
-            .answered(version, class, sample.bucket, count);
+        self.knowledge.answered(kind, sample.bucket, count);
     }
 
     fn learn_failure(
@@ -270,18 +272,23 @@
         self.judge(now, version, actions, |it| {
             it.rated(now, scope, normal, good, bad);
         });
-        self.knowledge
-            .rated(version, class, sample.bucket, sample.turn, good, bad);
+        let kind = Kind {
+            version,
+            class,
+            turn: sample.turn,
+        };
+        self.knowledge.rated(kind, sample.bucket, good, bad);
     }
 
-    /// The version whose past tells what is usual: itself, or the one that it
-    /// replaces as long as it has little past of its own.
-    fn baseline(&self, version: key::Version, class: ClassIndex) -> Option<key::Version> {
-        let known = |it: &key::Version| self.knowledge.answers(*it, class) >= ANSWERS;
-        if known(&version) {
-            return Some(version);
+    /// Those answers whose past tells what is usual: of the version itself, or
+    /// of the one that it replaces as long as it has little past of its own.
+    fn baseline(&self, kind: Kind) -> Option<Kind> {
+        let known = |it: &Kind| self.knowledge.answers(*it) >= ANSWERS;
+        if known(&kind) {
+            return Some(kind);
         }
-        self.replaced(version).filter(known)
+        let version = self.replaced(kind.version)?;
+        Some(Kind { version, ..kind }).filter(known)
     }
 
     fn replaced(&self, version: key::Version) -> Option<key::Version> {
@@ -289,16 +296,18 @@
         rollouts.find(|it| it.version == version)?.replaces
     }
 
-    /// How often such an answer is bad as a rule.
+    /// How often such an answer is rated bad as a rule.
     fn usually_bad(&self, version: key::Version, class: ClassIndex, sample: Sample) -> f64 {
+        let kind = |version| Kind {
+            version,
+            class,
+            turn: sample.turn,
+        };
         let known = |it: &key::Version| self.knowledge.ratings(*it, class) >= RATINGS;
         let baseline = Some(version)
             .filter(known)
             .or_else(|| self.replaced(version).filter(known));
-        let of = |it: key::Version| match sample.turn {
-            Turn::First => 1.0 - self.knowledge.chance(it, class, sample.bucket).mean(),
-            Turn::Later => 1.0 - self.knowledge.later(it, class),
-        };
+        let of = |it| self.knowledge.rated_bad(kind(it), sample.bucket);
         match baseline {
             Some(it) => of(it),
             None => of(version).max(UNKNOWN_BAD),
--- a/crates/decide/src/decider/place.rs
+++ b/crates/decide/src/decider/place.rs
@@ -164,7 +164,9 @@
         };
         endpoint.sent();
         let endpoint = endpoint.id;
+        let id = self.attempts.next_id();
         let attempt = self.attempts.insert(Attempt {
+            id,
             request: key,
             replica,
             target: next.target,
@@ -182,7 +184,7 @@
         };
         actions.push(Action::Dispatch(Dispatch {
             request: request.id,
-            attempt: attempt.into(),
+            attempt: id,
             endpoint,
             version,
             relay,
@@ -261,7 +263,7 @@
             it.freed();
         }
         actions.push(Action::Cancel {
-            attempt: key.into(),
+            attempt: attempt.id,
         });
         self.drain_replica(now, attempt.replica, actions);
     }
--- a/crates/decide/src/decider/plan.rs
+++ b/crates/decide/src/decider/plan.rs
@@ -18,7 +18,7 @@
 use crate::plans::{Entry, Explore, Name};
 use crate::policy::State;
 use crate::refusal::Reason;
-use crate::{Action, Policy, key, request};
+use crate::{Action, key, request};
 
 /// Ratings from which on a version is known well enough.
 const KNOWN: f64 = 300.0;
@@ -118,7 +118,7 @@
         Ok(entry)
     }
 
-    pub(super) fn make_entry(&self, now: Duration, ask: &Ask) -> Result<Entry, Reason> {
+    pub(super) fn make_entry(&mut self, now: Duration, ask: &Ask) -> Result<Entry, Reason> {
         let healthy = self.forecasts(ask);
         let (usable, last_resort) = if healthy.is_empty() {
             let it = self.least_bad(ask)?;
@@ -170,34 +170,23 @@
 
     /// What to expect of the versions that may be used as things are. Versions
     /// on trial only count where there is no other.
-    pub(super) fn forecasts(&self, ask: &Ask) -> Vec<Forecast> {
-        let policy: &Policy = &self.policy;
-        let usable = |active: bool| {
-            let allowed = policy.allowed(ask.profile, ask.customer).iter().copied();
-            let fitting = allowed.filter(move |it| {
-                let state = policy.versions.get(it.index()).map(|it| it.state);
-                match state {
-                    Some(State::Active) => active,
-                    Some(State::Trial(_)) => !active,
-                    Some(State::Withdrawn) | None => false,
-                }
-            });
-            fitting
-                .filter(|it| !self.health.is_quarantined(*it))
-                .filter(|it| !self.directory.is_empty(Target::Version(*it)))
-                .map(|it| self.knowledge.forecast(policy, it, ask.class))
-                .collect::<Vec<_>>()
-        };
-        let active = usable(true);
-        if active.is_empty() {
-            usable(false)
-        } else {
-            active
-        }
+    pub(super) fn forecasts(&mut self, ask: &Ask) -> Vec<Forecast> {
+        let policy = Arc::clone(&self.policy);
+        let allowed = policy.allowed(ask.profile, ask.customer).iter().copied();
+        let state = |it: &key::Version| policy.versions.get(it.index()).map(|it| it.state);
+        let usable = allowed
+            .filter(|it| state(it).is_some_and(|it| it != State::Withdrawn))
+            .filter(|it| !self.health.is_quarantined(*it))
+            .filter(|it| !self.directory.is_empty(Target::Version(*it)));
+        let (active, trial): (Vec<_>, Vec<_>) =
+            usable.partition(|it| state(it) == Some(State::Active));
+        let usable = if active.is_empty() { trial } else { active };
+        let forecast = |it| self.knowledge.forecast(&policy, it, ask.class);
+        usable.into_iter().map(forecast).collect()
     }
 
     /// The best of the versions that are all quarantined or out of reach.
-    pub(super) fn least_bad(&self, ask: &Ask) -> Result<Forecast, Reason> {
+    pub(super) fn least_bad(&mut self, ask: &Ask) -> Result<Forecast, Reason> {
         let allowed = self.policy.allowed(ask.profile, ask.customer).iter();
         let permitted = allowed.filter(|it| self.policy.permits(ask.profile, ask.customer, **it));
         let permitted: Vec<_> = permitted.copied().collect();
@@ -207,8 +196,12 @@
         let reachable = permitted
             .into_iter()
             .filter(|it| !self.directory.is_empty(Target::Version(*it)));
-        let forecasts = reachable.map(|it| self.knowledge.forecast(&self.policy, it, ask.class));
+        let reachable: Vec<_> = reachable.collect();
+        let policy = Arc::clone(&self.policy);
+        let forecast = |it| self.knowledge.forecast(&policy, it, ask.class);
+        let forecasts: Vec<_> = reachable.into_iter().map(forecast).collect();
         forecasts
+            .into_iter()
             .max_by(|a, b| {
                 let order = self.answers(a.version).cmp(&self.answers(b.version));
                 order.then(a.quality().total_cmp(&b.quality()))
--- a/crates/decide/src/evidence.rs
+++ b/crates/decide/src/evidence.rs
@@ -6,7 +6,7 @@
 use crate::{endpoint, key};
 
 /// The number of confidence buckets.
-pub const BUCKETS: usize = 8;
+pub const BUCKETS: usize = 12;
 
 /// What one host has seen since it last published. Counts are differences: each
 /// is to be delivered to each other host at most once.
@@ -25,8 +25,8 @@
     pub class: key::Class,
     /// Whole answers of first steps by confidence bucket.
     pub answered: [u32; BUCKETS],
-    /// Whole answers to requests for which another version's answer was rejected.
-    pub later_answered: u32,
+    /// The same to requests for which another version's answer was rejected.
+    pub later_answered: [u32; BUCKETS],
     /// Failures that speak against the version.
     pub failed: u32,
     /// Of the failures, two endpoints where they happened, so that one broken
--- /dev/null
+++ b/crates/decide/src/flights.rs
@@ -0,0 +1,55 @@
+//! All attempts in flight.
+
+use std::collections::HashMap;
+
+use kernel::AttemptId;
+use slotmap::SlotMap;
+
+use crate::attempt::{Attempt, Key};
+
+/// All attempts in flight, by key and by the number that the driver knows.
+///
+/// Numbers rise from 1, so that drivers may pack them into fewer bits.
+#[derive(Debug, Default)]
+pub(crate) struct Flights {
+    attempts: SlotMap<Key, Attempt>,
+    by_id: HashMap<AttemptId, Key>,
+    last: u64,
+}
+
+impl Flights {
+    /// The number of the next attempt.
+    pub(crate) fn next_id(&mut self) -> AttemptId {
+        self.last += 1;
+        AttemptId(self.last)
+    }
+
+    pub(crate) fn insert(&mut self, attempt: Attempt) -> Key {
+        let key = self.attempts.insert(attempt);
+        self.by_id.insert(attempt.id, key);
+        key
+    }
+
+    pub(crate) fn remove(&mut self, key: Key) -> Option<Attempt> {
+        let attempt = self.attempts.remove(key)?;
+        self.by_id.remove(&attempt.id);
+        Some(attempt)
+    }
+
+    pub(crate) fn get(&self, key: Key) -> Option<&Attempt> {
+        self.attempts.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: Key) -> Option<&mut Attempt> {
+        self.attempts.get_mut(key)
+    }
+
+    /// The attempt with this number; none when it has ended or was cancelled.
+    pub(crate) fn find(&self, id: AttemptId) -> Option<Key> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Attempt> {
+        self.attempts.values_mut()
+    }
+}
--- a/crates/decide/src/knowledge.rs
+++ b/crates/decide/src/knowledge.rs
@@ -2,35 +2,43 @@
 
 use kernel::Money;
 
-use crate::belief::{Belief, Bucket, Turn};
+use crate::belief::{Belief, Turn};
 use crate::evidence::BUCKETS;
-use crate::forecast::Forecast;
+use crate::forecast::{Curve, Forecast};
 use crate::meter::Mean;
 use crate::number::{count, float};
 use crate::pilot::Comparison;
+use crate::shape::{Fit, Shape, blend};
+use crate::tally::{Bucket, Tally};
 use crate::{Policy, key};
 
 /// Classes that are told apart; further ones count as the first.
 const CLASSES: usize = 32;
-/// How many answers the prior distribution of confidence is worth.
-const SPREAD_WEIGHT: f64 = 6.0;
-/// How many ratings in a bucket its prior is worth.
-const CURVE_WEIGHT: f64 = 3.0;
-/// How many ratings the prior for later turns is worth.
-const LATER_WEIGHT: f64 = 8.0;
+/// How many answers the fitted distribution of confidence is worth.
+const SPREAD_WEIGHT: f64 = 12.0;
+/// How many ratings the general shape of confidence is worth to a version.
+const SHAPE_WEIGHT: f64 = 60.0;
+/// How many ratings the usual shape is worth before any came.
+const GENERAL_WEIGHT: f64 = 30.0;
+/// How many ratings in a bucket the shape's own prediction is worth.
+const CURVE_WEIGHT: f64 = 25.0;
+/// How many ratings the prior for a version is worth.
+const PRIOR_WEIGHT: f64 = 6.0;
 /// How much more often an answer is bad where another's was rejected, before
-/// any rating tells.
-const LATER_ODDS: f64 = 1.6;
+/// any answer tells.
+const LATER_ODDS: f64 = 1.8;
 /// Completion and prompt tokens of a request, before any answer tells.
 const TOKENS: f64 = 256.0;
 
 /// What this host has learned of all versions in all classes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Knowledge {
     classes: Vec<Class>,
     versions: Vec<Version>,
-    /// Over all versions: how often an answer of a bucket is good.
-    curve: Belief,
+    /// Ratings of all versions together, and the shape that they show.
+    all: Tally,
+    prior: Shape,
+    general: Shape,
     /// Rises with what is learned, so that old plans are known as such.
     changes: u64,
 }
@@ -42,10 +50,13 @@
     completion: Mean,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Version {
     /// Where its price stands among all: 0 is the cheapest, 1 the dearest.
     rank: f64,
+    /// Over all classes and turns.
+    all: Tally,
+    shape: Shape,
     overall: Belief,
     classes: Vec<Belief>,
 }
@@ -54,19 +65,40 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ClassIndex(pub(crate) usize);
 
+/// Which answers are spoken of.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Kind {
+    pub(crate) version: key::Version,
+    pub(crate) class: ClassIndex,
+    pub(crate) turn: Turn,
+}
+
 impl Knowledge {
+    /// Nothing but priors; `noise` is the share of ratings that are wrong.
+    pub(crate) fn new(noise: f64) -> Self {
+        let prior = Shape::prior(noise);
+        Self {
+            classes: Vec::new(),
+            versions: Vec::new(),
+            all: Tally::default(),
+            prior,
+            general: prior,
+            changes: 0,
+        }
+    }
+
     /// Keeps what is known under the new policy's keys; `moved` gives the old
     /// key of each version that there was before.
     pub(crate) fn configure(&mut self, policy: &Policy, moved: &[Option<key::Version>]) {
-        let mut old = std::mem::take(&mut self.versions);
+        let mut old: Vec<_> = self.versions.drain(..).map(Some).collect();
         let price = |it: &crate::policy::Version| it.cost(1_000_000, 1_000_000);
         let mut prices: Vec<Money> = policy.versions.iter().map(price).collect();
         prices.sort_unstable();
         prices.dedup();
         let top = count(prices.len().saturating_sub(1)).max(1.0);
         for (version, was) in policy.versions.iter().zip(moved) {
-            let known = was.and_then(|it| old.get_mut(it.index()));
-            let mut it = known.map(std::mem::take).unwrap_or_default();
+            let known = was.and_then(|it| old.get_mut(it.index())?.take());
+            let mut it = known.unwrap_or_else(|| Version::new(self.general));
             it.rank = count(prices.partition_point(|it| *it < price(version))) / top;
             self.versions.push(it);
         }
@@ -92,6 +124,12 @@
         ClassIndex(self.classes.len() - 1)
     }
 
+    /// The class that stands at a place.
+    pub(crate) fn class_key(&self, class: ClassIndex) -> key::Class {
+        let it = self.classes.get(class.0);
+        it.map_or_else(key::Class::default, |it| it.key)
+    }
+
     pub(crate) fn changes(&self) -> u64 {
         self.changes
     }
@@ -100,19 +138,14 @@
         self.classes[class.0].prompt.add(f64::from(prompt_tokens));
     }
 
-    /// Whole answers; those of later turns don't tell how confidence spreads
-    /// over requests as they come.
-    pub(crate) fn answered(
-        &mut self,
-        version: key::Version,
-        class: ClassIndex,
-        bucket: Bucket,
-        answers: f64,
-    ) {
+    /// Whole answers came.
+    pub(crate) fn answered(&mut self, kind: Kind, bucket: Bucket, answers: f64) {
         self.changes += 1;
-        if let Some(it) = self.versions.get_mut(version.index()) {
-            it.overall.answered(bucket, answers);
-            it.class(class).answered(bucket, answers);
+        if let Some(it) = self.versions.get_mut(kind.version.index()) {
+            it.overall.view_mut(kind.turn).answered(bucket, answers);
+            it.class_mut(kind.class)
+                .view_mut(kind.turn)
+                .answered(bucket, answers);
         }
     }
 
@@ -127,28 +160,26 @@
         self.classes[class.0].completion.add(completion);
         if let Some(it) = self.versions.get_mut(version.index()) {
             it.overall.measured(completion, seconds);
-            it.class(class).measured(completion, seconds);
+            it.class_mut(class).measured(completion, seconds);
         }
     }
 
-    pub(crate) fn rated(
-        &mut self,
-        version: key::Version,
-        class: ClassIndex,
-        bucket: Bucket,
-        turn: Turn,
-        good: f64,
-        bad: f64,
-    ) {
+    /// Ratings came.
+    pub(crate) fn rated(&mut self, kind: Kind, bucket: Bucket, good: f64, bad: f64) {
         self.changes += 1;
-        self.curve.rated(bucket, Turn::First, good, bad);
-        if let Some(it) = self.versions.get_mut(version.index()) {
-            it.overall.rated(bucket, turn, good, bad);
-            it.class(class).rated(bucket, turn, good, bad);
+        self.all.rated(bucket, good, bad);
+        self.general = self.prior.learned(&self.all, GENERAL_WEIGHT);
+        if let Some(it) = self.versions.get_mut(kind.version.index()) {
+            it.all.rated(bucket, good, bad);
+            it.shape = self.general.learned(&it.all, SHAPE_WEIGHT);
+            it.overall.view_mut(kind.turn).rated(bucket, good, bad);
+            it.class_mut(kind.class)
+                .view_mut(kind.turn)
+                .rated(bucket, good, bad);
         }
     }
 
-    /// How long an answer takes and how long few take, in seconds.
+    /// How long an answer takes, in seconds.
     pub(crate) fn latency(&self, version: key::Version, class: ClassIndex) -> Option<Mean> {
         let it = self.versions.get(version.index())?;
         let own = it.classes.get(class.0).map(|it| it.latency);
@@ -166,72 +197,52 @@
         (mean, high)
     }
 
-    /// How the version's confidence spreads over the buckets.
-    pub(crate) fn spread(&self, version: key::Version, class: ClassIndex) -> [f64; BUCKETS] {
-        let Some(it) = self.versions.get(version.index()) else {
+    /// How the confidence of such answers spreads over the buckets.
+    pub(crate) fn spread(&self, kind: Kind) -> [f64; BUCKETS] {
+        let Some(it) = self.versions.get(kind.version.index()) else {
             return [0.0; BUCKETS];
         };
-        let prior = blend(&it.overall.answered, &prior_spread(it.rank), SPREAD_WEIGHT);
-        match it.classes.get(class.0) {
-            Some(own) => blend(&own.answered, &prior, SPREAD_WEIGHT),
-            None => prior,
-        }
+        let Some(belief) = it.classes.get(kind.class.0) else {
+            return it.shape.spread(it.prior(kind.turn).share);
+        };
+        let view = belief.view(kind.turn);
+        let fit = view.known(it.prior_in(belief, kind.turn));
+        blend(
+            &view.tally.answered,
+            &it.shape.spread(fit.share),
+            SPREAD_WEIGHT,
+        )
     }
 
     /// How the confidence of bad answers spreads over the buckets.
     pub(crate) fn bad_spread(&self, version: key::Version) -> [f64; BUCKETS] {
-        let all = blend(&self.curve.bad, &prior_spread(0.0), 16.0);
-        match self.versions.get(version.index()) {
-            Some(it) => blend(&it.overall.bad, &all, 10.0),
-            None => all,
-        }
+        let it = self.versions.get(version.index());
+        *it.map_or(&self.general, |it| &it.shape).bad()
     }
 
-    /// The chance that an answer of this bucket is good, and how many ratings say so.
-    pub(crate) fn chance(
-        &self,
-        version: key::Version,
-        class: ClassIndex,
-        bucket: Bucket,
-    ) -> Chance {
-        let at = bucket.index();
-        let general = Chance::prior(0.2 + 0.75 * bucket.middle(), 2.0);
-        let general = general.seen(self.curve.good[at], self.curve.bad[at]);
-        let Some(it) = self.versions.get(version.index()) else {
-            return general;
+    /// The chance that such an answer is rated bad.
+    pub(crate) fn rated_bad(&self, kind: Kind, bucket: Bucket) -> f64 {
+        let Some(it) = self.versions.get(kind.version.index()) else {
+            return 0.5;
         };
-        let overall = Chance::prior(general.mean(), CURVE_WEIGHT);
-        let overall = overall.seen(it.overall.good[at], it.overall.bad[at]);
-        let own = Chance::prior(overall.mean(), CURVE_WEIGHT.min(overall.weight()));
-        match it.classes.get(class.0) {
-            Some(belief) => own.seen(belief.good[at], belief.bad[at]),
-            None => own,
-        }
+        let fit = it.classes.get(kind.class.0).map_or_else(
+            || it.prior(kind.turn),
+            |belief| belief.view(kind.turn).known(it.prior_in(belief, kind.turn)),
+        );
+        it.shape
+            .rated_bad(it.shape.chance(fit.share, bucket.index()))
     }
 
-    /// Ratings of the version in the class.
+    /// Ratings of the version in the class, of first and later turns.
     pub(crate) fn ratings(&self, version: key::Version, class: ClassIndex) -> f64 {
-        self.belief(version, class).map_or(0.0, Belief::ratings)
-    }
-
-    /// Answers of the version in the class.
-    pub(crate) fn answers(&self, version: key::Version, class: ClassIndex) -> f64 {
-        self.belief(version, class).map_or(0.0, Belief::answers)
-    }
-
-    /// The class that stands at a place.
-    pub(crate) fn class_key(&self, class: ClassIndex) -> key::Class {
-        self.classes
-            .get(class.0)
-            .map_or_else(key::Class::default, |it| it.key)
+        let both = |it: &Belief| it.first.tally.ratings() + it.later.tally.ratings();
+        self.belief(version, class).map_or(0.0, both)
     }
 
-    /// The share of good answers after another version's was rejected.
-    pub(crate) fn later(&self, version: key::Version, class: ClassIndex) -> f64 {
-        let spread = self.spread(version, class);
-        let share = |it: Bucket| spread[it.index()] * self.chance(version, class, it).mean();
-        let quality = Bucket::all().map(share).sum();
-        self.later_chance(version, class, quality).mean()
+    /// Answers of one kind.
+    pub(crate) fn answers(&self, kind: Kind) -> f64 {
+        let belief = self.belief(kind.version, kind.class);
+        belief.map_or(0.0, |it| it.view(kind.turn).tally.answers())
     }
 
     /// How one version's ratings compare with another's over all classes.
@@ -239,14 +250,14 @@
         let one = self.overall(version);
         let other = self.overall(with);
         Comparison {
-            difference: one.mean() - other.mean(),
+            difference: one.share - other.share,
             error: (one.variance() + other.variance()).sqrt(),
         }
     }
 
     /// What to expect of a version in a class.
     pub(crate) fn forecast(
-        &self,
+        &mut self,
         policy: &Policy,
         version: key::Version,
         class: ClassIndex,
@@ -254,45 +265,28 @@
         let entry = &policy.versions[version.index()];
         let prompt = self.classes.get(class.0).and_then(|it| it.prompt.value(1));
         let (completion, _) = self.completion(version, class);
-        let spread = self.spread(version, class);
-        let mut it = Forecast {
+        let cost = price(entry.prompt_price) * prompt.unwrap_or(TOKENS)
+            + price(entry.completion_price) * completion;
+        let ratings = self.ratings(version, class);
+        let it = &mut self.versions[version.index()];
+        it.class_mut(class);
+        Forecast {
             version,
-            cost: price(entry.prompt_price) * prompt.unwrap_or(TOKENS)
-                + price(entry.completion_price) * completion,
-            pass: [0.0; BUCKETS + 1],
-            good: [0.0; BUCKETS + 1],
-            variance: [0.0; BUCKETS + 1],
-            later: 0.0,
-            later_variance: 0.0,
-            ratings: self.ratings(version, class),
-        };
-        for bucket in Bucket::all().rev() {
-            let chance = self.chance(version, class, bucket);
-            let at = bucket.index();
-            let share = spread[at];
-            it.pass[at] = it.pass[at + 1] + share;
-            it.good[at] = it.good[at + 1] + share * chance.mean();
-            it.variance[at] = it.variance[at + 1] + share * share * chance.variance();
+            cost,
+            first: it.curve(class, Turn::First),
+            later: it.curve(class, Turn::Later),
+            ratings,
         }
-        let later = self.later_chance(version, class, it.good[0]);
-        it.later = later.mean();
-        it.later_variance = later.variance();
-        it
-    }
-
-    fn later_chance(&self, version: key::Version, class: ClassIndex, quality: f64) -> Chance {
-        let worse = (1.0 - LATER_ODDS * (1.0 - quality)).max(0.0);
-        let seen = self.belief(version, class);
-        Chance::prior(worse, LATER_WEIGHT).seen(
-            seen.map_or(0.0, |it| it.later_good),
-            seen.map_or(0.0, |it| it.later_bad),
-        )
     }
 
-    fn overall(&self, version: key::Version) -> Chance {
-        let it = self.versions.get(version.index()).map(|it| it.overall);
-        let it = it.unwrap_or_default();
-        Chance::prior(0.5, 2.0).seen(it.good.iter().sum(), it.bad.iter().sum())
+    fn overall(&self, version: key::Version) -> Fit {
+        let it = &self.versions[version.index()];
+        let tally = &it.overall.first.tally;
+        let (good, bad) = (tally.goods(), tally.bads());
+        Fit {
+            share: (it.shape.truly_good(good, bad) + 1.0) / (good + bad + 2.0),
+            weight: good + bad + 2.0,
+        }
     }
 
     fn belief(&self, version: key::Version, class: ClassIndex) -> Option<&Belief> {
@@ -301,66 +295,77 @@
 }
 
 impl Version {
-    fn class(&mut self, class: ClassIndex) -> &mut Belief {
+    fn new(shape: Shape) -> Self {
+        Self {
+            rank: 0.0,
+            all: Tally::default(),
+            shape,
+            overall: Belief::default(),
+            classes: Vec::new(),
+        }
+    }
+
+    fn class_mut(&mut self, class: ClassIndex) -> &mut Belief {
         if self.classes.len() <= class.0 {
             self.classes.resize_with(class.0 + 1, Belief::default);
         }
         &mut self.classes[class.0]
     }
-}
 
-/// A Beta distribution over a chance.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Chance {
-    good: f64,
-    bad: f64,
-}
-
-impl Chance {
-    fn prior(mean: f64, weight: f64) -> Self {
-        let mean = mean.clamp(0.02, 0.98);
-        Self {
-            good: mean * weight,
-            bad: (1.0 - mean) * weight,
+    /// What is expected of it before it has been seen: the dearer the better.
+    fn prior(&self, turn: Turn) -> Fit {
+        let first = Fit {
+            share: 0.72 + 0.22 * self.rank,
+            weight: PRIOR_WEIGHT,
+        };
+        match turn {
+            Turn::First => first,
+            Turn::Later => later(first),
         }
     }
 
-    fn seen(self, good: f64, bad: f64) -> Self {
-        Self {
-            good: self.good + good,
-            bad: self.bad + bad,
+    /// The same with what its first turns in the class have shown.
+    fn prior_in(&self, belief: &Belief, turn: Turn) -> Fit {
+        let first = self.prior(Turn::First);
+        match turn {
+            Turn::First => first,
+            Turn::Later => later(belief.first.known(first)),
         }
     }
 
-    fn weight(self) -> f64 {
-        self.good + self.bad
-    }
-
-    pub(crate) fn mean(self) -> f64 {
-        self.good / self.weight()
-    }
-
-    fn variance(self) -> f64 {
-        let mean = self.mean();
-        mean * (1.0 - mean) / (self.weight() + 1.0)
+    /// What passes each threshold.
+    fn curve(&mut self, class: ClassIndex, turn: Turn) -> Curve {
+        let shape = self.shape;
+        let prior = self.prior_in(&self.classes[class.0], turn);
+        let view = self.classes[class.0].view_mut(turn);
+        let fit = view.fit(&shape, prior);
+        let tally = view.tally;
+        let spread = blend(&tally.answered, &shape.spread(fit.share), SPREAD_WEIGHT);
+        let mut curve = Curve::default();
+        for bucket in Bucket::all().rev() {
+            let at = bucket.index();
+            let (good, bad) = (tally.good[at], tally.bad[at]);
+            let seen = CURVE_WEIGHT * shape.chance(fit.share, at) + shape.truly_good(good, bad);
+            let chance = seen / (CURVE_WEIGHT + good + bad);
+            curve.pass[at] = curve.pass[at + 1] + spread[at];
+            curve.good[at] = curve.good[at + 1] + spread[at] * chance;
+            let pass = curve.pass[at].max(1e-9);
+            let passing = Fit {
+                share: curve.good[at] / pass,
+                weight: fit.weight * pass,
+            };
+            curve.variance[at] = pass * pass * passing.variance();
+        }
+        curve
     }
 }
 
-/// Before any answer: the dearer the version, the surer its answers.
-fn prior_spread(rank: f64) -> [f64; BUCKETS] {
-    let centre = 0.55 + 0.35 * rank;
-    let mut it = [0.0; BUCKETS];
-    for bucket in Bucket::all() {
-        let far = (bucket.middle() - centre) / 0.25;
-        it[bucket.index()] = (-far * far).exp();
+/// What is expected where another version's answer was rejected.
+fn later(first: Fit) -> Fit {
+    Fit {
+        share: (1.0 - LATER_ODDS * (1.0 - first.share)).max(0.05),
+        weight: PRIOR_WEIGHT,
     }
-    blend(&it, &[0.0; BUCKETS], 0.0)
-}
-
-/// The shares of `counts`, with `prior` shares worth `weight` counts.
-fn blend(counts: &[f64; BUCKETS], prior: &[f64; BUCKETS], weight: f64) -> [f64; BUCKETS] {
-    let total = counts.iter().sum::<f64>() + weight;
-    std::array::from_fn(|at| (counts[at] + weight * prior[at]) / total)
 }
 
 /// Microcents a token.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod endpoint;
 pub mod event;
 pub mod evidence;
+mod flights;
 mod forecast;
 mod health;
 pub mod key;
@@ -38,6 +39,8 @@
 mod replica;
 mod request;
 mod samples;
+mod shape;
+mod tally;
 mod tuning;
 
 pub use action::Action;
--- a/crates/decide/src/monitor.rs
+++ b/crates/decide/src/monitor.rs
@@ -3,19 +3,21 @@
 use std::time::Duration;
 
 use crate::action::{Cause, Verdict};
-use crate::belief::Bucket;
 use crate::cusum::Cusum;
 use crate::endpoint;
 use crate::evidence::BUCKETS;
+use crate::tally::Bucket;
 
 /// Shares of answers that a fault spoils, for which the test looks out.
 const SHARES: [f64; 2] = [0.2, 0.9];
 /// The sum at which a version is quarantined. By Lorden's bound a healthy
 /// version is taken for bad less than once in `e^12` (160 thousand) observations.
 const LIMIT: f64 = 12.0;
-/// How far confidence alone may take the test for a partial fault: a change in
-/// what callers ask moves it too, so ratings have to agree.
-const UNRATED_LIMIT: f64 = 8.0;
+/// The sum for a partial fault, which confidence shows less clearly.
+const PARTIAL_LIMIT: f64 = 16.0;
+/// Answers from which on the usual confidence is known well enough to see a
+/// fifth of the answers turn bad.
+const PARTIAL_ANSWERS: f64 = 200.0;
 /// One failure counts no more than this, so that it takes several.
 const MOST_FOR_FAILURE: f64 = 2.5;
 /// The share of failures that is always taken as normal.
@@ -196,7 +198,9 @@
             return;
         }
         let [partial, whole] = &mut self.quality;
-        partial.add_up_to(UNRATED_LIMIT, ratio(SHARES[0]), count);
+        if seen.answers >= PARTIAL_ANSWERS {
+            partial.add(ratio(SHARES[0]), count);
+        }
         whole.add(ratio(SHARES[1]), count);
         self.judge(now, seen.scope, Cause::Confidence);
     }
@@ -262,14 +266,14 @@
     }
 
     fn judge(&mut self, now: Duration, scope: Scope, cause: Cause) {
-        let limit = match scope {
-            Scope::Own => LIMIT,
-            Scope::Shared => 4.0 * LIMIT,
+        let scale = match scope {
+            Scope::Own => 1.0,
+            Scope::Shared => 4.0,
         };
         let [partial, whole] = self.quality;
-        if whole.sum() >= limit {
+        if whole.sum() >= scale * LIMIT {
             self.quarantine(now, cause, SHARES[1], FIRST_HOLD);
-        } else if partial.sum() >= limit {
+        } else if partial.sum() >= scale * PARTIAL_LIMIT {
             self.quarantine(now, cause, SHARES[0], FIRST_HOLD);
         }
     }
@@ -333,6 +337,8 @@
     pub(crate) bucket: Bucket,
     pub(crate) normal: [f64; BUCKETS],
     pub(crate) bad: [f64; BUCKETS],
+    /// Answers that `normal` rests on.
+    pub(crate) answers: f64,
     pub(crate) scope: Scope,
 }
 
--- a/crates/decide/src/outbox.rs
+++ b/crates/decide/src/outbox.rs
@@ -34,7 +34,7 @@
         let it = self.item(version, class);
         match sample.turn {
             Turn::First => it.answered[sample.bucket.index()] += 1,
-            Turn::Later => it.later_answered += 1,
+            Turn::Later => it.later_answered[sample.bucket.index()] += 1,
         }
     }
 
@@ -105,7 +105,7 @@
                 failed_at: [None; 2],
                 good: [0; BUCKETS],
                 bad: [0; BUCKETS],
-                later_answered: 0,
+                later_answered: [0; BUCKETS],
                 later_good: [0; BUCKETS],
                 later_bad: [0; BUCKETS],
                 completion_tokens: 0,
--- a/crates/decide/src/planner.rs
+++ b/crates/decide/src/planner.rs
@@ -95,9 +95,10 @@
     for (at, first) in useful.iter().enumerate() {
         for second in &useful[at + 1..] {
             for threshold in 1..BUCKETS {
-                let left = 1.0 - first.pass[threshold];
-                let variance = first.variance[threshold] + left * left * second.later_variance;
-                let quality = first.good[threshold] + left * second.later;
+                let left = 1.0 - first.first.pass[threshold];
+                let variance =
+                    first.first.variance[threshold] + left * left * second.later.variance[0];
+                let quality = first.first.good[threshold] + left * second.later.good[0];
                 offers.add_if(first.cost + left * second.cost, quality, variance, || {
                     Plan::of(&[step(first, threshold), Step::last(second.version)])
                 });
@@ -109,23 +110,10 @@
 fn triples(useful: &[Forecast], offers: &mut Offers) {
     for (at, first) in useful.iter().enumerate() {
         for (then, second) in useful.iter().enumerate().skip(at + 1) {
-            // The second step sees the requests that the first one found hard.
-            let harder = second.later / second.quality().max(1e-6);
             for third in &useful[then + 1..] {
                 for one in 1..BUCKETS {
-                    let left = 1.0 - first.pass[one];
                     for two in 1..BUCKETS {
-                        let rest = left * (1.0 - second.pass[two]);
-                        let cost = first.cost + left * second.cost + rest * third.cost;
-                        let quality =
-                            first.good[one] + left * second.good[two] * harder + rest * third.later;
-                        let variance = first.variance[one]
-                            + left * left * second.variance[two]
-                            + rest * rest * third.later_variance;
-                        offers.add_if(cost, quality, variance, || {
-                            let last = Step::last(third.version);
-                            Plan::of(&[step(first, one), step(second, two), last])
-                        });
+                        triple([first, second, third], [one, two], offers);
                     }
                 }
             }
@@ -133,6 +121,23 @@
     }
 }
 
+fn triple(versions: [&Forecast; 3], thresholds: [usize; 2], offers: &mut Offers) {
+    let [first, second, third] = versions;
+    let [one, two] = thresholds;
+    let left = 1.0 - first.first.pass[one];
+    let rest = left * (1.0 - second.later.pass[two]);
+    let cost = first.cost + left * second.cost + rest * third.cost;
+    let quality =
+        first.first.good[one] + left * second.later.good[two] + rest * third.later.good[0];
+    let variance = first.first.variance[one]
+        + left * left * second.later.variance[two]
+        + rest * rest * third.later.variance[0];
+    offers.add_if(cost, quality, variance, || {
+        let last = Step::last(third.version);
+        Plan::of(&[step(first, one), step(second, two), last])
+    });
+}
+
 fn step(it: &Forecast, threshold: usize) -> Step {
     Step {
         version: it.version,
--- a/crates/decide/src/samples.rs
+++ b/crates/decide/src/samples.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::belief::{Bucket, Turn};
+use crate::belief::Turn;
 use crate::key;
+use crate::tally::Bucket;
 
 /// Answers whose rating is waited for.
 const KEPT: usize = 8192;
--- /dev/null
+++ b/crates/decide/src/tally.rs
@@ -0,0 +1,103 @@
+//! Counts of answers and ratings by confidence.
+
+use crate::evidence::BUCKETS;
+
+/// The upper ends of the confidence buckets. They are finer at the top, where
+/// engines that are mostly right spend their time.
+const ENDS: [f64; BUCKETS - 1] = [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.78, 0.85, 0.91, 0.96];
+/// Ratings after which old ones are forgotten as fast as new ones come.
+const RATING_MEMORY: f64 = 1500.0;
+/// The same for answers.
+const ANSWER_MEMORY: f64 = 3000.0;
+/// No single count makes more than this part of the memory forgotten.
+const MOST_AT_ONCE: f64 = 100.0;
+
+/// The confidence bucket of an answer, the least confident first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Bucket(usize);
+
+impl Bucket {
+    /// All buckets, the least confident first.
+    pub(crate) fn all() -> impl DoubleEndedIterator<Item = Self> {
+        (0..BUCKETS).map(Self)
+    }
+
+    pub(crate) fn index(self) -> usize {
+        self.0
+    }
+
+    /// Whether an answer in it passes a threshold; [`BUCKETS`] passes none.
+    pub(crate) fn passes(self, threshold: usize) -> bool {
+        self.0 >= threshold
+    }
+
+    /// The least confidence inside it.
+    pub(crate) fn low(self) -> f64 {
+        if self.0 == 0 { 0.0 } else { ENDS[self.0 - 1] }
+    }
+
+    /// The confidence from which on the next one begins.
+    pub(crate) fn high(self) -> f64 {
+        ENDS.get(self.0).copied().unwrap_or(1.0)
+    }
+}
+
+impl From<f64> for Bucket {
+    fn from(confidence: f64) -> Self {
+        Self(ENDS.partition_point(|end| *end <= confidence))
+    }
+}
+
+/// Counts of answers and ratings by confidence, with old ones forgotten.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) answered: [f64; BUCKETS],
+    pub(crate) good: [f64; BUCKETS],
+    pub(crate) bad: [f64; BUCKETS],
+}
+
+impl Tally {
+    pub(crate) fn answered(&mut self, bucket: Bucket, count: f64) {
+        if self.answers() >= ANSWER_MEMORY {
+            let keep = 1.0 - count.min(MOST_AT_ONCE) / ANSWER_MEMORY;
+            scale(&mut self.answered, keep);
+        }
+        self.answered[bucket.index()] += count;
+    }
+
+    pub(crate) fn rated(&mut self, bucket: Bucket, good: f64, bad: f64) {
+        if self.ratings() >= RATING_MEMORY {
+            let keep = 1.0 - (good + bad).min(MOST_AT_ONCE) / RATING_MEMORY;
+            scale(&mut self.good, keep);
+            scale(&mut self.bad, keep);
+        }
+        self.good[bucket.index()] += good;
+        self.bad[bucket.index()] += bad;
+    }
+
+    /// Answers, as far as they are remembered.
+    pub(crate) fn answers(&self) -> f64 {
+        self.answered.iter().sum()
+    }
+
+    /// Ratings, as far as they are remembered.
+    pub(crate) fn ratings(&self) -> f64 {
+        self.goods() + self.bads()
+    }
+
+    /// Good ratings.
+    pub(crate) fn goods(&self) -> f64 {
+        self.good.iter().sum()
+    }
+
+    /// Bad ratings.
+    pub(crate) fn bads(&self) -> f64 {
+        self.bad.iter().sum()
+    }
+}
+
+fn scale(counts: &mut [f64; BUCKETS], by: f64) {
+    for count in counts {
+        *count *= by;
+    }
+}
--- a/crates/decide/src/tuning.rs
+++ b/crates/decide/src/tuning.rs
@@ -15,6 +15,8 @@
     pub attempts: u32,
     /// Retries and hedges as a share of the requests.
     pub retry_share: f64,
+    /// The share of ratings that are taken to be wrong.
+    pub rating_noise: f64,
     /// Answers a second that may be sent to the rating service.
     pub sample_rate: f64,
     /// The share of answers sent to be rated where enough is known already.
@@ -44,6 +46,7 @@
             tick: Duration::from_millis(100),
             attempts: 5,
             retry_share: 0.1,
+            rating_noise: 0.05,
             sample_rate: 50.0,
             sample_share: 0.5,
             explore_share: 0.06,
