--- a/crates/experiment/src/record.rs
+++ b/crates/experiment/src/record.rs
@@ -21,8 +21,19 @@
     pub(crate) withdrawn: bool,
     /// Attempts that began to run.
     pub(crate) runs: u32,
-    /// Its session went on with another version although its own takes work.
-    pub(crate) moved: bool,
+    pub(crate) turn: Turn,
+}
+
+/// What a request was to its session.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// It had no session, or no version yet.
+    #[default]
+    First,
+    /// It came with the session's version.
+    Pinned,
+    /// It came with a version that still took work, and got another.
+    Moved,
 }
 
 /// How a request ended.
--- a/crates/experiment/src/report/figures.rs
+++ b/crates/experiment/src/report/figures.rs
@@ -20,12 +20,16 @@
     /// The cost of the requests that both answered, over the oracle's that knows
     /// the distributions.
     pub cost_to_oracle: f64,
+    /// The same for the first, second, third and last quarter of the time that counts.
+    pub cost_to_oracle_by_quarter: [f64; 4],
     /// The cost over the lower bound that knows each coin.
     pub cost_to_clairvoyant: f64,
     /// The share of delivered model answers that were good.
     pub good: f64,
     /// Requests per seed that got an answer which a fault had spoilt.
     pub harmed: f64,
+    /// Those of them that came with their session's version, which is kept.
+    pub harmed_pinned: f64,
     /// Requests per seed for which a fault spoilt an answer, delivered or not.
     pub touched: f64,
     /// Verdicts on versions.
--- a/crates/experiment/src/report/table.rs
+++ b/crates/experiment/src/report/table.rs
@@ -48,6 +48,7 @@
         "vs bound",
         "good",
         "harmed",
+        "pinned",
         "touched",
         "quarantines",
         "wrong",
@@ -69,6 +70,7 @@
             format!("{:.2}", it.cost_to_clairvoyant),
             format!("{:.4}", it.good),
             format!("{:.1}", it.harmed),
+            format!("{:.1}", it.harmed_pinned),
             format!("{:.1}", it.touched),
             it.quarantine.right.to_string(),
             it.quarantine.wrong.to_string(),
@@ -133,6 +135,9 @@
         "core, share answered: {}\n",
         each.collect::<Vec<_>>().join(", ")
     );
+    let quarters = core.cost_to_oracle_by_quarter;
+    let quarters = quarters.map(|it| format!("{it:.3}")).join(", ");
+    let _ = writeln!(text, "core, cost vs oracle by quarter: {quarters}");
     for (what, count) in [
         ("requests that ran twice but may not", core.reruns),
         (
--- a/crates/experiment/src/sim/caller.rs
+++ b/crates/experiment/src/sim/caller.rs
@@ -7,7 +7,7 @@
     arrival::Arrival,
     attempt::{AttemptKey, State},
     coin::Purpose,
-    record::Fate,
+    record::{Fate, Turn},
     router::{Input, place},
 };
 
@@ -24,8 +24,11 @@
         let Some(host) = self.host(arrival) else {
             return self.close(idx, Fate::Refused("no_host"));
         };
-        self.records[idx].host = host;
         let pin = arrival.session.and_then(|it| self.pins[it]);
+        self.records[idx].host = host;
+        if pin.is_some() {
+            self.records[idx].turn = Turn::Pinned;
+        }
         self.tell(host, &Input::Arrive { arrival, pin });
     }
 
@@ -51,7 +54,9 @@
         if let (Some(session), Some(version)) = (self.arrivals[idx].session, version) {
             let pin = self.pins[session].replace(version);
             let kept = pin.is_none_or(|it| it == version || !self.configuration.takes_work(it));
-            self.records[idx].moved = !kept;
+            if !kept {
+                self.records[idx].turn = Turn::Moved;
+            }
         }
     }
 
--- a/crates/experiment/src/tally.rs
+++ b/crates/experiment/src/tally.rs
@@ -12,7 +12,7 @@
 use self::class::ClassTally;
 use crate::{
     arrival::Arrival,
-    record::{Fate, Record},
+    record::{Fate, Record, Turn},
     report::{Figures, Quarantine, Served},
     router::Kind,
     scenario::{Fault, Scenario},
@@ -31,7 +31,9 @@
     classes: Vec<ClassTally>,
     customers: Vec<[u64; 2]>,
     refusals: BTreeMap<&'static str, u64>,
-    harmed: u64,
+    harmed: [u64; 2],
+    /// Paired costs, as by class, by quarter of the window.
+    quarters: [[u64; 2]; 4],
     touched: u64,
     moved: u64,
     reruns: u64,
@@ -55,7 +57,8 @@
             classes: world.classes.iter().map(|_| ClassTally::new()).collect(),
             customers: vec![[0; 2]; world.customers.len()],
             refusals: BTreeMap::new(),
-            harmed: 0,
+            harmed: [0; 2],
+            quarters: [[0; 2]; 4],
             touched: 0,
             moved: 0,
             reruns: 0,
@@ -99,9 +102,15 @@
             Fate::Pending => self.unfinished += 1,
             Fate::Delivered(_) => {}
         }
-        self.harmed += u64::from(record.answer().is_some_and(|(_, it)| it.harmed));
+        let harmed = record.answer().is_some_and(|(_, it)| it.harmed);
+        self.harmed[usize::from(record.turn != Turn::First)] += u64::from(harmed);
+        if record.delivered() && oracle.delivered() {
+            let [mine, its] = &mut self.quarters[self.quarter(arrival.at)];
+            *mine += record.cost;
+            *its += oracle.cost;
+        }
         self.touched += u64::from(record.touched);
-        self.moved += u64::from(record.moved);
+        self.moved += u64::from(record.turn == Turn::Moved);
         let once = !self.world.class(arrival.class).idempotent;
         self.reruns += u64::from(once && record.runs > 1);
         self.sent_to_withdrawn += u64::from(record.withdrawn);
@@ -112,6 +121,12 @@
         }
     }
 
+    fn quarter(&self, at: Duration) -> usize {
+        let [begin, end] = self.window;
+        let length = end.saturating_sub(begin) / 4;
+        (1..4).take_while(|it| at >= begin + length * *it).count()
+    }
+
     fn add_verdicts(&mut self, verdicts: &[VerdictNote]) {
         let mut first = None;
         for it in verdicts {
@@ -159,7 +174,9 @@
             ),
             cost_to_clairvoyant: float(models().map(|it| it.cost).sum()) / self.bound,
             good: ratio(models().map(|it| it.good).sum(), answers),
-            harmed: float(self.harmed) / seeds,
+            cost_to_oracle_by_quarter: self.quarters.map(|[mine, its]| ratio(mine, its)),
+            harmed: float(self.harmed.iter().sum()) / seeds,
+            harmed_pinned: float(self.harmed[1]) / seeds,
             touched: float(self.touched) / seeds,
             quarantine: self.quarantine,
             use_of_pools: self.use_of_pools.iter().map(|it| it / seeds).collect(),
