xtask: name each change once, and let the percentiles grow

Cause: the first run against the daemon withdrew nothing: a second operator began to count its changes anew, so the host took the withdrawal for a repeat of an earlier change and answered 200. The times were 0.002 ms throughout, the largest value the histogram was made for. Change: one count of changes a process; bounds of an hour.

--- a/xtask/src/load/measure.rs
+++ b/xtask/src/load/measure.rs
@@ -5,6 +5,8 @@
 use hdrhistogram::Histogram;
 
 const DIGITS: u8 = 3;
+/// Longer times than an hour count as an hour.
+const LONGEST_US: u64 = 3_600_000_000;
 
 /// Latencies from the intended starts, and counts.
 #[derive(Clone, Debug)]
@@ -43,7 +45,8 @@
 impl Default for Measure {
     fn default() -> Self {
         Self {
-            latency: Histogram::new(DIGITS).expect("the digits are within 0 to 5"),
+            latency: Histogram::new_with_bounds(1, LONGEST_US, DIGITS)
+                .expect("the bounds and digits are within what the library allows"),
             answered: 0,
             failed: 0,
             tokens: 0,
--- a/xtask/src/reconcile/tally.rs
+++ b/xtask/src/reconcile/tally.rs
@@ -14,6 +14,8 @@
 
 /// Three significant digits are more than a run's noise.
 const DIGITS: u8 = 3;
+/// Longer times than an hour count as an hour.
+const LONGEST_US: u64 = 3_600_000_000;
 
 /// The figures; the names are those of the report's last line.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -171,7 +173,8 @@
 
 /// The median and the 99th percentile in milliseconds.
 pub(crate) fn percentiles(times: &[Duration]) -> (f64, f64) {
-    let mut histogram = Histogram::<u64>::new(DIGITS).expect("the digits are within 0 to 5");
+    let mut histogram = Histogram::<u64>::new_with_bounds(1, LONGEST_US, DIGITS)
+        .expect("the bounds and digits are within what the library allows");
     for time in times {
         histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
     }
--- a/xtask/src/site/operator.rs
+++ b/xtask/src/site/operator.rs
@@ -21,17 +21,15 @@
     client: Client,
     hosts: Vec<SocketAddr>,
     key: String,
-    changes: AtomicU64,
 }
 
+/// Every change of this process has a number of its own, whichever operator makes
+/// it: a host takes the same name for a repeat and answers without a change.
+static CHANGES: AtomicU64 = AtomicU64::new(0);
+
 impl Operator {
     pub(crate) fn new(client: Client, hosts: Vec<SocketAddr>, key: String) -> Self {
-        Self {
-            client,
-            hosts,
-            key,
-            changes: AtomicU64::new(0),
-        }
+        Self { client, hosts, key }
     }
 
     /// Puts an entry, `kind/name`, that was read at a revision; 0 for a new one.
@@ -45,7 +43,7 @@
         read_at: u64,
         body: &T,
     ) -> Result<u64, Report<Error>> {
-        let number = self.changes.fetch_add(1, Ordering::Relaxed);
+        let number = CHANGES.fetch_add(1, Ordering::Relaxed);
         let change = format!("chore-{}-{number}", std::process::id());
         let mut last = String::new();
         for host in self.hosts.iter().cycle().take(TRIES as usize) {
--- a/xtask/tests/reconcile.rs
+++ b/xtask/tests/reconcile.rs
@@ -153,6 +153,17 @@
     check(call, &evidence, |it| it.withdrawn_after_s, &1.5);
 }
 
+#[test]
+fn times_are_those_of_the_answered_calls() {
+    let call = call(Kind::EraTag, [answered(&whole("c1.0"))]);
+    check(
+        call,
+        &evidence(),
+        |it| (it.p50_ms.round(), it.p99_ms.round()),
+        &(5.0, 5.0),
+    );
+}
+
 #[test]
 fn a_stream_is_answered_only_by_its_end_mark() {
     let chunk = r#"data: {"choices":[{"delta":{"content":"a"}}]}"#;
