--- a/crates/ledger/src/intake/claim.rs
+++ b/crates/ledger/src/intake/claim.rs
@@ -33,8 +33,7 @@
         self.write_claim(cx, entry, Expect::Absent);
     }
 
-    /// Writes the claim, for the first time or again. The nonce stays the
-    /// same, so that a write that took effect while its answer was lost is recognised.
+    /// Writes the claim, for the first time or again.
     fn write_claim(&mut self, cx: &mut Cx, entry: EntryKey, expect: Expect) {
         let Some(it) = self.book.get(entry) else {
             return;
@@ -119,10 +118,9 @@
         entry: EntryKey,
         result: Result<Option<Row>, Unavailable>,
     ) {
-        let Some(it) = self.book.get(entry) else {
+        if self.book.get(entry).is_none() {
             return;
-        };
-        let nonce = it.claim.map_or(0, |claim| claim.nonce);
+        }
         let row = match result {
             Ok(Some(row)) => row,
             // It was given back meanwhile.
@@ -130,21 +128,14 @@
             Err(Unavailable) => return self.wait_for_table(cx, entry),
         };
         match serde_json::from_str(&row.value) {
-            Ok(Claim::Claimed {
-                holder,
-                nonce: found,
-                ..
-            }) if holder == cx.shared.me => {
-                if found == nonce {
-                    cx.shared.counters.lost_answers += 1;
-                    self.won(cx, entry);
-                } else {
-                    // A claim that this host gave up, whose write took effect
-                    // all the same. Nothing ran under it: a key that ran is
-                    // remembered until its row says so. It is written anew, so
-                    // that a deletion of the old one under way can't hit it.
-                    self.write_claim(cx, entry, Expect::Version(row.version));
-                }
+            // This host's own: the write before this one, whose answer was
+            // lost, or one that it gave up and that took effect all the same.
+            // Nothing ran under it, since a key that ran is remembered until
+            // its row says so. It is written anew, so that a deletion of the
+            // old one under way can't hit it.
+            Ok(Claim::Claimed { holder, .. }) if holder == cx.shared.me => {
+                cx.shared.counters.lost_answers += 1;
+                self.write_claim(cx, entry, Expect::Version(row.version));
             }
             claim => self.lost(cx, view, entry, claim.ok().as_ref()),
         }
--- a/crates/ledger/src/rows.rs
+++ b/crates/ledger/src/rows.rs
@@ -17,7 +17,7 @@
     /// Only the holder may run it.
     Claimed {
         holder: Incarnation,
-        /// Tells the holder's own write after a lost answer from an earlier one.
+        /// Tells two claims of one holder apart.
         nonce: u64,
         fingerprint: Fingerprint,
     },
--- a/crates/ledger/tests/scripts.rs
+++ b/crates/ledger/tests/scripts.rs
@@ -47,7 +47,7 @@
 
     fn command(&mut self, command: &Command) {
         let world = &mut self.world;
-        let mut after = AFTER;
+        let mut after = command.option("after").map_or(AFTER, span_of);
         match command.words.as_slice() {
             ["host", name, data_centre] => {
                 let mut tuning = Tuning::default();
@@ -80,6 +80,11 @@
             ["thaw", host] => world.thaw(world.host(host)),
             ["drain", host] => world.drain(world.host(host)),
             ["cut", one, other] => world.cut(world.host(one), world.host(other)),
+            ["keep-incarnation", host] => {
+                let host = world.host(host);
+                world.hosts[host].renews = false;
+            }
+            ["renew", host] => world.renew(world.host(host)),
             ["mend"] => world.mend(),
             ["table", "fine"] => world.table.mode = Mode::Fine,
             ["table", "out"] => world.table.mode = Mode::Out,
--- a/crates/ledger/tests/sim.rs
+++ b/crates/ledger/tests/sim.rs
@@ -224,9 +224,9 @@
             }
             Action::Retire { .. } => {
                 self.say(idx, format_args!("was fenced"));
-                self.incarnations += 1;
-                let me = Incarnation(self.incarnations);
-                self.renew(idx, me);
+                if self.hosts[idx].renews {
+                    self.renew(idx);
+                }
             }
             Action::Drained => {
                 self.say(idx, format_args!("is drained"));
--- a/crates/ledger/tests/sim/host.rs
+++ b/crates/ledger/tests/sim/host.rs
@@ -26,6 +26,8 @@
     pub(crate) inbox: Vec<Event>,
     pub(crate) state: State,
     pub(crate) tuning: Tuning,
+    /// Whether it takes a new incarnation as soon as it was fenced.
+    pub(crate) renews: bool,
 }
 
 impl Host {
@@ -45,6 +47,7 @@
             inbox: Vec::new(),
             state: State::Live,
             tuning,
+            renews: true,
         }
     }
 
--- a/crates/ledger/tests/sim/traffic.rs
+++ b/crates/ledger/tests/sim/traffic.rs
@@ -1,5 +1,6 @@
 //! What calls do to the site.
 
+use std::fmt::Write as _;
 use std::time::Duration;
 
 use kernel::{Incarnation, RequestId};
@@ -67,6 +68,9 @@
         if call.result.is_some() {
             return;
         }
+        if reply == Reply::Lost {
+            let _ = writeln!(self.trace, "nobody answers {request}");
+        }
         call.result = Some((self.now, reply.clone()));
         self.ended.push(request.to_string());
         let (host, relays) = (call.host, call.relays.clone());
@@ -85,6 +89,7 @@
     /// An attempt of a permitted call leaves and is run by the service.
     pub(crate) fn send(&mut self, request: &str) {
         let call = &self.calls[request];
+        assert!(call.permitted.is_some(), "{request} isn't permitted");
         let idx = call.host;
         if self.hosts[idx].power != Power::On {
             return;
--- a/crates/ledger/tests/sim/trouble.rs
+++ b/crates/ledger/tests/sim/trouble.rs
@@ -99,7 +99,10 @@
         self.feed(to, Event::Hosts(peers));
     }
 
-    pub(super) fn renew(&mut self, idx: usize, me: Incarnation) {
+    /// Gives a process a new incarnation.
+    pub(crate) fn renew(&mut self, idx: usize) {
+        self.incarnations += 1;
+        let me = Incarnation(self.incarnations);
         let before = self.hosts[idx].incarnation;
         self.hosts[idx].incarnation = me;
         for happening in self.queue.values_mut() {
