gate: tell every refusal that passes by itself when to come back

Change: the reason itself carries a time, which a path may better but can't forget; the table test over all reasons shows it.

--- a/crates/gate/src/problem.rs
+++ b/crates/gate/src/problem.rs
@@ -183,6 +183,43 @@
         }
     }
 
+    /// When a repeat makes sense, for a refusal that names no better time.
+    ///
+    /// Failure: a caller that is told to go away and not when to come back
+    /// asks again at once, and a host in trouble gets more calls than before.
+    /// It shows as a flood of refusals. Every reason that passes by itself
+    /// has a time here, so that no path can forget it.
+    #[must_use]
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            // Another host takes it now.
+            Self::Leaving => Some(Duration::from_millis(100)),
+            Self::RateLimited
+            | Self::ConcurrencyLimited
+            | Self::Overloaded
+            | Self::NoVersion
+            | Self::NoEndpoint
+            | Self::Stale
+            | Self::NotReady
+            | Self::StoreOut
+            | Self::InProgress => Some(Duration::from_secs(1)),
+            Self::BadRequest
+            | Self::Unauthorized
+            | Self::NotFound
+            | Self::UnknownProfile
+            | Self::UnknownService
+            | Self::NotAllowed
+            | Self::TooLarge
+            | Self::Deadline
+            | Self::CostCap
+            | Self::HolderGone
+            | Self::KeyReused
+            | Self::UpstreamFailed
+            | Self::AnswerCut
+            | Self::Conflict => None,
+        }
+    }
+
     /// Whether a refusal for this reason can ever prove that nothing ran.
     ///
     /// The reasons that exist only because something may have run can't.
@@ -221,7 +258,7 @@
     /// [`Run::Unknown`] whatever `run` is, so that "not run" is never false.
     #[must_use]
     pub fn new(reason: Reason, run: Run, detail: impl Into<String>) -> Self {
-        Self {
+        let problem = Self {
             kind: format!("urn:barleypin:problem:{reason}"),
             title: reason.title().to_owned(),
             status: reason.status(),
@@ -230,7 +267,8 @@
             run: if reason.provable() { run } else { Run::Unknown },
             retry_after_ms: None,
             request: String::new(),
-        }
+        };
+        problem.retry_after(reason.retry_after())
     }
 
     /// A refusal at the door, before anything was sent anywhere.
@@ -239,11 +277,12 @@
         Self::new(reason, Run::NotRun, detail)
     }
 
-    /// Says when a repeat makes sense.
+    /// Says when a repeat makes sense, where more is known than [`Reason::retry_after`].
     #[must_use]
     pub fn retry_after(mut self, after: Option<Duration>) -> Self {
-        self.retry_after_ms =
-            after.map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        if let Some(after) = after {
+            self.retry_after_ms = Some(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        }
         self
     }
 
--- a/crates/gate/tests/problem.rs
+++ b/crates/gate/tests/problem.rs
@@ -13,37 +13,37 @@
         let problem = Problem::not_run(reason, "");
         writeln!(
             table,
-            "{reason} {} {:?} {}",
-            problem.status, problem.run, problem.title
+            "{reason} {} {:?} {:?} {}",
+            problem.status, problem.run, problem.retry_after_ms, problem.title
         )
         .unwrap();
     }
-    expect![[r"
-        bad_request 400 NotRun The request can't be read
-        unauthorized 401 NotRun The key is missing or unknown
-        not_found 404 NotRun There is nothing at this path
-        unknown_profile 404 NotRun The profile is unknown
-        unknown_service 404 NotRun The service is unknown
-        not_allowed 403 NotRun The customer may not use this
-        too_large 413 NotRun The request is too large
-        rate_limited 429 NotRun The customer sends too fast
-        concurrency_limited 429 NotRun The customer has too many requests open
-        overloaded 503 NotRun The endpoints are full
-        deadline 504 NotRun The deadline can't be met
-        no_version 503 NotRun No allowed version is in service
-        no_endpoint 503 NotRun No endpoint can take the request
-        cost_cap 422 NotRun No allowed version fits the cost limit
-        stale 503 NotRun The configuration may be out of date
-        not_ready 503 NotRun This host is not ready
-        leaving 503 NotRun This host is leaving
-        store_out 503 NotRun The store does not answer
-        in_progress 409 Unknown The same request is running
-        holder_gone 409 Unknown The outcome of the request is lost
-        key_reused 422 NotRun The idempotency key was used for another request
-        upstream_failed 502 NotRun The endpoints failed
-        answer_cut 502 Unknown The answer broke off
-        conflict 409 NotRun The entry was changed by someone else
-    "]]
+    expect![[r#"
+        bad_request 400 NotRun None The request can't be read
+        unauthorized 401 NotRun None The key is missing or unknown
+        not_found 404 NotRun None There is nothing at this path
+        unknown_profile 404 NotRun None The profile is unknown
+        unknown_service 404 NotRun None The service is unknown
+        not_allowed 403 NotRun None The customer may not use this
+        too_large 413 NotRun None The request is too large
+        rate_limited 429 NotRun Some(1000) The customer sends too fast
+        concurrency_limited 429 NotRun Some(1000) The customer has too many requests open
+        overloaded 503 NotRun Some(1000) The endpoints are full
+        deadline 504 NotRun None The deadline can't be met
+        no_version 503 NotRun Some(1000) No allowed version is in service
+        no_endpoint 503 NotRun Some(1000) No endpoint can take the request
+        cost_cap 422 NotRun None No allowed version fits the cost limit
+        stale 503 NotRun Some(1000) The configuration may be out of date
+        not_ready 503 NotRun Some(1000) This host is not ready
+        leaving 503 NotRun Some(100) This host is leaving
+        store_out 503 NotRun Some(1000) The store does not answer
+        in_progress 409 Unknown Some(1000) The same request is running
+        holder_gone 409 Unknown None The outcome of the request is lost
+        key_reused 422 NotRun None The idempotency key was used for another request
+        upstream_failed 502 NotRun None The endpoints failed
+        answer_cut 502 Unknown None The answer broke off
+        conflict 409 NotRun None The entry was changed by someone else
+    "#]]
     .assert_eq(&table);
 }
 
