Let operators set after how long a host counts as gone for billing

Cause: the 30 s after which a partner settles a dead host's records were fixed in the code; a script of a killed host would have had to wait for them. Change: ledger.fence_after_ms.

--- a/crates/barleypind/src/tuning.rs
+++ b/crates/barleypind/src/tuning.rs
@@ -23,6 +23,7 @@
         held_records: it.held_records,
         copy_timeout: it.partner,
         key_linger: it.remember,
+        fence_after: it.fence_after,
         ..ledger::Tuning::default()
     }
 }
--- a/crates/config/src/settings/ledger.rs
+++ b/crates/config/src/settings/ledger.rs
@@ -19,6 +19,9 @@
     pub partner: Duration,
     /// The time for which the answer to an idempotency key is remembered.
     pub remember: Duration,
+    /// The time for which a host has to be gone before its records are settled
+    /// without it.
+    pub fence_after: Duration,
 }
 
 impl Ledger {
@@ -32,6 +35,7 @@
             &HELD_RECORDS,
             &PARTNER_MS,
             &REMEMBER_MS,
+            &FENCE_AFTER_MS,
         ],
         sections: &[],
     };
@@ -44,6 +48,7 @@
             held_records: table.size(&HELD_RECORDS),
             partner: table.duration(&PARTNER_MS),
             remember: table.duration(&REMEMBER_MS),
+            fence_after: table.duration(&FENCE_AFTER_MS),
         }
     }
 }
@@ -93,3 +98,12 @@
     fallback: Fallback::Whole(3_600_000),
     about: "the time for which the answer to an idempotency key is remembered",
 };
+const FENCE_AFTER_MS: Key = Key {
+    name: "fence_after_ms",
+    accepts: Accepts::Millis {
+        min: 100,
+        max: 3_600_000,
+    },
+    fallback: Fallback::Whole(30_000),
+    about: "the time for which a host has to be gone before its records are settled without it; shorter than a restart costs needless work, never a record",
+};
