Prove sixteen failures over real processes by scripts

Cause: the promises under kills, freezes, lost answers and outages had no proof with real processes. Change: scripts of holds (killed, asked everywhere at once, in an outage, claim's and endpoint's answer lost, refused), configuration (answer lost, two operators, outage, frozen host, no peer), sessions over a withdrawal, billing (host killed, batch's answer lost), a cut stream and a drain.

--- /dev/null
+++ b/crates/barleypind/tests/scripts.rs
@@ -0,0 +1,58 @@
+//! Scripts of failures over real processes; `docs/scripts.md` teaches them.
+
+use std::path::Path;
+
+use scenario::Stage;
+
+const BARLEYPIND: &str = env!("CARGO_BIN_EXE_barleypind");
+
+fn check(script: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scripts");
+    let path = path.join(script).with_extension("txt");
+    datadriven::walk(&path.to_string_lossy(), |file| {
+        let mut stage = Stage::new(Path::new(BARLEYPIND));
+        file.run(|case| stage.run(case));
+    });
+}
+
+macro_rules! scripts {
+    ($($name:ident)*) => {
+        $(
+            #[test]
+            fn $name() {
+                check(stringify!($name));
+            }
+        )*
+
+        /// A script that no test names would never run.
+        #[test]
+        fn every_script_is_named() {
+            let named = [$(concat!(stringify!($name), ".txt")),*];
+            let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scripts");
+            for entry in std::fs::read_dir(dir).expect("the scripts are there") {
+                let file = entry.expect("the folder can be read").file_name();
+                let file = file.to_string_lossy();
+                assert!(named.contains(&&*file), "{file} is not listed in scripts.rs");
+            }
+        }
+    };
+}
+
+scripts! {
+    billed_once_batch_answer_lost
+    billed_once_host_killed
+    change_answer_lost
+    change_in_store_outage
+    claim_answer_lost
+    drain_cuts_nothing
+    frozen_through_change
+    hold_asked_everywhere_at_once
+    hold_executed_answer_lost
+    hold_killed_in_flight
+    holds_in_store_outage
+    no_peer_in_store_outage
+    refused_by_endpoint_runs_elsewhere
+    session_over_withdrawal
+    stream_cut
+    two_operators
+}
--- a/crates/scenario/src/call.rs
+++ b/crates/scenario/src/call.rs
@@ -101,7 +101,7 @@
 fn plain(args: &Arguments<'_>, path: &str) -> Request {
     let call = args.maybe("key").unwrap_or("unnamed");
     let service = args.maybe("service").unwrap_or("seats");
-    let target = format!("/services/{service}{path}");
+    let target = format!("/services/{service}/{path}");
     match args.maybe("method").unwrap_or("POST") {
         "GET" => Request::get(format!("{target}?call={call}")),
         _ => Request::new(Method::Post, target).json(&json!({"call": call, "seats": 2})),
--- a/crates/scenario/src/command.rs
+++ b/crates/scenario/src/command.rs
@@ -34,6 +34,11 @@
         values.map_or_else(Vec::new, |it| it.iter().map(String::as_str).collect())
     }
 
+    /// A name that may be a version's, whose `@` no argument can hold: `(big, 1)`.
+    pub(crate) fn joined(&self, name: &str) -> String {
+        self.many(name).join("@")
+    }
+
     /// Whether `name` stands there.
     pub(crate) fn has(&self, name: &str) -> bool {
         self.given.contains_key(name)
--- a/crates/scenario/src/host.rs
+++ b/crates/scenario/src/host.rs
@@ -25,6 +25,13 @@
     pub(crate) rating: SocketAddr,
 }
 
+/// Writes the files that all hosts share, once and before any of them reads them.
+pub(crate) fn write_shared_keys(dir: &Path, authority: &Authority) -> io::Result<()> {
+    fs::write(dir.join("ca.pem"), &authority.certificate)?;
+    fs::write(dir.join("operator.key"), OPERATOR_KEY)?;
+    fs::write(dir.join("session.key"), "the session key of a scenario")
+}
+
 /// A running or ended `barleypind`.
 pub(crate) struct Host {
     pub(crate) name: String,
@@ -114,11 +121,8 @@
     let keys = authority
         .issue(&HostName::from(name))
         .map_err(|err| io::Error::other(err.to_string()))?;
-    fs::write(dir.join("ca.pem"), keys.ca)?;
     fs::write(dir.join(format!("{name}.pem")), keys.certificate)?;
-    fs::write(dir.join(format!("{name}.key")), keys.key)?;
-    fs::write(dir.join("operator.key"), OPERATOR_KEY)?;
-    fs::write(dir.join("session.key"), "the session key of a scenario")
+    fs::write(dir.join(format!("{name}.key")), keys.key)
 }
 
 fn settings_text(
--- a/crates/scenario/src/records.rs
+++ b/crates/scenario/src/records.rs
@@ -81,11 +81,11 @@
     }
 }
 
+/// Whether a record is of the caller's key, to which the ledger adds the
+/// body's fingerprint when the call is idempotent.
 fn is_key(value: &Value, key: &str) -> bool {
-    match value {
-        Value::String(text) => text.rsplit('/').next() == Some(key),
-        other => other["key"] == key,
-    }
+    let name = value["key"].as_str().unwrap_or_default();
+    name == key || name.split_once('~').is_some_and(|(it, _)| it == key)
 }
 
 fn escape(text: &str) -> String {
--- a/crates/scenario/src/stage.rs
+++ b/crates/scenario/src/stage.rs
@@ -136,7 +136,7 @@
     }
 
     async fn put(&mut self, args: &Arguments<'_>, input: &str) -> String {
-        let target = format!("/operator/v1/{}/{}", args.one("kind"), args.one("name"));
+        let target = format!("/operator/v1/{}/{}", args.one("kind"), args.joined("name"));
         let read_at = args.parsed("read_at", 0);
         let (host, change) = (args.one("host"), args.one("change"));
         let value = read_json(input);
@@ -248,8 +248,9 @@
     }
 
     async fn of_version(&mut self, args: &Arguments<'_>) -> String {
-        let count = records::of_version(self.world(), args.one("version"));
-        count.await.to_string()
+        let version = args.joined("version");
+        let count = records::of_version(self.world(), &version).await;
+        count.to_string()
     }
 
     /// Counts billing records of a call; with `count=`, waits for so many.
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -21,7 +21,7 @@
 
 use crate::client::Client;
 use crate::defaults::{self, OPERATOR_KEY};
-use crate::host::{Host, Platform};
+use crate::host::{Host, Platform, write_shared_keys};
 use crate::limit::until;
 
 /// How long a host may take to come up or to end.
@@ -56,13 +56,16 @@
             .await
             .expect("loopback ports are free");
         let addresses = started.addresses().into_iter();
+        let dir = TempDir::new().expect("a temporary directory can be made");
+        let authority = Authority::generate("scenario").expect("a CA can be made");
+        write_shared_keys(dir.path(), &authority).expect("the directory can be written");
         Self {
             client: Client::new(),
             stand_ins: addresses.map(|(name, it)| (name.to_owned(), it)).collect(),
             hosts: BTreeMap::new(),
             binary: binary.to_owned(),
-            dir: TempDir::new().expect("a temporary directory can be made"),
-            authority: Authority::generate("scenario").expect("a CA can be made"),
+            dir,
+            authority,
             net: net(),
             extra: extra.to_owned(),
             next_ip: 1,
