http: watch for a caller's close by its own wake-ups, and measure the relay

Each token that was written polled the peek at the caller's connection again, which asks the system each time.

--- /dev/null
+++ b/crates/http/benches/relay.rs
@@ -0,0 +1,225 @@
+//! What a relay adds: streams of tokens straight from a server, and through a
+//! second server that passes them on with the client.
+//!
+//! `cargo bench -p http --bench relay -- [requests a second] [tokens a request]`
+//! prints how long after its writing each token was read, with all parts in
+//! one process. Parts in processes of their own, as hosts have them:
+//! `-- engine TOKENS`, `-- relay ENGINE`, `-- caller ADDRESS REQUESTS`.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_std::task::{self, sleep};
+use hdrhistogram::Histogram;
+use http::{Client, Limits, Options, Pool, Request, Response, Sender, Server, Status};
+use kernel::SystemClock;
+
+const RUN: Duration = Duration::from_secs(5);
+const TOKEN_PACE: Duration = Duration::from_millis(10);
+/// Time of writing in 16 hexadecimal digits, then filling as in a chunk of JSON.
+const TOKEN: usize = 120;
+
+fn main() {
+    let args: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|it| it != "--bench")
+        .collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    task::block_on(async {
+        match args.as_slice() {
+            ["engine", tokens] => stay(engine(number(tokens)).await).await,
+            ["relay", engine] => stay(relay(address(engine)).await).await,
+            ["caller", to, requests] => report("caller", address(to), number(requests)).await,
+            [requests, tokens] => all(number(requests), number(tokens)).await,
+            _ => all(1000, 100).await,
+        }
+    });
+}
+
+fn number(text: &str) -> u32 {
+    text.parse().expect("a number")
+}
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+/// Tells the processor time of every second until the process is ended.
+async fn stay(address: SocketAddr) {
+    println!("{address}");
+    let mut before = cpu_time();
+    loop {
+        sleep(Duration::from_secs(1)).await;
+        let now = cpu_time();
+        eprintln!("{address} {:.2} cores", now - before);
+        before = now;
+    }
+}
+
+async fn all(requests: u32, tokens: u32) {
+    let engine = engine(tokens).await;
+    let relay = relay(engine).await;
+    println!(
+        "{requests} requests/s of {tokens} tokens, {} s each",
+        RUN.as_secs()
+    );
+    report("direct", engine, requests).await;
+    report("relayed", relay, requests).await;
+}
+
+async fn engine(tokens: u32) -> SocketAddr {
+    serve(move |_| std::future::ready(produce(tokens))).await
+}
+
+async fn relay(engine: SocketAddr) -> SocketAddr {
+    let client = client();
+    serve(move |request| pass_on(client.clone(), engine, request)).await
+}
+
+async fn report(name: &str, to: SocketAddr, requests: u32) {
+    let before = cpu_time();
+    let seen = drive(to, requests).await;
+    let cpu = (cpu_time() - before) / RUN.as_secs_f64();
+    println!("{name:8} {}; {cpu:.2} cores", describe(&seen));
+}
+
+fn describe(seen: &Histogram<u64>) -> String {
+    let quantile = |it| seen.value_at_quantile(it);
+    format!(
+        "{} tokens; delay in µs: p50 {}, p95 {}, p99 {}, max {}",
+        seen.len(),
+        quantile(0.5),
+        quantile(0.95),
+        quantile(0.99),
+        seen.max()
+    )
+}
+
+fn client() -> Client {
+    let pool = Pool {
+        max_idle: 10_000,
+        ..Pool::default()
+    };
+    Client::new(Arc::new(SystemClock::new()), pool)
+}
+
+async fn serve<H, F>(handler: H) -> SocketAddr
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let address = ([127, 0, 0, 1], 0).into();
+    let server = Server::bind(address, Limits::default(), handler).await;
+    server.expect("loopback has a free port").address()
+}
+
+fn produce(tokens: u32) -> Response {
+    let (sender, response) = Response::events(16);
+    task::spawn(async move {
+        for _ in 0..tokens {
+            sleep(TOKEN_PACE).await;
+            let now = wall();
+            let token = format!("{now:016x}{:1$}", "", TOKEN - 16);
+            if sender.send(token).await.is_err() {
+                return;
+            }
+        }
+        let _ = sender.finish().await;
+    });
+    response
+}
+
+async fn pass_on(client: Client, engine: SocketAddr, request: Request) -> Response {
+    let answer = client.send(engine, request, &Options::default()).await;
+    let Ok(answer) = answer else {
+        return Response::new(Status::BadGateway);
+    };
+    let (sender, response) = Response::events(16);
+    task::spawn(copy(answer, sender));
+    response
+}
+
+async fn copy(mut answer: Response, sender: Sender) {
+    while let Ok(Some(piece)) = answer.body.piece().await {
+        if sender.send(piece).await.is_err() {
+            return;
+        }
+    }
+    let _ = sender.finish().await;
+}
+
+async fn drive(address: SocketAddr, requests: u32) -> Histogram<u64> {
+    let longest = micros(Duration::from_mins(1));
+    let seen = Histogram::new_with_bounds(1, longest, 3).expect("the bounds are in order");
+    let seen = Arc::new(Mutex::new(seen));
+    let client = client();
+    let mut callers = Vec::new();
+    let begin = Instant::now();
+    let total = requests * u32::try_from(RUN.as_secs()).unwrap_or(u32::MAX);
+    for idx in 0..total {
+        let due = Duration::from_secs(1) * idx / requests;
+        sleep(due.saturating_sub(begin.elapsed())).await;
+        callers.push(task::spawn(call(
+            client.clone(),
+            address,
+            Arc::clone(&seen),
+        )));
+    }
+    for caller in callers {
+        caller.await;
+    }
+    let seen = seen.lock().expect("no caller panics");
+    seen.clone()
+}
+
+async fn call(client: Client, address: SocketAddr, seen: Arc<Mutex<Histogram<u64>>>) {
+    let answer = client
+        .send(address, Request::get("/"), &Options::default())
+        .await;
+    let mut answer = match answer {
+        Ok(answer) => answer,
+        Err(err) => return eprintln!("{err}"),
+    };
+    let mut pending = Vec::new();
+    loop {
+        let piece = match answer.body.piece().await {
+            Ok(Some(piece)) => piece,
+            Ok(None) => return,
+            Err(err) => return eprintln!("{err}"),
+        };
+        pending.extend_from_slice(&piece);
+        let whole = pending.len() / TOKEN * TOKEN;
+        for token in pending.drain(..whole).as_slice().chunks(TOKEN) {
+            let written = str::from_utf8(&token[..16])
+                .ok()
+                .and_then(|it| u64::from_str_radix(it, 16).ok());
+            let delay = wall().saturating_sub(written.unwrap_or(0));
+            seen.lock()
+                .expect("no caller panics")
+                .saturating_record(delay);
+        }
+    }
+}
+
+/// Wall time, which processes on one machine share.
+fn wall() -> u64 {
+    micros(
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default(),
+    )
+}
+
+/// Processor time that this process has used, in seconds, in steps of a tick.
+fn cpu_time() -> f64 {
+    const TICKS: f64 = 100.0;
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat.rsplit_once(") ").map_or("", |(_, rest)| rest);
+    let ticks = fields.split(' ').skip(11).take(2);
+    ticks.filter_map(|it| it.parse::<f64>().ok()).sum::<f64>() / TICKS
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,6 +4,7 @@
 mod incoming;
 mod limits;
 mod shared;
+mod watch;
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -1,5 +1,6 @@
 //! One connection: its requests, one after the other.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -13,6 +14,7 @@
 
 use super::incoming::Incoming;
 use super::shared::Shared;
+use super::watch::Watch;
 use crate::conn::{Conn, Foreign, HeadError};
 use crate::h1;
 use crate::relay::relay;
@@ -173,23 +175,19 @@
     let (sender, hangup) = Hangup::new();
     let mut hung_up = Some(sender);
     request.hangup = hangup;
-    let response = {
-        let work = handler(request);
-        let closed = conn.closed();
-        pin_mut!(work, closed);
-        match select(work, closed).await {
-            Either::Left((response, _)) => response,
-            Either::Right(((), work)) => {
-                tell(&mut hung_up);
-                work.await
-            }
-        }
+    let mut watch = Watch::new(conn);
+    let mut work = pin!(handler(request));
+    let response = if let Some(response) = watch.guard(work.as_mut()).await {
+        response
+    } else {
+        tell(&mut hung_up);
+        work.await
     };
     // What is left of the body would be read as the next request.
     if !conn.is_body_done() || shared.is_retiring() {
         next = Next::Close;
     }
-    match write(conn, shared, response, method, next).await {
+    match write(&mut watch, conn, shared, response, method, next).await {
         Written::Whole => next,
         Written::Cut => {
             tell(&mut hung_up);
@@ -214,6 +212,7 @@
 /// Writes the answer unless the caller goes away first. The body is dropped
 /// with it, and so its producer learns of it also when it has nothing to send.
 async fn write(
+    watch: &mut Watch<'_>,
     conn: &Conn,
     shared: &Shared,
     response: Response,
@@ -232,11 +231,9 @@
         shared.limits.write_time,
         &mut sent,
     );
-    let closed = conn.closed();
-    pin_mut!(written, closed);
-    match select(written, closed).await {
-        Either::Left((Ok(()), _)) => Written::Whole,
-        _ => Written::Cut,
+    match watch.guard(written).await {
+        Some(Ok(())) => Written::Whole,
+        Some(Err(_)) | None => Written::Cut,
     }
 }
 
--- /dev/null
+++ b/crates/http/src/server/watch.rs
@@ -0,0 +1,53 @@
+//! Noticing that a caller went away while something else is awaited.
+
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll};
+
+use futures::Stream;
+use futures::future::poll_fn;
+use futures::stream::FuturesUnordered;
+
+use crate::conn::Conn;
+
+/// Watches one connection over the course of an exchange.
+///
+/// The peek at the connection asks the operating system each time it is
+/// polled. It is therefore polled by its own wake-ups only, and not again with
+/// each token; and it starts when there is something to wait for.
+pub(super) struct Watch<'a> {
+    conn: &'a Conn,
+    closed: FuturesUnordered<Pin<Box<dyn Future<Output = ()> + Send + 'a>>>,
+    is_closed: bool,
+}
+
+impl<'a> Watch<'a> {
+    pub(super) fn new(conn: &'a Conn) -> Self {
+        Self {
+            conn,
+            closed: FuturesUnordered::new(),
+            is_closed: false,
+        }
+    }
+
+    /// The outcome of `work`, or nothing when the caller goes away first.
+    pub(super) async fn guard<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
+        let mut work = pin!(work);
+        poll_fn(|cx| match work.as_mut().poll(cx) {
+            Poll::Ready(result) => Poll::Ready(Some(result)),
+            Poll::Pending => self.poll_closed(cx).map(|()| None),
+        })
+        .await
+    }
+
+    fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.is_closed {
+            return Poll::Ready(());
+        }
+        if self.closed.is_empty() {
+            self.closed.push(Box::pin(self.conn.closed()));
+        }
+        let polled = Pin::new(&mut self.closed).poll_next(cx).map(drop);
+        self.is_closed = polled.is_ready();
+        polled
+    }
+}
