xtask: show answered calls without a billing record, drain hosts together

Cause: the demo showed nothing billed for idempotent calls, as the ledger adds the body's fingerprint to their key; and it did not show answers that nobody pays for. Change: the key is read up to the "/", each kind of work shows its answered calls without a record, and hosts drain at the same time.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -8,7 +8,7 @@
 mod script;
 
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -16,10 +16,10 @@
 
 use crate::error::Error;
 use crate::reconcile::{Evidence, Tally};
-use crate::site::{Binaries, Profile, Site};
+use crate::site::{Binaries, Entry, Profile, Site};
 
 /// How long a drained host may take to hand over its records and end.
-const DRAIN_LIMIT: Duration = Duration::from_secs(8);
+const DRAIN_LIMIT: Duration = Duration::from_secs(12);
 
 /// The sub-command.
 #[must_use]
@@ -115,13 +115,11 @@
             let _ = operator.drain(entry.operators, &entry.name).await;
         }
     }
-    let ended = |entry: &mut crate::site::Entry| {
-        let ended = entry.process.ends_within(DRAIN_LIMIT);
-        let how = if ended {
-            "ended"
-        } else {
-            "still ran and was killed"
-        };
+    let deadline = Instant::now() + DRAIN_LIMIT;
+    let ended = |entry: &mut Entry| {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let ended = entry.process.ends_within(left);
+        let how = if ended { "ended" } else { "did not end" };
         format!("{} {how}", entry.name)
     };
     site.entries.iter_mut().map(ended).collect()
--- a/xtask/src/demo/report.rs
+++ b/xtask/src/demo/report.rs
@@ -7,6 +7,7 @@
 use crate::caller::Call;
 use crate::reconcile::{Evidence, Line, Tally, lines};
 use crate::site::TableRecords;
+use crate::workload::Route;
 
 const MICROCENTS: u64 = 1_000_000;
 
@@ -20,8 +21,8 @@
 ) {
     let mut rows = Table::new();
     rows.set_header([
-        "work", "calls", "answered", "good", "repeated", "cost c", "billed c", "p50 ms", "p99 ms",
-        "refused", "lost",
+        "work", "calls", "answered", "good", "repeated", "cost c", "billed c", "unbilled",
+        "p50 ms", "p99 ms", "refused", "lost",
     ]);
     for line in lines(calls, evidence) {
         rows.add_row(row(&line));
@@ -57,10 +58,11 @@
         line.kind.to_string(),
         line.calls.to_string(),
         line.answered.to_string(),
-        line.good.to_string(),
+        good(line),
         line.repeated.to_string(),
         cents(line.microcents),
         cents(line.billed),
+        line.unbilled.to_string(),
         format!("{:.1}", line.p50_ms),
         format!("{:.1}", line.p99_ms),
         reasons(&line.refusals),
@@ -68,6 +70,14 @@
     ]
 }
 
+/// Only an engine's answers are rated.
+fn good(line: &Line) -> String {
+    match line.kind.route() {
+        Route::Chat { .. } => line.good.to_string(),
+        Route::Plain { .. } => "-".to_owned(),
+    }
+}
+
 /// Cents with four digits behind the point.
 fn cents(microcents: u64) -> String {
     let rest = microcents % MICROCENTS / 100;
--- a/xtask/src/reconcile/bill.rs
+++ b/xtask/src/reconcile/bill.rs
@@ -7,7 +7,8 @@
 pub struct Bill {
     /// The customer who pays.
     pub customer: String,
-    /// The caller's key, or the request when it gave none.
+    /// The caller's key, or the request when it gave none. What the ledger
+    /// adds behind a `/` to tell two bodies under one key apart is left out.
     pub key: String,
     /// The amount.
     pub microcents: u64,
@@ -33,9 +34,11 @@
 
     fn read(record: &Value) -> Option<Self> {
         let key = record.get("key")?;
+        let name = key.get("key")?.as_str()?;
+        let name = name.split_once('/').map_or(name, |(name, _)| name);
         Some(Self {
             customer: key.get("customer")?.as_str()?.to_owned(),
-            key: key.get("key")?.as_str()?.to_owned(),
+            key: name.to_owned(),
             microcents: record.get("charge")?.get("money")?.as_u64()?,
         })
     }
--- a/xtask/src/reconcile/line.rs
+++ b/xtask/src/reconcile/line.rs
@@ -1,6 +1,6 @@
 //! One line of the report: a kind of work.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fakes::Mark;
 
@@ -26,6 +26,8 @@
     pub microcents: u64,
     /// What was billed for it.
     pub billed: u64,
+    /// How many answered calls have no billing record.
+    pub unbilled: u64,
     /// The median time of answered calls.
     pub p50_ms: f64,
     /// The 99th percentile of these.
@@ -73,6 +75,7 @@
             .filter(|it| calls.contains_key(it.key.as_str()))
             .map(|it| it.microcents)
             .sum(),
+        unbilled: unbilled(&answers, evidence),
         p50_ms,
         p99_ms,
         refusals: BTreeMap::new(),
@@ -94,6 +97,16 @@
     line
 }
 
+fn unbilled(answers: &[(&Call, &Answer)], evidence: &Evidence) -> u64 {
+    let billed: BTreeSet<_> = evidence
+        .bills
+        .iter()
+        .map(|it| (it.customer.as_str(), it.key.as_str()))
+        .collect();
+    let is_unbilled = |call: &Call| !billed.contains(&(call.customer, call.name.as_str()));
+    answers.iter().filter(|(it, _)| is_unbilled(it)).count() as u64
+}
+
 fn own(call: &Call) -> Option<(&Call, &Answer)> {
     match call.end() {
         End::Answered(answer) if is_own(call, answer) => Some((call, answer)),
--- a/xtask/src/site/process.rs
+++ b/xtask/src/site/process.rs
@@ -71,13 +71,13 @@
     #[must_use]
     pub fn ends_within(&mut self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
-        while Instant::now() < deadline {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
-                return true;
+        while self.is_running() {
+            if Instant::now() >= deadline {
+                return false;
             }
             thread::sleep(END_POLL);
         }
-        false
+        true
     }
 
     /// Whether the process runs.
