barleypind: golden files of whole sessions

The gauges are read when asked for; a change is in force on the accepting host when its operator has the answer.

--- a/crates/barleypind/src/context.rs
+++ b/crates/barleypind/src/context.rs
@@ -4,6 +4,7 @@
 
 use platform::{HostList, Ratings, Table};
 
+use crate::gauges::Strangers;
 use crate::host::Host;
 use crate::service::decide::Decide;
 use crate::service::endpoints::Endpoints;
@@ -16,6 +17,8 @@
     pub(crate) books: Arc<Books>,
     pub(crate) endpoints: Arc<Endpoints>,
     pub(crate) engine: engine::Client,
+    pub(crate) link: link::Link,
+    pub(crate) strangers: Strangers,
     pub(crate) table: Table,
     pub(crate) ratings: Ratings,
     pub(crate) list: HostList,
--- a/crates/barleypind/src/daemon.rs
+++ b/crates/barleypind/src/daemon.rs
@@ -16,9 +16,9 @@
 use crate::context::Context;
 use crate::error::Error;
 use crate::event::Event;
+use crate::gauges::Strangers;
 use crate::host::Host;
 use crate::log::Log;
-use crate::metrics::Level;
 use crate::secrets::Secrets;
 use crate::service::decide::Decide;
 use crate::service::drain::{self, Ended, Parts};
@@ -27,9 +27,6 @@
 use crate::service::{fleet, notices, rate, table};
 use crate::{gate, operate, renew, tuning};
 
-/// How often the gauges are read.
-const GAUGES: std::time::Duration = std::time::Duration::from_secs(1);
-
 /// A running daemon.
 pub struct Daemon {
     host: Arc<Host>,
@@ -62,7 +59,7 @@
             tuning::decide(&host.settings),
         );
         let (books, errands) = Books::new(Arc::clone(&host), tuning::ledger(&host.settings));
-        let cx = context(&host, decide, books);
+        let cx = context(&host, decide, books, link.clone());
 
         let servers = listen(&cx).await?;
         let callers = servers[0].address();
@@ -74,7 +71,7 @@
         );
         let (drained_sender, drained) = bounded(1);
         let (ended_sender, ended) = bounded(1);
-        task::spawn(fleet::run(Arc::clone(&cx), core, link.clone(), fleet_queue));
+        task::spawn(fleet::run(Arc::clone(&cx), core, fleet_queue));
         task::spawn(fleet::receive(Arc::clone(&cx), frames));
         task::spawn(table::run(Arc::clone(&cx), errands, drained_sender));
         task::spawn(notices::run(Arc::clone(&cx), decided));
@@ -86,11 +83,9 @@
             Arc::clone(&host),
             Arc::clone(&cx.endpoints),
         ));
-        task::spawn(watch_gauges(Arc::clone(&cx), link.clone()));
         let parts = Parts {
             servers,
             drained,
-            link,
             ended: ended_sender,
         };
         task::spawn(drain::run(Arc::clone(&cx), drain_queue, parts));
@@ -142,7 +137,7 @@
     }
 }
 
-fn context(host: &Arc<Host>, decide: Arc<Decide>, books: Arc<Books>) -> Arc<Context> {
+fn context(host: &Arc<Host>, decide: Arc<Decide>, books: Arc<Books>, link: Link) -> Arc<Context> {
     let settings = &host.settings;
     let options = Options {
         connect: settings.platform.connect,
@@ -167,6 +162,8 @@
         books,
         endpoints: Arc::new(endpoints),
         engine,
+        link,
+        strangers: Strangers::default(),
         table: Table::new(service(settings.platform.table)),
         ratings: Ratings::new(service(settings.platform.ratings)),
         list: HostList::new(service(settings.platform.host_list)),
@@ -238,44 +235,3 @@
         },
     )
 }
-
-async fn watch_gauges(cx: Arc<Context>, link: Link) {
-    let mut strangers = 0;
-    loop {
-        let members = match cx.host.registry.find::<fleet::Fleet>() {
-            Some(fleet) => fleet.ask(fleet::Message::Members).await.unwrap_or_default(),
-            None => Vec::new(),
-        };
-        let count = |state: &[State]| {
-            members
-                .iter()
-                .filter(|it| state.contains(&it.state))
-                .count()
-        };
-        let books = cx.books.status();
-        let now = cx.host.now();
-        cx.host.metrics.level(&Level {
-            revision: cx.host.current.get().revision().0,
-            proof_age: cx.host.current.proof_age(now).unwrap_or(now),
-            unwritten: books.held as u64,
-            held: books.copies as u64,
-            live: count(&[State::Alive]) as u64,
-            leaving: count(&[State::Leaving]) as u64,
-            suspect: count(&[State::Suspect, State::Unreachable]) as u64,
-            endpoints: cx.endpoints.live().len() as u64,
-            open: cx.host.open_calls() as u64,
-        });
-        let rejected: u64 = link::Rejection::ALL
-            .iter()
-            .map(|it| link.counters().rejected(*it))
-            .sum();
-        if rejected > strangers {
-            cx.host.metrics.strangers(rejected - strangers);
-            cx.host
-                .log
-                .emit(Event::Stranger, &[("dropped", &(rejected - strangers))]);
-            strangers = rejected;
-        }
-        task::sleep(GAUGES).await;
-    }
-}
--- a/crates/barleypind/src/gate.rs
+++ b/crates/barleypind/src/gate.rs
@@ -14,6 +14,7 @@
 use crate::call::Call;
 use crate::context::Context;
 use crate::event::Event;
+use crate::gauges;
 use crate::host::Phase;
 use crate::metrics::Kind;
 use crate::reply;
@@ -28,7 +29,7 @@
     let path = request.path().to_owned();
     let segments: Vec<&str> = path.split('/').skip(1).collect();
     match (request.method, segments.as_slice()) {
-        (Method::Get, ["healthz" | "readyz" | "metrics"]) => probe(&cx, &path),
+        (Method::Get, ["healthz" | "readyz" | "metrics"]) => probe(&cx, &path).await,
         (Method::Get, ["v1", "hosts"]) => hosts(&cx, &request).await,
         (Method::Post, ["v1", "chat", "completions"]) => match open(&cx, &request, Kind::Chat) {
             Ok(call) => crate::call::chat(cx, call, request).boxed().await,
@@ -50,9 +51,12 @@
 }
 
 /// Answers the calls that need no key.
-pub(crate) fn probe(cx: &Context, path: &str) -> Response {
+pub(crate) async fn probe(cx: &Context, path: &str) -> Response {
     match path {
-        "/metrics" => Response::text(Status::Ok, cx.host.metrics.text()),
+        "/metrics" => {
+            gauges::read(cx).await;
+            Response::text(Status::Ok, cx.host.metrics.text())
+        }
         "/readyz" => match cx.host.phase() {
             Phase::Ready => Response::text(Status::Ok, "ready\n"),
             Phase::Starting => Response::text(
--- /dev/null
+++ b/crates/barleypind/src/gauges.rs
@@ -0,0 +1,58 @@
+//! The gauges, read when somebody asks for them.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use wire::State;
+
+use crate::context::Context;
+use crate::event::Event;
+use crate::metrics::Level;
+use crate::service::fleet;
+
+/// Sets the gauges to what they are now.
+pub(crate) async fn read(cx: &Context) {
+    let members = match cx.host.registry.find::<fleet::Fleet>() {
+        Some(fleet) => fleet.ask(fleet::Message::Members).await.unwrap_or_default(),
+        None => Vec::new(),
+    };
+    let count = |states: &[State]| {
+        let in_state = members.iter().filter(|it| states.contains(&it.state));
+        in_state.count() as u64
+    };
+    let books = cx.books.status();
+    let now = cx.host.now();
+    cx.host.metrics.level(&Level {
+        revision: cx.host.current.get().revision().0,
+        proof_age: cx.host.current.proof_age(now).unwrap_or(now),
+        unwritten: books.held as u64,
+        held: books.copies as u64,
+        live: count(&[State::Alive]),
+        leaving: count(&[State::Leaving]),
+        suspect: count(&[State::Suspect, State::Unreachable]),
+        endpoints: cx.endpoints.live().len() as u64,
+        open: cx.host.open_calls() as u64,
+    });
+    cx.strangers.read(cx);
+}
+
+/// What the link dropped for want of the key, as far as it was counted.
+#[derive(Debug, Default)]
+pub(crate) struct Strangers {
+    counted: AtomicU64,
+}
+
+impl Strangers {
+    fn read(&self, cx: &Context) {
+        let counters = cx.link.counters();
+        let rejected = link::Rejection::ALL
+            .iter()
+            .map(|it| counters.rejected(*it))
+            .sum();
+        let before = self.counted.fetch_max(rejected, Ordering::SeqCst);
+        if rejected > before {
+            let dropped = rejected - before;
+            cx.host.metrics.strangers(dropped);
+            cx.host.log.emit(Event::Stranger, &[("dropped", &dropped)]);
+        }
+    }
+}
--- a/crates/barleypind/src/lib.rs
+++ b/crates/barleypind/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 pub mod event;
 mod gate;
+mod gauges;
 mod host;
 pub mod log;
 pub mod metrics;
--- a/crates/barleypind/src/metrics.rs
+++ b/crates/barleypind/src/metrics.rs
@@ -192,6 +192,7 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
+            .scope_info_enabled(false)
             .with_namespace("barleypin")
             .build()
             .expect("a new registry holds no metric of the same name");
--- a/crates/barleypind/src/operate.rs
+++ b/crates/barleypind/src/operate.rs
@@ -28,7 +28,7 @@
     let path = request.path().to_owned();
     if request.method == Method::Get && matches!(path.as_str(), "/healthz" | "/readyz" | "/metrics")
     {
-        return callers::probe(&cx, &path);
+        return callers::probe(&cx, &path).await;
     }
     cx.host.metrics.call(metrics::Kind::Operator);
     if let Err(problem) = authenticate(&cx, &request) {
--- a/crates/barleypind/src/service/configure.rs
+++ b/crates/barleypind/src/service/configure.rs
@@ -43,7 +43,7 @@
             Err(refused) => return Err(refuse(cx, change, refused)),
         };
         match write(cx, change, &next, version).await {
-            Ok(()) => return Ok(accept(cx, change, &next, asked)),
+            Ok(()) => return Ok(accept(cx, change, &next, asked).await),
             // Another change came first; this one is applied to its result,
             // and only a change of the same entry is a conflict.
             Err(Error::Conflict { .. }) => {}
@@ -131,7 +131,7 @@
     for _ in 0..SETTLE_ROUNDS {
         match committed(cx, &change.id).await {
             Ok(Some(revision)) if revision == next.revision => {
-                return Ok(accept(cx, change, &next, asked));
+                return Ok(accept(cx, change, &next, asked).await);
             }
             Ok(Some(revision)) => {
                 return Ok(Accepted {
@@ -157,7 +157,7 @@
 ///
 /// `asked` is a time before the write was sent, from which the proof counts
 /// that nothing newer was committed.
-fn accept(cx: &Context, change: &Change, next: &Document, asked: Duration) -> Accepted {
+async fn accept(cx: &Context, change: &Change, next: &Document, asked: Duration) -> Accepted {
     let name = change.edit.name();
     cx.host.log.emit(
         Event::ChangeCommitted,
@@ -167,14 +167,17 @@
             ("entry", &name),
         ],
     );
-    fleet::tell(
-        cx,
-        ::fleet::Event::Polled(::fleet::Polled {
-            asked,
-            revision: next.revision,
-            json: Some(next.to_json().into_bytes().into()),
-        }),
-    );
+    let polled = ::fleet::Event::Polled(::fleet::Polled {
+        asked,
+        revision: next.revision,
+        json: Some(next.to_json().into_bytes().into()),
+    });
+    if let Some(fleet) = cx.host.registry.find::<fleet::Fleet>() {
+        // Whoever made the change finds it in force here when it has its answer.
+        fleet
+            .ask(|reply| fleet::Message::Settle(polled, reply))
+            .await;
+    }
     Accepted {
         revision: next.revision,
         repeated: false,
--- a/crates/barleypind/src/service/drain.rs
+++ b/crates/barleypind/src/service/drain.rs
@@ -50,7 +50,6 @@
 pub(crate) struct Parts {
     pub(crate) servers: Vec<Server>,
     pub(crate) drained: Receiver<()>,
-    pub(crate) link: link::Link,
     pub(crate) ended: Sender<Ended>,
 }
 
@@ -85,7 +84,7 @@
         .is_err();
     fleet::tell(cx, ::fleet::Event::Goodbye);
     async_std::task::sleep(GOODBYE).await;
-    parts.link.close().await;
+    cx.link.close().await;
     if cut == 0 && !held {
         host.log.emit(Event::Drained, &[]);
         return Ended::Whole;
--- a/crates/barleypind/src/service/fleet.rs
+++ b/crates/barleypind/src/service/fleet.rs
@@ -12,7 +12,7 @@
 use futures::channel::oneshot;
 use kernel::{DataCentre, HostName, Incarnation, Revision, Service};
 use ledger::{Peer, Reach};
-use link::{Incoming, Link};
+use link::Incoming;
 use platform::row::Key;
 use serde::{Deserialize, Serialize};
 use wire::{EndpointState, Frame, Identity, Member, Payload, Ruling, State};
@@ -42,6 +42,8 @@
     Frame(Incoming),
     /// Anything else that the core is told.
     Event(Event),
+    /// The same, for who waits until what follows from it is done.
+    Settle(Event, oneshot::Sender<()>),
     /// The member with this incarnation.
     Find(Incarnation, oneshot::Sender<Option<Member>>),
     /// The hosts for a caller in this data centre, best first.
@@ -66,21 +68,14 @@
 struct Actor {
     cx: Arc<Context>,
     core: fleet::Fleet,
-    link: Link,
     actions: Vec<Action>,
 }
 
 /// Runs the service until its queue is closed.
-pub(crate) async fn run(
-    cx: Arc<Context>,
-    core: fleet::Fleet,
-    link: Link,
-    queue: Receiver<Message>,
-) {
+pub(crate) async fn run(cx: Arc<Context>, core: fleet::Fleet, queue: Receiver<Message>) {
     let mut actor = Actor {
         cx,
         core,
-        link,
         actions: Vec::new(),
     };
     actor.tell(Event::Tick);
@@ -115,6 +110,10 @@
         match message {
             Message::Frame(incoming) => self.frame(incoming),
             Message::Event(event) => self.tell(event),
+            Message::Settle(event, reply) => {
+                self.tell(event);
+                let _ = reply.send(());
+            }
             // Whoever asked may have gone meanwhile.
             Message::Find(incarnation, reply) => {
                 let _ = reply.send(self.find(incarnation).cloned());
@@ -153,7 +152,7 @@
                 host,
                 address,
                 frame,
-            } => self.link.send(&link::Peer { host, address }, &frame),
+            } => self.cx.link.send(&link::Peer { host, address }, &frame),
             Action::Poll => {
                 task::spawn(poll(Arc::clone(&self.cx)));
             }
@@ -257,7 +256,7 @@
             host: member.identity.host.clone(),
             address: member.fleet_address,
         };
-        self.link.send(&peer, frame);
+        self.cx.link.send(&peer, frame);
     }
 
     fn find(&self, incarnation: Incarnation) -> Option<&Member> {
--- /dev/null
+++ b/crates/barleypind/tests/golden/call.rs
@@ -0,0 +1,142 @@
+//! Calls of a session file and how their answers are shown.
+
+use std::fmt::Write;
+
+use datadriven::TestCase;
+use http::{Body, Method, Request, Response};
+use serde_json::Value;
+
+use crate::mask::mask;
+use crate::site::{Site, argument, host, key_of, operator, text};
+
+/// A caller's call: `call [host=N] [key=customer] [save=name]`, with the request
+/// as its input. `save` keeps the answer's session token or ticket under a
+/// name, which later calls write as `$name`.
+pub(crate) async fn caller(site: &mut Site, case: &TestCase) -> String {
+    let mut request = parse(site, &case.input);
+    let customer = argument(case, "key").unwrap_or_else(|| "portal".to_owned());
+    if customer != "none" {
+        let key = format!("Bearer {}", key_of(&customer));
+        request.headers.set("authorization", key);
+    }
+    let to = site.daemons[host(case)].callers();
+    let response = site.send(to, request).await;
+    show(site, case, response).await
+}
+
+/// An operator's call, in the same form.
+pub(crate) async fn operator_call(site: &mut Site, case: &TestCase) -> String {
+    let mut request = parse(site, &case.input);
+    if !case.args.contains_key("stranger") {
+        request = operator(request);
+    }
+    let to = site.daemons[host(case)].operators();
+    let response = site.send(to, request).await;
+    show(site, case, response).await
+}
+
+/// A call of a stand-in: `stand-in name=table`.
+pub(crate) async fn stand_in(site: &mut Site, case: &TestCase) -> String {
+    let name: String = argument(case, "name").expect("a stand-in's name");
+    let request = parse(site, &case.input);
+    let response = site.send(site.addresses[&name], request).await;
+    format!("{}\n", u16::from(response.status))
+}
+
+/// What ran at an endpoint, by its own record: `executions name=engine`.
+pub(crate) async fn executions(site: &mut Site, case: &TestCase) -> String {
+    let name: String = argument(case, "name").expect("an endpoint's name");
+    let request = Request::get("/control/records");
+    let records = text(site.send(site.addresses[&name], request).await).await;
+    let records: Value = serde_json::from_str(&records).unwrap();
+    let ran = records["executions"]
+        .as_array()
+        .or(records["runs"].as_array());
+    let mut shown = String::new();
+    for run in ran.expect("the endpoint's record of what ran") {
+        let field = |name: &str| run[name].as_str().unwrap_or_default().to_owned();
+        let line = [field("call"), field("version"), field("end")].join(" ");
+        writeln!(shown, "{}", line.trim()).unwrap();
+    }
+    if shown.is_empty() {
+        shown.push_str("none\n");
+    }
+    shown
+}
+
+/// The request: its line, then headers, then the body.
+fn parse(site: &Site, input: &str) -> Request {
+    let mut input = input.to_owned();
+    for (name, value) in &site.saved {
+        input = input.replace(&format!("${name}"), value);
+    }
+    let mut lines = input.lines();
+    let (method, target) = lines.next().unwrap().split_once(' ').unwrap();
+    let mut request = Request::new(method.parse::<Method>().unwrap(), target);
+    let mut body = String::new();
+    for line in lines {
+        match line.split_once(": ") {
+            Some((name, value)) if body.is_empty() && !line.starts_with('{') => {
+                request.headers.set(name.to_owned(), value);
+            }
+            _ => body.push_str(line),
+        }
+    }
+    if body.is_empty() {
+        return request;
+    }
+    request
+        .header("content-type", "application/json")
+        .body(Body::bytes(body))
+}
+
+async fn show(site: &mut Site, case: &TestCase, response: Response) -> String {
+    let mut shown = format!("{}\n", u16::from(response.status));
+    let mut headers: Vec<_> = response
+        .headers
+        .iter()
+        .filter(|(name, _)| name.starts_with("barleypin-") || *name == "retry-after")
+        .map(|(name, value)| format!("{name}: {value}\n"))
+        .collect();
+    headers.sort();
+    shown.extend(headers);
+    let session = response.headers.get("barleypin-session").map(str::to_owned);
+    let is_stream = response.headers.get("content-type") == Some("text/event-stream");
+    let body = text(response).await;
+    if let Some(name) = argument::<String>(case, "save") {
+        let ticket = serde_json::from_str::<Value>(&body)
+            .ok()
+            .and_then(|it| it["ticket"].as_str().map(str::to_owned));
+        let value = session.or(ticket).expect("a session token or a ticket");
+        site.saved.insert(name, value);
+    }
+    shown.push_str(&if is_stream { events(&body) } else { body });
+    if !shown.ends_with('\n') {
+        shown.push('\n');
+    }
+    mask(&shown)
+}
+
+/// The events of a stream. Texts that follow each other are joined, since where
+/// they are split is chance.
+fn events(body: &str) -> String {
+    let mut shown = String::new();
+    let mut content = String::new();
+    for event in body.split_terminator("\n\n") {
+        let data = event.strip_prefix("data: ").unwrap_or_default();
+        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+        if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
+            content.push_str(text);
+            continue;
+        }
+        if !content.is_empty() {
+            writeln!(shown, "content: {content}").unwrap();
+            content.clear();
+        }
+        writeln!(shown, "{event}").unwrap();
+    }
+    if !content.is_empty() {
+        writeln!(shown, "content: {content}").unwrap();
+    }
+    shown
+}
--- /dev/null
+++ b/crates/barleypind/tests/golden/main.rs
@@ -0,0 +1,45 @@
+//! Whole sessions of callers and operators with a daemon and the stand-ins.
+//!
+//! A file under `tests/sessions` starts with `site`, whose input is the
+//! stand-ins' settings, and goes on with calls. What differs from run to run
+//! (names of requests, tokens, ports, times) is replaced by words.
+
+mod call;
+mod mask;
+mod site;
+
+use async_std::task::block_on;
+use datadriven::{TestCase, walk};
+use site::Site;
+
+#[test]
+fn sessions() {
+    walk("tests/sessions", |file| {
+        let mut site: Option<Site> = None;
+        file.run(|case| match case.directive.as_str() {
+            "site" => {
+                site = Some(block_on(Site::start(case)));
+                "ready\n".to_owned()
+            }
+            _ => {
+                let site = site.as_mut().expect("a file starts with `site`");
+                block_on(run(site, case))
+            }
+        });
+        if let Some(site) = site {
+            block_on(site.stop());
+        }
+    });
+}
+
+async fn run(site: &mut Site, case: &TestCase) -> String {
+    match case.directive.as_str() {
+        "call" => call::caller(site, case).await,
+        "operate" => call::operator_call(site, case).await,
+        "stand-in" => call::stand_in(site, case).await,
+        "executions" => call::executions(site, case).await,
+        "drain" => site.drain(case).await,
+        "wait" => site.wait(case).await,
+        other => panic!("no such directive: {other}"),
+    }
+}
--- /dev/null
+++ b/crates/barleypind/tests/golden/site.rs
@@ -0,0 +1,262 @@
+//! Daemons and stand-ins of one session file, in this process, on loopback.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use barleypind::log::Log;
+use barleypind::{Daemon, Ended};
+use config::{Customer, Settings};
+use datadriven::TestCase;
+use fakes::Started;
+use http::{Client, Method, Options, Pool, Request, Response};
+use kernel::SystemClock;
+use link::keys::Authority;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// The bound of every wait; nothing here takes a tenth of it.
+const WAIT: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(5);
+
+pub(crate) const OPERATOR_KEY: &str = "the-operators-key";
+
+pub(crate) struct Site {
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) saved: BTreeMap<String, String>,
+    pub(crate) addresses: BTreeMap<String, SocketAddr>,
+    client: Client,
+    _started: Started,
+    dir: TempDir,
+    /// The share of requests that try the version of which less is known.
+    explore: f64,
+}
+
+impl Site {
+    pub(crate) async fn start(case: &TestCase) -> Self {
+        let hosts = argument(case, "hosts").unwrap_or(1);
+        let clock = Arc::new(SystemClock::new());
+        let settings = fakes::Settings::parse(&format!("{PLATFORM}\n{}", case.input)).unwrap();
+        let endpoints = settings.engine.len() + settings.service.len();
+        let started = Started::start(clock.clone(), settings).await.unwrap();
+        let addresses: BTreeMap<String, SocketAddr> = started
+            .addresses()
+            .into_iter()
+            .map(|(name, address)| (name.to_owned(), address))
+            .collect();
+        let dir = TempDir::new().unwrap();
+        let authority = Authority::generate("test").unwrap();
+        let mut site = Self {
+            daemons: Vec::new(),
+            saved: BTreeMap::new(),
+            addresses,
+            client: Client::new(clock, Pool::default()),
+            _started: started,
+            dir,
+            explore: argument(case, "explore").unwrap_or(0.0),
+        };
+        for at in 0..hosts {
+            let name = format!("entry-{}", at + 1);
+            let settings = site.settings(&authority, &name);
+            let daemon = Daemon::start(settings, Log::discard()).await.unwrap();
+            site.register(&name, &daemon).await;
+            site.daemons.push(daemon);
+        }
+        site.configure().await;
+        for at in 0..hosts {
+            let wanted = format!("barleypin_endpoints {endpoints}");
+            site.until(&wanted, async |site| {
+                let res = site
+                    .send(site.daemons[at].callers(), Request::get("/metrics"))
+                    .await;
+                text(res).await.lines().any(|it| it == wanted)
+            })
+            .await;
+        }
+        site
+    }
+
+    pub(crate) async fn send(&self, to: SocketAddr, request: Request) -> Response {
+        self.client
+            .send(to, request, &Options::default())
+            .await
+            .unwrap_or_else(|err| panic!("{to}: {err}"))
+    }
+
+    /// Drains the host that the case names and says how it ended.
+    pub(crate) async fn drain(&self, case: &TestCase) -> String {
+        let daemon = &self.daemons[host(case)];
+        daemon.drain();
+        match daemon.ended().await {
+            Ended::Whole => "whole\n".to_owned(),
+            Ended::AtBound => "at the bound\n".to_owned(),
+        }
+    }
+
+    /// Waits until every host has the revision that the case names in force.
+    pub(crate) async fn wait(&self, case: &TestCase) -> String {
+        let revision: u64 = argument(case, "revision").expect("a revision");
+        self.in_force(revision).await;
+        "in force\n".to_owned()
+    }
+
+    pub(crate) async fn stop(&self) {
+        for daemon in &self.daemons {
+            daemon.drain();
+        }
+        for daemon in &self.daemons {
+            daemon.ended().await;
+        }
+    }
+
+    async fn in_force(&self, revision: u64) {
+        for daemon in &self.daemons {
+            let what = format!("revision {revision}");
+            self.until(&what, async |site| {
+                let request = operator(Request::get("/operator/v1/document"));
+                let res = site.send(daemon.operators(), request).await;
+                let answer: Value = serde_json::from_str(&text(res).await).unwrap();
+                answer["revision"].as_u64() >= Some(revision)
+            })
+            .await;
+        }
+    }
+
+    async fn until(&self, what: &str, check: impl AsyncFn(&Self) -> bool) {
+        let deadline = Instant::now() + WAIT;
+        while !check(self).await {
+            assert!(Instant::now() < deadline, "waited in vain for: {what}");
+            task::sleep(PAUSE).await;
+        }
+    }
+
+    fn settings(&self, authority: &Authority, name: &str) -> Settings {
+        let dir = self.dir.path();
+        let keys = authority.issue(&name.into()).unwrap();
+        let file = |file: &str, text: &str| {
+            let path = dir.join(format!("{name}-{file}"));
+            fs::write(&path, text).unwrap();
+            path.display().to_string()
+        };
+        let text = format!(
+            r#"
+            [host]
+            name = "{name}"
+            data_centre = "dar-{}"
+            region = "dar"
+            drain_limit_s = 10
+            [listen]
+            callers = "127.0.0.1:0"
+            operators = "127.0.0.1:0"
+            fleet = "127.0.0.1:0"
+            [platform]
+            table = "{}"
+            objects = "{}"
+            host_list = "{}"
+            ratings = "{}"
+            host_list_poll_ms = 100
+            [keys]
+            fleet_ca = "{}"
+            host_certificate = "{}"
+            host_key = "{}"
+            operator_key = "{}"
+            session_key = "{}"
+            [limits]
+            max_body_bytes = 65536
+            hosts_keep_ms = 100
+            [decide]
+            rating_share = 0.0
+            explore_share = {:?}
+            load_poll_ms = 50
+            [freshness]
+            poll_ms = 100
+            "#,
+            name.trim_start_matches("entry-"),
+            self.addresses["table"],
+            self.addresses["objects"],
+            self.addresses["hosts"],
+            self.addresses["rating"],
+            file("ca.pem", &keys.ca),
+            file("host.pem", &keys.certificate),
+            file("host.key.pem", &keys.key),
+            file("operator.key", OPERATOR_KEY),
+            file("session.key", "the key that signs sessions"),
+            self.explore,
+        );
+        Settings::parse(&text, "host.toml").unwrap_or_else(|faults| panic!("{faults}"))
+    }
+
+    async fn register(&self, name: &str, daemon: &Daemon) {
+        let host = json!({
+            "name": name,
+            "kind": "entry",
+            "incarnation": 1,
+            "address": daemon.callers().to_string(),
+            "fleet_address": daemon.fleet().to_string(),
+            "data_centre": format!("dar-{}", name.trim_start_matches("entry-")),
+            "region": "dar",
+            "state": "live",
+        });
+        let request = Request::post("/control/hosts", &json!({ "hosts": [host] }));
+        self.send(self.addresses["hosts"], request).await;
+    }
+
+    /// Commits the configuration that all session files share.
+    async fn configure(&self) {
+        let entries: Value = serde_json::from_str(include_str!("config.json")).unwrap();
+        let mut revision = 0;
+        for (at, it) in entries.as_array().unwrap().iter().enumerate() {
+            let (path, mut entry) = (it["path"].as_str().unwrap(), it["entry"].clone());
+            if let Some(name) = path.strip_prefix("customers/") {
+                entry["key_blake3"] = Customer::hash(key_of(name).as_bytes()).into();
+            }
+            let request = operator(Request::new(Method::Put, format!("/operator/v1/{path}")))
+                .header("if-match", "0")
+                .header("barleypin-change", format!("seed-{at}"))
+                .json(&entry);
+            let answer = text(self.send(self.daemons[0].operators(), request).await).await;
+            let answer: Value = serde_json::from_str(&answer).unwrap();
+            let committed = answer["revision"].as_u64();
+            revision = committed.unwrap_or_else(|| panic!("{path}: {answer}"));
+        }
+        self.in_force(revision).await;
+    }
+}
+
+/// The bearer key of a customer.
+pub(crate) fn key_of(customer: &str) -> String {
+    format!("key-of-{customer}")
+}
+
+pub(crate) fn operator(request: Request) -> Request {
+    request.header("authorization", format!("Bearer {OPERATOR_KEY}"))
+}
+
+pub(crate) async fn text(response: Response) -> String {
+    let bytes = response.body.collect(1 << 20).await.unwrap();
+    String::from_utf8(bytes).unwrap()
+}
+
+/// The host that the case names, the first one otherwise.
+pub(crate) fn host(case: &TestCase) -> usize {
+    argument(case, "host").map_or(0, |at: usize| at - 1)
+}
+
+pub(crate) fn argument<T: std::str::FromStr>(case: &TestCase, name: &str) -> Option<T> {
+    case.args.get(name)?.first()?.parse().ok()
+}
+
+const PLATFORM: &str = r#"
+seed = 7
+[[table]]
+name = "table"
+[[objects]]
+name = "objects"
+[[hosts]]
+name = "hosts"
+[[rating]]
+name = "rating"
+"#;
