--- a/crates/ledger/src/lease/state.rs
+++ b/crates/ledger/src/lease/state.rs
@@ -204,6 +204,9 @@
         if self.seen.as_ref().is_none_or(|seen| seen.row != row) {
             self.seen = Some(Seen { row, since: now });
         }
+        if self.held.is_none() && self.claim(now).is_some() {
+            self.next = now;
+        }
     }
 
     fn written(&mut self, now: Duration, result: Written, actions: &mut Vec<Action>) {
@@ -285,10 +288,17 @@
             let (expect, fencing) = (Expect::Version(held.version), held.row.fencing);
             return self.write(now, expect, fencing, false, actions);
         }
-        match self.claim(now) {
-            Some((expect, fencing, over)) => self.write(now, expect, fencing, over, actions),
-            None => self.seek(actions),
+        if let Some((expect, fencing, over)) = self.claim(now) {
+            return self.write(now, expect, fencing, over, actions);
         }
+        self.next = self.next.min(self.lapses().unwrap_or(self.next).max(now));
+        self.seek(actions);
+    }
+
+    /// When the holder that was last seen will have lapsed for sure.
+    fn lapses(&self) -> Option<Duration> {
+        let seen = self.seen.as_ref()?;
+        Some(seen.since + self.tuning.length + self.tuning.margin)
     }
 
     /// On which condition and under which number the lease can be taken, and
@@ -298,7 +308,7 @@
         let Some((version, row)) = &seen.row else {
             return Some((Expect::Absent, Fencing(1), false));
         };
-        let lapsed = now >= seen.since + self.tuning.length + self.tuning.margin;
+        let lapsed = self.lapses().is_some_and(|at| now >= at);
         let free = match row.holder {
             None => true,
             Some(holder) => holder == self.me || lapsed,
