--- a/crates/experiment/src/coin.rs
+++ b/crates/experiment/src/coin.rs
@@ -21,6 +21,7 @@
     Choice,
     Host,
     Plan,
+    Noise,
 }
 
 impl Coin {
--- a/crates/experiment/src/plan/problem.rs
+++ b/crates/experiment/src/plan/problem.rs
@@ -8,6 +8,9 @@
     pub hard: f64,
     /// The most versions asked for one request.
     pub depth: usize,
+    /// The mean number of turns that follow and are answered by the version of
+    /// the first answer, without any check.
+    pub follow: f64,
     /// What may be asked.
     pub choices: Vec<Choice>,
 }
@@ -23,6 +26,14 @@
     pub(crate) steps: Vec<[f64; 2]>,
 }
 
+impl Problem {
+    /// The chance of a good answer where nothing is known of the request.
+    pub(crate) fn quality(&self, choice: usize) -> f64 {
+        let [easy, hard] = self.choices[choice].good;
+        easy * (1.0 - self.hard) + hard * self.hard
+    }
+}
+
 impl Choice {
     /// A version whose confidence has this sharpness; see `docs/design/experiment.md`.
     #[must_use]
--- a/crates/experiment/src/plan/search.rs
+++ b/crates/experiment/src/plan/search.rs
@@ -44,6 +44,12 @@
     /// where that is out of reach, the most good answers.
     #[must_use]
     pub fn solve(problem: &Problem, target: f64) -> Self {
+        let turns = 1.0 + problem.follow;
+        Self::solve_turns(problem, target * turns).a_turn(turns)
+    }
+
+    /// The same where cost and good answers are of all turns together.
+    fn solve_turns(problem: &Problem, target: f64) -> Self {
         let dearest = problem.choices.iter().map(|it| it.cost).fold(0.0, f64::max);
         let mut low = (0.0, best(problem, 0.0));
         if low.1.good >= target {
@@ -66,6 +72,14 @@
         Self::mixed(low.1, high.1, target)
     }
 
+    fn a_turn(self, turns: f64) -> Self {
+        Self {
+            cost: self.cost / turns,
+            good: self.good / turns,
+            ..self
+        }
+    }
+
     fn pure(outcome: Outcome) -> Self {
         Self {
             nodes: [outcome.node.clone(), outcome.node],
@@ -111,15 +125,14 @@
 
 /// The best outcome from a belief on, weighed by the chance of the belief.
 fn step(problem: &Problem, price: f64, belief: &Belief) -> Outcome {
-    let mut best = deliver(belief);
+    let mut best = deliver(problem, price, belief);
     if belief.len == problem.depth.min(MOST_CHOICES) {
         return best.expect("depth is at least one, so that something was asked");
     }
-    for (idx, choice) in problem.choices.iter().enumerate() {
-        let weight = belief.weight[0] + belief.weight[1];
-        if belief.asked[..belief.len].contains(&idx)
-            || cannot_win(best.as_ref(), choice, weight, price)
-        {
+    let weight = belief.weight[0] + belief.weight[1];
+    for idx in 0..problem.choices.len() {
+        let hopeless = |it: &Outcome| cannot_win(problem, it, idx, weight, price);
+        if belief.asked[..belief.len].contains(&idx) || best.as_ref().is_some_and(hopeless) {
             continue;
         }
         let outcome = ask(problem, price, belief, idx);
@@ -133,28 +146,31 @@
     best.expect("a problem has at least one choice")
 }
 
-/// At best, asking costs the choice alone and all answers are good.
-fn cannot_win(best: Option<&Outcome>, choice: &Choice, weight: f64, price: f64) -> bool {
-    best.is_some_and(|it| (choice.cost - price) * weight >= value(it, price))
+/// At best, asking costs the choice alone and all answers, of this turn and
+/// those that follow, are good.
+fn cannot_win(problem: &Problem, best: &Outcome, idx: usize, weight: f64, price: f64) -> bool {
+    let gain = price * (1.0 + problem.follow);
+    (problem.choices[idx].cost - gain) * weight >= value(best, price)
 }
 
 fn value(outcome: &Outcome, price: f64) -> f64 {
     outcome.cost - price * outcome.good
 }
 
-/// Delivers the answer that is most likely good.
-fn deliver(belief: &Belief) -> Option<Outcome> {
-    let chances = belief.answers[..belief.len]
-        .iter()
-        .map(|it| it[0] * belief.weight[0] + it[1] * belief.weight[1]);
-    chances
-        .enumerate()
-        .max_by(|a, b| a.1.total_cmp(&b.1))
-        .map(|(place, good)| Outcome {
-            cost: 0.0,
-            good,
+/// Delivers the answer that is worth most, its version's later turns included.
+fn deliver(problem: &Problem, price: f64, belief: &Belief) -> Option<Outcome> {
+    let weight = belief.weight[0] + belief.weight[1];
+    let outcomes = (0..belief.len).map(|place| {
+        let answer = belief.answers[place];
+        let choice = belief.asked[place];
+        let good = answer[0] * belief.weight[0] + answer[1] * belief.weight[1];
+        Outcome {
+            cost: weight * problem.follow * problem.choices[choice].cost,
+            good: good + weight * problem.follow * problem.quality(choice),
             node: Node::Deliver(place),
-        })
+        }
+    });
+    outcomes.min_by(|a, b| value(a, price).total_cmp(&value(b, price)))
 }
 
 fn ask(problem: &Problem, price: f64, belief: &Belief, idx: usize) -> Outcome {
--- a/crates/experiment/src/ratings.rs
+++ b/crates/experiment/src/ratings.rs
@@ -16,8 +16,9 @@
 /// The share of answers taken that are never rated.
 const LOST: f64 = 0.10;
 
-/// The share of ratings that are wrong.
-const FLIPPED: f64 = 0.07;
+/// The least and the most share of ratings that are wrong; each seed has its own,
+/// so that no constant can be tuned to it.
+const FLIPPED: [f64; 2] = [0.05, 0.10];
 
 /// The least and the most seconds until a rating comes.
 const DELAY: [f64; 2] = [60.0, 300.0];
@@ -26,6 +27,7 @@
 #[derive(Debug)]
 pub(crate) struct Ratings {
     coin: Coin,
+    flipped: f64,
     tokens: f64,
 }
 
@@ -40,7 +42,12 @@
 
 impl Ratings {
     pub(crate) fn new(coin: Coin) -> Self {
-        Self { coin, tokens: 1.0 }
+        let part = coin.toss(Purpose::Noise, 0, 0);
+        Self {
+            coin,
+            flipped: FLIPPED[0] + (FLIPPED[1] - FLIPPED[0]) * part,
+            tokens: 1.0,
+        }
     }
 
     /// Another answer was made, of which the service can rate a part.
@@ -67,7 +74,7 @@
             return None;
         }
         let delay = DELAY[0] + (DELAY[1] - DELAY[0]) * toss(Purpose::Delay);
-        let flipped = toss(Purpose::Flip) < FLIPPED;
+        let flipped = toss(Purpose::Flip) < self.flipped;
         rating.good ^= flipped;
         let late = scenario.active(now).find_map(|it| match it.fault {
             Fault::RatingsLate { by } => Some(by),
--- a/crates/experiment/src/router/oracle.rs
+++ b/crates/experiment/src/router/oracle.rs
@@ -3,7 +3,7 @@
 use crate::{
     arrival::Arrival,
     coin::{Coin, Purpose},
-    configuration::Configuration,
+    configuration::{Configuration, State},
     plan::{Choice, Node, Plan, Problem, bin},
     scenario::Manner,
     truth::{Truth, VersionIdx},
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Circumstance {
     class: ClassIdx,
-    /// By version: the part of bad answers in steps, whether they show, whether it takes work.
+    /// By version: the part of bad answers in steps, whether they show, whether it is in full use.
     versions: [(u32, bool, bool); 4],
 }
 
@@ -68,7 +68,7 @@
             (
                 u32::try_from(steps).unwrap_or(0),
                 damage.manner == Manner::Confident,
-                configuration.takes_work(it),
+                configuration.states[it.idx()] == State::Active,
             )
         });
         let key = Circumstance {
@@ -121,17 +121,11 @@
                 )
             })
             .collect();
-        // A session stays on the version of its first answer, so that asking
-        // several would pin the dearest of them for all turns that follow; and
-        // what may run once only can't be asked again.
-        let depth = if turns.high > 1 || !class.idempotent {
-            1
-        } else {
-            DEPTH
-        };
+        // What may run once only can't be asked again.
         let problem = Problem {
             hard: *hard,
-            depth,
+            depth: if class.idempotent { DEPTH } else { 1 },
+            follow: f64::from(turns.low + turns.high) / 2.0 - 1.0,
             choices,
         };
         Guide {
--- a/crates/experiment/tests/plan.rs
+++ b/crates/experiment/tests/plan.rs
@@ -16,6 +16,7 @@
     let problem = Problem {
         hard: 0.0,
         depth,
+        follow: 0.0,
         choices: choices.collect(),
     };
     let plan = Plan::solve(&problem, target);
@@ -64,8 +65,30 @@
     let problem = Problem {
         hard: 0.2,
         depth: 2,
+        follow: 0.0,
         choices: vec![same(1.0), same(10.0)],
     };
     let plan = Plan::solve(&problem, 0.9);
     expect_that!(plan.good, near(0.8, 1.0e-3));
 }
+
+#[gtest]
+fn a_session_pays_the_first_answers_version_for_the_turns_that_follow() {
+    // Asked first, the cheap version passes in half of the sessions. These cost
+    // 1 a turn and the others 1 + 10 and then 10, over three turns. In the
+    // first turn all are good, in the two that follow half and all by version.
+    let choices = vec![
+        Choice::new(1.0, [0.5, 0.5], SURE),
+        Choice::new(10.0, [1.0, 1.0], SURE),
+    ];
+    let problem = Problem {
+        hard: 0.0,
+        depth: 2,
+        follow: 2.0,
+        choices,
+    };
+    let target = (0.5 * (1.0 + 2.0 * 0.5) + 0.5 * 3.0) / 3.0;
+    let plan = Plan::solve(&problem, target);
+    expect_that!(plan.cost, near((0.5 * 3.0 + 0.5 * 31.0) / 3.0, 1.0e-2));
+    expect_that!(plan.good, near(target, 1.0e-3));
+}
