engine: take an answer for whole with its end mark

A stream whose body stayed open after the end mark was waited for until the request's time was over. It is now read on for 100 ms at most, so that the connection can be used again, and the answer stands.

--- a/crates/engine/src/chat/stream.rs
+++ b/crates/engine/src/chat/stream.rs
@@ -1,10 +1,17 @@
 //! A streamed answer on its way.
 
+use std::time::Duration;
+
+use async_std::future::timeout;
 use http::Body;
 
 use super::{Answer, Fault, Progress, Reader};
 use crate::{Failure, Why};
 
+/// Time for an engine to end its body after the end mark, after which the
+/// connection is given up. The answer is whole without it.
+const END_TIME: Duration = Duration::from_millis(100);
+
 /// A streamed answer. Dropping it before its end closes the connection, and
 /// the engine sees that nobody waits any more.
 #[derive(Debug)]
@@ -57,14 +64,25 @@
     }
 
     async fn step(&mut self) -> Option<Result<(), Failure>> {
-        let piece = match self.body.piece().await {
-            Ok(Some(piece)) => piece,
-            Ok(None) => return Some(Ok(())),
-            // What broke after the end mark took nothing from the answer.
-            Err(_) if self.reader.progress() == Progress::Done => return Some(Ok(())),
-            Err(err) => return Some(Err(err.into())),
-        };
-        self.reader.feed(&piece).err().map(|it| Err(cut(it)))
+        if self.reader.progress() == Progress::Done {
+            // Reading the body to its end lets the next request have the connection.
+            let rest = timeout(END_TIME, self.read_rest()).await;
+            return Some(rest.unwrap_or(Ok(())));
+        }
+        match self.body.piece().await {
+            Ok(Some(piece)) => self.reader.feed(&piece).err().map(|it| Err(cut(it))),
+            Ok(None) => Some(Ok(())),
+            Err(err) => Some(Err(err.into())),
+        }
+    }
+
+    /// Reads what follows the end mark, which must be no further part. What
+    /// breaks there takes nothing from the answer.
+    async fn read_rest(&mut self) -> Result<(), Failure> {
+        while let Ok(Some(piece)) = self.body.piece().await {
+            self.reader.feed(&piece).map_err(cut)?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/engine/tests/suite/client.rs
+++ b/crates/engine/tests/suite/client.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task::block_on;
 use datadriven::{TestCase, walk};
 use engine::{Attempt, Call, Chat, Client, Endpoint, Order, Priority, Wanted};
@@ -194,6 +195,39 @@
     expect_test::expect!["Err(MayHaveRun(Link(Timeout)))"].assert_eq(&format!("{result:?}"));
 }
 
+#[test]
+fn an_answer_is_whole_with_its_end_mark() {
+    // Story: an engine sends its end mark and leaves the body open. A caller
+    // that has everything would wait until its time is over, and hear that
+    // the answer was cut.
+    let events = "data: {\"id\":\"7-1\",\"index\":0,\"choices\":[{\"delta\":{\"content\":\"hi\"},\
+                  \"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":1,\
+                  \"completion_tokens\":1}}\n\ndata: [DONE]\n\n";
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = endpoint(listener.local_addr().unwrap());
+    let (release, until) = std::sync::mpsc::channel::<()>();
+    let engine = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        receive(&mut stream);
+        let len = events.len();
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        write!(stream, "{head}{len:x}\r\n{events}\r\n").unwrap();
+        // Until the test has its answer.
+        let _ = until.recv();
+    });
+    let answer = async {
+        let stream = client()
+            .stream(&to, &attempt(), &chat(), &Options::default())
+            .await;
+        stream.unwrap().finish().await.unwrap()
+    };
+    // A third of the request's own time.
+    let answer = block_on(timeout(Duration::from_secs(10), answer)).unwrap();
+    assert_eq!(answer.content, "hi");
+    drop(release);
+    engine.join().unwrap();
+}
+
 #[test]
 fn headers_of_the_callers_connection_are_not_passed_on() {
     let headers: Headers = [("connection", "close"), ("transfer-encoding", "gzip")]
