ledger: give back a permit that crosses its caller's leaving

A caller that left while its claim was being won got a permit that nobody took: its key stayed running for ever. Such a permit is given back.

--- a/crates/ledger/src/core.rs
+++ b/crates/ledger/src/core.rs
@@ -60,7 +60,7 @@
             Event::Sending { request } => self.intake.sending(&request),
             Event::Returned { request } => self.intake.returned(&request),
             Event::Finished { request, end } => self.intake.finish(cx, &mut view, &request, end),
-            Event::Cancelled { request } => self.intake.cancel(&request),
+            Event::Cancelled { request } => self.intake.cancel(cx, &mut view, &request),
             Event::Forwarded { request, end } => self.intake.forwarded(cx, &request, end),
             Event::Hosts(peers) => self.hosts(cx, peers),
             Event::Received { from, message } => self.receive(cx, from, message),
--- a/crates/ledger/src/event.rs
+++ b/crates/ledger/src/event.rs
@@ -26,9 +26,10 @@
         /// How it ended.
         end: End,
     },
-    /// The caller of a request that is not permitted yet has gone.
+    /// The caller has gone before its request was dispatched, and it never will be.
+    /// A permit that crosses this is given back, closed like any other.
     Cancelled {
-        /// A request that arrived.
+        /// A request that arrived and of which nothing was sent.
         request: RequestId,
     },
     /// A forwarded call has ended.
--- a/crates/ledger/src/intake.rs
+++ b/crates/ledger/src/intake.rs
@@ -16,7 +16,7 @@
 use crate::holdings::{Holdings, Waiting};
 use crate::peers::Peers;
 use crate::timers::Timer;
-use crate::{Action, Arrival, Forward, Reason, Repeat, Run, Serial, Via};
+use crate::{Action, Arrival, End, Forward, Reason, Repeat, Run, Serial, Via};
 
 /// How often expired keys are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -263,11 +263,15 @@
         }
     }
 
-    /// The caller of a call that isn't permitted has gone.
-    pub(crate) fn cancel(&mut self, request: &RequestId) {
-        let Some(key) = self.find(request, |call| !call.is_permitted()) else {
+    /// The caller has gone before the call was dispatched.
+    pub(crate) fn cancel(&mut self, cx: &mut Cx, view: &mut View, request: &RequestId) {
+        let Some(key) = self.calls.find(request) else {
             return;
         };
+        if self.calls.get(key).is_some_and(Call::is_permitted) {
+            // The permit and the caller's leaving crossed: nobody takes it.
+            return self.finish(cx, view, request, End::Unanswered);
+        }
         let entry = self.calls.remove(key).and_then(|call| call.entry);
         if let Some(it) = entry.and_then(|entry| self.book.get_mut(entry)) {
             it.waiters.retain(|waiter| *waiter != key);
--- a/crates/ledger/tests/pairs.rs
+++ b/crates/ledger/tests/pairs.rs
@@ -244,12 +244,15 @@
             _ => {}
         }
         match step {
+            SEND | BOUNCE if call.result.is_some() => {}
             SEND => self.world.send(request),
             BOUNCE => self.world.bounce(request),
             ANSWER => self.world.finish(request, answered(request)),
             FAIL => self.world.finish(request, End::Unanswered),
             _ if call.result.is_none() => {
-                self.world.cancel(request);
+                if call.permitted.is_none() {
+                    self.world.cancel(request);
+                }
                 self.again(job::index(request));
             }
             _ => {}
--- a/crates/ledger/tests/pairs/check.rs
+++ b/crates/ledger/tests/pairs/check.rs
@@ -64,7 +64,7 @@
         }
     }
     for bill in &bills {
-        let ran = |key: &str| bill == key || bill.starts_with(&format!("{key}/"));
+        let ran = |key: &str| bill == key || bill.starts_with(&format!("{key}~"));
         let mut executions = run.world.executions.iter();
         if !executions.any(|it| ran(&it.key) || bill.ends_with(&format!("/{}", it.request))) {
             verdict.faults.push(format!("{bill} never ran"));
@@ -92,7 +92,7 @@
     }
     let identity = call.identity();
     match call.arrival.repeat {
-        Repeat::Idempotent => bill == format!("{identity}/{}", call.arrival.fingerprint),
+        Repeat::Idempotent => bill == format!("{identity}~{}", call.arrival.fingerprint),
         Repeat::NonIdempotent => bill == identity,
     }
 }
--- a/crates/ledger/tests/sim/table.rs
+++ b/crates/ledger/tests/sim/table.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use platform::row::Key;
+
 use ledger::table::{Expect, Page, Row, Transaction, Unavailable, Written};
 
 /// How the table behaves.
@@ -24,13 +26,17 @@
     pub(crate) lose: u32,
     /// That many writes take effect long after their clients gave up.
     pub(crate) late: u32,
-    pub(crate) writes: u64,
     versions: u64,
 }
 
 impl Table {
     pub(crate) fn transact(&mut self, transaction: &Transaction) -> Written {
-        self.writes += 1;
+        let conditions = transaction.conditions.iter().map(|it| &it.key);
+        let puts = transaction.puts.iter().map(|it| &it.key);
+        conditions
+            .chain(puts)
+            .chain(&transaction.deletes)
+            .for_each(|key| assert_is_row(key));
         let failed: Vec<String> = transaction
             .conditions
             .iter()
@@ -58,6 +64,7 @@
     }
 
     pub(crate) fn read(&self, key: &str) -> Result<Option<Row>, Unavailable> {
+        assert_is_row(key);
         if self.mode != Mode::Fine {
             return Err(Unavailable);
         }
@@ -85,6 +92,12 @@
     }
 }
 
+/// The client of the real table knows each key, and writes it alike.
+fn assert_is_row(key: &str) {
+    let parsed = Key::parse(key).map(|it| it.to_string());
+    assert_eq!(parsed.as_deref(), Some(key));
+}
+
 fn to_row(key: &str, (version, value): &(u64, String)) -> Row {
     Row {
         key: key.to_owned(),
