--- a/crates/http/tests/suite/client.rs
+++ b/crates/http/tests/suite/client.rs
@@ -9,7 +9,7 @@
 use async_std::task::block_on;
 use datadriven::{TestCase, walk};
 use http::{Body, Client, Method, Options, Pool, Repeat, Request};
-use kernel::SystemClock;
+use kernel::{ManualClock, SystemClock};
 
 use crate::support;
 
@@ -158,3 +158,21 @@
     let line = block_on(ask(&client, peer.address, Method::Post, &options));
     assert_eq!(line, format!("200 {content} bytes"));
 }
+
+#[test]
+fn an_old_connection_is_not_used_again() {
+    // Story: a service closes connections that were idle for a minute. Used at
+    // that moment, one would cost a booking its certainty.
+    let script = "conn\nrecv\nsend HTTP/1.1 200 OK\\r\\ncontent-length: 3\\r\\n\\r\\none\nhold\n\
+                  conn\nrecv\nsend HTTP/1.1 200 OK\\r\\ncontent-length: 3\\r\\n\\r\\ntwo\nhold\n";
+    let peer = Peer::start(script);
+    let clock = Arc::new(ManualClock::default());
+    let pool = Pool::default();
+    let client = Client::new(Arc::clone(&clock) as _, pool);
+    let options = Options::default();
+    for expected in ["200 one", "200 two"] {
+        let line = block_on(ask(&client, peer.address, Method::Post, &options));
+        assert_eq!(line, expected);
+        clock.advance(pool.max_age);
+    }
+}
--- a/crates/http/tests/suite/server.rs
+++ b/crates/http/tests/suite/server.rs
@@ -259,3 +259,59 @@
         expect_that!(body, contains_substring(r#""run":"not_run""#));
     });
 }
+
+#[gtest]
+fn a_caller_may_wait_to_be_told_to_go_on() {
+    // Story: a caller's library asks before it sends a long dossier, and waits
+    // for the word. Without it the dossier would never come.
+    block_on(async {
+        let server = Server::bind(LOCAL, Limits::default(), echo).await.unwrap();
+        let mut stream = support::connect(server.address());
+        support::send(
+            &mut stream,
+            r"POST / HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n",
+        );
+        let (head, _) = support::read_message(&mut stream).unwrap();
+        expect_that!(head, starts_with("HTTP/1.1 100"));
+        support::send(&mut stream, "hi");
+        let (_, body) = support::read_message(&mut stream).unwrap();
+        expect_that!(body, eq("POST / [-] hi"));
+    });
+}
+
+#[gtest]
+fn a_caller_that_reads_nothing_is_given_up() {
+    // Story: a caller's host hangs while an answer is streamed to it. The
+    // stream, and the engine that writes it, would be held for good.
+    block_on(async {
+        let limits = Limits {
+            write_time: Duration::from_millis(30),
+            ..Limits::default()
+        };
+        let (pieces, body) = Body::channel(1);
+        let body = std::sync::Mutex::new(Some(body));
+        let server = Server::bind(LOCAL, limits, move |_| {
+            let body = body.lock().unwrap().take().unwrap();
+            async { Response::new(Status::Ok).body(body) }
+        });
+        let mut stream = support::connect(server.await.unwrap().address());
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        while pieces.send(vec![b'x'; 1 << 16]).await.is_ok() {}
+        expect_that!(pieces.is_closed(), is_true());
+    });
+}
+
+#[gtest]
+fn an_idle_connection_is_closed_after_its_time() {
+    block_on(async {
+        let limits = Limits {
+            idle_time: Duration::from_millis(30),
+            ..Limits::default()
+        };
+        let server = Server::bind(LOCAL, limits, echo).await.unwrap();
+        let mut stream = support::connect(server.address());
+        support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+        expect_that!(support::read_message(&mut stream), some(anything()));
+        expect_that!(stream.read(&mut [0]), ok(eq(&0)));
+    });
+}
