platform: let only the probe speak for the probe

A call from before the outage was noticed, failing while a probe was under way, counted as the probe's failure and doubled the wait for the next one. The outcome now comes with its admission.

--- a/crates/platform/src/circuit.rs
+++ b/crates/platform/src/circuit.rs
@@ -90,17 +90,23 @@
         self.state = State::Closed { failures: 0 };
     }
 
-    /// Tells that a call failed at `now` for the service's sake.
-    pub fn fail(&mut self, now: Duration) {
-        self.state = match self.state {
-            State::Closed { failures } if failures + 1 < self.tuning.failures => State::Closed {
-                failures: failures + 1,
-            },
-            State::Closed { .. } => self.open(now, self.tuning.first_wait),
-            State::Probing { wait, .. } => self.open(now, (wait * 2).min(self.tuning.max_wait)),
-            // A call from before the outage was noticed. It says nothing new,
-            // and would push the next probe away.
-            open @ State::Open { .. } => open,
+    /// Tells that a call, admitted as `admission`, failed at `now` for the
+    /// service's sake.
+    ///
+    /// Calls from before the outage was noticed fail after it. They say nothing
+    /// new: counted, they would push the next probe away or stand for its failure.
+    pub fn fail(&mut self, now: Duration, admission: Admission) {
+        self.state = match (self.state, admission) {
+            (State::Closed { failures }, _) if failures + 1 < self.tuning.failures => {
+                State::Closed {
+                    failures: failures + 1,
+                }
+            }
+            (State::Closed { .. }, _) => self.open(now, self.tuning.first_wait),
+            (State::Probing { wait, .. }, Admission::Probe) => {
+                self.open(now, (wait * 2).min(self.tuning.max_wait))
+            }
+            (state, _) => state,
         };
     }
 
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -53,7 +53,8 @@
         repeat: Repeat,
         read: impl AsyncFnOnce(Response) -> Result<T, Error>,
     ) -> Result<T, Error> {
-        if let Admission::Refuse(_) = self.with_circuit(|it| it.admit(self.clock.now())) {
+        let admission = self.with_circuit(|it| it.admit(self.clock.now()));
+        if let Admission::Refuse(_) = admission {
             return Err(Error::NotApplied(Reason::Open));
         }
         let options = Options {
@@ -65,7 +66,7 @@
             Err(err) => Err(Error::exchange(err)),
         };
         self.with_circuit(|it| match &result {
-            Err(err) if err.is_outage() => it.fail(self.clock.now()),
+            Err(err) if err.is_outage() => it.fail(self.clock.now(), admission),
             _ => it.succeed(),
         });
         result
--- a/crates/platform/tests/suite/circuit.rs
+++ b/crates/platform/tests/suite/circuit.rs
@@ -25,7 +25,8 @@
         let (at, step) = line.split_once(' ').unwrap();
         let now = Duration::from_millis(at.parse().unwrap());
         match step {
-            "fail" => circuit.fail(now),
+            "fail" => circuit.fail(now, Admission::Admit),
+            "probe-fail" => circuit.fail(now, Admission::Probe),
             "succeed" => circuit.succeed(),
             "admit" => {
                 let said = match circuit.admit(now) {
@@ -51,7 +52,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Admit,
-    Fail,
+    Fail(Admission),
     Succeed,
     Wait(u64),
 }
@@ -59,7 +60,8 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         Just(Step::Admit),
-        Just(Step::Fail),
+        Just(Step::Fail(Admission::Admit)),
+        Just(Step::Fail(Admission::Probe)),
         Just(Step::Succeed),
         (0..20_000u64).prop_map(Step::Wait),
     ]
@@ -78,7 +80,7 @@
         for step in steps {
             match step {
                 Step::Admit => drop(circuit.admit(now)),
-                Step::Fail => circuit.fail(now),
+                Step::Fail(admission) => circuit.fail(now, admission),
                 Step::Succeed => circuit.succeed(),
                 Step::Wait(ms) => now += Duration::from_millis(ms),
             }
