--- a/crates/barleypind/tests/scripts.rs
+++ b/crates/barleypind/tests/scripts.rs
@@ -39,20 +39,27 @@
 }
 
 scripts! {
+    address_reused
     billed_once_batch_answer_lost
     billed_once_host_killed
     change_answer_lost
     change_in_store_outage
     claim_answer_lost
+    cut_from_store
+    dead_host_not_handed_out
     drain_cuts_nothing
     frozen_through_change
     hold_asked_everywhere_at_once
     hold_executed_answer_lost
     hold_killed_in_flight
     holds_in_store_outage
+    leaving_endpoint
     no_peer_in_store_outage
     refused_by_endpoint_runs_elsewhere
+    repeated_elsewhere_billed_once
+    rolling_restart
     session_over_withdrawal
+    stale_host_refuses
     stream_cut
     two_operators
 }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -11,7 +11,9 @@
 mod defaults;
 mod host;
 mod limit;
+mod load;
 mod records;
+mod relay;
 mod stage;
 mod world;
 
--- /dev/null
+++ b/crates/scenario/src/load.rs
@@ -0,0 +1,140 @@
+//! Callers that go on calling while a script does something else.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::task::{self, JoinHandle};
+use futures::future;
+use serde_json::Value;
+
+use crate::call::{Call, Outcome};
+use crate::client::Client;
+use crate::command::{Arguments, Given};
+use crate::defaults::{CUSTOMER, KEY_PREFIX};
+
+/// Callers at the same time.
+const CALLERS: usize = 8;
+/// Time between two calls of one caller.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Callers that ask for addresses, keep them for as long as they are told,
+/// and call there without ever repeating a call.
+pub(crate) struct Load {
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Counts>>,
+}
+
+/// What came of the calls.
+#[derive(Debug, Default)]
+struct Counts {
+    answered: usize,
+    others: BTreeMap<String, usize>,
+}
+
+impl Load {
+    /// Starts the callers; `start` is the first address each of them knows.
+    pub(crate) fn start(client: &Client, given: &Given, start: SocketAddr) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = (0..CALLERS)
+            .map(|idx| {
+                task::spawn(call(
+                    client.clone(),
+                    given.clone(),
+                    start,
+                    idx,
+                    stop.clone(),
+                ))
+            })
+            .collect();
+        Self { stop, callers }
+    }
+
+    /// Stops them and tells of every call that wasn't answered, by what it got.
+    pub(crate) async fn stop(self) -> String {
+        self.stop.store(true, Ordering::SeqCst);
+        let all = future::join_all(self.callers).await;
+        let answered: usize = all.iter().map(|it| it.answered).sum();
+        let mut others = BTreeMap::new();
+        for (line, count) in all.into_iter().flat_map(|it| it.others) {
+            *others.entry(line).or_insert(0) += count;
+        }
+        let some = if answered > 0 { "some" } else { "none" };
+        let mut lines = vec![format!("{some} answered")];
+        lines.extend(others.iter().map(|(line, count)| format!("{count} {line}")));
+        lines.join("\n")
+    }
+}
+
+async fn call(
+    client: Client,
+    given: Given,
+    start: SocketAddr,
+    idx: usize,
+    stop: Arc<AtomicBool>,
+) -> Counts {
+    let mut counts = Counts::default();
+    let mut kept = Kept::new(start);
+    while !stop.load(Ordering::SeqCst) {
+        let to = kept.address(&client, idx).await;
+        let args = Arguments::new(&given);
+        let Outcome { line, .. } = Call::new(&args, to, None, None)
+            .perform(client.clone())
+            .await;
+        if line.starts_with("200") && !line.contains("NO") {
+            counts.answered += 1;
+        } else {
+            *counts.others.entry(line).or_insert(0) += 1;
+        }
+        task::sleep(PAUSE).await;
+    }
+    counts
+}
+
+/// The addresses that a caller keeps.
+struct Kept {
+    addresses: Vec<SocketAddr>,
+    until: Option<Instant>,
+}
+
+impl Kept {
+    fn new(start: SocketAddr) -> Self {
+        Self {
+            addresses: vec![start],
+            until: None,
+        }
+    }
+
+    /// An address of the kept answer; when it has lapsed, another is asked
+    /// for, at a host that the last one named.
+    async fn address(&mut self, client: &Client, idx: usize) -> SocketAddr {
+        if self.until.is_none_or(|it| it <= Instant::now()) {
+            self.ask(client, idx).await;
+        }
+        self.addresses[idx % self.addresses.len()]
+    }
+
+    async fn ask(&mut self, client: &Client, idx: usize) {
+        let key = format!("{KEY_PREFIX}{CUSTOMER}");
+        for attempt in 0..self.addresses.len() {
+            let at = self.addresses[(idx + attempt) % self.addresses.len()];
+            let Some(answer) = client.get(at, "/v1/hosts", &key).await else {
+                continue;
+            };
+            let hosts = answer["hosts"].as_array().into_iter().flatten();
+            let addresses: Vec<_> = hosts.filter_map(address).collect();
+            if !addresses.is_empty() {
+                self.addresses = addresses;
+                let keep = Duration::from_millis(answer["keep_ms"].as_u64().unwrap_or_default());
+                self.until = Some(Instant::now() + keep);
+                return;
+            }
+        }
+    }
+}
+
+fn address(host: &Value) -> Option<SocketAddr> {
+    host["address"].as_str()?.parse().ok()
+}
--- a/crates/scenario/src/records.rs
+++ b/crates/scenario/src/records.rs
@@ -21,6 +21,16 @@
     runs.filter(|it| it["call"] == call).count()
 }
 
+/// Executions at one endpoint, of one call or of all.
+pub(crate) async fn at(world: &World, endpoint: &str, call: Option<&str>) -> usize {
+    let records = read(world, world.stand_in(endpoint)).await;
+    let plain = records["runs"].as_array();
+    let engine = records["executions"].as_array();
+    let runs = plain.into_iter().chain(engine).flatten();
+    runs.filter(|it| call.is_none_or(|call| it["call"] == call))
+        .count()
+}
+
 /// Executions of a version over all engines.
 pub(crate) async fn of_version(world: &World, version: &str) -> usize {
     let all = all(world, |it| it.starts_with("engine")).await;
--- a/crates/scenario/src/stage.rs
+++ b/crates/scenario/src/stage.rs
@@ -10,9 +10,10 @@
 use serde_json::Value;
 
 use crate::call::{Call, Outcome};
-use crate::command::{Arguments, parse_line};
+use crate::command::{Arguments, Given, parse_line};
 use crate::defaults::{CUSTOMER, KEY_PREFIX};
 use crate::limit::until;
+use crate::load::Load;
 use crate::records;
 use crate::world::World;
 
@@ -21,6 +22,7 @@
     binary: PathBuf,
     world: Option<World>,
     begun: BTreeMap<String, JoinHandle<Outcome>>,
+    load: Option<Load>,
     tickets: BTreeMap<String, String>,
     sessions: BTreeMap<String, String>,
 }
@@ -33,6 +35,7 @@
             binary: binary.to_owned(),
             world: None,
             begun: BTreeMap::new(),
+            load: None,
             tickets: BTreeMap::new(),
             sessions: BTreeMap::new(),
         }
@@ -66,6 +69,11 @@
             "hand-out" => self.hand_out(&args).await,
             "call" => self.call(&args).await,
             "together" => self.together(&case.input).await,
+            "calls" => self.calls(&args).await,
+            "begin-load" => self.begin_load(&case.args),
+            "end-load" => self.end_load().await,
+            "cut" => self.cut(&args),
+            "executions-at" => self.executions_at(&args).await,
             "begin" => self.begin(&args),
             "end" => self.end(&args).await,
             "executions" => self.executions(&args).await,
@@ -195,12 +203,16 @@
         let outcome = if args.has("until_answered") {
             let answer = || async { Some(perform().await).filter(|it| it.line.starts_with("200")) };
             until(args.within(), answer).await
+        } else if args.has("until_refused") {
+            let refuse =
+                || async { Some(perform().await).filter(|it| !it.line.starts_with("200")) };
+            until(args.within(), refuse).await
         } else {
             Some(perform().await)
         };
         match outcome {
             Some(it) => self.keep_session(args, it),
-            None => "not answered".to_owned(),
+            None => "not so within the bound".to_owned(),
         }
     }
 
@@ -221,6 +233,45 @@
         outcomes.join("\n")
     }
 
+    /// The same call many times, one after the other; tells each outcome once, with its number.
+    async fn calls(&mut self, args: &Arguments<'_>) -> String {
+        let mut outcomes = BTreeMap::new();
+        for _ in 0..args.parsed("count", 1) {
+            let call = self.prepare(args).perform(self.world().client.clone());
+            *outcomes.entry(call.await.line).or_insert(0) += 1;
+        }
+        let lines = outcomes
+            .iter()
+            .map(|(line, count)| format!("{count} {line}"));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
+    fn begin_load(&mut self, given: &Given) -> String {
+        let host = Arguments::new(given).one("host");
+        let start = self.world().host(host).callers();
+        self.load = Some(Load::start(&self.world().client, given, start));
+        "begun".to_owned()
+    }
+
+    async fn end_load(&mut self) -> String {
+        let load = self
+            .load
+            .take()
+            .expect("`begin-load` comes before `end-load`");
+        load.stop().await
+    }
+
+    /// Cuts a host off from the table service.
+    fn cut(&mut self, args: &Arguments<'_>) -> String {
+        self.world().cut_from_table(args.one("host"));
+        "cut".to_owned()
+    }
+
+    async fn executions_at(&mut self, args: &Arguments<'_>) -> String {
+        let count = records::at(self.world(), args.one("endpoint"), args.maybe("call")).await;
+        count.to_string()
+    }
+
     fn begin(&mut self, args: &Arguments<'_>) -> String {
         let call = self.prepare(args).perform(self.world().client.clone());
         let name = args.one("as").to_owned();
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -23,6 +23,7 @@
 use crate::defaults::{self, OPERATOR_KEY};
 use crate::host::{Host, Platform, write_shared_keys};
 use crate::limit::until;
+use crate::relay::Relay;
 
 /// How long a host may take to come up or to end.
 const START: Duration = Duration::from_secs(15);
@@ -41,6 +42,7 @@
     net: [u8; 2],
     extra: String,
     next_ip: u8,
+    relays: BTreeMap<String, Relay>,
     _started: Started,
 }
 
@@ -69,6 +71,7 @@
             net: net(),
             extra: extra.to_owned(),
             next_ip: 1,
+            relays: BTreeMap::new(),
             _started: started,
         }
     }
@@ -80,17 +83,20 @@
         let [high, low] = self.net;
         let ip = Ipv4Addr::new(127, high, low, self.next_ip);
         self.next_ip += 1;
+        let relay = Relay::start(self.stand_in("table")).await;
+        let relay = relay.expect("loopback ports are free");
         let host = Host::start(
             &self.binary,
             self.dir.path(),
             &self.authority,
-            self.platform(),
+            self.platform(relay.address),
             name,
             ip,
             &self.extra,
         );
         let host = host.expect("the host's program can be started");
         self.list(&host).await;
+        self.relays.insert(name.to_owned(), relay);
         self.hosts.insert(name.to_owned(), host);
     }
 
@@ -231,6 +237,14 @@
         self.host_mut(name).kill();
     }
 
+    /// Cuts a host off from the table service, for good.
+    pub(crate) fn cut_from_table(&self, name: &str) {
+        let relay = self.relays.get(name);
+        relay
+            .unwrap_or_else(|| panic!("the script has started no host {name}"))
+            .cut();
+    }
+
     /// Sends a signal to a host.
     pub(crate) fn signal(&self, name: &str, signal: Signal) {
         self.host(name).signal(signal);
@@ -288,9 +302,9 @@
         assert!(answer.is_ok_and(|it| it.status.is_success()));
     }
 
-    fn platform(&self) -> Platform {
+    fn platform(&self, table: SocketAddr) -> Platform {
         Platform {
-            table: self.stand_in("table"),
+            table,
             objects: self.stand_in("objects"),
             hosts: self.stand_in("hosts"),
             rating: self.stand_in("rating"),
