--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,18 +1,21 @@
 //! Bodies: bytes, or a stream of them.
 
+mod channel;
+
 use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
-use async_std::channel::{self, Receiver};
-use futures::Stream;
 use futures::io::{AsyncBufRead, AsyncBufReadExt, AsyncRead};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Cause, Error};
+use crate::Error;
+
+use channel::Pieces;
+pub use channel::Sender;
 
 type Reader = Box<dyn AsyncBufRead + Send + Sync + Unpin>;
 
@@ -24,7 +27,7 @@
 enum Source {
     Bytes { bytes: Arc<Vec<u8>>, pos: usize },
     Reader { reader: Reader, len: Option<u64> },
-    Channel(Incoming),
+    Channel(Pieces),
 }
 
 impl Body {
@@ -55,16 +58,9 @@
     /// Bytes that a task sends while the body is being written.
     #[must_use]
     pub fn channel(capacity: usize) -> (Sender, Self) {
-        let (sender, receiver) = channel::bounded(capacity.max(1));
-        let body = Self {
-            source: Source::Channel(Incoming {
-                receiver,
-                piece: Vec::new(),
-                pos: 0,
-                state: State::Open,
-            }),
-        };
-        (Sender { sender }, body)
+        let (sender, pieces) = channel::open(capacity);
+        let source = Source::Channel(pieces);
+        (sender, Self { source })
     }
 
     /// Bytes from a reader, `len` of them when that is known.
@@ -160,7 +156,7 @@
         match &mut self.get_mut().source {
             Source::Bytes { bytes, pos } => Poll::Ready(Ok(&bytes[*pos..])),
             Source::Reader { reader, .. } => Pin::new(reader).poll_fill_buf(cx),
-            Source::Channel(incoming) => incoming.poll_fill_buf(cx),
+            Source::Channel(pieces) => pieces.poll_fill_buf(cx),
         }
     }
 
@@ -168,7 +164,7 @@
         match &mut self.get_mut().source {
             Source::Bytes { pos, .. } => *pos += amt,
             Source::Reader { reader, .. } => Pin::new(reader).consume(amt),
-            Source::Channel(incoming) => incoming.pos += amt,
+            Source::Channel(pieces) => pieces.consume(amt),
         }
     }
 }
@@ -192,75 +188,3 @@
         f.debug_struct("Body").field("len", &self.len()).finish()
     }
 }
-
-/// The end into which the pieces of a streamed body are put.
-///
-/// Dropping it without [`Sender::finish`] cuts the body, so that a producer that
-/// died halfway can't look like one that had no more to say.
-#[derive(Clone, Debug)]
-pub struct Sender {
-    sender: channel::Sender<Piece>,
-}
-
-#[derive(Debug)]
-enum Piece {
-    Bytes(Vec<u8>),
-    End,
-}
-
-impl Sender {
-    /// Puts in a piece, waiting while the reader is behind.
-    ///
-    /// # Errors
-    /// [`Cause::Closed`] when nobody reads any more: the caller went away.
-    pub async fn send(&self, bytes: impl Into<Vec<u8>>) -> Result<(), Cause> {
-        let piece = Piece::Bytes(bytes.into());
-        self.sender.send(piece).await.map_err(|_| Cause::Closed)
-    }
-
-    /// Ends the body as whole.
-    ///
-    /// # Errors
-    /// [`Cause::Closed`] when nobody reads any more.
-    pub async fn finish(self) -> Result<(), Cause> {
-        self.sender
-            .send(Piece::End)
-            .await
-            .map_err(|_| Cause::Closed)
-    }
-
-    /// Whether nobody reads any more.
-    #[must_use]
-    pub fn is_closed(&self) -> bool {
-        self.sender.is_closed()
-    }
-}
-
-struct Incoming {
-    receiver: Receiver<Piece>,
-    piece: Vec<u8>,
-    pos: usize,
-    state: State,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum State {
-    Open,
-    Ended,
-}
-
-impl Incoming {
-    fn poll_fill_buf(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
-        while self.pos >= self.piece.len() && self.state == State::Open {
-            match ready!(Pin::new(&mut self.receiver).poll_next(cx)) {
-                Some(Piece::Bytes(bytes)) => {
-                    self.piece = bytes;
-                    self.pos = 0;
-                }
-                Some(Piece::End) => self.state = State::Ended,
-                None => return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
-            }
-        }
-        Poll::Ready(Ok(self.piece.get(self.pos..).unwrap_or_default()))
-    }
-}
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -5,15 +5,19 @@
 //! a length for an empty one and may wait for a wake-up that it didn't ask for.
 //! Heads are therefore read here, checked, and handed to it byte for byte.
 
+mod input;
+
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll};
 
 use async_std::net::TcpStream;
 use futures::future::poll_fn;
 use futures::io::{AsyncRead, AsyncWrite};
 
+use input::Input;
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const READ_SIZE: usize = 8 * 1024;
 
@@ -27,20 +31,6 @@
     input: Arc<Mutex<Input>>,
 }
 
-#[derive(Debug, Default)]
-struct Input {
-    buf: Vec<u8>,
-    pos: usize,
-    /// How many more bytes may be handed out; nothing for as many as come.
-    left: Option<u64>,
-    /// Whether the socket will wake the task that was last told to wait.
-    armed: bool,
-    /// Whether the message's body has been read to its end.
-    body_done: bool,
-    /// Who waits to watch for the peer's close until the body is read.
-    watcher: Option<Waker>,
-}
-
 /// What happens to bytes beyond ASCII in a head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Foreign {
@@ -240,37 +230,6 @@
     matches!(byte, b'\t' | b'\r' | b'\n' | b' '..=b'~')
 }
 
-impl Input {
-    fn poll_read(
-        &mut self,
-        stream: &TcpStream,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let left = self.left.unwrap_or(u64::MAX);
-        let max = usize::try_from(left).unwrap_or(usize::MAX).min(buf.len());
-        let buf = &mut buf[..max];
-        self.armed = false;
-        let got = if self.pos < self.buf.len() {
-            let rest = &self.buf[self.pos..];
-            let len = rest.len().min(buf.len());
-            buf[..len].copy_from_slice(&rest[..len]);
-            self.pos += len;
-            len
-        } else if buf.is_empty() {
-            0
-        } else {
-            let read = Pin::new(&mut &*stream).poll_read(cx, buf);
-            self.armed = read.is_pending();
-            ready!(read)?
-        };
-        if let Some(left) = &mut self.left {
-            *left -= got as u64;
-        }
-        Poll::Ready(Ok(got))
-    }
-}
-
 impl AsyncRead for Conn {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,9 +1,11 @@
 //! The server: an accept loop, limits on what peers may send, a graceful stop.
 
 mod connection;
+mod head;
 mod incoming;
 mod limits;
 mod listen;
+mod refusal;
 mod shared;
 mod watch;
 
@@ -20,6 +22,7 @@
 use futures::pin_mut;
 
 use crate::{Request, Response, Status};
+use refusal::{Refusal, refuse};
 use shared::Shared;
 
 pub use limits::Limits;
@@ -133,6 +136,6 @@
 }
 
 async fn turn_away(stream: TcpStream, shared: Arc<Shared>) {
-    let refusal = connection::problem(Status::ServiceUnavailable, "too many connections");
-    connection::refuse(&stream, &shared, refusal).await;
+    let refusal = Refusal::new(Status::ServiceUnavailable, "too many connections");
+    refuse(&stream, &shared, refusal).await;
 }
--- /dev/null
+++ b/crates/http/src/server/head.rs
@@ -0,0 +1,118 @@
+//! The head of a request: read within its limits, and checked.
+
+use async_std::future::timeout;
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+
+use super::incoming::Incoming;
+use super::refusal::Refusal;
+use super::shared::Shared;
+use crate::conn::{Conn, Foreign, HeadError};
+use crate::h1;
+use crate::{Body, Method, Request, Status};
+
+/// What becomes of the connection after an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Next {
+    Request,
+    Close,
+    /// Close without ceremony: the peer is gone, or must see that its answer is cut.
+    Abort,
+}
+
+/// A request in the form in which the connection goes on with it.
+pub(super) struct Head {
+    pub(super) request: Request,
+    pub(super) method: Method,
+    pub(super) next: Next,
+}
+
+/// Reads and checks a head; nothing when the peer left within it.
+pub(super) async fn read(conn: &Conn, shared: &Shared) -> Result<Option<Head>, Refusal> {
+    let limits = &shared.limits;
+    let head = conn.head(limits.max_head, Foreign::Refuse);
+    match timeout(limits.head_time, head).await {
+        Ok(Ok(())) => {}
+        Ok(Err(HeadError::Closed | HeadError::Broken(_))) => return Ok(None),
+        Ok(Err(HeadError::TooLarge)) => {
+            return Err(Refusal::new(
+                Status::RequestHeaderFieldsTooLarge,
+                "head too large",
+            ));
+        }
+        Ok(Err(HeadError::Malformed)) => return Err(malformed("byte that no head may have")),
+        Err(_) => return Err(Refusal::new(Status::RequestTimeout, "head came too slowly")),
+    }
+    match async_h1::server::decode(conn.clone()).await {
+        Ok(Some((request, _))) => check(request, conn, shared).map(Some),
+        Ok(None) => Ok(None),
+        Err(_) => Err(malformed("not an HTTP/1.1 request")),
+    }
+}
+
+/// Refuses what could be framed in two ways, and what is too large by its own word.
+fn check(mut decoded: http_types::Request, conn: &Conn, shared: &Shared) -> Result<Head, Refusal> {
+    let limits = &shared.limits;
+    let chunked = match decoded.header(TRANSFER_ENCODING) {
+        None => false,
+        Some(it) if it.iter().count() == 1 && it.last().as_str() == "chunked" => true,
+        Some(_) => return Err(malformed("transfer coding other than chunked")),
+    };
+    if decoded
+        .header(CONTENT_LENGTH)
+        .is_some_and(|it| it.iter().count() > 1 || !h1::is_number(it.last().as_str()))
+    {
+        return Err(malformed("not exactly one content-length"));
+    }
+    if decoded
+        .header(HOST)
+        .is_none_or(|it| it.iter().count() > 1 || !it.last().as_str().bytes().all(is_host_byte))
+    {
+        return Err(malformed("not exactly one host"));
+    }
+    let len = match decoded.len() {
+        _ if chunked => None,
+        len => Some(len.unwrap_or(0) as u64),
+    };
+    if len.is_some_and(|len| len > limits.max_body as u64) {
+        return Err(Refusal::new(Status::PayloadTooLarge, "body too large"));
+    }
+    conn.release_body(len);
+
+    let method = decoded.method();
+    let url = decoded.url();
+    let target = match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    };
+    let says_close = decoded
+        .header(CONNECTION)
+        .is_some_and(|it| it.last().as_str().eq_ignore_ascii_case("close"));
+    let mut request = Request::new(method, target);
+    request.headers = h1::decode_headers(decoded.as_ref());
+    if len != Some(0) {
+        let body = decoded.take_body();
+        let incoming = Incoming::new(body, conn.clone(), len, limits.max_body, limits.body_time);
+        request.body = Body::reader(incoming, len);
+    }
+    // The library may have read on past a chunked body and dropped what it read.
+    let next = if says_close || chunked {
+        Next::Close
+    } else {
+        Next::Request
+    };
+    Ok(Head {
+        request,
+        method,
+        next,
+    })
+}
+
+/// The library joins host and path into one URL. Any other byte could move
+/// the border between them, and the request to another path.
+fn is_host_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-._:[]~%".contains(&byte)
+}
+
+fn malformed(detail: &'static str) -> Refusal {
+    Refusal::new(Status::BadRequest, detail)
+}
--- /dev/null
+++ b/crates/http/src/server/refusal.rs
@@ -0,0 +1,91 @@
+//! Refusals of requests that never reach the handler, and the close after them.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::{Shutdown, TcpStream};
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use http_types::headers::CONNECTION;
+use serde::Serialize;
+
+use super::shared::Shared;
+use crate::h1;
+use crate::relay::relay;
+use crate::{Method, Response, Status};
+
+/// How long, and for how many bytes, a refused peer is listened to. Closing at
+/// once would reset the connection and could take the refusal with it.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 256 * 1024;
+
+/// Why a request never reaches the handler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    status: Status,
+    detail: &'static str,
+}
+
+impl Refusal {
+    pub(super) fn new(status: Status, detail: &'static str) -> Self {
+        Self { status, detail }
+    }
+
+    /// The problem document. Nothing ran, since no handler saw the request.
+    fn into_response(self) -> Response {
+        let Self { status, detail } = self;
+        let reason = match status {
+            Status::PayloadTooLarge | Status::RequestHeaderFieldsTooLarge => "too_large",
+            Status::ServiceUnavailable => "overloaded",
+            _ => "bad_request",
+        };
+        let problem = Problem {
+            r#type: "about:blank",
+            title: status.canonical_reason(),
+            status: status.into(),
+            detail,
+            reason,
+            run: "not_run",
+        };
+        Response::json(status, &problem).header("content-type", "application/problem+json")
+    }
+}
+
+#[derive(Serialize)]
+struct Problem {
+    r#type: &'static str,
+    title: &'static str,
+    status: u16,
+    detail: &'static str,
+    reason: &'static str,
+    run: &'static str,
+}
+
+/// Writes a refusal and closes the connection.
+pub(super) async fn refuse(stream: &TcpStream, shared: &Shared, refusal: Refusal) {
+    let mut message = h1::encode_response(refusal.into_response());
+    message.insert_header(CONNECTION, "close");
+    let mut encoder = async_h1::server::Encoder::new(message, Method::Get);
+    let mut sent = 0;
+    let written = relay(&mut encoder, stream, shared.limits.write_time, &mut sent).await;
+    if written.is_ok() {
+        linger(stream).await;
+    }
+}
+
+/// Closes the sending side and listens until the peer has closed too.
+pub(super) async fn linger(mut stream: &TcpStream) {
+    if stream.flush().await.is_err() || stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let discard = async {
+        let mut buf = vec![0; 8 * 1024];
+        let mut total = 0;
+        while let Ok(got @ 1..) = stream.read(&mut buf).await {
+            total += got;
+            if total > LINGER_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = timeout(LINGER_TIME, discard).await;
+}
