barleypind: move roll-outs on and order engines under a lease

The holder of the lease on orders sets the engines' load reports against what the configuration wants and orders the difference; a withdrawn version is unloaded, so that a stale host can't use it either. A step is a change under an id that follows from the step. What an attempt learns of a leaving endpoint goes to the other hosts at once.

--- a/crates/barleypind/src/call/run.rs
+++ b/crates/barleypind/src/call/run.rs
@@ -286,7 +286,7 @@
             };
             if let Some(state) = state {
                 cx.endpoints
-                    .hear(&endpoint.name, endpoint.at.incarnation, state);
+                    .learn(&endpoint.name, endpoint.at.incarnation, state);
             }
         }
         if end.outcome.not_run() {
--- a/crates/barleypind/src/daemon.rs
+++ b/crates/barleypind/src/daemon.rs
@@ -24,7 +24,7 @@
 use crate::service::drain::{self, Ended, Parts};
 use crate::service::endpoints::{self, Endpoints};
 use crate::service::ledger::Books;
-use crate::service::{fleet, notices, rate, table};
+use crate::service::{fleet, notices, rate, rollout, table};
 use crate::{gate, operate, renew, tuning};
 
 /// A running daemon.
@@ -51,6 +51,7 @@
         let host = Arc::new(Host::new(settings, secrets, clock, log, incarnation));
         let fleet_queue = host.registry.register::<fleet::Fleet>();
         let rate_queue = host.registry.register::<rate::Rate>();
+        let rollout_queue = host.registry.register::<rollout::Rollout>();
         let drain_queue = host.registry.register::<drain::Drain>();
 
         let (decide, decided) = Decide::new(
@@ -76,6 +77,7 @@
         task::spawn(table::run(Arc::clone(&cx), errands, drained_sender));
         task::spawn(notices::run(Arc::clone(&cx), decided));
         task::spawn(notices::tick(Arc::clone(&cx)));
+        task::spawn(rollout::run(Arc::clone(&cx), rollout_queue));
         task::spawn(rate::submit(Arc::clone(&cx), rate_queue));
         task::spawn(rate::collect(Arc::clone(&cx)));
         task::spawn(watch_list(&cx));
--- a/crates/barleypind/src/operate.rs
+++ b/crates/barleypind/src/operate.rs
@@ -204,7 +204,7 @@
     Ok(Response::json(http::Status::Ok, &status))
 }
 
-async fn members(cx: &Context) -> Vec<Member> {
+pub(crate) async fn members(cx: &Context) -> Vec<Member> {
     let Some(fleet) = cx.host.registry.find::<fleet::Fleet>() else {
         return Vec::new();
     };
--- a/crates/barleypind/src/service.rs
+++ b/crates/barleypind/src/service.rs
@@ -9,4 +9,5 @@
 pub(crate) mod ledger;
 pub(crate) mod notices;
 pub(crate) mod rate;
+pub(crate) mod rollout;
 pub(crate) mod table;
--- a/crates/barleypind/src/service/endpoints.rs
+++ b/crates/barleypind/src/service/endpoints.rs
@@ -11,10 +11,12 @@
 use futures::stream::FuturesUnordered;
 use kernel::{HostName, Incarnation, VersionId};
 use platform::{HostList, Kind};
+use wire::EndpointState;
 
 use crate::event::Event;
 use crate::host::Host;
 use crate::service::decide::Decide;
+use crate::service::fleet;
 
 /// Load reports that are asked for at the same time.
 const POLLS_AT_ONCE: usize = 16;
@@ -30,6 +32,10 @@
     pub(crate) at: engine::Endpoint,
     pub(crate) role: Role,
     pub(crate) distance: Distance,
+    /// Whether it refuses orders with an old fencing number.
+    pub(crate) fencing: Fencing,
+    /// The versions that the host list says it may load.
+    pub(crate) may_load: Arc<[VersionId]>,
     state: State,
     load: Option<Load>,
     missed: u32,
@@ -56,6 +62,13 @@
     }
 }
 
+/// Whether an endpoint checks the fencing number of orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fencing {
+    Checks,
+    Ignores,
+}
+
 /// The endpoints that this host knows.
 pub(crate) struct Endpoints {
     host: Arc<Host>,
@@ -133,7 +146,14 @@
         self.publish(updates);
     }
 
-    /// Notes what another host learned of an endpoint, or an attempt did.
+    /// Notes what an attempt learned of an endpoint, and tells the other hosts:
+    /// the platform's list shows it to them only later.
+    pub(crate) fn learn(&self, name: &HostName, incarnation: Incarnation, state: State) {
+        self.hear(name, incarnation, state);
+        self.tell(name, incarnation, state);
+    }
+
+    /// Notes what another host learned of an endpoint.
     pub(crate) fn hear(&self, name: &HostName, incarnation: Incarnation, state: State) {
         let id = Id::new(name, incarnation);
         let mut known = self.write();
@@ -192,6 +212,9 @@
                 State::Gone => Event::EndpointDown,
             };
             self.host.log.emit(event, &[("endpoint", &current.name)]);
+            if current.state == State::Leaving {
+                self.tell(&current.name, current.at.incarnation, State::Leaving);
+            }
         }
         let update = current.update();
         drop(known);
@@ -204,6 +227,23 @@
         }
     }
 
+    fn tell(&self, name: &HostName, incarnation: Incarnation, state: State) {
+        let Some(fleet) = self.host.registry.find::<fleet::Fleet>() else {
+            return;
+        };
+        let news = wire::Endpoint {
+            host: name.clone(),
+            incarnation,
+            state: match state {
+                State::Live => EndpointState::Live,
+                State::Leaving => EndpointState::Leaving,
+                State::Gone => EndpointState::Gone,
+            },
+        };
+        // The list and the load reports tell it again.
+        let _ = fleet.offer(fleet::Message::Event(::fleet::Event::Endpoint(news)));
+    }
+
     fn log_leaving(&self, name: &HostName) {
         self.host
             .log
@@ -232,6 +272,12 @@
             },
             role,
             distance,
+            fencing: if host.fences {
+                Fencing::Checks
+            } else {
+                Fencing::Ignores
+            },
+            may_load: host.versions.clone().into(),
             state: match host.state {
                 platform::State::Live => State::Live,
                 platform::State::Leaving => State::Leaving,
--- a/crates/barleypind/src/service/notices.rs
+++ b/crates/barleypind/src/service/notices.rs
@@ -12,6 +12,7 @@
 use crate::event::Event;
 use crate::service::decide::Notice;
 use crate::service::fleet::{self, Told};
+use crate::service::rollout;
 
 /// Passes notices on until the decider is gone.
 pub(crate) async fn run(cx: Arc<Context>, mut notices: UnboundedReceiver<Notice>) {
@@ -45,14 +46,10 @@
                 );
             }
             Notice::Step(version, step) => {
-                cx.host.log.emit(
-                    Event::RolloutStep,
-                    &[
-                        ("version", &version),
-                        ("from", &step.from),
-                        ("to", &step.to),
-                    ],
-                );
+                if let Some(rollout) = cx.host.registry.find::<rollout::Rollout>() {
+                    // The decider repeats it until the step is made.
+                    let _ = rollout.offer(rollout::Message::Step(version, step));
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/barleypind/src/service/rollout/orders.rs
@@ -0,0 +1,147 @@
+//! What engines are to have loaded, and the orders that follow.
+
+use std::time::Duration;
+
+use config::{Document, RolloutState};
+use decide::endpoint::Role;
+use engine::{Order, Receipt, Wanted};
+use http::Options;
+use kernel::VersionId;
+use ledger::lease::{self, Tuning};
+
+use super::Actor;
+use crate::event::Event;
+use crate::service::endpoints::{Endpoint, Fencing};
+
+/// How long an order is given to show in the load report before it is given again.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+impl Actor {
+    /// Gives the orders that are due.
+    pub(super) async fn order(&mut self) {
+        let snapshot = self.cx.host.current.get();
+        let mut engines = self.cx.endpoints.live();
+        engines.retain(|it| matches!(it.role, Role::Engine(_)));
+        engines.sort_by(|a, b| a.name.cmp(&b.name));
+        for (idx, version, wanted) in due(&snapshot.document, &engines) {
+            self.give(&engines[idx], version, wanted).await;
+        }
+    }
+
+    async fn give(&mut self, engine: &Endpoint, version: VersionId, wanted: Wanted) {
+        let cx = &self.cx;
+        let now = cx.host.now();
+        let name = (engine.name.clone(), version.clone());
+        let recent = self.ordered.get(&name);
+        if recent.is_some_and(|at| now.saturating_sub(*at) < PATIENCE) {
+            return;
+        }
+        let checks = match engine.fencing {
+            Fencing::Checks => lease::Endpoint::Checks,
+            Fencing::Ignores => lease::Endpoint::Ignores,
+        };
+        // Asked at the last moment: a holder that was frozen finds its lease
+        // lapsed here, before anything leaves.
+        let Ok(fencing) = self.holder.order(cx, checks) else {
+            return;
+        };
+        let order = Order {
+            order: format!("{}-{version}-{fencing}", engine.name),
+            fencing: fencing.0,
+            version,
+            wanted,
+        };
+        // An order that takes longer is given up, so that the next holder
+        // knows when none of this one's can be on its way any more.
+        let options = Options {
+            total: Tuning::default().order_bound,
+            ..Options::default()
+        };
+        self.ordered.insert(name, now);
+        let said = match cx.engine.order(&engine.at, &order, &options).await {
+            Ok(Receipt::Taken) => return,
+            Ok(Receipt::StaleFencing) => "stale fencing number".to_owned(),
+            Err(failure) => failure.to_string(),
+        };
+        cx.host.log.emit(
+            Event::OrderFailed,
+            &[
+                ("endpoint", &engine.name),
+                ("version", &order.version),
+                ("cause", &said),
+            ],
+        );
+    }
+}
+
+/// The orders that make the engines' state the wanted one: the engine's place
+/// in `engines`, the version and what it is to become.
+fn due(document: &Document, engines: &[Endpoint]) -> Vec<(usize, VersionId, Wanted)> {
+    let mut due = Vec::new();
+    for (id, version) in &document.versions {
+        let holders = holders(document, id, version, engines);
+        for (idx, engine) in engines.iter().enumerate() {
+            let wanted = holders.contains(&idx);
+            match (wanted, engine.has_loaded(id)) {
+                (true, false) => due.push((idx, id.clone(), Wanted::Loaded)),
+                // An active version that nobody asked for is left alone.
+                (false, true) if !version.is_active() || is_aborted(document, id) => {
+                    due.push((idx, id.clone(), Wanted::Unloaded));
+                }
+                _ => {}
+            }
+        }
+    }
+    due
+}
+
+/// The engines that are to have a version loaded.
+fn holders(
+    document: &Document,
+    id: &VersionId,
+    version: &config::Version,
+    engines: &[Endpoint],
+) -> Vec<usize> {
+    if !version.is_active() {
+        return Vec::new();
+    }
+    let places = |wanted: &dyn Fn(&Endpoint) -> bool| -> Vec<usize> {
+        let all = engines.iter().enumerate();
+        all.filter(|(_, it)| wanted(it))
+            .map(|(idx, _)| idx)
+            .collect()
+    };
+    let Some(rollout) = document.rollouts.get(id) else {
+        return places(&|it| it.may_load.contains(id));
+    };
+    let takers = places(&|it| it.may_load.contains(id) || it.has_loaded(&rollout.replaces));
+    let share = match rollout.state {
+        RolloutState::Aborted => return Vec::new(),
+        RolloutState::Done => 1.0,
+        // Those of the next step load in good time.
+        RolloutState::Running => {
+            let next = rollout.steps.get(rollout.step + 1);
+            next.copied().unwrap_or(1.0)
+        }
+        RolloutState::Paused => rollout.share(),
+    };
+    let count = part(takers.len(), share);
+    takers.into_iter().take(count).collect()
+}
+
+fn is_aborted(document: &Document, id: &VersionId) -> bool {
+    let rollout = document.rollouts.get(id);
+    rollout.is_some_and(|it| it.state == RolloutState::Aborted)
+}
+
+/// At least one, and as many as the share asks for.
+fn part(count: usize, share: f64) -> usize {
+    (1..=count)
+        .find(|part| ratio(*part, count) >= share)
+        .unwrap_or(count)
+}
+
+fn ratio(part: usize, count: usize) -> f64 {
+    let float = |it: usize| f64::from(u32::try_from(it).unwrap_or(u32::MAX));
+    float(part) / float(count)
+}
--- /dev/null
+++ b/crates/barleypind/src/service/rollout/step.rs
@@ -0,0 +1,84 @@
+//! The steps of roll-outs.
+
+use config::{Change, Edit, Mode, Rollout, RolloutState};
+use decide::action::Step;
+use kernel::{ChangeId, VersionId};
+
+use super::Actor;
+use crate::event::Event;
+use crate::service::configure;
+
+/// Shares are decimal fractions that operators write; closer ones are the same.
+const SAME: f64 = 1e-9;
+
+impl Actor {
+    /// Makes a step, if this host holds the lease and the step still applies.
+    pub(super) async fn step(&mut self, version: &VersionId, step: &Step) {
+        if !self.holder.holds(&self.cx) {
+            return;
+        }
+        let snapshot = self.cx.host.current.get();
+        let Some(rollout) = snapshot.document.rollouts.get(version) else {
+            return;
+        };
+        let Some(next) = next(rollout, step) else {
+            return;
+        };
+        // The id follows from the step alone. A holder that lost its lease
+        // while it was frozen and the one after it make the same change, and
+        // the table takes it once.
+        let id = format!("step-{version}-{}-{}", rollout.begun, next.step);
+        let id = match next.state {
+            RolloutState::Running | RolloutState::Paused => id,
+            state => format!("{id}-{state}"),
+        };
+        let change = Change {
+            id: ChangeId::from(id),
+            base: rollout.changed,
+            author: format!("roll-out on {}", self.cx.host.settings.host.name),
+            mode: Mode::Guarded,
+            edit: Edit::PutRollout(version.clone(), next.clone()),
+        };
+        // A step that isn't made now is asked for again by the decider.
+        if configure::commit(&self.cx, &change).await.is_ok() {
+            let event = match next.state {
+                RolloutState::Running | RolloutState::Paused => Event::RolloutStep,
+                RolloutState::Aborted | RolloutState::Done => Event::RolloutEnded,
+            };
+            let fields: &[crate::log::Field<'_>] = &[
+                ("version", version),
+                ("step", &next.step),
+                ("state", &next.state),
+            ];
+            self.cx.host.log.emit(event, fields);
+        }
+    }
+}
+
+/// The roll-out after the step; nothing when it isn't where the step began.
+fn next(rollout: &Rollout, step: &Step) -> Option<Rollout> {
+    if (rollout.share() - step.from).abs() > SAME {
+        return None;
+    }
+    let mut next = rollout.clone();
+    if step.to <= 0.0 {
+        next.state = RolloutState::Aborted;
+        return Some(next);
+    }
+    if rollout.state != RolloutState::Running {
+        return None;
+    }
+    if step.to < step.from {
+        match rollout.step.checked_sub(1) {
+            Some(back) => next.step = back,
+            None => next.state = RolloutState::Aborted,
+        }
+        return Some(next);
+    }
+    if rollout.step + 1 < rollout.steps.len() {
+        next.step += 1;
+    } else {
+        next.state = RolloutState::Done;
+    }
+    Some(next)
+}
--- a/crates/barleypind/tests/golden/call.rs
+++ b/crates/barleypind/tests/golden/call.rs
@@ -43,6 +43,19 @@
     format!("{}\n", u16::from(response.status))
 }
 
+/// Waits until a stand-in's record holds each line of the input: `until name=engine`.
+pub(crate) async fn until(site: &mut Site, case: &TestCase) -> String {
+    let name: String = argument(case, "name").expect("a stand-in's name");
+    let what = format!("{name}: {}", case.input);
+    site.until(&what, async |site| {
+        let records = site.send(site.addresses[&name], Request::get("/control/records"));
+        let records = text(records.await).await;
+        case.input.lines().all(|it| records.contains(it))
+    })
+    .await;
+    "so it is\n".to_owned()
+}
+
 /// What ran at an endpoint, by its own record: `executions name=engine`.
 pub(crate) async fn executions(site: &mut Site, case: &TestCase) -> String {
     let name: String = argument(case, "name").expect("an endpoint's name");
--- a/crates/barleypind/tests/golden/main.rs
+++ b/crates/barleypind/tests/golden/main.rs
@@ -35,6 +35,7 @@
         "call" => call::caller(site, case).await,
         "operate" => call::operator_call(site, case).await,
         "stand-in" => call::stand_in(site, case).await,
+        "until" => call::until(site, case).await,
         "executions" => call::executions(site, case).await,
         "drain" => site.drain(case).await,
         "wait" => site.wait(case).await,
--- a/crates/barleypind/tests/golden/site.rs
+++ b/crates/barleypind/tests/golden/site.rs
@@ -125,7 +125,7 @@
         }
     }
 
-    async fn until(&self, what: &str, check: impl AsyncFn(&Self) -> bool) {
+    pub(crate) async fn until(&self, what: &str, check: impl AsyncFn(&Self) -> bool) {
         let deadline = Instant::now() + WAIT;
         while !check(self).await {
             assert!(Instant::now() < deadline, "waited in vain for: {what}");
