platform: free the next probe when one is given up

A probe whose caller dropped it left the circuit waiting for its outcome for 10 s. It now counts as failed, and the next is due after the usual wait. The new test fails without the change; 13 pass.

--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -57,6 +57,10 @@
         if let Admission::Refuse(_) = admission {
             return Err(Error::NotApplied(Reason::Open));
         }
+        let mut pending = Pending {
+            service: self,
+            admission: Some(admission),
+        };
         let options = Options {
             repeat,
             ..self.options
@@ -65,6 +69,7 @@
             Ok(response) => read(response).await,
             Err(err) => Err(Error::exchange(err)),
         };
+        pending.admission = None;
         self.with_circuit(|it| match &result {
             Err(err) if err.is_outage() => it.fail(self.clock.now(), admission),
             _ => it.succeed(),
@@ -76,3 +81,23 @@
         act(&mut self.circuit.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
+
+/// A call without an outcome so far.
+///
+/// A caller that gives up drops its call midway, which says nothing about the
+/// service. But if a probe ended so, nobody else could probe until it was
+/// taken for lost; it therefore counts as failed.
+struct Pending<'a> {
+    service: &'a Service,
+    admission: Option<Admission>,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if self.admission == Some(Admission::Probe) {
+            let now = self.service.clock.now();
+            self.service
+                .with_circuit(|it| it.fail(now, Admission::Probe));
+        }
+    }
+}
--- a/crates/platform/src/table/row.rs
+++ b/crates/platform/src/table/row.rs
@@ -27,7 +27,7 @@
 /// A row as it was read.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Row {
-    /// Its key, see [`Key::parse`].
+    /// Its key, see [`crate::row::Key::parse`].
     pub key: String,
     /// Its version.
     pub version: Version,
--- a/crates/platform/tests/suite/calls.rs
+++ b/crates/platform/tests/suite/calls.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::task::block_on;
 use datadriven::{TestCase, walk};
 use http::{Client, Options, Pool};
@@ -204,6 +205,33 @@
     assert_eq!(seen.join().unwrap().len(), 4);
 }
 
+#[test]
+fn a_probe_that_its_caller_gave_up_frees_the_next() {
+    // Story: the table is down. The one caller that probes has no time left
+    // and drops its call. The others would hear of an outage for ten seconds
+    // more, whenever the table comes back.
+    let hanging = TcpListener::bind("127.0.0.1:0").unwrap();
+    let clock = Arc::new(ManualClock::default());
+    let options = Options {
+        first_byte: Duration::from_millis(5),
+        ..Options::default()
+    };
+    let address = hanging.local_addr().unwrap();
+    let table = Table::new(service(address, Arc::clone(&clock) as _, options));
+    let key = Key::ConfigHead;
+    block_on(async {
+        for _ in 0..3 {
+            assert!(table.get(&key).await.is_err());
+        }
+        clock.advance(Tuning::default().first_wait);
+        assert!(timeout(Duration::ZERO, table.get(&key)).await.is_err());
+        assert_eq!(table.get(&key).await, Err(Error::NotApplied(Reason::Open)));
+        clock.advance(2 * Tuning::default().first_wait);
+        let probe = table.get(&key).await;
+        assert_ne!(probe, Err(Error::NotApplied(Reason::Open)));
+    });
+}
+
 #[test]
 fn a_conflict_is_no_outage() {
     let conflict = answer("409", r#"{"failed":[]}"#);
