xtask: read the billing keys' fingerprints after their new sign

Cause: an idempotent call's record joins key and fingerprint by ~ since the row keys were mended; the demo's reconciliation still looked for a slash. Before: the demo showed 231 of 231 era tags without a record. The test's record carries the sign as the ledger writes it.

--- a/xtask/src/reconcile/bill.rs
+++ b/xtask/src/reconcile/bill.rs
@@ -35,7 +35,7 @@
     fn read(record: &Value) -> Option<Self> {
         let key = record.get("key")?;
         let name = key.get("key")?.as_str()?;
-        let name = name.split_once('/').map_or(name, |(name, _)| name);
+        let name = name.split_once('~').map_or(name, |(name, _)| name);
         Some(Self {
             customer: key.get("customer")?.as_str()?.to_owned(),
             key: name.to_owned(),
--- a/xtask/tests/reconcile.rs
+++ b/xtask/tests/reconcile.rs
@@ -113,7 +113,7 @@
     let call = call(Kind::EraTag, [answered(&whole("c1.0"))]);
     let row = json!({"records": [
         {"key": {"customer": "kivuli-bench", "home": 1, "key": "c1.0"}, "charge": {"money": 3}},
-        {"key": {"customer": "kivuli-bench", "home": 1, "key": "c1.0/ab"}, "charge": {"money": 3}},
+        {"key": {"customer": "kivuli-bench", "home": 1, "key": "c1.0~ab"}, "charge": {"money": 3}},
         {"key": {"customer": "kivuli-bench", "home": 1, "key": "c2.0"}, "charge": {"money": 3}},
     ]});
     let mut evidence = evidence();
