xtask: measure the slopes of the capacity page

Cause: docs/CAPACITY.md is owed, and each of its figures is a slope times a size. Change: cargo xtask capacity measures decisions, the configuration's document, the fleet core and idle real hosts at four sizes or more, and prints each series with range, fit and power.

--- /dev/null
+++ b/xtask/src/capacity/fleet.rs
@@ -0,0 +1,53 @@
+//! Membership, news and evidence, by the size of the fleet.
+
+use fleet::measure::{Figures, measure as run};
+
+use crate::capacity::{Sample, Series};
+
+const SIZES: [usize; 6] = [8, 16, 32, 64, 128, 330];
+const SECONDS: u64 = 60;
+const SEEDS: [u64; 2] = [1, 2];
+const TARGET: f64 = 330.0;
+
+pub(super) fn measure() -> Vec<Series> {
+    let runs: Vec<Vec<Figures>> = SIZES
+        .iter()
+        .map(|hosts| {
+            SEEDS
+                .iter()
+                .map(|seed| run(*hosts, SECONDS, *seed))
+                .collect()
+        })
+        .collect();
+    let series = |name: &str, unit, value: fn(&Figures) -> f64| {
+        let samples = runs.iter().map(|it| {
+            let size = it.first().map_or(0, |it| it.hosts);
+            Sample::of(count(size), it.iter().map(value).collect())
+        });
+        Series::new(name, unit, "hosts", TARGET, samples.collect())
+    };
+    vec![
+        series("fleet: bytes of the mean host", "B/s", |it| it.bytes_mean),
+        series("fleet: bytes of the busiest host", "B/s", |it| it.bytes_max),
+        series("fleet: frames sent", "1/s", |it| it.frames),
+        series("fleet: processor time", "% core", |it| it.processor * 100.0),
+        series("fleet: state", "B", |it| count(it.state_bytes)),
+        series("fleet: revision in force everywhere, at worst", "s", |it| {
+            it.revision_max.as_secs_f64()
+        }),
+        series("fleet: age of proof, at worst", "s", |it| {
+            it.proof_age_max.as_secs_f64()
+        }),
+        series("fleet: a dead host known everywhere, at worst", "s", |it| {
+            it.detection_max.as_secs_f64()
+        }),
+        series("fleet: false deaths", "1", |it| count(it.false_deaths)),
+        series("fleet: reads of the table, all hosts", "1/s", |it| {
+            it.table_reads
+        }),
+    ]
+}
+
+fn count(value: usize) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/xtask/src/capacity/processes.rs
@@ -0,0 +1,131 @@
+//! Real entry hosts without callers: what control alone costs each, and how
+//! long a change takes, by the number of hosts.
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use error_stack::Report;
+use serde_json::json;
+
+use crate::capacity::{Sample, Series};
+use crate::error::Error;
+use crate::load::{Usage, stand_ins};
+use crate::site::{Binaries, Profile, Site};
+
+const SIZES: [u32; 5] = [2, 4, 8, 12, 16];
+const DATA_CENTRES: [&str; 4] = ["dar-1", "dar-2", "dar-3", "dar-4"];
+const TARGET: f64 = 330.0;
+/// The time for which the hosts are watched.
+const WATCH: Duration = Duration::from_secs(8);
+const CHANGES: u64 = 5;
+const POLL: Duration = Duration::from_millis(5);
+const CHANGE_LIMIT: Duration = Duration::from_secs(20);
+
+/// What one fleet size showed.
+struct Figures {
+    size: f64,
+    cpu_percent: Vec<f64>,
+    peak_mib: Vec<f64>,
+    reads_per_s: f64,
+    in_force_s: Vec<f64>,
+}
+
+pub(super) async fn measure() -> Result<Vec<Series>, Report<Error>> {
+    let binaries = Binaries::build(Profile::Release)?;
+    let mut all = Vec::new();
+    for size in SIZES {
+        all.push(watch(&binaries, size).await?);
+    }
+    let series = |name: &str, unit, value: fn(&Figures) -> Vec<f64>| {
+        let samples = all.iter().map(|it| Sample::of(it.size, value(it)));
+        Series::new(name, unit, "hosts", TARGET, samples.collect())
+    };
+    Ok(vec![
+        series("process: processor time of an idle host", "% core", |it| {
+            it.cpu_percent.clone()
+        }),
+        series("process: peak memory of an idle host", "MiB", |it| {
+            it.peak_mib.clone()
+        }),
+        series("process: reads of the table, all hosts", "1/s", |it| {
+            vec![it.reads_per_s]
+        }),
+        series("process: a change in force everywhere", "s", |it| {
+            it.in_force_s.clone()
+        }),
+    ])
+}
+
+async fn watch(binaries: &Binaries, hosts: u32) -> Result<Figures, Report<Error>> {
+    let mut site = Site::start(binaries.clone(), &stand_ins())?;
+    for number in 0..hosts {
+        let data_centre = DATA_CENTRES[usize::try_from(number).unwrap_or(0) % DATA_CENTRES.len()];
+        site.add(&format!("entry-{number}"), data_centre).await?;
+    }
+    site.alive().await?;
+    let version = json!({
+        "prompt_microcents_per_million": 1, "completion_microcents_per_million": 1,
+    });
+    let mut revision = site.operator().put("versions/some@1", 0, &version).await?;
+    site.ready().await?;
+    // The first seconds are spent on getting to know each other.
+    task::sleep(WATCH / 2).await;
+    let usage = |site: &Site| -> Result<Vec<Usage>, Report<Error>> {
+        site.entries
+            .iter()
+            .map(|it| Usage::of(it.process.id()))
+            .collect()
+    };
+    let (before, reads) = (usage(&site)?, site.stand_ins.table().await?.reads);
+    task::sleep(WATCH).await;
+    let (after, reads_after) = (usage(&site)?, site.stand_ins.table().await?.reads);
+    let mut in_force_s = Vec::new();
+    for _ in 0..CHANGES {
+        let start = Instant::now();
+        revision = site
+            .operator()
+            .put("versions/some@1", revision, &version)
+            .await?;
+        everywhere(&site, revision).await?;
+        in_force_s.push(start.elapsed().as_secs_f64());
+    }
+    let spent = after
+        .iter()
+        .zip(&before)
+        .map(|(after, before)| after.since(before));
+    Ok(Figures {
+        size: f64::from(hosts),
+        cpu_percent: spent
+            .map(|it| it.as_secs_f64() * 100.0 / WATCH.as_secs_f64())
+            .collect(),
+        peak_mib: after
+            .iter()
+            .map(|it| f64::from(u32::try_from(it.peak_kib).unwrap_or(u32::MAX)) / 1024.0)
+            .collect(),
+        reads_per_s: f64::from(u32::try_from(reads_after - reads).unwrap_or(u32::MAX))
+            / WATCH.as_secs_f64(),
+        in_force_s,
+    })
+}
+
+/// Waits until every host has the revision.
+async fn everywhere(site: &Site, revision: u64) -> Result<(), Report<Error>> {
+    let operator = site.operator();
+    let end = Instant::now() + CHANGE_LIMIT;
+    for entry in &site.entries {
+        loop {
+            let document = operator.get(entry.operators, "document").await?;
+            if document["revision"]
+                .as_u64()
+                .is_some_and(|it| it >= revision)
+            {
+                break;
+            }
+            if Instant::now() > end {
+                return Err(Report::new(Error::Measure).attach(format!("{} lags", entry.name)));
+            }
+            task::sleep(POLL).await;
+        }
+    }
+    Ok(())
+}
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/DEVELOPERS.md`.
 
 pub mod caller;
+pub mod capacity;
 pub mod demo;
 pub mod error;
 pub mod experiment;
--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -26,6 +26,7 @@
 use crate::site::{Binaries, Profile, Site};
 
 pub use pace::Pace;
+pub(crate) use setup::stand_ins;
 pub use usage::Usage;
 
 /// The direct path and the host take turns so often, so that what else the
