xtask: load a host that has a partner, and count tokens in steady state

Cause: a lone host waits for the table before each answer, as nobody holds a copy of its billing record; that is not how hosts run. Tokens were counted over ramps as well, and failures had no reason. Change: a second host without load holds the copies; tokens count while as many streams end as begin; failures are shown by reason.

--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -34,6 +34,8 @@
 const TURNS: u32 = 4;
 /// What is sent before anything is measured, to fill pools and caches.
 const WARM_UP: Duration = Duration::from_secs(1);
+/// How long hosts may take to find each other.
+const SETTLE: Duration = Duration::from_secs(2);
 
 /// The sub-command.
 #[must_use]
@@ -89,10 +91,14 @@
     let tokens = value::<u32>(matches, "tokens");
     let turn = Duration::from_secs(value(matches, "seconds")) / TURNS;
     let mut site = Site::start(binaries, &setup::stand_ins())?;
+    // The second host gets no load: it holds copies of the billing records, as
+    // a host in another data centre does for each host at work.
     site.add("entry-1", "dar-1").await?;
+    site.add("entry-2", "dar-2").await?;
     site.alive().await?;
     setup::configure(&site.operator()).await?;
     site.ready().await?;
+    task::sleep(SETTLE).await;
     let direct = Target::direct(&site);
     let host = Target::host(&site);
     for target in [&direct, &host] {
@@ -103,17 +109,19 @@
     }
     let mut figures = Figures::new(rate, tokens);
     let streams = tokens / setup::WORDS;
+    let usage = |idx: usize| Usage::of(site.entries[idx].process.id());
     for _ in 0..TURNS {
         target_turn(&direct, &mut figures.direct, rate, streams, turn).await;
-        let before = Usage::of(site.entries[0].process.id())?;
+        let (before, partner) = (usage(0)?, usage(1)?);
         host.run(Work::Whole, rate, turn, &mut figures.host.whole)
             .await;
-        let between = Usage::of(site.entries[0].process.id())?;
+        let between = usage(0)?;
         host.run(Work::Stream, streams, turn, &mut figures.host.stream)
             .await;
-        let after = Usage::of(site.entries[0].process.id())?;
+        let after = usage(0)?;
         figures.cpu_whole += between.since(&before);
         figures.cpu_stream += after.since(&between);
+        figures.partner_cpu += usage(1)?.since(&partner);
         figures.peak_kib = after.peak_kib;
     }
     Ok(figures)
--- a/xtask/src/load/report.rs
+++ b/xtask/src/load/report.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 
 use crate::load::measure::Measure;
+use crate::load::setup::WORDS;
 
 /// Everything that was measured.
 #[derive(Debug)]
@@ -18,6 +19,8 @@
     pub(crate) cpu_whole: Duration,
     /// The host's processor time under streams.
     pub(crate) cpu_stream: Duration,
+    /// The processor time of the host that holds copies of the records.
+    pub(crate) partner_cpu: Duration,
     /// The host's peak memory.
     pub(crate) peak_kib: u64,
 }
@@ -38,6 +41,7 @@
             host: Pair::default(),
             cpu_whole: Duration::ZERO,
             cpu_stream: Duration::ZERO,
+            partner_cpu: Duration::ZERO,
             peak_kib: 0,
         }
     }
@@ -51,7 +55,8 @@
             "direct": target(&self.direct),
             "host": target(&self.host),
             "cpu_us_per_request": per(self.cpu_whole, self.host.whole.answered),
-            "cpu_us_per_token": per(self.cpu_stream, self.host.stream.tokens),
+            "cpu_us_per_token": per(self.cpu_stream, self.streamed()),
+            "partner_cpu_us_per_request": per(self.partner_cpu, self.host.whole.answered + self.host.stream.answered),
             "cpu_ms_total": millis(self.cpu_whole + self.cpu_stream),
             "peak_memory_kib": self.peak_kib,
         })
@@ -65,9 +70,9 @@
                 name.to_owned(),
                 format!("{:.3}", millis(pair.whole.quantile(0.5))),
                 format!("{:.3}", millis(pair.whole.quantile(0.99))),
-                format!("{:.0}", pair.whole.per_second(pair.whole.answered)),
-                format!("{:.0}", pair.stream.per_second(pair.stream.tokens)),
-                (pair.whole.failed + pair.stream.failed).to_string(),
+                format!("{:.0}", pair.whole.answers_per_second()),
+                format!("{:.0}", pair.stream.tokens_per_second()),
+                failures(pair),
             ]);
         }
         println!("{rows}");
@@ -76,11 +81,16 @@
             self.added(0.5),
             self.added(0.99),
             per(self.cpu_whole, self.host.whole.answered),
-            per(self.cpu_stream, self.host.stream.tokens),
+            per(self.cpu_stream, self.streamed()),
             self.peak_kib,
         );
     }
 
+    /// All tokens that the host relayed, those of the ramp as well.
+    fn streamed(&self) -> u64 {
+        self.host.stream.answered * u64::from(WORDS)
+    }
+
     /// What the host adds at a quantile, in milliseconds; below zero when the
     /// machine's noise is larger than that.
     fn added(&self, quantile: f64) -> f64 {
@@ -88,16 +98,22 @@
     }
 }
 
+fn failures(pair: &Pair) -> String {
+    let all = pair.whole.failures.iter().chain(&pair.stream.failures);
+    let list: Vec<_> = all.map(|(why, count)| format!("{count} {why}")).collect();
+    list.join("\n")
+}
+
 fn target(pair: &Pair) -> Value {
     json!({
         "p50_ms": millis(pair.whole.quantile(0.5)),
         "p99_ms": millis(pair.whole.quantile(0.99)),
-        "requests_per_s": pair.whole.per_second(pair.whole.answered),
-        "requests_failed": pair.whole.failed,
+        "requests_per_s": pair.whole.answers_per_second(),
+        "requests_failed": pair.whole.failures,
         "stream_p50_ms": millis(pair.stream.quantile(0.5)),
         "stream_p99_ms": millis(pair.stream.quantile(0.99)),
-        "tokens_per_s": pair.stream.per_second(pair.stream.tokens),
-        "streams_failed": pair.stream.failed,
+        "tokens_per_s": pair.stream.tokens_per_second(),
+        "streams_failed": pair.stream.failures,
     })
 }
 
--- a/xtask/src/load/setup.rs
+++ b/xtask/src/load/setup.rs
@@ -1,5 +1,7 @@
 //! The site under load: one engine with room for everything, one host.
 
+use std::time::Duration;
+
 use config::Customer;
 use error_stack::Report;
 use fakes::{EngineSettings, HostsSettings, RatingSettings, Settings, StoreSettings, Truth};
@@ -21,6 +23,8 @@
 
 /// The time between two tokens of a stream.
 const TOKEN_US: u64 = 10_000;
+/// The time that a streamed answer takes.
+pub(crate) const STREAM_TIME: Duration = Duration::from_secs(1);
 const MILLION: u64 = 1_000_000;
 const ANY: &str = "127.0.0.1:0";
 
--- a/xtask/src/load/target.rs
+++ b/xtask/src/load/target.rs
@@ -7,17 +7,18 @@
 
 use async_std::task;
 use futures::future::join_all;
+use gate::problem::Problem;
 use http::{Body, Client, Options, Repeat, Request};
 use serde_json::json;
 
 use crate::load::measure::Measure;
 use crate::load::pace::Pace;
-use crate::load::setup::{ENGINE, KEY, STREAM, WHOLE, profile_of};
+use crate::load::setup::{ENGINE, KEY, STREAM, STREAM_TIME, WHOLE, profile_of};
 use crate::site::Site;
 
 const BODY_LIMIT: usize = 1 << 20;
-/// The last two events of a stream carry no token.
-const CLOSING_EVENTS: u64 = 2;
+/// How an event begins; each but the last two of a stream carries one token.
+const EVENT: &[u8; 6] = b"data: ";
 
 /// The kind of load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +29,16 @@
     Stream,
 }
 
+impl Work {
+    /// The time until as many requests end as begin.
+    fn ramp(self) -> Duration {
+        match self {
+            Self::Whole => Duration::ZERO,
+            Self::Stream => STREAM_TIME,
+        }
+    }
+}
+
 /// A target and how it is spoken to.
 #[derive(Clone)]
 pub(crate) struct Target {
@@ -35,6 +46,7 @@
     address: SocketAddr,
     path: Path,
     numbers: Arc<AtomicU64>,
+    tokens: Arc<AtomicU64>,
 }
 
 #[derive(Clone, Copy)]
@@ -43,8 +55,8 @@
     Host,
 }
 
-/// Each answer's latency and tokens; none without a whole answer.
-type Answered = Option<(Duration, u64)>;
+/// Each answer's latency, or why there is no whole answer.
+type Answered = Result<Duration, String>;
 
 impl Target {
     /// The engine's stand-in.
@@ -63,10 +75,12 @@
             address,
             path,
             numbers: Arc::default(),
+            tokens: Arc::default(),
         }
     }
 
-    /// Puts the target under load and adds what it measures.
+    /// Puts the target under load and adds what it measures. Tokens count from
+    /// when as many streams end as begin.
     pub(crate) async fn run(
         &self,
         work: Work,
@@ -74,9 +88,15 @@
         length: Duration,
         measure: &mut Measure,
     ) {
+        let ramp = work.ramp();
         let start = Instant::now();
+        let mut tokens_before = None;
         let mut tasks = Vec::new();
-        for due in Pace::new(per_second, length) {
+        for due in Pace::new(per_second, ramp + length) {
+            let now = self.tokens.load(Ordering::Relaxed);
+            if due >= ramp && tokens_before.is_none() {
+                tokens_before = Some((now, Instant::now()));
+            }
             let due = start + due;
             let wait = due.saturating_duration_since(Instant::now());
             if !wait.is_zero() {
@@ -85,10 +105,14 @@
             let target = self.clone();
             tasks.push(task::spawn(async move { target.ask(work, due).await }));
         }
+        if let Some((before, since)) = tokens_before {
+            measure.tokens += self.tokens.load(Ordering::Relaxed) - before;
+            measure.steady += since.elapsed();
+        }
         for answered in join_all(tasks).await {
             match answered {
-                Some((latency, tokens)) => measure.answer(latency, tokens),
-                None => measure.failed += 1,
+                Ok(latency) => measure.answer(latency),
+                Err(why) => measure.fail(why),
             }
         }
         measure.length += start.elapsed();
@@ -101,12 +125,35 @@
         };
         let request = self.request(work);
         let res = self.client.send(self.address, request, &options).await;
-        let res = res.ok().filter(|it| it.status.is_success())?;
-        let tokens = match work {
-            Work::Whole => res.body.collect(BODY_LIMIT).await.map(|_| 0).ok()?,
-            Work::Stream => tokens(res.body).await?,
-        };
-        Some((due.elapsed(), tokens))
+        let res = res.map_err(|err| err.to_string())?;
+        if !res.status.is_success() {
+            return Err(refusal(res.body).await);
+        }
+        match work {
+            Work::Whole => drop(
+                res.body
+                    .collect(BODY_LIMIT)
+                    .await
+                    .map_err(|err| err.to_string())?,
+            ),
+            Work::Stream => self.read(res.body).await?,
+        }
+        Ok(due.elapsed())
+    }
+
+    /// Reads a stream to its end and counts its tokens.
+    async fn read(&self, mut body: Body) -> Result<(), String> {
+        let mut end = Vec::new();
+        while let Some(piece) = body.piece().await.map_err(|err| err.to_string())? {
+            let events = piece.windows(EVENT.len()).filter(|it| it == EVENT).count();
+            self.tokens.fetch_add(events as u64, Ordering::Relaxed);
+            end = piece;
+        }
+        if end.ends_with(b"[DONE]\n\n") {
+            Ok(())
+        } else {
+            Err("the stream has no end mark".to_owned())
+        }
     }
 
     fn request(&self, work: Work) -> Request {
@@ -137,14 +184,9 @@
     }
 }
 
-/// Reads a stream to its end and counts its tokens; none when it is cut.
-async fn tokens(mut body: Body) -> Option<u64> {
-    let mut events = 0;
-    let mut end = Vec::new();
-    while let Some(piece) = body.piece().await.ok()? {
-        events += piece.windows(6).filter(|it| it == b"data: ").count() as u64;
-        end = piece;
+async fn refusal(body: Body) -> String {
+    match body.parse::<Problem>(BODY_LIMIT).await {
+        Ok(problem) => problem.reason.to_string(),
+        Err(err) => err.to_string(),
     }
-    end.ends_with(b"[DONE]\n\n")
-        .then(|| events.saturating_sub(CLOSING_EVENTS))
 }
