fakes: show faults over sockets, refuse a condition that says nothing

Cause: what a client sees of a lost answer or a cut stream was only shown in memory; and a condition with neither version nor absence passed for "absent", which would hide a client's fault. Change: tests over real connections with the product's client; such a condition is answered 400 and writes nothing.

--- a/crates/fakes/src/table/rows.rs
+++ b/crates/fakes/src/table/rows.rs
@@ -46,13 +46,26 @@
     value: Value,
 }
 
+/// A condition that says neither is a fault of the caller and not one that the
+/// row be absent.
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Condition {
-    key: String,
-    #[serde(default)]
-    absent: bool,
-    version: Option<u64>,
+#[serde(untagged)]
+enum Condition {
+    Version { key: String, version: u64 },
+    Absent { key: String, absent: True },
+}
+
+/// Only `true` says something about a row.
+#[derive(Debug, Deserialize)]
+#[serde(try_from = "bool")]
+struct True;
+
+impl TryFrom<bool> for True {
+    type Error = &'static str;
+
+    fn try_from(value: bool) -> Result<Self, Self::Error> {
+        value.then_some(Self).ok_or("`absent` takes only `true`")
+    }
 }
 
 #[derive(Debug, Deserialize)]
@@ -115,16 +128,12 @@
     }
 
     fn failed(&self, condition: Condition) -> Option<Failed> {
-        let version = self.rows.get(&condition.key).map(|it| it.version);
-        let wanted = if condition.absent {
-            None
-        } else {
-            condition.version
+        let (key, wanted) = match condition {
+            Condition::Version { key, version } => (key, Some(version)),
+            Condition::Absent { key, absent: True } => (key, None),
         };
-        (version != wanted).then_some(Failed {
-            key: condition.key,
-            version,
-        })
+        let version = self.rows.get(&key).map(|it| it.version);
+        (version != wanted).then_some(Failed { key, version })
     }
 }
 
--- /dev/null
+++ b/crates/fakes/tests/sockets.rs
@@ -0,0 +1,108 @@
+//! The stand-ins over real connections, as the product's clients see them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::task;
+use fakes::{Settings, Started};
+use googletest::prelude::*;
+use http::{Cause, Client, Error, Options, Pool, Request};
+use kernel::{Clock, SystemClock};
+use serde_json::{Value, json};
+
+const SETTINGS: &str = r#"
+[[table]]
+name = "table"
+[[hosts]]
+name = "hosts"
+[[engine]]
+name = "engine"
+data_centre = "dar-1"
+slots = 4
+versions = ["small@1"]
+"#;
+
+#[test]
+fn a_lost_answer_shows_as_maybe_sent() {
+    // An operator's change is in force although it seemed to fail: the table
+    // took it and the connection closed before the answer.
+    check(async |site| {
+        site.post("table", "/control/faults", &json!({"lose_answers": 1}))
+            .await
+            .expect("a fault");
+        let write = json!({"puts": [{"key": "a", "value": 1}]});
+        let lost = site.post("table", "/v1/transact", &write).await;
+        assert_that!(lost, err(eq(&Error::MaybeSent(Cause::Closed))));
+        let row = site.get("table", "/v1/rows/a").await.expect("the row");
+        assert_that!(row["value"], eq(&json!(1)));
+    });
+}
+
+#[test]
+fn a_cut_stream_shows_as_cut() {
+    // A restorer's plan stops in the middle: the engine's connection broke.
+    check(async |site| {
+        let faults = json!({"cut": 1.0, "cut_after": 2});
+        site.post("engine", "/control/faults", &faults)
+            .await
+            .expect("a fault");
+        let chat = json!({"model": "small@1", "messages": [], "stream": true});
+        let res = site.post("engine", "/v1/chat/completions", &chat).await;
+        assert_that!(res, err(matches_pattern!(Error::Cut(anything()))));
+    });
+}
+
+#[test]
+fn engines_stand_in_the_host_list_with_their_addresses() {
+    check(async |site| {
+        let hosts = site.get("hosts", "/v1/hosts").await.expect("the list");
+        let address = site.address("engine").to_string();
+        assert_that!(hosts["hosts"][0]["address"], eq(&json!(address)));
+    });
+}
+
+struct Site {
+    client: Client,
+    started: Started,
+}
+
+impl Site {
+    fn address(&self, name: &str) -> SocketAddr {
+        self.started.addresses()[name]
+    }
+
+    async fn get(&self, name: &str, target: &str) -> std::result::Result<Value, Error> {
+        self.send(name, Request::get(target)).await
+    }
+
+    async fn post(
+        &self,
+        name: &str,
+        target: &str,
+        body: &Value,
+    ) -> std::result::Result<Value, Error> {
+        self.send(name, Request::post(target, body)).await
+    }
+
+    async fn send(&self, name: &str, request: Request) -> std::result::Result<Value, Error> {
+        let options = Options::default();
+        let res = self
+            .client
+            .send(self.address(name), request, &options)
+            .await?;
+        let body = res.body.collect(1 << 20).await?;
+        Ok(serde_json::from_slice(&body).unwrap_or_default())
+    }
+}
+
+fn check(test: impl AsyncFnOnce(Site)) {
+    task::block_on(async {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let settings = Settings::parse(SETTINGS).expect("the settings");
+        let started = Started::start(Arc::clone(&clock), settings)
+            .await
+            .expect("free ports");
+        let client = Client::new(clock, Pool::default());
+        test(Site { client, started }).await;
+    });
+}
