barleypind: check keys with the settings, look around every second

Every second the host tells its load, logs when it is stale and when the store goes out and comes back, and notes how long records wait.

--- a/crates/barleypind/src/context.rs
+++ b/crates/barleypind/src/context.rs
@@ -1,14 +1,16 @@
 //! The services that calls and operators' requests use.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use platform::{HostList, Ratings, Table};
 
+use crate::backlog::Backlog;
 use crate::gauges::Strangers;
 use crate::host::Host;
 use crate::service::decide::Decide;
 use crate::service::endpoints::Endpoints;
 use crate::service::ledger::Books;
+use crate::verdicts::Verdicts;
 
 /// The services of this process.
 pub(crate) struct Context {
@@ -19,6 +21,8 @@
     pub(crate) engine: engine::Client,
     pub(crate) link: link::Link,
     pub(crate) strangers: Strangers,
+    pub(crate) verdicts: Verdicts,
+    pub(crate) backlog: Mutex<Backlog>,
     pub(crate) table: Table,
     pub(crate) ratings: Ratings,
     pub(crate) list: HostList,
--- a/crates/barleypind/src/daemon.rs
+++ b/crates/barleypind/src/daemon.rs
@@ -1,7 +1,7 @@
 //! The daemon: its services, in the order in which they start.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use async_std::channel::{Receiver, bounded};
 use async_std::task;
@@ -24,7 +24,8 @@
 use crate::service::drain::{self, Ended, Parts};
 use crate::service::endpoints::{self, Endpoints};
 use crate::service::ledger::Books;
-use crate::service::{fleet, notices, rate, rollout, table};
+use crate::service::{fleet, notices, rate, rollout, table, watch};
+use crate::verdicts::Verdicts;
 use crate::{gate, operate, renew, tuning};
 
 /// A running daemon.
@@ -81,6 +82,7 @@
         task::spawn(rate::submit(Arc::clone(&cx), rate_queue));
         task::spawn(rate::collect(Arc::clone(&cx)));
         task::spawn(watch_list(&cx));
+        task::spawn(watch::run(Arc::clone(&cx)));
         task::spawn(endpoints::watch_load(
             Arc::clone(&host),
             Arc::clone(&cx.endpoints),
@@ -166,6 +168,8 @@
         engine,
         link,
         strangers: Strangers::default(),
+        verdicts: Verdicts::default(),
+        backlog: Mutex::default(),
         table: Table::new(service(settings.platform.table)),
         ratings: Ratings::new(service(settings.platform.ratings)),
         list: HostList::new(service(settings.platform.host_list)),
--- a/crates/barleypind/src/lib.rs
+++ b/crates/barleypind/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry host daemon: the services that join the crates of this
 //! workspace into one process. See `docs/ARCHITECTURE.md`.
 
+mod backlog;
 mod call;
 mod context;
 mod current;
@@ -19,15 +20,24 @@
 mod secrets;
 mod service;
 mod tuning;
+mod verdicts;
 
 pub use daemon::Daemon;
 pub use error::Error;
 pub use service::drain::Ended;
 
-/// Reads the key files that the settings name, and keeps nothing of them.
+/// Reads the key files that the settings name and tries those for the link on
+/// a free loopback port. Nothing is kept of them.
 ///
 /// # Errors
-/// [`Error::Key`] with the file that can't be used.
+/// [`Error::Key`] with the file that can't be used, [`Error::Link`] when the
+/// fleet's keys don't fit together.
 pub fn check_keys(settings: &config::Settings) -> Result<(), error_stack::Report<Error>> {
-    secrets::Secrets::read(&settings.keys).map(|_| ())
+    use error_stack::ResultExt;
+
+    let secrets = secrets::Secrets::read(&settings.keys)?;
+    let anywhere = (std::net::Ipv4Addr::LOCALHOST, 0).into();
+    link::Link::bind(&link::Settings::new(anywhere, secrets.fleet))
+        .map(|_| ())
+        .change_context(Error::Link)
 }
--- a/crates/barleypind/src/main.rs
+++ b/crates/barleypind/src/main.rs
@@ -20,7 +20,7 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let result = match matches.subcommand() {
-        Some(("check", matches)) => check(settings_path(matches)),
+        Some(("check", matches)) => async_std::task::block_on(check(settings_path(matches))),
         _ => async_std::task::block_on(run(settings_path(&matches))),
     };
     match result {
@@ -58,7 +58,7 @@
         .expect("clap requires --settings")
 }
 
-fn check(path: &Path) -> Result<ExitCode, Report<Error>> {
+async fn check(path: &Path) -> Result<ExitCode, Report<Error>> {
     let settings = read(path)?;
     barleypind::check_keys(&settings)?;
     println!("{}: no faults", path.display());
@@ -96,7 +96,7 @@
 /// The report's causes, one a line, the outermost first.
 fn describe(report: &Report<Error>) -> String {
     let mut lines = vec![report.current_context().to_string()];
-    for frame in report.frames().skip(1) {
+    for frame in report.frames() {
         if let error_stack::FrameKind::Context(context) = frame.kind() {
             let line = context.to_string();
             if !lines.contains(&line) {
--- a/crates/barleypind/src/operate.rs
+++ b/crates/barleypind/src/operate.rs
@@ -1,6 +1,6 @@
 //! The operators' side.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use config::{Change, Edit, Entry, Kind, Name};
 use gate::call;
@@ -167,6 +167,11 @@
     host.proof_age_ms = cx.host.current.proof_age(now).map_or(u64::MAX, millis);
     host.load = cx.host.open_calls() as u64;
     let books = cx.books.status();
+    let oldest = cx
+        .backlog
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .oldest(now);
     let endpoints = cx.endpoints.live();
     let status = Status {
         host,
@@ -178,7 +183,7 @@
             .map(|(id, version)| Health {
                 version: id.clone(),
                 state: version.state.to_string(),
-                verdict: "healthy".to_owned(),
+                verdict: cx.verdicts.word(id),
                 endpoints: u32::try_from(endpoints.iter().filter(|it| it.has_loaded(id)).count())
                     .unwrap_or(u32::MAX),
             })
@@ -198,7 +203,7 @@
         backlog: Backlog {
             own: books.held as u64,
             held: books.copies as u64,
-            oldest_ms: 0,
+            oldest_ms: millis(oldest),
         },
     };
     Ok(Response::json(http::Status::Ok, &status))
--- a/crates/barleypind/src/service.rs
+++ b/crates/barleypind/src/service.rs
@@ -11,3 +11,4 @@
 pub(crate) mod rate;
 pub(crate) mod rollout;
 pub(crate) mod table;
+pub(crate) mod watch;
--- a/crates/barleypind/src/service/notices.rs
+++ b/crates/barleypind/src/service/notices.rs
@@ -21,6 +21,7 @@
             Notice::Evidence(evidence) => tell(&cx, Told::Evidence(evidence)),
             Notice::Demand(demand) => tell(&cx, Told::Demand(demand)),
             Notice::Verdict(version, verdict) => {
+                cx.verdicts.judge(&version, verdict);
                 let text = format!("{verdict:?}");
                 cx.host.log.emit(
                     Event::VersionVerdict,
--- /dev/null
+++ b/crates/barleypind/src/verdicts.rs
@@ -0,0 +1,39 @@
+//! What this host concluded of versions, for operators to see.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use decide::action::Verdict;
+use kernel::VersionId;
+
+/// The versions that aren't healthy.
+#[derive(Debug, Default)]
+pub(crate) struct Verdicts {
+    quarantined: Mutex<HashMap<VersionId, Verdict>>,
+}
+
+impl Verdicts {
+    pub(crate) fn judge(&self, version: &VersionId, verdict: Verdict) {
+        let mut quarantined = self.lock();
+        match verdict {
+            Verdict::Healthy => quarantined.remove(version),
+            Verdict::Quarantined(_) => quarantined.insert(version.clone(), verdict),
+        };
+    }
+
+    /// The word for a version's health.
+    pub(crate) fn word(&self, version: &VersionId) -> String {
+        match self.lock().get(version) {
+            None | Some(Verdict::Healthy) => "healthy".to_owned(),
+            Some(Verdict::Quarantined(cause)) => {
+                format!("quarantined ({})", format!("{cause:?}").to_lowercase())
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<VersionId, Verdict>> {
+        self.quarantined
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
