--- a/crates/barleypind/src/main.rs
+++ b/crates/barleypind/src/main.rs
@@ -20,7 +20,7 @@
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let result = match matches.subcommand() {
-        Some(("check", matches)) => async_std::task::block_on(check(settings_path(matches))),
+        Some(("check", matches)) => check(settings_path(matches)),
         _ => async_std::task::block_on(run(settings_path(&matches))),
     };
     match result {
@@ -58,7 +58,7 @@
         .expect("clap requires --settings")
 }
 
-async fn check(path: &Path) -> Result<ExitCode, Report<Error>> {
+fn check(path: &Path) -> Result<ExitCode, Report<Error>> {
     let settings = read(path)?;
     barleypind::check_keys(&settings)?;
     println!("{}: no faults", path.display());
