--- /dev/null
+++ b/crates/decide/benches/decision.rs
@@ -0,0 +1,223 @@
+//! What one decision costs: a request arrives, is sent, and its answer ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use decide::arrival::{Chat, Work};
+use decide::endpoint::{Distance, Id, Load, Role, State as Life, Update};
+use decide::outcome::Answer;
+use decide::policy::{Allowance, Customer, Priority, Profile, Repeat, State, Version};
+use decide::{Action, Arrival, Decider, Event, Outcome, Policy, Tuning, key};
+use kernel::{HostName, Incarnation, Money, Revision, VersionId};
+
+/// The size that is to be carried.
+const TARGET: Size = Size {
+    versions: 34,
+    replicas: 1200,
+    customers: 10,
+};
+
+#[derive(Clone, Copy)]
+struct Size {
+    versions: u16,
+    replicas: u16,
+    customers: u16,
+}
+
+struct Bench {
+    decider: Decider,
+    actions: Vec<Action>,
+    now: Duration,
+    next: u64,
+    size: Size,
+}
+
+impl Bench {
+    fn new(size: Size) -> Self {
+        let mut bench = Self {
+            decider: Decider::new(1, Tuning::default()),
+            actions: Vec::new(),
+            now: Duration::from_secs(1),
+            next: 0,
+            size,
+        };
+        bench.pass(Event::Configure(Arc::new(policy(size))));
+        for number in 0..size.replicas {
+            bench.pass(Event::Endpoint(endpoint(size, number)));
+        }
+        bench.now = Duration::from_secs(60);
+        bench
+    }
+
+    fn pass(&mut self, event: Event) {
+        self.actions.clear();
+        self.decider.handle(self.now, event, &mut self.actions);
+    }
+
+    /// One request from its arrival to its answer, with the time going on.
+    fn request(&mut self) {
+        self.next += 1;
+        self.now += Duration::from_millis(2);
+        let customer = u16::try_from(self.next % u64::from(self.size.customers)).unwrap();
+        let arrival = Arrival {
+            request: key::Request(self.next),
+            customer: key::Customer(customer),
+            work: Work::Chat(Chat {
+                profile: key::Profile(0),
+                class: key::Class::default(),
+                prompt_tokens: 500,
+                max_tokens: 0,
+                prefix: self.next % 512,
+                pin: None,
+            }),
+            priority: None,
+            deadline: None,
+        };
+        self.pass(Event::Arrive(arrival));
+        while let Some(attempt) = self.dispatched() {
+            let confidence = if self.next.is_multiple_of(10) {
+                0.4
+            } else {
+                0.93
+            };
+            let outcome = Outcome::Answered(Answer {
+                confidence,
+                prompt_tokens: 500,
+                completion_tokens: 200,
+            });
+            self.pass(Event::Ended { attempt, outcome });
+        }
+    }
+
+    fn dispatched(&self) -> Option<kernel::AttemptId> {
+        self.actions.iter().find_map(|it| match it {
+            Action::Dispatch(it) => Some(it.attempt),
+            _ => None,
+        })
+    }
+}
+
+fn policy(size: Size) -> Policy {
+    let versions = (0..size.versions).map(|at| Version {
+        id: version_id(at),
+        state: State::Active,
+        prompt_price: Money(10_000_000 * (u64::from(at) + 1)),
+        completion_price: Money(40_000_000 * (u64::from(at) + 1)),
+    });
+    let customers = (0..size.customers).map(|at| Customer {
+        name: format!("customer-{at}").into(),
+        rate: 1e6,
+        burst: 1e6,
+        concurrency: 100_000,
+        weight: 1.0,
+    });
+    let allowed = (0..size.customers).map(|customer| Allowance {
+        customer: key::Customer(customer),
+        versions: (0..size.versions).map(key::Version).collect(),
+    });
+    Policy {
+        revision: Revision(1),
+        versions: versions.collect(),
+        profiles: vec![Profile {
+            name: "chat".into(),
+            allowed: allowed.collect(),
+            target: 0.9,
+            cap: Some(Money(1_000_000_000)),
+            repeat: Repeat::Idempotent,
+            priority: Priority::Interactive,
+            deadline: Duration::from_secs(30),
+        }],
+        customers: customers.collect(),
+        services: Vec::new(),
+        rollouts: Vec::new(),
+    }
+}
+
+/// Each replica has two versions loaded; a twentieth are in this data centre.
+fn endpoint(size: Size, number: u16) -> Update {
+    let name = HostName::from(format!("replica-{number}"));
+    let versions = [number % size.versions, (number * 7 + 1) % size.versions].map(version_id);
+    Update {
+        id: Id::new(&name, Incarnation(1)),
+        role: Role::Engine(versions.into()),
+        distance: match number % 20 {
+            0 => Distance::DataCentre,
+            1..7 => Distance::Region,
+            _ => Distance::Far,
+        },
+        state: Life::Live,
+        load: Some(Load {
+            running: u32::from(number % 5),
+            waiting: 0,
+            slots: 8,
+            age: Duration::from_millis(300),
+        }),
+    }
+}
+
+fn version_id(at: u16) -> VersionId {
+    format!("model-{at}@1").into()
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request");
+    let mut measure = |name: &str, value: u16, size: Size| {
+        let mut bench = Bench::new(size);
+        for _ in 0..2_000 {
+            bench.request();
+        }
+        group.bench_function(BenchmarkId::new(name, value), |it| {
+            it.iter(|| bench.request());
+        });
+    };
+    for versions in [4, 16, 34] {
+        measure("versions", versions, Size { versions, ..TARGET });
+    }
+    for replicas in [20, 300, 1200] {
+        measure("replicas", replicas, Size { replicas, ..TARGET });
+    }
+    for customers in [1, 10, 40] {
+        measure(
+            "customers",
+            customers,
+            Size {
+                customers,
+                ..TARGET
+            },
+        );
+    }
+    group.finish();
+}
+
+fn others(c: &mut Criterion) {
+    let mut bench = Bench::new(TARGET);
+    for _ in 0..2_000 {
+        bench.request();
+    }
+    c.bench_function("tick", |it| {
+        it.iter(|| {
+            bench.now += Duration::from_millis(100);
+            bench.pass(Event::Tick);
+        });
+    });
+    let updates: Vec<Update> = (0..TARGET.replicas)
+        .map(|it| endpoint(TARGET, it))
+        .collect();
+    let mut next = updates.iter().cycle();
+    c.bench_function("load report", |it| {
+        it.iter(|| bench.pass(Event::Endpoint(next.next().unwrap().clone())));
+    });
+    let mut revision = 1;
+    c.bench_function("configure", |it| {
+        it.iter(|| {
+            revision += 1;
+            let mut policy = policy(TARGET);
+            policy.revision = Revision(revision);
+            bench.pass(Event::Configure(Arc::new(policy)));
+        });
+    });
+}
+
+criterion_group!(benches, decisions, others);
+criterion_main!(benches);
--- a/crates/decide/src/bucket.rs
+++ b/crates/decide/src/bucket.rs
@@ -34,6 +34,11 @@
         enough
     }
 
+    /// How much of its depth is there, 0 to 1.
+    pub(crate) fn filled(&self, depth: f64) -> f64 {
+        (self.tokens / depth).clamp(0.0, 1.0)
+    }
+
     /// How long until one token is there, at `rate`.
     pub(crate) fn wait(&self, rate: f64) -> Duration {
         const LONGEST: f64 = 3600.0;
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -32,6 +32,7 @@
 use crate::plans::Plans;
 use crate::pool::Pools;
 use crate::request::{self, Request};
+use crate::sampler::Sampler;
 use crate::samples::Samples;
 use crate::{Action, Policy, Tuning, endpoint, key};
 
@@ -65,7 +66,7 @@
     /// Last resorts that have been told.
     told: BTreeSet<Resort>,
     retries: Bucket,
-    sampling: Bucket,
+    sampler: Sampler,
     next_second: Duration,
 }
 
@@ -114,7 +115,7 @@
             pilots: Vec::new(),
             told: BTreeSet::new(),
             retries: Bucket::new(FIRST_RETRIES, Duration::ZERO),
-            sampling: Bucket::new(tuning.sample_rate, Duration::ZERO),
+            sampler: Sampler::new(),
             next_second: Duration::ZERO,
             tuning,
         }
--- a/crates/decide/src/decider/arrive.rs
+++ b/crates/decide/src/decider/arrive.rs
@@ -56,7 +56,7 @@
             return Err(not_run(Reason::Deadline));
         }
         self.admit_customer(now, &arrival)?;
-        let class = self.class(&arrival.work);
+        let class = self.class(now, &arrival.work);
         let id = arrival.request;
         let key = self.requests.insert(Request {
             id,
@@ -127,11 +127,14 @@
         }
     }
 
-    fn class(&mut self, work: &Work) -> ClassIndex {
+    fn class(&mut self, now: Duration, work: &Work) -> ClassIndex {
         match work {
             Work::Chat(chat) => {
                 let class = self.knowledge.class(chat.class);
+                let pinned = u32::from(chat.pin.is_some());
                 self.knowledge.arrived(class, chat.prompt_tokens);
+                self.knowledge.turned(now, class, 1 - pinned, pinned);
+                self.outbox.arrived(chat.class, pinned);
                 class
             }
             Work::Call(_) => ClassIndex(0),
--- a/crates/decide/src/decider/choose.rs
+++ b/crates/decide/src/decider/choose.rs
@@ -7,7 +7,7 @@
 use crate::action::Session;
 use crate::arrival::{Chat, Pin, Work};
 use crate::directory::Target;
-use crate::knowledge::ClassIndex;
+use crate::knowledge::{ClassIndex, Knowledge};
 use crate::plan::{Plan, STEPS, Step};
 use crate::policy::{Priority, Repeat};
 use crate::refusal::Reason;
@@ -51,13 +51,13 @@
             Work::Chat(chat) => chat.clone(),
         };
         let step = self.version_step(now, key, &chat, actions)?;
-        let step = self.affordable(key, &chat, step)?;
+        let step = self.affordable(now, key, &chat, step)?;
         let target = Target::Version(step.version);
         Ok(Next { target, step })
     }
 
     /// Other versions that could answer the request, the cheapest first.
-    pub(super) fn alternatives(&mut self, key: request::Key) -> Vec<Next> {
+    pub(super) fn alternatives(&mut self, now: Duration, key: request::Key) -> Vec<Next> {
         let Some(request) = self.requests.get(key) else {
             return Vec::new();
         };
@@ -67,7 +67,7 @@
         if request.session == Session::Kept || request.kept.is_some() {
             return Vec::new();
         }
-        let ask = Ask::new(request, chat);
+        let ask = Ask::new(now, &self.knowledge, request, chat);
         let chat = chat.clone();
         let tried = request.plan.step(request.step).map(|it| it.version);
         let target = self.policy.profiles[chat.profile.index()].target;
@@ -84,7 +84,12 @@
     }
 
     /// Another version for a request that `failed` has failed.
-    pub(super) fn replacement(&mut self, key: request::Key, failed: key::Version) -> Option<Plan> {
+    pub(super) fn replacement(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        failed: key::Version,
+    ) -> Option<Plan> {
         let request = self.requests.get(key)?;
         let Work::Chat(chat) = &request.work else {
             return None;
@@ -93,7 +98,7 @@
             return None;
         }
         let target = self.policy.profiles.get(chat.profile.index())?.target;
-        let mut it = self.forecasts(&Ask::new(request, chat));
+        let mut it = self.forecasts(&Ask::new(now, &self.knowledge, request, chat));
         it.retain(|it| it.version != failed);
         let enough = it.iter().filter(|it| it.quality() >= target);
         let best = enough
@@ -194,7 +199,13 @@
     }
 
     /// The step, or the best one that the request's cost cap leaves room for.
-    fn affordable(&mut self, key: request::Key, chat: &Chat, step: Step) -> Result<Step, Reason> {
+    fn affordable(
+        &mut self,
+        now: Duration,
+        key: request::Key,
+        chat: &Chat,
+        step: Step,
+    ) -> Result<Step, Reason> {
         if self.fits_cap(key, chat, step) {
             return Ok(step);
         }
@@ -202,7 +213,7 @@
         if request.attempts > 0 || request.session == Session::Kept {
             return Err(Reason::CostCap);
         }
-        let mut it = self.forecasts(&Ask::new(request, chat));
+        let mut it = self.forecasts(&Ask::new(now, &self.knowledge, request, chat));
         it.retain(|it| self.fits_cap(key, chat, Step::last(it.version)));
         let best = it.iter().max_by(|a, b| a.quality().total_cmp(&b.quality()));
         let step = Step::last(best.ok_or(Reason::CostCap)?.version);
@@ -223,8 +234,17 @@
 }
 
 impl Ask {
-    pub(super) fn new(request: &Request, chat: &Chat) -> Self {
-        let single = request.repeat == Repeat::AtMostOnce || request.priority == Priority::Urgent;
+    pub(super) fn new(
+        now: Duration,
+        knowledge: &Knowledge,
+        request: &Request,
+        chat: &Chat,
+    ) -> Self {
+        // In a conversation the version that answers first answers all: a cheap
+        // one taken for its sure first answer would not be checked again.
+        let single = request.repeat == Repeat::AtMostOnce
+            || request.priority == Priority::Urgent
+            || knowledge.is_conversation(now, request.class);
         Self {
             profile: chat.profile,
             customer: request.customer,
--- a/crates/decide/src/decider/end.rs
+++ b/crates/decide/src/decider/end.rs
@@ -76,7 +76,7 @@
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
-        self.charge_answer(attempt, answer);
+        self.charge_answer(now, attempt, answer);
         self.sample(now, attempt, answer, actions);
         let Some(request) = self.requests.get_mut(attempt.request) else {
             return;
@@ -163,13 +163,13 @@
             let reason = reason(outcome, late);
             return self.give_up(now, key, reason, retry_after, actions);
         }
-        self.prepare_retry(attempt, outcome);
+        self.prepare_retry(now, attempt, outcome);
         self.place(now, key, actions);
     }
 
     /// Another endpoint next time, and another version if this one has failed
     /// the request twice.
-    fn prepare_retry(&mut self, attempt: &Attempt, outcome: Outcome) {
+    fn prepare_retry(&mut self, now: Duration, attempt: &Attempt, outcome: Outcome) {
         let key = attempt.request;
         let Some(request) = self.requests.get_mut(key) else {
             return;
@@ -179,7 +179,7 @@
             return;
         };
         let again = request.failed.replace(version) == Some(version);
-        if again && let Some(plan) = self.replacement(key, version) {
+        if again && let Some(plan) = self.replacement(now, key, version) {
             let request = &mut self.requests[key];
             request.plan = plan;
             request.step = 0;
@@ -194,14 +194,16 @@
         Some(Duration::from_secs_f64(pool.seconds().clamp(0.1, 60.0)))
     }
 
-    fn charge_answer(&mut self, attempt: &Attempt, answer: Answer) {
+    fn charge_answer(&mut self, now: Duration, attempt: &Attempt, answer: Answer) {
         let entry = self.policy.versions.get(attempt.step.version.index());
         let cost = entry.map(|it| {
             let prompt = u64::from(answer.prompt_tokens);
             it.cost(prompt, u64::from(answer.completion_tokens))
         });
         if let Some(request) = self.requests.get_mut(attempt.request) {
-            request.spent += cost.unwrap_or_default();
+            let cost = cost.unwrap_or_default();
+            request.spent += cost;
+            self.knowledge.spent(now, request.class, cost);
         }
     }
 
--- a/crates/decide/src/decider/evidence.rs
+++ b/crates/decide/src/decider/evidence.rs
@@ -27,6 +27,10 @@
         evidence: &Evidence,
         actions: &mut Vec<Action>,
     ) {
+        for it in &evidence.turns {
+            let class = self.knowledge.class(it.class);
+            self.knowledge.turned(now, class, it.free, it.pinned);
+        }
         for item in &evidence.items {
             if let Some(version) = self.policy.version(&item.version) {
                 self.learn_item(now, version, item, actions);
@@ -61,7 +65,9 @@
         actions: &mut Vec<Action>,
     ) {
         let class = self.knowledge.class(item.class);
-        for bucket in Bucket::all() {
+        // The surest first: bad answers that came together with good ones must not
+        // look like a row of bad ones.
+        for bucket in Bucket::all().rev() {
             let at = bucket.index();
             let first = Sample {
                 bucket,
--- a/crates/decide/src/decider/learn.rs
+++ b/crates/decide/src/decider/learn.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
-
 use super::Decider;
 use crate::attempt::{self, Attempt, Fill};
 use crate::belief::Turn;
@@ -13,12 +11,13 @@
 use crate::knowledge::{ClassIndex, Kind};
 use crate::monitor::{Confidence, Monitor};
 use crate::outcome::{Answer, Denial, Outcome};
+use crate::policy::State;
 use crate::samples::Sample;
 use crate::tally::Bucket;
 use crate::{Action, key};
 
 /// Answers after which a version's usual confidence is known.
-const ANSWERS: f64 = 60.0;
+const ANSWERS: f64 = 100.0;
 /// Ratings after which a version's usual quality is known.
 const RATINGS: f64 = 40.0;
 /// Without that a version is only taken for bad when most of it is.
@@ -76,27 +75,35 @@
         answer: Answer,
         actions: &mut Vec<Action>,
     ) {
-        let rate = self.tuning.sample_rate;
-        self.sampling.refill(now, rate, rate);
         let version = attempt.step.version;
         let Some(request) = self.requests.get(attempt.request) else {
             return;
         };
-        let known = self.knowledge.ratings(version, request.class);
-        let wanted = known < 4.0 * RATINGS
-            || attempt.step.is_probe()
-            || self.health.get(version).is_some_and(Monitor::is_suspect)
-            || self.random.random::<f64>() < self.tuning.sample_share;
+        let kind = Kind {
+            version,
+            class: request.class,
+            turn: turn(attempt, request.kept.is_some()),
+        };
         let class = self.knowledge.class_key(request.class);
         let Some(entry) = self.policy.versions.get(version.index()) else {
             return;
         };
-        if !wanted || !self.sampling.take(1.0) {
+        let insists = attempt.step.is_probe()
+            || matches!(entry.state, State::Trial(_))
+            || self.health.get(version).is_some_and(Monitor::is_suspect);
+        let most = self.tuning.sample_rate;
+        let wanted = if insists {
+            self.sampler.insists(now, most)
+        } else {
+            let value = self.knowledge.value_of_rating(now, kind);
+            self.sampler.wants(now, value, most, &mut self.random)
+        };
+        if !wanted {
             return;
         }
         let sample = Sample {
             bucket: Bucket::from(answer.confidence),
-            turn: turn(attempt, request.kept.is_some()),
+            turn: kind.turn,
         };
         self.samples.insert(request.id, &entry.id, sample);
         actions.push(Action::Sample {
@@ -115,6 +122,7 @@
         let Some(sample) = self.samples.take(rating.request, &rating.version) else {
             return;
         };
+        self.sampler.returned(now);
         self.outbox
             .rated(&rating.version, rating.class, sample, rating.verdict);
         let class = self.knowledge.class(rating.class);
--- a/crates/decide/src/decider/place.rs
+++ b/crates/decide/src/decider/place.rs
@@ -271,7 +271,7 @@
     /// Tries an allowed version that costs more but has room, before a request
     /// is refused for want of room.
     fn spill(&mut self, now: Duration, key: request::Key, actions: &mut Vec<Action>) -> bool {
-        for next in self.alternatives(key) {
+        for next in self.alternatives(now, key) {
             if self.send(now, key, next, actions) {
                 if let Some(request) = self.requests.get_mut(key) {
                     request.plan = Plan::of(&[next.step]);
--- a/crates/decide/src/decider/plan.rs
+++ b/crates/decide/src/decider/plan.rs
@@ -35,7 +35,7 @@
     ) -> Result<Plan, Reason> {
         let request = &self.requests[key];
         let first = request.plan.steps().is_empty();
-        let ask = Ask::new(request, chat);
+        let ask = Ask::new(now, &self.knowledge, request, chat);
         let entry = self.entry(now, &ask)?;
         if let Some(version) = entry.last_resort {
             self.tell(&ask, version, actions);
@@ -162,9 +162,11 @@
             many if many < KNOWN => 0.2,
             _ => 0.04,
         };
+        // What costs little beside the plan may be tried more often.
+        let cheapness = (mix.cost / least.cost.max(1.0)).clamp(1.0, 6.0);
         Some(Explore {
             version: least.version,
-            share: part * self.tuning.explore_share,
+            share: part * cheapness * self.tuning.explore_share,
         })
     }
 
--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -199,8 +199,17 @@
         if let Some(key) = self.cached(now, want) {
             return Some(key);
         }
-        list.chunk_by(|a, b| a.distance == b.distance)
-            .find_map(|near| self.choose_among(now, want, near, random))
+        let sound = list
+            .chunk_by(|a, b| a.distance == b.distance)
+            .find_map(|near| self.choose_among(now, want, near, random));
+        sound.or_else(|| {
+            let ejected = list.iter().map(|it| it.key);
+            self.emptiest(
+                now,
+                want,
+                ejected.filter(|it| self.replicas[*it].is_ejected(now)),
+            )
+        })
     }
 
     /// Remembers that the endpoint has the prefix cached now.
@@ -218,6 +227,7 @@
         let it = self.replicas.get(entry.key)?;
         let usable = entry.hash == want.prefix
             && it.state == State::Live
+            && !it.is_ejected(now)
             && want.avoid != Some(entry.key)
             && it.fill(now) < AFFINITY_FILL
             && it.has_room(now, want.priority);
@@ -237,9 +247,11 @@
     ) -> Option<Key> {
         let first = random.random_range(0..near.len());
         let second = random.random_range(0..near.len());
+        let sound = |it: &Key| !self.replicas[*it].is_ejected(now);
         let two = [near[first].key, near[second].key];
-        self.emptiest(now, want, two.into_iter())
-            .or_else(|| self.emptiest(now, want, near.iter().map(|it| it.key)))
+        let all = near.iter().map(|it| it.key);
+        self.emptiest(now, want, two.into_iter().filter(sound))
+            .or_else(|| self.emptiest(now, want, all.filter(sound)))
     }
 
     fn emptiest(&self, now: Duration, want: &Want, keys: impl Iterator<Item = Key>) -> Option<Key> {
--- a/crates/decide/src/evidence.rs
+++ b/crates/decide/src/evidence.rs
@@ -14,6 +14,20 @@
 pub struct Evidence {
     /// One entry for each version and class that something happened to.
     pub items: Vec<Item>,
+    /// One entry for each class that requests of came in.
+    pub turns: Vec<Turns>,
+}
+
+/// How many requests of a class came, and how many of them in a session with a
+/// version.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Turns {
+    /// The class.
+    pub class: key::Class,
+    /// Requests without a version.
+    pub free: u32,
+    /// Requests that came with one.
+    pub pinned: u32,
 }
 
 /// What happened to one version in one class.
--- a/crates/decide/src/knowledge.rs
+++ b/crates/decide/src/knowledge.rs
@@ -1,11 +1,13 @@
 //! What this host has learned of all versions in all classes.
 
+use std::time::Duration;
+
 use kernel::Money;
 
 use crate::belief::{Belief, Turn};
 use crate::evidence::BUCKETS;
 use crate::forecast::{Curve, Forecast};
-use crate::meter::Mean;
+use crate::meter::{Mean, Meter};
 use crate::number::{count, float};
 use crate::pilot::Comparison;
 use crate::shape::{Fit, Shape, blend};
@@ -27,6 +29,10 @@
 /// How much more often an answer is bad where another's was rejected, before
 /// any answer tells.
 const LATER_ODDS: f64 = 1.8;
+/// How far back a class's spending is looked at.
+const SPENDING_MEMORY: Duration = Duration::from_mins(5);
+/// Requests of a class after which old ones count half.
+const TURN_MEMORY: f64 = 2000.0;
 /// Completion and prompt tokens of a request, before any answer tells.
 const TOKENS: f64 = 256.0;
 
@@ -47,7 +53,14 @@
 struct Class {
     key: key::Class,
     prompt: Mean,
+    /// When its first request came.
+    since: Option<Duration>,
+    /// Requests without and with a version, as far as they are remembered.
+    free: f64,
+    pinned: f64,
     completion: Mean,
+    /// Microcents a second.
+    spending: Meter,
 }
 
 #[derive(Clone, Debug)]
@@ -119,7 +132,11 @@
         self.classes.push(Class {
             key,
             prompt: Mean::default(),
+            since: None,
+            free: 0.0,
+            pinned: 0.0,
             completion: Mean::default(),
+            spending: Meter::new(SPENDING_MEMORY),
         });
         ClassIndex(self.classes.len() - 1)
     }
@@ -138,6 +155,51 @@
         self.classes[class.0].prompt.add(f64::from(prompt_tokens));
     }
 
+    /// Requests of the class came, here or elsewhere, with and without a version.
+    pub(crate) fn turned(&mut self, now: Duration, class: ClassIndex, free: u32, pinned: u32) {
+        let it = &mut self.classes[class.0];
+        it.since.get_or_insert(now);
+        it.free += f64::from(free);
+        it.pinned += f64::from(pinned);
+        if it.free + it.pinned > TURN_MEMORY {
+            it.free /= 2.0;
+            it.pinned /= 2.0;
+        }
+    }
+
+    /// Whether the class's answers are often followed by more of the session,
+    /// which stay with the version that gave the first. A new class is taken
+    /// for a conversation until its second turns have had time to come.
+    pub(crate) fn is_conversation(&self, now: Duration, class: ClassIndex) -> bool {
+        const OFTEN: f64 = 0.05;
+        const ENOUGH: f64 = 20.0;
+        const LONG: Duration = Duration::from_secs(100);
+        let it = &self.classes[class.0];
+        let seen = it.free + it.pinned;
+        let young = it.since.is_none_or(|it| now.saturating_sub(it) < LONG);
+        it.pinned > OFTEN * seen || seen < ENOUGH || young
+    }
+
+    /// An answer to a request of the class was paid for.
+    pub(crate) fn spent(&mut self, now: Duration, class: ClassIndex, cost: Money) {
+        self.classes[class.0].spending.add(now, float(cost.0));
+    }
+
+    /// How much a rating of such an answer would help, on a scale of its own:
+    /// more where more is spent and where less is known.
+    pub(crate) fn value_of_rating(&self, now: Duration, kind: Kind) -> f64 {
+        let spending = self.classes[kind.class.0].spending.rate(now);
+        let fit = self.versions.get(kind.version.index()).map(|it| {
+            let belief = it.classes.get(kind.class.0);
+            belief.map_or_else(
+                || it.prior(kind.turn),
+                |belief| belief.view(kind.turn).known(it.prior_in(belief, kind.turn)),
+            )
+        });
+        let doubt = fit.map_or(0.0, |it| it.variance() / (it.weight + 1.0));
+        spending.sqrt() * doubt
+    }
+
     /// Whole answers came.
     pub(crate) fn answered(&mut self, kind: Kind, bucket: Bucket, answers: f64) {
         self.changes += 1;
@@ -315,7 +377,7 @@
     /// What is expected of it before it has been seen: the dearer the better.
     fn prior(&self, turn: Turn) -> Fit {
         let first = Fit {
-            share: 0.72 + 0.22 * self.rank,
+            share: 0.8 + 0.15 * self.rank,
             weight: PRIOR_WEIGHT,
         };
         match turn {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod refusal;
 mod replica;
 mod request;
+mod sampler;
 mod samples;
 mod shape;
 mod tally;
--- a/crates/decide/src/monitor.rs
+++ b/crates/decide/src/monitor.rs
@@ -14,7 +14,9 @@
 /// version is taken for bad less than once in `e^12` (160 thousand) observations.
 const LIMIT: f64 = 12.0;
 /// The sum for a partial fault, which confidence shows less clearly.
-const PARTIAL_LIMIT: f64 = 16.0;
+const PARTIAL_LIMIT: f64 = 18.0;
+/// The sum for a fault of nearly all answers.
+const WHOLE_LIMIT: f64 = 16.0;
 /// Answers from which on the usual confidence is known well enough to see a
 /// fifth of the answers turn bad.
 const PARTIAL_ANSWERS: f64 = 200.0;
@@ -271,7 +273,7 @@
             Scope::Shared => 4.0,
         };
         let [partial, whole] = self.quality;
-        if whole.sum() >= scale * LIMIT {
+        if whole.sum() >= scale * WHOLE_LIMIT {
             self.quarantine(now, cause, SHARES[1], FIRST_HOLD);
         } else if partial.sum() >= scale * PARTIAL_LIMIT {
             self.quarantine(now, cause, SHARES[0], FIRST_HOLD);
--- a/crates/decide/src/outbox.rs
+++ b/crates/decide/src/outbox.rs
@@ -6,7 +6,7 @@
 
 use crate::belief::Turn;
 use crate::event::Quality;
-use crate::evidence::{BUCKETS, Evidence, Item};
+use crate::evidence::{BUCKETS, Evidence, Item, Turns};
 use crate::samples::Sample;
 use crate::{endpoint, key};
 
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Outbox {
     items: Vec<Item>,
+    turns: Vec<Turns>,
     urgency: Urgency,
     published: Duration,
 }
@@ -30,6 +31,20 @@
 }
 
 impl Outbox {
+    pub(crate) fn arrived(&mut self, class: key::Class, pinned: u32) {
+        let at = self.turns.iter().position(|it| it.class == class);
+        let at = at.unwrap_or_else(|| {
+            self.turns.push(Turns {
+                class,
+                free: 0,
+                pinned: 0,
+            });
+            self.turns.len() - 1
+        });
+        self.turns[at].pinned += pinned;
+        self.turns[at].free += 1 - pinned;
+    }
+
     pub(crate) fn answered(&mut self, version: &VersionId, class: key::Class, sample: Sample) {
         let it = self.item(version, class);
         match sample.turn {
@@ -85,13 +100,15 @@
     /// What is due to be published.
     pub(crate) fn take(&mut self, now: Duration) -> Option<Evidence> {
         let due = now.saturating_sub(self.published) >= CALM || self.urgency == Urgency::Bad;
-        if self.items.is_empty() || !due {
+        if (self.items.is_empty() && self.turns.is_empty()) || !due {
             return None;
         }
         self.published = now;
         self.urgency = Urgency::Calm;
-        let items = std::mem::take(&mut self.items);
-        Some(Evidence { items })
+        Some(Evidence {
+            items: std::mem::take(&mut self.items),
+            turns: std::mem::take(&mut self.turns),
+        })
     }
 
     fn item(&mut self, version: &VersionId, class: key::Class) -> &mut Item {
--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -44,6 +44,7 @@
     /// work share its slots.
     window: f64,
     paused_until: Duration,
+    ejected_until: Duration,
     failures: u32,
 }
 
@@ -62,6 +63,7 @@
             in_flight_at_report: 0,
             window: f64::from(UNREPORTED_SLOTS),
             paused_until: Duration::ZERO,
+            ejected_until: Duration::ZERO,
             failures: 0,
         };
         it.report(update.load);
@@ -90,6 +92,12 @@
         f64::from(self.busy()) < limit && f64::from(self.in_flight) < started.max(1.0)
     }
 
+    /// Whether it is left alone after failures, as long as others have room: where
+    /// all are, the fault isn't theirs.
+    pub(crate) fn is_ejected(&self, now: Duration) -> bool {
+        now < self.ejected_until
+    }
+
     /// How full it is: 0 is idle, 1 has all slots taken.
     pub(crate) fn fill(&self, now: Duration) -> f64 {
         f64::from(self.busy()) / (f64::from(self.slots()) * self.ramp(now))
@@ -124,7 +132,7 @@
         self.failures += 1;
         if self.failures >= EJECT_AFTER {
             self.failures = 0;
-            self.paused_until = now + EJECT_FOR;
+            self.ejected_until = now + EJECT_FOR;
         }
     }
 
--- a/crates/decide/src/shape.rs
+++ b/crates/decide/src/shape.rs
@@ -7,9 +7,15 @@
 const STEPS: u32 = 12;
 /// Unrated answers count as no more than so many, since the shape may be
 /// another in this class.
-const UNRATED: f64 = 150.0;
+const UNRATED: f64 = 600.0;
 /// What an unrated answer tells, as a part of what a rating tells.
 const UNRATED_WORTH: f64 = 0.35;
+/// The buckets of the surest answers.
+const SUREST: usize = 2;
+/// Ratings of the surest answers that the configured noise is worth, and the
+/// most that is taken for noise.
+const NOISE_WEIGHT: f64 = 100.0;
+const MOST_NOISE: f64 = 0.1;
 /// Ratings in all after which the shape itself is trusted by half.
 const SHAPE_RATINGS: f64 = 40.0;
 
@@ -53,9 +59,9 @@
 
     /// The shape that ratings show, with this one worth `weight` ratings.
     pub(crate) fn learned(&self, tally: &Tally, weight: f64) -> Self {
-        let noise = self.noise;
+        let noise = self.noise_in(tally);
         let clear = 1.0 - 2.0 * noise;
-        let mut it = *self;
+        let mut it = Self { noise, ..*self };
         let truly = |seen: &[f64; BUCKETS], other: &[f64; BUCKETS]| {
             let of = |at: usize| ((1.0 - noise) * seen[at] - noise * other[at]).max(0.0) / clear;
             std::array::from_fn::<f64, BUCKETS, _>(of)
@@ -66,6 +72,16 @@
         it
     }
 
+    /// The share of wrong ratings: the surest answers are nearly all good, so
+    /// the bad ratings among them are mostly wrong.
+    fn noise_in(&self, tally: &Tally) -> f64 {
+        let surest = BUCKETS - SUREST..;
+        let bad: f64 = tally.bad[surest.clone()].iter().sum();
+        let good: f64 = tally.good[surest].iter().sum();
+        let noise = (bad + NOISE_WEIGHT * self.noise) / (bad + good + NOISE_WEIGHT);
+        noise.min(MOST_NOISE.max(self.noise))
+    }
+
     /// How confidence spreads when `share` of the answers are good.
     pub(crate) fn spread(&self, share: f64) -> [f64; BUCKETS] {
         std::array::from_fn(|at| share * self.good[at] + (1.0 - share) * self.bad[at])
--- /dev/null
+++ b/crates/decide/tests/decide/fleet.rs
@@ -0,0 +1,246 @@
+//! Endpoints and raters that answer by themselves, for cases about many requests.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use decide::action::{Action, Dispatch};
+use decide::event::{Quality, Rating};
+use decide::outcome::{Answer, Denial};
+use decide::{Event, Outcome, key};
+use kernel::AttemptId;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::script::{Script, span};
+
+/// How each version, or `calls` for all services, behaves.
+pub(crate) struct Fleet {
+    random: Pcg64Mcg,
+    manners: BTreeMap<String, Manner>,
+    next: u64,
+}
+
+/// How a version behaves.
+#[derive(Clone, Copy, Debug)]
+struct Manner {
+    good: f64,
+    fail: f64,
+    full: f64,
+    time: Duration,
+}
+
+/// Requests that come one after the other.
+pub(crate) struct Load {
+    number: u64,
+    every: Duration,
+    words: Vec<String>,
+}
+
+impl Fleet {
+    pub(crate) fn new() -> Self {
+        Self {
+            random: Pcg64Mcg::seed_from_u64(3),
+            manners: BTreeMap::new(),
+            next: 1000,
+        }
+    }
+
+    /// `behave version [good=0.9] [fail=0] [full=0] [time=200ms]`
+    pub(crate) fn behave(&mut self, words: &[&str]) {
+        let option = |prefix: &str| words.iter().find_map(|it| it.strip_prefix(prefix));
+        let number = |prefix, usual: f64| option(prefix).map_or(usual, |it| it.parse().unwrap());
+        let manner = Manner {
+            good: number("good=", 0.9),
+            fail: number("fail=", 0.0),
+            full: number("full=", 0.0),
+            time: span(option("time=").unwrap_or("200ms")),
+        };
+        self.manners.insert(words[0].to_owned(), manner);
+    }
+
+    fn end(&mut self, version: &str) -> (Duration, Outcome, Quality) {
+        let manner = self.manners[version];
+        let mut toss = || self.random.random::<f64>();
+        let [fail, full, good, draw] = [toss(), toss(), toss(), toss()];
+        if full < manner.full {
+            let denied = Outcome::Denied(Denial::Overloaded);
+            return (Duration::from_millis(1), denied, Quality::Bad);
+        }
+        if fail < manner.fail {
+            return (manner.time, Outcome::Failed, Quality::Bad);
+        }
+        let good = good < manner.good;
+        let power = 1.0 / 2.5;
+        let confidence = if good {
+            draw.powf(power)
+        } else {
+            1.0 - (1.0 - draw).powf(power)
+        };
+        let outcome = if version == "calls" {
+            Outcome::Served
+        } else {
+            Outcome::Answered(Answer {
+                confidence,
+                prompt_tokens: 100,
+                completion_tokens: 50,
+            })
+        };
+        let quality = if good { Quality::Good } else { Quality::Bad };
+        (manner.time, outcome, quality)
+    }
+}
+
+impl Load {
+    /// `traffic 100 every=50ms chat customer profile …`
+    pub(crate) fn parse(words: &[&str]) -> Self {
+        let every = words[1].strip_prefix("every=").unwrap();
+        Self {
+            number: words[0].parse().unwrap(),
+            every: span(every),
+            words: words[2..].iter().map(|it| (*it).to_owned()).collect(),
+        }
+    }
+}
+
+/// What is to come, in order.
+enum Next {
+    Arrive(u64),
+    End(AttemptId, Outcome),
+    Rate(Rating),
+    Tick,
+}
+
+/// A run of requests, and what is counted of it.
+struct Run<'a> {
+    script: &'a mut Script,
+    agenda: BTreeMap<(Duration, u64), Next>,
+    order: u64,
+    qualities: BTreeMap<AttemptId, (String, Quality)>,
+    counts: BTreeMap<String, u64>,
+    text: String,
+}
+
+/// Sends the requests and sums up what became of them.
+pub(crate) fn traffic(script: &mut Script, load: &Load) -> String {
+    let first = script.fleet.next;
+    script.fleet.next += load.number;
+    let start = script.now;
+    let mut run = Run {
+        script,
+        agenda: BTreeMap::new(),
+        order: 0,
+        qualities: BTreeMap::new(),
+        counts: BTreeMap::new(),
+        text: String::new(),
+    };
+    let mut at = start;
+    for number in first..first + load.number {
+        run.plan(at, Next::Arrive(number));
+        at += load.every;
+    }
+    run.plan(start, Next::Tick);
+    run.all(load, at + Duration::from_mins(2));
+    let mut text = std::mem::take(&mut run.text);
+    for (what, number) in &run.counts {
+        writeln!(text, "{what}: {number}").unwrap();
+    }
+    text
+}
+
+impl Run<'_> {
+    fn plan(&mut self, at: Duration, next: Next) {
+        self.order += 1;
+        self.agenda.insert((at, self.order), next);
+    }
+
+    fn all(&mut self, load: &Load, end: Duration) {
+        while let Some(((at, _), next)) = self.agenda.pop_first() {
+            self.script.now = at;
+            let event = match next {
+                Next::Arrive(number) => {
+                    let number = number.to_string();
+                    let mut words: Vec<&str> = load.words.iter().map(String::as_str).collect();
+                    words.insert(1, &number);
+                    self.script.arrival(&words)
+                }
+                Next::End(attempt, outcome) => Event::Ended { attempt, outcome },
+                Next::Rate(rating) => Event::Rated(rating),
+                Next::Tick => {
+                    if at < end {
+                        let tick = self.script.decider.tuning().tick;
+                        self.plan(at + tick, Next::Tick);
+                    }
+                    Event::Tick
+                }
+            };
+            let mut actions = Vec::new();
+            self.script.decider.handle(at, event, &mut actions);
+            for action in actions {
+                self.carry_out(&action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: &Action) {
+        match action {
+            Action::Dispatch(it) => self.dispatch(it),
+            Action::Deliver(it) => {
+                let (version, quality) = self.qualities[&it.attempt].clone();
+                self.count(&format!("answered by {version}"));
+                if quality == Quality::Good && version != "calls" {
+                    self.count("good");
+                }
+            }
+            Action::Refuse { refusal, .. } => self.count(&format!("refused {:?}", refusal.reason)),
+            Action::Sample {
+                request,
+                attempt,
+                class,
+                ..
+            } => {
+                let (version, verdict) = self.qualities[attempt].clone();
+                let rating = Rating {
+                    request: *request,
+                    version: version.as_str().into(),
+                    class: *class,
+                    verdict,
+                };
+                let at = self.script.now + Duration::from_secs(1);
+                self.plan(at, Next::Rate(rating));
+            }
+            Action::Step(_) | Action::Version { .. } | Action::LastResort { .. } => {
+                let mut line = String::new();
+                self.script.write(action, &mut line);
+                // Steps are asked for again until they are taken.
+                if !self.text.ends_with(&line) {
+                    self.text.push_str(&line);
+                }
+            }
+            Action::Cancel { .. } | Action::Publish(_) | Action::Demand(_) => {}
+        }
+    }
+
+    fn dispatch(&mut self, it: &Dispatch) {
+        self.count("dispatched");
+        let version = it.version.map(|it| self.version(it));
+        let version = version.unwrap_or_else(|| "calls".to_owned());
+        let (time, outcome, quality) = self.script.fleet.end(&version);
+        self.qualities.insert(it.attempt, (version, quality));
+        let at = self.script.now + time.min(it.timeout);
+        let outcome = if time > it.timeout {
+            Outcome::TimedOut
+        } else {
+            outcome
+        };
+        self.plan(at, Next::End(it.attempt, outcome));
+    }
+
+    fn version(&self, key: key::Version) -> String {
+        self.script.policy.versions[key.index()].id.to_string()
+    }
+
+    fn count(&mut self, what: &str) {
+        *self.counts.entry(what.to_owned()).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/decide/properties.rs
@@ -0,0 +1,469 @@
+//! What holds whatever happens.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use decide::action::{Action, Dispatch};
+use decide::arrival::{Call, Chat, Pin, Work};
+use decide::endpoint::{Distance, Id, Load, Role, State as Life, Update};
+use decide::event::{Quality, Rating};
+use decide::outcome::{Answer, Denial};
+use decide::policy::{
+    Allowance, Customer, Pace, Priority, Profile, Repeat, Rollout, Service, State, Version,
+};
+use decide::refusal::Run;
+use decide::{Arrival, Decider, Event, Outcome, Policy, Tuning, key};
+use kernel::{AttemptId, HostName, Incarnation, Money, Revision, VersionId};
+use proptest::prelude::*;
+
+const VERSIONS: [&str; 4] = ["small@1", "medium@1", "medium@2", "large@1"];
+const ENDPOINTS: u64 = 6;
+
+/// Something that happens.
+#[derive(Clone, Debug)]
+enum Step {
+    Chat {
+        once: bool,
+        pin: Option<u16>,
+        priority: usize,
+        customer: u16,
+    },
+    Call {
+        once: bool,
+    },
+    Start(usize),
+    End(usize, Outcome),
+    Gone(usize),
+    Rate(usize, bool),
+    Withdraw(usize, bool),
+    Endpoint {
+        which: u64,
+        life: u64,
+        state: Life,
+        running: u32,
+    },
+    Pass(u64),
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        6 => (0.0..1.0f64).prop_map(|confidence| Outcome::Answered(Answer {
+            confidence,
+            prompt_tokens: 100,
+            completion_tokens: 50,
+        })),
+        1 => Just(Outcome::NotSent),
+        1 => Just(Outcome::Failed),
+        1 => Just(Outcome::TimedOut),
+        1 => Just(Outcome::Cut),
+        1 => Just(Outcome::Denied(Denial::Overloaded)),
+        1 => Just(Outcome::Denied(Denial::NotLoaded)),
+        1 => Just(Outcome::Denied(Denial::Leaving)),
+        1 => Just(Outcome::Denied(Denial::WrongIncarnation)),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let life = prop_oneof![4 => Just(Life::Live), 1 => Just(Life::Leaving), 1 => Just(Life::Gone)];
+    prop_oneof![
+        8 => (any::<bool>(), proptest::option::of(0..5u16), 0..3usize, 0..2u16).prop_map(
+            |(once, pin, priority, customer)| Step::Chat { once, pin, priority, customer }
+        ),
+        3 => any::<bool>().prop_map(|once| Step::Call { once }),
+        4 => (0..8usize).prop_map(Step::Start),
+        10 => (0..8usize, outcome()).prop_map(|(at, outcome)| Step::End(at, outcome)),
+        1 => (0..8usize).prop_map(Step::Gone),
+        3 => (0..8usize, any::<bool>()).prop_map(|(at, good)| Step::Rate(at, good)),
+        2 => (0..VERSIONS.len(), any::<bool>()).prop_map(|(at, out)| Step::Withdraw(at, out)),
+        3 => (0..ENDPOINTS, 1..3u64, life, 0..5u32).prop_map(
+            |(which, life, state, running)| Step::Endpoint { which, life, state, running }
+        ),
+        6 => (1..2000u64).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn whatever_happens_the_promises_hold(
+        seed in any::<u64>(),
+        steps in proptest::collection::vec(step(), 1..150),
+    ) {
+        let mut world = World::new(seed);
+        for step in steps {
+            world.step(&step);
+        }
+        world.settle();
+    }
+
+    #[test]
+    fn the_same_events_lead_to_the_same_actions(
+        seed in any::<u64>(),
+        steps in proptest::collection::vec(step(), 1..60),
+    ) {
+        let mut worlds = [World::new(seed), World::new(seed)];
+        for step in steps {
+            for world in &mut worlds {
+                world.step(&step);
+            }
+        }
+        let [one, other] = worlds;
+        prop_assert_eq!(one.log, other.log);
+    }
+}
+
+/// What became of a request as its caller and endpoints see it.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    once: bool,
+    calls: bool,
+    customer: u16,
+    attempts: u32,
+    run: Option<Run>,
+    gone: bool,
+    finals: u32,
+}
+
+struct World {
+    decider: Decider,
+    now: Duration,
+    policy: Policy,
+    live: BTreeSet<Id>,
+    leaving: BTreeSet<Id>,
+    requests: BTreeMap<key::Request, Seen>,
+    flights: BTreeMap<AttemptId, Dispatch>,
+    answers: BTreeSet<AttemptId>,
+    samples: Vec<(key::Request, VersionId)>,
+    log: Vec<Action>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            decider: Decider::new(seed, Tuning::default()),
+            now: Duration::ZERO,
+            policy: policy(),
+            live: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            requests: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            answers: BTreeSet::new(),
+            samples: Vec::new(),
+            log: Vec::new(),
+        };
+        world.pass(Event::Configure(Arc::new(world.policy.clone())));
+        for which in 0..ENDPOINTS {
+            world.endpoint(which, 1, Life::Live, 0);
+        }
+        world
+    }
+
+    fn step(&mut self, step: &Step) {
+        match step {
+            Step::Chat {
+                once,
+                pin,
+                priority,
+                customer,
+            } => {
+                let pin = pin.map(|it| {
+                    if usize::from(it) < VERSIONS.len() {
+                        Pin::Version(key::Version(it))
+                    } else {
+                        Pin::Gone
+                    }
+                });
+                let work = Work::Chat(Chat {
+                    profile: key::Profile(u16::from(*once)),
+                    class: key::Class::default(),
+                    prompt_tokens: 100,
+                    max_tokens: 0,
+                    prefix: 0,
+                    pin,
+                });
+                self.arrive(work, *once, *customer, Some(Priority::ALL[*priority]));
+            }
+            Step::Call { once } => {
+                let service = key::Service(u16::from(*once));
+                let work = Work::Call(Call {
+                    service,
+                    repeat: None,
+                });
+                self.arrive(work, *once, 0, None);
+            }
+            Step::Start(at) => {
+                if let Some(attempt) = self.flight(*at) {
+                    self.pass(Event::Started { attempt });
+                }
+            }
+            Step::End(at, outcome) => {
+                if let Some(attempt) = self.flight(*at) {
+                    self.end(attempt, *outcome);
+                }
+            }
+            Step::Gone(at) => {
+                let open = self.requests.iter().filter(|(_, it)| it.finals == 0);
+                let request = open.map(|it| *it.0).nth(*at);
+                if let Some(request) = request {
+                    self.requests.get_mut(&request).unwrap().gone = true;
+                    self.pass(Event::Cancelled { request });
+                }
+            }
+            Step::Rate(at, good) => {
+                if let Some((request, version)) = self.samples.get(*at).cloned() {
+                    let verdict = if *good { Quality::Good } else { Quality::Bad };
+                    self.pass(Event::Rated(Rating {
+                        request,
+                        version,
+                        class: key::Class::default(),
+                        verdict,
+                    }));
+                }
+            }
+            Step::Withdraw(at, out) => {
+                self.policy.revision = self.policy.revision.next();
+                self.policy.versions[*at].state = if *out {
+                    State::Withdrawn
+                } else {
+                    State::Active
+                };
+                self.pass(Event::Configure(Arc::new(self.policy.clone())));
+            }
+            Step::Endpoint {
+                which,
+                life,
+                state,
+                running,
+            } => self.endpoint(*which, *life, *state, *running),
+            Step::Pass(millis) => {
+                self.now += Duration::from_millis(*millis);
+                self.pass(Event::Tick);
+            }
+        }
+    }
+
+    /// Ends all that is in flight and lets all deadlines pass: each request has
+    /// had its one end then.
+    fn settle(&mut self) {
+        for _ in 0..10_000 {
+            let Some(attempt) = self.flight(0) else { break };
+            self.end(attempt, Outcome::Failed);
+        }
+        for _ in 0..100 {
+            self.now += Duration::from_secs(1);
+            self.pass(Event::Tick);
+            while let Some(attempt) = self.flight(0) {
+                self.end(attempt, Outcome::Failed);
+            }
+        }
+        assert_eq!(self.decider.pending(), 0, "a request never ended");
+        for (request, seen) in &self.requests {
+            let ends = u32::from(!seen.gone);
+            assert_eq!(seen.finals, ends, "{request} {seen:?}");
+        }
+    }
+
+    fn flight(&self, at: usize) -> Option<AttemptId> {
+        let at = at.min(self.flights.len().saturating_sub(1));
+        self.flights.keys().nth(at).copied()
+    }
+
+    fn arrive(&mut self, work: Work, once: bool, customer: u16, priority: Option<Priority>) {
+        let request = key::Request(u64::try_from(self.requests.len()).unwrap());
+        let seen = Seen {
+            once,
+            calls: matches!(work, Work::Call(_)),
+            customer,
+            ..Seen::default()
+        };
+        self.requests.insert(request, seen);
+        self.pass(Event::Arrive(Arrival {
+            request,
+            customer: key::Customer(customer),
+            work,
+            priority,
+            deadline: None,
+        }));
+    }
+
+    fn end(&mut self, attempt: AttemptId, outcome: Outcome) {
+        let dispatch = self.flights.remove(&attempt).unwrap();
+        let seen = self.requests.get_mut(&dispatch.request).unwrap();
+        let outcome = match outcome {
+            Outcome::Answered(_) if seen.calls => Outcome::Served,
+            other => other,
+        };
+        if !outcome.not_run() {
+            seen.run = Some(Run::Unknown);
+        }
+        if matches!(outcome, Outcome::Answered(_) | Outcome::Served) {
+            self.answers.insert(attempt);
+        }
+        self.pass(Event::Ended { attempt, outcome });
+    }
+
+    fn endpoint(&mut self, which: u64, life: u64, state: Life, running: u32) {
+        let name = HostName::from(format!("e{which}"));
+        let id = Id::new(&name, Incarnation(life));
+        self.live.retain(|it| it.host != id.host);
+        self.leaving.remove(&id);
+        if state == Life::Live {
+            self.live.insert(id);
+        }
+        let versions = VERSIONS.map(VersionId::from);
+        let role = if which == ENDPOINTS - 1 {
+            Role::Service("holds".into())
+        } else {
+            Role::Engine(versions.into())
+        };
+        self.pass(Event::Endpoint(Update {
+            id,
+            role,
+            distance: Distance::DataCentre,
+            state,
+            load: Some(Load {
+                running,
+                waiting: 0,
+                slots: 4,
+                age: Duration::ZERO,
+            }),
+        }));
+    }
+
+    fn pass(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.decider.handle(self.now, event, &mut actions);
+        for action in &actions {
+            self.check(action);
+        }
+        self.log.extend(actions);
+    }
+
+    fn check(&mut self, action: &Action) {
+        match action {
+            Action::Dispatch(it) => self.check_dispatch(it),
+            Action::Deliver(it) => {
+                assert!(self.answers.contains(&it.attempt), "no answer to deliver");
+                self.finish(it.request);
+            }
+            Action::Refuse { request, refusal } => {
+                let seen = &self.requests[request];
+                if refusal.run == Run::NotRun {
+                    assert_eq!(seen.run, None, "it may have run");
+                    let flies = self.flights.values().any(|it| it.request == *request);
+                    assert!(!flies, "it may be running");
+                }
+                self.finish(*request);
+            }
+            Action::Cancel { attempt } => {
+                let dispatch = self.flights.remove(attempt).expect("unknown attempt");
+                let seen = self.requests.get_mut(&dispatch.request).unwrap();
+                seen.run = Some(Run::Unknown);
+            }
+            Action::Sample {
+                request,
+                attempt,
+                version,
+                ..
+            } => {
+                assert!(self.answers.contains(attempt));
+                let version = self.policy.versions[version.index()].id.clone();
+                self.samples.insert(0, (*request, version));
+            }
+            _ => {}
+        }
+    }
+
+    fn check_dispatch(&mut self, it: &Dispatch) {
+        assert_eq!(it.revision, self.policy.revision);
+        assert!(self.live.contains(&it.endpoint), "endpoint isn't live");
+        let most = self.decider.tuning().attempts;
+        let seen = self.requests.get_mut(&it.request).unwrap();
+        seen.attempts += 1;
+        assert!(seen.attempts <= most, "too many attempts");
+        assert_eq!(it.number, seen.attempts);
+        assert_eq!(seen.finals, 0, "it has ended");
+        assert!(!seen.gone, "its caller has gone");
+        if seen.once {
+            assert_eq!(seen.run, None, "it may have run before");
+            let flies = self.flights.values().any(|that| that.request == it.request);
+            assert!(!flies, "it may be running");
+        }
+        if let Some(version) = it.version {
+            let profile = key::Profile(u16::from(seen.once));
+            let customer = key::Customer(seen.customer);
+            assert!(self.policy.permits(profile, customer, version));
+        }
+        let earlier = self.flights.insert(it.attempt, *it);
+        assert!(earlier.is_none(), "attempt numbers repeat");
+    }
+
+    fn finish(&mut self, request: key::Request) {
+        let seen = self.requests.get_mut(&request).unwrap();
+        seen.finals += 1;
+        assert_eq!(seen.finals, 1, "a second end");
+        assert!(!seen.gone, "its caller has gone");
+    }
+}
+
+fn policy() -> Policy {
+    let prices = [10, 55, 60, 300];
+    let versions = VERSIONS.iter().zip(prices).map(|(id, price)| Version {
+        id: (*id).into(),
+        state: if *id == "medium@2" {
+            State::Trial(0.5)
+        } else {
+            State::Active
+        },
+        prompt_price: Money(price * 1_000_000),
+        completion_price: Money(price * 4_000_000),
+    });
+    let allowance = |customer: u16, last: u16| Allowance {
+        customer: key::Customer(customer),
+        versions: (0..last).map(key::Version).collect(),
+    };
+    let profile = |name: &str, repeat| Profile {
+        name: name.into(),
+        allowed: vec![allowance(0, 4), allowance(1, 2)],
+        target: 0.9,
+        cap: None,
+        repeat,
+        priority: Priority::Interactive,
+        deadline: Duration::from_secs(30),
+    };
+    let customer = |name: &str| Customer {
+        name: name.into(),
+        rate: 1000.0,
+        burst: 1000.0,
+        concurrency: 1000,
+        weight: 1.0,
+    };
+    let service = |name: &str, repeat| Service {
+        name: name.into(),
+        repeat,
+        priority: Priority::Urgent,
+        deadline: Duration::from_secs(3),
+        concurrency: 4,
+    };
+    Policy {
+        revision: Revision(1),
+        versions: versions.collect(),
+        profiles: vec![
+            profile("often", Repeat::Idempotent),
+            profile("once", Repeat::AtMostOnce),
+        ],
+        customers: vec![customer("a"), customer("b")],
+        services: vec![
+            service("scans", Repeat::Idempotent),
+            service("holds", Repeat::AtMostOnce),
+        ],
+        rollouts: vec![Rollout {
+            id: "next".into(),
+            version: key::Version(2),
+            replaces: Some(key::Version(1)),
+            pace: Pace::Running,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/decide/scripts.rs
@@ -0,0 +1,11 @@
+//! Runs the scripts in `tests/scripts`; `REWRITE=1` writes what came out.
+
+use crate::script::Script;
+
+#[test]
+fn scripts_of_events_lead_to_these_actions() {
+    datadriven::walk("tests/scripts", |file| {
+        let mut script = Script::new();
+        file.run(|case| script.run(&case.directive, &case.input));
+    });
+}
