--- a/crates/decide/benches/decision.rs
+++ b/crates/decide/benches/decision.rs
@@ -46,7 +46,7 @@
         for number in 0..size.replicas {
             bench.pass(Event::Endpoint(endpoint(size, number)));
         }
-        bench.now = Duration::from_secs(60);
+        bench.now = Duration::from_mins(1);
         bench
     }
 
--- a/crates/decide/src/decider/learn.rs
+++ b/crates/decide/src/decider/learn.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
+
 use super::Decider;
 use crate::attempt::{self, Attempt, Fill};
 use crate::belief::Turn;
@@ -92,7 +94,11 @@
             || matches!(entry.state, State::Trial(_))
             || self.health.get(version).is_some_and(Monitor::is_suspect);
         let most = self.tuning.sample_rate;
-        let wanted = if insists {
+        let known = self.knowledge.ratings(version, kind.class) >= 4.0 * RATINGS;
+        let sparing = known && self.random.random::<f64>() >= self.tuning.sample_share;
+        let wanted = if sparing {
+            false
+        } else if insists {
             self.sampler.insists(now, most)
         } else {
             let value = self.knowledge.value_of_rating(now, kind);
--- a/crates/decide/src/tuning.rs
+++ b/crates/decide/src/tuning.rs
@@ -19,6 +19,9 @@
     pub rating_noise: f64,
     /// Answers a second that may be sent to the rating service.
     pub sample_rate: f64,
+    /// The largest share of answers that is sent to be rated where enough is
+    /// known already.
+    pub sample_share: f64,
     /// The share of requests on which a version that the plan doesn't use is
     /// tried beside it, where little is known of it.
     pub explore_share: f64,
@@ -46,6 +49,7 @@
             retry_share: 0.1,
             rating_noise: 0.05,
             sample_rate: 50.0,
+            sample_share: 0.5,
             explore_share: 0.06,
             queue: 256,
             pins: Pins::Keep,
