ledger: measure what a record costs, hold records encoded

`ledger::measure` runs a host and its partner on a virtual clock, for the capacity page; the example `measure` prints the figures.

--- /dev/null
+++ b/crates/ledger/examples/measure.rs
@@ -0,0 +1,43 @@
+//! Prints what the ledger costs a host: `cargo run --release -p ledger --example measure`.
+
+use kernel::SystemClock;
+use ledger::measure::{self, Load};
+
+/// The size of a page of memory on the machines that this runs on.
+const PAGE: usize = 4096;
+const HELD: usize = 20_000;
+
+fn main() {
+    let clock = SystemClock::new();
+    println!("rate/s hosts  us/record  messages/s  bytes/s  writes/s  table B/s  fleet writes/s");
+    for hosts in [8, 32, 110, 330] {
+        for rate in [5.5, 50.0, 500.0] {
+            let it = measure::run(&clock, Load { rate, hosts });
+            println!(
+                "{rate:6} {hosts:5} {:10.1} {:11.1} {:8.0} {:9.2} {:10.0} {:15.1}",
+                it.processor.as_secs_f64() * 1e6,
+                it.messages_per_second,
+                it.bytes_per_second,
+                it.writes_per_second,
+                it.table_bytes_per_second,
+                it.fleet_writes_per_second,
+            );
+        }
+    }
+    let before = resident();
+    let held = measure::outage(HELD);
+    let bytes = resident().saturating_sub(before);
+    println!(
+        "{HELD} records and as many copies: {} kB, {} bytes a record with its copy",
+        bytes / 1000,
+        bytes / HELD
+    );
+    drop(held);
+}
+
+/// The resident memory of this process in bytes.
+fn resident() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages.and_then(|it| it.parse::<usize>().ok()).unwrap_or(0) * PAGE
+}
--- a/crates/ledger/src/holdings.rs
+++ b/crates/ledger/src/holdings.rs
@@ -83,7 +83,7 @@
             record.floor = serial;
         }
         self.held
-            .insert(serial, Held::new(record, lane, waiting, cx.now));
+            .insert(serial, Held::new(&record, lane, waiting, cx.now));
         self.enter(serial, lane);
         self.uncopied.push_back(serial);
         serial
@@ -144,7 +144,7 @@
     /// Takes out what was inherited from `home`, under its own numbers again.
     pub(crate) fn give_back(&mut self, cx: &mut Cx, home: Incarnation) -> Vec<Record> {
         let inherited = self.single(home).filter(|it| it.phase == Phase::Inherited);
-        let records: Vec<Record> = inherited.map(|held| held.record.clone()).collect();
+        let records: Vec<Record> = inherited.map(|held| held.record.unpack()).collect();
         let serials: Vec<Serial> = records.iter().map(|record| record.serial).collect();
         self.settle(cx, &serials);
         let renumber = |mut record: Record| {
@@ -157,7 +157,7 @@
     /// Whether a record of `key` is held in the lane of its home.
     pub(crate) fn find_single(&self, key: &RequestKey) -> Option<Serial> {
         self.single(key.home)
-            .find(|held| held.record.key == *key)
+            .find(|held| held.record.unpack().key == *key)
             .map(|held| held.record.serial)
     }
 
@@ -168,7 +168,7 @@
             let Some(held) = self.held.get_mut(&serial) else {
                 continue;
             };
-            let lane = Lane::Single(held.record.key.home);
+            let lane = Lane::Single(held.record.home);
             held.lane = lane;
             held.phase = Phase::New;
             self.enter(serial, lane);
--- a/crates/ledger/src/holdings/copies.rs
+++ b/crates/ledger/src/holdings/copies.rs
@@ -78,7 +78,7 @@
             }
             self.uncopied.pop_front();
             held.sent(to);
-            records.push(held.record.clone());
+            records.push(held.record.unpack());
             serials.push(serial);
         }
         let batch = self.next_copy;
--- a/crates/ledger/src/holdings/held.rs
+++ b/crates/ledger/src/holdings/held.rs
@@ -5,12 +5,13 @@
 use kernel::{Incarnation, RequestId};
 
 use crate::cx::Cx;
+use crate::packed::Packed;
 use crate::{Outcome, Record, Serial};
 
 /// One record that isn't in the table yet.
 #[derive(Debug)]
 pub(crate) struct Held {
-    pub(crate) record: Record,
+    pub(crate) record: Packed,
     pub(crate) lane: Lane,
     pub(crate) phase: Phase,
     pub(crate) since: Duration,
@@ -71,9 +72,9 @@
 }
 
 impl Held {
-    pub(crate) fn new(record: Record, lane: Lane, waiting: Vec<Waiting>, since: Duration) -> Self {
+    pub(crate) fn new(record: &Record, lane: Lane, waiting: Vec<Waiting>, since: Duration) -> Self {
         Self {
-            record,
+            record: Packed::new(record),
             lane,
             phase: Phase::New,
             since,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -6,6 +6,7 @@
 //! [lease.md](../../../docs/design/lease.md) for single-holder jobs.
 
 pub mod lease;
+pub mod measure;
 pub mod table;
 
 mod action;
@@ -21,6 +22,7 @@
 mod ledger;
 mod message;
 mod outcome;
+mod packed;
 mod peer;
 mod peers;
 mod record;
--- /dev/null
+++ b/crates/ledger/src/measure.rs
@@ -0,0 +1,84 @@
+//! What the ledger costs a host, for the capacity page.
+//!
+//! A host and its partner run against a table that does what it is asked,
+//! on a virtual clock; only the processor time is real.
+
+mod pair;
+
+use std::time::Duration;
+
+use kernel::Clock;
+
+use crate::{Ledger, Tuning};
+use pair::Pair;
+
+/// How long a measured run lasts on its virtual clock.
+const SPAN: Duration = Duration::from_mins(1);
+
+/// What a host and its fleet have to bear.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Answered requests a second on each host.
+    pub rate: f64,
+    /// Hosts in the fleet.
+    pub hosts: usize,
+}
+
+/// What that costs one host, which keeps as many copies as it makes records.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figures {
+    /// Records made in the run.
+    pub records: u64,
+    /// Processor time a record, with its copy and the encoding of both.
+    pub processor: Duration,
+    /// Messages sent a second.
+    pub messages_per_second: f64,
+    /// Bytes of messages sent a second; as many are received.
+    pub bytes_per_second: f64,
+    /// Table transactions a second.
+    pub writes_per_second: f64,
+    /// Bytes written to the table a second.
+    pub table_bytes_per_second: f64,
+    /// Table transactions a second of the whole fleet.
+    pub fleet_writes_per_second: f64,
+}
+
+/// Measures a host under `load` for a minute of virtual time.
+pub fn run(clock: &dyn Clock, load: Load) -> Figures {
+    let mut pair = Pair::new(Tuning::default(), load.hosts);
+    let start = clock.now();
+    pair.run(load.rate, SPAN);
+    let taken = clock.now().saturating_sub(start);
+    let records = pair.records().max(1);
+    let per_second = |count: u64| to_f64(count) / SPAN.as_secs_f64();
+    let writes_per_second = per_second(pair.writes);
+    Figures {
+        records,
+        processor: taken.div_f64(to_f64(records)),
+        messages_per_second: per_second(pair.messages),
+        bytes_per_second: per_second(pair.message_bytes),
+        writes_per_second,
+        table_bytes_per_second: per_second(pair.table_bytes),
+        fleet_writes_per_second: writes_per_second * to_f64(load.hosts as u64),
+    }
+}
+
+/// A host and its partner that hold `records` records while the table is out.
+/// Their memory is that of one host with as many records and copies.
+#[must_use]
+pub fn outage(records: usize) -> (Ledger, Ledger) {
+    let tuning = Tuning {
+        held_records: records,
+        held_copies: records,
+        ..Tuning::default()
+    };
+    let mut pair = Pair::new(tuning, 2);
+    pair.fill(records);
+    pair.into_ledgers()
+}
+
+/// Counts of a run are far below the numbers that `f64` holds exactly.
+#[expect(clippy::cast_precision_loss, reason = "counts stay below 2^53")]
+fn to_f64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/ledger/src/measure/pair.rs
@@ -0,0 +1,216 @@
+//! A host and its partner, with a table that only counts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use kernel::{
+    Customer, DataCentre, Incarnation, Money, ProfileName, RequestId, Revision, VersionId,
+};
+
+use crate::table::{Transaction, Written};
+use crate::{
+    Action, Arrival, Charge, End, Event, Fingerprint, Ledger, Message, Peer, Reach, Repeat, State,
+    Tuning, Via,
+};
+
+const HOST: Incarnation = Incarnation(0x5eed_0000_0000_0001);
+const PARTNER: Incarnation = Incarnation(0x5eed_0000_0000_0002);
+/// How long a message or a write takes.
+const DELAY: Duration = Duration::from_millis(2);
+
+/// A host and its partner, with a table that only counts.
+pub(super) struct Pair {
+    host: Ledger,
+    partner: Ledger,
+    now: Duration,
+    queue: VecDeque<(Duration, Incarnation, Event)>,
+    wake: Option<Duration>,
+    actions: Vec<Action>,
+    made: u64,
+    pub(super) messages: u64,
+    pub(super) message_bytes: u64,
+    pub(super) writes: u64,
+    pub(super) table_bytes: u64,
+    table: Written,
+}
+
+impl Pair {
+    pub(super) fn new(tuning: Tuning, hosts: usize) -> Self {
+        let mut pair = Self {
+            host: Ledger::new(HOST, DataCentre::from("dar-1"), tuning.clone()),
+            partner: Ledger::new(PARTNER, DataCentre::from("dar-2"), tuning),
+            now: Duration::ZERO,
+            queue: VecDeque::new(),
+            wake: None,
+            actions: Vec::new(),
+            made: 0,
+            messages: 0,
+            message_bytes: 0,
+            writes: 0,
+            table_bytes: 0,
+            table: Written::Applied,
+        };
+        pair.feed(HOST, Event::Hosts(fleet(hosts)));
+        pair.feed(PARTNER, Event::Hosts(vec![peer(HOST, "dar-1")]));
+        pair
+    }
+
+    pub(super) fn records(&self) -> u64 {
+        self.made
+    }
+
+    /// Answers `rate` requests a second for `span`.
+    pub(super) fn run(&mut self, rate: f64, span: Duration) {
+        let pause = Duration::from_secs(1).div_f64(rate);
+        while self.now < span {
+            self.answer();
+            self.pass(pause);
+        }
+    }
+
+    /// Answers `records` requests while the table is out.
+    pub(super) fn fill(&mut self, records: usize) {
+        self.table = Written::NotApplied;
+        for _ in 0..records {
+            self.answer();
+            self.pass(DELAY);
+        }
+    }
+
+    pub(super) fn into_ledgers(self) -> (Ledger, Ledger) {
+        (self.host, self.partner)
+    }
+
+    fn answer(&mut self) {
+        self.made += 1;
+        let request = RequestId::from(format!("01JDZ8Q3K5V7{:014}", self.made));
+        self.feed(HOST, Event::Arrive(arrival(request.clone())));
+        let sending = Event::Sending {
+            request: request.clone(),
+        };
+        self.feed(HOST, sending);
+        let end = End::Answered {
+            outcome: None,
+            charge: charge(),
+        };
+        self.feed(HOST, Event::Finished { request, end });
+    }
+
+    /// Lets time pass, with what is on its way and what is due.
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        loop {
+            let next = self.queue.front().map(|(at, ..)| *at);
+            let at = next.into_iter().chain(self.wake).min();
+            let Some(at) = at.filter(|at| *at <= end) else {
+                break;
+            };
+            self.now = self.now.max(at);
+            if next == Some(at) {
+                if let Some((_, to, event)) = self.queue.pop_front() {
+                    self.feed(to, event);
+                }
+            } else {
+                self.wake = None;
+                self.feed(HOST, Event::Tick);
+            }
+        }
+        self.now = end;
+    }
+
+    fn feed(&mut self, to: Incarnation, event: Event) {
+        let ledger = if to == HOST {
+            &mut self.host
+        } else {
+            &mut self.partner
+        };
+        let mut actions = std::mem::take(&mut self.actions);
+        ledger.handle(self.now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(to, action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, from: Incarnation, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(from, to, message),
+            Action::Transact { op, transaction } => {
+                self.count_write(&transaction);
+                let result = self.table.clone();
+                self.later(from, Event::Transacted { op, result });
+            }
+            Action::Wake { at } if from == HOST => self.wake = Some(at),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: Incarnation, to: Incarnation, message: Message) {
+        let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len());
+        self.messages += 1;
+        self.message_bytes += bytes as u64;
+        if to == HOST || to == PARTNER {
+            self.later(to, Event::Received { from, message });
+        }
+    }
+
+    fn count_write(&mut self, transaction: &Transaction) {
+        self.writes += 1;
+        let bytes: usize = transaction
+            .puts
+            .iter()
+            .map(|put| put.key.len() + put.value.len())
+            .sum();
+        self.table_bytes += bytes as u64;
+    }
+
+    fn later(&mut self, to: Incarnation, event: Event) {
+        self.queue.push_back((self.now + DELAY, to, event));
+    }
+}
+
+/// The partner, and hosts that are only there to be counted: they are leaving,
+/// so no copy goes to them.
+fn fleet(hosts: usize) -> Vec<Peer> {
+    let mut peers = vec![peer(PARTNER, "dar-2")];
+    for idx in 2..hosts as u64 {
+        peers.push(Peer {
+            state: State::Leaving,
+            ..peer(Incarnation(HOST.0 + idx), "dar-3")
+        });
+    }
+    peers
+}
+
+fn peer(incarnation: Incarnation, data_centre: &str) -> Peer {
+    Peer {
+        incarnation,
+        data_centre: DataCentre::from(data_centre),
+        reach: Reach::Near,
+        state: State::Live,
+    }
+}
+
+/// A call as most are: without a key, so that no key has to be remembered.
+fn arrival(request: RequestId) -> Arrival {
+    Arrival {
+        request,
+        customer: Customer::from("kivuli-restoration"),
+        key: None,
+        ticket: None,
+        fingerprint: Fingerprint(0),
+        repeat: Repeat::Idempotent,
+        via: Via::Caller,
+    }
+}
+
+fn charge() -> Charge {
+    Charge {
+        profile: Some(ProfileName::from("treatment-plan")),
+        versions: vec![VersionId::from("small@7"), VersionId::from("large@12")],
+        prompt_tokens: 2_400,
+        completion_tokens: 380,
+        money: Money(1_834_000),
+        revision: Revision(20_412),
+    }
+}
--- a/crates/ledger/src/settler.rs
+++ b/crates/ledger/src/settler.rs
@@ -186,9 +186,9 @@
                 let billed: Vec<Serial> = serials
                     .into_iter()
                     .filter(|serial| {
-                        holdings
-                            .get(*serial)
-                            .is_some_and(|held| keys.contains(&rows::single(&held.record.key)))
+                        holdings.get(*serial).is_some_and(|held| {
+                            keys.contains(&rows::single(&held.record.unpack().key))
+                        })
                     })
                     .collect();
                 cx.shared.counters.billed_before += billed.len() as u64;
@@ -211,7 +211,7 @@
             .filter(|serial| {
                 holdings
                     .get(*serial)
-                    .is_some_and(|held| held.record.key.home == from)
+                    .is_some_and(|held| held.record.home == from)
             })
             .collect();
         holdings.settle(cx, &known);
@@ -257,10 +257,10 @@
 
     fn insert(&mut self, cx: &mut Cx, holdings: &Holdings, home: Incarnation) {
         let mut keys = HashSet::new();
-        let records: Vec<&Record> = holdings
+        let records: Vec<Record> = holdings
             .single(home)
-            .map(|held| &held.record)
-            .filter(|record| keys.insert(&record.key))
+            .map(|held| held.record.unpack())
+            .filter(|record| keys.insert(record.key.clone()))
             .take(INSERTED)
             .collect();
         let mut transaction = Transaction::default();
@@ -313,7 +313,7 @@
 
 /// Drops the records whose keys were found and lets the others be inserted.
 fn sort_out(cx: &mut Cx, holdings: &mut Holdings, serials: &[Serial], found: &HashSet<RequestKey>) {
-    let is_found = |held: &Held| found.contains(&held.record.key);
+    let is_found = |held: &Held| found.contains(&held.record.unpack().key);
     let (billed, absent): (Vec<Serial>, Vec<Serial>) = serials
         .iter()
         .partition(|serial| holdings.get(**serial).is_some_and(is_found));
@@ -340,7 +340,7 @@
         .single(home)
         .filter(|held| held.phase == Phase::New)
         .take(INSERTED)
-        .map(|held| held.record.clone())
+        .map(|held| held.record.unpack())
         .collect();
     if records.is_empty() {
         return;
--- a/crates/ledger/src/vault.rs
+++ b/crates/ledger/src/vault.rs
@@ -6,6 +6,7 @@
 use kernel::Incarnation;
 
 use crate::cx::Cx;
+use crate::packed::Packed;
 use crate::peers::Peers;
 use crate::timers::Timer;
 use crate::{Message, Record, Serial};
@@ -31,7 +32,7 @@
     below: Serial,
     /// What was held when the owner was last asked.
     old: Serial,
-    records: BTreeMap<Serial, Record>,
+    records: BTreeMap<Serial, Packed>,
 }
 
 impl Vault {
@@ -81,7 +82,7 @@
                 continue;
             }
             self.outcome_bytes += record.outcome_bytes();
-            match owner.records.insert(record.serial, record) {
+            match owner.records.insert(record.serial, Packed::new(&record)) {
                 Some(before) => self.outcome_bytes -= before.outcome_bytes(),
                 None => self.len += 1,
             }
@@ -139,7 +140,7 @@
         let Some(owner) = self.owners.remove(&owner) else {
             return Vec::new();
         };
-        let records: Vec<_> = owner.records.into_values().collect();
+        let records: Vec<_> = owner.records.values().map(Packed::unpack).collect();
         self.len -= records.len();
         self.outcome_bytes -= records.iter().map(Record::outcome_bytes).sum::<usize>();
         records
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -109,7 +109,7 @@
         let records: Vec<Record> = serials
             .iter()
             .filter_map(|serial| holdings.get(*serial))
-            .map(|held| held.record.clone())
+            .map(|held| held.record.unpack())
             .collect();
         let Some(&last) = serials.last() else {
             return;
