--- a/crates/ledger/examples/measure.rs
+++ b/crates/ledger/examples/measure.rs
@@ -8,6 +8,27 @@
 const HELD: usize = 20_000;
 
 fn main() {
+    // Memory first, and nothing is freed in between: what an allocator has
+    // kept from earlier work would hide what is measured.
+    let held = show("records and as many copies", || measure::outage(HELD));
+    let remembering = show("remembered keys", || measure::remembering(HELD));
+    times();
+    drop((held, remembering));
+}
+
+fn show<T>(what: &str, make: impl FnOnce() -> T) -> T {
+    let before = resident();
+    let result = make();
+    let bytes = resident().saturating_sub(before);
+    println!(
+        "{HELD} {what}: {} kB, {} bytes each",
+        bytes / 1000,
+        bytes / HELD
+    );
+    result
+}
+
+fn times() {
     let clock = SystemClock::new();
     println!("rate/s hosts  us/record  messages/s  bytes/s  writes/s  table B/s  fleet writes/s");
     for hosts in [8, 32, 110, 330] {
@@ -24,15 +45,6 @@
             );
         }
     }
-    let before = resident();
-    let held = measure::outage(HELD);
-    let bytes = resident().saturating_sub(before);
-    println!(
-        "{HELD} records and as many copies: {} kB, {} bytes a record with its copy",
-        bytes / 1000,
-        bytes / HELD
-    );
-    drop(held);
 }
 
 /// The resident memory of this process in bytes.
--- a/crates/ledger/src/measure.rs
+++ b/crates/ledger/src/measure.rs
@@ -77,6 +77,19 @@
     pair.into_ledgers()
 }
 
+/// A host that remembers `keys` keys of non-idempotent calls, each run under
+/// one of its tickets, with its records in the table.
+#[must_use]
+pub fn remembering(keys: usize) -> Ledger {
+    let tuning = Tuning {
+        keys,
+        ..Tuning::default()
+    };
+    let mut pair = Pair::new(tuning, 2);
+    pair.remember(keys);
+    pair.into_ledgers().0
+}
+
 /// Counts of a run are far below the numbers that `f64` holds exactly.
 #[expect(clippy::cast_precision_loss, reason = "counts stay below 2^53")]
 fn to_f64(count: u64) -> f64 {
--- a/crates/ledger/src/measure/pair.rs
+++ b/crates/ledger/src/measure/pair.rs
@@ -10,7 +10,7 @@
 use crate::table::{Transaction, Written};
 use crate::{
     Action, Arrival, Charge, End, Event, Fingerprint, Ledger, Message, Peer, Reach, Repeat, State,
-    Tuning, Via,
+    Ticket, Tuning, Via,
 };
 
 const HOST: Incarnation = Incarnation(0x5eed_0000_0000_0001);
@@ -63,7 +63,7 @@
     pub(super) fn run(&mut self, rate: f64, span: Duration) {
         let pause = Duration::from_secs(1).div_f64(rate);
         while self.now < span {
-            self.answer();
+            self.answer_next();
             self.pass(pause);
         }
     }
@@ -72,19 +72,48 @@
     pub(super) fn fill(&mut self, records: usize) {
         self.table = Written::NotApplied;
         for _ in 0..records {
-            self.answer();
+            self.answer_next();
             self.pass(DELAY);
         }
     }
 
+    /// Answers `keys` non-idempotent calls under tickets of the host.
+    pub(super) fn remember(&mut self, keys: usize) {
+        for idx in 0..keys {
+            let request = self.request();
+            let ticket = Ticket {
+                home: HOST,
+                floor: self.host.floor(),
+                remaining: Duration::from_mins(10),
+            };
+            self.answer(Arrival {
+                key: Some(format!("3f2504e0-4f89-41d3-9a0c-{idx:012}").into()),
+                ticket: Some(ticket),
+                repeat: Repeat::NonIdempotent,
+                ..arrival(request)
+            });
+            self.pass(DELAY);
+        }
+        self.pass(Duration::from_secs(5));
+    }
+
     pub(super) fn into_ledgers(self) -> (Ledger, Ledger) {
         (self.host, self.partner)
     }
 
-    fn answer(&mut self) {
+    fn request(&mut self) -> RequestId {
         self.made += 1;
-        let request = RequestId::from(format!("01JDZ8Q3K5V7{:014}", self.made));
-        self.feed(HOST, Event::Arrive(arrival(request.clone())));
+        RequestId::from(format!("01JDZ8Q3K5V7{:014}", self.made))
+    }
+
+    fn answer_next(&mut self) {
+        let request = self.request();
+        self.answer(arrival(request));
+    }
+
+    fn answer(&mut self, arrival: Arrival) {
+        let request = arrival.request.clone();
+        self.feed(HOST, Event::Arrive(arrival));
         let sending = Event::Sending {
             request: request.clone(),
         };
--- a/crates/ledger/src/tuning.rs
+++ b/crates/ledger/src/tuning.rs
@@ -54,7 +54,7 @@
             fence_after: Duration::from_secs(30),
             claim_bound: Duration::from_secs(2),
             retry_interval: Duration::from_millis(500),
-            keys: 60_000,
+            keys: 40_000,
             key_linger: Duration::from_hours(1),
             outcome_bytes: 8 * 1024,
             outcome_total: 8 * 1024 * 1024,
