--- a/crates/barleypind/src/call.rs
+++ b/crates/barleypind/src/call.rs
@@ -42,7 +42,7 @@
         Ok(Some(ledger::Ticket {
             home: ticket.incarnation,
             floor: Serial(ticket.floor),
-            remaining: ticket.expiry.saturating_sub(host.clock.wall()),
+            expires: host.now() + ticket.expiry.saturating_sub(host.clock.wall()),
         }))
     }
 
--- a/crates/ledger/src/calls.rs
+++ b/crates/ledger/src/calls.rs
@@ -36,10 +36,10 @@
 pub(crate) enum Scope {
     /// Nowhere: the call has no key, so no other arrival is the same request.
     Keyless,
-    /// Here: the ticket is of this incarnation and starts calls for that long.
-    Home { remaining: Duration },
+    /// Here: the ticket is of this incarnation and starts calls until then.
+    Home { expires: Duration },
     /// At the incarnation of the ticket.
-    Foreign { remaining: Duration },
+    Foreign { expires: Duration },
     /// In the table.
     Unticketed,
 }
@@ -71,11 +71,11 @@
             (None, _) => (Scope::Keyless, me, Serial::default()),
             (Some(_), None) => (Scope::Unticketed, NO_HOME, Serial::default()),
             (Some(_), Some(ticket)) => {
-                let remaining = ticket.remaining;
+                let expires = ticket.expires;
                 let scope = if ticket.home == me {
-                    Scope::Home { remaining }
+                    Scope::Home { expires }
                 } else {
-                    Scope::Foreign { remaining }
+                    Scope::Foreign { expires }
                 };
                 (scope, ticket.home, ticket.floor)
             }
--- a/crates/ledger/src/intake.rs
+++ b/crates/ledger/src/intake.rs
@@ -64,13 +64,11 @@
         }
         match (scope, repeat) {
             (Scope::Keyless, _) => self.begin(cx, view, call),
-            (Scope::Home { remaining } | Scope::Foreign { remaining }, _)
-                if remaining.is_zero() =>
-            {
+            (Scope::Home { expires } | Scope::Foreign { expires }, _) if expires <= cx.now => {
                 // Its home may have run it and forgotten it since.
                 self.refuse(cx, call, Reason::HolderGone, Run::Unknown);
             }
-            (Scope::Home { remaining }, _) => self.begin_at_home(cx, view, call, remaining),
+            (Scope::Home { expires }, _) => self.begin_at_home(cx, view, call, expires),
             (Scope::Foreign { .. } | Scope::Unticketed, Repeat::Idempotent) => {
                 self.begin(cx, view, call);
             }
@@ -97,13 +95,13 @@
     /// Starts the first call of a key under a ticket of this incarnation:
     /// nobody else ever ran it, and what ran here is remembered for longer
     /// than the ticket is good.
-    fn begin_at_home(&mut self, cx: &mut Cx, view: &View, call: CallKey, remaining: Duration) {
+    fn begin_at_home(&mut self, cx: &mut Cx, view: &View, call: CallKey, expires: Duration) {
         let full = self.is_full(cx).then_some(Reason::Overloaded);
         if let Some(reason) = closed(cx, view).or(full) {
             let run = self.run(call);
             return self.refuse(cx, call, reason, run);
         }
-        let expires = cx.now + remaining + cx.shared.tuning.key_linger;
+        let expires = expires + cx.shared.tuning.key_linger;
         if let Some(entry) = self.remember(cx, call, State::Free, expires) {
             self.start(cx, call, Some(entry));
         }
--- a/crates/ledger/src/intake/adopt.rs
+++ b/crates/ledger/src/intake/adopt.rs
@@ -47,9 +47,14 @@
             }
             return;
         }
-        if !self.book.is_whole_since(record.floor) || self.is_full(cx) {
+        if !self.book.is_whole_since(record.floor) {
             return search(cx, holdings, record, adopter);
         }
+        if self.is_full(cx) {
+            // It is offered again. Once it were billed without being
+            // remembered, a second record of the key could be billed as well.
+            return;
+        }
         // Nothing that this host billed since the ticket was minted has been
         // forgotten, so this key wasn't billed.
         let mut entry = Entry::new(record.key.clone(), Fingerprint(0), State::Free);
--- a/crates/ledger/src/measure/pair.rs
+++ b/crates/ledger/src/measure/pair.rs
@@ -84,7 +84,7 @@
             let ticket = Ticket {
                 home: HOST,
                 floor: self.host.floor(),
-                remaining: Duration::from_mins(10),
+                expires: self.now + Duration::from_mins(10),
             };
             self.answer(Arrival {
                 key: Some(format!("3f2504e0-4f89-41d3-9a0c-{idx:012}").into()),
--- a/crates/ledger/src/ticket.rs
+++ b/crates/ledger/src/ticket.rs
@@ -14,6 +14,11 @@
     /// The home's next record number when it was minted: a record of any call
     /// under this ticket has this number or a higher one, which bounds a search.
     pub floor: Serial,
-    /// How long it still starts calls; zero once it has expired.
-    pub remaining: Duration,
+    /// The monotonic time of this process from which on it starts no call.
+    ///
+    /// It isn't the time left, since a host may be frozen between reading a
+    /// call and passing it in. To be computed as the present time, read first,
+    /// and what is left by wall time: a freeze between the two then makes the
+    /// ticket expire sooner, which does no harm.
+    pub expires: Duration,
 }
--- a/crates/ledger/tests/pairs.rs
+++ b/crates/ledger/tests/pairs.rs
@@ -7,6 +7,7 @@
 mod fault;
 mod job;
 
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use ledger::{End, Tuning};
@@ -80,14 +81,17 @@
     rng: Pcg64Mcg,
     faults: Vec<(Duration, Fault)>,
     jobs: Vec<Job>,
+    /// What is still to come of each permitted call: after which time, which step.
+    plans: BTreeMap<String, VecDeque<(Duration, u32)>>,
 }
 
 impl Run {
     fn new(seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut world = World::default();
+        let tuning = draw_tuning(&mut rng);
         for (name, data_centre) in HOSTS {
-            world.add(name, data_centre, Tuning::default());
+            world.add(name, data_centre, tuning.clone());
         }
         let mut faults: Vec<_> = (0..2)
             .map(|_| (span(&mut rng, Duration::ZERO, BUSY), Fault::draw(&mut rng)))
@@ -98,6 +102,7 @@
             rng,
             faults,
             jobs: Vec::new(),
+            plans: BTreeMap::new(),
         }
     }
 
@@ -207,29 +212,36 @@
         let millis = |rng: &mut Pcg64Mcg, from, to| {
             span(rng, Duration::from_millis(from), Duration::from_millis(to))
         };
-        let mut at = millis(&mut self.rng, 0, 5);
-        let mut plan = Vec::new();
+        let mut plan = VecDeque::new();
         if self.rng.random_bool(0.15) {
-            plan.push((at, BOUNCE));
-            at += millis(&mut self.rng, 1, 5);
+            plan.push_back((millis(&mut self.rng, 0, 5), BOUNCE));
         }
+        let first = millis(&mut self.rng, 0, 5);
         match self.rng.random_range(0..20) {
-            0 => plan.push((at, FAIL)),
+            0 => plan.push_back((first, FAIL)),
             1 | 2 => {
-                plan.push((at, SEND));
-                plan.push((at + Duration::from_millis(500), FAIL));
+                plan.push_back((first, SEND));
+                plan.push_back((Duration::from_millis(500), FAIL));
             }
             3 => {
-                plan.push((at, SEND));
-                plan.push((at + millis(&mut self.rng, 4_000, 15_000), ANSWER));
+                plan.push_back((first, SEND));
+                plan.push_back((millis(&mut self.rng, 4_000, 15_000), ANSWER));
             }
             _ => {
-                plan.push((at, SEND));
-                plan.push((at + millis(&mut self.rng, 2, 300), ANSWER));
+                plan.push_back((first, SEND));
+                plan.push_back((millis(&mut self.rng, 2, 300), ANSWER));
             }
         }
-        for (at, step) in plan {
-            self.world.at(at, Happening::Step(request.to_owned(), step));
+        self.plans.insert(request.to_owned(), plan);
+        self.go_on(request);
+    }
+
+    /// Sets off the next step of a permitted call.
+    fn go_on(&mut self, request: &str) {
+        let next = self.plans.get_mut(request).and_then(VecDeque::pop_front);
+        if let Some((after, step)) = next {
+            let happening = Happening::Step(request.to_owned(), step);
+            self.world.at(after, happening);
         }
     }
 
@@ -257,6 +269,29 @@
             }
             _ => {}
         }
+        if step != LEAVE {
+            self.go_on(request);
+        }
+    }
+}
+
+/// Every other run has bounds and times that are reached.
+fn draw_tuning(rng: &mut Pcg64Mcg) -> Tuning {
+    if rng.random_bool(0.5) {
+        return Tuning::default();
+    }
+    Tuning {
+        batch_records: rng.random_range(1..20),
+        held_records: rng.random_range(4..100),
+        held_copies: rng.random_range(4..100),
+        copy_window: rng.random_range(1..4),
+        keys: rng.random_range(8..100),
+        key_linger: Duration::from_secs(rng.random_range(1..10)),
+        outcome_bytes: rng.random_range(1..30),
+        outcome_total: rng.random_range(20..200),
+        waiters: rng.random_range(0..4),
+        fence_after: Duration::from_secs(rng.random_range(1..30)),
+        ..Tuning::default()
     }
 }
 
--- a/crates/ledger/tests/pairs/job.rs
+++ b/crates/ledger/tests/pairs/job.rs
@@ -1,5 +1,7 @@
 //! What a caller wants done, and how it repeats.
 
+use std::time::Duration;
+
 use kernel::Customer;
 use ledger::{Arrival, Fingerprint, Repeat, Ticket, Via};
 use rand::RngExt;
@@ -7,6 +9,9 @@
 
 use crate::sim::{World, mint};
 
+/// For how long a ticket is good: some callers repeat for longer.
+const TICKET_LIFE: Duration = Duration::from_secs(25);
+
 /// What a caller wants done.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
@@ -50,7 +55,8 @@
     pub(super) fn get_ticket(&mut self, rng: &mut Pcg64Mcg, world: &World, hosts: &[usize]) {
         if matches!(self.kind, Kind::Ticketed(_)) {
             let host = hosts[rng.random_range(0..hosts.len())];
-            self.ticket = Some(mint(&world.hosts[host]));
+            let expires = world.now + TICKET_LIFE;
+            self.ticket = Some(mint(&world.hosts[host], expires));
         }
     }
 
--- a/crates/ledger/tests/scripts.rs
+++ b/crates/ledger/tests/scripts.rs
@@ -10,6 +10,8 @@
 
 use crate::sim::{Call, Mode, World, answered, mint};
 
+/// How long a ticket is good.
+const TICKET_LIFE: Duration = Duration::from_mins(10);
 /// How long the world goes on after a command that names no time.
 const AFTER: Duration = Duration::from_millis(20);
 
@@ -55,10 +57,17 @@
                     tuning.held_records = bound.parse().unwrap();
                     tuning.held_copies = tuning.held_records;
                 }
+                if let Some(keys) = command.option("keys") {
+                    tuning.keys = keys.parse().unwrap();
+                }
+                if let Some(linger) = command.option("linger") {
+                    tuning.key_linger = span_of(linger);
+                }
                 world.add(name, data_centre, tuning);
             }
             ["ticket", host] => {
-                let ticket = mint(&world.hosts[world.host(host)]);
+                let expires = world.now + TICKET_LIFE;
+                let ticket = mint(&world.hosts[world.host(host)], expires);
                 self.tickets.insert((*host).to_owned(), ticket);
             }
             ["call", request, "at", host] => self.call(command, host, request),
@@ -114,7 +123,7 @@
         };
         let mut ticket = command.option("ticket").map(|name| self.tickets[name]);
         if let (Some(ticket), Some(remaining)) = (&mut ticket, command.option("remaining")) {
-            ticket.remaining = span_of(remaining);
+            ticket.expires = self.world.now + span_of(remaining);
         }
         let body = command
             .option("body")
--- a/crates/ledger/tests/sim.rs
+++ b/crates/ledger/tests/sim.rs
@@ -308,11 +308,11 @@
 }
 
 /// A ticket as a host mints it now.
-pub(crate) fn mint(host: &Host) -> Ticket {
+pub(crate) fn mint(host: &Host, expires: Duration) -> Ticket {
     Ticket {
         home: host.incarnation,
         floor: host.ledger.floor(),
-        remaining: Duration::from_mins(10),
+        expires,
     }
 }
 
