ledger: remember a key for as long as the newest of its tickets starts calls

A key was remembered by the expiry of the ticket of its first arrival. Under newer tickets of the same host a repeat went on for longer, and ran again once the key was forgotten. Each arrival now extends it. `ticket_renewed` failed before (`a permits 3`) and passes now.

--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -31,6 +31,8 @@
     /// Whether the table says that its outcome is unknown.
     pub(crate) marked: bool,
     pub(crate) waiters: VecDeque<CallKey>,
+    /// How long it is remembered at least.
+    until: Duration,
 }
 
 /// What came of a key.
@@ -80,6 +82,7 @@
             billed: None,
             marked: false,
             waiters: VecDeque::new(),
+            until: Duration::ZERO,
         }
     }
 
@@ -94,8 +97,9 @@
 }
 
 impl Book {
-    pub(crate) fn add(&mut self, entry: Entry, expires: Duration) -> EntryKey {
+    pub(crate) fn add(&mut self, mut entry: Entry, expires: Duration) -> EntryKey {
         let key = entry.key.clone();
+        entry.until = expires;
         let entry = self.entries.insert(entry);
         self.keys.insert(key, entry);
         self.expiries.insert((expires, entry));
@@ -167,14 +171,21 @@
         loop {
             let &(at, entry) = self.expiries.first().filter(|(at, _)| *at <= now)?;
             self.expiries.remove(&(at, entry));
-            if self.entries.contains_key(entry) {
+            if self.entries.get(entry).is_some_and(|it| it.until <= now) {
                 return Some(entry);
             }
         }
     }
 
+    /// Remembers an entry until then at least.
     pub(crate) fn extend(&mut self, entry: EntryKey, until: Duration) {
-        self.expiries.insert((until, entry));
+        let Some(it) = self.entries.get_mut(entry) else {
+            return;
+        };
+        if it.until < until {
+            it.until = until;
+            self.expiries.insert((until, entry));
+        }
     }
 
     /// Forgets an entry, but not that keys of its age have been forgotten.
--- a/crates/ledger/src/intake.rs
+++ b/crates/ledger/src/intake.rs
@@ -124,10 +124,22 @@
 
     /// A call whose key is remembered.
     fn revisit(&mut self, cx: &mut Cx, view: &mut View, entry: EntryKey, key: CallKey) {
-        let (Some(it), Some(call)) = (self.book.get_mut(entry), self.calls.get_mut(key)) else {
+        let Some(call) = self.calls.get_mut(key) else {
             return;
         };
         call.entry = Some(entry);
+        if let Scope::Home { expires } = call.scope {
+            // A newer ticket of this host names the same request for longer.
+            let until = expires + cx.shared.tuning.key_linger;
+            self.book.extend(entry, until);
+        }
+        self.decide_again(cx, view, entry, key);
+    }
+
+    fn decide_again(&mut self, cx: &mut Cx, view: &mut View, entry: EntryKey, key: CallKey) {
+        let (Some(it), Some(call)) = (self.book.get_mut(entry), self.calls.get(key)) else {
+            return;
+        };
         let repeat = call.repeat;
         if repeat == Repeat::NonIdempotent && it.fingerprint != call.fingerprint {
             // Once the key is decided here, every run of it was for the other body.
