--- a/crates/fleet/src/measure/figures.rs
+++ b/crates/fleet/src/measure/figures.rs
@@ -11,9 +11,10 @@
     "{hosts:>4} hosts  {bytes_mean:>6.0} B/s mean {bytes_max:>6.0} max \
      (probes {probe_bytes:>4.0} news {news_bytes:>4.0} evidence {evidence_bytes:>5.0})  document {document_mean:>6.0} B/change  {frames:>5.1} frames/s  \
      {:>5.3}% core  {state_bytes:>7} B state  revision {:>5.2} s mean {:>5.2} s max  \
-     proof {:>4.1} s max  detection {:>4.1} s  false deaths {false_deaths}  reads {table_reads:.1}/s",
+     proof {:>4.1} s max  suspicion {:>4.1} s  detection {:>4.1} s  \
+     false suspicions {false_suspicions} deaths {false_deaths}  reads {table_reads:.1}/s",
     processor * 100.0, revision_mean.as_secs_f64(), revision_max.as_secs_f64(),
-    proof_age_max.as_secs_f64(), detection_max.as_secs_f64()
+    proof_age_max.as_secs_f64(), suspicion_max.as_secs_f64(), detection_max.as_secs_f64()
 )]
 pub struct Figures {
     /// The fleet's size.
@@ -43,8 +44,13 @@
     /// The oldest proof that any host had while the table was well, sampled
     /// once a second.
     pub proof_age_max: Duration,
+    /// From a kill until all others at least suspect the host, at worst; from
+    /// then on it is omitted from hand-outs.
+    pub suspicion_max: Duration,
     /// From a kill until all others know that the host is out of reach, at worst.
     pub detection_max: Duration,
+    /// How often a live host was suspected, by whichever host first.
+    pub false_suspicions: usize,
     /// How often a live host was declared unreachable or dead, by whichever host first.
     pub false_deaths: usize,
     /// Reads of the table a second, of all hosts.
--- a/crates/fleet/src/measure/workload.rs
+++ b/crates/fleet/src/measure/workload.rs
@@ -65,11 +65,21 @@
 struct Watch {
     commits: Vec<Commit>,
     killed: Option<(Duration, BTreeSet<HostName>)>,
+    suspicion: Duration,
     detection: Duration,
     proof_age: Duration,
+    false_suspicions: usize,
     false_deaths: usize,
 }
 
+impl Watch {
+    /// How long a host had been dead, if it was killed.
+    fn since_killed(&self, host: &HostName, at: Duration) -> Option<Duration> {
+        let (killed_at, killed) = self.killed.as_ref()?;
+        killed.contains(host).then(|| at.saturating_sub(*killed_at))
+    }
+}
+
 impl Workload {
     pub(super) fn new(hosts: usize, seed: u64) -> Self {
         let mut network = Network::new(seed, Tuning::default());
@@ -223,28 +233,38 @@
         self.count_deaths(watch);
     }
 
+    /// Sorts what hosts said of others' states into true and false.
     fn count_deaths(&mut self, watch: &mut Watch) {
-        let gone = watch.killed.as_ref();
-        let mut wrong = BTreeSet::new();
+        let mut suspected = BTreeSet::new();
+        let mut buried = BTreeSet::new();
         for observed in self.network.observed.drain(..) {
             let Action::Member(change) = observed.action else {
                 continue;
             };
-            if change.member.state < State::Unreachable {
-                continue;
-            }
+            let state = change.member.state;
             let host = change.member.identity.host;
-            match gone {
-                Some((at, killed)) if killed.contains(&host) => {
-                    let took = observed.at.saturating_sub(*at);
-                    watch.detection = watch.detection.max(took);
-                }
-                _ => {
-                    wrong.insert(host);
-                }
+            if state < State::Suspect {
+                continue;
             }
+            let is_suspicion = state == State::Suspect;
+            let Some(took) = watch.since_killed(&host, observed.at) else {
+                let wrong = if is_suspicion {
+                    &mut suspected
+                } else {
+                    &mut buried
+                };
+                wrong.insert(host);
+                continue;
+            };
+            let longest = if is_suspicion {
+                &mut watch.suspicion
+            } else {
+                &mut watch.detection
+            };
+            *longest = took.max(*longest);
         }
-        watch.false_deaths += wrong.len();
+        watch.false_suspicions += suspected.len();
+        watch.false_deaths += buried.len();
     }
 
     fn figures(&self, seconds: u64, watch: &Watch) -> Figures {
@@ -277,7 +297,9 @@
             revision_mean: total / u32::try_from(changes).unwrap_or(1),
             revision_max: took.into_iter().max().unwrap_or_default(),
             proof_age_max: watch.proof_age,
+            suspicion_max: watch.suspicion,
             detection_max: watch.detection,
+            false_suspicions: watch.false_suspicions,
             false_deaths: watch.false_deaths,
             table_reads: per_second(real(self.network.table.reads)),
         }
