--- a/crates/fleet/src/fleet/comparing.rs
+++ b/crates/fleet/src/fleet/comparing.rs
@@ -2,6 +2,7 @@
 //! other.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use kernel::HostName;
 use wire::{Bucket, Bulletin, Digest, Member, Newest, News, State};
@@ -10,6 +11,9 @@
 use crate::view::bucket_of;
 use crate::{Action, Fleet};
 
+/// Among so many hosts the pause between attempts to reach lost ones is as tuned.
+const SHARED_AMONG: usize = 16;
+
 /// How many hosts are asked at once while no member is known.
 const JOIN_FANOUT: usize = 3;
 
@@ -36,7 +40,7 @@
         let (pause, max) = if is_joining {
             (self.tuning.join_every, JOIN_FANOUT)
         } else {
-            (self.tuning.reconnect_every, 1)
+            (self.reconnect_pause(), 1)
         };
         self.timers.reconnect = cx.now + pause;
         let lost = self
@@ -54,6 +58,13 @@
         }
     }
 
+    /// All members try the same lost hosts, so each waits the longer the more
+    /// they are: the fleet as a whole tries about as often at any size.
+    fn reconnect_pause(&self) -> Duration {
+        let share = self.size().div_ceil(SHARED_AMONG);
+        self.tuning.reconnect_every * u32::try_from(share).unwrap_or(u32::MAX)
+    }
+
     /// Compares with a random member now and then, whatever the neighbours say.
     pub(super) fn compare_when_due(&mut self, cx: &mut Cx) {
         if cx.now < self.timers.compare {
--- a/crates/fleet/src/measure.rs
+++ b/crates/fleet/src/measure.rs
@@ -6,11 +6,13 @@
 
 mod fakes;
 mod figures;
+mod incident;
 mod network;
 mod workload;
 
 pub use fakes::Table;
 pub use figures::Figures;
+pub use incident::{Cost, Incident, incident};
 pub use network::{Network, Observed, Traffic};
 
 use std::time::Duration;
--- a/crates/fleet/src/measure/workload.rs
+++ b/crates/fleet/src/measure/workload.rs
@@ -44,7 +44,7 @@
 const LOSS: f64 = 0.005;
 
 /// How long the fleet has to come together.
-const WARM_UP: Duration = Duration::from_mins(1);
+pub(super) const WARM_UP: Duration = Duration::from_mins(1);
 
 pub(super) struct Workload {
     network: Network,
@@ -82,20 +82,9 @@
 
 impl Workload {
     pub(super) fn new(hosts: usize, seed: u64) -> Self {
-        let mut network = Network::new(seed, Tuning::default());
-        network.loss = LOSS;
-        network.table.json = vec![b' '; DOCUMENT_BYTES].into();
-        network.table.commit();
-        let members: Vec<_> = (0..hosts).map(|it| member(it, hosts)).collect();
-        for member in &members {
-            network.start(member.clone());
-        }
-        for member in &members {
-            let hosts = Event::Hosts(members.clone());
-            network.tell(&member.identity.host, hosts);
-        }
+        let members = members(hosts);
         Self {
-            network,
+            network: start(&members, seed),
             rng: Pcg64::seed_from_u64(seed.wrapping_add(1)),
             members,
         }
@@ -307,10 +296,31 @@
 }
 
 /// A count as a real number; counts of a measurement stay far below the bound.
-fn real(count: u64) -> f64 {
+pub(super) fn real(count: u64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
 
+/// The hosts of a fleet of that size.
+pub(super) fn members(hosts: usize) -> Vec<Member> {
+    (0..hosts).map(|it| member(it, hosts)).collect()
+}
+
+/// Starts the hosts all at once, with nothing but the platform's list.
+pub(super) fn start(members: &[Member], seed: u64) -> Network {
+    let mut network = Network::new(seed, Tuning::default());
+    network.loss = LOSS;
+    network.table.json = vec![b' '; DOCUMENT_BYTES].into();
+    network.table.commit();
+    for member in members {
+        network.start(member.clone());
+    }
+    for member in members {
+        let list = Event::Hosts(members.to_vec());
+        network.tell(&member.identity.host, list);
+    }
+    network
+}
+
 /// Host `index` of `hosts`, spread over as many data centres as make sense.
 fn member(index: usize, hosts: usize) -> Member {
     let data_centres = (hosts / 2).clamp(1, DATA_CENTRES);
--- /dev/null
+++ b/crates/fleet/tests/merge.rs
@@ -0,0 +1,87 @@
+//! News of members may come in any order and any number of times; all hosts
+//! end with the same records.
+
+use std::time::Duration;
+
+use fleet::{Event, Fleet, Tuning};
+use kernel::Incarnation;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use wire::{Bulletin, Frame, Identity, Member, News, State};
+
+fn member(host: &str, incarnation: u64, refutation: u32, state: State) -> Member {
+    let address = ([127, 0, 0, 1], 1).into();
+    Member {
+        identity: Identity {
+            host: host.into(),
+            incarnation: Incarnation(incarnation),
+        },
+        refutation,
+        state,
+        fleet_address: address,
+        address,
+        data_centre: "d1".into(),
+        region: "r1".into(),
+    }
+}
+
+fn news() -> impl Strategy<Value = Vec<Member>> {
+    let state = prop_oneof![
+        Just(State::Alive),
+        Just(State::Leaving),
+        Just(State::Suspect),
+        Just(State::Unreachable),
+        Just(State::Dead),
+    ];
+    let host = prop_oneof![Just("b"), Just("c")];
+    let one =
+        (host, 1_u64..4, 0_u32..3, state).prop_map(|(host, incarnation, refutation, state)| {
+            member(host, incarnation, refutation, state)
+        });
+    vec(one, 0..12)
+}
+
+/// What a host that knew both others' first lives knows after the news.
+fn hear(news: &[Member]) -> Vec<Member> {
+    let me = member("a", 1, 0, State::Alive);
+    let mut fleet = Fleet::new(me, 1, Tuning::default());
+    let first = [
+        member("b", 1, 0, State::Alive),
+        member("c", 1, 0, State::Alive),
+    ];
+    for it in first.iter().chain(news) {
+        let bulletin = Bulletin {
+            reach: u32::MAX,
+            news: vec![News::Member(it.clone())],
+        };
+        let event = Event::Frame {
+            from: "b".into(),
+            frame: Frame::News(bulletin),
+        };
+        fleet.handle(Duration::ZERO, event, &mut Vec::new());
+    }
+    fleet.members().cloned().collect()
+}
+
+proptest! {
+    #[test]
+    fn the_order_of_news_does_not_matter(
+        (there, back) in news().prop_flat_map(|it| (Just(it.clone()), Just(it).prop_shuffle())),
+    ) {
+        prop_assert_eq!(hear(&there), hear(&back));
+    }
+
+    #[test]
+    fn news_heard_twice_change_nothing(it in news()) {
+        let twice = [it.clone(), it.clone()].concat();
+        prop_assert_eq!(hear(&twice), hear(&it));
+    }
+
+    #[test]
+    fn a_dead_life_stays_dead(it in news()) {
+        let all = [vec![member("b", 3, 0, State::Dead)], it].concat();
+        let b = hear(&all).into_iter().find(|it| it.identity.host.as_str() == "b");
+        let b = b.unwrap();
+        prop_assert_eq!((b.identity.incarnation.0, b.state), (3, State::Dead));
+    }
+}
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -8,6 +8,9 @@
     /// The CA, certificate or key can't be used.
     #[display("the fleet's keys can't be used")]
     Keys,
+    /// The host's name isn't a DNS name, so no certificate can prove it.
+    #[display("the host's name isn't a DNS name")]
+    HostName,
     /// The address can't be listened on.
     #[display("the fleet address can't be listened on")]
     Bind,
--- a/crates/link/src/keys.rs
+++ b/crates/link/src/keys.rs
@@ -6,6 +6,7 @@
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose,
 };
+use rustls_pki_types::ServerName;
 
 use crate::Error;
 
@@ -51,9 +52,12 @@
     /// or name.
     ///
     /// # Errors
-    /// [`Error::Keys`] when the name can't stand in a certificate or the CA
-    /// can't be used.
+    /// [`Error::HostName`] when the name can't stand in a certificate,
+    /// [`Error::Keys`] when the CA can't be used.
     pub fn issue(&self, host: &HostName) -> Result<Keys, Report<Error>> {
+        if !is_dns_name(host) {
+            return Err(Report::new(Error::HostName));
+        }
         let ca_key = KeyPair::from_pem(&self.key).change_context(Error::Keys)?;
         let issuer =
             Issuer::from_ca_cert_pem(&self.certificate, ca_key).change_context(Error::Keys)?;
@@ -79,6 +83,15 @@
     }
 }
 
+/// Whether peers can ask for the host by this name. An IP number would be
+/// written as such and prove no host.
+fn is_dns_name(host: &HostName) -> bool {
+    matches!(
+        ServerName::try_from(host.as_str()),
+        Ok(ServerName::DnsName(_))
+    )
+}
+
 impl std::fmt::Debug for Keys {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Keys").finish_non_exhaustive()
