--- a/crates/fleet/src/measure.rs
+++ b/crates/fleet/src/measure.rs
@@ -8,12 +8,14 @@
 mod figures;
 mod incident;
 mod network;
+mod traffic;
 mod workload;
 
 pub use fakes::Table;
 pub use figures::Figures;
 pub use incident::{Cost, Incident, incident};
-pub use network::{Network, Observed, Traffic};
+pub use network::{Network, Observed};
+pub use traffic::Traffic;
 
 use std::time::Duration;
 
--- a/crates/link/examples/overhead.rs
+++ b/crates/link/examples/overhead.rs
@@ -16,6 +16,8 @@
 const PAUSE: Duration = Duration::from_millis(60);
 const HANDSHAKES: u32 = 50;
 const BURST: u32 = 20_000;
+const CONNECTIONS: u64 = 200;
+const PAGE_KB: u64 = 4;
 
 fn main() {
     block_on(async {
@@ -68,6 +70,25 @@
             started.elapsed() / BURST
         );
 
+        // A peer that moves gets a new connection, and the old one stays open
+        // until the idle limit.
+        let (_other, other_inbox, to_other) = bind("b");
+        let before = resident_pages();
+        for index in 0..CONNECTIONS {
+            if index % 2 == 0 {
+                a.send(&to_other, &frame);
+                other_inbox.recv().await.unwrap();
+            } else {
+                a.send(&to_b, &frame);
+                inbox.recv().await.unwrap();
+            }
+        }
+        let pages = resident_pages() - before;
+        println!(
+            "{CONNECTIONS} more connections, both sides: {} KB resident",
+            pages * PAGE_KB
+        );
+
         let started = Instant::now();
         for index in 0..HANDSHAKES {
             let (link, _inbox, _) = bind(&format!("c{index}"));
@@ -80,3 +101,9 @@
         );
     });
 }
+
+/// The memory that this process has in use, by the operating system's count.
+fn resident_pages() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap();
+    statm.split(' ').nth(1).unwrap().parse().unwrap()
+}
