Write the operators' pages and run their commands in a test

Blocks marked sh are run in order against the stand-in for the hosts, with the files that the page shows.

--- a/crates/barleyctl/tests/sessions/main.rs
+++ b/crates/barleyctl/tests/sessions/main.rs
@@ -1,6 +1,7 @@
 //! Whole sessions of operators, against a stand-in for the hosts.
 
 mod operator;
+mod pages;
 
 use std::ffi::OsString;
 use std::path::Path;
@@ -21,19 +22,30 @@
 }
 
 impl World {
+    /// With two versions, a customer and a profile.
     fn new() -> Self {
+        let world = Self::empty();
+        start_document(&mut world.fleet.lock().expect("nobody else has it"));
+        world
+    }
+
+    /// With nothing configured.
+    fn empty() -> Self {
         let fleet = Arc::new(Mutex::new(Fleet::default()));
-        start_document(&mut fleet.lock().expect("nobody else has it"));
         let directory = tempfile::tempdir().expect("a directory of our own");
-        let write = |name, text| std::fs::write(directory.path().join(name), text);
-        write("key", format!("{}\n", operator::KEY)).expect("a file");
-        write("wrong-key", "guessed\n".to_owned()).expect("a file");
-        write("empty-key", "\n".to_owned()).expect("a file");
-        Self {
+        let world = Self {
             hosts: operator::start(&fleet),
             fleet,
             directory,
-        }
+        };
+        world.write("key", &format!("{}\n", operator::KEY));
+        world.write("wrong-key", "guessed\n");
+        world.write("empty-key", "\n");
+        world
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.directory.path().join(name), text).expect("a file");
     }
 
     fn names(&self) -> Vec<(&'static str, String)> {
@@ -93,7 +105,7 @@
             }
             "file" => {
                 let name: String = case.take_arg("name").expect("a name");
-                std::fs::write(self.directory.path().join(name), &case.input).expect("a file");
+                self.write(&name, &case.input);
                 "ok\n".to_owned()
             }
             "list" => list(self.directory.path()),
