Keep a repeated change in doubt until its id was looked up

An operator repeats a change whose answer was lost while the store is out; the host says truly that this try changed nothing and the tool said so of the whole change. Made again under a new id it would have been made twice.

--- a/crates/barleyctl/src/client.rs
+++ b/crates/barleyctl/src/client.rs
@@ -18,7 +18,7 @@
 
 use crate::error::{Attempt, Error};
 
-pub(crate) use change::Change;
+pub(crate) use change::{Change, History as ChangeHistory};
 use tried::Tried;
 
 /// The largest answer that is read: a document of thousands of entries fits.
--- a/crates/barleyctl/src/client/change.rs
+++ b/crates/barleyctl/src/client/change.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Change {
     /// Its id, the same at every try.
     pub(crate) id: ChangeId,
+    /// Whether an earlier command may have made it.
+    pub(crate) history: History,
     /// The revision of the entry that it was made from.
     pub(crate) base: Revision,
     /// Who makes it.
@@ -36,6 +38,17 @@
     pub(crate) entry: Option<Entry>,
 }
 
+/// Whether an earlier command may have made a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum History {
+    /// The id is new.
+    New,
+    /// It repeats the command whose outcome isn't known. A host that can't
+    /// reach the table says of this try that it changed nothing, which says
+    /// nothing of the earlier one.
+    Repeat,
+}
+
 impl Client {
     /// Makes a change, at any host.
     ///
@@ -47,7 +60,7 @@
     /// knowledge of the change's id settles it.
     pub(crate) async fn change(&self, change: &Change) -> Result<Accepted, Report<Error>> {
         let mut attempts = Vec::new();
-        let mut in_doubt = false;
+        let mut in_doubt = change.history == History::Repeat;
         let mut last_refusal = None;
         for round in 0..ROUNDS {
             if round > 0 {
--- a/crates/barleyctl/src/session.rs
+++ b/crates/barleyctl/src/session.rs
@@ -10,7 +10,7 @@
 use kernel::{ChangeId, Revision};
 
 use crate::cli::arg;
-use crate::client::{Change, Client};
+use crate::client::{Change, ChangeHistory, Client};
 use crate::console::Console;
 use crate::error::Error;
 use crate::output::{self, Format};
@@ -69,6 +69,11 @@
     ) -> Result<(), Report<Error>> {
         let change = Change {
             id: change_id(matches),
+            history: if is_repeat(matches) {
+                ChangeHistory::Repeat
+            } else {
+                ChangeHistory::New
+            },
             base,
             author: author(matches),
             mode: mode(matches),
--- a/crates/barleyctl/tests/sessions/main.rs
+++ b/crates/barleyctl/tests/sessions/main.rs
@@ -79,6 +79,7 @@
         for (name, value) in self.names() {
             text = text.replace(&value, name);
         }
+        text = without_random_id(&text);
         text + &format!("exit {}: {exit}\n", exit.code())
     }
 
@@ -114,6 +115,18 @@
     }
 }
 
+/// Puts a mark in place of an id that the tool made.
+fn without_random_id(text: &str) -> String {
+    let id = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("err: change "))
+        .find(|id| id.len() == 32 && id.bytes().all(|byte| byte.is_ascii_hexdigit()));
+    match id {
+        Some(id) => text.replace(id, "{id}"),
+        None => text.to_owned(),
+    }
+}
+
 /// Two versions, a customer and a profile.
 fn start_document(fleet: &mut Fleet) {
     let prices = "prompt_microcents_per_million = 100\ncompletion_microcents_per_million = 400\n";
