Keep late ratings, dying endpoints and full engines out of verdicts

Change: ratings count as probes only for answers since the quarantine; cut answers are blamed on a version only when their endpoint lives on five seconds later; slowness is the time between tokens; a timeout counts only at an endpoint with a fresh report and a free slot. A customer with nothing waiting is no longer refused for what others have waiting.

--- a/crates/decide/src/attempt.rs
+++ b/crates/decide/src/attempt.rs
@@ -34,7 +34,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Progress {
     Sent,
-    Started,
+    /// Its first byte came at this time.
+    Started(Duration),
 }
 
 /// How full an endpoint was.
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -11,7 +11,7 @@
 mod tick;
 mod wait;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,6 +62,8 @@
     peers: Peers,
     samples: Samples,
     outbox: Outbox,
+    /// Answers that were cut, until it is known whether their endpoints live on.
+    cuts: VecDeque<learn::Failure>,
     pilots: Vec<Pilot>,
     /// Last resorts that have been told.
     told: BTreeSet<Resort>,
@@ -112,6 +114,7 @@
             peers: Peers::default(),
             samples: Samples::default(),
             outbox: Outbox::default(),
+            cuts: VecDeque::new(),
             pilots: Vec::new(),
             told: BTreeSet::new(),
             retries: Bucket::new(FIRST_RETRIES, Duration::ZERO),
--- a/crates/decide/src/decider/configure.rs
+++ b/crates/decide/src/decider/configure.rs
@@ -55,6 +55,9 @@
             let version = attempt.step.version;
             attempt.step.version = forward.version(version);
         }
+        for cut in &mut self.cuts {
+            cut.version = forward.version(cut.version);
+        }
         for request in self.requests.values_mut() {
             forward.request(request);
         }
--- a/crates/decide/src/decider/end.rs
+++ b/crates/decide/src/decider/end.rs
@@ -24,10 +24,10 @@
         let Some(attempt) = self.attempts.get_mut(key) else {
             return;
         };
-        if attempt.progress == Progress::Started {
+        if attempt.progress != Progress::Sent {
             return;
         }
-        attempt.progress = Progress::Started;
+        attempt.progress = Progress::Started(now);
         let attempt = *attempt;
         if let Some(pool) = self.pools.get_mut(attempt.target) {
             pool.first_byte(now.saturating_sub(attempt.sent).as_secs_f64());
--- a/crates/decide/src/decider/evidence.rs
+++ b/crates/decide/src/decider/evidence.rs
@@ -72,10 +72,12 @@
             let first = Sample {
                 bucket,
                 turn: Turn::First,
+                at: None,
             };
             let later = Sample {
                 bucket,
                 turn: Turn::Later,
+                at: None,
             };
             for (sample, count) in [(first, item.answered[at]), (later, item.later_answered[at])] {
                 if count > 0 {
--- a/crates/decide/src/decider/learn.rs
+++ b/crates/decide/src/decider/learn.rs
@@ -6,17 +6,17 @@
 use rand::RngExt;
 
 use super::Decider;
-use crate::attempt::{self, Attempt, Fill};
+use crate::attempt::{Attempt, Fill, Progress};
 use crate::belief::Turn;
 use crate::directory::Target;
 use crate::event::{Quality, Rating};
 use crate::knowledge::{ClassIndex, Kind};
-use crate::monitor::{Confidence, Monitor};
+use crate::monitor::{Confidence, Monitor, Ratings};
 use crate::outcome::{Answer, Denial, Outcome};
 use crate::policy::State;
 use crate::samples::Sample;
 use crate::tally::Bucket;
-use crate::{Action, key};
+use crate::{Action, endpoint, key};
 
 /// Answers after which a version's usual confidence is known.
 const ANSWERS: f64 = 100.0;
@@ -25,6 +25,15 @@
 /// Without that a version is only taken for bad when most of it is.
 const UNKNOWN_BAD: f64 = 0.5;
 
+/// A failure that may be a version's fault.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Failure {
+    at: Duration,
+    pub(super) version: key::Version,
+    class: key::Class,
+    place: endpoint::Id,
+}
+
 /// Answers of one kind.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Seen {
@@ -110,6 +119,7 @@
         let sample = Sample {
             bucket: Bucket::from(answer.confidence),
             turn: kind.turn,
+            at: Some(now),
         };
         self.samples.insert(request.id, &entry.id, sample);
         actions.push(Action::Sample {
@@ -172,7 +182,7 @@
         let seconds = now.saturating_sub(attempt.sent).as_secs_f64();
         if let Some(pool) = self.pools.get_mut(attempt.target) {
             pool.answered(seconds);
-            if attempt.progress == attempt::Progress::Sent {
+            if attempt.progress == Progress::Sent {
                 pool.first_byte(seconds);
             }
         }
@@ -194,16 +204,10 @@
         let sample = Sample {
             bucket: Bucket::from(answer.confidence),
             turn: turn(attempt, request.kept.is_some()),
+            at: Some(now),
         };
         let took = now.saturating_sub(attempt.sent);
-        let usual = self.knowledge.latency(version, class);
-        if let Some(usual) = usual.and_then(|it| it.value(20))
-            && attempt.fill == Fill::Free
-        {
-            let scope = self.health.latency_scope(version);
-            let ratio = took.as_secs_f64() / usual.max(1e-3);
-            self.judge(now, version, actions, |it| it.took(now, scope, ratio));
-        }
+        self.learn_pace(now, attempt, version, answer, actions);
         let tokens = answer.completion_tokens;
         self.knowledge
             .measured(version, class, f64::from(tokens), took.as_secs_f64());
@@ -216,6 +220,29 @@
         self.learn_answers(now, version, class, seen, actions);
     }
 
+    /// Looks at the time between tokens: unlike the time to the first one it
+    /// doesn't grow with what waits before a full engine.
+    fn learn_pace(
+        &mut self,
+        now: Duration,
+        attempt: &Attempt,
+        version: key::Version,
+        answer: Answer,
+        actions: &mut Vec<Action>,
+    ) {
+        let Progress::Started(first) = attempt.progress else {
+            return;
+        };
+        let tokens = f64::from(answer.completion_tokens.max(1));
+        let pace = now.saturating_sub(first).as_secs_f64() / tokens;
+        let usual = self.knowledge.pace(version, pace);
+        if let Some(usual) = usual {
+            let scope = self.health.latency_scope(version);
+            let ratio = pace.max(1e-6) / usual.max(1e-6);
+            self.judge(now, version, actions, |it| it.took(now, scope, ratio));
+        }
+    }
+
     pub(super) fn learn_answers(
         &mut self,
         now: Duration,
@@ -258,17 +285,49 @@
             // It waited in a full engine: that is overload, not the version.
             return;
         }
+        let Some(place) = self.directory.get(attempt.replica).map(|it| it.id) else {
+            return;
+        };
+        let Some(class) = self.requests.get(attempt.request).map(|it| it.class) else {
+            return;
+        };
+        let failure = Failure {
+            at: now,
+            version,
+            class: self.knowledge.class_key(class),
+            place,
+        };
+        if outcome == Outcome::Cut {
+            // A dying endpoint cuts all its answers; it is only known to be gone
+            // a little later.
+            self.cuts.push_back(failure);
+        } else {
+            self.blame(now, &failure, actions);
+        }
+    }
+
+    /// Blames versions for the answers that were cut at endpoints that live on.
+    pub(super) fn settle_cuts(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        const NEWS: Duration = Duration::from_secs(5);
+        while let Some(cut) = self.cuts.front().copied()
+            && now >= cut.at + NEWS
+        {
+            self.cuts.pop_front();
+            if self.directory.is_live(cut.place) {
+                self.blame(now, &cut, actions);
+            }
+        }
+    }
+
+    fn blame(&mut self, now: Duration, failure: &Failure, actions: &mut Vec<Action>) {
+        let version = failure.version;
         let endpoints = self.directory.len(Target::Version(version));
         let normal = self.health.normal(version, endpoints);
-        let place = self.directory.get(attempt.replica).map(|it| it.id);
         self.judge(now, version, actions, |it| {
-            it.failed(now, normal, 1.0, &[place]);
+            it.failed(now, normal, 1.0, &[Some(failure.place)]);
         });
-        let request = self.requests.get(attempt.request);
-        let entry = self.policy.versions.get(version.index());
-        if let (Some(request), Some(entry), Some(place)) = (request, entry, place) {
-            let class = self.knowledge.class_key(request.class);
-            self.outbox.failed(&entry.id, class, place);
+        if let Some(entry) = self.policy.versions.get(version.index()) {
+            self.outbox.failed(&entry.id, failure.class, failure.place);
         }
     }
 
@@ -283,9 +342,14 @@
         let Rated { sample, good, bad } = rated;
         let scope = self.health.quality_scope(version);
         let normal = self.usually_bad(version, class, sample);
-        self.judge(now, version, actions, |it| {
-            it.rated(now, scope, normal, good, bad);
-        });
+        let seen = Ratings {
+            good,
+            bad,
+            normal,
+            scope,
+            answered: sample.at,
+        };
+        self.judge(now, version, actions, |it| it.rated(now, &seen));
         let kind = Kind {
             version,
             class,
--- a/crates/decide/src/decider/place.rs
+++ b/crates/decide/src/decider/place.rs
@@ -157,7 +157,7 @@
         } else {
             Relay::AfterCheck
         };
-        let fill = if endpoint.is_full() {
+        let fill = if endpoint.may_be_full(now) {
             Fill::Full
         } else {
             Fill::Free
--- a/crates/decide/src/decider/tick.rs
+++ b/crates/decide/src/decider/tick.rs
@@ -18,6 +18,7 @@
         if let Some(evidence) = self.outbox.take(now) {
             actions.push(Action::Publish(evidence));
         }
+        self.settle_cuts(now, actions);
         self.share_limits(now);
         self.expire(now, actions);
         for target in self.pools.waiting() {
@@ -82,7 +83,7 @@
         let Some(attempt) = self.attempts.get(key).copied() else {
             return false;
         };
-        if attempt.progress == Progress::Started {
+        if attempt.progress != Progress::Sent {
             return false;
         }
         let pool = self.pools.get(attempt.target);
--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -114,7 +114,7 @@
             return Some(key);
         };
         let it = &mut self.replicas[key];
-        it.report(update.load);
+        it.report(now, update.load);
         let moved = it.distance != update.distance || it.state != update.state;
         if moved || !same_role(&it.role, &update.role) {
             self.unlist(key);
@@ -169,6 +169,12 @@
         self.candidates(target).len()
     }
 
+    /// Whether this very process lives on and takes work.
+    pub(crate) fn is_live(&self, id: Id) -> bool {
+        let mut known = self.replicas.values();
+        known.any(|it| it.id == id && it.state == State::Live)
+    }
+
     /// A number that changes when some version or service gets its first
     /// endpoint or loses its last.
     pub(crate) fn outline(&self) -> u64 {
--- a/crates/decide/src/knowledge.rs
+++ b/crates/decide/src/knowledge.rs
@@ -25,7 +25,7 @@
 /// How many ratings in a bucket the shape's own prediction is worth.
 const CURVE_WEIGHT: f64 = 25.0;
 /// How many ratings the prior for a version is worth.
-const PRIOR_WEIGHT: f64 = 6.0;
+const PRIOR_WEIGHT: f64 = 16.0;
 /// How much more often an answer is bad where another's was rejected, before
 /// any answer tells.
 const LATER_ODDS: f64 = 1.8;
@@ -70,6 +70,8 @@
     /// Over all classes and turns.
     all: Tally,
     shape: Shape,
+    /// Seconds between two tokens.
+    pace: Mean,
     overall: Belief,
     classes: Vec<Belief>,
 }
@@ -241,6 +243,15 @@
         }
     }
 
+    /// Takes the seconds between two tokens of an answer and returns how long they
+    /// were before, as a rule.
+    pub(crate) fn pace(&mut self, version: key::Version, seconds: f64) -> Option<f64> {
+        let it = self.versions.get_mut(version.index())?;
+        let usual = it.pace.value(20);
+        it.pace.add(seconds);
+        usual
+    }
+
     /// How long an answer takes, in seconds.
     pub(crate) fn latency(&self, version: key::Version, class: ClassIndex) -> Option<Mean> {
         let it = self.versions.get(version.index())?;
@@ -362,6 +373,7 @@
             rank: 0.0,
             all: Tally::default(),
             shape,
+            pace: Mean::default(),
             overall: Belief::default(),
             classes: Vec::new(),
         }
--- a/crates/decide/src/monitor.rs
+++ b/crates/decide/src/monitor.rs
@@ -69,6 +69,7 @@
     cause: Cause,
     /// The share of answers that its fault is taken to spoil.
     share: f64,
+    since: Duration,
     hold: Duration,
     next_probe: Duration,
     /// The log-likelihood ratio of "it is well again" from the probes so far.
@@ -225,16 +226,19 @@
         self.latency.sum() > SLOW_LIMIT / 2.0
     }
 
-    /// Answers were rated; `normal` is the chance that such an answer is bad.
-    pub(crate) fn rated(&mut self, now: Duration, scope: Scope, normal: f64, good: f64, bad: f64) {
-        self.totals.ratings += good + bad;
-        let normal = normal.clamp(0.02, 0.98);
+    /// Answers were rated.
+    pub(crate) fn rated(&mut self, now: Duration, seen: &Ratings) {
+        self.totals.ratings += seen.good + seen.bad;
+        let normal = seen.normal.clamp(0.02, 0.98);
         let ratio = |share| {
             let spoilt = failing(normal, share);
-            bad * (spoilt / normal).ln() + good * ((1.0 - spoilt) / (1.0 - normal)).ln()
+            seen.bad * (spoilt / normal).ln() + seen.good * ((1.0 - spoilt) / (1.0 - normal)).ln()
         };
         if let Some(it) = self.quarantine {
-            if matches!(it.cause, Cause::Ratings | Cause::Confidence) {
+            // Ratings come minutes late: those of answers from before the fault
+            // would make a bad version look well again.
+            let probe = seen.answered.is_some_and(|at| at >= it.since);
+            if probe && matches!(it.cause, Cause::Ratings | Cause::Confidence) {
                 self.probed(now, -ratio(it.share));
             }
             return;
@@ -242,7 +246,7 @@
         for (cusum, share) in self.quality.iter_mut().zip(SHARES) {
             cusum.add(ratio(share), 1.0);
         }
-        self.judge(now, scope, Cause::Ratings);
+        self.judge(now, seen.scope, Cause::Ratings);
     }
 
     /// Takes it out of use, unless it is already.
@@ -253,6 +257,7 @@
         self.quarantine = Some(Quarantine {
             cause,
             share,
+            since: now,
             hold,
             next_probe: now + hold,
             passed: 0.0,
@@ -344,6 +349,17 @@
     pub(crate) scope: Scope,
 }
 
+/// Ratings, beside how often such answers are rated bad as a rule.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ratings {
+    pub(crate) good: f64,
+    pub(crate) bad: f64,
+    pub(crate) normal: f64,
+    pub(crate) scope: Scope,
+    /// When the answers came, if that is known.
+    pub(crate) answered: Option<Duration>,
+}
+
 /// The share that goes wrong when a fault spoils `share` of what is well.
 fn failing(normal: f64, share: f64) -> f64 {
     normal + share * (1.0 - normal)
--- a/crates/decide/src/planner.rs
+++ b/crates/decide/src/planner.rs
@@ -10,7 +10,7 @@
 /// Places on the scale of quality on which the cheapest plan is remembered.
 const PLACES: usize = 128;
 /// How many standard errors of doubt a plan has to make up for.
-const DOUBT: f64 = 0.5;
+const DOUBT: f64 = 0.4;
 
 /// Two plans and how often each is used, so that the target is met on the
 /// whole and not overshot.
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -69,8 +69,9 @@
         let own = own.map_or(0, |it| it.requests.len());
         let others = lane.backlogs.iter().enumerate();
         let others = others.filter(|(at, it)| *at != customer.index() && !it.requests.is_empty());
-        let turns = count(own + 1) / weight;
-        let others = others.map(|(_, it)| count(it.requests.len()).min(turns * it.weight));
+        // Who has nothing waiting goes before what others have waiting beyond one.
+        let turns = count(own) / weight;
+        let others = others.map(|(_, it)| count(it.requests.len()).min(1.0 + turns * it.weight));
         count(before + own) + others.sum::<f64>()
     }
 
--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -19,6 +19,8 @@
 const FIRST_SHARE: f64 = 0.2;
 /// How long an endpoint is left alone after it said that it is full.
 const FULL_PAUSE: Duration = Duration::from_millis(200);
+/// How long a report or a refusal tells how full an endpoint is.
+const FRESH: Duration = Duration::from_secs(5);
 /// Failures in a row after which an endpoint is left alone.
 const EJECT_AFTER: u32 = 3;
 /// How long it is left alone then.
@@ -36,6 +38,8 @@
     pub(crate) service: Option<key::Service>,
     since: Duration,
     load: Option<Load>,
+    /// When the newest report was made.
+    reported: Duration,
     in_flight: u32,
     /// Own work that the newest report already counts.
     in_flight_at_report: u32,
@@ -59,6 +63,7 @@
             service: None,
             since: now,
             load: None,
+            reported: Duration::ZERO,
             in_flight: 0,
             in_flight_at_report: 0,
             window: f64::from(UNREPORTED_SLOTS),
@@ -66,12 +71,12 @@
             ejected_until: Duration::ZERO,
             failures: 0,
         };
-        it.report(update.load);
+        it.report(now, update.load);
         it
     }
 
     /// Takes a load report; none leaves the last one.
-    pub(crate) fn report(&mut self, load: Option<Load>) {
+    pub(crate) fn report(&mut self, now: Duration, load: Option<Load>) {
         let Some(load) = load.filter(|it| it.slots > 0) else {
             return;
         };
@@ -79,6 +84,7 @@
             self.window = f64::from(load.slots) * Self::most(Priority::Urgent);
         }
         self.load = Some(load);
+        self.reported = now.saturating_sub(load.age);
         self.in_flight_at_report = self.in_flight;
     }
 
@@ -107,8 +113,12 @@
         self.in_flight
     }
 
-    pub(crate) fn is_full(&self) -> bool {
-        self.busy() > self.slots()
+    /// Whether work may have to wait there. An old report, or a refusal not long
+    /// ago, leaves that open.
+    pub(crate) fn may_be_full(&self, now: Duration) -> bool {
+        let stale = self.load.is_none() || now.saturating_sub(self.reported) > FRESH;
+        let refused = now < self.paused_until + FRESH;
+        stale || refused || self.busy() >= self.slots()
     }
 
     pub(crate) fn sent(&mut self) {
--- a/crates/decide/src/sampler.rs
+++ b/crates/decide/src/sampler.rs
@@ -12,9 +12,9 @@
 const MEMORY: Duration = Duration::from_mins(2);
 /// Samples are sent at so many times the rate at which ratings come, so that
 /// the service has all it can do and is never flooded.
-const HEADROOM: f64 = 2.0;
+const HEADROOM: f64 = 1.5;
 /// Samples a second that are sent in any case.
-const LEAST: f64 = 0.1;
+const LEAST: f64 = 0.05;
 /// Samples that may be sent at once.
 const DEPTH: f64 = 10.0;
 
--- a/crates/decide/src/samples.rs
+++ b/crates/decide/src/samples.rs
@@ -1,6 +1,7 @@
 //! Answers that were sent to be rated.
 
 use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
 
 use crate::belief::Turn;
 use crate::key;
@@ -22,6 +23,8 @@
 pub(crate) struct Sample {
     pub(crate) bucket: Bucket,
     pub(crate) turn: Turn,
+    /// When the answer came; unknown for those of other hosts.
+    pub(crate) at: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/decide/src/shape.rs
+++ b/crates/decide/src/shape.rs
@@ -7,7 +7,7 @@
 const STEPS: u32 = 12;
 /// Unrated answers count as no more than so many, since the shape may be
 /// another in this class.
-const UNRATED: f64 = 600.0;
+const UNRATED: f64 = 1200.0;
 /// What an unrated answer tells, as a part of what a rating tells.
 const UNRATED_WORTH: f64 = 0.35;
 /// The buckets of the surest answers.
