--- a/crates/barleypind/tests/golden/call.rs
+++ b/crates/barleypind/tests/golden/call.rs
@@ -68,8 +68,8 @@
     let mut shown = String::new();
     for run in ran.expect("the endpoint's record of what ran") {
         let field = |name: &str| run[name].as_str().unwrap_or_default().to_owned();
-        let line = [field("call"), field("version"), field("end")].join(" ");
-        writeln!(shown, "{}", line.trim()).unwrap();
+        let line = [field("path"), field("call"), field("version"), field("end")];
+        writeln!(shown, "- {}", line.join(" ").trim()).unwrap();
     }
     if shown.is_empty() {
         shown.push_str("none\n");
--- a/crates/barleypind/tests/golden/site.rs
+++ b/crates/barleypind/tests/golden/site.rs
@@ -67,12 +67,18 @@
         }
         site.configure().await;
         for at in 0..hosts {
-            let wanted = format!("barleypin_endpoints {endpoints}");
-            site.until(&wanted, async |site| {
+            let wanted = [
+                format!("barleypin_endpoints {endpoints}"),
+                format!("barleypin_members{{state=\"live\"}} {hosts}"),
+            ];
+            site.until(&wanted.join(" and "), async |site| {
                 let res = site
                     .send(site.daemons[at].callers(), Request::get("/metrics"))
                     .await;
-                text(res).await.lines().any(|it| it == wanted)
+                let metrics = text(res).await;
+                wanted
+                    .iter()
+                    .all(|it| metrics.lines().any(|line| line == it))
             })
             .await;
         }
