List what is proved, and what isn't

Cause: the proofs are spread over the crates' tests; nobody could tell which promise is shown under which fault. Change: docs/PROOFS.md has one row a promise and fault, with the tests by name, what is missing, or not yet. tests/proofs.rs checks that each name exists, that each script is listed, and that a proved row names a test.

--- /dev/null
+++ b/crates/barleypind/tests/proofs.rs
@@ -0,0 +1,112 @@
+//! `docs/PROOFS.md` names tests that exist, and every script.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const STATES: [&str; 3] = ["proved", "partial", "not yet"];
+
+/// Every test and every file of cases, as `crate::name`.
+fn known() -> BTreeSet<String> {
+    let crates = root().join("crates");
+    let mut known = BTreeSet::new();
+    for entry in fs::read_dir(crates).expect("the crates are there") {
+        let dir = entry.expect("the folder can be read").path();
+        let package = stem(&dir);
+        for file in files(&dir.join("tests")) {
+            if file.extension().is_some_and(|it| it == "rs") {
+                let text = fs::read_to_string(&file).expect("a test file can be read");
+                known.extend(tests(&text).map(|it| format!("{package}::{it}")));
+            } else {
+                known.insert(format!("{package}::{}", stem(&file)));
+            }
+        }
+    }
+    known
+}
+
+/// The names of the functions of a test file that are tests.
+fn tests(text: &str) -> impl Iterator<Item = &str> {
+    let mut marked = false;
+    text.lines().filter_map(move |line| {
+        let line = line.trim();
+        if line.starts_with("#[") && line.contains("test") {
+            marked = true;
+            return None;
+        }
+        let name = line.strip_prefix("fn ")?;
+        let is_test = std::mem::take(&mut marked);
+        is_test.then(|| name.split(['(', '<']).next().unwrap_or_default())
+    })
+}
+
+fn files(dir: &Path) -> Vec<PathBuf> {
+    let Ok(entries) = fs::read_dir(dir) else {
+        return Vec::new();
+    };
+    let paths = entries.flatten().map(|it| it.path());
+    paths
+        .flat_map(|it| if it.is_dir() { files(&it) } else { vec![it] })
+        .collect()
+}
+
+fn stem(path: &Path) -> String {
+    let stem = path.file_stem().expect("a file has a name");
+    stem.to_string_lossy().into_owned()
+}
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page() -> String {
+    fs::read_to_string(root().join("docs/PROOFS.md")).expect("the page is there")
+}
+
+/// The test names in a piece of the page: what stands as code and has a `::`.
+fn named(text: &str) -> impl Iterator<Item = &str> {
+    let code = text.split('`').skip(1).step_by(2);
+    code.filter(|it| it.contains("::"))
+}
+
+/// The cells of the rows `| fault | state | proved by | missing |`.
+fn rows(page: &str) -> Vec<Vec<&str>> {
+    let lines = page.lines().filter(|it| it.starts_with('|'));
+    let cells = lines.map(|it| it.trim_matches('|').split('|').map(str::trim).collect());
+    cells
+        .filter(|it: &Vec<&str>| it.len() == 4 && STATES.contains(&it[1]))
+        .collect()
+}
+
+#[test]
+fn every_test_that_the_page_names_exists() {
+    let known = known();
+    let page = page();
+    let missing: Vec<_> = named(&page).filter(|it| !known.contains(*it)).collect();
+    assert!(missing.is_empty(), "no such tests: {missing:#?}");
+}
+
+#[test]
+fn every_script_is_on_the_page() {
+    let page = page();
+    let named: BTreeSet<_> = named(&page).collect();
+    for file in files(&root().join("crates/barleypind/tests/scripts")) {
+        let name = format!("barleypind::{}", stem(&file));
+        assert!(named.contains(name.as_str()), "{name} is not on the page");
+    }
+}
+
+#[test]
+fn what_is_proved_names_its_test_and_what_is_not_says_what_is_missing() {
+    let page = page();
+    let rows = rows(&page);
+    assert!(!rows.is_empty(), "the page has no rows");
+    for row in rows {
+        let has_test = named(row[2]).next().is_some();
+        match row[1] {
+            "proved" => assert!(has_test, "no test: {row:?}"),
+            "partial" => assert!(has_test && !row[3].is_empty(), "incomplete: {row:?}"),
+            _ => assert!(!has_test, "proved after all? {row:?}"),
+        }
+    }
+}
