xtask: measure records and incidents for the capacity page

Cause: the ledger and the fleet core can be measured by now. Change: two more parts of cargo xtask capacity.

--- a/crates/gate/tests/problem.rs
+++ b/crates/gate/tests/problem.rs
@@ -18,7 +18,7 @@
         )
         .unwrap();
     }
-    expect![[r#"
+    expect![[r"
         bad_request 400 NotRun None The request can't be read
         unauthorized 401 NotRun None The key is missing or unknown
         not_found 404 NotRun None There is nothing at this path
@@ -43,7 +43,7 @@
         upstream_failed 502 NotRun None The endpoints failed
         answer_cut 502 Unknown None The answer broke off
         conflict 409 NotRun None The entry was changed by someone else
-    "#]]
+    "]]
     .assert_eq(&table);
 }
 
--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -8,6 +8,7 @@
 mod fit;
 mod fleet;
 mod processes;
+mod records;
 mod series;
 
 use std::process::ExitCode;
@@ -36,7 +37,14 @@
             Arg::new("only")
                 .long("only")
                 .help("Measures only this part")
-                .value_parser(["decisions", "document", "fleet", "processes"]),
+                .value_parser([
+                    "decisions",
+                    "document",
+                    "fleet",
+                    "incidents",
+                    "records",
+                    "processes",
+                ]),
         )
 }
 
@@ -57,6 +65,12 @@
     if wanted("fleet") {
         all.extend(fleet::measure());
     }
+    if wanted("incidents") {
+        all.extend(fleet::incidents());
+    }
+    if wanted("records") {
+        all.extend(records::measure());
+    }
     if wanted("processes") {
         all.extend(task::block_on(processes::measure())?);
     }
--- a/xtask/src/capacity/fleet.rs
+++ b/xtask/src/capacity/fleet.rs
@@ -1,6 +1,6 @@
 //! Membership, news and evidence, by the size of the fleet.
 
-use fleet::measure::{Figures, measure as run};
+use fleet::measure::{Cost, Figures, Incident, incident, measure as run};
 
 use crate::capacity::{Sample, Series};
 
@@ -8,6 +8,14 @@
 const SECONDS: u64 = 60;
 const SEEDS: [u64; 2] = [1, 2];
 const TARGET: f64 = 330.0;
+const INCIDENT_SIZES: [usize; 4] = [32, 64, 128, 330];
+const INCIDENTS: [Incident; 5] = [
+    Incident::Death,
+    Incident::Restart,
+    Incident::DataCentreLost,
+    Incident::DataCentreCut,
+    Incident::RegionCut,
+];
 
 pub(super) fn measure() -> Vec<Series> {
     let runs: Vec<Vec<Figures>> = SIZES
@@ -48,6 +56,50 @@
     ]
 }
 
+/// What each kind of failure costs, by the size of the fleet.
+pub(super) fn incidents() -> Vec<Series> {
+    INCIDENTS.iter().flat_map(|it| costs(*it)).collect()
+}
+
+fn costs(kind: Incident) -> Vec<Series> {
+    let runs: Vec<Vec<Cost>> = INCIDENT_SIZES
+        .iter()
+        .map(|hosts| {
+            SEEDS
+                .iter()
+                .map(|seed| incident(*hosts, *seed, kind))
+                .collect()
+        })
+        .collect();
+    let series = |name: String, unit, value: fn(&Cost) -> f64| {
+        let samples = runs.iter().map(|it| {
+            let size = it.first().map_or(0, |it| it.hosts);
+            Sample::of(count(size), it.iter().map(value).collect())
+        });
+        Series::new(name, unit, "hosts", TARGET, samples.collect())
+    };
+    vec![
+        series(
+            format!("incident {kind}: bytes of the mean host"),
+            "B",
+            |it| it.bytes_mean,
+        ),
+        series(
+            format!("incident {kind}: worst second of the mean host"),
+            "B/s",
+            |it| it.peak_mean,
+        ),
+        series(format!("incident {kind}: until all agree"), "s", |it| {
+            it.settled.as_secs_f64()
+        }),
+        series(
+            format!("incident {kind}: hosts wrongly declared"),
+            "1",
+            |it| count(it.wrong),
+        ),
+    ]
+}
+
 fn count(value: usize) -> f64 {
     f64::from(u32::try_from(value).unwrap_or(u32::MAX))
 }
