ledger: never adopt a home's own record, settle none of one's own apart

Records now name their maker, and what is of the home's own making goes back to it as a copy, never by adoption.

--- a/crates/ledger/src/core.rs
+++ b/crates/ledger/src/core.rs
@@ -3,8 +3,8 @@
 use kernel::Incarnation;
 
 use crate::cx::{Cx, Purpose, Shared};
-use crate::holdings::{Holdings, Lane, Phase};
-use crate::intake::{Intake, View};
+use crate::holdings::{Holdings, Lane};
+use crate::intake::{Adoption, Intake, View};
 use crate::peers::Peers;
 use crate::settler::{self, Settler};
 use crate::status::Status;
@@ -136,22 +136,32 @@
     /// Takes the records of an owner that is gone as this host's own: they
     /// are copied on to a partner and settled under the homes of their keys.
     fn inherit(&mut self, cx: &mut Cx, owner: Incarnation) {
+        let mut later = Vec::new();
         for record in self.vault.take(owner) {
             let home = record.key.home;
-            let serial = self
-                .holdings
-                .hold(cx, record, Lane::Single(home), Vec::new());
-            if home == owner {
-                self.holdings.set_phase(&[serial], Phase::Inherited);
+            if cx.shared.decides(home) {
+                let adoption = self.intake.inherit(cx, &mut self.holdings, record);
+                if let Adoption::Later(record) = adoption {
+                    later.push(*record);
+                }
+            } else {
+                self.holdings
+                    .hold(cx, record, Lane::Single(home), Vec::new());
             }
         }
+        if !later.is_empty() {
+            let at = cx.retry_at();
+            cx.shared.timers.arm(at, Timer::Orphan(owner));
+            self.vault.restore(cx, owner, later);
+        }
+        self.give_back(cx);
     }
 
     /// A home that was taken for gone and isn't fenced turns out to live:
     /// its records are its own again, and copies here.
     fn give_back(&mut self, cx: &mut Cx) {
         for home in self.holdings.homes() {
-            if self.peers.is_live(home) && !cx.shared.is_closed(home) {
+            if cx.shared.may_adopt(&self.peers, home) {
                 let records = self.holdings.give_back(cx, home);
                 self.vault.restore(cx, home, records);
             }
--- a/crates/ledger/src/cx.rs
+++ b/crates/ledger/src/cx.rs
@@ -8,6 +8,7 @@
 
 use crate::book::EntryKey;
 use crate::calls::CallKey;
+use crate::peers::Peers;
 use crate::status::Counters;
 use crate::table::{Op, Transaction};
 use crate::timers::{Timer, Timers};
@@ -80,6 +81,16 @@
         }
     }
 
+    /// Whether this process decides about the keys of `home`.
+    pub(crate) fn decides(&self, home: Incarnation) -> bool {
+        home == self.me && !self.fenced.contains(&home)
+    }
+
+    /// Whether `home` is alive and sees to its own records.
+    pub(crate) fn may_adopt(&self, peers: &Peers, home: Incarnation) -> bool {
+        peers.is_live(home) && !self.is_closed(home) && !self.former.contains(&home)
+    }
+
     /// Whether no other host will ever write a batch of `home`, and `home` neither.
     ///
     /// For this host's own incarnation the same process decides, so no fence is needed.
--- a/crates/ledger/src/holdings.rs
+++ b/crates/ledger/src/holdings.rs
@@ -81,6 +81,7 @@
         }
         if lane == Lane::Batch {
             record.floor = serial;
+            record.maker = cx.shared.me;
         }
         self.held
             .insert(serial, Held::new(&record, lane, waiting, cx.now));
--- a/crates/ledger/src/holdings/held.rs
+++ b/crates/ledger/src/holdings/held.rs
@@ -63,7 +63,7 @@
 impl Lane {
     pub(crate) fn of(cx: &Cx, record: &Record) -> Self {
         let home = record.key.home;
-        if home == cx.shared.me && !cx.shared.fenced.contains(&home) {
+        if cx.shared.decides(home) {
             Self::Batch
         } else {
             Self::Single(home)
@@ -76,7 +76,11 @@
         Self {
             record: Packed::new(record),
             lane,
-            phase: Phase::New,
+            phase: if record.is_homes_own() {
+                Phase::Inherited
+            } else {
+                Phase::New
+            },
             since,
             waiting,
             copies: Vec::new(),
--- a/crates/ledger/src/intake.rs
+++ b/crates/ledger/src/intake.rs
@@ -5,6 +5,8 @@
 mod finish;
 mod outcome;
 
+pub(crate) use adopt::Adoption;
+
 use std::time::Duration;
 
 use kernel::RequestId;
--- a/crates/ledger/src/intake/finish.rs
+++ b/crates/ledger/src/intake/finish.rs
@@ -1,6 +1,6 @@
 //! How permitted calls go on and end.
 
-use kernel::RequestId;
+use kernel::{Incarnation, RequestId};
 
 use crate::book::{EntryKey, State};
 use crate::calls::{Call, Scope, Stage};
@@ -69,7 +69,7 @@
     ) {
         let outcome = outcome.filter(|it| it.len() <= cx.shared.tuning.outcome_bytes);
         let answer = Waiting::Answer(call.request.clone());
-        let record = to_record(call, charge, outcome.clone());
+        let record = to_record(cx.shared.me, call, charge, outcome.clone());
         let lane = Lane::of(cx, &record);
         let Some(entry) = call.entry else {
             view.holdings.hold(cx, record, lane, vec![answer]);
@@ -175,7 +175,7 @@
     }
 }
 
-fn to_record(call: &Call, charge: Charge, outcome: Option<Outcome>) -> Record {
+fn to_record(maker: Incarnation, call: &Call, charge: Charge, outcome: Option<Outcome>) -> Record {
     let keyed = call.scope != Scope::Keyless;
     let replay = (keyed && call.repeat == Repeat::NonIdempotent).then_some(Replay {
         fingerprint: call.fingerprint,
@@ -184,6 +184,7 @@
     Record {
         serial: Serial::default(),
         key: call.key.clone(),
+        maker,
         floor: call.floor,
         charge,
         replay,
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,7 +1,7 @@
 //! The billing record of an answered request.
 
 use derive_more::{Display, From, Into};
-use kernel::{Money, ProfileName, RequestKey, Revision, VersionId};
+use kernel::{Incarnation, Money, ProfileName, RequestKey, Revision, VersionId};
 use serde::{Deserialize, Serialize};
 
 use crate::{Fingerprint, Outcome};
@@ -50,6 +50,10 @@
     pub serial: Serial,
     /// The request; it names the customer.
     pub key: RequestKey,
+    /// The incarnation in whose batches it is to stand, or at which the work
+    /// ran where it isn't the home. A home never adopts a record of its own:
+    /// it has it, or has put it into the table.
+    pub maker: Incarnation,
     /// The number from which the home's batches may hold a record of the same key.
     pub floor: Serial,
     /// What is billed.
@@ -76,6 +80,11 @@
             .map_or(0, Outcome::len)
     }
 
+    /// Whether it is of the home's own making.
+    pub(crate) fn is_homes_own(&self) -> bool {
+        self.maker == self.key.home
+    }
+
     /// Gives up the answer, so that what is billed can still be kept.
     pub(crate) fn drop_outcome(&mut self) {
         if let Some(replay) = &mut self.replay {
--- a/crates/ledger/src/settler.rs
+++ b/crates/ledger/src/settler.rs
@@ -102,7 +102,7 @@
             } else {
                 it.insert(cx, holdings, home);
             }
-        } else if peers.is_live(home) {
+        } else if cx.shared.may_adopt(peers, home) {
             offer(cx, holdings, home);
         } else {
             it.fence(cx, peers, home);
--- a/crates/ledger/tests/pairs/check.rs
+++ b/crates/ledger/tests/pairs/check.rs
@@ -80,10 +80,16 @@
         let host = hosts.iter().find(|host| host.incarnation == *holder);
         host.is_some_and(|host| host.power == Power::Off)
     };
-    if holders.is_empty() {
-        return hosts[call.host].power == Power::Off;
+    if !holders.is_empty() {
+        return holders.iter().all(is_dead);
     }
-    holders.iter().all(is_dead)
+    // No other host ever had it: it was where the call ran.
+    let request = call.arrival.request.as_str();
+    let ran_for = |it: &&Call| {
+        it.arrival.request.as_str() == request || it.relays.as_deref() == Some(request)
+    };
+    let mut ran = run.world.calls.values().filter(ran_for);
+    ran.any(|it| it.permitted.is_some() && hosts[it.host].power == Power::Off)
 }
 
 fn bills_call(bill: &str, call: &Call) -> bool {
