Blame a timeout on a version only where it had plenty of time

Cause: at twice the pool's capacity requests are sent late and time out at their deadline; that counted as failures of healthy versions. Change: a timeout counts at a free endpoint with four times the usual time; relayed answers get all the time that is left; hosts start with twice an even share of an endpoint's slots.

--- a/crates/decide/src/attempt.rs
+++ b/crates/decide/src/attempt.rs
@@ -25,6 +25,7 @@
     pub(crate) step: Step,
     pub(crate) relay: Relay,
     pub(crate) sent: Duration,
+    pub(crate) timeout: Duration,
     pub(crate) progress: Progress,
     /// How full the endpoint was when it was sent.
     pub(crate) fill: Fill,
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -171,7 +171,10 @@
             Event::Verdict { version, verdict } => {
                 self.verdict(now, &version, verdict, actions);
             }
-            Event::Hosts { live } => self.live = live.max(1),
+            Event::Hosts { live } => {
+                self.live = live.max(1);
+                self.directory.live = self.live;
+            }
             Event::Demand(demand) => self.peers.heard(now, &self.policy, &demand),
             Event::Tick => self.tick(now, actions),
         }
--- a/crates/decide/src/decider/learn.rs
+++ b/crates/decide/src/decider/learn.rs
@@ -281,8 +281,7 @@
         outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
-        if outcome == Outcome::TimedOut && attempt.fill == Fill::Full {
-            // It waited in a full engine: that is overload, not the version.
+        if outcome == Outcome::TimedOut && !self.had_plenty(attempt) {
             return;
         }
         let Some(place) = self.directory.get(attempt.replica).map(|it| it.id) else {
@@ -306,6 +305,15 @@
         }
     }
 
+    /// Whether an attempt had a free endpoint and far more time than it should
+    /// need. One that waited in a full engine, or was sent shortly before its
+    /// deadline, tells of overload and not of the version.
+    fn had_plenty(&self, attempt: &Attempt) -> bool {
+        const PLENTY: u32 = 4;
+        let usual = self.latency(attempt.request, attempt.target);
+        attempt.fill == Fill::Free && attempt.timeout >= usual * PLENTY
+    }
+
     /// Blames versions for the answers that were cut at endpoints that live on.
     pub(super) fn settle_cuts(&mut self, now: Duration, actions: &mut Vec<Action>) {
         const NEWS: Duration = Duration::from_secs(5);
--- a/crates/decide/src/decider/place.rs
+++ b/crates/decide/src/decider/place.rs
@@ -173,6 +173,7 @@
             step: next.step,
             relay,
             sent: now,
+            timeout,
             progress: Progress::Sent,
             fill,
         });
--- a/crates/decide/src/decider/wait.rs
+++ b/crates/decide/src/decider/wait.rs
@@ -105,15 +105,19 @@
         }
     }
 
-    /// How long an attempt may take. One that may be repeated gets no more than
-    /// half of the time that is left, if that is plenty, so that a hung endpoint
-    /// leaves time for another.
+    /// How long an attempt may take. One whose answer is checked first gets no
+    /// more than half of the time that is left, if that is plenty, so that a hung
+    /// endpoint leaves time for another. One that is relayed as it comes gets all
+    /// of it: nothing could replace it once it has begun.
     pub(super) fn timeout(&self, now: Duration, key: request::Key, next: Next) -> Duration {
         const PLENTY: u32 = 5;
         let Some(request) = self.requests.get(key) else {
             return Duration::ZERO;
         };
         let left = request.deadline.saturating_sub(now);
+        if next.step.threshold == 0 && matches!(next.target, Target::Version(_)) {
+            return left;
+        }
         if request.repeat == Repeat::AtMostOnce {
             return left;
         }
--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub(crate) struct Directory {
     host: u64,
+    /// Entry hosts that share the endpoints.
+    pub(crate) live: u32,
     replicas: SlotMap<Key, Replica>,
     by_name: HashMap<Name, Key>,
     by_version: Vec<Vec<Candidate>>,
@@ -72,6 +74,7 @@
     pub(crate) fn new(host: &kernel::HostName) -> Self {
         Self {
             host: key::hash(host.as_str().as_bytes()),
+            live: 1,
             replicas: SlotMap::with_key(),
             by_name: HashMap::new(),
             by_version: Vec::new(),
@@ -108,13 +111,13 @@
             return None;
         }
         let Some(key) = same else {
-            let key = self.replicas.insert(Replica::new(now, update));
+            let key = self.replicas.insert(Replica::new(now, self.live, update));
             self.by_name.insert(name, key);
             self.list(key, policy);
             return Some(key);
         };
         let it = &mut self.replicas[key];
-        it.report(now, update.load);
+        it.report(now, self.live, update.load);
         let moved = it.distance != update.distance || it.state != update.state;
         if moved || !same_role(&it.role, &update.role) {
             self.unlist(key);
--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -53,7 +53,7 @@
 }
 
 impl Replica {
-    pub(crate) fn new(now: Duration, update: &Update) -> Self {
+    pub(crate) fn new(now: Duration, live: u32, update: &Update) -> Self {
         let mut it = Self {
             id: update.id,
             role: update.role.clone(),
@@ -71,17 +71,20 @@
             ejected_until: Duration::ZERO,
             failures: 0,
         };
-        it.report(now, update.load);
+        it.report(now, live, update.load);
         it
     }
 
     /// Takes a load report; none leaves the last one.
-    pub(crate) fn report(&mut self, now: Duration, load: Option<Load>) {
+    pub(crate) fn report(&mut self, now: Duration, live: u32, load: Option<Load>) {
         let Some(load) = load.filter(|it| it.slots > 0) else {
             return;
         };
         if self.load.is_none_or(|it| it.slots != load.slots) {
-            self.window = f64::from(load.slots) * Self::most(Priority::Urgent);
+            // Twice an even share: more is won answer by answer, so that hosts which
+            // all see a free endpoint don't fill it several times over.
+            let most = f64::from(load.slots) * Self::most(Priority::Urgent);
+            self.window = (2.0 * most / f64::from(live)).clamp(2.0, most.max(2.0));
         }
         self.load = Some(load);
         self.reported = now.saturating_sub(load.age);
