ledger: keep bookings from being named like chats

The name of an idempotent call is its key, a `~` and its body's hash, which a caller can compute. A booking under that very key was refused as key_reused at the same home, or billed together with the chat. A `~` in a caller's key is doubled. `key_lookalike` failed before (the second call wasn't permitted).

--- a/crates/ledger/src/calls.rs
+++ b/crates/ledger/src/calls.rs
@@ -132,12 +132,23 @@
 /// Idempotent calls are the same only when their bodies are: a key that is
 /// used again for another body there names another request, which is billed
 /// by itself. No host has to know of the other to tell. The parts of a row's
-/// key are split at `/`, so the two are joined by another character.
+/// key are split at `/`, so the two are joined by a `~`, and one that the
+/// caller wrote is doubled: else a booking could be named like a chat.
 fn name(arrival: &Arrival) -> Arc<str> {
     match (&arrival.key, arrival.repeat) {
         (None, _) => arrival.request.as_str().into(),
-        (Some(key), Repeat::Idempotent) => format!("{key}~{}", arrival.fingerprint).into(),
-        (Some(key), Repeat::NonIdempotent) => key.clone(),
+        (Some(key), Repeat::Idempotent) => {
+            format!("{}~{}", escape(key), arrival.fingerprint).into()
+        }
+        (Some(key), Repeat::NonIdempotent) => escape(key),
+    }
+}
+
+fn escape(key: &Arc<str>) -> Arc<str> {
+    if key.contains('~') {
+        key.replace('~', "~~").into()
+    } else {
+        key.clone()
     }
 }
 
