--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -10,8 +10,9 @@
 use crate::Error;
 
 /// The scenarios that ship with the experiment, by name and text.
-const SHIPPED: [(&str, &str); 15] = [
+const SHIPPED: [(&str, &str); 16] = [
     ("calm", include_str!("../scenarios/calm.txt")),
+    ("settled", include_str!("../scenarios/settled.txt")),
     ("turns_bad", include_str!("../scenarios/turns_bad.txt")),
     ("fifth_bad", include_str!("../scenarios/fifth_bad.txt")),
     (
--- a/crates/experiment/tests/scenario.rs
+++ b/crates/experiment/tests/scenario.rs
@@ -41,5 +41,8 @@
 #[gtest]
 fn an_unknown_scenario_is_answered_with_the_known_ones() {
     let error = Scenario::shipped("calmer").expect_err("there is none");
-    expect_that!(error.to_string(), contains_substring("calm, turns_bad"));
+    expect_that!(
+        error.to_string(),
+        contains_substring("calm, settled, turns_bad")
+    );
 }
