Let hosts of one side of a cut keep what they found

Cause: measured at 330 hosts, a region of 55 that was cut off for five minutes and came back had 8 of the other 275 declared unreachable by all, and cost a host 865 KB with 70.6 KB in the worst second. A host that reached half of the fleet took everything back when it heard from a neighbour on its own side that was a few hosts behind, so the cut region never came to an end with its views. Change: only one who reaches far more (half as many again) makes a host take back its accusations, and only one who reaches far fewer isn't believed. Figures also count with how many others a host speaks.

--- a/crates/fleet/src/fleet/spreading.rs
+++ b/crates/fleet/src/fleet/spreading.rs
@@ -14,16 +14,16 @@
     ///
     /// Failure: a data centre was cut off and finds all others out of reach.
     /// When it is back, its word would make everybody pass for unreachable
-    /// until each has contradicted. The guard has two sides: who reaches most
-    /// of the fleet doesn't believe accusations by one who reaches at most half
-    /// of it, and who was cut off takes its own back when it hears from most.
+    /// until each has contradicted. The guard has two sides: a host doesn't
+    /// believe accusations by one that reaches far fewer, and takes its own back
+    /// when it hears from one that reaches far more. Among hosts of one side of
+    /// a cut, whose views are nearly the same, neither holds.
     pub(super) fn learn(&mut self, cx: &mut Cx, bulletin: Bulletin, from: &HostName) {
-        let is_teller_cut_off = self.is_few(bulletin.reach);
-        let is_cut_off = self.is_few(self.stated_reach(cx.now));
-        if is_cut_off && !is_teller_cut_off {
+        let reach = self.stated_reach(cx.now);
+        if is_far_fewer(reach, bulletin.reach) {
             self.rejoin(cx);
         }
-        let is_moot = is_teller_cut_off && !is_cut_off;
+        let is_moot = is_far_fewer(bulletin.reach, reach);
         for piece in bulletin.news {
             match piece {
                 News::Member(member) if is_moot && is_accused(member.state) => {}
@@ -65,11 +65,11 @@
         }
     }
 
-    /// Those who were accused after `since`.
+    /// Those who were accused since then.
     pub(super) fn accused_since(&self, since: Duration) -> Vec<HostName> {
         let accused = self.members.iter().filter(|it| is_accused(it.member.state));
         accused
-            .filter(|it| it.since > since)
+            .filter(|it| it.since >= since)
             .map(|it| it.member.identity.host.clone())
             .collect()
     }
@@ -198,12 +198,6 @@
         u32::try_from(reach).unwrap_or(u32::MAX)
     }
 
-    /// Whether so many are at most half of the fleet.
-    fn is_few(&self, reach: u32) -> bool {
-        let known = u32::try_from(1 + self.members.known()).unwrap_or(u32::MAX);
-        reach <= known / 2
-    }
-
     /// The logarithm by which waits and repeats grow with the fleet, at least one.
     pub(super) fn log_size(&self) -> u32 {
         self.size().next_power_of_two().ilog2().max(1)
@@ -257,6 +251,12 @@
     }
 }
 
+/// Whether a host that reaches `few` is rather cut off itself than one that
+/// reaches `many`: at most two thirds of it.
+fn is_far_fewer(few: u32, many: u32) -> bool {
+    u64::from(few) * 3 <= u64::from(many) * 2
+}
+
 fn report(cx: &mut Cx, member: &Member, before: Option<State>) {
     let member = member.clone();
     cx.push(Action::Member(Change { member, before }));
--- a/crates/fleet/src/measure/network.rs
+++ b/crates/fleet/src/measure/network.rs
@@ -58,6 +58,8 @@
 struct Host {
     fleet: Fleet,
     traffic: Traffic,
+    /// With whom it spoke since counting began.
+    peers: BTreeSet<HostName>,
     /// What waits while the process is frozen.
     frozen: Option<Vec<Event>>,
     /// When it is woken next; an earlier entry in the queue is out of date.
@@ -111,6 +113,7 @@
         let host = Host {
             fleet,
             traffic: Traffic::default(),
+            peers: BTreeSet::new(),
             frozen: None,
             wake: self.now,
         };
@@ -202,10 +205,16 @@
         self.hosts.values().map(|it| &it.traffic)
     }
 
+    /// With how many others each host spoke, so how many connections it had.
+    pub fn peers(&self) -> impl Iterator<Item = usize> {
+        self.hosts.values().map(|it| it.peers.len())
+    }
+
     /// Starts counting anew.
     pub fn reset_traffic(&mut self) {
         for host in self.hosts.values_mut() {
             host.traffic = Traffic::default();
+            host.peers.clear();
         }
     }
 
@@ -233,6 +242,7 @@
         let started = Instant::now();
         let decoded = Frame::decode(bytes);
         host.traffic.processor += started.elapsed();
+        host.peers.insert(from.clone());
         if let Ok(frame) = decoded {
             host.traffic.frames_received += 1;
             let acknowledgement = acknowledgement(&frame);
@@ -274,6 +284,7 @@
         sender.traffic.frames_sent += 1;
         let len = bytes.len() as u64 + OVERHEAD;
         sender.traffic.bytes_sent += len;
+        sender.peers.insert(to.clone());
         sender.traffic.count(frame, len);
         // A host that proves another name at the address is not spoken to.
         let is_there = self.addresses.get(&address) == Some(&to);
--- a/crates/fleet/src/measure/workload.rs
+++ b/crates/fleet/src/measure/workload.rs
@@ -281,6 +281,7 @@
             news_bytes: per_second(sum(|it| it.news_bytes) / count),
             evidence_bytes: per_second(sum(|it| it.evidence_bytes) / count),
             frames: per_second(sum(|it| it.frames_sent) / count),
+            peers_max: self.network.peers().max().unwrap_or(0),
             processor: per_second(processor.as_secs_f64() / count),
             state_bytes: self.network.fleets().map(Fleet::bytes).max().unwrap_or(0),
             revision_mean: total / u32::try_from(changes).unwrap_or(1),
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -89,13 +89,6 @@
             .filter(|(_, it)| it.member.state <= State::Suspect)
     }
 
-    /// How many are known that aren't dead.
-    pub(crate) fn known(&self) -> usize {
-        self.iter()
-            .filter(|it| it.member.state != State::Dead)
-            .count()
-    }
-
     pub(crate) fn alive(&self) -> impl Iterator<Item = &Member> {
         self.iter()
             .map(|it| &it.member)
