xtask: settle a killed host's records within the demo, show versions and conversations

Cause: a host that is gone is fenced after 30 s by default, longer than the demo lasts, so its records stayed unwritten and held up the drains. And nothing showed whether the roll-out took work or a session moved. Change: the trial site fences after 2 s; the report shows executions by version and conversations that changed theirs, told or not.

--- a/xtask/src/demo/report.rs
+++ b/xtask/src/demo/report.rs
@@ -5,7 +5,7 @@
 use comfy_table::Table;
 
 use crate::caller::Call;
-use crate::reconcile::{Evidence, Line, Tally, lines};
+use crate::reconcile::{Evidence, Line, Sessions, Tally, lines};
 use crate::site::TableRecords;
 use crate::workload::Route;
 
@@ -29,6 +29,12 @@
     }
     println!("{rows}");
     println!("hosts: {}", ended.join(", "));
+    println!("executions by version: {}", versions(evidence));
+    let sessions = Sessions::count(calls);
+    println!(
+        "conversations: {}, moved to another version and told so: {}, not told: {}",
+        sessions.conversations, sessions.moved, sessions.switched
+    );
     println!(
         "table: {} reads, {} writes; executions: {} on engines, {} on services; {} billing records",
         table.reads,
@@ -70,6 +76,15 @@
     ]
 }
 
+fn versions(evidence: &Evidence) -> String {
+    let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+    for execution in &evidence.executions {
+        *counts.entry(&execution.version).or_default() += 1;
+    }
+    let list: Vec<_> = counts.iter().map(|(id, it)| format!("{id} {it}")).collect();
+    list.join(", ")
+}
+
 /// Only an engine's answers are rated.
 fn good(line: &Line) -> String {
     match line.kind.route() {
--- a/xtask/src/reconcile.rs
+++ b/xtask/src/reconcile.rs
@@ -8,10 +8,12 @@
 mod bill;
 mod evidence;
 mod line;
+mod sessions;
 mod tally;
 
 pub use allowed::Allowed;
 pub use bill::Bill;
 pub use evidence::{Evidence, Withdrawal};
 pub use line::{Line, lines};
+pub use sessions::Sessions;
 pub use tally::Tally;
--- a/xtask/src/site/entry.rs
+++ b/xtask/src/site/entry.rs
@@ -84,6 +84,8 @@
         format = "text"
         [limits]
         hosts_keep_ms = 1000
+        [ledger]
+        fence_after_ms = 2000
         [freshness]
         bound_ms = 3000
         poll_ms = 200
--- a/xtask/tests/reconcile.rs
+++ b/xtask/tests/reconcile.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use serde_json::json;
 use xtask::caller::{Answer, Call, End, Refusal, Try, read};
-use xtask::reconcile::{Allowed, Bill, Evidence, Tally, Withdrawal};
+use xtask::reconcile::{Allowed, Bill, Evidence, Sessions, Tally, Withdrawal};
 use xtask::workload::{Kind, Plan};
 
 /// Counts one call against the evidence; the checked field is the closure's.
@@ -153,6 +153,35 @@
     check(call, &evidence, |it| it.withdrawn_after_s, &1.5);
 }
 
+#[test]
+fn a_conversation_that_changes_version_was_told_so_or_not() {
+    let turn = |turn: u32, version: &str, moved: bool| {
+        let text = whole(&format!("c1.{turn}")).replace("small@1", version);
+        let answer = Answer {
+            text,
+            moved,
+            ..Answer::default()
+        };
+        let call = call(Kind::VisitorChat, [End::Answered(answer)]);
+        Call {
+            name: format!("c1.{turn}"),
+            ..call
+        }
+    };
+    let calls = [
+        turn(0, "small@1", false),
+        turn(1, "small@1", false),
+        turn(2, "mid@1", true),
+        turn(3, "strong@1", false),
+    ];
+    let expect = Sessions {
+        conversations: 1,
+        moved: 1,
+        switched: 1,
+    };
+    assert_that!(Sessions::count(&calls), eq(expect));
+}
+
 #[test]
 fn times_are_those_of_the_answered_calls() {
     let call = call(Kind::EraTag, [answered(&whole("c1.0"))]);
