Go on in a table's outage, refuse when cut off from everything

Cause: a profile that says nothing was refused on every host as soon as the table had been out for freshness.bound_ms, so an outage of an hour, which the users expect, stopped every chat after 10 s. Serving instead would let a host that is cut off give a withdrawn version work. The two differ: in an outage nobody can commit a change, and the host list and other hosts still answer. Ruled out: a proof from peers, since a host that seems dead may be the one that commits. Change: when_stale = refuse_alone, the new default: refuses only past the bound and without a sign of the host list or another host for as long.

--- a/crates/barleypind/src/call/start.rs
+++ b/crates/barleypind/src/call/start.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_std::task;
+use config::WhenStale;
 use decide::policy::{Policy, Repeat};
 use decide::{Arrival, arrival, key};
 use futures::channel::oneshot;
@@ -96,8 +97,12 @@
         return None;
     }
     let snapshot = host.current.get();
-    let when_stale = snapshot.document.profiles.get(profile)?.when_stale;
-    (when_stale == config::WhenStale::Refuse).then(|| {
+    let refused = match snapshot.document.profiles.get(profile)?.when_stale {
+        WhenStale::Serve => false,
+        WhenStale::RefuseAlone => host.contact.age(host.now()) > bound,
+        WhenStale::Refuse => true,
+    };
+    refused.then(|| {
         call.refuse(
             Reason::Stale,
             "this host has had no proof for too long that its configuration is the newest",
--- a/crates/barleypind/src/host.rs
+++ b/crates/barleypind/src/host.rs
@@ -7,6 +7,7 @@
 use config::Settings;
 use kernel::{Clock, Incarnation, Registry, RequestId};
 
+use crate::contact::Contact;
 use crate::current::Current;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -21,6 +22,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) registry: Registry,
     pub(crate) current: Current,
+    pub(crate) contact: Contact,
     pub(crate) http: http::Client,
     phase: AtomicU8,
     incarnation: AtomicU64,
@@ -60,6 +62,7 @@
             metrics: Metrics::new(),
             registry: Registry::default(),
             current: Current::default(),
+            contact: Contact::default(),
             phase: AtomicU8::new(0),
             incarnation: AtomicU64::new(incarnation.0),
             last_request: AtomicU64::new(0),
--- a/crates/barleypind/src/lib.rs
+++ b/crates/barleypind/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod backlog;
 mod call;
+mod contact;
 mod context;
 mod current;
 mod daemon;
--- a/crates/barleypind/src/service/endpoints.rs
+++ b/crates/barleypind/src/service/endpoints.rs
@@ -342,6 +342,7 @@
         match list.fetch().await {
             Ok(listing) => {
                 out = false;
+                host.contact.note(host.now());
                 endpoints.list(&listing.hosts);
                 let is_entry = |it: &platform::Host| it.kind == Kind::Entry;
                 entries(listing.hosts.into_iter().filter(is_entry).collect());
--- a/crates/barleypind/src/service/fleet.rs
+++ b/crates/barleypind/src/service/fleet.rs
@@ -108,7 +108,10 @@
 impl Actor {
     fn take(&mut self, message: Message) {
         match message {
-            Message::Frame(incoming) => self.frame(incoming),
+            Message::Frame(incoming) => {
+                self.cx.host.contact.note(self.cx.host.now());
+                self.frame(incoming);
+            }
             Message::Event(event) => self.tell(event),
             Message::Settle(event, reply) => {
                 self.tell(event);
--- a/crates/barleypind/tests/scripts.rs
+++ b/crates/barleypind/tests/scripts.rs
@@ -45,6 +45,7 @@
     change_answer_lost
     change_in_store_outage
     claim_answer_lost
+    cut_from_everything
     cut_from_store
     dead_host_not_handed_out
     drain_cuts_nothing
@@ -60,6 +61,7 @@
     rolling_restart
     session_over_withdrawal
     stale_host_refuses
+    store_outage_goes_on
     stream_cut
     two_operators
 }
--- a/crates/config/src/profile.rs
+++ b/crates/config/src/profile.rs
@@ -193,14 +193,25 @@
     /// Answers by the configuration it has.
     #[display("serve")]
     Serve,
-    /// Refuses with the reason `stale`.
+    /// Answers while it hears from the host list or another host, and refuses
+    /// with the reason `stale` when it is cut off from everything.
+    ///
+    /// A table that is out for everyone must not stop the service, and nobody
+    /// can change the configuration meanwhile; a host that is cut off can't know.
     #[default]
+    #[display("refuse_alone")]
+    RefuseAlone,
+    /// Refuses with the reason `stale`.
     #[display("refuse")]
     Refuse,
 }
 
 impl WhenStale {
-    const WORDS: [(&str, Self); 2] = [("serve", Self::Serve), ("refuse", Self::Refuse)];
+    const WORDS: [(&str, Self); 3] = [
+        ("serve", Self::Serve),
+        ("refuse_alone", Self::RefuseAlone),
+        ("refuse", Self::Refuse),
+    ];
 }
 
 fn check_versions(check: &mut EntryCheck, field: &str, versions: &[VersionId]) {
@@ -273,8 +284,8 @@
 
 const WHEN_STALE: Key = Key {
     name: "when_stale",
-    accepts: Accepts::OneOf(&["serve", "refuse"]),
-    fallback: Fallback::Word("refuse"),
+    accepts: Accepts::OneOf(&["serve", "refuse_alone", "refuse"]),
+    fallback: Fallback::Word("refuse_alone"),
     about: "what a host does that can't prove its configuration to be the newest",
 };
 
