Plan conversations by what their later turns get

Cause: a conversation's later turns take the version that answered first, so its classes were planned without cascade. Change: a plan's cost and quality count the later turns, by the share of the class's requests that come in a session; the first turn may be checked again.

--- a/crates/decide/src/decider/choose.rs
+++ b/crates/decide/src/decider/choose.rs
@@ -26,6 +26,8 @@
     pub(super) class: ClassIndex,
     /// The most steps of its plan.
     pub(super) steps: usize,
+    /// The share of requests that come in a session.
+    pub(super) pinned: f64,
 }
 
 impl Decider {
@@ -240,16 +242,13 @@
         request: &Request,
         chat: &Chat,
     ) -> Self {
-        // In a conversation the version that answers first answers all: a cheap
-        // one taken for its sure first answer would not be checked again.
-        let single = request.repeat == Repeat::AtMostOnce
-            || request.priority == Priority::Urgent
-            || knowledge.is_conversation(now, request.class);
+        let single = request.repeat == Repeat::AtMostOnce || request.priority == Priority::Urgent;
         Self {
             profile: chat.profile,
             customer: request.customer,
             class: request.class,
             steps: if single { 1 } else { STEPS },
+            pinned: knowledge.pinned(now, request.class),
         }
     }
 }
--- a/crates/decide/src/decider/plan.rs
+++ b/crates/decide/src/decider/plan.rs
@@ -132,6 +132,7 @@
             target: profile.target,
             cap: profile.cap.map_or(f64::MAX, |it| float(it.0)),
             steps: ask.steps,
+            pinned: ask.pinned,
         };
         let mix = plan(&usable, &goal).ok_or(Reason::NoVersion)?;
         Ok(Entry {
--- a/crates/decide/src/knowledge.rs
+++ b/crates/decide/src/knowledge.rs
@@ -169,17 +169,20 @@
         }
     }
 
-    /// Whether the class's answers are often followed by more of the session,
-    /// which stay with the version that gave the first. A new class is taken
-    /// for a conversation until its second turns have had time to come.
-    pub(crate) fn is_conversation(&self, now: Duration, class: ClassIndex) -> bool {
-        const OFTEN: f64 = 0.05;
+    /// The share of the class's requests that come in a session with a version.
+    /// A new class is taken for a conversation until its second turns have had
+    /// time to come.
+    pub(crate) fn pinned(&self, now: Duration, class: ClassIndex) -> f64 {
+        const UNKNOWN: f64 = 0.7;
         const ENOUGH: f64 = 20.0;
         const LONG: Duration = Duration::from_secs(100);
         let it = &self.classes[class.0];
         let seen = it.free + it.pinned;
         let young = it.since.is_none_or(|it| now.saturating_sub(it) < LONG);
-        it.pinned > OFTEN * seen || seen < ENOUGH || young
+        if young || seen < ENOUGH {
+            return UNKNOWN;
+        }
+        it.pinned / seen
     }
 
     /// An answer to a request of the class was paid for.
--- a/crates/decide/src/planner.rs
+++ b/crates/decide/src/planner.rs
@@ -37,6 +37,9 @@
     pub(crate) cap: f64,
     /// The most steps.
     pub(crate) steps: usize,
+    /// The share of requests that come in a session and take the version that
+    /// answered its first one, with no step after it.
+    pub(crate) pinned: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,18 +98,27 @@
     for (at, first) in useful.iter().enumerate() {
         for second in &useful[at + 1..] {
             for threshold in 1..BUCKETS {
-                let left = 1.0 - first.first.pass[threshold];
-                let variance =
-                    first.first.variance[threshold] + left * left * second.later.variance[0];
-                let quality = first.first.good[threshold] + left * second.later.good[0];
-                offers.add_if(first.cost + left * second.cost, quality, variance, || {
-                    Plan::of(&[step(first, threshold), Step::last(second.version)])
-                });
+                pair([first, second], threshold, offers);
             }
         }
     }
 }
 
+fn pair(versions: [&Forecast; 2], threshold: usize, offers: &mut Offers) {
+    let [first, second] = versions;
+    let pass = first.first.pass[threshold];
+    let left = 1.0 - pass;
+    let sum = Sum {
+        cost: first.cost + left * second.cost,
+        quality: first.first.good[threshold] + left * second.later.good[0],
+        variance: first.first.variance[threshold] + left * left * second.later.variance[0],
+    };
+    let ends = [(first, pass), (second, left)];
+    offers.add_if(sum.with_sessions(&ends, offers.goal.pinned), || {
+        Plan::of(&[step(first, threshold), Step::last(second.version)])
+    });
+}
+
 fn triples(useful: &[Forecast], offers: &mut Offers) {
     for (at, first) in useful.iter().enumerate() {
         for (then, second) in useful.iter().enumerate().skip(at + 1) {
@@ -124,15 +136,19 @@
 fn triple(versions: [&Forecast; 3], thresholds: [usize; 2], offers: &mut Offers) {
     let [first, second, third] = versions;
     let [one, two] = thresholds;
-    let left = 1.0 - first.first.pass[one];
-    let rest = left * (1.0 - second.later.pass[two]);
-    let cost = first.cost + left * second.cost + rest * third.cost;
-    let quality =
-        first.first.good[one] + left * second.later.good[two] + rest * third.later.good[0];
-    let variance = first.first.variance[one]
-        + left * left * second.later.variance[two]
-        + rest * rest * third.later.variance[0];
-    offers.add_if(cost, quality, variance, || {
+    let pass = first.first.pass[one];
+    let left = 1.0 - pass;
+    let then = left * second.later.pass[two];
+    let rest = left - then;
+    let sum = Sum {
+        cost: first.cost + left * second.cost + rest * third.cost,
+        quality: first.first.good[one] + left * second.later.good[two] + rest * third.later.good[0],
+        variance: first.first.variance[one]
+            + left * left * second.later.variance[two]
+            + rest * rest * third.later.variance[0],
+    };
+    let ends = [(first, pass), (second, then), (third, rest)];
+    offers.add_if(sum.with_sessions(&ends, offers.goal.pinned), || {
         let last = Step::last(third.version);
         Plan::of(&[step(first, one), step(second, two), last])
     });
@@ -145,6 +161,35 @@
     }
 }
 
+/// What to expect of a plan.
+#[derive(Clone, Copy, Debug)]
+struct Sum {
+    cost: f64,
+    quality: f64,
+    variance: f64,
+}
+
+impl Sum {
+    /// The same with the sessions that it starts: their later requests take the
+    /// version that answered, unchecked. `ends` are the versions and how often
+    /// each one's answer is taken; `pinned` is the share of later requests.
+    fn with_sessions(self, ends: &[(&Forecast, f64)], pinned: f64) -> Self {
+        let free = 1.0 - pinned;
+        let mut it = Self {
+            cost: free * self.cost,
+            quality: free * self.quality,
+            variance: free * free * self.variance,
+        };
+        for (version, share) in ends {
+            let share = pinned * share;
+            it.cost += share * version.cost;
+            it.quality += share * version.quality();
+            it.variance += share * share * version.first.variance[0];
+        }
+        it
+    }
+}
+
 /// The cheapest plan at each place of the scale of quality.
 struct Offers {
     goal: Goal,
@@ -163,8 +208,9 @@
         }
     }
 
-    fn add_if(&mut self, cost: f64, quality: f64, variance: f64, plan: impl FnOnce() -> Plan) {
-        let quality = quality - DOUBT * variance.sqrt();
+    fn add_if(&mut self, sum: Sum, plan: impl FnOnce() -> Plan) {
+        let cost = sum.cost;
+        let quality = sum.quality - DOUBT * sum.variance.sqrt();
         let place = place(quality);
         if self.places[place].is_none_or(|it| cost < it.cost) {
             let plan = plan();
