Doubt chosen cascades more than single versions; bound what one answer says

Cause: the best of thousands of cascades is often the most overrated, while single versions paid for the same doubt; and one answer of a bucket that a class hardly knows counted for up to five nats against its version. Change: a fifth of a standard error for single versions and 0.45 for cascades; at most 1.8 nats an answer.

--- a/crates/decide/src/monitor.rs
+++ b/crates/decide/src/monitor.rs
@@ -22,6 +22,9 @@
 const PARTIAL_ANSWERS: f64 = 200.0;
 /// One failure counts no more than this, so that it takes several.
 const MOST_FOR_FAILURE: f64 = 2.5;
+/// The same for one answer's confidence: how rare the least sure ones are as a
+/// rule is only roughly known.
+const MOST_FOR_ANSWER: f64 = 1.8;
 /// The share of failures that is always taken as normal.
 const FAILURE_FLOOR: f64 = 0.01;
 /// Answers that take so many times as long as usual speak for a fault.
@@ -193,7 +196,10 @@
     pub(crate) fn confident(&mut self, now: Duration, seen: &Confidence, count: f64) {
         let at = seen.bucket.index();
         let normal = seen.normal[at].max(0.004);
-        let ratio = |share: f64| (((1.0 - share) * normal + share * seen.bad[at]) / normal).ln();
+        let ratio = |share: f64| {
+            let ratio = (1.0 - share) + share * seen.bad[at] / normal;
+            ratio.ln().min(MOST_FOR_ANSWER)
+        };
         if let Some(it) = self.quarantine {
             if matches!(it.cause, Cause::Ratings | Cause::Confidence) {
                 self.probed(now, -0.5 * ratio(it.share) * count);
--- a/crates/decide/src/planner.rs
+++ b/crates/decide/src/planner.rs
@@ -10,7 +10,10 @@
 /// Places on the scale of quality on which the cheapest plan is remembered.
 const PLACES: usize = 128;
 /// How many standard errors of doubt a plan has to make up for.
-const DOUBT: f64 = 0.4;
+const DOUBT: f64 = 0.2;
+/// The same for plans of several steps: the best of thousands of combinations
+/// is often the one that was overrated most.
+const CHOICE_DOUBT: f64 = 0.45;
 
 /// Two plans and how often each is used, so that the target is met on the
 /// whole and not overshot.
@@ -210,7 +213,7 @@
 
     fn add_if(&mut self, sum: Sum, plan: impl FnOnce() -> Plan) {
         let cost = sum.cost;
-        let quality = sum.quality - DOUBT * sum.variance.sqrt();
+        let quality = sum.quality - CHOICE_DOUBT * sum.variance.sqrt();
         let place = place(quality);
         if self.places[place].is_none_or(|it| cost < it.cost) {
             let plan = plan();
