--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -248,7 +248,10 @@
     while let Some(incoming) = inner.endpoint.accept().await {
         let inner = inner.clone();
         task::spawn(async move {
-            let Ok(connection) = incoming.await else {
+            // A stranger that opens a handshake and stays silent must not hold
+            // its place for longer than a host needs to prove itself.
+            let Ok(Ok(connection)) = timeout(inner.connect_timeout, incoming.into_future()).await
+            else {
                 return inner.inbox.counters.count_rejected(Rejection::Handshake);
             };
             let Some(host) = tls::proven_name(&connection) else {
