Hand what was learned to a host that starts

Change: Decider::digest gives what is remembered as evidence, Event::Digest takes it in a host that has seen little. Classes, versions and blame get files of their own; the scripts' outputs are the same before and after that. Script digest.txt: of the first 300 requests 300 go to the cheap version that suffices, 207 without the digest.

--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -1,6 +1,7 @@
 //! The decider.
 
 mod arrive;
+mod blame;
 mod choose;
 mod configure;
 mod end;
@@ -34,7 +35,7 @@
 use crate::request::{self, Request};
 use crate::sampler::Sampler;
 use crate::samples::Samples;
-use crate::{Action, Policy, Tuning, endpoint, key};
+use crate::{Action, Evidence, Policy, Tuning, endpoint, key};
 
 /// Retries that a host may make before it has seen any traffic.
 const FIRST_RETRIES: f64 = 5.0;
@@ -63,7 +64,7 @@
     samples: Samples,
     outbox: Outbox,
     /// Answers that were cut, until it is known whether their endpoints live on.
-    cuts: VecDeque<learn::Failure>,
+    cuts: VecDeque<blame::Failure>,
     pilots: Vec<Pilot>,
     /// Last resorts that have been told.
     told: BTreeSet<Resort>,
@@ -143,6 +144,13 @@
         self.directory.watched()
     }
 
+    /// What this host has learned, for one that starts to take as
+    /// [`Event::Digest`]. It says nothing of quarantines: those are told by verdicts.
+    #[must_use]
+    pub fn digest(&self) -> Evidence {
+        self.knowledge.digest(&self.policy)
+    }
+
     /// Requests that have arrived and have not ended.
     #[must_use]
     pub fn pending(&self) -> usize {
@@ -168,6 +176,10 @@
             Event::Cancelled { request } => self.cancelled(now, request, actions),
             Event::Rated(rating) => self.rated(now, &rating, actions),
             Event::Evidence(evidence) => self.evidence(now, &evidence, actions),
+            Event::Digest(digest) => {
+                self.knowledge.absorb(&self.policy, &digest);
+                self.plans.invalidate();
+            }
             Event::Verdict { version, verdict } => {
                 self.verdict(now, &version, verdict, actions);
             }
--- a/crates/decide/src/decider/arrive.rs
+++ b/crates/decide/src/decider/arrive.rs
@@ -133,7 +133,8 @@
                 let class = self.knowledge.class(chat.class);
                 let pinned = u32::from(chat.pin.is_some());
                 self.knowledge.arrived(class, chat.prompt_tokens);
-                self.knowledge.turned(now, class, 1 - pinned, pinned);
+                let known = self.knowledge.class_of_mut(class);
+                known.turned(now, 1 - pinned, pinned);
                 self.outbox.arrived(chat.class, pinned);
                 class
             }
--- a/crates/decide/src/decider/choose.rs
+++ b/crates/decide/src/decider/choose.rs
@@ -248,7 +248,7 @@
             customer: request.customer,
             class: request.class,
             steps: if single { 1 } else { STEPS },
-            pinned: knowledge.pinned(now, request.class),
+            pinned: knowledge.class_of(request.class).pinned(now),
         }
     }
 }
--- a/crates/decide/src/decider/evidence.rs
+++ b/crates/decide/src/decider/evidence.rs
@@ -29,7 +29,8 @@
     ) {
         for it in &evidence.turns {
             let class = self.knowledge.class(it.class);
-            self.knowledge.turned(now, class, it.free, it.pinned);
+            let known = self.knowledge.class_of_mut(class);
+            known.turned(now, it.free, it.pinned);
         }
         for item in &evidence.items {
             if let Some(version) = self.policy.version(&item.version) {
--- /dev/null
+++ b/crates/decide/src/digest.rs
@@ -0,0 +1,113 @@
+//! What a host has learned, for one that starts.
+
+use crate::belief::{Belief, Turn};
+use crate::evidence::{BUCKETS, Evidence, Item, Turns};
+use crate::knowledge::{ClassIndex, Kind, Knowledge};
+use crate::number::{float, floor};
+use crate::tally::Bucket;
+use crate::{Policy, key};
+
+/// Answers after which a host trusts what it has seen itself.
+const OWN: u64 = 200;
+/// As how many answers the mean tokens and latency of the past count.
+const WORTH: u32 = 10;
+
+impl Knowledge {
+    /// What is remembered, as the evidence that would teach it.
+    pub(crate) fn digest(&self, policy: &Policy) -> Evidence {
+        let mut evidence = Evidence::default();
+        for (class, key, free, pinned) in self.turns() {
+            evidence.turns.push(Turns {
+                class: key,
+                free: count(free),
+                pinned: count(pinned),
+            });
+            for (at, entry) in policy.versions.iter().enumerate() {
+                let belief = self.belief(key::Version::at(at), class);
+                let item = belief.map(|it| item(it, entry.id.clone(), key));
+                evidence.items.extend(item.filter(|it| !is_empty(it)));
+            }
+        }
+        evidence
+    }
+
+    /// Takes another host's digest, unless this host has learned enough itself:
+    /// what both have seen would count twice.
+    pub(crate) fn absorb(&mut self, policy: &Policy, digest: &Evidence) {
+        if self.changes() >= OWN {
+            return;
+        }
+        for it in &digest.turns {
+            let class = self.class(it.class);
+            self.class_of_mut(class).told(it.free, it.pinned);
+        }
+        for item in &digest.items {
+            if let Some(version) = policy.version(&item.version) {
+                let class = self.class(item.class);
+                self.absorb_item(version, class, item);
+            }
+        }
+    }
+
+    fn absorb_item(&mut self, version: key::Version, class: ClassIndex, item: &Item) {
+        for bucket in Bucket::all() {
+            let at = bucket.index();
+            for (turn, answered, good, bad) in [
+                (Turn::First, item.answered, item.good, item.bad),
+                (
+                    Turn::Later,
+                    item.later_answered,
+                    item.later_good,
+                    item.later_bad,
+                ),
+            ] {
+                let kind = Kind {
+                    version,
+                    class,
+                    turn,
+                };
+                let [answered, good, bad] = [answered, good, bad].map(|it| f64::from(it[at]));
+                self.answered(kind, bucket, answered);
+                self.rated(kind, bucket, good, bad);
+            }
+        }
+        let answers = item.answered.iter().chain(&item.later_answered);
+        let answers = f64::from(answers.sum::<u32>()).max(1.0);
+        for _ in 0..WORTH {
+            let tokens = float(item.completion_tokens) / answers;
+            let seconds = float(item.latency_ms) / 1000.0 / answers;
+            self.measured(version, class, tokens, seconds);
+        }
+    }
+}
+
+fn item(belief: &Belief, version: kernel::VersionId, class: key::Class) -> Item {
+    let (first, later) = (&belief.first.tally, &belief.later.tally);
+    let whole = |it: &[f64; BUCKETS]| it.map(count);
+    let (answered, later_answered) = (whole(&first.answered), whole(&later.answered));
+    let answers = answered.iter().chain(&later_answered).sum::<u32>();
+    let all = |mean: Option<f64>| floor(mean.unwrap_or(0.0) * f64::from(answers));
+    Item {
+        version,
+        class,
+        answered,
+        later_answered,
+        failed: 0,
+        failed_at: [None; 2],
+        good: whole(&first.good),
+        bad: whole(&first.bad),
+        later_good: whole(&later.good),
+        later_bad: whole(&later.bad),
+        completion_tokens: all(belief.completion.value(1)),
+        latency_ms: all(belief.latency.value(1).map(|it| it * 1000.0)),
+    }
+}
+
+fn is_empty(item: &Item) -> bool {
+    let answers = item.answered.iter().chain(&item.later_answered);
+    answers.sum::<u32>() == 0
+}
+
+fn count(value: f64) -> u32 {
+    u32::try_from(floor(value + 0.5)).unwrap_or(u32::MAX)
+}
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -49,6 +49,10 @@
         /// The verdict.
         verdict: Verdict,
     },
+    /// What another host has learned, see [`Decider::digest`](crate::Decider::digest).
+    /// Asked for once, by a host that starts; ignored by one that has learned
+    /// enough itself.
+    Digest(Evidence),
     /// How many entry hosts are live, this one included.
     Hosts {
         /// Their number.
--- a/crates/decide/src/knowledge.rs
+++ b/crates/decide/src/knowledge.rs
@@ -5,34 +5,23 @@
 use kernel::Money;
 
 use crate::belief::{Belief, Turn};
+use crate::class::Class;
 use crate::evidence::BUCKETS;
-use crate::forecast::{Curve, Forecast};
-use crate::meter::{Mean, Meter};
+use crate::forecast::Forecast;
+use crate::meter::Mean;
 use crate::number::{count, float};
 use crate::pilot::Comparison;
-use crate::shape::{Fit, Shape, blend};
+use crate::record::Record;
+use crate::shape::{Fit, Shape};
 use crate::tally::{Bucket, Tally};
 use crate::{Policy, key};
 
 /// Classes that are told apart; further ones count as the first.
 const CLASSES: usize = 32;
-/// How many answers the fitted distribution of confidence is worth.
-const SPREAD_WEIGHT: f64 = 12.0;
 /// How many ratings the general shape of confidence is worth to a version.
 const SHAPE_WEIGHT: f64 = 60.0;
 /// How many ratings the usual shape is worth before any came.
 const GENERAL_WEIGHT: f64 = 30.0;
-/// How many ratings in a bucket the shape's own prediction is worth.
-const CURVE_WEIGHT: f64 = 25.0;
-/// How many ratings the prior for a version is worth.
-const PRIOR_WEIGHT: f64 = 16.0;
-/// How much more often an answer is bad where another's was rejected, before
-/// any answer tells.
-const LATER_ODDS: f64 = 1.8;
-/// How far back a class's spending is looked at.
-const SPENDING_MEMORY: Duration = Duration::from_mins(5);
-/// Requests of a class after which old ones count half.
-const TURN_MEMORY: f64 = 2000.0;
 /// Completion and prompt tokens of a request, before any answer tells.
 const TOKENS: f64 = 256.0;
 
@@ -40,7 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Knowledge {
     classes: Vec<Class>,
-    versions: Vec<Version>,
+    versions: Vec<Record>,
     /// Ratings of all versions together, and the shape that they show.
     all: Tally,
     prior: Shape,
@@ -49,33 +38,6 @@
     changes: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Class {
-    key: key::Class,
-    prompt: Mean,
-    /// When its first request came.
-    since: Option<Duration>,
-    /// Requests without and with a version, as far as they are remembered.
-    free: f64,
-    pinned: f64,
-    completion: Mean,
-    /// Microcents a second.
-    spending: Meter,
-}
-
-#[derive(Clone, Debug)]
-struct Version {
-    /// Where its price stands among all: 0 is the cheapest, 1 the dearest.
-    rank: f64,
-    /// Over all classes and turns.
-    all: Tally,
-    shape: Shape,
-    /// Seconds between two tokens.
-    pace: Mean,
-    overall: Belief,
-    classes: Vec<Belief>,
-}
-
 /// A class's place in the tables.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ClassIndex(pub(crate) usize);
@@ -113,7 +75,7 @@
         let top = count(prices.len().saturating_sub(1)).max(1.0);
         for (version, was) in policy.versions.iter().zip(moved) {
             let known = was.and_then(|it| old.get_mut(it.index())?.take());
-            let mut it = known.unwrap_or_else(|| Version::new(self.general));
+            let mut it = known.unwrap_or_else(|| Record::new(self.general));
             it.rank = count(prices.partition_point(|it| *it < price(version))) / top;
             self.versions.push(it);
         }
@@ -131,15 +93,7 @@
         if self.classes.len() == CLASSES {
             return ClassIndex(0);
         }
-        self.classes.push(Class {
-            key,
-            prompt: Mean::default(),
-            since: None,
-            free: 0.0,
-            pinned: 0.0,
-            completion: Mean::default(),
-            spending: Meter::new(SPENDING_MEMORY),
-        });
+        self.classes.push(Class::new(key));
         ClassIndex(self.classes.len() - 1)
     }
 
@@ -157,32 +111,20 @@
         self.classes[class.0].prompt.add(f64::from(prompt_tokens));
     }
 
-    /// Requests of the class came, here or elsewhere, with and without a version.
-    pub(crate) fn turned(&mut self, now: Duration, class: ClassIndex, free: u32, pinned: u32) {
-        let it = &mut self.classes[class.0];
-        it.since.get_or_insert(now);
-        it.free += f64::from(free);
-        it.pinned += f64::from(pinned);
-        if it.free + it.pinned > TURN_MEMORY {
-            it.free /= 2.0;
-            it.pinned /= 2.0;
-        }
+    /// Each class with its requests without and with a version.
+    pub(crate) fn turns(&self) -> impl Iterator<Item = (ClassIndex, key::Class, f64, f64)> {
+        let classes = self.classes.iter().enumerate();
+        classes.map(|(at, it)| (ClassIndex(at), it.key, it.free, it.pinned))
     }
 
-    /// The share of the class's requests that come in a session with a version.
-    /// A new class is taken for a conversation until its second turns have had
-    /// time to come.
-    pub(crate) fn pinned(&self, now: Duration, class: ClassIndex) -> f64 {
-        const UNKNOWN: f64 = 0.7;
-        const ENOUGH: f64 = 20.0;
-        const LONG: Duration = Duration::from_secs(100);
-        let it = &self.classes[class.0];
-        let seen = it.free + it.pinned;
-        let young = it.since.is_none_or(|it| now.saturating_sub(it) < LONG);
-        if young || seen < ENOUGH {
-            return UNKNOWN;
-        }
-        it.pinned / seen
+    /// What is known of a class.
+    pub(crate) fn class_of(&self, class: ClassIndex) -> &Class {
+        &self.classes[class.0]
+    }
+
+    /// The same, to be told more.
+    pub(crate) fn class_of_mut(&mut self, class: ClassIndex) -> &mut Class {
+        &mut self.classes[class.0]
     }
 
     /// An answer to a request of the class was paid for.
@@ -194,13 +136,8 @@
     /// more where more is spent and where less is known.
     pub(crate) fn value_of_rating(&self, now: Duration, kind: Kind) -> f64 {
         let spending = self.classes[kind.class.0].spending.rate(now);
-        let fit = self.versions.get(kind.version.index()).map(|it| {
-            let belief = it.classes.get(kind.class.0);
-            belief.map_or_else(
-                || it.prior(kind.turn),
-                |belief| belief.view(kind.turn).known(it.prior_in(belief, kind.turn)),
-            )
-        });
+        let it = self.versions.get(kind.version.index());
+        let fit = it.map(|it| it.known(kind));
         let doubt = fit.map_or(0.0, |it| it.variance() / (it.weight + 1.0));
         spending.sqrt() * doubt
     }
@@ -275,19 +212,8 @@
 
     /// How the confidence of such answers spreads over the buckets.
     pub(crate) fn spread(&self, kind: Kind) -> [f64; BUCKETS] {
-        let Some(it) = self.versions.get(kind.version.index()) else {
-            return [0.0; BUCKETS];
-        };
-        let Some(belief) = it.classes.get(kind.class.0) else {
-            return it.shape.spread(it.prior(kind.turn).share);
-        };
-        let view = belief.view(kind.turn);
-        let fit = view.known(it.prior_in(belief, kind.turn));
-        blend(
-            &view.tally.answered,
-            &it.shape.spread(fit.share),
-            SPREAD_WEIGHT,
-        )
+        let it = self.versions.get(kind.version.index());
+        it.map_or([0.0; BUCKETS], |it| it.spread(kind))
     }
 
     /// How the confidence of bad answers spreads over the buckets.
@@ -298,15 +224,11 @@
 
     /// The chance that such an answer is rated bad.
     pub(crate) fn rated_bad(&self, kind: Kind, bucket: Bucket) -> f64 {
-        let Some(it) = self.versions.get(kind.version.index()) else {
-            return 0.5;
-        };
-        let fit = it.classes.get(kind.class.0).map_or_else(
-            || it.prior(kind.turn),
-            |belief| belief.view(kind.turn).known(it.prior_in(belief, kind.turn)),
-        );
-        it.shape
-            .rated_bad(it.shape.chance(fit.share, bucket.index()))
+        let it = self.versions.get(kind.version.index());
+        it.map_or(0.5, |it| {
+            let chance = it.shape.chance(it.known(kind).share, bucket.index());
+            it.shape.rated_bad(chance)
+        })
     }
 
     /// Ratings of the version in the class, of first and later turns.
@@ -365,86 +287,11 @@
         }
     }
 
-    fn belief(&self, version: key::Version, class: ClassIndex) -> Option<&Belief> {
+    pub(crate) fn belief(&self, version: key::Version, class: ClassIndex) -> Option<&Belief> {
         self.versions.get(version.index())?.classes.get(class.0)
     }
 }
 
-impl Version {
-    fn new(shape: Shape) -> Self {
-        Self {
-            rank: 0.0,
-            all: Tally::default(),
-            shape,
-            pace: Mean::default(),
-            overall: Belief::default(),
-            classes: Vec::new(),
-        }
-    }
-
-    fn class_mut(&mut self, class: ClassIndex) -> &mut Belief {
-        if self.classes.len() <= class.0 {
-            self.classes.resize_with(class.0 + 1, Belief::default);
-        }
-        &mut self.classes[class.0]
-    }
-
-    /// What is expected of it before it has been seen: the dearer the better.
-    fn prior(&self, turn: Turn) -> Fit {
-        let first = Fit {
-            share: 0.8 + 0.15 * self.rank,
-            weight: PRIOR_WEIGHT,
-        };
-        match turn {
-            Turn::First => first,
-            Turn::Later => later(first),
-        }
-    }
-
-    /// The same with what its first turns in the class have shown.
-    fn prior_in(&self, belief: &Belief, turn: Turn) -> Fit {
-        let first = self.prior(Turn::First);
-        match turn {
-            Turn::First => first,
-            Turn::Later => later(belief.first.known(first)),
-        }
-    }
-
-    /// What passes each threshold.
-    fn curve(&mut self, class: ClassIndex, turn: Turn) -> Curve {
-        let shape = self.shape;
-        let prior = self.prior_in(&self.classes[class.0], turn);
-        let view = self.classes[class.0].view_mut(turn);
-        let fit = view.fit(&shape, prior);
-        let tally = view.tally;
-        let spread = blend(&tally.answered, &shape.spread(fit.share), SPREAD_WEIGHT);
-        let mut curve = Curve::default();
-        for bucket in Bucket::all().rev() {
-            let at = bucket.index();
-            let (good, bad) = (tally.good[at], tally.bad[at]);
-            let seen = CURVE_WEIGHT * shape.chance(fit.share, at) + shape.truly_good(good, bad);
-            let chance = seen / (CURVE_WEIGHT + good + bad);
-            curve.pass[at] = curve.pass[at + 1] + spread[at];
-            curve.good[at] = curve.good[at + 1] + spread[at] * chance;
-            let pass = curve.pass[at].max(1e-9);
-            let passing = Fit {
-                share: curve.good[at] / pass,
-                weight: fit.weight * pass,
-            };
-            curve.variance[at] = pass * pass * passing.variance();
-        }
-        curve
-    }
-}
-
-/// What is expected where another version's answer was rejected.
-fn later(first: Fit) -> Fit {
-    Fit {
-        share: (1.0 - LATER_ODDS * (1.0 - first.share)).max(0.05),
-        weight: PRIOR_WEIGHT,
-    }
-}
-
 /// Microcents a token.
 fn price(per_million: Money) -> f64 {
     float(per_million.0) / 1e6
--- a/crates/decide/tests/decide/script.rs
+++ b/crates/decide/tests/decide/script.rs
@@ -82,6 +82,14 @@
                 self.pass(Event::Hosts { live: hosts }, out);
             }
             "demand" => self.pass(demand(&words), out),
+            "restart" => {
+                let digest = self.decider.digest();
+                self.decider = Decider::new(8, Tuning::default());
+                self.pass(Event::Configure(Arc::clone(&self.policy)), out);
+                if words[1] == "told" {
+                    self.pass(Event::Digest(digest), out);
+                }
+            }
             "verdict" => {
                 let version = VersionId::from(words[1]);
                 let cause = decide::action::Cause::Errors;
