barleypind: read loads at a pace that does not grow, pass the clock in

Cause: a host read the load of every endpoint four times a second, some 45 KB/s at 24 endpoints by the messages' sizes, where a node may spend 7 KB/s on control. It now reads those that it sends to, one after the other, at most eight a second. The golden sessions run one test a file; the cascade's has its class known for single requests first, which takes a clock that the test can put ahead.

--- a/crates/barleypind/src/daemon.rs
+++ b/crates/barleypind/src/daemon.rs
@@ -8,7 +8,7 @@
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use http::{Options, Server};
-use kernel::{Clock, Incarnation, SystemClock};
+use kernel::{Clock, Incarnation};
 use link::Link;
 use platform::{Circuit, HostList, Ratings, Service, Table};
 use wire::{Identity, Member, State};
@@ -42,8 +42,11 @@
     ///
     /// # Errors
     /// [`Error`] when a key file can't be used or an address can't be listened on.
-    pub async fn start(settings: Settings, log: Log) -> Result<Self, Report<Error>> {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    pub async fn start(
+        settings: Settings,
+        log: Log,
+        clock: Arc<dyn Clock>,
+    ) -> Result<Self, Report<Error>> {
         let secrets = Secrets::read(&settings.keys)?;
         let incarnation = renew::incarnation(clock.wall(), Incarnation(0));
         let link_settings = link::Settings::new(settings.listen.fleet, secrets.fleet.clone());
--- a/crates/barleypind/src/main.rs
+++ b/crates/barleypind/src/main.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use async_signal::{Signal, Signals};
 use barleypind::log::Log;
@@ -11,6 +12,7 @@
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use futures::StreamExt;
+use kernel::SystemClock;
 
 /// Settings or keys can't be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -69,7 +71,7 @@
     let settings = read(path)?;
     let log = Log::to_stderr(settings.log);
     let mut signals = Signals::new([Signal::Term, Signal::Int]).change_context(Error::Signals)?;
-    let daemon = Daemon::start(settings, log).await?;
+    let daemon = Daemon::start(settings, log, Arc::new(SystemClock::new())).await?;
     let drain = async {
         while signals.next().await.is_some() {
             daemon.drain();
--- a/crates/barleypind/src/service/decide.rs
+++ b/crates/barleypind/src/service/decide.rs
@@ -166,6 +166,12 @@
         });
     }
 
+    /// The endpoints that the decider sends to, whose load it has to know.
+    pub(crate) fn watched(&self) -> Vec<endpoint::Id> {
+        let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+        core.decider.watched()
+    }
+
     /// Passes in any other event.
     pub(crate) fn handle(&self, event: Event) {
         self.with(|core, now| core.decider.handle(now, event, &mut core.actions));
--- a/crates/barleypind/src/service/endpoints.rs
+++ b/crates/barleypind/src/service/endpoints.rs
@@ -20,6 +20,9 @@
 
 /// Load reports that are asked for at the same time.
 const POLLS_AT_ONCE: usize = 16;
+/// The least time between two requests for a report. A request and its answer
+/// take some 500 bytes, and a node may spend 7 KB a second on all of control.
+const REPORT_PACE: Duration = Duration::from_millis(125);
 /// A report is small; an endpoint that takes longer is busy or gone.
 const REPORT_TIME: Duration = Duration::from_millis(800);
 /// Reports missed in a row after which an endpoint gets no new work.
@@ -185,6 +188,16 @@
         }
     }
 
+    /// The endpoints whose load this host has to know: those that it sends to,
+    /// and those that it gave up and has to find again.
+    fn watched(&self) -> Vec<Endpoint> {
+        let ids = self.decide.watched();
+        let known = self.read();
+        let sent_to = ids.iter().filter_map(|id| known.get(id));
+        let given_up = known.values().filter(|it| it.state == State::Gone);
+        sent_to.chain(given_up).cloned().collect()
+    }
+
     async fn report(&self, endpoint: Endpoint) {
         let options = http::Options {
             connect: REPORT_TIME,
@@ -359,10 +372,21 @@
     }
 }
 
-/// Asks the endpoints for their load for ever.
+/// Asks the watched endpoints for their load for ever, one after the other, so
+/// that what it costs stays the same however many there are.
 pub(crate) async fn watch_load(host: Arc<Host>, endpoints: Arc<Endpoints>) {
     loop {
-        endpoints.poll().await;
-        task::sleep(host.settings.decide.load_poll).await;
+        let watched = endpoints.watched();
+        let watched_none = watched.is_empty();
+        let count = u32::try_from(watched.len().max(1)).unwrap_or(u32::MAX);
+        let pace = (host.settings.decide.load_poll / count).max(REPORT_PACE);
+        for endpoint in watched {
+            let endpoints = Arc::clone(&endpoints);
+            task::spawn(async move { endpoints.report(endpoint).await });
+            task::sleep(pace).await;
+        }
+        if watched_none {
+            task::sleep(pace).await;
+        }
     }
 }
--- a/crates/barleypind/tests/golden/call.rs
+++ b/crates/barleypind/tests/golden/call.rs
@@ -9,10 +9,35 @@
 use crate::mask::mask;
 use crate::site::{Site, argument, host, key_of, operator, text};
 
+/// Calls that are made at most to see one that escalates.
+const CALLS: usize = 200;
+
 /// A caller's call: `call [host=N] [key=customer] [save=name]`, with the request
 /// as its input. `save` keeps the answer's session token or ticket under a
 /// name, which later calls write as `$name`.
+///
+/// With `times=N` it is made so often, and the answers aren't shown.
+/// With `escalated` the call is made again until an answer took a second
+/// attempt: whether the cheap version goes first is drawn for each request.
 pub(crate) async fn caller(site: &mut Site, case: &TestCase) -> String {
+    let escalated = case.args.contains_key("escalated");
+    if let Some(times) = argument::<usize>(case, "times") {
+        for _ in 0..times {
+            call(site, case).await;
+        }
+        return format!("{times} calls\n");
+    }
+    for _ in 0..CALLS {
+        let shown = call(site, case).await;
+        let second = shown.contains("attempts: 2") || shown.contains("\"attempts\":2");
+        if second || !escalated {
+            return shown;
+        }
+    }
+    format!("not one of {CALLS} calls took a second attempt\n")
+}
+
+async fn call(site: &mut Site, case: &TestCase) -> String {
     let mut request = parse(site, &case.input);
     let customer = argument(case, "key").unwrap_or_else(|| "portal".to_owned());
     if customer != "none" {
--- a/crates/barleypind/tests/golden/main.rs
+++ b/crates/barleypind/tests/golden/main.rs
@@ -5,6 +5,7 @@
 //! (names of requests, tokens, ports, times) is replaced by words.
 
 mod call;
+mod clock;
 mod mask;
 mod site;
 
@@ -12,9 +13,8 @@
 use datadriven::{TestCase, walk};
 use site::Site;
 
-#[test]
-fn sessions() {
-    walk("tests/sessions", |file| {
+fn check(session: &str) {
+    walk(&format!("tests/sessions/{session}"), |file| {
         let mut site: Option<Site> = None;
         file.run(|case| {
             if case.directive == "site" {
@@ -30,11 +30,46 @@
     });
 }
 
+macro_rules! sessions {
+    ($($name:ident)*) => {
+        $(
+            #[test]
+            fn $name() {
+                check(stringify!($name));
+            }
+        )*
+
+        /// A session that no test names would never run.
+        #[test]
+        fn every_session_is_named() {
+            let named = [$(stringify!($name)),*];
+            for entry in std::fs::read_dir("tests/sessions").unwrap() {
+                let file = entry.unwrap().file_name().into_string().unwrap();
+                assert!(named.contains(&&*file), "{file} is not listed");
+            }
+        }
+    };
+}
+
+sessions! {
+    cascade
+    catalogue
+    chat
+    forwarded
+    hold
+    operators
+    orders
+    rate
+    refusals
+    withdrawal
+}
+
 async fn run(site: &mut Site, case: &TestCase) -> String {
     match case.directive.as_str() {
         "call" => call::caller(site, case).await,
         "operate" => call::operator_call(site, case).await,
         "stand-in" => call::stand_in(site, case).await,
+        "advance" => site.advance(case).await,
         "until" => call::until(site, case).await,
         "executions" => call::executions(site, case).await,
         "drain" => site.drain(case).await,
--- a/crates/barleypind/tests/golden/site.rs
+++ b/crates/barleypind/tests/golden/site.rs
@@ -13,11 +13,12 @@
 use datadriven::TestCase;
 use fakes::Started;
 use http::{Client, Method, Options, Pool, Request, Response};
-use kernel::SystemClock;
 use link::keys::Authority;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use crate::clock::Shifted;
+
 /// The bound of every wait; nothing here takes a tenth of it.
 const WAIT: Duration = Duration::from_secs(20);
 const PAUSE: Duration = Duration::from_millis(5);
@@ -28,6 +29,7 @@
     pub(crate) daemons: Vec<Daemon>,
     pub(crate) saved: BTreeMap<String, String>,
     pub(crate) addresses: BTreeMap<String, SocketAddr>,
+    clock: Arc<Shifted>,
     client: Client,
     _started: Started,
     dir: TempDir,
@@ -38,7 +40,7 @@
 impl Site {
     pub(crate) async fn start(case: &TestCase) -> Self {
         let hosts = argument(case, "hosts").unwrap_or(1);
-        let clock = Arc::new(SystemClock::new());
+        let clock = Arc::new(Shifted::default());
         let settings = fakes::Settings::parse(&format!("{PLATFORM}\n{}", case.input)).unwrap();
         let endpoints = settings.engine.len() + settings.service.len();
         let started = Started::start(clock.clone(), settings).await.unwrap();
@@ -53,7 +55,8 @@
             daemons: Vec::new(),
             saved: BTreeMap::new(),
             addresses,
-            client: Client::new(clock, Pool::default()),
+            client: Client::new(clock.clone(), Pool::default()),
+            clock,
             _started: started,
             dir,
             explore: argument(case, "explore").unwrap_or(0.0),
@@ -61,7 +64,9 @@
         for at in 0..hosts {
             let name = format!("entry-{}", at + 1);
             let settings = site.settings(&authority, &name);
-            let daemon = Daemon::start(settings, Log::discard()).await.unwrap();
+            let daemon = Daemon::start(settings, Log::discard(), site.clock.clone())
+                .await
+                .unwrap();
             site.register(&name, &daemon).await;
             site.daemons.push(daemon);
         }
@@ -109,6 +114,23 @@
         "in force\n".to_owned()
     }
 
+    /// Puts the clock of all hosts ahead by the case's seconds, and waits until
+    /// each has a proof again that its configuration is the newest.
+    pub(crate) async fn advance(&self, case: &TestCase) -> String {
+        let seconds = argument(case, "seconds").expect("seconds");
+        self.clock.advance(Duration::from_secs(seconds));
+        for daemon in &self.daemons {
+            self.until("a fresh proof", async |site| {
+                let request = operator(Request::get("/operator/v1/status"));
+                let res = site.send(daemon.operators(), request).await;
+                let status: Value = serde_json::from_str(&text(res).await).unwrap();
+                status["host"]["proof_age_ms"].as_u64() < Some(5_000)
+            })
+            .await;
+        }
+        "fresh\n".to_owned()
+    }
+
     pub(crate) async fn stop(&self) {
         for daemon in &self.daemons {
             daemon.drain();
