Refuse a repeat at the door without claiming that nothing ran

Cause: a full host, a host without configuration, a right that was taken away refuse before the ledger is asked, and said not_run also of a key under which an earlier arrival ran or is running. Change: such a refusal says unknown when the call has a key. A body over the limit still says not_run: whatever ran under the key, it wasn't this body.

--- a/crates/barleypind/src/call.rs
+++ b/crates/barleypind/src/call.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use gate::call::Headers;
-use gate::problem::{Problem, Reason};
+use gate::problem::{Problem, Reason, Run};
 use gate::ticket::Ticket;
 use kernel::{Customer, RequestId};
 use ledger::Serial;
@@ -46,7 +46,22 @@
         }))
     }
 
+    /// A refusal before the ledger was asked about the call.
     fn refuse(&self, reason: Reason, detail: impl Into<String>) -> Problem {
-        Problem::not_run(reason, detail).of_request(self.request.as_str())
+        let run = unasked(self.headers.key.as_deref());
+        Problem::new(reason, run, detail).of_request(self.request.as_str())
+    }
+}
+
+/// What a refusal may say of a call that the ledger wasn't asked about.
+///
+/// Failure: a hold runs, its caller asks again under the same key, and the
+/// repeat is turned away at the door, by a full host for instance. It shows as
+/// `not_run` beside an execution. The guard: only a call without a key has no
+/// other arrival that may have run.
+pub(crate) fn unasked(key: Option<&str>) -> Run {
+    match key {
+        Some(_) => Run::Unknown,
+        None => Run::NotRun,
     }
 }
--- a/crates/barleypind/src/call/start.rs
+++ b/crates/barleypind/src/call/start.rs
@@ -183,10 +183,12 @@
 async fn read_body(host: &Host, call: &Call, body: Body) -> Result<Vec<u8>, Problem> {
     let limit = host.settings.limits.max_body_bytes;
     body.collect(limit).await.map_err(|err| match err {
-        http::Error::TooLarge { limit } => call.refuse(
+        // Whatever ran under the call's key, it wasn't this body.
+        http::Error::TooLarge { limit } => Problem::not_run(
             Reason::TooLarge,
             format!("body: more than the {limit} bytes that are accepted"),
-        ),
+        )
+        .of_request(call.request.as_str()),
         err => call.refuse(Reason::BadRequest, format!("body: {err}")),
     })
 }
--- a/crates/barleypind/src/gate.rs
+++ b/crates/barleypind/src/gate.rs
@@ -11,7 +11,7 @@
 use http::{Method, Request, Response, Status};
 use kernel::{DataCentre, ServiceName};
 
-use crate::call::Call;
+use crate::call::{Call, unasked};
 use crate::context::Context;
 use crate::event::Event;
 use crate::gauges;
@@ -87,8 +87,9 @@
     let customer = authenticate(cx, request)?;
     let headers = Headers::parse(|name| request.headers.get(name))?;
     let Some(open) = cx.host.open_call() else {
-        return Err(Problem::not_run(
+        return Err(Problem::new(
             Reason::Overloaded,
+            unasked(headers.key.as_deref()),
             "this host has its greatest number of calls open; use another one",
         ));
     };
@@ -105,9 +106,11 @@
 
 fn authenticate(cx: &Context, request: &Request) -> Result<kernel::Customer, Problem> {
     let key = call::bearer(request.headers.get("authorization"))?;
+    let run = unasked(request.headers.get(call::IDEMPOTENCY_KEY));
     if cx.host.phase() == Phase::Starting {
-        return Err(Problem::not_run(
+        return Err(Problem::new(
             Reason::NotReady,
+            run,
             "this host has no configuration yet; use another one",
         ));
     }
@@ -116,8 +119,9 @@
         cx.host
             .log
             .emit(Event::BadKey, &[("path", &request.path())]);
-        Problem::not_run(
+        Problem::new(
             Reason::Unauthorized,
+            run,
             "authorization: the key belongs to no customer",
         )
     })
