wire: take out the frames that nobody speaks

Cause: holds, releases, questions, answers and forwards had frames of their own, but the ledger sends its own messages as a payload and calls are forwarded over HTTP, so seven frames of the closed set and a general refusal had no speaker.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -225,17 +225,8 @@
             Frame::Document(document) => self.fetched(cx, document),
             Frame::Evidence(evidence) => self.pool(cx, evidence),
             Frame::Drain(identity) => self.order_drain(cx, identity),
-            Frame::Hold(_)
-            | Frame::Held(_)
-            | Frame::Release(_)
-            | Frame::Question(_)
-            | Frame::Answer(_)
-            | Frame::Forward(_)
-            | Frame::Forwarded(_)
-            | Frame::Done
-            | Frame::Refused
-            | Frame::Ledger(_)
-            | Frame::Decide(_) => {}
+            // These are for others, who take them from the link.
+            Frame::Done | Frame::Ledger(_) | Frame::Decide(_) => {}
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,8 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Ack, Answer, Bulletin, Digest, Document, Evidence, Fetch, Forward, Forwarded, Hold, Identity,
-    Payload, Probe, ProbeRequest, Question, Release,
+    Ack, Bulletin, Digest, Document, Evidence, Fetch, Identity, Payload, Probe, ProbeRequest,
 };
 
 /// One message between two hosts.
@@ -29,31 +28,12 @@
     Document(Document),
     /// Counts to be pooled.
     Evidence(Evidence),
-    /// Copies of billing records.
-    Hold(Hold),
-    /// The partner holds the copies.
-    #[from(skip)]
-    Held(Release),
-    /// The table has the records.
-    #[from(skip)]
-    Release(Release),
-    /// Asks what became of a request.
-    Question(Question),
-    /// What became of a request.
-    Answer(Answer),
-    /// Asks a request's home to run it.
-    Forward(Forward),
-    /// The home's answer to a forwarded request.
-    Forwarded(Forwarded),
     /// Orders this incarnation to drain.
     #[from(skip)]
     Drain(Identity),
     /// Answers a frame that needs no other answer.
     #[from(skip)]
     Done,
-    /// Answers a question that the receiver can't answer.
-    #[from(skip)]
-    Refused,
     /// A message between the ledgers of two hosts, in the ledger's form.
     #[from(skip)]
     Ledger(Payload),
@@ -75,16 +55,8 @@
             Self::Fetch(_) => "fetch",
             Self::Document(_) => "document",
             Self::Evidence(_) => "evidence",
-            Self::Hold(_) => "hold",
-            Self::Held(_) => "held",
-            Self::Release(_) => "release",
-            Self::Question(_) => "question",
-            Self::Answer(_) => "answer",
-            Self::Forward(_) => "forward",
-            Self::Forwarded(_) => "forwarded",
             Self::Drain(_) => "drain",
             Self::Done => "done",
-            Self::Refused => "refused",
             Self::Ledger(_) => "ledger",
             Self::Decide(_) => "decide",
         }
