xtask: let the demo's hosts learn and fence within the demo only

Cause: by default a tenth of the answers is rated and a host that is gone is fenced after 30 s; in a demo of 20 s the decisions see hardly a rating, and the load chore should keep the defaults. Change: a site takes own sections of settings; the demo rates half of the answers and fences after 2 s, the load chore has the defaults.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -71,6 +71,7 @@
     let length = Duration::from_secs(value(matches, "seconds"));
     let rate = f64::from(value::<u32>(matches, "rate"));
     let mut site = Site::start(binaries, &organisations::stand_ins(seed))?;
+    site.settings = organisations::settings();
     for (name, data_centre) in organisations::HOSTS {
         site.add(name, data_centre).await?;
     }
--- a/xtask/src/demo/organisations.rs
+++ b/xtask/src/demo/organisations.rs
@@ -8,6 +8,7 @@
     EngineSettings, HostsSettings, PlainSettings, RatingSettings, Settings, StoreSettings, Truth,
 };
 use serde_json::{Value, json};
+use toml::{Table, toml};
 
 use crate::error::Error;
 use crate::reconcile::Allowed;
@@ -56,6 +57,17 @@
     format!("key-of-{customer}")
 }
 
+/// What takes minutes by default has to happen within the demo: half of the
+/// answers are rated, and a host that is gone is fenced soon.
+pub(crate) fn settings() -> Table {
+    toml! {
+        [decide]
+        rating_share = 0.5
+        [ledger]
+        fence_after_ms = 2000
+    }
+}
+
 /// The stand-ins of all data centres.
 pub(crate) fn stand_ins(seed: u64) -> Settings {
     let store = |name: &str| StoreSettings {
--- a/xtask/src/site.rs
+++ b/xtask/src/site.rs
@@ -19,6 +19,7 @@
 use http::{Client, Options, Pool, Request};
 use kernel::{Clock, SystemClock};
 use tempfile::TempDir;
+use toml::Table;
 
 use crate::error::Error;
 use crate::site::certificates::Authority;
@@ -43,6 +44,9 @@
     pub stand_ins: StandIns,
     /// The entry hosts, in the order in which they were started.
     pub entries: Vec<Entry>,
+    /// Sections of the settings that the hosts started from now on have in place
+    /// of the usual ones.
+    pub settings: Table,
     binaries: Binaries,
     authority: Authority,
     operator_key: String,
@@ -76,6 +80,7 @@
             client,
             stand_ins,
             entries: Vec::new(),
+            settings: Table::new(),
             binaries,
             authority,
             operator_key,
--- a/xtask/src/site/entry.rs
+++ b/xtask/src/site/entry.rs
@@ -33,6 +33,7 @@
         let (callers, operators, fleet) = (free_tcp()?, free_tcp()?, free_udp()?);
         site.authority.issue(dir, name)?;
         let mut settings = settings(site, name);
+        settings.extend(site.settings.clone());
         insert(&mut settings, "host", "name", name);
         insert(&mut settings, "host", "data_centre", data_centre);
         insert(&mut settings, "listen", "callers", &callers.to_string());
@@ -84,8 +85,6 @@
         format = "text"
         [limits]
         hosts_keep_ms = 1000
-        [ledger]
-        fence_after_ms = 2000
         [freshness]
         bound_ms = 3000
         poll_ms = 200
