Let a host take no more of an endpoint's free slots than its part

Cause: between two load reports each host filled what all saw free, so endpoints refused, budgets of retries ran out and everybody was refused beside a flood. Change: between two reports a host adds at most twice an even share of what was free; the expected wait counts on an even share of the slots.

--- a/crates/decide/src/decider/wait.rs
+++ b/crates/decide/src/decider/wait.rs
@@ -28,8 +28,9 @@
             return Err(Refused::new(Reason::NoEndpoint, None));
         };
         let weight = self.weight(request.customer);
-        let in_flight = self.directory.in_flight(next.target);
-        let wait = pool.wait(now, request.customer, request.priority, weight, in_flight);
+        let running = f64::from(self.directory.in_flight(next.target));
+        let running = running.max(self.directory.slot_share(next.target));
+        let wait = pool.wait(now, request.customer, request.priority, weight, running);
         let own = pool.queue.own(request.customer, request.priority);
         if own >= self.queue_share(weight) || pool.queue.len() >= 2 * self.tuning.queue {
             return Err(Refused::new(Reason::Overloaded, Some(wait)));
--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -200,6 +200,13 @@
         near.map(|it| self.replicas[it.key].in_flight()).sum()
     }
 
+    /// This host's even share of the slots at the endpoints of `target`.
+    pub(crate) fn slot_share(&self, target: Target) -> f64 {
+        let near = self.candidates(target).iter().take(SUBSET);
+        let slots: u32 = near.map(|it| self.replicas[it.key].slots()).sum();
+        f64::from(slots) / f64::from(self.live)
+    }
+
     /// Chooses an endpoint with room: the one with the prefix cached unless it
     /// is rather full, else the less full of two random ones, nearer ones first.
     pub(crate) fn choose(&self, now: Duration, want: &Want, random: &mut Pcg64Mcg) -> Option<Key> {
--- a/crates/decide/src/pool.rs
+++ b/crates/decide/src/pool.rs
@@ -58,22 +58,22 @@
         Some(Duration::from_secs_f64(high.max(0.01)))
     }
 
-    /// How long a new request of this customer would wait, when `in_flight` of
-    /// this host's requests run there now.
+    /// How long a new request of this customer would wait, when `running` of
+    /// this host's requests can run there at once.
     pub(crate) fn wait(
         &self,
         now: Duration,
         customer: key::Customer,
         priority: Priority,
         weight: f64,
-        in_flight: u32,
+        running: f64,
     ) -> Duration {
         const LONGEST: f64 = 600.0;
         let ahead = self.queue.ahead(customer, priority, weight) + 1.0;
         let seconds = self.seconds().max(0.001);
-        // By Little's law, what runs here leaves at this rate.
-        let running = f64::from(in_flight) / seconds;
-        let rate = running.max(self.departures.rate(now)).max(0.2 / seconds);
+        // By Little's law, what runs there leaves at this rate.
+        let rate = running / seconds;
+        let rate = rate.max(self.departures.rate(now)).max(0.2 / seconds);
         Duration::from_secs_f64((ahead / rate).min(LONGEST))
     }
 }
--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -40,6 +40,9 @@
     load: Option<Load>,
     /// When the newest report was made.
     reported: Duration,
+    /// Twice an even share of what was free at the newest report: between two
+    /// reports a host takes no more, or all hosts would fill it at once.
+    free_share: f64,
     in_flight: u32,
     /// Own work that the newest report already counts.
     in_flight_at_report: u32,
@@ -64,6 +67,7 @@
             since: now,
             load: None,
             reported: Duration::ZERO,
+            free_share: f64::from(UNREPORTED_SLOTS),
             in_flight: 0,
             in_flight_at_report: 0,
             window: f64::from(UNREPORTED_SLOTS),
@@ -86,6 +90,8 @@
             let most = f64::from(load.slots) * Self::most(Priority::Urgent);
             self.window = (2.0 * most / f64::from(live)).clamp(2.0, most.max(2.0));
         }
+        let free = f64::from(load.slots.saturating_sub(load.running + load.waiting));
+        self.free_share = (2.0 * free / f64::from(live)).max(1.0);
         self.load = Some(load);
         self.reported = now.saturating_sub(load.age);
         self.in_flight_at_report = self.in_flight;
@@ -96,6 +102,10 @@
         if now < self.paused_until || f64::from(self.in_flight) >= self.window {
             return false;
         }
+        let new = self.in_flight.saturating_sub(self.in_flight_at_report);
+        if f64::from(new) >= self.free_share * Self::most(priority) {
+            return false;
+        }
         let limit = f64::from(self.slots()) * Self::most(priority);
         let started = self.ramp(now) * limit;
         f64::from(self.busy()) < limit && f64::from(self.in_flight) < started.max(1.0)
@@ -131,7 +141,6 @@
     /// An attempt is over, in whatever way.
     pub(crate) fn freed(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.in_flight_at_report = self.in_flight_at_report.min(self.in_flight);
     }
 
     pub(crate) fn succeeded(&mut self) {
@@ -169,7 +178,7 @@
         (reported + since).saturating_sub(ended).max(self.in_flight)
     }
 
-    fn slots(&self) -> u32 {
+    pub(crate) fn slots(&self) -> u32 {
         self.load.map_or(UNREPORTED_SLOTS, |it| it.slots)
     }
 
