--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -3,7 +3,7 @@
 //! host killed.
 
 mod driver;
-mod organisations;
+pub(crate) mod organisations;
 mod report;
 mod script;
 
--- a/xtask/src/demo/organisations.rs
+++ b/xtask/src/demo/organisations.rs
@@ -27,7 +27,9 @@
 /// The version that turns bad and is withdrawn.
 pub(crate) const BAD: &str = "mid@1";
 
-const CUSTOMERS: [&str; 4] = ["kivuli-bench", "studio-baobab", "sal-visitors", "sal-gates"];
+/// The customers, the first one of Kivuli's bench.
+pub(crate) const CUSTOMERS: [&str; 4] =
+    ["kivuli-bench", "studio-baobab", "sal-visitors", "sal-gates"];
 
 /// A version: name, price of a prompt token in microcents, words of an answer,
 /// microseconds a token, and how good it is at tags, chats and dossiers.
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod load;
 pub mod reconcile;
 pub mod site;
+pub mod try_out;
 pub mod workload;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,12 +5,13 @@
 use clap::Command;
 use error_stack::Report;
 use xtask::error::Error;
-use xtask::{capacity, demo, experiment, load};
+use xtask::{capacity, demo, experiment, load, try_out};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let done = match matches.subcommand() {
         Some(("demo", matches)) => demo::run(matches),
+        Some(("site", matches)) => try_out::run(matches),
         Some(("capacity", matches)) => capacity::run(matches),
         Some(("load", matches)) => load::run(matches),
         Some(("experiment", matches)) => experiment::run(matches),
@@ -28,6 +29,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo::command())
+        .subcommand(try_out::command())
         .subcommand(capacity::command())
         .subcommand(load::command())
         .subcommand(experiment::command())
--- a/xtask/src/site.rs
+++ b/xtask/src/site.rs
@@ -134,6 +134,12 @@
         self.entries.iter().map(|it| it.callers).collect()
     }
 
+    /// The file that holds the operators' key.
+    #[must_use]
+    pub fn operator_key_file(&self) -> PathBuf {
+        self.dir.path().join("operator.key")
+    }
+
     /// The end of a host's log, for people.
     #[must_use]
     pub fn log(&self, name: &str, lines: usize) -> String {
--- /dev/null
+++ b/xtask/src/try_out.rs
@@ -0,0 +1,66 @@
+//! `cargo xtask site`: the demo's stand-ins and hosts, configured and idle, for
+//! trying the tools by hand.
+
+use std::io;
+use std::process::ExitCode;
+
+use async_std::task;
+use clap::{ArgMatches, Command};
+use error_stack::{Report, ResultExt};
+
+use crate::demo::organisations;
+use crate::error::Error;
+use crate::site::{Binaries, Profile, Site};
+
+/// The sub-command.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("site")
+        .about("Starts the demo's stand-ins and hosts and keeps them until Enter is pressed")
+}
+
+/// Keeps a site until a line or the end comes on the standard input.
+///
+/// # Errors
+/// When the site can't be brought up.
+pub fn run(_matches: &ArgMatches) -> Result<ExitCode, Report<Error>> {
+    let binaries = Binaries::build(Profile::Dev)?;
+    let site = task::block_on(start(binaries))?;
+    print(&site);
+    io::stdin()
+        .read_line(&mut String::new())
+        .change_context(Error::Site)?;
+    drop(site);
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn start(binaries: Binaries) -> Result<Site, Report<Error>> {
+    let mut site = Site::start(binaries, &organisations::stand_ins(1))?;
+    for (name, data_centre) in organisations::HOSTS {
+        site.add(name, data_centre).await?;
+    }
+    site.alive().await?;
+    organisations::configure(&site.operator()).await?;
+    site.ready().await?;
+    Ok(site)
+}
+
+fn print(site: &Site) {
+    let hosts = site
+        .entries
+        .iter()
+        .map(|it| format!("--host {}", it.operators));
+    let hosts = hosts.collect::<Vec<_>>().join(" ");
+    println!(
+        "Operators, in another terminal:\n\n  alias barleyctl='cargo run -q -p barleyctl -- {hosts} --key-file {}'\n",
+        site.operator_key_file().display()
+    );
+    if let Some(host) = site.entries.first() {
+        println!(
+            "Callers, at any of the hosts:\n\n  curl http://{}/v1/chat/completions -H 'authorization: Bearer {}' \\\n    -d '{{\"model\": \"kivuli-era\", \"messages\": [{{\"role\": \"user\", \"content\": \"A tram with a horse. Which era?\"}}]}}'\n",
+            host.callers,
+            organisations::key(organisations::CUSTOMERS[0])
+        );
+    }
+    println!("Enter ends it all.");
+}
