Estimate wrong ratings once for all; learn nothing from probes

Cause: the share of wrong ratings was estimated anew for each version and drifted to 0.10 where it is 0.07; and a quarantined version's probes taught that bad is usual, so a version with a fifth of its answers bad came back (script health.txt: 1,733 of 2,000 answers good after that). Change: one share of wrong ratings from all ratings; what a quarantined version does isn't learned; 0.35 standard errors of doubt for single versions and 0.6 for cascades. Script: it stays out, 1,878 of 2,000 good.

--- a/crates/decide/src/decider/learn.rs
+++ b/crates/decide/src/decider/learn.rs
@@ -261,7 +261,9 @@
             };
             self.judge(now, version, actions, |it| it.confident(now, &seen, count));
         }
-        self.knowledge.answered(kind, sample.bucket, count);
+        if self.is_usual(version) {
+            self.knowledge.answered(kind, sample.bucket, count);
+        }
     }
 
     pub(super) fn learn_rating(
@@ -288,7 +290,15 @@
             class,
             turn: sample.turn,
         };
-        self.knowledge.rated(kind, sample.bucket, good, bad);
+        if self.is_usual(version) {
+            self.knowledge.rated(kind, sample.bucket, good, bad);
+        }
+    }
+
+    /// Whether what the version does is to be learned as usual. Probes of a
+    /// quarantined one are not: it would come back once it is known to be bad.
+    fn is_usual(&self, version: key::Version) -> bool {
+        !self.health.is_quarantined(version)
     }
 
     /// Those answers whose past tells what is usual: of the version itself, or
--- a/crates/decide/src/knowledge.rs
+++ b/crates/decide/src/knowledge.rs
@@ -172,7 +172,8 @@
     pub(crate) fn rated(&mut self, kind: Kind, bucket: Bucket, good: f64, bad: f64) {
         self.changes += 1;
         self.all.rated(bucket, good, bad);
-        self.general = self.prior.learned(&self.all, GENERAL_WEIGHT);
+        let prior = self.prior.denoised(&self.all);
+        self.general = prior.learned(&self.all, GENERAL_WEIGHT);
         if let Some(it) = self.versions.get_mut(kind.version.index()) {
             it.all.rated(bucket, good, bad);
             it.shape = self.general.learned(&it.all, SHAPE_WEIGHT);
--- a/crates/decide/src/planner.rs
+++ b/crates/decide/src/planner.rs
@@ -10,10 +10,10 @@
 /// Places on the scale of quality on which the cheapest plan is remembered.
 const PLACES: usize = 128;
 /// How many standard errors of doubt a plan has to make up for.
-const DOUBT: f64 = 0.2;
+const DOUBT: f64 = 0.35;
 /// The same for plans of several steps: the best of thousands of combinations
 /// is often the one that was overrated most.
-const CHOICE_DOUBT: f64 = 0.45;
+const CHOICE_DOUBT: f64 = 0.6;
 
 /// Two plans and how often each is used, so that the target is met on the
 /// whole and not overshot.
--- a/crates/decide/src/shape.rs
+++ b/crates/decide/src/shape.rs
@@ -59,9 +59,9 @@
 
     /// The shape that ratings show, with this one worth `weight` ratings.
     pub(crate) fn learned(&self, tally: &Tally, weight: f64) -> Self {
-        let noise = self.noise_in(tally);
+        let noise = self.noise;
         let clear = 1.0 - 2.0 * noise;
-        let mut it = Self { noise, ..*self };
+        let mut it = *self;
         let truly = |seen: &[f64; BUCKETS], other: &[f64; BUCKETS]| {
             let of = |at: usize| ((1.0 - noise) * seen[at] - noise * other[at]).max(0.0) / clear;
             std::array::from_fn::<f64, BUCKETS, _>(of)
@@ -72,6 +72,14 @@
         it
     }
 
+    /// The same with the share of wrong ratings that the tally shows.
+    pub(crate) fn denoised(&self, tally: &Tally) -> Self {
+        Self {
+            noise: self.noise_in(tally),
+            ..*self
+        }
+    }
+
     /// The share of wrong ratings: the surest answers are nearly all good, so
     /// the bad ratings among them are mostly wrong.
     fn noise_in(&self, tally: &Tally) -> f64 {
