xtask: let the demo's conversations go on over the withdrawal

Cause: all turns of a conversation came within half a second, so that the withdrawal met none between two turns. Change: 1.5 s pass between an answer and the next message.

--- a/xtask/src/demo/driver.rs
+++ b/xtask/src/demo/driver.rs
@@ -13,6 +13,10 @@
 use crate::site::Site;
 use crate::workload::{Item, Plan, prompt};
 
+/// How long a person reads an answer before the next message, so that
+/// conversations go on over the changes that the script makes.
+const THINKING: Duration = Duration::from_millis(1500);
+
 type Callers = BTreeMap<(&'static str, usize), Arc<Caller>>;
 
 /// Starts all items, each at its time; gives their calls when all have ended.
@@ -61,6 +65,9 @@
     let mut messages = Vec::new();
     let mut session = None;
     for turn in 0..item.kind.turns() {
+        if turn > 0 {
+            task::sleep(THINKING).await;
+        }
         messages.push(("user", prompt(item, turn)));
         let ask = Ask {
             name: item.call(turn),
