barleypind: hand what was learned to a host that starts

A host that becomes ready asks the oldest live host near it for what the deciders there have learned, until one answers; it takes one answer only. The fleet service's file is split into configuration and learned.

--- a/crates/barleypind/src/service/decide.rs
+++ b/crates/barleypind/src/service/decide.rs
@@ -172,6 +172,12 @@
         core.decider.watched()
     }
 
+    /// What this host has learned, for one that starts.
+    pub(crate) fn digest(&self) -> Evidence {
+        let core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+        core.decider.digest()
+    }
+
     /// Passes in any other event.
     pub(crate) fn handle(&self, event: Event) {
         self.with(|core, now| core.decider.handle(now, event, &mut core.actions));
--- a/crates/barleypind/src/service/fleet.rs
+++ b/crates/barleypind/src/service/fleet.rs
@@ -1,28 +1,30 @@
 //! The service that owns the fleet core: membership, news, and what other
 //! hosts' cores say.
 
+mod configuration;
+mod learned;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::fleet::{Action, Change, Event};
 use async_std::channel::Receiver;
 use async_std::future::timeout;
 use async_std::task;
-use decide::{Demand, Evidence};
-use fleet::{Action, Change, Event, Polled};
 use futures::channel::oneshot;
-use kernel::{DataCentre, HostName, Incarnation, Revision, Service};
+use kernel::{DataCentre, HostName, Incarnation, Service};
 use ledger::{Peer, Reach};
 use link::Incoming;
-use platform::row::Key;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use wire::{EndpointState, Frame, Identity, Member, Payload, Ruling, State};
 
 use crate::context::Context;
-use crate::current::Adopted;
 use crate::event::Event as Logged;
-use crate::host::Phase;
 use crate::service::drain;
+use learned::Taught;
+
 use crate::{renew, tuning};
+pub(crate) use learned::Told;
 
 /// The longest time between two looks at the core's own deadline.
 const IDLE: Duration = Duration::from_millis(250);
@@ -58,17 +60,11 @@
     Renewed,
 }
 
-/// What deciders tell each other.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum Told {
-    Evidence(Evidence),
-    Demand(Demand),
-}
-
 struct Actor {
     cx: Arc<Context>,
     core: fleet::Fleet,
     actions: Vec<Action>,
+    taught: Taught,
 }
 
 /// Runs the service until its queue is closed.
@@ -77,6 +73,7 @@
         cx,
         core,
         actions: Vec::new(),
+        taught: Taught::NotYet,
     };
     actor.tell(Event::Tick);
     loop {
@@ -90,6 +87,7 @@
         if actor.core.deadline() <= actor.cx.host.now() {
             actor.tell(Event::Tick);
         }
+        actor.ask_once();
     }
 }
 
@@ -157,9 +155,9 @@
                 frame,
             } => self.cx.link.send(&link::Peer { host, address }, &frame),
             Action::Poll => {
-                task::spawn(poll(Arc::clone(&self.cx)));
+                task::spawn(configuration::poll(Arc::clone(&self.cx)));
             }
-            Action::Apply { revision, json } => apply(&self.cx, revision, &json),
+            Action::Apply { revision, json } => configuration::apply(&self.cx, revision, &json),
             Action::Member(change) => self.changed(&change),
             Action::Verdict(verdict) => self.judged(&verdict),
             Action::Endpoint(endpoint) => {
@@ -194,7 +192,7 @@
         let Incoming { from, frame, .. } = incoming;
         match frame {
             Frame::Ledger(payload) => self.ledger_said(&from.host, &payload),
-            Frame::Decide(payload) => self.decider_said(&payload),
+            Frame::Decide(payload) => self.decider_said(&from.host, &payload),
             frame => self.tell(Event::Frame {
                 from: from.host,
                 frame,
@@ -215,15 +213,6 @@
         }
     }
 
-    fn decider_said(&self, payload: &Payload) {
-        let event = match postcard::from_bytes(&payload.bytes) {
-            Ok(Told::Evidence(evidence)) => decide::Event::Evidence(evidence),
-            Ok(Told::Demand(demand)) => decide::Event::Demand(demand),
-            Err(_) => return self.bad_frame(&payload.from.host),
-        };
-        self.cx.decide.handle(event);
-    }
-
     fn bad_frame(&self, from: &HostName) {
         self.cx.host.log.emit(Logged::BadFrame, &[("host", from)]);
     }
@@ -237,16 +226,6 @@
         }
     }
 
-    fn publish(&self, told: &Told) {
-        let Some(payload) = self.payload(told) else {
-            return;
-        };
-        let frame = Frame::Decide(payload);
-        for member in self.core.members().filter(|it| is_up(it)) {
-            self.send(member, &frame);
-        }
-    }
-
     fn payload<T: Serialize>(&self, message: &T) -> Option<Payload> {
         Some(Payload {
             from: self.core.me().identity.clone(),
@@ -336,66 +315,6 @@
     matches!(member.state, State::Alive | State::Leaving | State::Suspect)
 }
 
-/// Reads the configuration's head from the table and tells the core.
-async fn poll(cx: Arc<Context>) {
-    let asked = cx.host.now();
-    let event = if let Ok(row) = cx.table.get(&Key::ConfigHead).await {
-        // Before the first change there is no row, and the empty configuration
-        // is in force.
-        let document = match &row {
-            Some(row) => row.value(),
-            None => Some(config::Document::default()),
-        };
-        polled(&cx, asked, document)
-    } else {
-        cx.host.metrics.platform_failed("table");
-        Event::PollFailed
-    };
-    tell(&cx, event);
-}
-
-fn polled(cx: &Context, asked: Duration, document: Option<config::Document>) -> Event {
-    let Some(document) = document else {
-        cx.host.log.emit(Logged::ConfigUnreadable, &[]);
-        return Event::PollFailed;
-    };
-    Event::Polled(Polled {
-        asked,
-        revision: document.revision,
-        json: Some(document.to_json().into_bytes().into()),
-    })
-}
-
-/// Puts a document in force. The order matters: calls check against the
-/// current configuration at dispatch, so it is there before the decider has it.
-fn apply(cx: &Context, revision: Revision, json: &[u8]) {
-    let document = std::str::from_utf8(json)
-        .ok()
-        .and_then(|text| config::Document::parse(text).ok());
-    let Some(document) = document else {
-        let fields: &[crate::log::Field<'_>] = &[("revision", &revision)];
-        return cx.host.log.emit(Logged::ConfigUnreadable, fields);
-    };
-    match cx.host.current.adopt(document) {
-        Adopted::Newer => {
-            cx.decide
-                .configure(Arc::clone(&cx.host.current.get().policy));
-            cx.host
-                .log
-                .emit(Logged::RevisionInForce, &[("revision", &revision)]);
-        }
-        Adopted::Lower => {
-            cx.host
-                .log
-                .emit(Logged::LowerRevision, &[("revision", &revision)]);
-        }
-        Adopted::Same => {}
-    }
-    if cx.host.enter(Phase::Ready) == Phase::Starting {
-        cx.host.log.emit(Logged::Ready, &[("revision", &revision)]);
-    }
-}
-
 /// Tells the core of an event, unless its queue is full: what it is told comes
 /// again, and a flood must not hold up what tells it.
 pub(crate) fn tell(cx: &Context, event: Event) {
--- /dev/null
+++ b/crates/barleypind/src/service/fleet/configuration.rs
@@ -0,0 +1,74 @@
+//! Reading the configuration from the table, and putting it in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::fleet::{Event, Polled};
+use kernel::Revision;
+use platform::row::Key;
+
+use super::tell;
+use crate::context::Context;
+use crate::current::Adopted;
+use crate::event::Event as Logged;
+use crate::host::Phase;
+
+/// Reads the configuration's head from the table and tells the core.
+pub(super) async fn poll(cx: Arc<Context>) {
+    let asked = cx.host.now();
+    let event = if let Ok(row) = cx.table.get(&Key::ConfigHead).await {
+        // Before the first change there is no row, and the empty configuration
+        // is in force.
+        let document = match &row {
+            Some(row) => row.value(),
+            None => Some(config::Document::default()),
+        };
+        polled(&cx, asked, document)
+    } else {
+        cx.host.metrics.platform_failed("table");
+        Event::PollFailed
+    };
+    tell(&cx, event);
+}
+
+fn polled(cx: &Context, asked: Duration, document: Option<config::Document>) -> Event {
+    let Some(document) = document else {
+        cx.host.log.emit(Logged::ConfigUnreadable, &[]);
+        return Event::PollFailed;
+    };
+    Event::Polled(Polled {
+        asked,
+        revision: document.revision,
+        json: Some(document.to_json().into_bytes().into()),
+    })
+}
+
+/// Puts a document in force. The order matters: calls check against the
+/// current configuration at dispatch, so it is there before the decider has it.
+pub(super) fn apply(cx: &Context, revision: Revision, json: &[u8]) {
+    let document = std::str::from_utf8(json)
+        .ok()
+        .and_then(|text| config::Document::parse(text).ok());
+    let Some(document) = document else {
+        let fields: &[crate::log::Field<'_>] = &[("revision", &revision)];
+        return cx.host.log.emit(Logged::ConfigUnreadable, fields);
+    };
+    match cx.host.current.adopt(document) {
+        Adopted::Newer => {
+            cx.decide
+                .configure(Arc::clone(&cx.host.current.get().policy));
+            cx.host
+                .log
+                .emit(Logged::RevisionInForce, &[("revision", &revision)]);
+        }
+        Adopted::Lower => {
+            cx.host
+                .log
+                .emit(Logged::LowerRevision, &[("revision", &revision)]);
+        }
+        Adopted::Same => {}
+    }
+    if cx.host.enter(Phase::Ready) == Phase::Starting {
+        cx.host.log.emit(Logged::Ready, &[("revision", &revision)]);
+    }
+}
