Soak real processes with troubles drawn by a seed

Cause: scripts show one failure at a time; nothing drew several together over real processes. Change: scenario::soak(seed, length, binary) and cargo xtask soak; a round of 6 s belongs to the tests.

--- /dev/null
+++ b/crates/barleypind/tests/soak.rs
@@ -0,0 +1,16 @@
+//! A short soak; `cargo xtask soak --seed N --for SECONDS` runs longer ones.
+
+use std::path::Path;
+use std::time::Duration;
+
+const BARLEYPIND: &str = env!("CARGO_BIN_EXE_barleypind");
+
+/// Callers go on while a host dies, sleeps or leaves, the table fails and an
+/// operator withdraws a version. Whatever they were told, the records agree.
+#[test]
+fn drawn_troubles_break_no_promise() {
+    let length = Duration::from_secs(6);
+    let report = scenario::soak(1, length, Path::new(BARLEYPIND));
+    assert!(report.faults.is_empty(), "{report}");
+    assert!(report.answered > 0, "{report}");
+}
--- a/crates/scenario/src/call.rs
+++ b/crates/scenario/src/call.rs
@@ -25,6 +25,8 @@
     pub(crate) line: String,
     /// The session token that came with the answer.
     pub(crate) session: Option<String>,
+    /// The caller's name for its call in the answer's mark.
+    pub(crate) call: Option<String>,
 }
 
 #[derive(Clone, Copy)]
@@ -76,10 +78,12 @@
             Ok(answer) => Outcome {
                 line: refused(u16::from(answer.status), &answer.json()),
                 session: None,
+                call: None,
             },
             Err(_) => Outcome {
                 line: "no answer".to_owned(),
                 session: None,
+                call: None,
             },
         }
     }
@@ -122,13 +126,19 @@
         Shape::Plain => Outcome {
             line: format!("200 execution={}", answer.json()["execution"]),
             session,
+            call: answer.json()["call"].as_str().map(str::to_owned),
         },
         Shape::Chat => {
             let body = answer.json();
             let text = body["choices"][0]["message"]["content"].as_str();
             let version = header("barleypin-version").unwrap_or_default();
             let line = told(&version, text.unwrap_or_default(), moved);
-            Outcome { line, session }
+            let call = call_of(text.unwrap_or_default());
+            Outcome {
+                line,
+                session,
+                call,
+            }
         }
         Shape::Stream => streamed(&answer.body, moved, session),
     }
@@ -146,6 +156,11 @@
     format!("200 version={version} whole={whole}{honest}{moved}")
 }
 
+/// The caller's own name for its call, as the engine marked the answer.
+fn call_of(text: &str) -> Option<String> {
+    Mark::parse(text).map(|it| it.call)
+}
+
 fn streamed(body: &[u8], moved: Option<String>, session: Option<String>) -> Outcome {
     let body = String::from_utf8_lossy(body);
     let mut text = String::new();
@@ -157,11 +172,18 @@
         let chunk: Value = serde_json::from_str(data).unwrap_or_default();
         if event.lines().any(|it| it == "event: error") {
             let line = format!("cut {}", refused(0, &chunk));
-            return Outcome { line, session };
+            return Outcome {
+                line,
+                session,
+                call: None,
+            };
         }
         if data == "[DONE]" {
-            let line = told(&version, &text, moved);
-            return Outcome { line, session };
+            return Outcome {
+                line: told(&version, &text, moved),
+                session,
+                call: call_of(&text),
+            };
         }
         if let Some(piece) = chunk["choices"][0]["delta"]["content"].as_str() {
             text.push_str(piece);
@@ -176,6 +198,7 @@
     Outcome {
         line: "cut without a word".to_owned(),
         session,
+        call: None,
     }
 }
 
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -14,7 +14,9 @@
 mod load;
 mod records;
 mod relay;
+mod soak;
 mod stage;
 mod world;
 
+pub use soak::{Report, soak};
 pub use stage::Stage;
--- a/crates/scenario/src/records.rs
+++ b/crates/scenario/src/records.rs
@@ -1,5 +1,6 @@
 //! What the stand-ins recorded, which is what a script's counts come from.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use futures::future;
@@ -7,18 +8,24 @@
 
 use crate::world::World;
 
+/// Every execution over all endpoints.
+pub(crate) async fn runs(world: &World) -> Vec<Value> {
+    let is_endpoint = |it: &str| it.starts_with("seats") || it.starts_with("engine");
+    let mut found = Vec::new();
+    for mut it in all(world, is_endpoint).await {
+        for name in ["runs", "executions"] {
+            if let Value::Array(runs) = it[name].take() {
+                found.extend(runs);
+            }
+        }
+    }
+    found
+}
+
 /// Executions of one caller's call over all endpoints.
 pub(crate) async fn executions(world: &World, call: &str) -> usize {
-    let all = all(world, |it| {
-        it.starts_with("seats") || it.starts_with("engine")
-    })
-    .await;
-    let runs = all.iter().flat_map(|it| {
-        let plain = it["runs"].as_array();
-        let engine = it["executions"].as_array();
-        plain.into_iter().chain(engine).flatten()
-    });
-    runs.filter(|it| it["call"] == call).count()
+    let runs = runs(world).await;
+    runs.iter().filter(|it| it["call"] == call).count()
 }
 
 /// Executions at one endpoint, of one call or of all.
@@ -48,8 +55,14 @@
 
 /// Billing records in the table whose request key ends with the caller's key.
 pub(crate) async fn bills(world: &World, key: &str) -> usize {
+    billed(world).await.remove(key).unwrap_or(0)
+}
+
+/// Billing records in the table by the caller's key, to which the ledger adds
+/// the body's fingerprint when the call is idempotent.
+pub(crate) async fn billed(world: &World) -> BTreeMap<String, usize> {
     let table = world.stand_in("table");
-    let mut found = 0;
+    let mut found = BTreeMap::new();
     let mut after = String::new();
     loop {
         let target = format!("/v1/rows?prefix=bill%2F&after={}&limit=500", escape(&after));
@@ -57,10 +70,9 @@
             return found;
         };
         let rows = page["rows"].as_array().cloned().unwrap_or_default();
-        found += rows
-            .iter()
-            .map(|it| occurrences(&it["value"], key))
-            .sum::<usize>();
+        for row in &rows {
+            count(&row["value"], &mut found);
+        }
         match rows.last().and_then(|it| it["key"].as_str()) {
             Some(last) if page["more"] == true => last.clone_into(&mut after),
             _ => return found,
@@ -79,33 +91,27 @@
     records.expect("the stand-ins answer for as long as the test runs")
 }
 
-/// How many records in a row's value are the key's.
-fn occurrences(value: &Value, key: &str) -> usize {
+/// Adds the records in a row's value.
+fn count(value: &Value, found: &mut BTreeMap<String, usize>) {
     match value {
         Value::Object(fields) => {
-            let own = fields.get("charge").is_some() && is_key(&value["key"], key);
-            usize::from(own)
-                + fields
-                    .values()
-                    .map(|it| occurrences(it, key))
-                    .sum::<usize>()
+            if fields.contains_key("charge") {
+                let name = value["key"]["key"].as_str().unwrap_or_default();
+                let key = name.split('~').next().unwrap_or_default();
+                *found.entry(key.to_owned()).or_insert(0) += 1;
+            }
+            fields.values().for_each(|it| count(it, found));
         }
-        Value::Array(items) => items.iter().map(|it| occurrences(it, key)).sum(),
+        Value::Array(items) => items.iter().for_each(|it| count(it, found)),
         // A row may hold its records as a JSON text.
         Value::String(text) if text.starts_with(['{', '[']) => {
-            serde_json::from_str(text).map_or(0, |it: Value| occurrences(&it, key))
+            let value = serde_json::from_str(text).unwrap_or_default();
+            count(&value, found);
         }
-        _ => 0,
+        _ => {}
     }
 }
 
-/// Whether a record is of the caller's key, to which the ledger adds the
-/// body's fingerprint when the call is idempotent.
-fn is_key(value: &Value, key: &str) -> bool {
-    let name = value["key"].as_str().unwrap_or_default();
-    name == key || name.split_once('~').is_some_and(|(it, _)| it == key)
-}
-
 fn escape(text: &str) -> String {
     let escape = |byte: u8| match byte {
         it if it.is_ascii_alphanumeric() => char::from(it).to_string(),
--- /dev/null
+++ b/crates/scenario/src/soak/caller.rs
@@ -0,0 +1,115 @@
+//! A good caller: it repeats elsewhere, under the same key and ticket.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use async_std::task;
+
+use super::plan::{HOSTS, Job, Ticket};
+use crate::call::Call;
+use crate::client::Client;
+use crate::command::{Arguments, parse_line};
+use crate::defaults::{CUSTOMER, KEY_PREFIX};
+
+/// How often a call is made at most.
+const TRIES: usize = 12;
+/// Time between two tries.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Where the hosts are now.
+#[derive(Clone, Default)]
+pub(super) struct Addresses {
+    by_name: Arc<Mutex<BTreeMap<String, SocketAddr>>>,
+}
+
+impl Addresses {
+    pub(super) fn set(&self, name: &str, address: SocketAddr) {
+        let mut by_name = self.by_name.lock().unwrap_or_else(PoisonError::into_inner);
+        by_name.insert(name.to_owned(), address);
+    }
+
+    fn get(&self, idx: usize) -> Option<SocketAddr> {
+        let by_name = self.by_name.lock().unwrap_or_else(PoisonError::into_inner);
+        by_name.get(HOSTS[idx % HOSTS.len()]).copied()
+    }
+}
+
+/// What a caller was told, in order.
+#[derive(Debug)]
+pub(super) struct Story {
+    pub(super) job: Job,
+    pub(super) told: Vec<Told>,
+}
+
+/// One answer or refusal.
+#[derive(Debug)]
+pub(super) struct Told {
+    /// Milliseconds since the Unix epoch.
+    pub(super) at_ms: u64,
+    pub(super) line: String,
+    /// The caller's name in the answer's mark.
+    pub(super) call: Option<String>,
+}
+
+impl Told {
+    pub(super) fn is_answer(&self) -> bool {
+        self.line.starts_with("200")
+    }
+}
+
+impl Story {
+    pub(super) fn is_answered(&self) -> bool {
+        self.told.iter().any(Told::is_answer)
+    }
+}
+
+/// Calls until it is answered, at one host after the other.
+pub(super) async fn call(client: Client, addresses: Addresses, job: Job) -> Story {
+    let mut told = Vec::new();
+    let ticket = match job.ticket {
+        Ticket::Taken => take_ticket(&client, &addresses, job.first).await,
+        Ticket::None => None,
+    };
+    let given = parse_line(&format!(
+        "{} key={} patience_ms=4000",
+        job.kind.arguments(),
+        job.key
+    ));
+    for attempt in 0..TRIES {
+        if let Some(to) = addresses.get(job.first + attempt) {
+            let call = Call::new(&Arguments::new(&given), to, ticket.clone(), None);
+            let outcome = call.perform(client.clone()).await;
+            told.push(Told {
+                at_ms: now_ms(),
+                line: outcome.line,
+                call: outcome.call,
+            });
+            if told.last().is_some_and(Told::is_answer) {
+                break;
+            }
+        }
+        task::sleep(PAUSE).await;
+    }
+    Story { job, told }
+}
+
+async fn take_ticket(client: &Client, addresses: &Addresses, first: usize) -> Option<String> {
+    let key = format!("{KEY_PREFIX}{CUSTOMER}");
+    for idx in first..first + HOSTS.len() {
+        let Some(to) = addresses.get(idx) else {
+            continue;
+        };
+        let answer = client.get(to, "/v1/hosts", &key).await;
+        if let Some(ticket) = answer.as_ref().and_then(|it| it["ticket"].as_str()) {
+            return Some(ticket.to_owned());
+        }
+    }
+    None
+}
+
+pub(super) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod load;
 pub mod reconcile;
 pub mod site;
+pub mod soak;
 pub mod try_out;
 pub mod workload;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,7 +5,7 @@
 use clap::Command;
 use error_stack::Report;
 use xtask::error::Error;
-use xtask::{capacity, demo, experiment, load, try_out};
+use xtask::{capacity, demo, experiment, load, soak, try_out};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -15,6 +15,7 @@
         Some(("capacity", matches)) => capacity::run(matches),
         Some(("load", matches)) => load::run(matches),
         Some(("experiment", matches)) => experiment::run(matches),
+        Some(("soak", matches)) => soak::run(matches),
         _ => unreachable!("clap requires one of the sub-commands"),
     };
     done.unwrap_or_else(|report: Report<Error>| {
@@ -33,4 +34,5 @@
         .subcommand(capacity::command())
         .subcommand(load::command())
         .subcommand(experiment::command())
+        .subcommand(soak::command())
 }
