barleypind: run a whole answer again when its engine breaks it off

Cause: the first byte of every answer was reported to the decider as one that reaches the caller, so an answer cut before its end was refused as answer_cut even where the caller gets it in one piece and had seen nothing. Now only streams report it, and the cut answer is retried; the golden session retry shows both. Short answers in one piece are asked for in one piece, which spares a wake-up a token.

--- a/crates/barleypind/src/call/attempt.rs
+++ b/crates/barleypind/src/call/attempt.rs
@@ -22,6 +22,13 @@
 /// since one that breaks off midway may be asked for again elsewhere.
 pub(crate) const MAX_PLAIN: usize = 16 * 1024 * 1024;
 
+/// The longest answer, in tokens, that is asked for in one piece when its
+/// caller wants it so: a stream would cost a wake-up a token. A longer one is
+/// streamed to this host all the same, so that a stalled engine is noticed.
+pub(crate) const SHORT: u32 = 256;
+/// The time that such an answer may take to come.
+const SHORT_TIME: Duration = Duration::from_secs(10);
+
 /// How an attempt goes on.
 #[derive(Debug)]
 pub(crate) enum Progress {
@@ -169,6 +176,22 @@
     .boxed()
 }
 
+/// An attempt at an engine whose answer is short and comes in one piece.
+pub(crate) fn whole(
+    client: Client,
+    to: engine::Endpoint,
+    attempt: Attempt,
+    chat: engine::Chat,
+    times: Times,
+) -> BoxStream<'static, Progress> {
+    let times = Times {
+        first_byte: times.first_byte.max(SHORT_TIME),
+        ..times
+    };
+    stream::once(async move { ended(client.chat(&to, &attempt, &chat, &times.options()).await) })
+        .boxed()
+}
+
 /// An attempt at a plain service.
 pub(crate) fn plain(
     client: Client,
--- a/crates/barleypind/src/call/run.rs
+++ b/crates/barleypind/src/call/run.rs
@@ -14,7 +14,6 @@
 use engine::Attempt;
 use futures::channel::mpsc::UnboundedReceiver;
 use futures::{FutureExt, StreamExt, pin_mut, select_biased};
-use gate::chat::Mode;
 use gate::problem::{Problem, Reason};
 use http::Hangup;
 use kernel::{AttemptId, VersionId};
@@ -231,6 +230,11 @@
     }
 
     async fn text(&mut self, id: AttemptId, text: &str) -> Option<Ending> {
+        // What a caller gets in one piece may still be replaced: an attempt that
+        // breaks off before its end is no answer that was cut.
+        if !self.work.streams() {
+            return None;
+        }
         let at = self.position(id)?;
         if !self.dispatched[at].begun {
             self.dispatched[at].begun = true;
@@ -259,8 +263,7 @@
     /// Whether text of this attempt may go out as it comes. Once something of
     /// one attempt went out, nothing of another ever does.
     fn may_relay(&self, id: AttemptId, at: usize) -> bool {
-        let streams = matches!(&self.work, Work::Chat(chat) if chat.mode == Mode::Stream);
-        streams
+        self.work.streams()
             && self.dispatched[at].dispatch.relay == Relay::Now
             && self.relayed.is_none_or(|it| it == id)
     }
--- a/crates/barleypind/src/call/run/settle.rs
+++ b/crates/barleypind/src/call/run/settle.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use decide::Refusal;
-use gate::chat::{Answer, Extra, Mode, Usage};
+use gate::chat::{Answer, Extra, Usage};
 use gate::problem::{Problem, Reason, Run as Ran};
 use gate::session::Token;
 use http::{Headers, Response};
@@ -125,7 +125,7 @@
             attempts: delivery.attempts,
             request: self.call.request.to_string(),
         };
-        let streams = matches!(&self.work, Work::Chat(chat) if chat.mode == Mode::Stream);
+        let streams = self.work.streams();
         if streams && self.relayed.is_none() {
             // Nothing could replace the answer any more, so its text need not
             // wait for the ledger; only its end does.
--- a/crates/barleypind/src/call/work.rs
+++ b/crates/barleypind/src/call/work.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// Whether its answer goes to the caller as it comes.
+    pub(crate) fn streams(&self) -> bool {
+        matches!(self, Self::Chat(chat) if chat.mode == Mode::Stream)
+    }
+
+    fn is_whole_and_short(&self) -> bool {
+        matches!(self, Self::Chat(chat)
+            if chat.mode == Mode::Whole && chat.max_tokens <= attempt::SHORT)
+    }
+
     /// An attempt at it, which begins once it is polled.
     pub(crate) fn attempt(
         &self,
@@ -93,7 +103,11 @@
                     max_tokens: Some(chat.max_tokens.into()),
                     class: Arc::clone(&chat.class),
                 };
-                attempt::chat(client.clone(), to, name, chat, times)
+                if self.is_whole_and_short() {
+                    attempt::whole(client.clone(), to, name, chat, times)
+                } else {
+                    attempt::chat(client.clone(), to, name, chat, times)
+                }
             }
             (Self::Plain(plain), _) => {
                 let call = engine::Call {
--- a/crates/barleypind/tests/golden/main.rs
+++ b/crates/barleypind/tests/golden/main.rs
@@ -61,6 +61,7 @@
     orders
     rate
     refusals
+    retry
     withdrawal
 }
 
