http: have the bench of the relay print why a request was lost

The early loss of 3 of 5,000 relayed requests stayed unexplained because the relay answered 502 without a word.

--- a/crates/http/benches/relay.rs
+++ b/crates/http/benches/relay.rs
@@ -132,8 +132,12 @@
 
 async fn pass_on(client: Client, engine: SocketAddr, request: Request) -> Response {
     let answer = client.send(engine, request, &Options::default()).await;
-    let Ok(answer) = answer else {
-        return Response::new(Status::BadGateway);
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(err) => {
+            eprintln!("relay: {err}");
+            return Response::new(Status::BadGateway);
+        }
     };
     let (sender, response) = Response::events(16);
     task::spawn(copy(answer, sender));
