fleet: list the asked host first among equals

A hand-out carries the ticket of the host that was asked, but among hosts of one data centre and one band of load the order was random. A caller that followed the list went to another host with that ticket, and each of its keyed calls was forwarded back. The asked host is now first among equals; distance and load still go before.

--- a/crates/fleet/src/fleet/choosing.rs
+++ b/crates/fleet/src/fleet/choosing.rs
@@ -39,8 +39,9 @@
     }
 
     /// The hosts that a caller in `data_centre` should use, in the order to
-    /// try: near first, then lightly loaded. Hosts that leave or may be dead
-    /// are omitted.
+    /// try: near first, then lightly loaded, and this host first among equals:
+    /// the caller gets its ticket, and whoever else is called with that asks
+    /// this host. Hosts that leave or may be dead are omitted.
     #[must_use]
     pub fn handout(&mut self, now: Duration, data_centre: &DataCentre) -> Vec<Member> {
         let region = self.region_of(data_centre);
@@ -67,7 +68,7 @@
         host: &Member,
         data_centre: &DataCentre,
         region: Option<&Region>,
-    ) -> (u8, u8, u32) {
+    ) -> (u8, u8, bool, u32) {
         let distance = if host.data_centre == *data_centre {
             0
         } else if Some(&host.region) == region {
@@ -77,7 +78,8 @@
         };
         let load = self.fresh_load(now, &host.identity.host);
         let band = load.map_or(UNKNOWN_BAND, |it| it / (u8::MAX / LOAD_BANDS + 1));
-        (distance, band, self.rng.random())
+        let is_other = host.identity != self.me.identity;
+        (distance, band, is_other, self.rng.random())
     }
 
     fn fresh_load(&self, now: Duration, host: &HostName) -> Option<u8> {
