--- a/crates/experiment/src/router/core.rs
+++ b/crates/experiment/src/router/core.rs
@@ -62,10 +62,13 @@
         Tuning::default().tick
     }
 
-    /// An empty decider takes a host's place.
+    /// An empty decider takes a host's place and is handed what another has learned.
     pub(crate) fn replace(&mut self, now: Duration, host: usize) {
         self.hosts[host].replace(&self.names, self.seed, host);
         self.introduce(now, host);
+        let peer = (host + 1) % self.hosts.len();
+        let digest = Event::Digest(self.hosts[peer].decider.digest());
+        self.pass(now, host, digest, &mut Vec::new());
     }
 
     pub(crate) fn handle(
