Judge another host's answers as a batch without an order

Cause: evidence comes in counts by bucket; taken one bucket after the other, the good answers of a busy second were cut off at the test's floor and the bad ones then looked like a row: wrong quarantines at twice the pool's capacity. Change: a batch's answers add up before the floor and the limit are looked at.

--- a/crates/decide/src/cusum.rs
+++ b/crates/decide/src/cusum.rs
@@ -14,6 +14,17 @@
         self.sum = (self.sum + ratio * count).max(0.0);
     }
 
+    /// The same for a part of a batch whose order isn't known: the sum may go
+    /// below zero until [`Self::settle`], so that the order doesn't matter.
+    pub(crate) fn add_unordered(&mut self, ratio: f64, count: f64) {
+        self.sum += ratio * count;
+    }
+
+    /// Ends a batch.
+    pub(crate) fn settle(&mut self) {
+        self.sum = self.sum.max(0.0);
+    }
+
     /// The same, without getting beyond `most` by it.
     pub(crate) fn add_up_to(&mut self, most: f64, ratio: f64, count: f64) {
         let before = self.sum;
--- a/crates/decide/src/decider/evidence.rs
+++ b/crates/decide/src/decider/evidence.rs
@@ -11,6 +11,7 @@
 use crate::directory::Target;
 use crate::evidence::{Evidence, Item};
 use crate::knowledge::ClassIndex;
+use crate::monitor::Order;
 use crate::number::float;
 use crate::samples::Sample;
 use crate::tally::Bucket;
@@ -66,27 +67,26 @@
         actions: &mut Vec<Action>,
     ) {
         let class = self.knowledge.class(item.class);
-        // The surest first: bad answers that came together with good ones must not
-        // look like a row of bad ones.
-        for bucket in Bucket::all().rev() {
+        for bucket in Bucket::all() {
             let at = bucket.index();
-            let first = Sample {
-                bucket,
-                turn: Turn::First,
-                at: None,
-            };
-            let later = Sample {
-                bucket,
-                turn: Turn::Later,
-                at: None,
-            };
+            let [first, later] = samples(bucket);
             for (sample, count) in [(first, item.answered[at]), (later, item.later_answered[at])] {
                 if count > 0 {
                     let count = f64::from(count);
-                    let seen = Seen { sample, count };
+                    let seen = Seen {
+                        sample,
+                        count,
+                        order: Order::Unknown,
+                    };
                     self.learn_answers(now, version, class, seen, actions);
                 }
             }
+        }
+        let scope = self.health.quality_scope(version);
+        self.judge(now, version, actions, |it| it.settle(now, scope));
+        for bucket in Bucket::all() {
+            let at = bucket.index();
+            let [first, later] = samples(bucket);
             for (sample, good, bad) in [
                 (first, item.good[at], item.bad[at]),
                 (later, item.later_good[at], item.later_bad[at]),
@@ -133,3 +133,12 @@
         }
     }
 }
+
+/// Another host's answers of a bucket, of first and of later turns.
+fn samples(bucket: Bucket) -> [Sample; 2] {
+    [Turn::First, Turn::Later].map(|turn| Sample {
+        bucket,
+        turn,
+        at: None,
+    })
+}
--- a/crates/decide/src/decider/learn.rs
+++ b/crates/decide/src/decider/learn.rs
@@ -11,7 +11,7 @@
 use crate::directory::Target;
 use crate::event::{Quality, Rating};
 use crate::knowledge::{ClassIndex, Kind};
-use crate::monitor::{Confidence, Monitor, Ratings};
+use crate::monitor::{Confidence, Monitor, Order, Ratings};
 use crate::outcome::{Answer, Denial, Outcome};
 use crate::policy::State;
 use crate::samples::Sample;
@@ -30,6 +30,7 @@
 pub(super) struct Seen {
     pub(super) sample: Sample,
     pub(super) count: f64,
+    pub(super) order: Order,
 }
 
 /// Ratings of answers of one kind.
@@ -207,7 +208,11 @@
             self.outbox.answered(&entry.id, key, sample);
             self.outbox.measured(&entry.id, key, tokens, took);
         }
-        let seen = Seen { sample, count: 1.0 };
+        let seen = Seen {
+            sample,
+            count: 1.0,
+            order: Order::Known,
+        };
         self.learn_answers(now, version, class, seen, actions);
     }
 
@@ -242,7 +247,7 @@
         seen: Seen,
         actions: &mut Vec<Action>,
     ) {
-        let Seen { sample, count } = seen;
+        let Seen { sample, count, .. } = seen;
         let endpoints = self.directory.len(Target::Version(version));
         let normal = self.health.normal(version, endpoints);
         self.judge(now, version, actions, |it| it.answered(now, normal, count));
@@ -252,14 +257,17 @@
             turn: sample.turn,
         };
         if let Some(baseline) = self.baseline(kind) {
-            let seen = Confidence {
+            let confidence = Confidence {
                 bucket: sample.bucket,
                 normal: self.knowledge.spread(baseline),
                 bad: self.knowledge.bad_spread(baseline.version),
                 answers: self.knowledge.answers(baseline),
                 scope: self.health.quality_scope(version),
+                order: seen.order,
             };
-            self.judge(now, version, actions, |it| it.confident(now, &seen, count));
+            self.judge(now, version, actions, |it| {
+                it.confident(now, &confidence, count);
+            });
         }
         if self.is_usual(version) {
             self.knowledge.answered(kind, sample.bucket, count);
--- a/crates/decide/src/monitor.rs
+++ b/crates/decide/src/monitor.rs
@@ -208,10 +208,12 @@
         }
         let [partial, whole] = &mut self.quality;
         if seen.answers >= PARTIAL_ANSWERS {
-            partial.add(ratio(SHARES[0]), count);
+            partial.add_unordered(ratio(SHARES[0]), count);
+        }
+        whole.add_unordered(ratio(SHARES[1]), count);
+        if seen.order == Order::Known {
+            self.settle(now, seen.scope);
         }
-        whole.add(ratio(SHARES[1]), count);
-        self.judge(now, seen.scope, Cause::Confidence);
     }
 
     /// An answer took `ratio` times as long as such answers do, from an endpoint
@@ -232,6 +234,12 @@
         self.latency.sum() > SLOW_LIMIT / 2.0
     }
 
+    /// Ends a batch of answers whose order isn't known.
+    pub(crate) fn settle(&mut self, now: Duration, scope: Scope) {
+        self.quality.iter_mut().for_each(Cusum::settle);
+        self.judge(now, scope, Cause::Confidence);
+    }
+
     /// Answers were rated.
     pub(crate) fn rated(&mut self, now: Duration, seen: &Ratings) {
         self.totals.ratings += seen.good + seen.bad;
@@ -279,6 +287,9 @@
     }
 
     fn judge(&mut self, now: Duration, scope: Scope, cause: Cause) {
+        if self.is_quarantined() {
+            return;
+        }
         let scale = match scope {
             Scope::Own => 1.0,
             Scope::Shared => 4.0,
@@ -353,6 +364,15 @@
     /// Answers that `normal` rests on.
     pub(crate) answers: f64,
     pub(crate) scope: Scope,
+    pub(crate) order: Order,
+}
+
+/// Whether observations come in the order in which they were made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    Known,
+    /// They are part of another host's batch, which [`Monitor::settle`] ends.
+    Unknown,
 }
 
 /// Ratings, beside how often such answers are rated bad as a rule.
