--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -6,13 +6,14 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 use futures::io::{AsyncBufRead, AsyncBufReadExt, AsyncRead};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::Error;
+use crate::copy::poll_copy;
 
 use channel::Pieces;
 pub use channel::Sender;
@@ -171,15 +172,11 @@
 
 impl AsyncRead for Body {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let len = bytes.len().min(buf.len());
-        buf[..len].copy_from_slice(&bytes[..len]);
-        self.consume(len);
-        Poll::Ready(Ok(len))
+        poll_copy(self, cx, buf)
     }
 }
 
--- a/crates/http/src/client/answer.rs
+++ b/crates/http/src/client/answer.rs
@@ -11,6 +11,7 @@
 
 use super::left;
 use crate::conn::Conn;
+use crate::copy::poll_copy;
 use crate::h1;
 use crate::{Body, Cause, Error, Method, Response, Status};
 
@@ -164,14 +165,10 @@
 
 impl AsyncRead for Answer {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let len = bytes.len().min(buf.len());
-        buf[..len].copy_from_slice(&bytes[..len]);
-        self.consume(len);
-        Poll::Ready(Ok(len))
+        poll_copy(self, cx, buf)
     }
 }
--- a/crates/http/src/h1.rs
+++ b/crates/http/src/h1.rs
@@ -8,6 +8,7 @@
 use futures::io::{AsyncBufRead, AsyncRead};
 use http_types::Url;
 
+use crate::copy::poll_copy;
 use crate::{Body, Headers, Method, Request, Response};
 
 /// Fields that describe one connection or the framing of one message; passing
@@ -115,14 +116,10 @@
 
 impl AsyncRead for Whole {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let len = bytes.len().min(buf.len());
-        buf[..len].copy_from_slice(&bytes[..len]);
-        self.consume(len);
-        Poll::Ready(Ok(len))
+        poll_copy(self, cx, buf)
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod client;
 mod conn;
+mod copy;
 mod error;
 mod h1;
 mod headers;
--- a/crates/http/src/server/incoming.rs
+++ b/crates/http/src/server/incoming.rs
@@ -10,6 +10,7 @@
 
 use crate::Error;
 use crate::conn::Conn;
+use crate::copy::poll_copy;
 
 type Timer = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
 
@@ -102,14 +103,10 @@
 
 impl AsyncRead for Incoming {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let len = bytes.len().min(buf.len());
-        buf[..len].copy_from_slice(&bytes[..len]);
-        self.consume(len);
-        Poll::Ready(Ok(len))
+        poll_copy(self, cx, buf)
     }
 }
