barleypind: hold the cores' defaults to those of the settings

The defaults stand in the settings' keys and in each core's Tuning; the latter are what tests and measurements run with.

--- a/crates/barleypind/src/lib.rs
+++ b/crates/barleypind/src/lib.rs
@@ -20,7 +20,7 @@
 mod reply;
 mod secrets;
 mod service;
-mod tuning;
+pub mod tuning;
 mod verdicts;
 
 pub use daemon::Daemon;
--- a/crates/barleypind/src/tuning.rs
+++ b/crates/barleypind/src/tuning.rs
@@ -1,8 +1,13 @@
 //! What the settings mean to each core.
+//!
+//! A core's own defaults are those that its tests and measurements run with,
+//! so a host without settings has to come out with the same ones.
 
 use config::Settings;
 
-pub(crate) fn decide(settings: &Settings) -> decide::Tuning {
+/// How this host decides.
+#[must_use]
+pub fn decide(settings: &Settings) -> decide::Tuning {
     let it = &settings.decide;
     decide::Tuning {
         host: settings.host.name.clone(),
@@ -15,7 +20,9 @@
     }
 }
 
-pub(crate) fn ledger(settings: &Settings) -> ledger::Tuning {
+/// How this host keeps its billing records.
+#[must_use]
+pub fn ledger(settings: &Settings) -> ledger::Tuning {
     let it = &settings.ledger;
     ledger::Tuning {
         flush_interval: it.batch,
@@ -28,7 +35,9 @@
     }
 }
 
-pub(crate) fn fleet(settings: &Settings) -> fleet::Tuning {
+/// How this host keeps in touch with the others.
+#[must_use]
+pub fn fleet(settings: &Settings) -> fleet::Tuning {
     fleet::Tuning {
         poll_every: settings.freshness.poll,
         ..fleet::Tuning::default()
