http: give a body's deadline and the decoder's missing wake-up one place

Client and server each had the timer of a body's deadline and the guard against the chunk decoder that waits without a wake-up.

--- a/crates/http/src/client/answer.rs
+++ b/crates/http/src/client/answer.rs
@@ -5,18 +5,16 @@
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
-use async_std::task::sleep;
 use futures::io::{AsyncBufRead, AsyncRead, BufReader};
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 
-use super::left;
 use crate::conn::Conn;
 use crate::copy::poll_copy;
+use crate::deadline::Deadline;
 use crate::h1;
 use crate::{Body, Cause, Error, Method, Response, Status};
 
 type Release = Box<dyn FnOnce(Conn) + Send + Sync>;
-type Timer = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
 
 /// How an answer's end is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,8 +54,7 @@
         reader,
         left: len,
         end: Some((conn, release)),
-        deadline,
-        timer: None,
+        deadline: Deadline::new(deadline),
     };
     response.body = Body::reader(answer, len);
     Ok(response)
@@ -90,8 +87,7 @@
     left: Option<u64>,
     /// The connection until the body has ended, and where it goes then.
     end: Option<(Conn, Option<Release>)>,
-    deadline: Instant,
-    timer: Option<Timer>,
+    deadline: Deadline,
 }
 
 impl Answer {
@@ -100,10 +96,7 @@
             self.finish();
             return Poll::Ready(Ok(()));
         }
-        // Also while bytes come: a peer that never ends would hold its caller.
-        if left(self.deadline).is_zero() {
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-        }
+        self.deadline.check()?;
         if let Poll::Ready(bytes) = Pin::new(&mut self.reader).poll_fill_buf(cx) {
             if !bytes?.is_empty() {
                 return Poll::Ready(Ok(()));
@@ -115,27 +108,10 @@
             self.finish();
             return Poll::Ready(Ok(()));
         }
-        self.keep_armed(cx);
-        ready!(self.poll_deadline(cx));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
-    }
-
-    /// The library's chunk decoder waits without asking the connection when
-    /// the last line end comes in two parts. Nothing would wake this task.
-    fn keep_armed(&self, cx: &Context<'_>) {
-        if self.end.as_ref().is_some_and(|(conn, _)| !conn.is_armed()) {
-            cx.waker().wake_by_ref();
+        if let Some((conn, _)) = &self.end {
+            conn.keep_armed(cx);
         }
-    }
-
-    fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let deadline = self.deadline;
-        let timer = self
-            .timer
-            .get_or_insert_with(|| Box::pin(sleep(left(deadline))));
-        ready!(timer.as_mut().poll(cx));
-        self.timer = None;
-        Poll::Ready(())
+        self.deadline.poll(cx)
     }
 
     fn finish(&mut self) {
--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -168,9 +168,14 @@
         .await;
     }
 
-    /// Whether a task that was told to wait for this connection will be woken by it.
-    pub(crate) fn is_armed(&self) -> bool {
-        self.input().armed
+    /// Has a task polled again that waits for bytes which nobody asked the
+    /// socket for: the library's chunk decoder does so when the last line end
+    /// comes in two parts, and the caller of a whole answer would wait until
+    /// its time is over.
+    pub(crate) fn keep_armed(&self, cx: &Context<'_>) {
+        if !self.input().armed {
+            cx.waker().wake_by_ref();
+        }
     }
 
     fn find_head_end(&self, searched: &mut usize) -> Option<usize> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod conn;
 mod copy;
+mod deadline;
 mod error;
 mod h1;
 mod headers;
--- a/crates/http/src/server/incoming.rs
+++ b/crates/http/src/server/incoming.rs
@@ -5,14 +5,12 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use async_std::task::sleep;
 use futures::io::{AsyncBufRead, AsyncRead};
 
 use crate::Error;
 use crate::conn::Conn;
 use crate::copy::poll_copy;
-
-type Timer = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
+use crate::deadline::Deadline;
 
 /// A request's body within the limits of size and time.
 pub(super) struct Incoming {
@@ -23,8 +21,7 @@
     /// How many bytes may still come.
     room: usize,
     limit: usize,
-    deadline: Instant,
-    timer: Option<Timer>,
+    deadline: Deadline,
 }
 
 impl Incoming {
@@ -41,8 +38,7 @@
             left,
             room: limit,
             limit,
-            deadline: Instant::now() + time,
-            timer: None,
+            deadline: Deadline::new(Instant::now() + time),
         }
     }
 
@@ -50,10 +46,7 @@
         if self.conn.is_body_done() {
             return Poll::Ready(Ok(()));
         }
-        let time = self.deadline.saturating_duration_since(Instant::now());
-        if time.is_zero() {
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-        }
+        self.deadline.check()?;
         if let Poll::Ready(bytes) = Pin::new(&mut self.body).poll_fill_buf(cx) {
             let len = bytes?.len();
             if len > self.room {
@@ -67,15 +60,8 @@
             }
             return Poll::Ready(Ok(()));
         }
-        // See the same guard in the client: the chunk decoder may wait for a
-        // line end without asking the connection to wake it.
-        if !self.conn.is_armed() {
-            cx.waker().wake_by_ref();
-        }
-        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(time)));
-        ready!(timer.as_mut().poll(cx));
-        self.timer = None;
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+        self.conn.keep_armed(cx);
+        self.deadline.poll(cx)
     }
 }
 
