config: say the words of repeat and priority once

Profiles and the routes of services each had both keys with the same words and fallbacks. The types give the key now, beside the words that they are read with.

--- a/crates/config/src/priority.rs
+++ b/crates/config/src/priority.rs
@@ -3,6 +3,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::schema::{Accepts, Fallback, Key};
+
 /// How urgent a request is; the most urgent sorts first.
 #[derive(
     Clone,
@@ -38,4 +40,14 @@
         ("interactive", Self::Interactive),
         ("batch", Self::Batch),
     ];
+
+    /// The key that says it, in profiles and in the routes of services.
+    pub(crate) const fn key(about: &'static str) -> Key {
+        Key {
+            name: "priority",
+            accepts: Accepts::OneOf(&["urgent", "interactive", "batch"]),
+            fallback: Fallback::Word("interactive"),
+            about,
+        }
+    }
 }
--- a/crates/config/src/profile.rs
+++ b/crates/config/src/profile.rs
@@ -248,19 +248,10 @@
     about: "what one request may cost at most, in microcents",
 };
 
-const REPEAT: Key = Key {
-    name: "repeat",
-    accepts: Accepts::OneOf(&["idempotent", "at_most_once"]),
-    fallback: Fallback::Required,
-    about: "whether a request may run again; `at_most_once` for what must not be doubled",
-};
+const REPEAT: Key =
+    Repeat::key("whether a request may run again; `at_most_once` for what must not be doubled");
 
-const PRIORITY: Key = Key {
-    name: "priority",
-    accepts: Accepts::OneOf(&["urgent", "interactive", "batch"]),
-    fallback: Fallback::Word("interactive"),
-    about: "the priority of a request that states none",
-};
+const PRIORITY: Key = Priority::key("the priority of a request that states none");
 
 const DEADLINE: Key = Key {
     name: "deadline_ms",
--- a/crates/config/src/repeat.rs
+++ b/crates/config/src/repeat.rs
@@ -3,6 +3,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::schema::{Accepts, Fallback, Key};
+
 /// Whether a request may run a second time after an attempt of unknown end.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -20,4 +22,14 @@
         ("idempotent", Self::Idempotent),
         ("at_most_once", Self::AtMostOnce),
     ];
+
+    /// The key that says it, in profiles and in the routes of services.
+    pub(crate) const fn key(about: &'static str) -> Key {
+        Key {
+            name: "repeat",
+            accepts: Accepts::OneOf(&["idempotent", "at_most_once"]),
+            fallback: Fallback::Required,
+            about,
+        }
+    }
 }
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -192,16 +192,6 @@
     about: "the beginning of their paths, which ends at a whole segment",
 };
 
-const REPEAT: Key = Key {
-    name: "repeat",
-    accepts: Accepts::OneOf(&["idempotent", "at_most_once"]),
-    fallback: Fallback::Required,
-    about: "whether such a call may run again",
-};
+const REPEAT: Key = Repeat::key("whether such a call may run again");
 
-const PRIORITY: Key = Key {
-    name: "priority",
-    accepts: Accepts::OneOf(&["urgent", "interactive", "batch"]),
-    fallback: Fallback::Word("interactive"),
-    about: "the priority of a call that states none",
-};
+const PRIORITY: Key = Priority::key("the priority of a call that states none");
