Script a holder that is frozen between two orders of a round

Cause: with the lease's deadline unchecked before an order, no script failed: the tick at the start of each round let the lease lapse first. Change: the first engine hangs, the holder is frozen while it waits there, and wakes in the middle of its round.

--- a/crates/barleypind/tests/scripts.rs
+++ b/crates/barleypind/tests/scripts.rs
@@ -62,6 +62,7 @@
     not_run_is_true
     operators_at_the_same_moment
     orders_holder_frozen
+    orders_holder_frozen_between
     orders_holder_frozen_unchecked
     refused_by_endpoint_runs_elsewhere
     repeat_refused_at_the_door
--- a/crates/scenario/src/stage/stranger.rs
+++ b/crates/scenario/src/stage/stranger.rs
@@ -137,9 +137,15 @@
         outcomes.join("\n")
     }
 
-    /// Enters hosts into the platform's list.
+    /// Enters hosts into the platform's list; `callers-of:a` stands for the
+    /// address of an entry host, which tells nobody anything while it is frozen.
     pub(super) async fn list(&self, input: &str) -> String {
-        let hosts: Value = read_json(input);
+        let mut input = input.to_owned();
+        for host in self.world().hosts.values() {
+            let named = format!("callers-of:{}", host.name);
+            input = input.replace(&named, &host.callers().to_string());
+        }
+        let hosts: Value = read_json(&input);
         let request = http::Request::post("/control/hosts", &hosts);
         let (to, limit) = (self.world().stand_in("hosts"), Duration::from_secs(5));
         let answer = self.world().client.send(to, request, limit).await;
