--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -1,7 +1,7 @@
 //! The session token, which carries a session's version.
 //!
 //! Hosts keep nothing, so the caller brings the pin along: any host can honour
-//! it, also one that started a moment ago; see `docs/design/sessions.md`.
+//! it, also one that started a moment ago; see `docs/design/decide-sessions.md`.
 
 use std::time::Duration;
 
