platform: judge answers that carry nothing in one place

The object store's writes and the rating service's samples each read the rest of the answer and looked at its status. Both use call::accepted now; behaviour and the tests are unchanged.

--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -28,6 +28,17 @@
         .map_err(|err| Error::Unknown(Reason::Http(err)))
 }
 
+/// Nothing for a status of success, and an error for every other one.
+pub(crate) async fn accepted(response: Response) -> Result<(), Error> {
+    let status = response.status;
+    discard(response).await;
+    if status.is_success() {
+        Ok(())
+    } else {
+        Err(Error::status(status))
+    }
+}
+
 /// Reads what is left of an answer that carries nothing, so that its
 /// connection can be used again.
 pub(crate) async fn discard(response: Response) {
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -27,15 +27,7 @@
         let target = format!("/v1/objects/{}", encode(name));
         let request = Request::new(Method::Put, target).body(Body::bytes(bytes));
         self.service
-            .call(request, Repeat::Idempotent, async |response| {
-                let status = response.status;
-                call::discard(response).await;
-                if status.is_success() {
-                    Ok(())
-                } else {
-                    Err(Error::status(status))
-                }
-            })
+            .call(request, Repeat::Idempotent, call::accepted)
             .await
     }
 
--- a/crates/platform/src/ratings.rs
+++ b/crates/platform/src/ratings.rs
@@ -62,15 +62,7 @@
     pub async fn submit(&self, sample: &Sample) -> Result<(), Error> {
         let request = Request::post("/v1/ratings", sample);
         self.service
-            .call(request, Repeat::Never, async |response| {
-                let status = response.status;
-                call::discard(response).await;
-                if status.is_success() {
-                    Ok(())
-                } else {
-                    Err(Error::status(status))
-                }
-            })
+            .call(request, Repeat::Never, call::accepted)
             .await
     }
 
