http: give up at once on a request whose own body breaks off

The client waited for an early answer whenever writing ended as closed, also when it was the request's own body that broke off.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -118,11 +118,11 @@
             Ok(()) => read_final_head(&conn, options.first_byte, deadline).await?,
             // A peer may answer and close before it took the whole body: its
             // refusal says more than the broken connection.
-            Err(err @ Error::MaybeSent(Cause::Closed)) => {
+            Err(Unwritten::Refused(err @ Error::MaybeSent(Cause::Closed))) => {
                 let early = read_final_head(&conn, options.first_byte, deadline).await;
                 early.map_err(|_| err)?
             }
-            Err(err) => return Err(err),
+            Err(Unwritten::Refused(err) | Unwritten::BrokeOff(err)) => return Err(err),
         };
         let idle = Arc::clone(&self.idle);
         answer::open(head, request.method, conn, deadline, move |conn| {
@@ -152,20 +152,33 @@
     Ok(Conn::new(stream))
 }
 
-async fn write(conn: &Conn, request: http_types::Request, deadline: Instant) -> Result<(), Error> {
+/// Why a request wasn't written to its end.
+enum Unwritten {
+    /// The peer took no more of it.
+    Refused(Error),
+    /// Its own body broke off. The peer waits for the rest and can't answer.
+    BrokeOff(Error),
+}
+
+async fn write(
+    conn: &Conn,
+    request: http_types::Request,
+    deadline: Instant,
+) -> Result<(), Unwritten> {
     let mut encoder = async_h1::client::Encoder::new(request);
     let mut sent = 0;
     let limit = left(deadline);
     let written = timeout(limit, relay(&mut encoder, conn.stream(), limit, &mut sent)).await;
-    let cause = match written {
-        Ok(Ok(())) => return Ok(()),
-        Ok(Err(RelayError::Source(err) | RelayError::Sink(err))) => (&err).into(),
-        Err(_) => Cause::Timeout,
-    };
-    Err(match sent {
+    let error = |cause| match sent {
         0 => Error::NotSent(cause),
         _ => Error::MaybeSent(cause),
-    })
+    };
+    match written {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(RelayError::Source(err))) => Err(Unwritten::BrokeOff(error((&err).into()))),
+        Ok(Err(RelayError::Sink(err))) => Err(Unwritten::Refused(error((&err).into()))),
+        Err(_) => Err(Unwritten::Refused(error(Cause::Timeout))),
+    }
 }
 
 /// Reads heads up to the first that isn't informational.
--- a/crates/http/tests/suite/client.rs
+++ b/crates/http/tests/suite/client.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task::block_on;
 use datadriven::{TestCase, walk};
-use http::{Body, Client, Method, Options, Pool, Repeat, Request};
+use http::{Body, Cause, Client, Error, Method, Options, Pool, Repeat, Request};
 use kernel::{ManualClock, SystemClock};
 
 use crate::support;
@@ -221,3 +221,23 @@
     let lines = answers_on_cooling_connection(Repeat::Idempotent);
     assert_eq!(lines, ["200 first", "200 again", "200 third"]);
 }
+
+#[test]
+fn a_request_whose_body_breaks_off_is_given_up_at_once() {
+    // Story: a caller goes away while its dossier is passed on. The peer waits
+    // for the rest and can't answer; waiting for its first byte would hold a
+    // connection at both ends for nothing.
+    let peer = Peer::start("conn\nrecv\n");
+    let client = Client::new(Arc::new(SystemClock::new()), Pool::default());
+    let half = Body::reader(futures::io::Cursor::new("half"), Some(8));
+    let request = Request::new(Method::Post, "/").body(half);
+    let options = Options {
+        first_byte: Duration::from_secs(30),
+        total: Duration::from_mins(1),
+        ..Options::default()
+    };
+    let begin = Instant::now();
+    let end = block_on(client.send(peer.address, request, &options));
+    assert_eq!(end.err(), Some(Error::MaybeSent(Cause::Closed)));
+    assert!(begin.elapsed() < options.first_byte);
+}
