Read a raw message in one place for three crates' tests

The tests of http, engine and platform each read a request from a raw socket with the same lines. Engine's and platform's include the file of http's now.

--- a/crates/engine/tests/suite/client.rs
+++ b/crates/engine/tests/suite/client.rs
@@ -1,6 +1,6 @@
 //! How the client classifies what endpoints do.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -14,6 +14,8 @@
 use kernel::{AttemptId, Incarnation, SystemClock};
 use serde_json::json;
 
+use crate::message::read_message;
+
 /// An endpoint that takes one request and answers by the script: a status
 /// line, a body, and `cut` when it dies before the stated end. Gives back the
 /// request's head.
@@ -44,20 +46,7 @@
 }
 
 fn receive(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        stream.read_exact(&mut byte).unwrap();
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8(head).unwrap();
-    let len = head
-        .lines()
-        .find_map(|it| it.strip_prefix("content-length: "))
-        .map_or(0, |it| it.parse().unwrap());
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body).unwrap();
-    let body = String::from_utf8(body).unwrap();
+    let (head, body) = read_message(stream).unwrap();
     let fields: Vec<_> = head
         .lines()
         .filter(|it| !it.starts_with("host: ") && !it.starts_with("content-length: "))
--- a/crates/http/tests/suite/client.rs
+++ b/crates/http/tests/suite/client.rs
@@ -11,7 +11,7 @@
 use http::{Body, Cause, Client, Error, Method, Options, Pool, Repeat, Request};
 use kernel::{ManualClock, SystemClock};
 
-use crate::support;
+use crate::{message, support};
 
 /// The peer: one script a connection, in the order in which they come.
 struct Peer {
@@ -54,7 +54,7 @@
 fn play(mut stream: std::net::TcpStream, script: &str, hold: &Receiver<()>) {
     for line in script.lines() {
         match line.split_once(' ').unwrap_or((line, "")) {
-            ("recv", _) => drop(support::read_message(&mut stream)),
+            ("recv", _) => drop(message::read_message(&mut stream)),
             ("send", text) => support::send(&mut stream, text),
             // Until the test ends.
             ("hold", _) => drop(hold.recv()),
--- /dev/null
+++ b/crates/http/tests/suite/message.rs
@@ -0,0 +1,23 @@
+//! Reading a message from a raw socket. The tests of other crates that stand
+//! in for a peer of the client include this file.
+
+use std::io::Read;
+use std::net::TcpStream;
+
+/// One message with a length, or nothing when the connection ends first.
+pub(crate) fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let len = head
+        .lines()
+        .find_map(|it| it.strip_prefix("content-length: "))
+        .map_or(0, |it| it.parse().unwrap());
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8(body).unwrap()))
+}
--- a/crates/http/tests/suite/server.rs
+++ b/crates/http/tests/suite/server.rs
@@ -13,7 +13,7 @@
 use proptest::prelude::*;
 use serde_json::Value;
 
-use crate::support;
+use crate::{message, support};
 
 const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
@@ -51,7 +51,7 @@
     let mut out = String::new();
     let mut is_closed = false;
     for _ in 0..answers {
-        let Some((head, body)) = support::read_message(&mut stream) else {
+        let Some((head, body)) = message::read_message(&mut stream) else {
             out.push_str("closed without an answer\n");
             return out;
         };
@@ -107,7 +107,7 @@
         }
         let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
-        prop_assert!(support::read_message(&mut stream).is_some());
+        prop_assert!(message::read_message(&mut stream).is_some());
     }
 }
 
@@ -145,7 +145,7 @@
             .unwrap();
         let patient = server.drain(Duration::ZERO, Duration::from_secs(30)).await;
         expect_that!(patient.left, eq(0));
-        let (head, body) = support::read_message(&mut stream).unwrap();
+        let (head, body) = message::read_message(&mut stream).unwrap();
         expect_that!(head, contains_substring("connection: close"));
         expect_that!(body, eq("whole"));
     });
@@ -157,7 +157,7 @@
         let server = Server::bind(LOCAL, Limits::default(), echo).await.unwrap();
         let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
-        support::read_message(&mut stream).unwrap();
+        message::read_message(&mut stream).unwrap();
         server.drain(Duration::ZERO, Duration::from_secs(30)).await;
         expect_that!(stream.read(&mut [0]), ok(eq(&0)));
     });
@@ -179,7 +179,7 @@
     // Once the listener is gone, the stop has reached the server's tasks.
     while TcpStream::connect(server.address()).is_ok() {}
     support::send(&mut stream, r"GET /late HTTP/1.1\r\nhost: h\r\n\r\n");
-    let answer = support::read_message(&mut stream);
+    let answer = message::read_message(&mut stream);
     drop(stream);
     let drained = drain.await;
     let (head, body) = answer.unwrap_or_default();
@@ -198,7 +198,7 @@
             let server = keeping().await;
             let mut stream = support::connect(server.address());
             support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
-            support::read_message(&mut stream).unwrap();
+            message::read_message(&mut stream).unwrap();
             request_after_stop(&server, stream).await
         });
         expect_that!(end, eq("GET /late [-] , closing: true, left: 0"));
@@ -309,9 +309,9 @@
         let server = Server::bind(LOCAL, limits, echo).await.unwrap();
         let mut first = support::connect(server.address());
         support::send(&mut first, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
-        support::read_message(&mut first).unwrap();
+        message::read_message(&mut first).unwrap();
         let mut second = support::connect(server.address());
-        let (head, body) = support::read_message(&mut second).unwrap();
+        let (head, body) = message::read_message(&mut second).unwrap();
         expect_that!(head, starts_with("HTTP/1.1 503"));
         expect_that!(body, contains_substring(r#""reason":"overloaded""#));
         expect_that!(body, contains_substring(r#""run":"not_run""#));
@@ -329,10 +329,10 @@
             &mut stream,
             r"POST / HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n",
         );
-        let (head, _) = support::read_message(&mut stream).unwrap();
+        let (head, _) = message::read_message(&mut stream).unwrap();
         expect_that!(head, starts_with("HTTP/1.1 100"));
         support::send(&mut stream, "hi");
-        let (_, body) = support::read_message(&mut stream).unwrap();
+        let (_, body) = message::read_message(&mut stream).unwrap();
         expect_that!(body, eq("POST / [-] hi"));
     });
 }
@@ -369,7 +369,7 @@
         let server = Server::bind(LOCAL, limits, echo).await.unwrap();
         let mut stream = support::connect(server.address());
         support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
-        expect_that!(support::read_message(&mut stream), some(anything()));
+        expect_that!(message::read_message(&mut stream), some(anything()));
         expect_that!(stream.read(&mut [0]), ok(eq(&0)));
     });
 }
--- a/crates/http/tests/suite/support.rs
+++ b/crates/http/tests/suite/support.rs
@@ -1,6 +1,6 @@
 //! What the tests of both sides share.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -27,24 +27,6 @@
     out
 }
 
-/// One message with a length, or nothing when the connection ends first.
-pub(crate) fn read_message(stream: &mut TcpStream) -> Option<(String, String)> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8(head).unwrap();
-    let len = head
-        .lines()
-        .find_map(|it| it.strip_prefix("content-length: "))
-        .map_or(0, |it| it.parse().unwrap());
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, String::from_utf8(body).unwrap()))
-}
-
 /// A connection on which a test fails, and doesn't hang, when nothing comes.
 pub(crate) fn connect(to: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(to).unwrap();
--- a/crates/platform/tests/suite/calls.rs
+++ b/crates/platform/tests/suite/calls.rs
@@ -1,6 +1,6 @@
 //! How the clients classify what services do.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
@@ -35,22 +35,12 @@
     (address, seen)
 }
 
+use crate::message::read_message;
+
 fn receive(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        stream.read_exact(&mut byte).unwrap();
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8(head).unwrap();
-    let len = head
-        .lines()
-        .find_map(|it| it.strip_prefix("content-length: "))
-        .map_or(0, |it| it.parse().unwrap());
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body).unwrap();
+    let (head, body) = read_message(stream).unwrap();
     let line = head.lines().next().unwrap().to_owned();
-    format!("{line}\n{}", String::from_utf8(body).unwrap())
+    format!("{line}\n{body}")
 }
 
 fn answer(status: &str, body: &str) -> Vec<u8> {
--- a/crates/platform/tests/suite/main.rs
+++ b/crates/platform/tests/suite/main.rs
@@ -3,4 +3,6 @@
 
 mod calls;
 mod circuit;
+#[path = "../../../http/tests/suite/message.rs"]
+mod message;
 mod row;
