--- a/xtask/src/capacity/records.rs
+++ b/xtask/src/capacity/records.rs
@@ -4,7 +4,7 @@
 use std::hint::black_box;
 
 use kernel::SystemClock;
-use ledger::measure::{Figures, Load, outage, remembering, run};
+use ledger::measure::{Figures, Load, outage, run};
 
 use crate::capacity::{Sample, Series};
 
@@ -72,9 +72,6 @@
         memory("ledger: memory of held records and as many copies", |it| {
             black_box(outage(it));
         }),
-        memory("ledger: memory of remembered keys", |it| {
-            black_box(remembering(it));
-        }),
     ]
 }
 
