--- a/crates/barleypind/tests/scripts.rs
+++ b/crates/barleypind/tests/scripts.rs
@@ -45,6 +45,7 @@
     billed_once_host_killed
     change_answer_lost
     change_id_reused
+    change_in_slow_store
     change_in_store_outage
     claim_answer_lost
     cut_from_everything
