Name the crate of service clients for what it holds

The folder platform/ needs the name; crates/platform held clients of the table, the object store, the host list and the ratings, and is crates/clients now.

--- a/crates/barleypind/src/call/run.rs
+++ b/crates/barleypind/src/call/run.rs
@@ -315,7 +315,7 @@
         };
         if let Some(rate) = self.cx.host.registry.find::<rate::Rate>() {
             // A full queue costs a rating, and ratings are samples anyway.
-            let _ = rate.offer(platform::Sample {
+            let _ = rate.offer(clients::Sample {
                 request: self.call.request.clone(),
                 version: version.clone(),
                 profile: chat.profile.clone(),
--- a/crates/barleypind/src/context.rs
+++ b/crates/barleypind/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use platform::{HostList, Ratings, Table};
+use clients::{HostList, Ratings, Table};
 
 use crate::backlog::Backlog;
 use crate::gauges::Strangers;
--- a/crates/barleypind/src/daemon.rs
+++ b/crates/barleypind/src/daemon.rs
@@ -5,12 +5,12 @@
 
 use async_std::channel::{Receiver, bounded};
 use async_std::task;
+use clients::{Circuit, HostList, Ratings, Service, Table};
 use config::Settings;
 use error_stack::{Report, ResultExt};
 use http::{Options, Server};
 use kernel::{Clock, Incarnation};
 use link::Link;
-use platform::{Circuit, HostList, Ratings, Service, Table};
 use wire::{Identity, Member, State};
 
 use crate::context::Context;
@@ -153,7 +153,7 @@
         repeat: http::Repeat::Never,
     };
     let service = |address: SocketAddr| {
-        let circuit = Circuit::new(host.incarnation().0, platform::Tuning::default());
+        let circuit = Circuit::new(host.incarnation().0, clients::Tuning::default());
         Service::new(
             host.http.clone(),
             address,
--- a/crates/barleypind/src/service/configure.rs
+++ b/crates/barleypind/src/service/configure.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clients::row::Key;
+use clients::{Condition, Error, Transaction, Version};
 use config::{Change, Commit, Document, Refused};
 use gate::operator::{Accepted, Refusal};
 use gate::problem::{Problem, Reason, Run};
 use kernel::{ChangeId, Revision};
-use platform::row::Key;
-use platform::{Condition, Error, Transaction, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::context::Context;
--- a/crates/barleypind/src/service/endpoints.rs
+++ b/crates/barleypind/src/service/endpoints.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use async_std::task;
+use clients::{HostList, Kind};
 use decide::endpoint::{Distance, Id, Load, Role, State, Update};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use kernel::{HostName, Incarnation, VersionId};
-use platform::{HostList, Kind};
 use wire::EndpointState;
 
 use crate::event::Event;
@@ -109,7 +109,7 @@
     ///
     /// The list lags, so it never brings back what an endpoint said itself: an
     /// endpoint that is leaving stays so for the rest of its incarnation.
-    pub(crate) fn list(&self, hosts: &[platform::Host]) {
+    pub(crate) fn list(&self, hosts: &[clients::Host]) {
         let listed: Vec<_> = hosts.iter().filter_map(|it| self.listed(it)).collect();
         let mut known = self.write();
         let gone: Vec<Id> = known
@@ -263,7 +263,7 @@
             .emit(Event::EndpointLeaving, &[("endpoint", name)]);
     }
 
-    fn listed(&self, host: &platform::Host) -> Option<Endpoint> {
+    fn listed(&self, host: &clients::Host) -> Option<Endpoint> {
         let role = match host.kind {
             Kind::Entry => return None,
             Kind::Engine => Role::Engine(host.versions.clone().into()),
@@ -292,8 +292,8 @@
             },
             may_load: host.versions.clone().into(),
             state: match host.state {
-                platform::State::Live => State::Live,
-                platform::State::Leaving => State::Leaving,
+                clients::State::Live => State::Live,
+                clients::State::Leaving => State::Leaving,
             },
             load: None,
             missed: 0,
@@ -348,7 +348,7 @@
     host: Arc<Host>,
     list: HostList,
     endpoints: Arc<Endpoints>,
-    entries: impl Fn(Vec<platform::Host>) + Send,
+    entries: impl Fn(Vec<clients::Host>) + Send,
 ) {
     let mut out = false;
     loop {
@@ -357,7 +357,7 @@
                 out = false;
                 host.contact.note(host.now());
                 endpoints.list(&listing.hosts);
-                let is_entry = |it: &platform::Host| it.kind == Kind::Entry;
+                let is_entry = |it: &clients::Host| it.kind == Kind::Entry;
                 entries(listing.hosts.into_iter().filter(is_entry).collect());
             }
             Err(err) => {
--- a/crates/barleypind/src/service/fleet.rs
+++ b/crates/barleypind/src/service/fleet.rs
@@ -324,7 +324,7 @@
 }
 
 /// The entry hosts of the platform's list as the core takes them.
-pub(crate) fn listed(hosts: Vec<platform::Host>) -> Vec<Member> {
+pub(crate) fn listed(hosts: Vec<clients::Host>) -> Vec<Member> {
     hosts
         .into_iter()
         .filter_map(|host| {
@@ -335,8 +335,8 @@
                 },
                 refutation: 0,
                 state: match host.state {
-                    platform::State::Live => State::Alive,
-                    platform::State::Leaving => State::Leaving,
+                    clients::State::Live => State::Alive,
+                    clients::State::Leaving => State::Leaving,
                 },
                 fleet_address: host.fleet_address?,
                 address: host.address,
--- a/crates/barleypind/src/service/fleet/configuration.rs
+++ b/crates/barleypind/src/service/fleet/configuration.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use ::fleet::{Event, Polled};
+use clients::row::Key;
 use kernel::Revision;
-use platform::row::Key;
 
 use super::tell;
 use crate::context::Context;
--- a/crates/barleypind/src/service/rate.rs
+++ b/crates/barleypind/src/service/rate.rs
@@ -4,10 +4,10 @@
 
 use async_std::channel::Receiver;
 use async_std::task;
+use clients::Sample;
 use decide::event::{Event, Quality, Rating};
 use decide::key::Class;
 use kernel::Service;
-use platform::Sample;
 
 use crate::context::Context;
 use crate::event::Event as Logged;
@@ -66,7 +66,7 @@
 
 /// Ratings of an earlier life of this host are passed over: the decider knows
 /// nothing of those requests any more.
-fn pass_on(cx: &Context, rating: platform::Rating) {
+fn pass_on(cx: &Context, rating: clients::Rating) {
     let Some(request) = cx.host.request_number(rating.request.as_str()) else {
         return;
     };
--- a/crates/barleypind/src/service/rollout/holder.rs
+++ b/crates/barleypind/src/service/rollout/holder.rs
@@ -1,9 +1,9 @@
 //! This host as a candidate for the lease on orders.
 
+use clients::row::Key;
+use clients::{Condition, Error, Transaction};
 use ledger::lease::{Action, Denied, Endpoint, Event, Fencing, Lease, Row, Tuning, Written};
 use ledger::table::{Expect, Unavailable};
-use platform::row::Key;
-use platform::{Condition, Error, Transaction};
 
 use crate::context::Context;
 use crate::event::Event as Logged;
--- a/crates/barleypind/src/service/table.rs
+++ b/crates/barleypind/src/service/table.rs
@@ -4,12 +4,12 @@
 
 use async_std::channel::Sender;
 use async_std::task;
+use clients::row::{Key, Prefix};
+use clients::{Condition, Error};
 use futures::StreamExt;
 use futures::channel::mpsc::UnboundedReceiver;
 use ledger::table::{Expect, Page, Row, Transaction, Unavailable, Written};
 use ledger::{Action, Event};
-use platform::row::{Key, Prefix};
-use platform::{Condition, Error};
 use serde_json::Value;
 
 use crate::context::Context;
@@ -91,8 +91,8 @@
 
 /// The transaction in the table client's terms; nothing for a key that is none
 /// of the rows of `docs/PROTOCOLS.md`, which the ledger never writes.
-fn translate(wanted: &Transaction) -> Option<platform::Transaction> {
-    let mut transaction = platform::Transaction::default();
+fn translate(wanted: &Transaction) -> Option<clients::Transaction> {
+    let mut transaction = clients::Transaction::default();
     for condition in &wanted.conditions {
         let key = Key::parse(&condition.key)?;
         transaction = transaction.when(match condition.expect {
@@ -132,7 +132,7 @@
     })
 }
 
-fn row_of(row: platform::Row) -> Row {
+fn row_of(row: clients::Row) -> Row {
     let value: Value = row.value().unwrap_or_default();
     Row {
         key: row.key,
--- a/crates/platform/tests/suite/calls.rs
+++ b/crates/clients/tests/suite/calls.rs
@@ -8,14 +8,14 @@
 
 use async_std::future::timeout;
 use async_std::task::block_on;
-use datadriven::{TestCase, walk};
-use http::{Client, Options, Pool};
-use kernel::{Clock, Incarnation, ManualClock, Revision, SystemClock};
-use platform::row::{Key, Prefix};
-use platform::{
+use clients::row::{Key, Prefix};
+use clients::{
     Circuit, Condition, Error, HostList, Objects, Ratings, Reason, Sample, Service, Table,
     Transaction, Tuning, Version,
 };
+use datadriven::{TestCase, walk};
+use http::{Client, Options, Pool};
+use kernel::{Clock, Incarnation, ManualClock, Revision, SystemClock};
 
 /// Takes one connection after the other, one request on each, and answers
 /// with the next of `answers`; an empty one stands for a lost answer. Gives
--- a/crates/platform/tests/suite/circuit.rs
+++ b/crates/clients/tests/suite/circuit.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
+use clients::{Admission, Circuit, Tuning};
 use datadriven::walk;
-use platform::{Admission, Circuit, Tuning};
 use proptest::prelude::*;
 
 fn tuning() -> Tuning {
--- a/crates/platform/tests/suite/row.rs
+++ b/crates/clients/tests/suite/row.rs
@@ -1,8 +1,8 @@
 //! Row keys, to text and back.
 
+use clients::row::{Key, Prefix};
 use expect_test::{Expect, expect};
 use kernel::{Incarnation, RequestKey, Revision};
-use platform::row::{Key, Prefix};
 use proptest::prelude::*;
 
 fn check(key: &Key, expect: &Expect) {
--- a/crates/ledger/tests/sim/table.rs
+++ b/crates/ledger/tests/sim/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use platform::row::Key;
+use clients::row::Key;
 
 use ledger::table::{Expect, Page, Row, Transaction, Unavailable, Written};
 
