--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -279,7 +279,7 @@
                 node.router().first(node.now(), flight);
             }
             let is_done = decoder.is_done() && !events.has_rest();
-            if is_done && answer.has_begun() {
+            if is_done && answer.status != 0 {
                 self.keep(upstream, head, told);
                 return match timeout(node.timing.write, answer.finish()).await {
                     Ok(Ok(())) => Exchange::Delivered,
