Give an attempt up only when the next one is sure to be allowed

The repeat is now taken from the budget first; an endpoint that can't be replaced is waited for. The same holds for a small model's doubt. Verdicts are kept until their order comes, and a release is judged only beside twenty answers of the other. Ruled out: SIGHUP and SIGTERM (the cuts came 5 s later, at the pause).

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -111,11 +111,13 @@
             Ok(conn) => Upstream::new(conn, self.bytes(call)),
             Err(ending) => return ending.into(),
         };
-        let wait = self.first_wait(call);
-        let (head, told) = match timeout(wait, self.head(&mut upstream)).await {
-            Ok(Ok(it)) => it,
-            Ok(Err(trouble)) => return trouble.ending().into(),
-            Err(_) => return Ending::Silent.into(),
+        let (head, told) = loop {
+            match timeout(self.first_wait(call), self.head(&mut upstream)).await {
+                Ok(Ok(it)) => break it,
+                Ok(Err(trouble)) => return trouble.ending().into(),
+                Err(_) if self.gives_up(call) => return Ending::Silent.into(),
+                Err(_) => {}
+            }
         };
         let now = self.node.now();
         if let Some(load) = told.load {
@@ -128,7 +130,10 @@
         if !told.is_signed && head.is_success() {
             return Ending::Broken.into();
         }
-        if call.is_unsure(told.confidence) && head.is_success() {
+        if call.is_unsure(told.confidence)
+            && head.is_success()
+            && node_reserves(self.node, call, Ending::Unsure)
+        {
             return Ending::Unsure.into();
         }
         if call.route.is_stream() && head.is_success() {
@@ -182,7 +187,7 @@
     /// silence is no reason to end the request sooner.
     fn first_wait(&self, call: &Call) -> Duration {
         let left = call.left(self.node.now());
-        if self.may_move(call) {
+        if self.may_move(call) && !call.is_held() {
             let part = self.node.timing.first_part;
             left.min(call.route.aim.mul_f64(part))
         } else {
@@ -190,6 +195,16 @@
         }
     }
 
+    /// Whether a silent endpoint is given up: its time is over, or the request
+    /// may go elsewhere. Where it may not, the endpoint is waited for.
+    fn gives_up(&self, call: &mut Call) -> bool {
+        if call.left(self.node.now()).is_zero() || node_reserves(self.node, call, Ending::Silent) {
+            return true;
+        }
+        call.hold();
+        false
+    }
+
     fn may_move(&self, call: &Call) -> bool {
         call.route.repeat == Repeat::Idempotent && call.attempts() < call.route.attempts
     }
@@ -297,10 +312,11 @@
                 _ => return Exchange::CallerGone,
             }
             match timeout(self.pause(call), upstream.advance()).await {
-                Ok(Ok(1..)) => {}
+                Ok(Ok(1..)) => call.release(),
                 Ok(Ok(0)) if decoder.finish().is_ok() => {}
                 Ok(_) => return Ending::Broken.into(),
-                Err(_) => return Ending::Silent.into(),
+                Err(_) if self.gives_up(call) => return Ending::Silent.into(),
+                Err(_) => {}
             }
         }
     }
@@ -330,7 +346,7 @@
     fn pause(&self, call: &Call) -> Duration {
         let left = call.left(self.node.now());
         match call.route.answer {
-            Shape::Stream { pause } if self.may_move(call) => {
+            Shape::Stream { pause } if self.may_move(call) && !call.is_held() => {
                 left.min(pause.mul_f64(self.node.timing.pause_part))
             }
             _ => left,
@@ -347,6 +363,14 @@
     }
 }
 
+fn node_reserves<D: Dialect, O: Observer>(
+    node: &Node<D, O>,
+    call: &mut Call,
+    ending: Ending,
+) -> bool {
+    node.router().reserve(node.now(), call, ending)
+}
+
 /// Whether a status tells callers that the request has not run. An endpoint
 /// that sends one without saying so itself may have run it.
 fn is_promise(status: u16) -> bool {
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -72,13 +72,16 @@
     }
     let mut known = life.judgements.borrow_mut();
     for it in documents.judgements {
+        known.insert(it.service.clone(), it);
+    }
+    // Orders and judgements come on two ways, in any order.
+    for it in known.values() {
         if let Some(rollout) = router.rollout(&it.service)
             && rollout.order.release == it.release
             && it.verdict != Verdict::Running
         {
             rollout.verdict = it.verdict;
         }
-        known.insert(it.service.clone(), it);
     }
 }
 
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -53,6 +53,10 @@
     pub(crate) attempts: u32,
     pub(crate) unsent: u32,
     pub(crate) may_have_run: bool,
+    /// Whether a repeat has been taken from the budget and not been made yet.
+    pub(crate) reserved: bool,
+    /// Whether the endpoint is waited for because there was no repeat to be had.
+    held: bool,
 }
 
 /// How an attempt ended.
@@ -137,6 +141,8 @@
             attempts: 0,
             unsent: 0,
             may_have_run: false,
+            reserved: false,
+            held: false,
         }
     }
 
@@ -159,6 +165,22 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Whether its endpoint is waited for whatever its silence.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.held
+    }
+
+    /// Waits for the endpoint from now on.
+    pub fn hold(&mut self) {
+        self.held = true;
+    }
+
+    /// Ends that wait: the endpoint was heard of.
+    pub fn release(&mut self) {
+        self.held = false;
+    }
+
     /// How many attempts were made.
     #[must_use]
     pub fn attempts(&self) -> u32 {
@@ -185,6 +207,7 @@
     }
 
     pub(crate) fn note(&mut self, ending: Ending) {
+        self.held = false;
         match ending {
             Ending::NotSent => self.unsent += 1,
             Ending::Refused | Ending::Moved => {}
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -17,7 +17,9 @@
 /// When the roll-out is complete. Endpoints of the old release stop at once
 /// then, so what was sent to them before the move must have ended.
 const COMPLETE_AT: f64 = 0.86;
-/// Answers of the new release without which it is not judged good.
+/// Answers of either release without which the new one is not judged. A host
+/// that has just started has none of the old one to compare with, and whatever
+/// befell the fleet would be put down to the new one.
 const MIN_ANSWERS: u32 = 20;
 /// Bad answers of the new release below which it is never judged bad. The
 /// bound on answers after a release has shown itself bad starts at the 50th.
@@ -215,7 +217,10 @@
 
     fn is_bad(&self) -> bool {
         let all = self.pooled();
-        all.new.bad >= MIN_BAD && all.new.bad_share() > all.old.bad_share() + MARGIN
+        let is_compared = all.old.answers >= MIN_ANSWERS;
+        is_compared
+            && all.new.bad >= MIN_BAD
+            && all.new.bad_share() > all.old.bad_share() + MARGIN
     }
 
     fn is_good(&self) -> bool {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -165,9 +165,9 @@
             return false;
         }
         let exposure = self.settings.exposure_share;
-        let rollout = Rollout::new(order, started, exposure);
+        let service = order.service.clone();
         self.rollouts
-            .insert(rollout.order.service.clone(), rollout);
+            .insert(service, Rollout::new(order, started, exposure));
         true
     }
 
@@ -263,13 +263,27 @@
         if !call.may_repeat(now, ending) {
             return Next::Fail(call.failure(now, ending));
         }
-        let hosts = self.hosts;
-        if ending == Ending::NotSent || self.budget(&call.service).repeat(now, hosts) {
+        if ending == Ending::NotSent || self.reserve(now, call, ending) {
+            call.reserved = false;
             return Next::Again;
         }
         Next::Fail(call.failure(now, ending))
     }
 
+    /// Whether a request may be sent once more after this ending, with the
+    /// repeat taken from the budget.
+    ///
+    /// It is asked before an attempt is given up that might still succeed: an
+    /// endpoint's silence, or a small model's doubt, is no reason to end a
+    /// request that can go nowhere else.
+    pub fn reserve(&mut self, now: Duration, call: &mut Call, ending: Ending) -> bool {
+        if !call.reserved && call.may_repeat(now, ending) {
+            let hosts = self.hosts;
+            call.reserved = self.budget(&call.service).repeat(now, hosts);
+        }
+        call.reserved
+    }
+
     /// Ends an attempt whose caller left.
     pub fn cancel(&mut self, mut flight: Flight) {
         self.read(&mut flight);
