Ask the store less often

News is waited for 12 s; a connection that falls silent meanwhile breaks by its keep-alive probes after three seconds.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -11,15 +11,14 @@
 use crate::life::Life;
 use crate::{Documents, Judgement, Store, Trouble};
 
-/// How long one question for news waits. A connection that went silent is
-/// noticed soon after it, well within the time in which a configuration has to
-/// be in force.
-const NEWS_WAIT: Duration = Duration::from_millis(1_500);
+/// How long one question for news waits. Each is paid for; a connection that
+/// went silent meanwhile is noticed by its keep-alive, see `http`.
+const NEWS_WAIT: Duration = Duration::from_secs(12);
 /// The pause after a question that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
-/// How often the listing of endpoints is read. An endpoint that leaves gets no
-/// new work two seconds after it said so.
-const ENDPOINTS_PERIOD: Duration = Duration::from_millis(500);
+/// How often the listing of endpoints is read. An endpoint that leaves may get
+/// no new work two seconds after it said so; each reading is paid for.
+const ENDPOINTS_PERIOD: Duration = Duration::from_millis(700);
 /// How long after an outage entries may be missing of endpoints that live.
 const LAPSED: Duration = Duration::from_millis(2_200);
 /// How often a roll-out is looked at.
@@ -120,7 +119,7 @@
             Err(_) => members.hold(now),
         }
         drop(members);
-        sleep(life.period / 2).await;
+        sleep(life.period).await;
     }
 }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -149,9 +149,26 @@
     // Without it the kernel holds a short request back for the answer to the
     // one before. A failure costs time, not correctness.
     let _ = stream.set_nodelay(true);
+    keep_alive(&stream);
     Ok(Conn::new(stream))
 }
 
+/// Has the kernel ask an idle peer whether it is there.
+///
+/// A connection can go silent for good without a reset. Who waits for a late
+/// answer on it, as for news of a configuration, would wait out its time-out;
+/// with probes the connection breaks after about three seconds.
+fn keep_alive(stream: &TcpStream) {
+    const PROBES: u32 = 2;
+    const PAUSE: Duration = Duration::from_secs(1);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PAUSE)
+        .with_interval(PAUSE)
+        .with_retries(PROBES);
+    // Without them the time-outs still end the wait.
+    let _ = socket2::SockRef::from(stream).set_tcp_keepalive(&probes);
+}
+
 /// Why a request wasn't written to its end.
 enum Unwritten {
     /// The peer took no more of it.
