Ask a larger model where its answer is worth the price and the wait

Now the doubt about an answer is weighed by what is left of its worth, the price and the capacity taken; how fast models read is learned, and silence is judged by it.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -130,14 +130,14 @@
         if !told.is_signed && head.is_success() {
             return Ending::Broken.into();
         }
-        if call.is_unsure(told.confidence)
-            && head.is_success()
-            && node_reserves(self.node, call, Ending::Unsure)
-        {
+        if let Some(flight) = &mut guard.flight {
+            self.node.router().first(now, call, flight);
+        }
+        if head.is_success() && self.node.router().escalates(now, call, told.confidence) {
             return Ending::Unsure.into();
         }
         if call.route.is_stream() && head.is_success() {
-            return self.stream(upstream, &head, &told, call, answer, guard).await;
+            return self.stream(upstream, &head, &told, call, answer).await;
         }
         self.whole(upstream, head, &told, call, answer).await
     }
@@ -189,7 +189,7 @@
         let left = call.left(self.node.now());
         if self.may_move(call) && !call.is_held() {
             let part = self.node.timing.first_part;
-            left.min(call.route.aim.mul_f64(part))
+            left.min(self.node.router().patience(call, part))
         } else {
             left
         }
@@ -198,7 +198,8 @@
     /// Whether a silent endpoint is given up: its time is over, or the request
     /// may go elsewhere. Where it may not, the endpoint is waited for.
     fn gives_up(&self, call: &mut Call) -> bool {
-        if call.left(self.node.now()).is_zero() || node_reserves(self.node, call, Ending::Silent) {
+        let now = self.node.now();
+        if call.left(now).is_zero() || self.node.router().reserve(now, call, Ending::Silent) {
             return true;
         }
         call.hold();
@@ -277,7 +278,6 @@
         told: &Told,
         call: &mut Call,
         answer: &mut Answer,
-        guard: &mut Guard<'_, D, O>,
     ) -> Exchange {
         let node = self.node;
         let mut decoder = Decoder::new(head.length);
@@ -290,9 +290,6 @@
             if !self.pass_on(&mut events, head, answer) {
                 return Ending::Broken.into();
             }
-            if let Some(flight) = &mut guard.flight {
-                node.router().first(node.now(), flight);
-            }
             let is_done = decoder.is_done() && !events.has_rest();
             if is_done && answer.status != 0 {
                 self.keep(upstream, head, told);
@@ -363,14 +360,6 @@
     }
 }
 
-fn node_reserves<D: Dialect, O: Observer>(
-    node: &Node<D, O>,
-    call: &mut Call,
-    ending: Ending,
-) -> bool {
-    node.router().reserve(node.now(), call, ending)
-}
-
 /// Whether a status tells callers that the request has not run. An endpoint
 /// that sends one without saying so itself may have run it.
 fn is_promise(status: u16) -> bool {
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -187,11 +187,10 @@
         self.attempts
     }
 
-    /// Whether an answer of this confidence should be dropped for a larger
-    /// model's: that is possible while the caller has none of it.
-    #[must_use]
-    pub fn is_unsure(&self, confidence: Option<u8>) -> bool {
-        !self.begun && self.attempts < self.route.attempts && self.cascade.is_unsure(confidence)
+    /// Whether a larger model could be asked instead of this one: while the
+    /// caller has none of the answer.
+    pub(crate) fn may_escalate(&self) -> bool {
+        !self.begun && self.attempts < self.route.attempts && self.cascade.has_larger()
     }
 
     /// Whether the same attempt could be made again, its budget aside.
--- a/crates/route/src/cascade.rs
+++ b/crates/route/src/cascade.rs
@@ -1,10 +1,22 @@
 //! Which model answers.
 
-/// A confidence below which an answer is dropped and the largest model asked.
-///
-/// A trial relay with a fixed bound served most at 60 of 40, 60, 75 and 90, on
-/// both deployments (worth 0.727 and 0.672; see docs/design/platform.md).
-const ENOUGH: u8 = 60;
+use std::time::Duration;
+
+/// The part of an answer's worth that is left when it comes late, and when it
+/// is not good. Both are those of the deployments' price lists (0.29 to 0.31,
+/// and 0.05).
+const LATE: f64 = 0.3;
+const POOR: f64 = 0.05;
+/// How likely the largest model's answer is good.
+const LARGEST: f64 = 0.97;
+/// What a good answer is worth, in prices of the largest model's answer, by the
+/// request's rank, the most urgent first; less urgent ones are as the last. From
+/// the deployments' price lists (6.4 to 7.6 for the first two, 2.4 and 2.7 for
+/// the third).
+const WORTH: [f64; 3] = [7.0, 7.0, 2.5];
+/// The price of the capacity that the largest model's answer takes from other
+/// requests, in prices of that answer, while all places are taken.
+const CROWDED: f64 = 4.0;
 
 /// Which of a route's models answers a request, from the smallest to the largest.
 ///
@@ -17,6 +29,23 @@
     current: usize,
 }
 
+/// What a decision about an unsure answer depends on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Doubt {
+    /// How sure the model is of its answer, from 0 to 100.
+    pub confidence: u8,
+    /// The request's rank, the most urgent 0.
+    pub priority: u8,
+    /// How long the caller has waited.
+    pub waited: Duration,
+    /// How long the largest model would take to begin.
+    pub larger_takes: Duration,
+    /// The time within which the answer has its full worth.
+    pub aim: Duration,
+    /// The part of the service's places that are taken.
+    pub used: f64,
+}
+
 impl Cascade {
     /// A cascade over this many models.
     #[must_use]
@@ -30,10 +59,10 @@
         (self.models > 0).then_some(self.current)
     }
 
-    /// Whether another model should answer instead, at this confidence.
+    /// Whether a larger model could be asked.
     #[must_use]
-    pub fn is_unsure(&self, confidence: Option<u8>) -> bool {
-        self.current + 1 < self.models && confidence.is_some_and(|it| it < ENOUGH)
+    pub fn has_larger(&self) -> bool {
+        self.current + 1 < self.models
     }
 
     /// Goes on to the largest.
@@ -41,3 +70,21 @@
         self.current = self.models.saturating_sub(1);
     }
 }
+
+impl Doubt {
+    /// Whether the largest model's answer is worth its price and the wait.
+    #[must_use]
+    pub fn is_worth_more(&self) -> bool {
+        let sure = f64::from(self.confidence) / 100.0;
+        let now = timely(self.waited, self.aim) * (sure + (1.0 - sure) * POOR);
+        let then = timely(self.waited + self.larger_takes, self.aim) * LARGEST;
+        let rank = usize::from(self.priority).min(WORTH.len() - 1);
+        let price = 1.0 + CROWDED * self.used.clamp(0.0, 1.0);
+        (then - now) * WORTH[rank] > price
+    }
+}
+
+/// The part of its worth that an answer keeps which begins after this time.
+fn timely(after: Duration, aim: Duration) -> f64 {
+    if after < aim { 1.0 } else { LATE }
+}
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -30,8 +30,8 @@
     pub(crate) listed: Listed,
     /// Requests of this host that are under way there.
     pub(crate) flights: u32,
-    /// Prompt tokens of those that haven't begun to answer.
-    pub(crate) unread_tokens: u64,
+    /// The time that reading the prompts of those takes that haven't begun to answer.
+    pub(crate) unread: Duration,
     /// The load that it told last, and the requests sent since.
     pub(crate) load: Option<(Duration, Load)>,
     pub(crate) sent_since_load: u32,
@@ -146,6 +146,17 @@
             .filter_map(|&key| Some((key, self.endpoints.get(key)?)))
     }
 
+    /// The part of a service's places that is believed to be taken.
+    #[must_use]
+    pub fn used(&self, now: Duration, service: &ServiceName) -> f64 {
+        let (mut used, mut count) = (0.0, 0.0);
+        for (_, it) in self.of(service).filter(|(_, it)| it.takes_work()) {
+            used += it.used(now);
+            count += 1.0;
+        }
+        if count > 0.0 { used / count } else { 1.0 }
+    }
+
     /// Whether any endpoint is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -198,7 +209,7 @@
             entry,
             listed: Listed::Yes,
             flights: 0,
-            unread_tokens: 0,
+            unread: Duration::ZERO,
             load: None,
             sent_since_load: 0,
             health: Health::default(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,15 +12,16 @@
 pub mod config;
 pub mod directory;
 pub mod endpoint;
-mod health;
 mod hash;
+mod health;
+mod pace;
 pub mod rollout;
 mod router;
 mod settings;
 
 pub use budget::Budget;
 pub use call::{Call, Ending, Failure, Next, Shape};
-pub use cascade::Cascade;
+pub use cascade::{Cascade, Doubt};
 pub use config::Config;
 pub use directory::Directory;
 pub use rollout::Rollout;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -16,7 +16,8 @@
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key, Load};
 use crate::rollout::{Order, Side};
-use crate::{Budget, Directory, Rollout, Settings, hash};
+use crate::pace::Pace;
+use crate::{Budget, Directory, Doubt, Rollout, Settings, hash};
 
 /// What a host believes, and where requests go by it.
 #[derive(Debug)]
@@ -26,6 +27,7 @@
     directory: Directory,
     budgets: HashMap<ServiceName, Budget>,
     rollouts: HashMap<ServiceName, Rollout>,
+    paces: HashMap<(ServiceName, ModelName), Pace>,
     hosts: u32,
     rng: Pcg32,
 }
@@ -88,7 +90,7 @@
     /// The endpoint.
     pub endpoint: Key,
     began: Duration,
-    unread_tokens: u64,
+    unread: Duration,
     first: Option<Duration>,
 }
 
@@ -102,6 +104,7 @@
             directory: Directory::default(),
             budgets: HashMap::new(),
             rollouts: HashMap::new(),
+            paces: HashMap::new(),
             hosts: 1,
             rng: Pcg32::seed_from_u64(seed),
         }
@@ -216,16 +219,19 @@
     pub fn begin(&mut self, now: Duration, call: &mut Call, placement: &Placement) -> Flight {
         call.attempts += 1;
         call.tried.push(placement.endpoint);
-        let unread_tokens = call.shape.prompt_tokens;
+        let unread = match call.cascade.model() {
+            Some(model) => self.expected(call, model),
+            None => Duration::ZERO,
+        };
         if let Some(it) = self.directory.get_mut(placement.endpoint) {
             it.flights += 1;
             it.sent_since_load += 1;
-            it.unread_tokens += unread_tokens;
+            it.unread += unread;
         }
         Flight {
             endpoint: placement.endpoint,
             began: now,
-            unread_tokens,
+            unread,
             first: None,
         }
     }
@@ -239,17 +245,24 @@
     }
 
     /// Takes the first part of an attempt's answer.
-    pub fn first(&mut self, now: Duration, flight: &mut Flight) {
-        if flight.first.is_none() {
-            flight.first = Some(now);
-            self.read(flight);
+    pub fn first(&mut self, now: Duration, call: &Call, flight: &mut Flight) {
+        if flight.first.is_some() {
+            return;
+        }
+        flight.first = Some(now);
+        self.read(flight);
+        if let Some(model) = call.model() {
+            let key = (call.service.clone(), model.clone());
+            let took = now.saturating_sub(flight.began);
+            let pace = self.paces.entry(key).or_default();
+            pace.sight(call.shape.prompt_tokens, took);
         }
     }
 
     fn read(&mut self, flight: &mut Flight) {
-        let tokens = std::mem::take(&mut flight.unread_tokens);
+        let unread = std::mem::take(&mut flight.unread);
         if let Some(it) = self.directory.get_mut(flight.endpoint) {
-            it.unread_tokens = it.unread_tokens.saturating_sub(tokens);
+            it.unread = it.unread.saturating_sub(unread);
         }
     }
 
@@ -292,6 +305,45 @@
         }
     }
 
+    /// Whether an answer of this confidence is dropped for the largest model's,
+    /// with the repeat taken from the budget.
+    pub fn escalates(&mut self, now: Duration, call: &mut Call, confidence: Option<u8>) -> bool {
+        let (Some(confidence), true) = (confidence, call.may_escalate()) else {
+            return false;
+        };
+        let largest = call.route.models.len() - 1;
+        let doubt = Doubt {
+            confidence,
+            priority: call.priority(),
+            waited: now.saturating_sub(call.arrived),
+            larger_takes: self.expected(call, largest),
+            aim: call.route.aim,
+            used: self.directory.used(now, &call.service),
+        };
+        doubt.is_worth_more() && self.reserve(now, call, Ending::Unsure)
+    }
+
+    /// How long the endpoint that was asked may take to begin its answer before
+    /// its silence tells that something is wrong with it.
+    #[must_use]
+    pub fn patience(&self, call: &Call, part: f64) -> Duration {
+        /// Long prompts take as long as they take, and longer beside others.
+        const TIMES: u32 = 3;
+        let least = call.route.aim.mul_f64(part);
+        match call.cascade.model() {
+            Some(model) => least.max(self.expected(call, model) * TIMES),
+            None => least,
+        }
+    }
+
+    fn expected(&self, call: &Call, model: usize) -> Duration {
+        let pace = call.route.models.get(model).and_then(|it| {
+            let key = (call.service.clone(), it.clone());
+            self.paces.get(&key).copied()
+        });
+        pace.unwrap_or_default().expect(call.shape.prompt_tokens)
+    }
+
     /// What becomes of a request that has no endpoint to go to.
     #[must_use]
     pub fn unplaced(&self, now: Duration, call: &Call) -> Failure {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -11,9 +11,8 @@
 use crate::rollout::{Rollout, Side, Verdict};
 use crate::hash;
 
-/// Prompt tokens waiting to be read that weigh as much as all places taken.
-/// Reading them takes the smallest model a third of a second.
-const FULL_UNREAD: f64 = 60_000.0;
+/// Time to read the prompts that wait which weighs as much as all places taken.
+const FULL_UNREAD: Duration = Duration::from_millis(1_000);
 /// What another data centre weighs, in parts of an endpoint's places. Small: it
 /// costs bytes between data centres, which are a hundredth of an answer's worth.
 const FAR: f64 = 0.04;
@@ -97,9 +96,7 @@
             }
             candidates += 1;
             let mut score = it.used(now);
-            #[allow(clippy::cast_precision_loss, reason = "a weight")]
-            let unread = it.unread_tokens as f64;
-            score += unread / FULL_UNREAD;
+            score += it.unread.div_duration_f64(FULL_UNREAD);
             score += BAD * it.health.bad_share();
             score += CHANCE * rng.random::<f64>();
             if it.entry.data_centre != self.settings.data_centre {
