--- a/crates/route/src/cascade.rs
+++ b/crates/route/src/cascade.rs
@@ -16,7 +16,7 @@
 const WORTH: [f64; 3] = [7.0, 7.0, 2.5];
 /// The price of the capacity that the largest model's answer takes from other
 /// requests, in prices of that answer, while all places are taken.
-const CROWDED: f64 = 4.0;
+const CROWDED: f64 = 10.0;
 
 /// Which of a route's models answers a request, from the smallest to the largest.
 ///
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 mod pace;
 pub mod rollout;
 mod router;
+mod sessions;
 mod settings;
 
 pub use budget::Budget;
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -162,6 +162,22 @@
         }
     }
 
+    /// The release for a request of a session that is on `release` already.
+    ///
+    /// It stays there. Only in the later half, when the new release has proved
+    /// good, do sessions move to it with all other traffic.
+    #[must_use]
+    pub fn keep(&self, now: Duration, release: &Release, number: f64) -> Side {
+        const LATER_HALF: f64 = 0.5;
+        match self.verdict {
+            Verdict::Complete => Side::New,
+            Verdict::Reverted => Side::Old,
+            Verdict::Running if *release == self.order.release => Side::New,
+            Verdict::Running if self.progress(now) < LATER_HALF => Side::Old,
+            Verdict::Running => self.side(now, number),
+        }
+    }
+
     /// Whether an endpoint of this release may take a request of this side.
     #[must_use]
     pub fn fits(&self, side: Side, release: &Release) -> bool {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -17,8 +17,13 @@
 use crate::endpoint::{Entry, Key, Load};
 use crate::rollout::{Order, Side};
 use crate::pace::Pace;
+use crate::sessions::Sessions;
 use crate::{Budget, Directory, Doubt, Rollout, Settings, hash};
 
+/// Added to the longest pause of a session: its caller measures the pause
+/// from the answer's end, this host from what it last heard.
+const SESSION_MARGIN: Duration = Duration::from_secs(1);
+
 /// What a host believes, and where requests go by it.
 #[derive(Debug)]
 pub struct Router {
@@ -27,6 +32,7 @@
     directory: Directory,
     budgets: HashMap<ServiceName, Budget>,
     rollouts: HashMap<ServiceName, Rollout>,
+    sessions: Sessions,
     paces: HashMap<(ServiceName, ModelName), Pace>,
     hosts: u32,
     rng: Pcg32,
@@ -104,6 +110,7 @@
             directory: Directory::default(),
             budgets: HashMap::new(),
             rollouts: HashMap::new(),
+            sessions: Sessions::default(),
             paces: HashMap::new(),
             hosts: 1,
             rng: Pcg32::seed_from_u64(seed),
@@ -207,14 +214,23 @@
         let patience = patience.unwrap_or(route.timeout).min(route.timeout);
         let route = route.clone();
         let mut call = Call::new(route, customer, service, shape, now, now + patience);
-        call.side = self
-            .rollouts
-            .get(&call.service)
-            .map(|it| it.side(now, number));
+        call.side = self.side(now, &call, number);
         self.budget(&call.service).request(now);
         Ok(call)
     }
 
+    /// The release for a new request while a roll-out is under way.
+    fn side(&self, now: Duration, call: &Call, number: f64) -> Option<Side> {
+        let rollout = self.rollouts.get(&call.service)?;
+        let gap = self.settings.session_gap + SESSION_MARGIN;
+        let session = call.shape.session.as_ref();
+        let release = session.and_then(|it| self.sessions.release(now, it, gap));
+        Some(match release {
+            Some(release) => rollout.keep(now, release, number),
+            None => rollout.side(now, number),
+        })
+    }
+
     /// Begins an attempt.
     pub fn begin(&mut self, now: Duration, call: &mut Call, placement: &Placement) -> Flight {
         call.attempts += 1;
@@ -224,6 +240,11 @@
             None => Duration::ZERO,
         };
         if let Some(it) = self.directory.get_mut(placement.endpoint) {
+            if let Some(session) = &call.shape.session {
+                let gap = self.settings.session_gap + SESSION_MARGIN;
+                let release = &it.entry.release;
+                self.sessions.note(now, session, release, gap);
+            }
             it.flights += 1;
             it.sent_since_load += 1;
             it.unread += unread;
@@ -358,6 +379,9 @@
         };
         it.flights = it.flights.saturating_sub(1);
         let release = it.entry.release.clone();
+        if let Some(session) = &call.shape.session {
+            self.sessions.renew(now, session);
+        }
         match ending {
             Ending::Answered | Ending::Unsure => it.health.good(now),
             Ending::NotSent | Ending::Moved => it.health.unreachable(now),
