Let hosts talk to each other

Hosts tell each other twice a second, over the QUIC link that the product has, what they know: readiness, the configuration's version, the age of their listing, roll-outs with evidence and the sessions that stay. A host that the store turns away gets configuration and listing from another. The authority for the certificates lies in the store. Ruled out: rows in the store for each of these (priced, and gone when it is).

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -123,7 +123,8 @@
     /// Begins an endpoint's stream; nothing is sent before its first event.
     pub(crate) fn begin<D: Dialect>(&mut self, dialect: &D, head: &response::Head) {
         self.copy(dialect, head);
-        self.out.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
+        self.out
+            .extend_from_slice(b"Transfer-Encoding: chunked\r\n");
         self.end_head(None);
     }
 
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -111,7 +111,11 @@
         match result {
             AttemptResult::Delivered => return Outcome::Answered,
             AttemptResult::CallerGone => return Outcome::Gone,
-            AttemptResult::Ended { flight, ending, parked } => {
+            AttemptResult::Ended {
+                flight,
+                ending,
+                parked,
+            } => {
                 let next = node.router().end(node.now(), call, flight, ending);
                 match (next, parked) {
                     (Next::Again, _) => {}
--- a/crates/framing/src/fields.rs
+++ b/crates/framing/src/fields.rs
@@ -53,9 +53,7 @@
     /// The first value with this name, if it is text.
     #[must_use]
     pub fn text(&self, name: &str) -> Option<&str> {
-        self.all(name)
-            .next()
-            .and_then(|it| str::from_utf8(it).ok())
+        self.all(name).next().and_then(|it| str::from_utf8(it).ok())
     }
 
     /// The first value with this name, if it is a number.
--- a/crates/host/src/documents.rs
+++ b/crates/host/src/documents.rs
@@ -12,8 +12,8 @@
 pub struct Documents {
     /// The store's revision that this shows.
     pub revision: u64,
-    /// The configuration.
-    pub config: Option<Arc<Config>>,
+    /// The configuration, and its text as operators wrote it.
+    pub config: Option<(Arc<Config>, Arc<[u8]>)>,
     /// Orders to roll a release out.
     pub orders: Vec<Order>,
     /// What roll-outs have come to.
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -1,11 +1,14 @@
 //! Follows the store.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task::sleep;
 use forward::{Dialect, Node, Observer};
+use route::Config;
 use route::directory::Absence;
+use route::endpoint::Entry;
 use route::rollout::Verdict;
 
 use crate::life::Life;
@@ -60,14 +63,16 @@
 }
 
 fn take<S: Store, D: Dialect, O: Observer>(life: &Life<S, D, O>, documents: Documents) {
+    if let Some((config, text)) = documents.config {
+        configure(life, config, text);
+    }
     let node = &life.node;
     let now = node.now();
     let mut router = node.router();
-    if let Some(config) = documents.config {
-        router.configure(config);
-    }
     for order in documents.orders {
-        router.order(order, now);
+        if router.order(order, now) {
+            life.hurry();
+        }
     }
     let mut known = life.judgements.borrow_mut();
     for it in documents.judgements {
@@ -84,6 +89,32 @@
     }
 }
 
+/// Puts a configuration in force unless a newer one is.
+pub(crate) fn configure<S: Store, D: Dialect, O: Observer>(
+    life: &Life<S, D, O>,
+    config: Arc<Config>,
+    text: Arc<[u8]>,
+) {
+    if life.node.router().configure(config) {
+        *life.config_text.borrow_mut() = Some(text);
+        life.hurry();
+    }
+}
+
+/// Takes a listing of endpoints that was read at `at`, unless a later one was taken.
+pub(crate) fn list<S: Store, D: Dialect, O: Observer>(
+    life: &Life<S, D, O>,
+    at: Duration,
+    entries: Vec<Entry>,
+    absence: Absence,
+) {
+    if life.listed.get().is_some_and(|(last, _)| last >= at) {
+        return;
+    }
+    life.listed.set(Some((at, absence)));
+    life.node.router().list(at, entries, absence);
+}
+
 pub(crate) async fn endpoints<S: Store, D: Dialect, O: Observer>(life: Rc<Life<S, D, O>>) {
     let mut failed = None;
     loop {
@@ -95,7 +126,7 @@
                     Some(at) if now.saturating_sub(at) < LAPSED => Absence::Lapsed,
                     _ => Absence::Gone,
                 };
-                node.router().list(now, entries, absence);
+                list(&life, now, entries, absence);
                 sleep(ENDPOINTS_PERIOD).await;
             }
             Err(_) => {
@@ -158,6 +189,7 @@
         if found == Some(Verdict::Reverted) {
             // This host has seen enough; the store hears of it when it can.
             rollout.verdict = Verdict::Reverted;
+            life.hurry();
         }
         let service = &rollout.order.service;
         let written = known.get(service);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,7 +10,10 @@
 mod life;
 mod member;
 mod members;
+mod message;
+mod peers;
 mod store;
+mod talk;
 
 pub use documents::{Documents, Judgement};
 pub use life::{Life, Serving};
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -2,22 +2,39 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::task::{sleep, spawn_local};
 use forward::{Dialect, Front, Node, Observer, Phase};
-use kernel::ServiceName;
+use kernel::{DataCentre, Incarnation, Region, ServiceName};
+use link::keys::Authority;
+use link::{Incoming, Link};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use route::directory::Absence;
+use wire::{Frame, Identity, Payload};
 
-use crate::{Judgement, Member, Members, Store, follow};
+use crate::message::Message;
+use crate::peers::Peers;
+use crate::{Judgement, Member, Members, Store, follow, talk};
 
 /// How often old connections are closed.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// How often a host that leaves looks whether its last request has ended.
 const END_PERIOD: Duration = Duration::from_millis(50);
 
+/// The name under which the hosts' authority signs.
+const FLEET: &str = "barleypin";
+/// How long a connection between hosts lives without a word. News is told twice
+/// a second, so this only ends those to hosts that are gone.
+const LINK_IDLE: Duration = Duration::from_secs(10);
+/// How long a connection between hosts may take to open.
+const LINK_CONNECT: Duration = Duration::from_millis(800);
+
 /// A host from its start to its end.
 pub struct Life<S, D, O> {
     pub(crate) store: S,
@@ -25,6 +42,17 @@
     pub(crate) members: RefCell<Members>,
     pub(crate) judgements: RefCell<HashMap<ServiceName, Judgement>>,
     pub(crate) period: Duration,
+    pub(crate) peers: RefCell<Peers>,
+    /// When the listing of endpoints was read that is in use, and what an
+    /// absent entry meant in it.
+    pub(crate) listed: Cell<Option<(Duration, Absence)>>,
+    pub(crate) config_text: RefCell<Option<Arc<[u8]>>>,
+    /// Whether another host is being asked for something.
+    pub(crate) asking: Cell<bool>,
+    /// Says that something changed which the others should hear at once.
+    pub(crate) hurry: Sender<()>,
+    pub(crate) changes: Receiver<()>,
+    pub(crate) incarnation: Incarnation,
     own: Member,
     rng: RefCell<Pcg32>,
     answers: Cell<bool>,
@@ -42,8 +70,22 @@
 impl<S: Store, D: Dialect, O: Observer> Life<S, D, O> {
     /// A host that has not started yet and will renew its entry each `period`.
     #[must_use]
-    pub fn new(store: S, node: Rc<Node<D, O>>, own: Member, period: Duration, seed: u64) -> Rc<Self> {
+    pub fn new(
+        store: S,
+        node: Rc<Node<D, O>>,
+        own: Member,
+        period: Duration,
+        seed: u64,
+    ) -> Rc<Self> {
+        let (hurry, changes) = bounded(1);
         Rc::new(Self {
+            peers: RefCell::default(),
+            listed: Cell::new(None),
+            config_text: RefCell::default(),
+            asking: Cell::new(false),
+            hurry,
+            changes,
+            incarnation: Incarnation(seed),
             store,
             node,
             members: RefCell::new(Members::new(own.clone(), period)),
@@ -64,6 +106,7 @@
         spawn_local(follow::endpoints(Rc::clone(self)));
         spawn_local(follow::members(Rc::clone(self)));
         spawn_local(follow::judge(Rc::clone(self)));
+        spawn_local(talk::join(Rc::clone(self)));
         spawn_local(announce(Rc::clone(self)));
         spawn_local(sweep(Rc::clone(&self.node)));
     }
@@ -74,10 +117,12 @@
         &self.node
     }
 
-    /// The hosts.
+    /// The hosts that callers may be sent to.
     #[must_use]
-    pub fn members(&self) -> &RefCell<Members> {
-        &self.members
+    pub fn live(&self) -> Vec<(SocketAddr, DataCentre, Region)> {
+        let now = self.node.now();
+        let peers = self.peers.borrow();
+        self.members.borrow().live(now, |it| peers.life(now, it))
     }
 
     /// Whether callers are to come: the front answers, a configuration and
@@ -94,6 +139,7 @@
     pub async fn leave(&self, serving: Serving) {
         self.node.enter(Phase::Leaving);
         self.members.borrow_mut().leave();
+        self.hurry();
         // The others notice by the missing renewals, too.
         let _ = self.store.withdraw(&self.own).await;
         sleep(serving.taking).await;
@@ -104,6 +150,33 @@
         }
     }
 
+    /// A message as it goes to another host; nothing if it can't be encoded.
+    pub(crate) fn frame(&self, message: &Message) -> Option<Frame> {
+        let from = Identity {
+            host: self.own.name.clone(),
+            incarnation: self.incarnation,
+        };
+        let bytes = postcard::to_stdvec(message).ok()?;
+        Some(Frame::Decide(Payload { from, bytes }))
+    }
+
+    /// Opens this host's end of the talk between hosts.
+    pub(crate) async fn open_link(&self) -> Option<(Link, Receiver<Incoming>)> {
+        let made = Authority::generate(FLEET).ok()?;
+        let authority = self.store.authority(made).await.ok()?;
+        let keys = authority.issue(&self.own.name).ok()?;
+        let mut settings = link::Settings::new(self.own.link, keys);
+        settings.idle = LINK_IDLE;
+        settings.connect_timeout = LINK_CONNECT;
+        Link::bind(&settings).ok()
+    }
+
+    /// Has the others told at once instead of with the next news.
+    pub(crate) fn hurry(&self) {
+        // One that waits already is as good as two.
+        let _ = self.hurry.try_send(());
+    }
+
     pub(crate) fn chance(&self, below: u64) -> u64 {
         self.rng.borrow_mut().random_range(0..below)
     }
--- a/crates/host/src/member.rs
+++ b/crates/host/src/member.rs
@@ -11,6 +11,8 @@
     pub name: HostName,
     /// Where callers reach it.
     pub front: SocketAddr,
+    /// Where other hosts reach it.
+    pub link: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentre,
     /// Its region.
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -7,6 +7,7 @@
 use kernel::{DataCentre, HostName, Region};
 
 use crate::Member;
+use crate::peers::Life;
 
 /// The most addresses that callers take.
 const MOST: usize = 64;
@@ -72,6 +73,16 @@
         self.is_leaving = true;
     }
 
+    /// The other hosts, also those that callers aren't sent to.
+    pub(crate) fn others(&self) -> impl Iterator<Item = &Member> {
+        self.others.values().map(|it| &it.member)
+    }
+
+    /// Another host by its name.
+    pub(crate) fn find(&self, name: &HostName) -> Option<&Member> {
+        self.others.get(name).map(|it| &it.member)
+    }
+
     /// How many hosts there are, this one included.
     #[must_use]
     pub fn count(&self) -> u32 {
@@ -79,13 +90,31 @@
     }
 
     /// The hosts that callers may be sent to.
-    #[must_use]
-    pub fn live(&self, now: Duration) -> Vec<(SocketAddr, DataCentre, Region)> {
+    ///
+    /// What a host said lately goes before its entry: the entry of one that
+    /// died stays for seconds. Where most others are silent this host is the
+    /// one that is cut off, and the entries are all that there is to go by.
+    pub(crate) fn live(
+        &self,
+        now: Duration,
+        life: impl Fn(&HostName) -> Life,
+    ) -> Vec<(SocketAddr, DataCentre, Region)> {
+        let silent = self
+            .others
+            .keys()
+            .filter(|it| life(it) == Life::Silent)
+            .count();
+        let is_cut_off = silent * 2 > self.others.len();
         let others = self
             .others
-            .values()
-            .filter(|it| now.saturating_sub(it.renewed) < self.period * MISSED)
-            .map(|it| &it.member);
+            .iter()
+            .filter(|(name, it)| match life(name) {
+                Life::Ready => true,
+                Life::Unready => false,
+                Life::Silent if !is_cut_off => false,
+                _ => now.saturating_sub(it.renewed) < self.period * MISSED,
+            })
+            .map(|(_, it)| &it.member);
         let own = (!self.is_leaving).then_some(&self.own);
         let mut live: Vec<_> = others
             .chain(own)
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -1,8 +1,11 @@
 //! The port to the store in which everything lives that must last.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use link::keys::Authority;
+use route::Config;
 use route::endpoint::Entry;
 
 use crate::{Documents, Judgement, Member};
@@ -19,6 +22,16 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Documents, Trouble>>;
 
+    /// Understands the text of a configuration that another host passed on.
+    ///
+    /// # Errors
+    /// [`Trouble::Unreadable`].
+    fn config(&self, text: &[u8]) -> Result<Arc<Config>, Trouble>;
+
+    /// The authority by which hosts know each other: the one that the store
+    /// has, or `made` if it had none.
+    fn authority(&self, made: Authority) -> impl Future<Output = Result<Authority, Trouble>>;
+
     /// Reads what roll-outs have come to, or waits for news of it.
     fn judgements(
         &self,
--- /dev/null
+++ b/crates/host/src/talk.rs
@@ -0,0 +1,192 @@
+//! Talk between hosts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::channel::Receiver;
+use async_std::task::{sleep, spawn_local};
+use forward::{Dialect, Observer};
+use futures::future::{Either, select};
+use futures::pin_mut;
+use kernel::HostName;
+use link::{Incoming, Link, Peer};
+use wire::{Frame, Payload};
+
+use crate::follow;
+use crate::life::Life;
+use crate::message::{Listing, Message, News};
+use crate::{Member, Store};
+
+/// How often a host tells the others what it knows.
+const PERIOD: Duration = Duration::from_millis(500);
+/// How many hosts are told at a time. Up to this number all are; beyond it
+/// news takes some rounds more, and a host's work stays the same.
+const FAN_OUT: usize = 7;
+/// How long an answer of another host may take.
+const ANSWER: Duration = Duration::from_millis(400);
+/// The pause between two tries to join the others.
+const JOIN_PAUSE: Duration = Duration::from_millis(500);
+
+/// Tells the others what this host knows, for as long as it lives.
+pub(crate) async fn tell<S: Store, D: Dialect, O: Observer>(life: Rc<Life<S, D, O>>, link: Link) {
+    loop {
+        let message = Message::News(news(&life));
+        if let Some(frame) = life.frame(&message) {
+            for peer in audience(&life) {
+                link.send(&peer, &frame);
+            }
+        }
+        let pause = sleep(PERIOD);
+        let change = life.changes.recv();
+        pin_mut!(pause, change);
+        if let Either::Right((Err(_), pause)) = select(pause, change).await {
+            pause.await;
+        }
+    }
+}
+
+fn news<S: Store, D: Dialect, O: Observer>(life: &Life<S, D, O>) -> News {
+    let now = life.node.now();
+    let is_ready = life.is_ready();
+    let router = life.node.router();
+    News {
+        incarnation: life.incarnation,
+        is_ready,
+        version: router.version(),
+        listing_age: life.listed.get().map(|(at, _)| now.saturating_sub(at)),
+        rollouts: router.news(now),
+    }
+}
+
+fn audience<S: Store, D: Dialect, O: Observer>(life: &Life<S, D, O>) -> Vec<Peer> {
+    let mut peers: Vec<Peer> = life.members.borrow().others().map(peer).collect();
+    while peers.len() > FAN_OUT {
+        let out = life.chance(peers.len() as u64);
+        peers.swap_remove(usize::try_from(out).unwrap_or(0));
+    }
+    peers
+}
+
+fn peer(member: &Member) -> Peer {
+    Peer {
+        host: member.name.clone(),
+        address: member.link,
+    }
+}
+
+/// Hears the others.
+pub(crate) async fn hear<S: Store, D: Dialect, O: Observer>(
+    life: Rc<Life<S, D, O>>,
+    link: Link,
+    inbox: Receiver<Incoming>,
+) {
+    while let Ok(incoming) = inbox.recv().await {
+        let Frame::Decide(payload) = incoming.frame else {
+            continue;
+        };
+        // A host that speaks a newer form is understood by those that know it.
+        let Ok(message) = postcard::from_bytes::<Message>(&payload.bytes) else {
+            continue;
+        };
+        match message {
+            Message::News(news) => learn(&life, &link, incoming.from.host, news),
+            question => {
+                if let (Some(reply), Some(frame)) =
+                    (incoming.reply, life.frame(&answer(&life, &question)))
+                {
+                    reply.send(&frame).await;
+                }
+            }
+        }
+    }
+}
+
+fn answer<S: Store, D: Dialect, O: Observer>(life: &Life<S, D, O>, question: &Message) -> Message {
+    match question {
+        Message::AskConfig => match &*life.config_text.borrow() {
+            Some(text) => Message::Config(text.to_vec()),
+            None => Message::Nothing,
+        },
+        Message::AskListing => listing(life).map_or(Message::Nothing, Message::Listing),
+        _ => Message::Nothing,
+    }
+}
+
+fn listing<S: Store, D: Dialect, O: Observer>(life: &Life<S, D, O>) -> Option<Listing> {
+    let (at, absence) = life.listed.get()?;
+    let router = life.node.router();
+    Some(Listing {
+        entries: router.directory().listed().cloned().collect(),
+        absence,
+        age: life.node.now().saturating_sub(at),
+    })
+}
+
+fn learn<S: Store, D: Dialect, O: Observer>(
+    life: &Rc<Life<S, D, O>>,
+    link: &Link,
+    from: HostName,
+    news: News,
+) {
+    let now = life.node.now();
+    life.node.router().hear(now, &from, news.rollouts.clone());
+    life.peers.borrow_mut().hear(now, from, news);
+    let asked = |host: &HostName| life.members.borrow().find(host).map(peer);
+    let peers = life.peers.borrow();
+    let version = life.node.router().version();
+    if let Some(peer) = peers.with_newer(now, version).and_then(asked) {
+        ask(life, link, peer, Message::AskConfig);
+    }
+    let age = life.listed.get().map(|(at, _)| now.saturating_sub(at));
+    if let Some(peer) = peers.with_younger(now, age).and_then(asked) {
+        ask(life, link, peer, Message::AskListing);
+    }
+}
+
+/// Asks another host for what it has newer, one question at a time.
+fn ask<S: Store, D: Dialect, O: Observer>(
+    life: &Rc<Life<S, D, O>>,
+    link: &Link,
+    peer: Peer,
+    question: Message,
+) {
+    if life.asking.replace(true) {
+        return;
+    }
+    let (life, link) = (Rc::clone(life), link.clone());
+    spawn_local(async move {
+        if let Some(frame) = life.frame(&question)
+            && let Ok(Frame::Decide(payload)) = link.ask(&peer, &frame, ANSWER).await
+        {
+            take(&life, &payload);
+        }
+        life.asking.set(false);
+    });
+}
+
+fn take<S: Store, D: Dialect, O: Observer>(life: &Life<S, D, O>, payload: &Payload) {
+    match postcard::from_bytes(&payload.bytes) {
+        Ok(Message::Config(text)) => {
+            if let Ok(config) = life.store.config(&text) {
+                follow::configure(life, config, text.into());
+            }
+        }
+        Ok(Message::Listing(it)) => {
+            let now = life.node.now();
+            follow::list(life, now.saturating_sub(it.age), it.entries, it.absence);
+        }
+        _ => {}
+    }
+}
+
+/// Joins the others: their certificates come from the store.
+pub(crate) async fn join<S: Store, D: Dialect, O: Observer>(life: Rc<Life<S, D, O>>) {
+    let (link, inbox) = loop {
+        match life.open_link().await {
+            Some(it) => break it,
+            None => sleep(JOIN_PAUSE).await,
+        }
+    };
+    spawn_local(tell(Rc::clone(&life), link.clone()));
+    hear(life, link, inbox).await;
+}
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -5,10 +5,10 @@
 
 use kernel::{ModelName, ServiceName, SessionId};
 
+use crate::Cascade;
 use crate::config::{Customer, Repeat, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
-use crate::Cascade;
 
 /// How often a connection is opened in vain before the request is refused. No
 /// endpoint has seen any of it, so this doesn't count as an attempt; each try
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kernel::{EndpointId, ServiceName};
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use crate::endpoint::{Entry, Key, Load, State};
@@ -47,7 +48,7 @@
 }
 
 /// Whether an absent entry means that its endpoint is gone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Absence {
     /// It does.
     Gone,
@@ -129,6 +130,14 @@
         });
     }
 
+    /// The entries of the listing in force.
+    pub fn listed(&self) -> impl Iterator<Item = &Entry> {
+        self.endpoints
+            .values()
+            .filter(|it| it.listed == Listed::Yes)
+            .map(|it| &it.entry)
+    }
+
     /// An endpoint by its key.
     #[must_use]
     pub fn get(&self, key: Key) -> Option<&Endpoint> {
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kernel::{DataCentre, EndpointId, Release, ServiceName};
+use serde::{Deserialize, Serialize};
 
 slotmap::new_key_type! {
     /// An endpoint in the arena of the directory.
@@ -11,7 +12,7 @@
 }
 
 /// What the directory lists of an endpoint.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its identity.
     pub id: EndpointId,
@@ -32,7 +33,7 @@
 }
 
 /// Whether an endpoint takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// It does.
     Ready,
--- a/crates/route/src/hash.rs
+++ b/crates/route/src/hash.rs
@@ -9,10 +9,8 @@
     hasher.finish()
 }
 
-/// A number from 0 to 1 that follows from `value` alone.
-pub(crate) fn unit<T: Hash + ?Sized>(value: &T) -> f64 {
-    const BITS: u32 = 53;
-    #[allow(clippy::cast_precision_loss, reason = "53 bits fit")]
-    let number = (of(value) >> (u64::BITS - BITS)) as f64;
-    number / 2f64.powi(53)
+/// A number from 0 to 1 that follows from a hash alone.
+pub(crate) fn unit(hash: u64) -> f64 {
+    // The upper half is as good as all of it, and converts without loss.
+    f64::from(u32::try_from(hash >> 32).unwrap_or(u32::MAX)) / (f64::from(u32::MAX) + 1.0)
 }
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -1,12 +1,14 @@
 //! A roll-out: which requests try the new release, and what it is found to be.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use derive_more::Display;
 use kernel::{HostName, Release, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::hash;
+
 /// The part of the allowed exposure that a release gets while it is unproven.
 /// The rest is for requests that hosts count differently at the edges.
 const TRIAL_PART: f64 = 0.6;
@@ -30,8 +32,12 @@
 /// How many times as long as the old release's an answer takes that counts as slow.
 const SLOW: f64 = 3.0;
 
+/// How long hosts tell each other which sessions are under way before the new
+/// release gets any. News takes a tenth of that.
+const GATHERING: Duration = Duration::from_millis(1_200);
+
 /// What operators ask for.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Order {
     /// The service.
     pub service: ServiceName,
@@ -88,6 +94,21 @@
     pub old: Tally,
 }
 
+/// What one host tells the others of a roll-out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// What was asked for.
+    pub order: Order,
+    /// How long ago it was seen.
+    pub elapsed: Duration,
+    /// What it has come to.
+    pub verdict: Verdict,
+    /// What the host has seen of the releases.
+    pub evidence: Evidence,
+    /// Sessions that are on the old release and would be on the new one.
+    pub held: Vec<u64>,
+}
+
 /// How a release answered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
@@ -109,6 +130,8 @@
     own: Evidence,
     others: HashMap<HostName, Evidence>,
     usual_time: HashMap<u64, Mean>,
+    /// Sessions that began on the old release and stay there while it is on trial.
+    held: HashSet<u64>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -130,6 +153,7 @@
             own: Evidence::default(),
             others: HashMap::new(),
             usual_time: HashMap::new(),
+            held: HashSet::new(),
         }
     }
 
@@ -139,8 +163,9 @@
         match self.verdict {
             Verdict::Complete => 1.0,
             Verdict::Reverted => 0.0,
+            Verdict::Running if self.is_gathering(now) => 0.0,
             Verdict::Running => {
-                let trial = self.exposure * TRIAL_PART;
+                let trial = self.trial_share();
                 let moved = (self.progress(now) - MOVE_AT) / (MOVED_AT - MOVE_AT);
                 if moved > 0.0 && self.is_good() {
                     (trial + moved * (1.0 - trial)).min(1.0)
@@ -151,11 +176,13 @@
         }
     }
 
-    /// The release for a request, by a number from 0 to 1 that belongs to its
-    /// session, so that the session stays where it is.
+    /// The release for a request of a session that this host doesn't know.
     #[must_use]
-    pub fn side(&self, now: Duration, number: f64) -> Side {
-        if number < self.share(now) {
+    pub(crate) fn side(&self, now: Duration, session: u64) -> Side {
+        if self.is_trial(now) && self.held.contains(&session) {
+            return Side::Old;
+        }
+        if lot(session) < self.share(now) {
             Side::New
         } else {
             Side::Old
@@ -167,17 +194,36 @@
     /// It stays there. Only in the later half, when the new release has proved
     /// good, do sessions move to it with all other traffic.
     #[must_use]
-    pub fn keep(&self, now: Duration, release: &Release, number: f64) -> Side {
-        const LATER_HALF: f64 = 0.5;
+    pub(crate) fn keep(&self, now: Duration, release: &Release, session: u64) -> Side {
         match self.verdict {
             Verdict::Complete => Side::New,
             Verdict::Reverted => Side::Old,
             Verdict::Running if *release == self.order.release => Side::New,
-            Verdict::Running if self.progress(now) < LATER_HALF => Side::Old,
-            Verdict::Running => self.side(now, number),
+            Verdict::Running if self.is_trial(now) => Side::Old,
+            Verdict::Running => self.side(now, session),
         }
     }
 
+    /// Whether a session would be on the new release if it weren't on the old
+    /// one already: the other hosts have to be told of it.
+    pub(crate) fn is_contested(&self, session: u64) -> bool {
+        lot(session) < self.trial_share()
+    }
+
+    fn trial_share(&self) -> f64 {
+        self.exposure * TRIAL_PART
+    }
+
+    fn is_gathering(&self, now: Duration) -> bool {
+        now.saturating_sub(self.started) < GATHERING
+    }
+
+    /// Whether sessions stay on the old release that began there.
+    fn is_trial(&self, now: Duration) -> bool {
+        const FIRST_HALF: f64 = 0.5;
+        self.progress(now) < FIRST_HALF
+    }
+
     /// Whether an endpoint of this release may take a request of this side.
     #[must_use]
     pub fn fits(&self, side: Side, release: &Release) -> bool {
@@ -219,9 +265,28 @@
         self.own
     }
 
-    /// Takes what another host has seen; it replaces what it told before.
-    pub fn hear(&mut self, host: HostName, evidence: Evidence) {
-        self.others.insert(host, evidence);
+    /// What this host tells the others, with the sessions that stay on the old release.
+    #[must_use]
+    pub fn news(&self, now: Duration, held: Vec<u64>) -> News {
+        News {
+            order: self.order.clone(),
+            elapsed: now.saturating_sub(self.started),
+            verdict: self.verdict,
+            evidence: self.own,
+            held,
+        }
+    }
+
+    /// Takes what another host tells of the same roll-out; its evidence
+    /// replaces what it told before.
+    pub fn hear(&mut self, now: Duration, host: HostName, news: &News) {
+        self.others.insert(host, news.evidence);
+        self.held.extend(&news.held);
+        // A host that has started since saw the order later than the others.
+        self.started = self.started.min(now.saturating_sub(news.elapsed));
+        if self.verdict == Verdict::Running {
+            self.verdict = news.verdict;
+        }
     }
 
     /// How much of the time that the order gives has passed.
@@ -234,9 +299,7 @@
     fn is_bad(&self) -> bool {
         let all = self.pooled();
         let is_compared = all.old.answers >= MIN_ANSWERS;
-        is_compared
-            && all.new.bad >= MIN_BAD
-            && all.new.bad_share() > all.old.bad_share() + MARGIN
+        is_compared && all.new.bad >= MIN_BAD && all.new.bad_share() > all.old.bad_share() + MARGIN
     }
 
     fn is_good(&self) -> bool {
@@ -279,3 +342,9 @@
         self.count >= Self::MIN && time.as_secs_f64() > self.value * SLOW
     }
 }
+
+/// The number by which a session falls to a release. Other bits of the hash
+/// choose the service: with the same ones, one service would get all the trials.
+fn lot(session: u64) -> f64 {
+    hash::unit(session.rotate_left(32))
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{EndpointId, ModelName, ServiceName};
+use kernel::{EndpointId, HostName, ModelName, ServiceName};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
@@ -15,8 +15,8 @@
 use crate::config::{Access, Config};
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key, Load};
-use crate::rollout::{Order, Side};
 use crate::pace::Pace;
+use crate::rollout::{self, Order, Side};
 use crate::sessions::Sessions;
 use crate::{Budget, Directory, Doubt, Rollout, Settings, hash};
 
@@ -181,6 +181,35 @@
         true
     }
 
+    /// What this host tells the others of roll-outs.
+    #[must_use]
+    pub fn news(&self, now: Duration) -> Vec<rollout::News> {
+        let gap = self.settings.session_gap + SESSION_MARGIN;
+        let news = |rollout: &Rollout| {
+            let held = self
+                .sessions
+                .others_than(now, &rollout.order.release, gap)
+                .map(|it| hash::of(it.as_str()))
+                .filter(|&it| rollout.is_contested(it))
+                .collect();
+            rollout.news(now, held)
+        };
+        self.rollouts.values().map(news).collect()
+    }
+
+    /// Takes what another host tells of roll-outs.
+    pub fn hear(&mut self, now: Duration, host: &HostName, news: Vec<rollout::News>) {
+        for it in news {
+            let started = now.saturating_sub(it.elapsed);
+            self.order(it.order.clone(), started);
+            if let Some(rollout) = self.rollouts.get_mut(&it.order.service)
+                && rollout.order.revision == it.order.revision
+            {
+                rollout.hear(now, host.clone(), &it);
+            }
+        }
+    }
+
     /// The roll-outs, one a service at most.
     pub fn rollouts(&mut self) -> impl Iterator<Item = &mut Rollout> {
         self.rollouts.values_mut()
@@ -196,7 +225,14 @@
     /// # Errors
     /// Why it goes nowhere.
     pub fn admit(&mut self, now: Duration, arrival: Arrival<'_>) -> Result<Call, Denial> {
-        let Arrival { host, path, key, patience, shape, id } = arrival;
+        let Arrival {
+            host,
+            path,
+            key,
+            patience,
+            shape,
+            id,
+        } = arrival;
         let config = self.config.as_ref().ok_or(Denial::NotReady)?;
         let route = config.route(host, path).ok_or(Denial::NoRoute)?;
         let customer = match route.access {
@@ -207,10 +243,13 @@
             _ => None,
         };
         let number = match &shape.session {
-            Some(session) => hash::unit(session.as_str()),
-            None => hash::unit(id),
+            Some(session) => hash::of(session.as_str()),
+            None => hash::of(id),
         };
-        let service = route.service(number).ok_or(Denial::NoRoute)?.clone();
+        let service = route
+            .service(hash::unit(number))
+            .ok_or(Denial::NoRoute)?
+            .clone();
         let patience = patience.unwrap_or(route.timeout).min(route.timeout);
         let route = route.clone();
         let mut call = Call::new(route, customer, service, shape, now, now + patience);
@@ -220,7 +259,7 @@
     }
 
     /// The release for a new request while a roll-out is under way.
-    fn side(&self, now: Duration, call: &Call, number: f64) -> Option<Side> {
+    fn side(&self, now: Duration, call: &Call, number: u64) -> Option<Side> {
         let rollout = self.rollouts.get(&call.service)?;
         let gap = self.settings.session_gap + SESSION_MARGIN;
         let session = call.shape.session.as_ref();
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -8,8 +8,8 @@
 use crate::call::Call;
 use crate::directory::Endpoint;
 use crate::endpoint::Key;
-use crate::rollout::{Rollout, Side, Verdict};
 use crate::hash;
+use crate::rollout::{Rollout, Side, Verdict};
 
 /// Time to read the prompts that wait which weighs as much as all places taken.
 const FULL_UNREAD: Duration = Duration::from_millis(1_000);
@@ -159,8 +159,11 @@
 /// This host's part of the connections that an endpoint takes from all.
 fn connections(total: u32, hosts: u32) -> u32 {
     let part = f64::from(total) * CONNECTIONS_USED / f64::from(hosts.max(1));
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "below total")]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "below total"
+    )]
     let part = part as u32;
     part.max(1)
 }
-
--- a/crates/route/src/sessions.rs
+++ b/crates/route/src/sessions.rs
@@ -32,12 +32,24 @@
         (now.saturating_sub(seen.at) <= gap).then_some(&seen.release)
     }
 
+    /// The sessions under way that are on any release but this one.
+    pub(crate) fn others_than(
+        &self,
+        now: Duration,
+        release: &Release,
+        gap: Duration,
+    ) -> impl Iterator<Item = &SessionId> {
+        self.seen
+            .iter()
+            .filter(move |(_, it)| it.release != *release && now.saturating_sub(it.at) <= gap)
+            .map(|(id, _)| id)
+    }
+
     /// Takes a session's request that goes to this release.
     pub(crate) fn note(&mut self, now: Duration, id: &SessionId, release: &Release, gap: Duration) {
         if now.saturating_sub(self.swept) > SWEEP {
             self.swept = now;
-            self.seen
-                .retain(|_, it| now.saturating_sub(it.at) <= gap);
+            self.seen.retain(|_, it| now.saturating_sub(it.at) <= gap);
         }
         let seen = Seen {
             release: release.clone(),
