--- /dev/null
+++ b/crates/framing/tests/framing.rs
@@ -0,0 +1,192 @@
+//! Heads, bodies and events as a relay meets them.
+
+use expect_test::{Expect, expect};
+use framing::{Decoder, Events, Length, head_end, request, response};
+
+fn check_request(input: &str, expect: &Expect) {
+    let head = input.replace('\n', "\r\n");
+    let actual = match request::Head::parse(head.as_bytes()) {
+        Ok(it) => format!(
+            "{} {} {:?} keep {}",
+            it.method, it.target, it.length, it.keep
+        ),
+        Err(err) => err.to_string(),
+    };
+    expect.assert_eq(&actual);
+}
+
+fn check_response(input: &str, method: &str, expect: &Expect) {
+    let head = input.replace('\n', "\r\n");
+    let actual = match response::Head::parse(head.as_bytes(), method) {
+        Ok(it) => format!("{} {:?} keep {}", it.status, it.length, it.keep),
+        Err(err) => err.to_string(),
+    };
+    expect.assert_eq(&actual);
+}
+
+/// Feeds the input in pieces of every size and expects the same from each.
+fn check_body(length: Length, input: &str, expect: &Expect) {
+    let mut seen: Option<String> = None;
+    for size in 1..=input.len() {
+        let actual = decode(length, input.as_bytes(), size);
+        if let Some(seen) = &seen {
+            assert_eq!(*seen, actual, "in pieces of {size}");
+        }
+        seen = Some(actual);
+    }
+    expect.assert_eq(&seen.unwrap_or_default());
+}
+
+fn decode(length: Length, input: &[u8], size: usize) -> String {
+    let (mut decoder, mut body, mut unread) = (Decoder::new(length), Vec::new(), Vec::new());
+    for piece in input.chunks(size) {
+        unread.extend_from_slice(piece);
+        match decoder.decode(&unread, &mut body) {
+            Ok(taken) => drop(unread.drain(..taken)),
+            Err(err) => return err.to_string(),
+        }
+    }
+    let body = String::from_utf8(body).unwrap();
+    let end = if decoder.is_done() { "done" } else { "open" };
+    let finish = decoder
+        .finish()
+        .map_or_else(|err| err.to_string(), |()| "whole".to_owned());
+    format!(
+        "{body:?} {end}, at close {finish}, rest {:?}",
+        String::from_utf8(unread).unwrap()
+    )
+}
+
+#[test]
+fn a_request_keeps_its_target() {
+    check_request(
+        "POST /a/b%2F?x=1 HTTP/1.1\nHost: shop\nContent-Length: 3\n\n",
+        &expect!["POST /a/b%2F?x=1 Known(3) keep true"],
+    );
+    check_request(
+        "GET / HTTP/1.1\nHost: shop\nConnection: close\n\n",
+        &expect!["GET / Known(0) keep false"],
+    );
+    check_request(
+        "GET / HTTP/1.0\nHost: shop\n\n",
+        &expect!["GET / Known(0) keep false"],
+    );
+}
+
+/// A caller sends a request that the relay and the endpoint would end at
+/// different places; what is left over is run as a second request that nobody
+/// checked. Every head that can be read in two ways is refused.
+#[test]
+fn a_request_that_can_be_read_in_two_ways_is_refused() {
+    let two_ways = [
+        "POST / HTTP/1.1\nHost: a\nContent-Length: 3\nTransfer-Encoding: chunked\n\n",
+        "POST / HTTP/1.1\nHost: a\nContent-Length: 3\nContent-Length: 5\n\n",
+        "POST / HTTP/1.1\nHost: a\nContent-Length: 3, 3\n\n",
+        "POST / HTTP/1.1\nHost: a\nContent-Length: +3\n\n",
+        "POST / HTTP/1.1\nHost: a\nTransfer-Encoding: chunked, chunked\n\n",
+        "POST / HTTP/1.1\nHost: a\nTransfer-Encoding: gzip\n\n",
+        "POST / HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\nTransfer-Encoding: chunked\n\n",
+        "POST / HTTP/1.1\nHost: a\nHost: b\n\n",
+        "POST / HTTP/1.1\nContent-Length: 3\n\n",
+        "POST / HTTP/1.1\nHost : a\n\n",
+        "POST / HTTP/1.1\nHost: a\n folded: b\n\n",
+    ];
+    for it in two_ways {
+        check_request(it, &expect!["malformed message"]);
+    }
+    let lone = b"GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n";
+    assert!(request::Head::parse(lone).is_err());
+    let lone = b"GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n";
+    assert!(request::Head::parse(lone).is_err());
+}
+
+#[test]
+fn a_head_ends_at_its_blank_line() {
+    assert_eq!(head_end(b"GET / HTTP/1.1\r\nHost: a\r\n\r"), None);
+    assert_eq!(head_end(b"GET / HTTP/1.1\r\nHost: a\r\n\r\nbody"), Some(27));
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    check_response(
+        "HTTP/1.1 200 OK\nA: b\n\n",
+        "GET",
+        &expect!["200 UntilClose keep false"],
+    );
+    check_response(
+        "HTTP/1.1 204 No Content\n\n",
+        "GET",
+        &expect!["204 Known(0) keep true"],
+    );
+    check_response(
+        "HTTP/1.1 200 OK\nContent-Length: 9\n\n",
+        "HEAD",
+        &expect!["200 Known(0) keep true"],
+    );
+    check_response(
+        "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nConnection: close\n\n",
+        "GET",
+        &expect!["200 Chunked keep false"],
+    );
+}
+
+#[test]
+fn a_body_ends_where_its_framing_says() {
+    check_body(
+        Length::Known(3),
+        "abcdef",
+        &expect![[r#""abc" done, at close whole, rest "def""#]],
+    );
+    check_body(
+        Length::Known(9),
+        "abc",
+        &expect![[r#""abc" open, at close message broken off, rest """#]],
+    );
+    check_body(
+        Length::UntilClose,
+        "abc",
+        &expect![[r#""abc" open, at close whole, rest """#]],
+    );
+    check_body(
+        Length::Chunked,
+        "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: u\r\n\r\nGET",
+        &expect![[r#""abcde" done, at close whole, rest "GET""#]],
+    );
+    check_body(
+        Length::Chunked,
+        "3\r\nabc\r\n0\r\n",
+        &expect![[r#""abc" open, at close message broken off, rest """#]],
+    );
+    check_body(
+        Length::Chunked,
+        "3\r\nabcd\r\n0\r\n\r\n",
+        &expect!["malformed message"],
+    );
+    check_body(
+        Length::Chunked,
+        "-3\r\nabc\r\n",
+        &expect!["malformed message"],
+    );
+    check_body(
+        Length::Chunked,
+        "ffffffffffffffff\r\nabc",
+        &expect!["malformed message"],
+    );
+}
+
+/// An endpoint dies in the middle of an event. The caller must not get the half
+/// of it, which would look like a whole one once the stream goes on elsewhere.
+#[test]
+fn half_an_event_is_not_taken() {
+    let mut events = Events::default();
+    let mut seen = Vec::new();
+    for piece in ["id: 1\ndata: a\n\nid: 2\nda", "ta: b\n", "\nid: 3\ndata: c"] {
+        events.input().extend_from_slice(piece.as_bytes());
+        while let Some(it) = events.take() {
+            seen.push((it.id, String::from_utf8(it.bytes.to_vec()).unwrap()));
+        }
+    }
+    expect![[r#"[(Some(1), "id: 1\ndata: a\n\n"), (Some(2), "id: 2\ndata: b\n\n")]"#]]
+        .assert_eq(&format!("{seen:?}"));
+    assert!(events.has_rest());
+}
--- /dev/null
+++ b/crates/route/tests/script.rs
@@ -0,0 +1,406 @@
+//! The small language of the scripts: one event a line.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::{DataCentre, EndpointId, HostName, Release, ServiceName, SessionId};
+use route::config::{Access, Answer, Config, Customer, Limits, Repeat, Route, Service, Target};
+use route::directory::Absence;
+use route::endpoint::{Entry, Load, State};
+use route::rollout::{Order, Verdict};
+use route::{Arrival, Call, Ending, Flight, Placement, Router, Settings, Shape};
+
+/// One host's router, or several of them, and what the script has told them.
+pub(crate) struct Script {
+    hosts: Vec<Router>,
+    host: usize,
+    now: Duration,
+    calls: BTreeMap<String, Open>,
+}
+
+struct Open {
+    call: Call,
+    flight: Option<Flight>,
+}
+
+impl Script {
+    pub(crate) fn new() -> Self {
+        Self {
+            hosts: vec![Router::new(settings(), 7)],
+            host: 0,
+            now: Duration::from_secs(100),
+            calls: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn run(&mut self, directive: &str, input: &str) -> String {
+        let mut out = Vec::new();
+        match directive {
+            "config" => out.push(self.configure(input)),
+            _ => out.extend(input.lines().filter_map(|it| self.line(it))),
+        }
+        if out.is_empty() {
+            out.push("nothing".to_owned());
+        }
+        out.join("\n") + "\n"
+    }
+
+    fn router(&mut self) -> &mut Router {
+        &mut self.hosts[self.host]
+    }
+
+    fn configure(&mut self, input: &str) -> String {
+        let mut version = 1;
+        let (mut services, mut customers, mut routes) = (Vec::new(), Vec::new(), Vec::new());
+        for line in input.lines() {
+            let words = Words::of(line);
+            match words.verb {
+                "version" => version = words.rest[0].parse().unwrap(),
+                "service" => services.push(Service {
+                    name: words.rest[0].into(),
+                    max_connections: words.number("connections", 100.0) as u32,
+                    engine: None,
+                }),
+                "customer" => customers.push(Customer {
+                    name: words.rest[0].into(),
+                    keys: words.rest[1..].iter().map(|it| (*it).to_owned()).collect(),
+                    priority: None,
+                }),
+                "route" => routes.push(route(&words)),
+                other => panic!("unknown word {other}"),
+            }
+        }
+        let config = Config::new(version, Limits::default(), services, customers, routes);
+        let taken = self.router().configure(Arc::new(config));
+        if taken { "in force" } else { "not taken" }.to_owned()
+    }
+
+    fn line(&mut self, line: &str) -> Option<String> {
+        let words = Words::of(line);
+        let now = self.now;
+        match words.verb {
+            "wait" => {
+                self.now += Duration::from_millis(words.rest[0].parse().unwrap());
+                None
+            }
+            "host" => {
+                self.host = words.rest[0].parse().unwrap();
+                while self.hosts.len() <= self.host {
+                    let seed = self.hosts.len() as u64;
+                    self.hosts.push(Router::new(settings(), seed));
+                }
+                None
+            }
+            "hosts" => {
+                let hosts = words.rest[0].parse().unwrap();
+                self.router().set_hosts(hosts);
+                None
+            }
+            "list" | "list-lapsed" => {
+                let absence = if words.verb == "list" {
+                    Absence::Gone
+                } else {
+                    Absence::Lapsed
+                };
+                let entries = words.rest.iter().map(|it| entry(it)).collect();
+                let change = self.router().list(now, entries, absence);
+                let leaving: Vec<_> = change.leaving.iter().map(EndpointId::as_str).collect();
+                (!leaving.is_empty()).then(|| format!("leaving {}", leaving.join(" ")))
+            }
+            "load" => {
+                let key = self.key_of(words.rest[0]);
+                let load = Load {
+                    running: words.number("running", 0.0) as u32,
+                    waiting: words.number("waiting", 0.0) as u32,
+                    slots: 10,
+                };
+                self.router().load(now, key, load);
+                None
+            }
+            "arrive" => Some(self.arrive(&words)),
+            "send" => Some(self.send(words.rest[0])),
+            "begun" => {
+                self.calls.get_mut(words.rest[0]).unwrap().call.begun = true;
+                None
+            }
+            "first" => {
+                let open = self.calls.get_mut(words.rest[0]).unwrap();
+                let flight = open.flight.as_mut().unwrap();
+                self.hosts[self.host].first(now, &open.call, flight);
+                None
+            }
+            "silent" => {
+                let open = self.calls.get_mut(words.rest[0]).unwrap();
+                let gives_up = self.hosts[self.host].reserve(now, &mut open.call, Ending::Silent);
+                Some(if gives_up { "give up" } else { "wait on" }.to_owned())
+            }
+            "confidence" => {
+                let confidence = words.rest[1].parse().ok();
+                let open = self.calls.get_mut(words.rest[0]).unwrap();
+                let larger = self.hosts[self.host].escalates(now, &mut open.call, confidence);
+                Some(if larger { "ask the largest" } else { "deliver" }.to_owned())
+            }
+            "end" => Some(self.end(words.rest[0], words.rest[1])),
+            "many" => Some(self.many(&words)),
+            "order" => {
+                let order = Order {
+                    service: words.rest[0].into(),
+                    release: Release::from(words.rest[1]),
+                    over: Duration::from_millis(words.number("over", 20_000.0) as u64),
+                    revision: words.number("revision", 1.0) as u64,
+                };
+                let taken = self.router().order(order, now);
+                (!taken).then(|| "known".to_owned())
+            }
+            "rollout" => Some(self.rollout(words.rest[0])),
+            "verdict" => {
+                let service = ServiceName::from(words.rest[0]);
+                let verdict = match words.rest[1] {
+                    "complete" => Verdict::Complete,
+                    "reverted" => Verdict::Reverted,
+                    _ => Verdict::Running,
+                };
+                self.router().rollout(&service).unwrap().verdict = verdict;
+                None
+            }
+            "news" => {
+                let (from, to): (usize, usize) = (
+                    words.rest[0].parse().unwrap(),
+                    words.rest[1].parse().unwrap(),
+                );
+                let news = self.hosts[from].news(now);
+                let name = HostName::from(format!("host-{from}"));
+                self.hosts[to].hear(now, &name, news);
+                None
+            }
+            other => panic!("unknown word {other}"),
+        }
+    }
+
+    fn arrive(&mut self, words: &Words<'_>) -> String {
+        let id = words.rest[0];
+        let shape = Shape {
+            prompt_tokens: words.number("tokens", 0.0) as u64,
+            session: words.text("session").map(SessionId::from),
+            ..Shape::default()
+        };
+        let patience = words
+            .text("waits")
+            .map(|it| Duration::from_millis(it.parse().unwrap()));
+        let arrival = Arrival {
+            id,
+            host: words.text("host").unwrap_or("shop"),
+            path: words.text("path").unwrap_or("/a/x"),
+            key: words.text("key"),
+            patience,
+            shape,
+        };
+        let now = self.now;
+        match self.router().admit(now, arrival) {
+            Ok(call) => {
+                let line = format!("to {} by {}", call.service, call.route.name);
+                let call = Open { call, flight: None };
+                self.calls.insert(id.to_owned(), call);
+                line
+            }
+            Err(denial) => denial.to_string(),
+        }
+    }
+
+    fn send(&mut self, id: &str) -> String {
+        match self.place(id) {
+            Some(it) => {
+                let model = it.model.map_or(String::new(), |it| format!(" model {it}"));
+                format!("{id} to {}{model}", it.id)
+            }
+            None => {
+                let open = &self.calls[id];
+                let failure = self.hosts[self.host].unplaced(self.now, &open.call);
+                format!("{id} nowhere: {failure:?}")
+            }
+        }
+    }
+
+    fn place(&mut self, id: &str) -> Option<Placement> {
+        let now = self.now;
+        let router = &mut self.hosts[self.host];
+        let open = self.calls.get_mut(id).unwrap();
+        let placement = router.place(now, &mut open.call)?;
+        open.flight = Some(router.begin(now, &mut open.call, &placement));
+        Some(placement)
+    }
+
+    fn end(&mut self, id: &str, ending: &str) -> String {
+        let now = self.now;
+        let open = self.calls.get_mut(id).unwrap();
+        let flight = open.flight.take().unwrap();
+        let ending = ending_of(ending);
+        let next = self.hosts[self.host].end(now, &mut open.call, flight, ending);
+        format!("{id} {next:?}")
+    }
+
+    /// Sends so many requests that end alike and counts where they went.
+    fn many(&mut self, words: &Words<'_>) -> String {
+        let count: u32 = words.rest[0].parse().unwrap();
+        let mut counts = BTreeMap::<String, u32>::new();
+        for nr in 0..count {
+            let id = format!("many-{nr}");
+            let session = words
+                .text("session")
+                .map_or(format!("{}-{nr}", self.now.as_millis()), str::to_owned);
+            let line = format!(
+                "arrive {id} session={session} path={}",
+                words.text("path").unwrap_or("/a/x")
+            );
+            self.arrive(&Words::of(&line));
+            let Some(placement) = self.place(&id) else {
+                *counts.entry("nowhere".to_owned()).or_default() += 1;
+                continue;
+            };
+            let to = placement.id.as_str().to_owned();
+            let ending = words.text(&to).or(words.text("end")).unwrap_or("answered");
+            *counts.entry(to).or_default() += 1;
+            self.end(&id, ending);
+            self.now += Duration::from_millis(words.number("each", 10.0) as u64);
+        }
+        let parts: Vec<_> = counts.iter().map(|(id, it)| format!("{id} {it}")).collect();
+        parts.join(", ")
+    }
+
+    fn rollout(&mut self, service: &str) -> String {
+        let now = self.now;
+        let service = ServiceName::from(service);
+        let rollout = self.router().rollout(&service).unwrap();
+        let finding = rollout
+            .finding(now)
+            .map_or("none".to_owned(), |it| it.to_string());
+        format!(
+            "{} share {:.2} finding {finding}",
+            rollout.verdict,
+            rollout.share(now)
+        )
+    }
+
+    fn key_of(&mut self, id: &str) -> route::endpoint::Key {
+        let router = self.router();
+        let services: Vec<_> = router
+            .config()
+            .unwrap()
+            .services()
+            .map(|it| it.name.clone())
+            .collect();
+        services
+            .iter()
+            .flat_map(|it| router.directory().of(it).collect::<Vec<_>>())
+            .find(|(_, it)| it.entry.id.as_str() == id)
+            .unwrap()
+            .0
+    }
+}
+
+struct Words<'a> {
+    verb: &'a str,
+    rest: Vec<&'a str>,
+    named: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> Words<'a> {
+    fn of(line: &'a str) -> Self {
+        let mut words = line.split_whitespace();
+        let verb = words.next().unwrap_or_default();
+        let (named, rest): (Vec<_>, Vec<_>) = words.partition(|it| it.contains('='));
+        let named = named.iter().filter_map(|it| it.split_once('=')).collect();
+        Self { verb, rest, named }
+    }
+
+    fn text(&self, name: &str) -> Option<&'a str> {
+        self.named.get(name).copied()
+    }
+
+    fn number(&self, name: &str, default: f64) -> f64 {
+        self.text(name).map_or(default, |it| it.parse().unwrap())
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        data_centre: DataCentre::from("dc1"),
+        retry_ratio: 0.9,
+        retry_slack: 10.0,
+        retry_window: Duration::from_secs(10),
+        exposure_share: 0.15,
+        exposure_slack: 30.0,
+        session_gap: Duration::from_secs(5),
+    }
+}
+
+fn route(words: &Words<'_>) -> Route {
+    let stream = words.text("stream").is_some();
+    Route {
+        name: words.rest[0].into(),
+        host: "shop".to_owned(),
+        prefix: words.rest[1].to_owned(),
+        targets: vec![Target {
+            service: words.rest[2].into(),
+            weight: 1.0,
+        }],
+        repeat: match words.text("repeat") {
+            Some("once") => Repeat::AtMostOnce,
+            _ => Repeat::Idempotent,
+        },
+        answer: if stream {
+            Answer::Stream {
+                pause: Duration::from_millis(1_200),
+            }
+        } else {
+            Answer::Whole
+        },
+        attempts: words.number("attempts", 3.0) as u32,
+        timeout: Duration::from_millis(words.number("timeout", 20_000.0) as u64),
+        aim: Duration::from_millis(words.number("aim", 3_000.0) as u64),
+        priority: words.number("rank", 0.0) as u8,
+        access: match words.text("access") {
+            Some("keyed") => Access::Keyed,
+            _ => Access::Public,
+        },
+        models: words
+            .text("models")
+            .map(|it| it.split(',').map(Into::into).collect())
+            .unwrap_or_default(),
+    }
+}
+
+/// `id@service/release`, with `!` after it for one that drains.
+fn entry(text: &str) -> Entry {
+    let (id, rest) = text.split_once('@').unwrap();
+    let (service, release) = rest.trim_end_matches('!').split_once('/').unwrap();
+    Entry {
+        id: id.into(),
+        service: service.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: DataCentre::from("dc1"),
+        release: release.into(),
+        slots: 10,
+        state: if text.ends_with('!') {
+            State::Draining
+        } else {
+            State::Ready
+        },
+        cold: Duration::ZERO,
+    }
+}
+
+fn ending_of(text: &str) -> Ending {
+    match text {
+        "answered" => Ending::Answered,
+        "failed" => Ending::Failed,
+        "not-sent" => Ending::NotSent,
+        "refused" => Ending::Refused,
+        "moved" => Ending::Moved,
+        "broken" => Ending::Broken,
+        "silent" => Ending::Silent,
+        "unsure" => Ending::Unsure,
+        other => panic!("unknown ending {other}"),
+    }
+}
