--- a/crates/forward/src/front.rs
+++ b/crates/forward/src/front.rs
@@ -49,10 +49,10 @@
             }
             match self.listener.accept().await {
                 Ok((stream, _)) => {
-                    let node = Rc::clone(&node);
-                    task::spawn_local(async move {
-                        let _open = node.count_open();
-                        caller::converse(&node, Conn::new(stream)).await;
+                    let shared = Rc::clone(&node);
+                    node.spawn(async move {
+                        let _open = shared.count_open();
+                        caller::converse(&shared, Conn::new(stream)).await;
                     });
                 }
                 Err(_) => task::sleep(ACCEPT_PAUSE).await,
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_executor::LocalExecutor;
 use kernel::Clock;
 use route::Router;
 use telemetry::Recorder;
@@ -19,6 +20,7 @@
     pub(crate) recorder: Rc<Recorder>,
     pub(crate) timing: Timing,
     pub(crate) pool: Pool,
+    tasks: LocalExecutor<'static>,
     clock: Arc<dyn Clock>,
     router: RefCell<Router>,
     phase: Cell<Phase>,
@@ -53,6 +55,7 @@
             recorder,
             timing,
             pool: Pool::default(),
+            tasks: LocalExecutor::new(),
             clock,
             router: RefCell::new(router),
             phase: Cell::new(Phase::Serving),
@@ -61,6 +64,20 @@
         })
     }
 
+    /// Starts a task on the host's thread. It ends with the process at the latest.
+    ///
+    /// The tasks are the node's own: those of `async_std::task::spawn_local` lie
+    /// in a thread's local storage and are dropped when parts of that storage
+    /// are gone already, so that a process with open connections ends by a panic.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.spawn(task).detach();
+    }
+
+    /// Runs the host's tasks until `main` ends.
+    pub async fn run<T>(&self, main: impl Future<Output = T>) -> T {
+        self.tasks.run(main).await
+    }
+
     /// Monotonic time.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use async_std::channel::{Receiver, Sender, bounded};
-use async_std::task::{sleep, spawn_local};
+use async_std::task::sleep;
 use forward::{Dialect, Front, Node, Phase};
 use kernel::{DataCentre, Incarnation, Region, ServiceName};
 use link::keys::Authority;
@@ -100,17 +100,17 @@
 
     /// Starts everything that goes on while the host lives.
     pub fn start(self: &Rc<Self>, front: Front) {
-        spawn_local(front.run(Rc::clone(&self.node)));
+        self.node.spawn(front.run(Rc::clone(&self.node)));
         self.answers.set(true);
-        spawn_local(follow::documents(Rc::clone(self)));
-        spawn_local(follow::judgements(Rc::clone(self)));
-        spawn_local(follow::endpoints(Rc::clone(self)));
-        spawn_local(follow::members(Rc::clone(self)));
-        spawn_local(follow::judge(Rc::clone(self)));
-        spawn_local(talk::join(Rc::clone(self)));
-        spawn_local(announce(Rc::clone(self)));
-        spawn_local(sweep(Rc::clone(&self.node)));
-        spawn_local(say::gauges(Rc::clone(self)));
+        self.node.spawn(follow::documents(Rc::clone(self)));
+        self.node.spawn(follow::judgements(Rc::clone(self)));
+        self.node.spawn(follow::endpoints(Rc::clone(self)));
+        self.node.spawn(follow::members(Rc::clone(self)));
+        self.node.spawn(follow::judge(Rc::clone(self)));
+        self.node.spawn(talk::join(Rc::clone(self)));
+        self.node.spawn(announce(Rc::clone(self)));
+        self.node.spawn(sweep(Rc::clone(&self.node)));
+        self.node.spawn(say::gauges(Rc::clone(self)));
     }
 
     /// What logs and counts.
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_std::channel::Receiver;
-use async_std::task::{sleep, spawn_local};
+use async_std::task::sleep;
 use forward::Dialect;
 use futures::future::{Either, select};
 use futures::pin_mut;
@@ -149,8 +149,8 @@
     if life.asking.replace(true) {
         return;
     }
-    let (life, link) = (Rc::clone(life), link.clone());
-    spawn_local(async move {
+    let (node, life, link) = (Rc::clone(&life.node), Rc::clone(life), link.clone());
+    node.spawn(async move {
         if let Some(frame) = life.frame(&question)
             && let Ok(Frame::Decide(payload)) = link.ask(&peer, &frame, ANSWER).await
         {
@@ -183,6 +183,6 @@
             None => sleep(JOIN_PAUSE).await,
         }
     };
-    spawn_local(tell(Rc::clone(&life), link.clone()));
+    life.node.spawn(tell(Rc::clone(&life), link.clone()));
     hear(life, link, inbox).await;
 }
