--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -198,7 +198,7 @@
     /// silence is no reason to end the request sooner.
     fn first_wait(&self, call: &Call) -> Duration {
         let left = call.left(self.node.now());
-        if self.may_move(call) && !call.is_held() {
+        if may_move(call) && !call.is_held() {
             let part = self.node.timing.first_part;
             left.min(self.node.router().patience(call, part))
         } else {
@@ -217,10 +217,6 @@
         false
     }
 
-    fn may_move(&self, call: &Call) -> bool {
-        call.route.repeat == Repeat::Idempotent && call.attempts() < call.route.attempts
-    }
-
     /// Waits for the head of the answer to this request.
     ///
     /// An endpoint may send an answer twice, the second one late: it comes
@@ -296,8 +292,7 @@
         let mut events = Events::default();
         let mut passed = None;
         loop {
-            let decoded = upstream.decode(&mut decoder, events.input());
-            if decoded.is_err() {
+            if upstream.decode(&mut decoder, events.input()).is_err() {
                 return Ending::Broken.into();
             }
             if !self.pass_on(&mut events, head, answer) {
@@ -372,7 +367,7 @@
     fn pause(&self, call: &Call) -> Duration {
         let left = call.left(self.node.now());
         match call.route.answer {
-            Shape::Stream { pause } if self.may_move(call) && !call.is_held() => {
+            Shape::Stream { pause } if may_move(call) && !call.is_held() => {
                 left.min(pause.mul_f64(self.node.timing.pause_part))
             }
             _ => left,
@@ -389,6 +384,11 @@
     }
 }
 
+/// Whether another endpoint may be asked instead of a silent one.
+fn may_move(call: &Call) -> bool {
+    call.route.repeat == Repeat::Idempotent && call.attempts() < call.route.attempts
+}
+
 /// Whether a status tells callers that the request has not run. An endpoint
 /// that sends one without saying so itself may have run it.
 fn is_promise(status: u16) -> bool {
--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -96,7 +96,7 @@
             return;
         }
     }
-    pending().await
+    pending::<()>().await;
 }
 
 async fn read<D: Dialect>(node: &Node<D>, conn: &mut Conn, limits: &Limits) -> Incoming {
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -14,7 +14,7 @@
 use telemetry::{Event, Value};
 
 use crate::life::Life;
-use crate::{Documents, Judgement, Store, Trouble, say};
+use crate::{Documents, Judgement, Member, Store, Trouble, say};
 
 /// How long one question for news waits. Each is paid for; a connection that
 /// went silent meanwhile is noticed by its keep-alive, see `http`.
@@ -182,20 +182,17 @@
         let began = node.now();
         let listed = life.store.endpoints().await;
         say::store(&life, "endpoints", began, &listed);
-        match listed {
-            Ok(entries) => {
-                let now = node.now();
-                let absence = match failed {
-                    Some(at) if now.saturating_sub(at) < LAPSED => Absence::Lapsed,
-                    _ => Absence::Gone,
-                };
-                list(&life, now, entries, absence);
-                sleep(ENDPOINTS_PERIOD).await;
-            }
-            Err(_) => {
-                failed = Some(node.now());
-                sleep(FAILED_PAUSE).await;
-            }
+        if let Ok(entries) = listed {
+            let now = node.now();
+            let absence = match failed {
+                Some(at) if now.saturating_sub(at) < LAPSED => Absence::Lapsed,
+                _ => Absence::Gone,
+            };
+            list(&life, now, entries, absence);
+            sleep(ENDPOINTS_PERIOD).await;
+        } else {
+            failed = Some(node.now());
+            sleep(FAILED_PAUSE).await;
         }
     }
 }
@@ -205,20 +202,23 @@
         let began = life.node.now();
         let listed = life.store.members().await;
         say::store(&life, "hosts", began, &listed);
-        let now = life.node.now();
-        let mut members = life.members.borrow_mut();
-        match listed {
-            Ok(it) => {
-                members.list(now, it);
-                life.node.router().set_hosts(members.count());
-            }
-            Err(_) => members.hold(now),
-        }
-        drop(members);
+        take_members(&life, listed);
         sleep(life.period).await;
     }
 }
 
+fn take_members<S: Store, D: Dialect>(life: &Life<S, D>, listed: Result<Vec<Member>, Trouble>) {
+    let now = life.node.now();
+    let mut members = life.members.borrow_mut();
+    match listed {
+        Ok(it) => {
+            members.list(now, it);
+            life.node.router().set_hosts(members.count());
+        }
+        Err(_) => members.hold(now),
+    }
+}
+
 /// Writes what roll-outs have come to.
 pub(crate) async fn judge<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     loop {
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -116,12 +116,12 @@
             })
             .map(|(_, it)| &it.member);
         let own = (!self.is_leaving).then_some(&self.own);
-        let mut live: Vec<_> = others
+        let mut hosts: Vec<_> = others
             .chain(own)
             .map(|it| (it.front, it.data_centre.clone(), it.region.clone()))
             .collect();
-        live.sort();
-        live.truncate(MOST);
-        live
+        hosts.sort();
+        hosts.truncate(MOST);
+        hosts
     }
 }
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -83,14 +83,14 @@
             life.recorder().say(event, &[]);
             was_ready = is_ready;
         }
-        let live: Vec<SocketAddr> = life.live().into_iter().map(|it| it.0).collect();
-        if live != hosts {
-            let list: Vec<String> = live.iter().map(SocketAddr::to_string).collect();
+        let now: Vec<SocketAddr> = life.live().into_iter().map(|it| it.0).collect();
+        if now != hosts {
+            let list: Vec<String> = now.iter().map(SocketAddr::to_string).collect();
             life.recorder().say(
                 Event::HostsChanged,
                 &[("hosts", Value::Text(&list.join(" ")))],
             );
-            hosts = live;
+            hosts = now;
         }
         let level = level(&life, hosts.len());
         life.recorder().metrics().set(&level);
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -53,10 +53,18 @@
     pub(crate) attempts: u32,
     pub(crate) unsent: u32,
     pub(crate) may_have_run: bool,
-    /// Whether a repeat has been taken from the budget and not been made yet.
-    pub(crate) reserved: bool,
-    /// Whether the endpoint is waited for because there was no repeat to be had.
-    held: bool,
+    pub(crate) spare: Spare,
+}
+
+/// Whether the request may be sent once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Spare {
+    /// Nobody has asked.
+    Unasked,
+    /// A repeat has been taken from the budget and not been made yet.
+    Reserved,
+    /// There was none to be had; the endpoint is waited for.
+    Denied,
 }
 
 /// How an attempt ended.
@@ -156,8 +164,7 @@
             attempts: 0,
             unsent: 0,
             may_have_run: false,
-            reserved: false,
-            held: false,
+            spare: Spare::Unasked,
         }
     }
 
@@ -183,17 +190,19 @@
     /// Whether its endpoint is waited for whatever its silence.
     #[must_use]
     pub fn is_held(&self) -> bool {
-        self.held
+        self.spare == Spare::Denied
     }
 
     /// Waits for the endpoint from now on.
     pub fn hold(&mut self) {
-        self.held = true;
+        self.spare = Spare::Denied;
     }
 
     /// Ends that wait: the endpoint was heard of.
     pub fn release(&mut self) {
-        self.held = false;
+        if self.spare == Spare::Denied {
+            self.spare = Spare::Unasked;
+        }
     }
 
     /// How many attempts were made.
@@ -221,7 +230,7 @@
     }
 
     pub(crate) fn note(&mut self, ending: Ending) {
-        self.held = false;
+        self.release();
         match ending {
             Ending::NotSent => self.unsent += 1,
             Ending::Refused | Ending::Moved => {}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -11,7 +11,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
-use crate::call::{Call, Ending, Failure, Next, Shape};
+use crate::call::{Call, Ending, Failure, Next, Shape, Spare};
 use crate::config::{Access, Config};
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key, Load};
@@ -381,7 +381,7 @@
             return Next::Fail(call.failure(now, ending));
         }
         if ending == Ending::NotSent || self.reserve(now, call, ending) {
-            call.reserved = false;
+            call.spare = Spare::Unasked;
             return Next::Again;
         }
         Next::Fail(call.failure(now, ending))
@@ -394,11 +394,14 @@
     /// endpoint's silence, or a small model's doubt, is no reason to end a
     /// request that can go nowhere else.
     pub fn reserve(&mut self, now: Duration, call: &mut Call, ending: Ending) -> bool {
-        if !call.reserved && call.may_repeat(now, ending) {
-            let hosts = self.hosts;
-            call.reserved = self.budget(&call.service).repeat(now, hosts);
+        let hosts = self.hosts;
+        if call.spare != Spare::Reserved
+            && call.may_repeat(now, ending)
+            && self.budget(&call.service).repeat(now, hosts)
+        {
+            call.spare = Spare::Reserved;
         }
-        call.reserved
+        call.spare == Spare::Reserved
     }
 
     /// Ends an attempt whose caller left.
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -12,7 +12,7 @@
 use crate::rollout::{Rollout, Side, Verdict};
 
 /// Time to read the prompts that wait which weighs as much as all places taken.
-const FULL_UNREAD: Duration = Duration::from_millis(1_000);
+const FULL_UNREAD: Duration = Duration::from_secs(1);
 /// What another data centre weighs, in parts of an endpoint's places. Small: it
 /// costs bytes between data centres, which are a hundredth of an answer's worth.
 const FAR: f64 = 0.04;
@@ -26,8 +26,8 @@
 const CHANCE: f64 = 0.03;
 /// What the first moments of an endpoint weigh, while it is slow.
 const COLD: f64 = 0.5;
-/// The part of an endpoint's connections that hosts use together.
-const CONNECTIONS_USED: f64 = 0.9;
+/// The part of an endpoint's connections that hosts use together, in hundredths.
+const CONNECTIONS_USED: u32 = 90;
 
 /// How strict the choice is; each step takes what the one before leaves out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
@@ -150,22 +150,13 @@
 
 /// The part of the prompt that an endpoint may have read already.
 fn cached_part(call: &Call) -> f64 {
-    let Some((_, tokens)) = call.shape.shared else {
-        return 0.0;
-    };
-    #[allow(clippy::cast_precision_loss, reason = "a weight")]
-    let part = tokens as f64 / call.shape.prompt_tokens.max(1) as f64;
-    part.min(1.0)
+    let tokens = call.shape.shared.map_or(0, |(_, tokens)| tokens);
+    let number = |it: u64| u32::try_from(it).map_or(f64::from(u32::MAX), f64::from);
+    (number(tokens) / number(call.shape.prompt_tokens.max(1))).min(1.0)
 }
 
 /// This host's part of the connections that an endpoint takes from all.
 fn connections(total: u32, hosts: u32) -> u32 {
-    let part = f64::from(total) * CONNECTIONS_USED / f64::from(hosts.max(1));
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "below total"
-    )]
-    let part = part as u32;
-    part.max(1)
+    let used = total.saturating_mul(CONNECTIONS_USED) / 100;
+    (used / hosts.max(1)).max(1)
 }
--- a/crates/route/tests/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -1,6 +1,7 @@
 //! The small language of the scripts: one event a line.
 
 use std::collections::BTreeMap;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -59,7 +60,7 @@
                 "version" => version = words.rest[0].parse().unwrap(),
                 "service" => services.push(Service {
                     name: words.rest[0].into(),
-                    max_connections: words.number("connections", 100.0) as u32,
+                    max_connections: words.number::<u32>("connections", 100),
                     engine: None,
                 }),
                 "customer" => customers.push(Customer {
@@ -111,8 +112,8 @@
             "load" => {
                 let key = self.key_of(words.rest[0]);
                 let load = Load {
-                    running: words.number("running", 0.0) as u32,
-                    waiting: words.number("waiting", 0.0) as u32,
+                    running: words.number::<u32>("running", 0),
+                    waiting: words.number::<u32>("waiting", 0),
                     slots: 10,
                 };
                 self.router().load(now, key, load);
@@ -147,8 +148,8 @@
                 let order = Order {
                     service: words.rest[0].into(),
                     release: Release::from(words.rest[1]),
-                    over: Duration::from_millis(words.number("over", 20_000.0) as u64),
-                    revision: words.number("revision", 1.0) as u64,
+                    over: Duration::from_millis(words.number::<u64>("over", 20_000)),
+                    revision: words.number::<u64>("revision", 1),
                 };
                 let taken = self.router().order(order, now);
                 (!taken).then(|| "known".to_owned())
@@ -181,7 +182,7 @@
     fn arrive(&mut self, words: &Words<'_>) -> String {
         let id = words.rest[0];
         let shape = Shape {
-            prompt_tokens: words.number("tokens", 0.0) as u64,
+            prompt_tokens: words.number::<u64>("tokens", 0),
             session: words.text("session").map(SessionId::from),
             ..Shape::default()
         };
@@ -209,16 +210,13 @@
     }
 
     fn send(&mut self, id: &str) -> String {
-        match self.place(id) {
-            Some(it) => {
-                let model = it.model.map_or(String::new(), |it| format!(" model {it}"));
-                format!("{id} to {}{model}", it.id)
-            }
-            None => {
-                let open = &self.calls[id];
-                let failure = self.hosts[self.host].unplaced(self.now, &open.call);
-                format!("{id} nowhere: {failure:?}")
-            }
+        if let Some(it) = self.place(id) {
+            let model = it.model.map_or(String::new(), |it| format!(" model {it}"));
+            format!("{id} to {}{model}", it.id)
+        } else {
+            let open = &self.calls[id];
+            let failure = self.hosts[self.host].unplaced(self.now, &open.call);
+            format!("{id} nowhere: {failure:?}")
         }
     }
 
@@ -262,7 +260,7 @@
             let ending = words.text(&to).or(words.text("end")).unwrap_or("answered");
             *counts.entry(to).or_default() += 1;
             self.end(&id, ending);
-            self.now += Duration::from_millis(words.number("each", 10.0) as u64);
+            self.now += Duration::from_millis(words.number::<u64>("each", 10));
         }
         let parts: Vec<_> = counts.iter().map(|(id, it)| format!("{id} {it}")).collect();
         parts.join(", ")
@@ -318,8 +316,9 @@
         self.named.get(name).copied()
     }
 
-    fn number(&self, name: &str, default: f64) -> f64 {
-        self.text(name).map_or(default, |it| it.parse().unwrap())
+    fn number<T: FromStr>(&self, name: &str, default: T) -> T {
+        let parse = |it: &str| it.parse().ok().unwrap();
+        self.text(name).map_or(default, parse)
     }
 }
 
@@ -356,10 +355,10 @@
         } else {
             Answer::Whole
         },
-        attempts: words.number("attempts", 3.0) as u32,
-        timeout: Duration::from_millis(words.number("timeout", 20_000.0) as u64),
-        aim: Duration::from_millis(words.number("aim", 3_000.0) as u64),
-        priority: words.number("rank", 0.0) as u8,
+        attempts: words.number::<u32>("attempts", 3),
+        timeout: Duration::from_millis(words.number::<u64>("timeout", 20_000)),
+        aim: Duration::from_millis(words.number::<u64>("aim", 3_000)),
+        priority: words.number::<u8>("rank", 0),
         access: match words.text("access") {
             Some("keyed") => Access::Keyed,
             _ => Access::Public,
--- a/crates/route/tests/scripts.rs
+++ b/crates/route/tests/scripts.rs
@@ -2,6 +2,7 @@
 //!
 //! Each file under `scripts/` opens with its story. `docs/scripts.md` has the language.
 
+#[path = "harness/script.rs"]
 mod script;
 
 use script::Script;
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -71,8 +71,6 @@
         if !self.may_write(weight(is_ordinary, report.id)) {
             return;
         }
-        let text = |it: &'_ Option<&str>| it.map(str::to_owned);
-        let (route, customer) = (text(&report.route), text(&report.customer));
         let retry_after = match report.outcome {
             Outcome::Failed(Failure::NotRun { retry_after }) => Some(retry_after),
             _ => None,
@@ -81,8 +79,8 @@
             event,
             &[
                 ("request", Value::Text(report.id)),
-                ("route", words(route.as_ref())),
-                ("customer", words(customer.as_ref())),
+                ("route", words(report.route.as_ref())),
+                ("customer", words(report.customer.as_ref())),
                 ("reason", words(reason.as_ref())),
                 ("status", Value::Count(report.status.into())),
                 ("attempts", Value::Count(report.attempts.into())),
@@ -167,7 +165,7 @@
 fn is_sampled(id: &RequestId) -> bool {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
-    hasher.finish() % SAMPLE == 0
+    hasher.finish().is_multiple_of(SAMPLE)
 }
 
 fn words<T: std::fmt::Display>(value: Option<&T>) -> Value<'_> {
