--- /dev/null
+++ b/crates/telemetry/tests/bounds.rs
@@ -0,0 +1,132 @@
+//! The log is bounded, and what matters goes first.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::Duration;
+
+use kernel::{ManualClock, RequestId};
+use route::Failure;
+use telemetry::{Log, Metrics, Outcome, Recorder, Report, Smooth};
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Sink {
+    /// The lines once no more come.
+    fn lines(&self) -> Vec<serde_json::Value> {
+        let mut len = usize::MAX;
+        loop {
+            sleep(Duration::from_millis(100));
+            let bytes = self.0.lock().unwrap().clone();
+            if bytes.len() == len {
+                let text = String::from_utf8(bytes).unwrap();
+                return text
+                    .lines()
+                    .map(|it| serde_json::from_str(it).unwrap())
+                    .collect();
+            }
+            len = bytes.len();
+        }
+    }
+}
+
+fn recorder() -> (Recorder, Sink, Arc<ManualClock>) {
+    let (sink, clock) = (Sink::default(), Arc::<ManualClock>::default());
+    let recorder = Recorder::new(Log::to(sink.clone()), Arc::default(), clock.clone());
+    (recorder, sink, clock)
+}
+
+fn report(id: &RequestId, outcome: Outcome) -> Report<'_> {
+    Report {
+        id,
+        route: Some("draft"),
+        customer: Some("studio"),
+        outcome,
+        status: 200,
+        first: None,
+        pause: None,
+        total: Duration::from_millis(9),
+        attempts: 1,
+        trail: "i-1 answered 9",
+        smooth: Smooth::Yes,
+        config: Some(7),
+    }
+}
+
+/// A service fails and each of thousands of requests a second would leave
+/// lines. The host writes what its allowance lets pass and says how many it
+/// dropped; the ordinary is sampled, also in calm.
+#[test]
+fn a_flood_of_failures_is_bounded_and_told() {
+    let (recorder, sink, clock) = recorder();
+    let lost = Outcome::Failed(Failure::Lost);
+    for nr in 0..5_000 {
+        recorder.request(&report(&RequestId::from(format!("q{nr}")), lost));
+    }
+    clock.advance(Duration::from_secs(2));
+    recorder.say_dropped();
+    let lines = sink.lines();
+    assert_eq!(lines.len(), 601);
+    assert_eq!(lines.last().unwrap()["lines"], 4_400);
+    assert_eq!(lines[0]["request"], "q0");
+    assert_eq!(lines[0]["reason"], "lost");
+    let text = recorder.metrics().text();
+    assert!(text.contains("barleypin_log_lines_dropped_total 4400"));
+    assert!(text.contains("barleypin_requests_total{outcome=\"lost\"} 5000"));
+}
+
+#[test]
+fn ordinary_requests_are_sampled() {
+    let (recorder, sink, _) = recorder();
+    for nr in 0..5_000 {
+        recorder.request(&report(
+            &RequestId::from(format!("q{nr}")),
+            Outcome::Answered,
+        ));
+    }
+    let lines = sink.lines().len();
+    assert!((60..=140).contains(&lines), "{lines}");
+}
+
+/// Nobody reads the host's standard output any more. Requests go on.
+#[test]
+fn a_reader_that_stopped_stops_nothing() {
+    struct Stuck;
+    impl Write for Stuck {
+        fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+            loop {
+                sleep(Duration::from_secs(60));
+            }
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let clock = Arc::<ManualClock>::default();
+    let metrics = Arc::<Metrics>::default();
+    let recorder = Recorder::new(Log::to(Stuck), Arc::clone(&metrics), clock.clone());
+    for nr in 0..20_000 {
+        clock.advance(Duration::from_millis(10));
+        let lost = Outcome::Failed(Failure::Lost);
+        recorder.request(&report(&RequestId::from(format!("q{nr}")), lost));
+    }
+    assert!(
+        metrics
+            .text()
+            .contains("barleypin_requests_total{outcome=\"lost\"} 20000")
+    );
+    // The writer's thread is stuck for good: dropping the log would wait for it.
+    std::mem::forget(recorder);
+}
