Explain a failed request from log lines; on-call page

barleyctl explain reads the lines of several hosts and says what became of a request and what the host believed.

--- a/crates/barleyctl/src/cli.rs
+++ b/crates/barleyctl/src/cli.rs
@@ -40,6 +40,7 @@
     pub(crate) const DIFF: &str = "diff";
     pub(crate) const DRAIN: &str = "drain";
     pub(crate) const EDIT: &str = "edit";
+    pub(crate) const EXPLAIN: &str = "explain";
     pub(crate) const HASH: &str = "hash";
     pub(crate) const HISTORY: &str = "history";
     pub(crate) const HOST: &str = "host";
@@ -78,6 +79,7 @@
         .subcommand(versions())
         .subcommand(customers())
         .subcommand(kind(Kind::Service, "Plain services"))
+        .subcommand(explain())
         .subcommand(hosts())
         .subcommand(Command::new(verb::STATUS).about("Shows the fleet as one host knows it"))
         .subcommand(keys())
@@ -264,6 +266,25 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new(verb::EXPLAIN)
+        .about("Tells what became of a request, from log lines of the hosts")
+        .arg(
+            Arg::new(arg::NAME)
+                .value_name("REQUEST-ID")
+                .help("The request, as its caller named it")
+                .required(true),
+        )
+        .arg(
+            Arg::new(arg::FILE)
+                .value_name("FILE")
+                .help("Logs of one or several hosts; standard input without any")
+                .value_parser(value_parser!(PathBuf))
+                .action(ArgAction::Append)
+                .num_args(0..),
+        )
+}
+
 fn keys() -> Command {
     let directory = Arg::new(arg::DIRECTORY)
         .long(arg::DIRECTORY)
--- a/crates/barleyctl/src/command.rs
+++ b/crates/barleyctl/src/command.rs
@@ -3,6 +3,7 @@
 mod completions;
 mod customers;
 mod entries;
+mod explain;
 mod hosts;
 mod keys;
 mod rollout;
@@ -29,6 +30,7 @@
             completions::run(matches, console);
             Ok(())
         }
+        verb::EXPLAIN => explain::run(matches, console),
         verb::KEYS => keys::run(matches, console),
         verb::STATUS => status::run(&mut Session::open(matches, console)?).await,
         verb::HOSTS => hosts::run(matches, &mut Session::open(matches, console)?).await,
--- /dev/null
+++ b/crates/barleyctl/src/command/explain.rs
@@ -0,0 +1,201 @@
+//! What became of a request, from the log lines of the hosts.
+
+mod line;
+
+use std::fs;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use error_stack::{Report, ResultExt};
+use serde_json::json;
+
+use crate::cli::arg;
+use crate::console::Console;
+use crate::error::Error;
+use crate::output::{self, Format};
+
+use line::{Line, Lines};
+
+/// Events by their numbers; docs/reference/relay-events.md lists them all.
+mod event {
+    pub(super) const ANSWERED: u64 = 1100;
+    pub(super) const DENIED: u64 = 1101;
+    pub(super) const REFUSED: u64 = 1102;
+    pub(super) const FAILED: u64 = 1103;
+    pub(super) const PASSED: u64 = 1104;
+    pub(super) const CALLER_GONE: u64 = 1105;
+    pub(super) const ATTEMPT: u64 = 1200;
+}
+
+/// Reads log lines and says what became of the request that is named.
+pub(crate) fn run(matches: &ArgMatches, console: &mut Console<'_>) -> Result<(), Report<Error>> {
+    let request: &String = matches
+        .get_one(arg::NAME)
+        .expect("the command line asks for a request");
+    let lines = read(matches, console)?;
+    let found = lines.about(request);
+    if found.is_empty() {
+        let (read, foreign) = (lines.all.len(), lines.foreign);
+        let text = format!(
+            "no line is about request {request}, of {read} read; {foreign} could not be read"
+        );
+        return Err(Error::Input(text).into());
+    }
+    let story = story(request, &found, lines.foreign);
+    match Format::of(matches) {
+        Format::Table => {
+            console.print(&format!("{story}\n\n"));
+            console.print(&table(&found));
+        }
+        Format::Json => {
+            let raw: Vec<_> = found.iter().map(|it| &it.value).collect();
+            let json = json!({
+                "request": request,
+                "story": story,
+                "unreadable": lines.foreign,
+                "lines": raw,
+            });
+            console.print(&format!("{json}\n"));
+        }
+    }
+    Ok(())
+}
+
+fn read(matches: &ArgMatches, console: &mut Console<'_>) -> Result<Lines, Report<Error>> {
+    let mut lines = Lines::default();
+    let files = matches.get_many::<PathBuf>(arg::FILE).unwrap_or_default();
+    if files.len() == 0 {
+        let text = console
+            .read()
+            .change_context_lazy(|| Error::Input("can't read standard input".to_owned()))?;
+        lines.add(&text);
+    }
+    for path in files {
+        // A log may be cut in the middle of a character.
+        let bytes = fs::read(path).change_context_lazy(|| Error::Read(path.clone()))?;
+        lines.add(&String::from_utf8_lossy(&bytes));
+    }
+    lines.sort();
+    Ok(lines)
+}
+
+fn story(request: &str, found: &[&Line], foreign: usize) -> String {
+    let mut parts = Vec::new();
+    match found.iter().rfind(|it| it.event() != event::ATTEMPT) {
+        Some(end) => {
+            parts.push(format!("Request {request}{}.", origin(end)));
+            if let Some(trail) = end.text("trail").filter(|it| !it.is_empty()) {
+                parts.push(format!("Its attempts (endpoint, ending, ms): {trail}."));
+            }
+            parts.push(ending(end));
+        }
+        None => parts.push(format!(
+            "Request {request}: the lines have attempts and no end. It may be under way, or the \
+             host ended, or the line was dropped."
+        )),
+    }
+    let last = found.iter().rfind(|it| it.event() == event::ATTEMPT);
+    parts.extend(last.map(|it| belief(it)));
+    if foreign > 0 {
+        parts.push(format!("{foreign} lines could not be read."));
+    }
+    parts.join(" ")
+}
+
+fn origin(end: &Line) -> String {
+    let named = |name: &str, words: &str| {
+        end.text(name)
+            .map(|it| format!(" {words} {it}"))
+            .unwrap_or_default()
+    };
+    format!(
+        "{}{}{}",
+        named("customer", "of"),
+        named("route", "by route"),
+        named("host", "reached")
+    )
+}
+
+/// How it ended, and whether it can have run.
+fn ending(end: &Line) -> String {
+    let ms = end.count("ms").unwrap_or(0);
+    let config = end
+        .count("config")
+        .map_or("no configuration".to_owned(), |it| {
+            format!("configuration {it}")
+        });
+    let status = end.count("status").unwrap_or(0);
+    match end.event() {
+        event::ANSWERED => format!("It was answered whole with status {status} after {ms} ms."),
+        event::DENIED => {
+            let reason = end.text("reason").unwrap_or("unknown");
+            format!(
+                "It was turned away with status {status} ({reason}) under {config}; no endpoint \
+                 saw it."
+            )
+        }
+        event::REFUSED => {
+            let after = end.count("retry_after_ms").unwrap_or(0);
+            format!(
+                "It was refused with status {status} after {ms} ms and has not run; the caller \
+                 was asked to come back after {after} ms."
+            )
+        }
+        event::FAILED if status == 200 => {
+            format!("Its answer broke off midway after {ms} ms; it may have run.")
+        }
+        event::FAILED => {
+            let reason = end.text("reason").unwrap_or("unknown");
+            format!("It failed with status {status} ({reason}) after {ms} ms; it may have run.")
+        }
+        event::PASSED => {
+            format!("The endpoint's own failure, status {status}, was passed on after {ms} ms.")
+        }
+        event::CALLER_GONE => format!("The caller left after {ms} ms."),
+        _ => format!("{} (status {status}, after {ms} ms.)", end.message()),
+    }
+}
+
+/// What the host believed when it chose the last endpoint that a line tells of.
+fn belief(attempt: &Line) -> String {
+    let number = |name: &str| {
+        attempt
+            .number(name)
+            .map_or("unknown".to_owned(), |it| it.to_string())
+    };
+    format!(
+        "The last attempt told of, to {} at {}, ended as {}: chosen among {} candidates, believed \
+         {} full by a report {} ms old and a listing {} ms old, with {} ms left.",
+        attempt.text("endpoint").unwrap_or("an unknown endpoint"),
+        attempt.text("address").unwrap_or("an unknown address"),
+        attempt.text("ending").unwrap_or("unknown"),
+        number("candidates"),
+        number("used"),
+        number("load_age_ms"),
+        number("listing_age_ms"),
+        number("left_ms"),
+    )
+}
+
+fn table(found: &[&Line]) -> String {
+    let rows: Vec<Vec<String>> = found
+        .iter()
+        .map(|it| {
+            let text = |name: &str| it.text(name).unwrap_or_default().to_owned();
+            let count = |name: &str| it.count(name).map_or(String::new(), |it| it.to_string());
+            vec![
+                it.time().to_owned(),
+                text("host"),
+                it.message().to_owned(),
+                text("endpoint"),
+                text("ending"),
+                count("status"),
+                count("ms"),
+            ]
+        })
+        .collect();
+    let head = [
+        "time", "host", "event", "endpoint", "ending", "status", "ms",
+    ];
+    output::table(&head, &rows)
+}
--- /dev/null
+++ b/crates/barleyctl/tests/explain.rs
@@ -0,0 +1,74 @@
+//! `explain` on a log that hosts really wrote, with two lines in it that aren't
+//! theirs; and the commands of the on-call page on the same log.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use datadriven::walk;
+
+const LOG: &str = "tests/logs/hosts.log";
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
+
+fn tool() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_barleyctl"))
+}
+
+fn show(command: &mut Command) -> String {
+    let output = command.output().unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    let err = String::from_utf8(output.stderr).unwrap();
+    format!("{text}{err}exit {}\n", output.status.code().unwrap())
+}
+
+#[test]
+fn explanations() {
+    walk("tests/explain", |file| {
+        file.run(|case| match case.directive.as_str() {
+            "explain" => show(
+                tool()
+                    .arg("explain")
+                    .args(case.input.split_whitespace())
+                    .arg(LOG),
+            ),
+            other => panic!("unknown directive {other}"),
+        });
+    });
+}
+
+#[test]
+fn logs_come_from_standard_input_too() {
+    let mut tool = tool()
+        .args(["explain", "4a6777875b40ea23", "--output", "json"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let log = std::fs::read(LOG).unwrap();
+    tool.stdin.take().unwrap().write_all(&log).unwrap();
+    let output = tool.wait_with_output().unwrap();
+    let json: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(json["lines"].as_array().unwrap().len(), 3);
+    assert_eq!(json["unreadable"], 2);
+}
+
+/// Each command of the on-call page finds lines in the recorded log. `jq` isn't
+/// on every machine; its commands are checked where it is.
+#[test]
+fn the_on_call_pages_commands_work() {
+    let has_jq = Command::new("jq").arg("--version").output().is_ok();
+    let mut commands = 0;
+    for line in PAGE.lines().filter_map(|it| it.strip_prefix("    $ ")) {
+        if line.contains("jq ") && !has_jq {
+            eprintln!("not run without jq: {line}");
+            continue;
+        }
+        let line = line
+            .replace("barleyctl", env!("CARGO_BIN_EXE_barleyctl"))
+            .replace("*.log", LOG);
+        let output = Command::new("sh").args(["-c", &line]).output().unwrap();
+        assert!(output.status.success(), "{line}");
+        assert!(!output.stdout.is_empty(), "{line}");
+        commands += 1;
+    }
+    assert!(commands >= 6, "{commands}");
+}
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -46,10 +46,11 @@
 
 impl From<Denial> for Notice {
     fn from(denial: Denial) -> Self {
-        /// A host without a configuration has one within moments, or another has.
+        /// A host without a configuration has one within moments, and other hosts
+        /// have one now.
         const SOON: Duration = Duration::from_millis(200);
         match denial {
-            Denial::NotReady => Self {
+            Denial::NotReady | Denial::Stopping => Self {
                 status: 503,
                 retry_after: Some(SOON),
             },
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -8,7 +8,7 @@
 
 use kernel::RequestId;
 use route::config::{Customer, Route};
-use route::{Arrival, Call, Ending, Failure, Next, Placement};
+use route::{Arrival, Call, Denial, Ending, Failure, Next, Placement};
 use telemetry::{Event, Outcome, Report, Smooth, Value};
 
 use crate::answer::{Answer, Notice};
@@ -86,9 +86,7 @@
         .admit(request.arrived, arrival)
         .map_err(Outcome::Denied)?;
     if node.phase() >= Phase::Finishing {
-        // The process may end before this would: another host has the time.
-        let failure = node.router().unplaced(node.now(), &call);
-        return Err(Outcome::Failed(failure));
+        return Err(Outcome::Denied(Denial::Stopping));
     }
     Ok(call)
 }
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -32,6 +32,8 @@
     life.recorder().metrics().store_call(call, name, timed);
     let mut lost = life.lost.borrow_mut();
     match result {
+        // These are answers: the store is there.
+        Err(Trouble::Conflict | Trouble::HistoryGone) => {}
         Err(trouble) if lost.insert(call) => life.recorder().say(
             Event::StoreLost,
             &[
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -48,6 +48,9 @@
     /// This host has no configuration yet, and can't know what is allowed.
     #[display("no_configuration")]
     NotReady,
+    /// This host is about to end, and the request might not end before it.
+    #[display("stopping")]
+    Stopping,
     /// No route fits.
     #[display("no_route")]
     NoRoute,
@@ -56,6 +59,16 @@
     UnknownKey,
 }
 
+impl Denial {
+    /// Every reason.
+    pub const ALL: [Self; 4] = [
+        Self::NotReady,
+        Self::Stopping,
+        Self::NoRoute,
+        Self::UnknownKey,
+    ];
+}
+
 /// A request that came in.
 #[derive(Clone, Debug)]
 pub struct Arrival<'a> {
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -19,22 +19,23 @@
 }
 
 impl Log {
-    /// Writes to standard output, by a thread of its own.
+    /// Writes to standard output, by a thread of its own. Each line names the
+    /// host, so that the logs of several can be read together.
     #[must_use]
-    pub fn to_stdout() -> Self {
-        Self::to(io::stdout())
+    pub fn to_stdout(host: &str) -> Self {
+        Self::to(host, io::stdout())
     }
 
     /// Writes to `sink`, by a thread of its own.
     #[must_use]
-    pub fn to<W: Write + Send + 'static>(sink: W) -> Self {
+    pub fn to<W: Write + Send + 'static>(host: &str, sink: W) -> Self {
         let drain = slog_json::Json::new(sink).add_default_keys().build().fuse();
         let drain = slog_async::Async::new(drain)
             .chan_size(QUEUE)
             .overflow_strategy(OverflowStrategy::DropAndReport)
             .build();
         Self {
-            logger: Logger::root(drain.fuse(), o!()),
+            logger: Logger::root(drain.fuse(), o!("host" => host.to_owned())),
         }
     }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -308,7 +308,7 @@
         ] {
             self.requests.add(0, &[label("outcome", outcome)]);
         }
-        for denial in [Denial::NotReady, Denial::NoRoute, Denial::UnknownKey] {
+        for denial in Denial::ALL {
             self.refusals.add(0, &[label("reason", denial.to_string())]);
         }
         for reason in ["rejected", "refused", "passed", "lost", "late"] {
--- a/crates/telemetry/tests/bounds.rs
+++ b/crates/telemetry/tests/bounds.rs
@@ -44,7 +44,11 @@
 
 fn recorder() -> (Recorder, Sink, Arc<ManualClock>) {
     let (sink, clock) = (Sink::default(), Arc::<ManualClock>::default());
-    let recorder = Recorder::new(Log::to(sink.clone()), Arc::default(), clock.clone());
+    let recorder = Recorder::new(
+        Log::to("edge-1", sink.clone()),
+        Arc::default(),
+        clock.clone(),
+    );
     (recorder, sink, clock)
 }
 
@@ -116,7 +120,11 @@
     }
     let clock = Arc::<ManualClock>::default();
     let metrics = Arc::<Metrics>::default();
-    let recorder = Recorder::new(Log::to(Stuck), Arc::clone(&metrics), clock.clone());
+    let recorder = Recorder::new(
+        Log::to("edge-1", Stuck),
+        Arc::clone(&metrics),
+        clock.clone(),
+    );
     for nr in 0..20_000 {
         clock.advance(Duration::from_millis(10));
         let lost = Outcome::Failed(Failure::Lost);
--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -85,7 +85,7 @@
         Some(Duration::from_millis(4)),
     );
     let recorder = telemetry::Recorder::new(
-        telemetry::Log::to(std::io::sink()),
+        telemetry::Log::to("edge-1", std::io::sink()),
         metrics.into(),
         std::sync::Arc::new(kernel::ManualClock::default()),
     );
