Judge softly whether a larger model's answer will be in time

Cause: an answer that was expected 1 ms after the aim counted as late for sure, one 1 ms before it as in time; expectations are off by a fifth.

--- a/crates/route/src/cascade.rs
+++ b/crates/route/src/cascade.rs
@@ -84,7 +84,10 @@
     }
 }
 
-/// The part of its worth that an answer keeps which begins after this time.
+/// The part of its worth that an answer keeps which is expected to begin after
+/// this time: expectations are off by some fifth either way.
 fn timely(after: Duration, aim: Duration) -> f64 {
-    if after < aim { 1.0 } else { LATE }
+    const OFF: f64 = 0.25;
+    let late = (after.div_duration_f64(aim) - (1.0 - OFF)) / (2.0 * OFF);
+    1.0 - (1.0 - LATE) * late.clamp(0.0, 1.0)
 }
