--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -18,7 +18,7 @@
 const FAR: f64 = 0.04;
 /// What a cached beginning of the prompt weighs at most, in parts of an
 /// endpoint's places.
-const CACHED: f64 = 0.35;
+const CACHED: f64 = 0.7;
 /// What an endpoint's share of bad answers weighs.
 const BAD: f64 = 2.0;
 /// What is added by chance, so that hosts with the same reports don't all
