Have two hosts read the listing of endpoints for all

Cause: each host's own readings were half of the calls to the store. News has a fingerprint and the age of the listing; who goes by the same one takes over its age, who doesn't asks for it, and all read themselves when none is younger than 1.4 s.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the store.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,11 +10,11 @@
 use route::Config;
 use route::Rollout;
 use route::directory::Absence;
-use route::endpoint::Entry;
+use route::endpoint::{Entry, State};
 use route::rollout::Verdict;
 use telemetry::{Event, Value};
 
-use crate::life::Life;
+use crate::life::{Life, Listed};
 use crate::{Documents, Judgement, Member, Store, Trouble, say};
 
 /// How long one question for news waits. Each is paid for; a connection that
@@ -26,6 +27,14 @@
 const ENDPOINTS_PERIOD: Duration = Duration::from_millis(700);
 /// How long after an outage entries may be missing of endpoints that live.
 const LAPSED: Duration = Duration::from_millis(2_200);
+/// How often the listing of hosts is read: it only tells of new ones, whether
+/// they live is known from themselves.
+const MEMBERS_PERIOD: Duration = Duration::from_secs(4);
+/// How many hosts read the listing of endpoints themselves; the others get it
+/// from these.
+const READERS: usize = 2;
+/// The age of a listing at which any host reads it itself.
+const STALE: Duration = Duration::from_millis(1_400);
 /// How often a roll-out is looked at.
 const ROLLOUT_PERIOD: Duration = Duration::from_millis(100);
 /// The longest a host waits before it writes a judgement, so that not all write
@@ -159,6 +168,19 @@
     }
 }
 
+/// A number that tells two listings apart by what hosts go by.
+fn fingerprint(entries: &[Entry]) -> u64 {
+    let mut entries: Vec<&Entry> = entries.iter().collect();
+    entries.sort_by(|a, b| a.id.cmp(&b.id));
+    let mut hasher = DefaultHasher::new();
+    for it in entries {
+        let is_ready = it.state == State::Ready;
+        (&it.id, &it.service, it.address, &it.release).hash(&mut hasher);
+        (it.slots, is_ready, it.cold.is_zero()).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
 /// Takes a listing of endpoints that was read at `at`, unless a later one was taken.
 pub(crate) fn list<S: Store, D: Dialect>(
     life: &Life<S, D>,
@@ -166,10 +188,19 @@
     entries: Vec<Entry>,
     absence: Absence,
 ) {
-    if life.listed.get().is_some_and(|(last, _)| last >= at) {
+    let before = life.listed.get();
+    if before.is_some_and(|it| it.at >= at) {
         return;
     }
-    life.listed.set(Some((at, absence)));
+    let listed = Listed {
+        at,
+        absence,
+        fingerprint: fingerprint(&entries),
+    };
+    life.listed.set(Some(listed));
+    if before.is_none_or(|it| it.fingerprint != listed.fingerprint) {
+        life.hurry();
+    }
     let change = life.node.router().list(at, entries, absence);
     let age = life.node.now().saturating_sub(at);
     say::endpoints(life, &change, age);
@@ -179,6 +210,10 @@
     let mut failed = None;
     loop {
         let node = &life.node;
+        if !life.reads_listing(READERS, STALE) {
+            sleep(FAILED_PAUSE).await;
+            continue;
+        }
         let began = node.now();
         let listed = life.store.endpoints().await;
         say::store(&life, "endpoints", began, &listed);
@@ -203,7 +238,7 @@
         let listed = life.store.members().await;
         say::store(&life, "hosts", began, &listed);
         take_members(&life, listed);
-        sleep(life.period).await;
+        sleep(MEMBERS_PERIOD).await;
     }
 }
 
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -44,9 +44,8 @@
     pub(crate) judgements: RefCell<HashMap<ServiceName, Judgement>>,
     pub(crate) period: Duration,
     pub(crate) peers: RefCell<Peers>,
-    /// When the listing of endpoints was read that is in use, and what an
-    /// absent entry meant in it.
-    pub(crate) listed: Cell<Option<(Duration, Absence)>>,
+    /// The listing of endpoints that is in use.
+    pub(crate) listed: Cell<Option<Listed>>,
     pub(crate) config_text: RefCell<Option<Arc<[u8]>>>,
     /// Whether another host is being asked for something.
     pub(crate) asking: Cell<bool>,
@@ -63,6 +62,16 @@
     answers: Cell<bool>,
 }
 
+/// A listing of endpoints, as far as it is compared with others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Listed {
+    /// When it was read.
+    pub(crate) at: Duration,
+    /// What an absent entry means in it.
+    pub(crate) absence: Absence,
+    pub(crate) fingerprint: u64,
+}
+
 /// How long a host that was asked to stop still serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Serving {
@@ -160,6 +169,18 @@
         }
     }
 
+    /// Whether this host reads the listing of endpoints itself: it is one of
+    /// the first `readers` that live, or nobody has told it of a listing lately.
+    pub(crate) fn reads_listing(&self, readers: usize, stale: Duration) -> bool {
+        let now = self.node.now();
+        let age = self.listed.get().map(|it| now.saturating_sub(it.at));
+        if age.is_none_or(|it| it >= stale) {
+            return true;
+        }
+        let peers = self.peers.borrow();
+        peers.ready_before(now, &self.own.name) < readers
+    }
+
     /// A message as it goes to another host; nothing if it can't be encoded.
     pub(crate) fn frame(&self, message: &Message) -> Option<Frame> {
         let from = Identity {
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -36,12 +36,23 @@
     pub(crate) is_ready: bool,
     /// The version of the configuration in force there.
     pub(crate) version: Option<u64>,
-    /// How old its listing of endpoints is.
-    pub(crate) listing_age: Option<Duration>,
+    /// Its listing of endpoints.
+    pub(crate) listing: Option<ListingNews>,
     /// What it knows of roll-outs.
     pub(crate) rollouts: Vec<rollout::News>,
 }
 
+/// Which listing of endpoints a host goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ListingNews {
+    /// How long ago it was read.
+    pub(crate) age: Duration,
+    /// What an absent entry means in it.
+    pub(crate) absence: Absence,
+    /// Tells it apart from others.
+    pub(crate) fingerprint: u64,
+}
+
 /// The listing of endpoints, as the store had it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Listing {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -50,6 +50,13 @@
         }
     }
 
+    /// How many live hosts have a name before this one.
+    pub(crate) fn ready_before(&self, now: Duration, name: &HostName) -> usize {
+        self.recent(now)
+            .filter(|(host, it)| it.news.is_ready && *host < name)
+            .count()
+    }
+
     /// A host with a newer configuration than `version`.
     pub(crate) fn with_newer(&self, now: Duration, version: Option<u64>) -> Option<&HostName> {
         self.recent(now)
@@ -58,22 +65,6 @@
             .map(|(host, _)| host)
     }
 
-    /// A host whose listing of endpoints is younger than `age` by a good deal.
-    pub(crate) fn with_younger(&self, now: Duration, age: Option<Duration>) -> Option<&HostName> {
-        /// Asking costs bytes between data centres, and the own reading may be
-        /// just under way.
-        const GAIN: Duration = Duration::from_millis(600);
-        let known = |it: &Heard| {
-            let since = now.saturating_sub(it.at);
-            it.news.listing_age.map(|age| age + since)
-        };
-        self.recent(now)
-            .filter_map(|(host, it)| Some((host, known(it)?)))
-            .min_by_key(|(_, age)| *age)
-            .filter(|(_, it)| age.is_none_or(|age| *it + GAIN < age))
-            .map(|(host, _)| host)
-    }
-
     fn recent(&self, now: Duration) -> impl Iterator<Item = (&HostName, &Heard)> {
         self.heard
             .iter()
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -13,8 +13,8 @@
 use wire::{Frame, Payload};
 
 use crate::follow;
-use crate::life::Life;
-use crate::message::{Listing, Message, News};
+use crate::life::{Life, Listed};
+use crate::message::{Listing, ListingNews, Message, News};
 use crate::{Member, Store};
 
 /// How often a host tells the others what it knows.
@@ -53,7 +53,11 @@
         incarnation: life.incarnation,
         is_ready,
         version: router.version(),
-        listing_age: life.listed.get().map(|(at, _)| now.saturating_sub(at)),
+        listing: life.listed.get().map(|it| ListingNews {
+            age: now.saturating_sub(it.at),
+            absence: it.absence,
+            fingerprint: it.fingerprint,
+        }),
         rollouts: router.news(now),
     }
 }
@@ -113,12 +117,12 @@
 }
 
 fn listing<S: Store, D: Dialect>(life: &Life<S, D>) -> Option<Listing> {
-    let (at, absence) = life.listed.get()?;
+    let listed = life.listed.get()?;
     let router = life.node.router();
     Some(Listing {
         entries: router.directory().listed().cloned().collect(),
-        absence,
-        age: life.node.now().saturating_sub(at),
+        absence: listed.absence,
+        age: life.node.now().saturating_sub(listed.at),
     })
 }
 
@@ -131,16 +135,43 @@
     if news.version.is_some() && news.version == life.node.router().version() {
         life.confirmed.set(Some(now));
     }
+    let listing = news.listing;
+    let member = life.members.borrow().find(&from).map(peer);
     life.peers.borrow_mut().hear(now, from, news);
-    let asked = |host: &HostName| life.members.borrow().find(host).map(peer);
-    let peers = life.peers.borrow();
     let version = life.node.router().version();
-    if let Some(peer) = peers.with_newer(now, version).and_then(asked) {
+    let newer = life
+        .peers
+        .borrow()
+        .with_newer(now, version)
+        .and_then(|it| life.members.borrow().find(it).map(peer));
+    if let Some(peer) = newer {
         ask(life, link, peer, Message::AskConfig);
     }
-    let age = life.listed.get().map(|(at, _)| now.saturating_sub(at));
-    if let Some(peer) = peers.with_younger(now, age).and_then(asked) {
-        ask(life, link, peer, Message::AskListing);
+    if let (Some(listing), Some(member)) = (listing, member) {
+        learn_listing(life, link, member, listing);
+    }
+}
+
+/// Takes over the age of another host's listing that is the same as this one's,
+/// and asks for one that is younger and different.
+fn learn_listing<S: Store, D: Dialect>(
+    life: &Rc<Life<S, D>>,
+    link: &Link,
+    from: Peer,
+    news: ListingNews,
+) {
+    let at = life.node.now().saturating_sub(news.age);
+    match life.listed.get() {
+        Some(own) if own.at >= at => {}
+        Some(own) if own.fingerprint == news.fingerprint => {
+            life.listed.set(Some(Listed {
+                at,
+                absence: news.absence,
+                ..own
+            }));
+            life.node.router().confirm_listing(at);
+        }
+        _ => ask(life, link, from, Message::AskListing),
     }
 }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -184,6 +184,11 @@
         self.directory.list(now, entries, absence)
     }
 
+    /// Says that the listing in force was still the store's at this time.
+    pub fn confirm_listing(&mut self, at: Duration) {
+        self.listed = self.listed.max(Some(at));
+    }
+
     /// When the listing of endpoints was read that is in force.
     #[must_use]
     pub fn listed(&self) -> Option<Duration> {
