--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -11,8 +11,12 @@
 
 /// The most addresses that callers take.
 const MOST: usize = 64;
-/// Renewals that a host may miss before callers are no longer sent to it.
+/// Renewals that a host may miss before callers are no longer sent to it, where
+/// its entry is all there is to go by.
 const MISSED: u32 = 3;
+/// How long a host counts as live for its entry alone that hasn't been heard
+/// since this one started: it is heard within a second if it lives.
+const TRUSTED: Duration = Duration::from_secs(6);
 
 /// Which hosts callers are sent to.
 #[derive(Clone, Debug)]
@@ -112,7 +116,8 @@
                 Life::Ready => true,
                 Life::Unready => false,
                 Life::Silent if !is_cut_off => false,
-                _ => now.saturating_sub(it.renewed) < self.period * MISSED,
+                Life::Unknown => now.saturating_sub(it.renewed) < TRUSTED,
+                Life::Silent => now.saturating_sub(it.renewed) < self.period * MISSED,
             })
             .map(|(_, it)| &it.member);
         let own = (!self.is_leaving).then_some(&self.own);
