Arm fewer timers and watch callers by their own wake-ups

Cause: each event of a stream armed a timer, which wakes the reactor by a system call, and polled the caller's connection, which costs two more.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::answer::Answer;
 use crate::caller::Request;
 use crate::conn::Conn;
+use crate::lull::Lull;
 use crate::serve::Progress;
 use crate::{Addressing, Dialect, Node, Told};
 use upstream::{Trouble, Upstream};
@@ -120,12 +121,14 @@
             Ok(conn) => Upstream::new(conn, self.bytes(call)),
             Err(ending) => return ending.into(),
         };
+        let mut lull = Lull::new(self.node.clock());
         let (head, told) = loop {
-            match timeout(self.first_wait(call), self.head(&mut upstream)).await {
-                Ok(Ok(it)) => break it,
-                Ok(Err(trouble)) => return trouble.ending().into(),
-                Err(_) if self.gives_up(call) => return Ending::Silent.into(),
-                Err(_) => {}
+            let wait = self.first_wait(call);
+            match lull.within(wait, self.head(&mut upstream)).await {
+                Some(Ok(it)) => break it,
+                Some(Err(trouble)) => return trouble.ending().into(),
+                None if self.gives_up(call) => return Ending::Silent.into(),
+                None => {}
             }
         };
         let now = self.node.now();
@@ -148,9 +151,12 @@
             return Ending::Unsure.into();
         }
         if call.route.is_stream() && head.is_success() {
-            return self.stream(upstream, &head, &told, call, answer).await;
+            return self
+                .stream(upstream, &head, &told, call, answer, &mut lull)
+                .await;
         }
-        self.whole(upstream, head, &told, call, answer).await
+        self.whole(upstream, head, &told, call, answer, &mut lull)
+            .await
     }
 
     async fn connect(&self, call: &Call) -> std::result::Result<Conn, Ending> {
@@ -259,13 +265,15 @@
         told: &Told,
         call: &Call,
         answer: &mut Answer,
+        lull: &mut Lull<'_>,
     ) -> Exchange {
         let mut body = Vec::new();
         let left = call.left(self.node.now());
-        match timeout(left, upstream.body(&head, &mut body, MAX_WHOLE)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(trouble)) => return trouble.ending().into(),
-            Err(_) => return Ending::Silent.into(),
+        let whole = upstream.body(&head, &mut body, MAX_WHOLE);
+        match lull.within(left, whole).await {
+            Some(Ok(())) => {}
+            Some(Err(trouble)) => return trouble.ending().into(),
+            None => return Ending::Silent.into(),
         }
         self.keep(upstream, &head, told);
         if head.status >= 500 || is_promise(head.status) {
@@ -286,6 +294,7 @@
         told: &Told,
         call: &mut Call,
         answer: &mut Answer,
+        lull: &mut Lull<'_>,
     ) -> Exchange {
         let node = self.node;
         let mut decoder = Decoder::new(head.length);
@@ -319,12 +328,12 @@
                 Ok(Ok(())) => {}
                 _ => return Exchange::CallerGone,
             }
-            match timeout(self.pause(call), upstream.advance()).await {
-                Ok(Ok(1..)) => call.release(),
-                Ok(Ok(0)) if decoder.finish().is_ok() => {}
-                Ok(_) => return Ending::Broken.into(),
-                Err(_) if self.gives_up(call) => return Ending::Silent.into(),
-                Err(_) => {}
+            match lull.within(self.pause(call), upstream.advance()).await {
+                Some(Ok(1..)) => call.release(),
+                Some(Ok(0)) if decoder.finish().is_ok() => {}
+                Some(_) => return Ending::Broken.into(),
+                None if self.gives_up(call) => return Ending::Silent.into(),
+                None => {}
             }
         }
     }
--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -1,5 +1,6 @@
 //! A caller's connection: one request after the other.
 
+use std::iter;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use framing::{Decoder, Length, request};
 use futures::future::{Either, pending, select};
 use futures::pin_mut;
+use futures::stream::{FuturesUnordered, StreamExt};
 use route::config::Limits;
 
 use crate::answer::{Answer, Notice};
@@ -80,9 +82,11 @@
     };
     let answer = Answer::new(conn.writer(), Some(&request.head), keep);
     let work = serve(node, &request, answer);
-    let left = left(conn);
-    pin_mut!(work, left);
-    match select(work, left).await {
+    // Polled by its own wake-ups only: a read that finds nothing costs two
+    // system calls, and the work wakes up for each event of a stream.
+    let mut left: FuturesUnordered<_> = iter::once(left(conn)).collect();
+    pin_mut!(work);
+    match select(work, left.next()).await {
         Either::Left((Ok(()), _)) => keep,
         // A caller that left needs no answer, and what was cut must not look whole.
         Either::Left((Err(_), _)) | Either::Right(_) => Keep::Close,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod conn;
 mod dialect;
 mod front;
+mod lull;
 mod node;
 mod pool;
 mod serve;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -84,6 +84,10 @@
         self.clock.now()
     }
 
+    pub(crate) fn clock(&self) -> &dyn Clock {
+        &*self.clock
+    }
+
     /// The decisions. Not to be held across a wait.
     pub fn router(&self) -> RefMut<'_, Router> {
         self.router.borrow_mut()
