Judge releases by sure shares and by drifts of their times

Now the logarithms of times are compared, by event and by beginning, and a share of failures must be greater for sure. What is usual for a whole answer is learned, so that endpoints aren't given up for working as long as they do. Tried: the trial on one endpoint only, to see a release that is bad under load (no bad answer showed; reverted).

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -152,7 +152,7 @@
         }
         if call.route.is_stream() && head.is_success() {
             return self
-                .stream(upstream, &head, &told, call, answer, &mut lull)
+                .stream(upstream, (&head, &told), call, answer, guard, &mut lull)
                 .await;
         }
         self.whole(upstream, head, &told, call, answer, &mut lull)
@@ -290,10 +290,10 @@
     async fn stream(
         &mut self,
         mut upstream: Upstream,
-        head: &response::Head,
-        told: &Told,
+        (head, told): (&response::Head, &Told),
         call: &mut Call,
         answer: &mut Answer,
+        guard: &mut Guard<'_, D>,
         lull: &mut Lull<'_>,
     ) -> Exchange {
         let node = self.node;
@@ -304,8 +304,11 @@
             if upstream.decode(&mut decoder, events.input()).is_err() {
                 return Ending::Broken.into();
             }
-            if !self.pass_on(&mut events, head, answer) {
+            let Some(count) = self.pass_on(&mut events, head, answer) else {
                 return Ending::Broken.into();
+            };
+            if let Some(flight) = &mut guard.flight {
+                flight.events(node.now(), count);
             }
             if answer.has_pending() {
                 self.note_pause(&mut passed);
@@ -338,16 +341,22 @@
         }
     }
 
-    /// Passes on the whole events that are there, each once and in order.
-    /// Returns whether none is missing.
-    fn pass_on(&mut self, events: &mut Events, head: &response::Head, answer: &mut Answer) -> bool {
+    /// Passes on the whole events that are there, each once and in order, and
+    /// says how many; nothing where one is missing.
+    fn pass_on(
+        &mut self,
+        events: &mut Events,
+        head: &response::Head,
+        answer: &mut Answer,
+    ) -> Option<u32> {
+        let mut count = 0;
         while let Some(event) = events.take() {
             if let (Some(id), Some(last)) = (event.id, *self.last_event) {
                 if id <= last {
                     continue;
                 }
                 if id > last + 1 {
-                    return false;
+                    return None;
                 }
             }
             if answer.status == 0 {
@@ -355,8 +364,9 @@
             }
             answer.event(event.bytes);
             *self.last_event = event.id.or(*self.last_event);
+            count += 1;
         }
-        true
+        Some(count)
     }
 
     /// Notes when a part of the answer goes out.
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -27,10 +27,15 @@
 /// bound on answers after a release has shown itself bad starts at the 50th.
 const MIN_BAD: u32 = 5;
 /// How much greater than the old release's share of bad answers the new one's
-/// may be.
-const MARGIN: f64 = 0.12;
-/// How many times as long as the old release's an answer takes that counts as slow.
-const SLOW: f64 = 3.0;
+/// may be, at the least that it can be.
+const MARGIN: f64 = 0.05;
+/// How many times as long as the old release's the new one's answers take, on
+/// the geometric mean, for it to be bad: from one event to the next, until a
+/// stream begins, and until a whole answer does. Streams vary most in that,
+/// since the new one's caches are empty.
+const SLOW_STEP: f64 = 1.6;
+const SLOW_FIRST: f64 = 2.2;
+const SLOW_WHOLE: f64 = 1.4;
 
 /// How long hosts tell each other which sessions are under way before the new
 /// release gets any. News takes a tenth of that.
@@ -86,12 +91,18 @@
 }
 
 /// How the two releases answered one host.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
     /// The new release.
     pub new: Tally,
     /// The old one.
     pub old: Tally,
+    /// How much longer the new one's streams take to begin.
+    pub first: Drift,
+    /// How much longer its whole answers take to begin.
+    pub whole: Drift,
+    /// How much longer they take from one event to the next.
+    pub step: Drift,
 }
 
 /// What one host tells the others of a roll-out.
@@ -114,7 +125,7 @@
 pub struct Tally {
     /// All answers.
     pub answers: u32,
-    /// Those that failed or were far slower than the old release's.
+    /// Those that failed.
     pub bad: u32,
 }
 
@@ -129,11 +140,81 @@
     exposure: f64,
     own: Evidence,
     others: HashMap<HostName, Evidence>,
-    usual_time: HashMap<u64, Mean>,
+    /// The old release's usual times, as logarithms.
+    usual: HashMap<(u64, Pace), Mean>,
     /// Sessions that began on the old release and stay there while it is on trial.
     held: HashSet<u64>,
 }
 
+/// How an answer came.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sighting {
+    /// Tells kinds of requests apart whose answers take different times.
+    pub class: u64,
+    /// Whether it is a failure, or none at all.
+    pub failed: bool,
+    /// How long a stream took to begin, in times of what its prompt should take.
+    pub first: Option<f64>,
+    /// The seconds that a whole answer took to begin.
+    pub whole: Option<f64>,
+    /// The seconds from one event to the next.
+    pub step: Option<f64>,
+}
+
+/// Which time of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Pace {
+    /// Until a stream begins.
+    First,
+    /// Until a whole answer does.
+    Whole,
+    /// From one event to the next.
+    Step,
+}
+
+/// How far the times of the new release are from the old one's, as logarithms
+/// of their ratios.
+///
+/// Times are heavy-tailed: one answer in ten of a sound release takes three
+/// times the usual. Single slow answers therefore tell little, the mean of the
+/// logarithms tells after a dozen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Drift {
+    count: u32,
+    sum: f64,
+    squares: f64,
+}
+
+impl Drift {
+    /// Answers without which a drift isn't believed.
+    const MIN: u32 = 10;
+    /// Standard errors by which it must be sure.
+    const SURE: f64 = 2.5;
+
+    fn add(&mut self, log: f64) {
+        self.count += 1;
+        self.sum += log;
+        self.squares += log * log;
+    }
+
+    fn join(&mut self, other: Self) {
+        self.count += other.count;
+        self.sum += other.sum;
+        self.squares += other.squares;
+    }
+
+    /// Whether the new release takes surely more than `times` as long.
+    fn exceeds(&self, times: f64) -> bool {
+        if self.count < Self::MIN {
+            return false;
+        }
+        let count = f64::from(self.count);
+        let mean = self.sum / count;
+        let variance = (self.squares / count - mean * mean).max(0.0);
+        mean - Self::SURE * (variance / count).sqrt() > times.ln()
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean {
     count: f64,
@@ -152,7 +233,7 @@
             exposure,
             own: Evidence::default(),
             others: HashMap::new(),
-            usual_time: HashMap::new(),
+            usual: HashMap::new(),
             held: HashSet::new(),
         }
     }
@@ -243,20 +324,38 @@
     }
 
     /// Takes an answer, or a failure, of either release.
-    ///
-    /// `class` tells kinds of requests apart whose answers take different times.
-    pub fn answer(&mut self, side: Side, class: u64, failed: bool, took: Option<Duration>) {
-        let usual = self.usual_time.entry(class).or_default();
-        let slow = took.is_some_and(|it| usual.is_exceeded(it));
-        if let (Side::Old, Some(took), false) = (side, took, failed) {
-            usual.add(took);
-        }
+    pub fn answer(&mut self, side: Side, sighting: &Sighting) {
         let tally = match side {
             Side::Old => &mut self.own.old,
             Side::New => &mut self.own.new,
         };
         tally.answers += 1;
-        tally.bad += u32::from(failed || slow);
+        tally.bad += u32::from(sighting.failed);
+        if !sighting.failed {
+            self.compare(side, (sighting.class, Pace::First), sighting.first);
+            self.compare(side, (sighting.class, Pace::Whole), sighting.whole);
+            self.compare(side, (sighting.class, Pace::Step), sighting.step);
+        }
+    }
+
+    /// Sets a time of the new release against the old one's of the same class.
+    fn compare(&mut self, side: Side, key: (u64, Pace), value: Option<f64>) {
+        let Some(value) = value.filter(|it| *it > 0.0).map(f64::ln) else {
+            return;
+        };
+        let usual = self.usual.entry(key).or_default();
+        match side {
+            Side::Old => usual.add(value),
+            Side::New if usual.is_known() => {
+                let drift = match key.1 {
+                    Pace::First => &mut self.own.first,
+                    Pace::Whole => &mut self.own.whole,
+                    Pace::Step => &mut self.own.step,
+                };
+                drift.add(value - usual.value);
+            }
+            Side::New => {}
+        }
     }
 
     /// What this host has seen.
@@ -298,8 +397,12 @@
 
     fn is_bad(&self) -> bool {
         let all = self.pooled();
-        let is_compared = all.old.answers >= MIN_ANSWERS;
-        is_compared && all.new.bad >= MIN_BAD && all.new.bad_share() > all.old.bad_share() + MARGIN
+        let fails =
+            all.new.bad >= MIN_BAD && all.new.least_bad_share() > all.old.bad_share() + MARGIN;
+        let is_slow = all.step.exceeds(SLOW_STEP)
+            || all.first.exceeds(SLOW_FIRST)
+            || all.whole.exceeds(SLOW_WHOLE);
+        all.old.answers >= MIN_ANSWERS && (fails || is_slow)
     }
 
     fn is_good(&self) -> bool {
@@ -313,6 +416,9 @@
         for it in self.others.values() {
             sum.new.add(it.new);
             sum.old.add(it.old);
+            sum.first.join(it.first);
+            sum.whole.join(it.whole);
+            sum.step.join(it.step);
         }
         sum
     }
@@ -323,6 +429,16 @@
         f64::from(self.bad) / f64::from(self.answers.max(1))
     }
 
+    /// The share of bad answers that it has at least, by two and a half standard errors:
+    /// services fail some of their requests anyway, up to one in seven was
+    /// seen, and a few more in the first dozen prove nothing.
+    fn least_bad_share(self) -> f64 {
+        const SURE: f64 = 2.5;
+        let share = self.bad_share();
+        let error = (share * (1.0 - share) / f64::from(self.answers.max(1))).sqrt();
+        share - SURE * error
+    }
+
     fn add(&mut self, other: Self) {
         self.answers += other.answers;
         self.bad += other.bad;
@@ -330,18 +446,18 @@
 }
 
 impl Mean {
-    /// Old answers without which nothing is called slow.
+    /// Answers of the old release without which nothing is set against them.
     const MIN: f64 = 8.0;
     /// How many answers the mean remembers.
     const MAX: f64 = 50.0;
 
-    fn add(&mut self, time: Duration) {
+    fn add(&mut self, value: f64) {
         self.count = (self.count + 1.0).min(Self::MAX);
-        self.value += (time.as_secs_f64() - self.value) / self.count;
+        self.value += (value - self.value) / self.count;
     }
 
-    fn is_exceeded(&self, time: Duration) -> bool {
-        self.count >= Self::MIN && time.as_secs_f64() > self.value * SLOW
+    fn is_known(&self) -> bool {
+        self.count >= Self::MIN
     }
 }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -16,7 +16,7 @@
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key, Load};
 use crate::pace::Pace;
-use crate::rollout::{self, Order, Side};
+use crate::rollout::{self, Order, Side, Sighting};
 use crate::sessions::Sessions;
 use crate::{Budget, Directory, Doubt, Rollout, Settings, hash};
 
@@ -34,6 +34,8 @@
     rollouts: HashMap<ServiceName, Rollout>,
     sessions: Sessions,
     paces: HashMap<(ServiceName, ModelName), Pace>,
+    /// How long whole answers usually take to begin, by route.
+    wholes: HashMap<Arc<str>, Duration>,
     /// When the listing in force was read.
     listed: Option<Duration>,
     /// Endpoints that were put to rest since the driver last asked.
@@ -118,7 +120,40 @@
     pub endpoint: Key,
     began: Duration,
     unread: Duration,
+    /// How long its answer should take to begin.
+    expected: Option<Duration>,
     first: Option<Duration>,
+    events: u32,
+    last: Duration,
+}
+
+impl Flight {
+    /// Takes events of its stream.
+    pub fn events(&mut self, now: Duration, count: u32) {
+        self.events += count;
+        self.last = now;
+    }
+
+    fn sighting(&self, class: u64, failed: bool) -> Sighting {
+        /// Events without which a stream's pace isn't told from its bursts.
+        const MIN_EVENTS: u32 = 4;
+        let took = self.first.map(|it| it.saturating_sub(self.began));
+        let (first, whole) = match (took, self.expected) {
+            (Some(took), Some(expected)) => (Some(took.div_duration_f64(expected)), None),
+            (took, _) => (None, took.map(|it| it.as_secs_f64())),
+        };
+        let step = self.first.filter(|_| self.events >= MIN_EVENTS).map(|it| {
+            let span = self.last.saturating_sub(it).as_secs_f64();
+            span / f64::from(self.events - 1)
+        });
+        Sighting {
+            class,
+            failed,
+            first,
+            whole,
+            step,
+        }
+    }
 }
 
 impl Router {
@@ -133,6 +168,7 @@
             rollouts: HashMap::new(),
             sessions: Sessions::default(),
             paces: HashMap::new(),
+            wholes: HashMap::new(),
             listed: None,
             rested: Vec::new(),
             hosts: 1,
@@ -336,10 +372,8 @@
     pub fn begin(&mut self, now: Duration, call: &mut Call, placement: &Placement) -> Flight {
         call.attempts += 1;
         call.tried.push(placement.endpoint);
-        let unread = match call.cascade.model() {
-            Some(model) => self.expected(call, model),
-            None => Duration::ZERO,
-        };
+        let expected = call.cascade.model().map(|it| self.expected(call, it));
+        let unread = expected.unwrap_or_default();
         if let Some(it) = self.directory.get_mut(placement.endpoint) {
             if let Some(session) = &call.shape.session {
                 let gap = self.settings.session_gap + SESSION_MARGIN;
@@ -354,7 +388,10 @@
             endpoint: placement.endpoint,
             began: now,
             unread,
+            expected,
             first: None,
+            events: 0,
+            last: now,
         }
     }
 
@@ -373,12 +410,17 @@
         }
         flight.first = Some(now);
         self.read(flight);
-        if let Some(model) = call.model() {
-            let key = (call.service.clone(), model.clone());
-            let took = now.saturating_sub(flight.began);
-            let pace = self.paces.entry(key).or_default();
-            pace.sight(call.shape.prompt_tokens, took);
-        }
+        let took = now.saturating_sub(flight.began);
+        let Some(model) = call.model() else {
+            /// How much one answer moves what is usual.
+            const PART: f64 = 0.05;
+            let usual = self.wholes.entry(call.route.name.clone()).or_insert(took);
+            *usual = usual.mul_f64(1.0 - PART) + took.mul_f64(PART);
+            return;
+        };
+        let key = (call.service.clone(), model.clone());
+        let pace = self.paces.entry(key).or_default();
+        pace.sight(call.shape.prompt_tokens, took);
     }
 
     fn read(&mut self, flight: &mut Flight) {
@@ -455,10 +497,15 @@
         /// Long prompts take as long as they take, and longer beside others.
         const TIMES: u32 = 3;
         let least = call.route.aim.mul_f64(part);
-        match call.cascade.model() {
-            Some(model) => least.max(self.expected(call, model) * TIMES),
-            None => least,
-        }
+        let usual = match call.cascade.model() {
+            Some(model) => self.expected(call, model),
+            None => self
+                .wholes
+                .get(&call.route.name)
+                .copied()
+                .unwrap_or_default(),
+        };
+        least.max(usual * TIMES)
     }
 
     fn expected(&self, call: &Call, model: usize) -> Duration {
@@ -509,8 +556,7 @@
                 Side::Old
             };
             let class = hash::of(&(&call.route.name, call.cascade.model()));
-            let took = flight.first.map(|it| it.saturating_sub(flight.began));
-            rollout.answer(side, class, failed, took);
+            rollout.answer(side, &flight.sighting(class, failed));
         }
     }
 
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -258,6 +258,11 @@
             };
             let to = placement.id.as_str().to_owned();
             let ending = words.text(&to).or(words.text("end")).unwrap_or("answered");
+            let took = words.number(&format!("{to}-took"), words.number("took", 0));
+            self.now += Duration::from_millis(took);
+            let open = self.calls.get_mut(&id).unwrap();
+            let flight = open.flight.as_mut().unwrap();
+            self.hosts[self.host].first(self.now, &open.call, flight);
             *counts.entry(to).or_default() += 1;
             self.end(&id, ending);
             self.now += Duration::from_millis(words.number::<u64>("each", 10));
