--- a/crates/barleyctl/src/command/explain.rs
+++ b/crates/barleyctl/src/command/explain.rs
@@ -161,7 +161,7 @@
     let number = |name: &str| {
         attempt
             .number(name)
-            .map_or("unknown".to_owned(), |it| it.to_string())
+            .map_or("unknown".to_owned(), std::string::ToString::to_string)
     };
     format!(
         "The last attempt told of, to {} at {}, ended as {}: chosen among {} candidates, believed \
--- a/crates/forward/src/timing.rs
+++ b/crates/forward/src/timing.rs
@@ -32,7 +32,7 @@
         Self {
             connect: Duration::from_millis(300),
             warm: Duration::from_millis(300),
-            idle: Duration::from_millis(4_000),
+            idle: Duration::from_secs(4),
             first_part: 0.6,
             pause_part: 0.7,
             write: Duration::from_secs(10),
--- a/crates/telemetry/tests/bounds.rs
+++ b/crates/telemetry/tests/bounds.rs
@@ -111,7 +111,7 @@
     impl Write for Stuck {
         fn write(&mut self, _: &[u8]) -> io::Result<usize> {
             loop {
-                sleep(Duration::from_secs(60));
+                sleep(Duration::from_mins(1));
             }
         }
         fn flush(&mut self) -> io::Result<()> {
--- /dev/null
+++ b/xtask/src/days.rs
@@ -0,0 +1,119 @@
+//! Replays the days under `days/`: each kind of trouble alone, and pairs.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command as Process, ExitCode, Stdio};
+use std::sync::Mutex;
+use std::thread;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use error_stack::{Report, ResultExt};
+
+use crate::error::Error;
+
+/// Where the days are, from the repository's root.
+const FOLDER: &str = "days";
+
+/// The command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("days")
+        .about("Replays the days under days/ with the users' bench, where it is there")
+        .arg(
+            Arg::new("bench")
+                .long("bench")
+                .value_name("PROGRAM")
+                .help("The users' bench; without it nothing is replayed")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("jobs")
+                .long("jobs")
+                .value_name("N")
+                .help("Days at a time")
+                .value_parser(value_parser!(usize))
+                .default_value("4"),
+        )
+        .arg(
+            Arg::new("site")
+                .value_name("SITE")
+                .help("Site files")
+                .value_parser(value_parser!(PathBuf))
+                .action(ArgAction::Append)
+                .num_args(0..),
+        )
+}
+
+/// Replays each day on each site, prints its worth and the rules it broke, and
+/// fails if any did.
+///
+/// # Errors
+/// [`Error`] when the days can't be read or the bench can't be started.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, Report<Error>> {
+    let bench = matches.get_one::<PathBuf>("bench");
+    let Some(bench) = bench.filter(|it| it.exists()) else {
+        println!("skipped: the users' bench is not here (--bench PROGRAM)");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let jobs = *matches.get_one::<usize>("jobs").unwrap_or(&1);
+    let mut plays = Vec::new();
+    for site in matches.get_many::<PathBuf>("site").unwrap_or_default() {
+        plays.extend(days()?.into_iter().map(|day| (site.clone(), day)));
+    }
+    let queue = Mutex::new(plays.into_iter());
+    let broken = Mutex::new(0);
+    thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let next = queue.lock().expect("no thread panics with it").next();
+                    let Some((site, day)) = next else { break };
+                    let line = play(bench, &site, &day);
+                    if line.contains("BROKEN") || line.contains("not played") {
+                        *broken.lock().expect("no thread panics with it") += 1;
+                    }
+                    println!("{line}");
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner().expect("no thread panicked with it");
+    println!("{broken} days broke a rule or were not played");
+    Ok(if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn days() -> Result<Vec<PathBuf>, Report<Error>> {
+    let entries = fs::read_dir(FOLDER).change_context(Error::Measure)?;
+    let mut days: Vec<PathBuf> = entries.flatten().map(|it| it.path()).collect();
+    days.sort();
+    Ok(days)
+}
+
+/// One line: the site, the day, and what the bench says of it.
+fn play(bench: &Path, site: &Path, day: &Path) -> String {
+    let name = |it: &Path| it.file_stem().unwrap_or_default().display().to_string();
+    let title = format!("{} {}", name(site), name(day));
+    let played = Process::new(bench)
+        .arg("run")
+        .args([site, day])
+        .args(["--no-cpu", "--why", "a day of our own, replayed"])
+        .stdin(Stdio::null())
+        .output();
+    let Ok(output) = played else {
+        return format!("{title}: not played");
+    };
+    let text = String::from_utf8_lossy(&output.stdout);
+    let find = |start: &str| text.lines().find(|it| it.starts_with(start));
+    match (find("worth "), find("rules broken")) {
+        (Some(worth), None) => {
+            let worth = worth.split(" = ").next().unwrap_or_default();
+            format!("{title}: {worth}")
+        }
+        (_, Some(rules)) => format!("{title}: BROKEN {rules}"),
+        (None, None) => format!("{title}: not played"),
+    }
+}
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod capacity;
+pub mod days;
 pub mod demo;
 pub mod error;
 pub mod experiment;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,11 +1,11 @@
-//! Chores: demo, load, experiment, capacity and soak.
+//! Chores: demo, load, experiment, capacity, soak and days.
 
 use std::process::ExitCode;
 
 use clap::Command;
 use error_stack::Report;
 use xtask::error::Error;
-use xtask::{capacity, demo, experiment, load, soak, try_out};
+use xtask::{capacity, days, demo, experiment, load, soak, try_out};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -16,6 +16,7 @@
         Some(("load", matches)) => load::run(matches),
         Some(("experiment", matches)) => experiment::run(matches),
         Some(("soak", matches)) => soak::run(matches),
+        Some(("days", matches)) => days::run(matches),
         _ => unreachable!("clap requires one of the sub-commands"),
     };
     done.unwrap_or_else(|report: Report<Error>| {
@@ -35,4 +36,5 @@
         .subcommand(load::command())
         .subcommand(experiment::command())
         .subcommand(soak::command())
+        .subcommand(days::command())
 }
