--- a/crates/barleypind/src/metrics.rs
+++ b/crates/barleypind/src/metrics.rs
@@ -5,9 +5,8 @@
 use derive_more::Display;
 use gate::problem::Reason;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use telemetry::Instruments;
 
 /// Seconds. The lowest ones show what the host itself adds to a call.
 const BOUNDS: [f64; 16] = [
@@ -161,8 +160,7 @@
 
 /// The instruments.
 pub struct Metrics {
-    registry: prometheus::Registry,
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     calls: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -188,40 +186,28 @@
     /// that an alert on its rate works before the first refusal.
     #[must_use]
     pub fn new() -> Self {
-        let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .with_namespace("barleypin")
-            .build()
-            .expect("a new registry holds no metric of the same name");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("barleypind");
+        let instruments = Instruments::new("barleypind", CATALOGUE, &BOUNDS);
+        let it = &instruments;
         let metrics = Self {
-            calls: counter(&meter, "calls"),
-            refusals: counter(&meter, "refusals"),
-            retries: counter(&meter, "retries"),
-            attempts: counter(&meter, "attempts"),
-            tokens: counter(&meter, "tokens"),
-            billed: counter(&meter, "billed_microcents"),
-            platform_errors: counter(&meter, "platform_errors"),
-            strangers: counter(&meter, "strangers"),
-            call_seconds: histogram(&meter, "call_seconds"),
-            first_token_seconds: histogram(&meter, "first_token_seconds"),
-            decide_seconds: histogram(&meter, "decide_seconds"),
-            open_calls: gauge(&meter, "open_calls"),
-            revision: gauge(&meter, "revision"),
-            proof_age: meter
-                .f64_gauge("proof_age_seconds")
-                .with_description(help("proof_age_seconds"))
-                .build(),
-            unwritten: gauge(&meter, "ledger_unwritten"),
-            held: gauge(&meter, "ledger_held"),
-            members: gauge(&meter, "members"),
-            endpoints: gauge(&meter, "endpoints"),
-            registry,
-            _provider: provider,
+            calls: it.counter("calls"),
+            refusals: it.counter("refusals"),
+            retries: it.counter("retries"),
+            attempts: it.counter("attempts"),
+            tokens: it.counter("tokens"),
+            billed: it.counter("billed_microcents"),
+            platform_errors: it.counter("platform_errors"),
+            strangers: it.counter("strangers"),
+            call_seconds: it.histogram("call_seconds"),
+            first_token_seconds: it.histogram("first_token_seconds"),
+            decide_seconds: it.histogram("decide_seconds"),
+            open_calls: it.whole("open_calls"),
+            revision: it.whole("revision"),
+            proof_age: it.real("proof_age_seconds"),
+            unwritten: it.whole("ledger_unwritten"),
+            held: it.whole("ledger_held"),
+            members: it.whole("members"),
+            endpoints: it.whole("endpoints"),
+            instruments,
         };
         metrics.start_at_zero();
         metrics
@@ -230,10 +216,7 @@
     /// The text for `/metrics`.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut text = Vec::new();
-        // The text is built in memory; a family that can't be written is left out.
-        drop(TextEncoder::new().encode(&self.registry.gather(), &mut text));
-        String::from_utf8(text).unwrap_or_default()
+        self.instruments.text()
     }
 
     /// Counts a call taken.
@@ -340,29 +323,3 @@
 fn label(key: &'static str, value: &impl ToString) -> KeyValue {
     KeyValue::new(key, value.to_string())
 }
-
-fn counter(meter: &Meter, name: &'static str) -> Counter<u64> {
-    meter.u64_counter(name).with_description(help(name)).build()
-}
-
-fn gauge(meter: &Meter, name: &'static str) -> Gauge<u64> {
-    meter.u64_gauge(name).with_description(help(name)).build()
-}
-
-fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_boundaries(BOUNDS.to_vec())
-        .with_description(help(name))
-        .build()
-}
-
-fn help(name: &str) -> &'static str {
-    CATALOGUE
-        .iter()
-        .find(|(full, _)| {
-            let full = full.strip_prefix("barleypin_").unwrap_or(full);
-            full.strip_suffix("_total").unwrap_or(full) == name
-        })
-        .map_or("", |(_, help)| help)
-}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -1,48 +1,10 @@
 //! The numbered events of a relaying host's log.
 
-use slog::Level;
-
-macro_rules! events {
-    ($($name:ident, $number:literal, $level:ident, $message:literal;)*) => {
-        /// What a relaying host logs. Numbers are never reused; the catalogue is
-        /// `docs/reference/relay-events.md`.
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-        pub enum Event {
-            $(#[doc = $message] $name,)*
-        }
-
-        impl Event {
-            /// Every event, in the order of the catalogue.
-            pub const ALL: &[Self] = &[$(Self::$name,)*];
-
-            /// The number under which it is catalogued.
-            #[must_use]
-            pub fn number(self) -> u16 {
-                match self {
-                    $(Self::$name => $number,)*
-                }
-            }
-
-            /// How loud it is.
-            #[must_use]
-            pub fn level(self) -> Level {
-                match self {
-                    $(Self::$name => Level::$level,)*
-                }
-            }
-
-            /// What it says; the fields beside it say about what.
-            #[must_use]
-            pub fn message(self) -> &'static str {
-                match self {
-                    $(Self::$name => $message,)*
-                }
-            }
-        }
-    };
-}
+use crate::events;
 
 events! {
+    "What a relaying host logs. Numbers are never reused; the catalogue is `docs/reference/relay-events.md`.";
+
     Started, 1000, Info, "The host started.";
     Unusable, 1001, Error, "The host can't run.";
     Ready, 1002, Info, "Callers may be sent to the host.";
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,9 @@
 
 mod allowance;
 mod event;
+mod events;
 mod field;
+mod instruments;
 mod log;
 mod metrics;
 mod recorder;
@@ -16,7 +18,10 @@
 
 pub use event::Event;
 pub use field::{Field, Value};
+pub use instruments::Instruments;
 pub use log::Log;
 pub use metrics::{CATALOGUE, Gauges, Metrics};
 pub use recorder::Recorder;
+pub use slog::Level;
+
 pub use report::{Attempt, Outcome, Report, Smooth};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,12 +1,10 @@
 //! What a relaying host counts and measures, in Prometheus' text.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use route::{Denial, Ending};
 
-use crate::{Outcome, Report};
+use crate::{Instruments, Outcome, Report};
 
 /// Seconds. The lowest ones show what the host itself adds to a call.
 const BOUNDS: [f64; 14] = [
@@ -120,8 +118,7 @@
 
 /// The instruments.
 pub struct Metrics {
-    registry: prometheus::Registry,
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -152,42 +149,33 @@
     /// that an alert on its rate works before its first case.
     #[must_use]
     pub fn new() -> Self {
-        let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .with_namespace("barleypin")
-            .build()
-            .expect("a new registry holds no metric of the same name");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("relay");
+        let instruments = Instruments::new("relay", CATALOGUE, &BOUNDS);
+        let it = &instruments;
         let metrics = Self {
-            requests: counter(&meter, "requests"),
-            refusals: counter(&meter, "refusals"),
-            retries: counter(&meter, "retries"),
-            attempts: counter(&meter, "attempts"),
-            connections: counter(&meter, "connections"),
-            ejections: counter(&meter, "ejections"),
-            request_seconds: histogram(&meter, "request_seconds"),
-            first_piece_seconds: histogram(&meter, "first_piece_seconds"),
-            pause_seconds: histogram(&meter, "pause_seconds"),
-            store_calls: counter(&meter, "store_calls"),
-            store_call_seconds: histogram(&meter, "store_call_seconds"),
-            lines_dropped: counter(&meter, "log_lines_dropped"),
-            config_version: whole(&meter, "config_version"),
-            config_confirmed: real(&meter, "config_confirmed_seconds"),
-            listing_age: real(&meter, "listing_age_seconds"),
-            endpoints: whole(&meter, "endpoints"),
-            resting: whole(&meter, "endpoints_resting"),
-            hosts: whole(&meter, "hosts"),
-            callers: whole(&meter, "callers"),
-            requests_open: whole(&meter, "requests_open"),
-            budget_left: real(&meter, "retry_budget_left"),
-            rollout_answers: whole(&meter, "rollout_answers"),
-            rollout_share: real(&meter, "rollout_share"),
-            registry,
-            _provider: provider,
+            requests: it.counter("requests"),
+            refusals: it.counter("refusals"),
+            retries: it.counter("retries"),
+            attempts: it.counter("attempts"),
+            connections: it.counter("connections"),
+            ejections: it.counter("ejections"),
+            request_seconds: it.histogram("request_seconds"),
+            first_piece_seconds: it.histogram("first_piece_seconds"),
+            pause_seconds: it.histogram("pause_seconds"),
+            store_calls: it.counter("store_calls"),
+            store_call_seconds: it.histogram("store_call_seconds"),
+            lines_dropped: it.counter("log_lines_dropped"),
+            config_version: it.whole("config_version"),
+            config_confirmed: it.real("config_confirmed_seconds"),
+            listing_age: it.real("listing_age_seconds"),
+            endpoints: it.whole("endpoints"),
+            resting: it.whole("endpoints_resting"),
+            hosts: it.whole("hosts"),
+            callers: it.whole("callers"),
+            requests_open: it.whole("requests_open"),
+            budget_left: it.real("retry_budget_left"),
+            rollout_answers: it.whole("rollout_answers"),
+            rollout_share: it.real("rollout_share"),
+            instruments,
         };
         metrics.start_at_zero();
         metrics
@@ -196,10 +184,7 @@
     /// The text for monitoring.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut text = Vec::new();
-        // The text is built in memory; a family that can't be written is left out.
-        drop(TextEncoder::new().encode(&self.registry.gather(), &mut text));
-        String::from_utf8(text).unwrap_or_default()
+        self.instruments.text()
     }
 
     pub(crate) fn request(&self, report: &Report<'_>) {
@@ -333,33 +318,3 @@
 fn label(key: &'static str, value: impl Into<opentelemetry::Value>) -> KeyValue {
     KeyValue::new(key, value)
 }
-
-fn counter(meter: &Meter, name: &'static str) -> Counter<u64> {
-    meter.u64_counter(name).with_description(help(name)).build()
-}
-
-fn whole(meter: &Meter, name: &'static str) -> Gauge<u64> {
-    meter.u64_gauge(name).with_description(help(name)).build()
-}
-
-fn real(meter: &Meter, name: &'static str) -> Gauge<f64> {
-    meter.f64_gauge(name).with_description(help(name)).build()
-}
-
-fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_boundaries(BOUNDS.to_vec())
-        .with_description(help(name))
-        .build()
-}
-
-fn help(name: &str) -> &'static str {
-    CATALOGUE
-        .iter()
-        .find(|(full, _)| {
-            let full = full.strip_prefix("barleypin_").unwrap_or(full);
-            full.strip_suffix("_total").unwrap_or(full) == name
-        })
-        .map_or("", |(_, help)| help)
-}
