--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -257,7 +257,14 @@
                 continue;
             };
             let to = placement.id.as_str().to_owned();
-            let ending = words.text(&to).or(words.text("end")).unwrap_or("answered");
+            let nth = counts.get(&to).copied().unwrap_or(0) + 1;
+            let every = words.number(&format!("{to}-fails-every"), words.number("fails-every", 0));
+            let usual = if every > 0 && nth % every == 0 {
+                "failed"
+            } else {
+                "answered"
+            };
+            let ending = words.text(&to).or(words.text("end")).unwrap_or(usual);
             let took = words.number(&format!("{to}-took"), words.number("took", 0));
             self.now += Duration::from_millis(took);
             let open = self.calls.get_mut(&id).unwrap();
