--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -20,8 +20,12 @@
 /// How long one question for news waits. Each is paid for; a connection that
 /// went silent meanwhile is noticed by its keep-alive, see `http`.
 const NEWS_WAIT: Duration = Duration::from_secs(12);
-/// The pause after a question that failed.
-const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// The pause after a question that failed, the first time and at most: refused
+/// calls are paid for like others, and an outage lasts for seconds. The longest
+/// leaves time to have a configuration in force two seconds after the store is
+/// back.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// How often the listing of endpoints is read. An endpoint that leaves may get
 /// no new work two seconds after it said so; each reading is paid for.
 const ENDPOINTS_PERIOD: Duration = Duration::from_millis(700);
@@ -41,8 +45,27 @@
 /// at the same moment.
 const JUDGE_SPREAD_MS: u64 = 300;
 
+/// How long to wait before the next try: twice as long after each failure.
+#[derive(Debug, Default)]
+struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    async fn wait(&mut self) {
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(4));
+        self.failures += 1;
+        sleep(pause.min(LONGEST_PAUSE)).await;
+    }
+
+    fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
+
 pub(crate) async fn documents<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     let mut since = None;
+    let mut backoff = Backoff::default();
     loop {
         let began = life.node.now();
         let asked = match since {
@@ -52,29 +75,32 @@
         say::store(&life, "news of documents", began, &asked);
         match asked {
             Ok(documents) => {
+                backoff.reset();
                 since = Some(documents.revision.max(since.unwrap_or(0)));
                 life.confirmed.set(Some(life.node.now()));
                 take(&life, documents);
             }
             Err(Trouble::HistoryGone) => since = None,
-            Err(_) => sleep(FAILED_PAUSE).await,
+            Err(_) => backoff.wait().await,
         }
     }
 }
 
 pub(crate) async fn judgements<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     let mut since = None;
+    let mut backoff = Backoff::default();
     loop {
         let began = life.node.now();
         let asked = life.store.judgements(since, NEWS_WAIT).await;
         say::store(&life, "news of verdicts", began, &asked);
         match asked {
             Ok(documents) => {
+                backoff.reset();
                 since = Some(documents.revision.max(since.unwrap_or(0)));
                 take(&life, documents);
             }
             Err(Trouble::HistoryGone) => since = None,
-            Err(_) => sleep(FAILED_PAUSE).await,
+            Err(_) => backoff.wait().await,
         }
     }
 }
@@ -208,16 +234,18 @@
 
 pub(crate) async fn endpoints<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     let mut failed = None;
+    let mut backoff = Backoff::default();
     loop {
         let node = &life.node;
         if !life.reads_listing(READERS, STALE) {
-            sleep(FAILED_PAUSE).await;
+            sleep(FIRST_PAUSE).await;
             continue;
         }
         let began = node.now();
         let listed = life.store.endpoints().await;
         say::store(&life, "endpoints", began, &listed);
         if let Ok(entries) = listed {
+            backoff.reset();
             let now = node.now();
             let absence = match failed {
                 Some(at) if now.saturating_sub(at) < LAPSED => Absence::Lapsed,
@@ -227,7 +255,7 @@
             sleep(ENDPOINTS_PERIOD).await;
         } else {
             failed = Some(node.now());
-            sleep(FAILED_PAUSE).await;
+            backoff.wait().await;
         }
     }
 }
