--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,13 +1,15 @@
 //! One attempt: a request at one endpoint.
 
+mod guard;
+mod stream;
 mod upstream;
 
 use std::time::Duration;
 
 use async_std::future::timeout;
-use framing::{Decoder, Events, response};
+use framing::response;
 use kernel::RequestId;
-use route::config::{Answer as Shape, Repeat};
+use route::config::Repeat;
 use route::{Call, Ending, Flight, Placement};
 
 use crate::answer::Answer;
@@ -16,6 +18,7 @@
 use crate::lull::Lull;
 use crate::serve::Progress;
 use crate::{Addressing, Dialect, Node, Told};
+use guard::{Guard, Seen};
 use upstream::{Trouble, Upstream};
 
 /// The longest whole answer that is taken, in bytes. Whole answers are kept
@@ -287,112 +290,6 @@
         }
     }
 
-    async fn stream(
-        &mut self,
-        mut upstream: Upstream,
-        (head, told): (&response::Head, &Told),
-        call: &mut Call,
-        answer: &mut Answer,
-        guard: &mut Guard<'_, D>,
-        lull: &mut Lull<'_>,
-    ) -> Exchange {
-        let node = self.node;
-        let mut decoder = Decoder::new(head.length);
-        let mut events = Events::default();
-        let mut passed = None;
-        loop {
-            if upstream.decode(&mut decoder, events.input()).is_err() {
-                return Ending::Broken.into();
-            }
-            let Some(count) = self.pass_on(&mut events, head, answer) else {
-                return Ending::Broken.into();
-            };
-            if let Some(flight) = &mut guard.flight {
-                flight.events(node.now(), count);
-            }
-            if answer.has_pending() {
-                self.note_pause(&mut passed);
-            }
-            let is_done = decoder.is_done() && !events.has_rest();
-            if is_done && answer.status != 0 {
-                self.keep(upstream, head, told);
-                return match timeout(node.timing.write, answer.finish()).await {
-                    Ok(Ok(())) => Exchange::Delivered,
-                    _ => Exchange::CallerGone,
-                };
-            }
-            if decoder.is_done() {
-                return Ending::Broken.into();
-            }
-            if answer.has_begun() {
-                call.begun = true;
-            }
-            match timeout(node.timing.write, answer.flush()).await {
-                Ok(Ok(())) => {}
-                _ => return Exchange::CallerGone,
-            }
-            match lull.within(self.pause(call), upstream.advance()).await {
-                Some(Ok(1..)) => call.release(),
-                Some(Ok(0)) if decoder.finish().is_ok() => {}
-                Some(_) => return Ending::Broken.into(),
-                None if self.gives_up(call) => return Ending::Silent.into(),
-                None => {}
-            }
-        }
-    }
-
-    /// Passes on the whole events that are there, each once and in order, and
-    /// says how many; nothing where one is missing.
-    fn pass_on(
-        &mut self,
-        events: &mut Events,
-        head: &response::Head,
-        answer: &mut Answer,
-    ) -> Option<u32> {
-        let mut count = 0;
-        while let Some(event) = events.take() {
-            if let (Some(id), Some(last)) = (event.id, *self.last_event) {
-                if id <= last {
-                    continue;
-                }
-                if id > last + 1 {
-                    return None;
-                }
-            }
-            if answer.status == 0 {
-                answer.begin(&self.node.dialect, head);
-            }
-            answer.event(event.bytes);
-            *self.last_event = event.id.or(*self.last_event);
-            count += 1;
-        }
-        Some(count)
-    }
-
-    /// Notes when a part of the answer goes out.
-    fn note_pause(&self, passed: &mut Option<Duration>) {
-        let now = self.node.now();
-        let progress = self.progress;
-        if progress.first.get().is_none() {
-            progress.first.set(Some(now));
-        }
-        if let Some(last) = passed.replace(now) {
-            let pause = now.saturating_sub(last);
-            progress.pause.set(progress.pause.get().max(Some(pause)));
-        }
-    }
-
-    /// How long the next event may take, see [`Self::first_wait`].
-    fn pause(&self, call: &Call) -> Duration {
-        let left = call.left(self.node.now());
-        match call.route.answer {
-            Shape::Stream { pause } if may_move(call) && !call.is_held() => {
-                left.min(pause.mul_f64(self.node.timing.pause_part))
-            }
-            _ => left,
-        }
-    }
-
     /// Keeps the connection for the next request if nothing speaks against it.
     fn keep(&self, upstream: Upstream, head: &response::Head, told: &Told) {
         if let (true, Some(conn)) = (head.keep, upstream.into_clean()) {
@@ -413,55 +310,3 @@
 fn is_promise(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
-
-/// Ends the flight when the caller leaves and the attempt is dropped.
-struct Guard<'a, D: Dialect> {
-    node: &'a Node<D>,
-    id: &'a RequestId,
-    placement: &'a Placement,
-    progress: &'a Progress,
-    number: u32,
-    began: Duration,
-    left: Duration,
-    config: Option<u64>,
-    seen: Seen,
-    flight: Option<Flight>,
-}
-
-/// What came of an attempt's answer.
-#[derive(Debug, Default)]
-struct Seen {
-    status: Option<u16>,
-    confidence: Option<u8>,
-    last_event: Option<u64>,
-}
-
-impl<D: Dialect> Guard<'_, D> {
-    /// Reports the attempt's end and gives the flight back.
-    fn land(&mut self, ending: Ending) -> Option<Flight> {
-        let flight = self.flight.take()?;
-        let took = self.node.now().saturating_sub(self.began);
-        self.progress.note(self.placement, ending, took);
-        self.node.recorder.attempt(&telemetry::Attempt {
-            id: self.id,
-            number: self.number,
-            placement: self.placement,
-            ending,
-            took,
-            left: self.left,
-            config: self.config,
-            confidence: self.seen.confidence,
-            last_event: self.seen.last_event,
-            status: self.seen.status,
-        });
-        Some(flight)
-    }
-}
-
-impl<D: Dialect> Drop for Guard<'_, D> {
-    fn drop(&mut self) {
-        if let Some(flight) = self.land(Ending::Cancelled) {
-            self.node.router().cancel(flight);
-        }
-    }
-}
--- /dev/null
+++ b/crates/forward/src/attempt/guard.rs
@@ -0,0 +1,61 @@
+//! An attempt's end, whatever ends it.
+
+use std::time::Duration;
+
+use kernel::RequestId;
+use route::{Ending, Flight, Placement};
+
+use crate::serve::Progress;
+use crate::{Dialect, Node};
+
+/// Ends the flight when the caller leaves and the attempt is dropped.
+pub(super) struct Guard<'a, D: Dialect> {
+    pub(super) node: &'a Node<D>,
+    pub(super) id: &'a RequestId,
+    pub(super) placement: &'a Placement,
+    pub(super) progress: &'a Progress,
+    pub(super) number: u32,
+    pub(super) began: Duration,
+    pub(super) left: Duration,
+    pub(super) config: Option<u64>,
+    pub(super) seen: Seen,
+    pub(super) flight: Option<Flight>,
+}
+
+/// What came of an attempt's answer.
+#[derive(Debug, Default)]
+pub(super) struct Seen {
+    pub(super) status: Option<u16>,
+    pub(super) confidence: Option<u8>,
+    pub(super) last_event: Option<u64>,
+}
+
+impl<D: Dialect> Guard<'_, D> {
+    /// Reports the attempt's end and gives the flight back.
+    pub(super) fn land(&mut self, ending: Ending) -> Option<Flight> {
+        let flight = self.flight.take()?;
+        let took = self.node.now().saturating_sub(self.began);
+        self.progress.note(self.placement, ending, took);
+        self.node.recorder.attempt(&telemetry::Attempt {
+            id: self.id,
+            number: self.number,
+            placement: self.placement,
+            ending,
+            took,
+            left: self.left,
+            config: self.config,
+            confidence: self.seen.confidence,
+            last_event: self.seen.last_event,
+            status: self.seen.status,
+        });
+        Some(flight)
+    }
+}
+
+impl<D: Dialect> Drop for Guard<'_, D> {
+    fn drop(&mut self) {
+        if let Some(flight) = self.land(Ending::Cancelled) {
+            self.node.router().cancel(flight);
+        }
+    }
+}
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -1,5 +1,8 @@
 //! A roll-out: which requests try the new release, and what it is found to be.
 
+mod drift;
+mod evidence;
+
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -8,6 +11,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::hash;
+use drift::{Mean, Pace};
+
+pub use drift::Drift;
+pub use evidence::{Evidence, Tally};
 
 /// The part of the allowed exposure that a release gets while it is unproven.
 /// The rest is for requests that hosts count differently at the edges.
@@ -90,21 +97,6 @@
     }
 }
 
-/// How the two releases answered one host.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// The new release.
-    pub new: Tally,
-    /// The old one.
-    pub old: Tally,
-    /// How much longer the new one's streams take to begin.
-    pub first: Drift,
-    /// How much longer its whole answers take to begin.
-    pub whole: Drift,
-    /// How much longer they take from one event to the next.
-    pub step: Drift,
-}
-
 /// What one host tells the others of a roll-out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
@@ -120,15 +112,6 @@
     pub held: Vec<u64>,
 }
 
-/// How a release answered.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tally {
-    /// All answers.
-    pub answers: u32,
-    /// Those that failed.
-    pub bad: u32,
-}
-
 /// A roll-out.
 #[derive(Clone, Debug)]
 pub struct Rollout {
@@ -161,66 +144,6 @@
     pub step: Option<f64>,
 }
 
-/// Which time of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Pace {
-    /// Until a stream begins.
-    First,
-    /// Until a whole answer does.
-    Whole,
-    /// From one event to the next.
-    Step,
-}
-
-/// How far the times of the new release are from the old one's, as logarithms
-/// of their ratios.
-///
-/// Times are heavy-tailed: one answer in ten of a sound release takes three
-/// times the usual. Single slow answers therefore tell little, the mean of the
-/// logarithms tells after a dozen.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Drift {
-    count: u32,
-    sum: f64,
-    squares: f64,
-}
-
-impl Drift {
-    /// Answers without which a drift isn't believed.
-    const MIN: u32 = 10;
-    /// Standard errors by which it must be sure.
-    const SURE: f64 = 2.5;
-
-    fn add(&mut self, log: f64) {
-        self.count += 1;
-        self.sum += log;
-        self.squares += log * log;
-    }
-
-    fn join(&mut self, other: Self) {
-        self.count += other.count;
-        self.sum += other.sum;
-        self.squares += other.squares;
-    }
-
-    /// Whether the new release takes surely more than `times` as long.
-    fn exceeds(&self, times: f64) -> bool {
-        if self.count < Self::MIN {
-            return false;
-        }
-        let count = f64::from(self.count);
-        let mean = self.sum / count;
-        let variance = (self.squares / count - mean * mean).max(0.0);
-        mean - Self::SURE * (variance / count).sqrt() > times.ln()
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Mean {
-    count: f64,
-    value: f64,
-}
-
 impl Rollout {
     /// A roll-out that began at `started`, which may expose an unproven release
     /// to this share of requests.
@@ -424,43 +347,6 @@
     }
 }
 
-impl Tally {
-    fn bad_share(self) -> f64 {
-        f64::from(self.bad) / f64::from(self.answers.max(1))
-    }
-
-    /// The share of bad answers that it has at least, by two and a half standard errors:
-    /// services fail some of their requests anyway, up to one in seven was
-    /// seen, and a few more in the first dozen prove nothing.
-    fn least_bad_share(self) -> f64 {
-        const SURE: f64 = 2.5;
-        let share = self.bad_share();
-        let error = (share * (1.0 - share) / f64::from(self.answers.max(1))).sqrt();
-        share - SURE * error
-    }
-
-    fn add(&mut self, other: Self) {
-        self.answers += other.answers;
-        self.bad += other.bad;
-    }
-}
-
-impl Mean {
-    /// Answers of the old release without which nothing is set against them.
-    const MIN: f64 = 8.0;
-    /// How many answers the mean remembers.
-    const MAX: f64 = 50.0;
-
-    fn add(&mut self, value: f64) {
-        self.count = (self.count + 1.0).min(Self::MAX);
-        self.value += (value - self.value) / self.count;
-    }
-
-    fn is_known(&self) -> bool {
-        self.count >= Self::MIN
-    }
-}
-
 /// The number by which a session falls to a release. Other bits of the hash
 /// choose the service: with the same ones, one service would get all the trials.
 fn lot(session: u64) -> f64 {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,25 +1,34 @@
 //! What a host believes, and where requests go by it.
 
+mod arrival;
+mod denial;
+mod flight;
 mod place;
+mod placement;
+mod releases;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{EndpointId, HostName, ModelName, ServiceName};
+use kernel::{EndpointId, ModelName, ServiceName};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
-use crate::call::{Call, Ending, Failure, Next, Shape, Spare};
+use crate::call::{Call, Ending, Failure, Next, Spare};
 use crate::config::{Access, Config};
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key, Load};
 use crate::pace::Pace;
-use crate::rollout::{self, Order, Side, Sighting};
+use crate::rollout::Side;
 use crate::sessions::Sessions;
 use crate::{Budget, Directory, Doubt, Rollout, Settings, hash};
 
+pub use arrival::Arrival;
+pub use denial::Denial;
+pub use flight::Flight;
+pub use placement::Placement;
+
 /// Added to the longest pause of a session: its caller measures the pause
 /// from the answer's end, this host from what it last heard.
 const SESSION_MARGIN: Duration = Duration::from_secs(1);
@@ -44,118 +53,6 @@
     rng: Pcg32,
 }
 
-/// Why a request goes nowhere, before any endpoint is considered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
-pub enum Denial {
-    /// This host has no configuration yet, and can't know what is allowed.
-    #[display("no_configuration")]
-    NotReady,
-    /// This host is about to end, and the request might not end before it.
-    #[display("stopping")]
-    Stopping,
-    /// No route fits.
-    #[display("no_route")]
-    NoRoute,
-    /// The key is missing or belongs to nobody.
-    #[display("unknown_key")]
-    UnknownKey,
-}
-
-impl Denial {
-    /// Every reason.
-    pub const ALL: [Self; 4] = [
-        Self::NotReady,
-        Self::Stopping,
-        Self::NoRoute,
-        Self::UnknownKey,
-    ];
-}
-
-/// A request that came in.
-#[derive(Clone, Debug)]
-pub struct Arrival<'a> {
-    /// Its name, as the caller gave it; another attempt of the caller's has another.
-    pub id: &'a str,
-    /// The host that it is for, in lower case and without a port.
-    pub host: &'a str,
-    /// The path, without a query.
-    pub path: &'a str,
-    /// The customer's key, if it has one.
-    pub key: Option<&'a str>,
-    /// How long the caller waits.
-    pub patience: Option<Duration>,
-    /// What it asks for.
-    pub shape: Shape,
-}
-
-/// Where an attempt goes.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Placement {
-    /// What this host calls the attempt's endpoint.
-    pub endpoint: Key,
-    /// The endpoint's identity, which it checks.
-    pub id: EndpointId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// The model, where the route chooses it.
-    pub model: Option<ModelName>,
-    /// The release, while a roll-out is under way.
-    pub side: Option<Side>,
-    /// Connections that this host may have to it.
-    pub connections: u32,
-    /// How many of the candidates could have taken it.
-    pub candidates: usize,
-    /// The part of the endpoint's places that was believed to be taken.
-    pub used: f64,
-    /// How old the endpoint's own report of its load was.
-    pub load_age: Option<Duration>,
-    /// How old the listing was in which the endpoint stood.
-    pub listing_age: Option<Duration>,
-}
-
-/// An attempt that is under way.
-#[derive(Debug)]
-pub struct Flight {
-    /// The endpoint.
-    pub endpoint: Key,
-    began: Duration,
-    unread: Duration,
-    /// How long its answer should take to begin.
-    expected: Option<Duration>,
-    first: Option<Duration>,
-    events: u32,
-    last: Duration,
-}
-
-impl Flight {
-    /// Takes events of its stream.
-    pub fn events(&mut self, now: Duration, count: u32) {
-        self.events += count;
-        self.last = now;
-    }
-
-    fn sighting(&self, class: u64, failed: bool) -> Sighting {
-        /// Events without which a stream's pace isn't told from its bursts.
-        const MIN_EVENTS: u32 = 4;
-        let took = self.first.map(|it| it.saturating_sub(self.began));
-        let (first, whole) = match (took, self.expected) {
-            (Some(took), Some(expected)) => (Some(took.div_duration_f64(expected)), None),
-            (took, _) => (None, took.map(|it| it.as_secs_f64())),
-        };
-        let step = self.first.filter(|_| self.events >= MIN_EVENTS).map(|it| {
-            let span = self.last.saturating_sub(it).as_secs_f64();
-            span / f64::from(self.events - 1)
-        });
-        Sighting {
-            class,
-            failed,
-            first,
-            whole,
-            step,
-        }
-    }
-}
-
 impl Router {
     /// A router that knows nothing yet.
     #[must_use]
@@ -254,70 +151,6 @@
         self.hosts = hosts.max(1);
     }
 
-    /// Takes an operator's order; an older one, or the same again, changes nothing.
-    pub fn order(&mut self, order: Order, started: Duration) -> bool {
-        let known = self.rollouts.get(&order.service);
-        if known.is_some_and(|it| it.order.revision >= order.revision) {
-            return false;
-        }
-        let exposure = self.settings.exposure_share;
-        let service = order.service.clone();
-        self.rollouts
-            .insert(service, Rollout::new(order, started, exposure));
-        true
-    }
-
-    /// What this host tells the others of roll-outs.
-    #[must_use]
-    pub fn news(&self, now: Duration) -> Vec<rollout::News> {
-        let gap = self.settings.session_gap + SESSION_MARGIN;
-        let news = |rollout: &Rollout| {
-            let held = self
-                .sessions
-                .others_than(now, &rollout.order.release, gap)
-                .map(|it| hash::of(it.as_str()))
-                .filter(|&it| rollout.is_contested(it))
-                .collect();
-            rollout.news(now, held)
-        };
-        self.rollouts.values().map(news).collect()
-    }
-
-    /// Takes what another host tells of roll-outs; returns those whose verdict
-    /// changed by it.
-    pub fn hear(
-        &mut self,
-        now: Duration,
-        host: &HostName,
-        news: Vec<rollout::News>,
-    ) -> Vec<Rollout> {
-        let mut changed = Vec::new();
-        for it in news {
-            let started = now.saturating_sub(it.elapsed);
-            self.order(it.order.clone(), started);
-            if let Some(rollout) = self.rollouts.get_mut(&it.order.service)
-                && rollout.order.revision == it.order.revision
-            {
-                let before = rollout.verdict;
-                rollout.hear(now, host.clone(), &it);
-                if rollout.verdict != before {
-                    changed.push(rollout.clone());
-                }
-            }
-        }
-        changed
-    }
-
-    /// The roll-outs, one a service at most.
-    pub fn rollouts(&mut self) -> impl Iterator<Item = &mut Rollout> {
-        self.rollouts.values_mut()
-    }
-
-    /// The roll-out of a service.
-    pub fn rollout(&mut self, service: &ServiceName) -> Option<&mut Rollout> {
-        self.rollouts.get_mut(service)
-    }
-
     /// Takes in a request.
     ///
     /// # Errors
@@ -356,18 +189,6 @@
         Ok(call)
     }
 
-    /// The release for a new request while a roll-out is under way.
-    fn side(&self, now: Duration, call: &Call, number: u64) -> Option<Side> {
-        let rollout = self.rollouts.get(&call.service)?;
-        let gap = self.settings.session_gap + SESSION_MARGIN;
-        let session = call.shape.session.as_ref();
-        let release = session.and_then(|it| self.sessions.release(now, it, gap));
-        Some(match release {
-            Some(release) => rollout.keep(now, release, number),
-            None => rollout.side(now, number),
-        })
-    }
-
     /// Begins an attempt.
     pub fn begin(&mut self, now: Duration, call: &mut Call, placement: &Placement) -> Flight {
         call.attempts += 1;
--- /dev/null
+++ b/crates/route/src/router/flight.rs
@@ -0,0 +1,49 @@
+//! Attempts that are under way.
+
+use std::time::Duration;
+
+use crate::endpoint::Key;
+use crate::rollout::Sighting;
+
+/// An attempt that is under way.
+#[derive(Debug)]
+pub struct Flight {
+    /// The endpoint.
+    pub endpoint: Key,
+    pub(super) began: Duration,
+    pub(super) unread: Duration,
+    /// How long its answer should take to begin.
+    pub(super) expected: Option<Duration>,
+    pub(super) first: Option<Duration>,
+    pub(super) events: u32,
+    pub(super) last: Duration,
+}
+
+impl Flight {
+    /// Takes events of its stream.
+    pub fn events(&mut self, now: Duration, count: u32) {
+        self.events += count;
+        self.last = now;
+    }
+
+    pub(super) fn sighting(&self, class: u64, failed: bool) -> Sighting {
+        /// Events without which a stream's pace isn't told from its bursts.
+        const MIN_EVENTS: u32 = 4;
+        let took = self.first.map(|it| it.saturating_sub(self.began));
+        let (first, whole) = match (took, self.expected) {
+            (Some(took), Some(expected)) => (Some(took.div_duration_f64(expected)), None),
+            (took, _) => (None, took.map(|it| it.as_secs_f64())),
+        };
+        let step = self.first.filter(|_| self.events >= MIN_EVENTS).map(|it| {
+            let span = self.last.saturating_sub(it).as_secs_f64();
+            span / f64::from(self.events - 1)
+        });
+        Sighting {
+            class,
+            failed,
+            first,
+            whole,
+            step,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/releases.rs
@@ -0,0 +1,88 @@
+//! What the router knows of roll-outs.
+
+use std::time::Duration;
+
+use kernel::{HostName, ServiceName};
+
+use super::{Router, SESSION_MARGIN};
+use crate::call::Call;
+use crate::rollout::{self, Order, Side};
+use crate::{Rollout, hash};
+
+impl Router {
+    /// Takes an operator's order; an older one, or the same again, changes nothing.
+    pub fn order(&mut self, order: Order, started: Duration) -> bool {
+        let known = self.rollouts.get(&order.service);
+        if known.is_some_and(|it| it.order.revision >= order.revision) {
+            return false;
+        }
+        let exposure = self.settings.exposure_share;
+        let service = order.service.clone();
+        self.rollouts
+            .insert(service, Rollout::new(order, started, exposure));
+        true
+    }
+
+    /// What this host tells the others of roll-outs.
+    #[must_use]
+    pub fn news(&self, now: Duration) -> Vec<rollout::News> {
+        let gap = self.settings.session_gap + SESSION_MARGIN;
+        let news = |rollout: &Rollout| {
+            let held = self
+                .sessions
+                .others_than(now, &rollout.order.release, gap)
+                .map(|it| hash::of(it.as_str()))
+                .filter(|&it| rollout.is_contested(it))
+                .collect();
+            rollout.news(now, held)
+        };
+        self.rollouts.values().map(news).collect()
+    }
+
+    /// Takes what another host tells of roll-outs; returns those whose verdict
+    /// changed by it.
+    pub fn hear(
+        &mut self,
+        now: Duration,
+        host: &HostName,
+        news: Vec<rollout::News>,
+    ) -> Vec<Rollout> {
+        let mut changed = Vec::new();
+        for it in news {
+            let started = now.saturating_sub(it.elapsed);
+            self.order(it.order.clone(), started);
+            if let Some(rollout) = self.rollouts.get_mut(&it.order.service)
+                && rollout.order.revision == it.order.revision
+            {
+                let before = rollout.verdict;
+                rollout.hear(now, host.clone(), &it);
+                if rollout.verdict != before {
+                    changed.push(rollout.clone());
+                }
+            }
+        }
+        changed
+    }
+
+    /// The roll-outs, one a service at most.
+    pub fn rollouts(&mut self) -> impl Iterator<Item = &mut Rollout> {
+        self.rollouts.values_mut()
+    }
+
+    /// The roll-out of a service.
+    pub fn rollout(&mut self, service: &ServiceName) -> Option<&mut Rollout> {
+        self.rollouts.get_mut(service)
+    }
+
+    /// The release for a new request while a roll-out is under way.
+    pub(super) fn side(&self, now: Duration, call: &Call, number: u64) -> Option<Side> {
+        let rollout = self.rollouts.get(&call.service)?;
+        let gap = self.settings.session_gap + SESSION_MARGIN;
+        let session = call.shape.session.as_ref();
+        let release = session.and_then(|it| self.sessions.release(now, it, gap));
+        Some(match release {
+            Some(release) => rollout.keep(now, release, number),
+            None => rollout.side(now, number),
+        })
+    }
+}
