Ask for news anew when the store is back

Ruled out: the store's forgotten history (no 410 was answered), the other hosts (all had the same question open), keep-alive (the connection was alive). Now the first answer after a failure of any other call has news asked for anew, and a question waits 5 s at most.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -5,8 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::channel::Receiver;
 use async_std::task::sleep;
 use forward::{Dialect, Node};
+use futures::future::{Either, select};
+use futures::pin_mut;
 use route::Config;
 use route::Rollout;
 use route::directory::Absence;
@@ -18,8 +21,9 @@
 use crate::{Documents, Judgement, Member, Store, Trouble, say};
 
 /// How long one question for news waits. Each is paid for; a connection that
-/// went silent meanwhile is noticed by its keep-alive, see `http`.
-const NEWS_WAIT: Duration = Duration::from_secs(12);
+/// went silent meanwhile is noticed by its keep-alive, see `http`, and a store
+/// that did by its other calls. The rest is noticed after this time.
+const NEWS_WAIT: Duration = Duration::from_secs(5);
 /// The pause after a question that failed, the first time and at most: refused
 /// calls are paid for like others, and an outage lasts for seconds. The longest
 /// leaves time to have a configuration in force two seconds after the store is
@@ -68,9 +72,14 @@
     let mut backoff = Backoff::default();
     loop {
         let began = life.node.now();
-        let asked = match since {
-            None => life.store.documents().await,
-            Some(since) => life.store.changes(since, NEWS_WAIT).await,
+        let question = async {
+            match since {
+                None => life.store.documents().await,
+                Some(since) => life.store.changes(since, NEWS_WAIT).await,
+            }
+        };
+        let Some(asked) = unless(&life.returns[0].1, question).await else {
+            continue;
         };
         say::store(&life, "news of documents", began, &asked);
         match asked {
@@ -86,12 +95,26 @@
     }
 }
 
+/// What a question to the store gives, or nothing if the store was away
+/// meanwhile and the question has to be asked anew.
+async fn unless<T>(returned: &Receiver<()>, question: impl Future<Output = T>) -> Option<T> {
+    let returned = returned.recv();
+    pin_mut!(question, returned);
+    match select(question, returned).await {
+        Either::Left((answer, _)) => Some(answer),
+        Either::Right(_) => None,
+    }
+}
+
 pub(crate) async fn judgements<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     let mut since = None;
     let mut backoff = Backoff::default();
     loop {
         let began = life.node.now();
-        let asked = life.store.judgements(since, NEWS_WAIT).await;
+        let question = life.store.judgements(since, NEWS_WAIT);
+        let Some(asked) = unless(&life.returns[1].1, question).await else {
+            continue;
+        };
         say::store(&life, "news of verdicts", began, &asked);
         match asked {
             Ok(documents) => {
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -53,6 +53,8 @@
     pub(crate) hurry: Sender<()>,
     pub(crate) changes: Receiver<()>,
     pub(crate) incarnation: Incarnation,
+    /// Says to those who wait for news of the store that it was away meanwhile.
+    pub(crate) returns: [(Sender<()>, Receiver<()>); 2],
     /// The kinds of store call that failed last.
     pub(crate) lost: RefCell<HashSet<&'static str>>,
     /// When the store or another host last confirmed the configuration.
@@ -91,6 +93,7 @@
             listed: Cell::new(None),
             config_text: RefCell::default(),
             asking: Cell::new(false),
+            returns: [bounded(1), bounded(1)],
             lost: RefCell::default(),
             confirmed: Cell::new(None),
             hurry,
@@ -207,6 +210,18 @@
         Link::bind(&settings).ok()
     }
 
+    /// Has news of the store asked for anew.
+    ///
+    /// A store that falls silent without closing its connections never answers
+    /// the questions that it had then. Who waited for news on one would miss a
+    /// configuration for as long as the question may last.
+    pub(crate) fn ask_anew(&self) {
+        for (sender, _) in &self.returns {
+            // One that waits already is as good as two.
+            let _ = sender.try_send(());
+        }
+    }
+
     /// Has the others told at once instead of with the next news.
     pub(crate) fn hurry(&self) {
         // One that waits already is as good as two.
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -42,9 +42,13 @@
                 ("ms", Value::Time(took)),
             ],
         ),
-        Ok(_) if lost.remove(call) => life
-            .recorder()
-            .say(Event::StoreBack, &[("call", Value::Text(&call))]),
+        Ok(_) if lost.remove(call) => {
+            life.recorder()
+                .say(Event::StoreBack, &[("call", Value::Text(&call))]);
+            if timed.is_some() {
+                life.ask_anew();
+            }
+        }
         _ => {}
     }
 }
