Put measured figures where pages and comments had none

A comment gave a line's processor time that nobody had measured, another said that news takes a tenth of the time that it takes. Comments and pages only; no behaviour changes.

--- a/crates/route/src/cascade.rs
+++ b/crates/route/src/cascade.rs
@@ -15,7 +15,8 @@
 /// the third).
 const WORTH: [f64; 3] = [7.0, 7.0, 2.5];
 /// The price of the capacity that the largest model's answer takes from other
-/// requests, in prices of that answer, while all places are taken.
+/// requests, in prices of that answer, while all places are taken. Trials at 1, 4
+/// and 10 served 0.699, 0.717 and 0.724 of what was asked, less prices.
 const CROWDED: f64 = 10.0;
 
 /// Which of a route's models answers a request, from the smallest to the largest.
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -45,7 +45,7 @@
 const SLOW_WHOLE: f64 = 1.4;
 
 /// How long hosts tell each other which sessions are under way before the new
-/// release gets any. News takes a tenth of that.
+/// release gets any. News comes twice in that time.
 const GATHERING: Duration = Duration::from_millis(1_200);
 
 /// What operators ask for.
--- a/crates/telemetry/src/allowance.rs
+++ b/crates/telemetry/src/allowance.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 /// Lines a second that a host writes on average. At 300 bytes a line that is
-/// 45 kB/s; a line costs about 20 µs of processor, so 0.3% of a core.
+/// 45 kB/s. Three runs with and without lines showed no difference in processor
+/// time (docs/design/relay.md).
 const RATE: f64 = 150.0;
 /// Lines that may come at once, as when a service fails.
 const BURST: f64 = 600.0;
--- a/xtask/src/days.rs
+++ b/xtask/src/days.rs
@@ -48,7 +48,7 @@
 /// fails if any did.
 ///
 /// # Errors
-/// [`Error`] when the days can't be read or the bench can't be started.
+/// [`Error::Measure`] when the days can't be read.
 pub fn run(matches: &ArgMatches) -> Result<ExitCode, Report<Error>> {
     let bench = matches.get_one::<PathBuf>("bench");
     let Some(bench) = bench.filter(|it| it.exists()) else {
@@ -93,7 +93,7 @@
     Ok(days)
 }
 
-/// One line: the site, the day, and what the bench says of it.
+/// One line: the site, the day, and its worth or the rules it broke.
 fn play(bench: &Path, site: &Path, day: &Path) -> String {
     let name = |it: &Path| it.file_stem().unwrap_or_default().display().to_string();
     let title = format!("{} {}", name(site), name(day));
