Answer those who keep the address of a host that stops

Cause: a host that was asked to stop and had no work ended as soon as it took no new work, 2.6 s after the signal. Callers keep its address for up to three times the two seconds that they are told, and their connections were refused.

Ruled out: taking every request for longer. A stream that is taken later than three seconds after the signal may not end before the process.

Now the host stays until nobody can still have its address (6.2 s), takes what ends before it does, and refuses the rest at once with when to come back.

Before: the new test fails (connection refused after 2.6 s).

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -29,15 +29,19 @@
 }
 
 /// Where a host is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// It serves.
     Serving,
     /// It was asked to stop and still serves, since callers that keep an older
     /// list of addresses still come.
     Leaving,
-    /// It refuses new requests and finishes those that it has.
-    Finishing,
+    /// It takes only requests that end before it does, and finishes those that
+    /// it has.
+    Finishing {
+        /// When the process ends at the latest.
+        end: Duration,
+    },
 }
 
 impl<D: Dialect> Node<D> {
@@ -105,11 +109,14 @@
         self.phase.get()
     }
 
-    /// Goes on to a later phase.
-    pub fn enter(&self, phase: Phase) {
-        if phase > self.phase.get() {
-            self.phase.set(phase);
-        }
+    /// Begins to leave: answers tell callers to connect elsewhere.
+    pub fn leave(&self) {
+        self.phase.set(Phase::Leaving);
+    }
+
+    /// Takes only requests from now on that end before the process does.
+    pub fn finish(&self, end: Duration) {
+        self.phase.set(Phase::Finishing { end });
     }
 
     /// Requests that are between their head and the end of their answer.
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -85,10 +85,10 @@
         .router()
         .admit(request.arrived, arrival)
         .map_err(Outcome::Denied)?;
-    if node.phase() >= Phase::Finishing {
-        return Err(Outcome::Denied(Denial::Stopping));
+    match node.phase() {
+        Phase::Finishing { end } if call.deadline > end => Err(Outcome::Denied(Denial::Stopping)),
+        _ => Ok(call),
     }
-    Ok(call)
 }
 
 async fn attempts<D: Dialect>(
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -75,13 +75,17 @@
     pub(crate) fingerprint: u64,
 }
 
-/// How long a host that was asked to stop still serves.
+/// How long a host that was asked to stop still serves, all from that moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Serving {
-    /// Takes new requests.
+    /// How long it takes every request.
     pub taking: Duration,
-    /// Finishes what it has; then the process ends.
-    pub finishing: Duration,
+    /// How long callers may keep its address. Until then it answers them: it
+    /// takes what ends in time, and refuses the rest at once. A closed port would
+    /// cost each of them a connection that fails.
+    pub known: Duration,
+    /// When the process ends at the latest.
+    pub whole: Duration,
 }
 
 impl<S: Store, D: Dialect> Life<S, D> {
@@ -156,28 +160,33 @@
     }
 
     /// Leaves: tells the others, serves those who still come, and returns when
-    /// nothing is left or the time is over.
+    /// nobody comes any more and nothing is left, or the time is over.
     pub async fn leave(&self, serving: Serving) {
-        self.node.enter(Phase::Leaving);
+        let began = self.node.now();
+        let end = began + serving.whole;
+        self.node.leave();
         self.members.borrow_mut().leave();
         self.hurry();
         // The others notice by the missing renewals, too.
-        let began = self.node.now();
         let withdraw = timeout(serving.taking, self.store.withdraw(&self.own));
         if let Ok(withdrawn) = withdraw.await {
             say::store(self, "withdraw", began, &withdrawn);
         }
-        // A slow store must not make the time longer in which requests are
+        // A slow store must not make the time longer in which every request is
         // taken: what comes late may not end before the process does.
-        let took = self.node.now().saturating_sub(began);
-        sleep(serving.taking.saturating_sub(took)).await;
-        self.node.enter(Phase::Finishing);
-        let end = self.node.now() + serving.finishing;
+        self.sleep_until(began + serving.taking).await;
+        self.node.finish(end);
+        self.sleep_until(began + serving.known.min(serving.whole))
+            .await;
         while self.node.busy() > 0 && self.node.now() < end {
             sleep(END_PERIOD).await;
         }
     }
 
+    async fn sleep_until(&self, at: Duration) {
+        sleep(at.saturating_sub(self.node.now())).await;
+    }
+
     /// Whether this host reads the listing of endpoints itself: it is one of
     /// the first `readers` that live, or nobody has told it of a listing lately.
     pub(crate) fn reads_listing(&self, readers: usize, stale: Duration) -> bool {
