Let two hosts read the store for all

Cause: each host asked the store for itself: two questions for news, the listing of hosts, and often the listing of endpoints.

Now two hosts, the first in an order by hashes of names, read for all. What they read goes round at once: a host that hears of a much later reading tells it on. A host for which what it knows gets 1.25 s old reads the store itself, whatever the reason, so each host alone keeps its bounds. Hosts tell each other whom they heard, since with 80 of them each hears each other one only every six seconds.

--- a/crates/host/src/documents.rs
+++ b/crates/host/src/documents.rs
@@ -5,6 +5,7 @@
 use kernel::{Release, ServiceName};
 use route::Config;
 use route::rollout::{Order, Verdict};
+use serde::{Deserialize, Serialize};
 
 /// What operators wrote, and what hosts found about it: all of it, or what
 /// changed since a revision.
@@ -21,7 +22,7 @@
 }
 
 /// What a roll-out has come to, as the store has it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Judgement {
     /// The service.
     pub service: ServiceName,
@@ -31,6 +32,4 @@
     pub verdict: Verdict,
     /// The revision at which this was written; 0 for what hasn't been yet.
     pub revision: u64,
-    /// When the roll-out began, on the store's clock in milliseconds.
-    pub began_ms: u64,
 }
--- /dev/null
+++ b/crates/host/src/follow/documents.rs
@@ -0,0 +1,105 @@
+//! Follows what operators write.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_std::task::sleep;
+use forward::Dialect;
+use route::Config;
+use route::rollout::Order;
+use telemetry::{Event, Value};
+
+use super::{Backoff, LOOK, NEWS_WAIT, unless, verdicts};
+use crate::life::Life;
+use crate::{Documents, Store, Trouble, say};
+
+pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    let mut since = None;
+    let mut backoff = Backoff::default();
+    loop {
+        if since.is_some() && !life.asks_store(life.confirmed.get()) {
+            sleep(LOOK).await;
+            continue;
+        }
+        let began = life.node.now();
+        life.watches.set(since.is_some());
+        let question = async {
+            match since {
+                None => life.store.documents().await,
+                Some(since) => life.store.changes(since, NEWS_WAIT).await,
+            }
+        };
+        let asked = unless(&life.returns[0].1, question).await;
+        life.watches.set(false);
+        let Some(asked) = asked else {
+            continue;
+        };
+        say::store(&life, "news of documents", began, &asked);
+        match asked {
+            Ok(documents) => {
+                backoff.reset();
+                since = Some(documents.revision.max(since.unwrap_or(0)));
+                take(&life, documents);
+                life.confirm(life.node.now());
+            }
+            Err(Trouble::HistoryGone) => since = None,
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
+fn take<S: Store, D: Dialect>(life: &Life<S, D>, documents: Documents) {
+    if let Some((config, text)) = documents.config {
+        configure(life, config, text);
+    }
+    let now = life.node.now();
+    for order in documents.orders {
+        if life.node.router().order(order.clone(), now) {
+            life.hurry();
+            say_order(life, &order);
+        }
+    }
+    // Orders and judgements come on two ways, in any order.
+    verdicts::apply(life);
+}
+
+pub(crate) fn say_order<S: Store, D: Dialect>(life: &Life<S, D>, order: &Order) {
+    life.recorder().say(
+        Event::RolloutSeen,
+        &[
+            ("service", Value::Text(&order.service)),
+            ("release", Value::Text(&order.release)),
+            ("over_ms", Value::Time(order.over)),
+        ],
+    );
+}
+
+/// Puts a configuration in force unless a newer one is.
+pub(crate) fn configure<S: Store, D: Dialect>(
+    life: &Life<S, D>,
+    config: Arc<Config>,
+    text: Arc<[u8]>,
+) {
+    let (version, routes) = (config.version, config.route_count());
+    let before = life.node.router().version();
+    let is_taken = life.node.router().configure(config);
+    if before != Some(version) {
+        let event = if is_taken {
+            Event::ConfigInForce
+        } else {
+            Event::ConfigOlder
+        };
+        life.recorder().say(
+            event,
+            &[
+                ("version", Value::Count(version)),
+                ("before", Value::count(before)),
+                ("routes", Value::Count(routes as u64)),
+            ],
+        );
+    }
+    if is_taken {
+        *life.config_text.borrow_mut() = Some(text);
+        life.hurry();
+    }
+}
--- /dev/null
+++ b/crates/host/src/follow/endpoints.rs
@@ -0,0 +1,93 @@
+//! Follows the listing of endpoints.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use forward::Dialect;
+use kernel::hash;
+use route::directory::Absence;
+use route::endpoint::{Entry, State};
+
+use super::{Backoff, LOOK};
+use crate::life::{Life, Listed};
+use crate::{Store, say};
+
+/// How often the listing of endpoints is read. An endpoint that leaves may get
+/// no new work two seconds after it said so; each reading is paid for.
+const PERIOD: Duration = Duration::from_secs(1);
+/// How long after an outage entries may be missing of endpoints that live.
+const LAPSED: Duration = Duration::from_millis(2_200);
+
+pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    let mut failed = None;
+    let mut backoff = Backoff::default();
+    loop {
+        let node = &life.node;
+        if !life.asks_store(life.listed.get().map(|it| it.at)) {
+            sleep(LOOK).await;
+            continue;
+        }
+        let began = node.now();
+        let listed = life.store.endpoints().await;
+        say::store(&life, "endpoints", began, &listed);
+        if let Ok(entries) = listed {
+            backoff.reset();
+            let now = node.now();
+            let absence = match failed {
+                Some(at) if now.saturating_sub(at) < LAPSED => Absence::Lapsed,
+                _ => Absence::Gone,
+            };
+            list(&life, now, entries, absence);
+            if life.watches.get() {
+                // A question for news is open, and the store answers: it would
+                // have told of a change.
+                life.confirm(began);
+            }
+            life.hurry();
+            sleep(PERIOD).await;
+        } else {
+            failed = Some(node.now());
+            backoff.wait().await;
+        }
+    }
+}
+
+/// Takes a listing of endpoints that was read at `at`, unless a later one was taken.
+pub(crate) fn list<S: Store, D: Dialect>(
+    life: &Life<S, D>,
+    at: Duration,
+    entries: Vec<Entry>,
+    absence: Absence,
+) {
+    let before = life.listed.get();
+    if before.is_some_and(|it| it.at >= at) {
+        return;
+    }
+    let listed = Listed {
+        at,
+        absence,
+        fingerprint: fingerprint(&entries),
+    };
+    life.listed.set(Some(listed));
+    if before.is_none_or(|it| it.fingerprint != listed.fingerprint) {
+        life.hurry();
+    }
+    let change = life.node.router().list(at, entries, absence);
+    let age = life.node.now().saturating_sub(at);
+    say::endpoints(life, &change, age);
+}
+
+/// A number that tells two listings apart by what hosts go by.
+fn fingerprint(entries: &[Entry]) -> u64 {
+    let mut facts: Vec<_> = entries
+        .iter()
+        .map(|it| {
+            let is_ready = it.state == State::Ready;
+            let who = (&it.id, &it.service, it.address, &it.release);
+            (who, it.slots, is_ready, it.cold.is_zero())
+        })
+        .collect();
+    facts.sort();
+    hash::of(&facts)
+}
--- /dev/null
+++ b/crates/host/src/follow/verdicts.rs
@@ -0,0 +1,183 @@
+//! Follows what roll-outs have come to, and writes what this host finds.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use forward::{Dialect, Node};
+use route::Rollout;
+use route::rollout::Verdict;
+use telemetry::{Event, Value};
+
+use super::{Backoff, LOOK, NEWS_WAIT, unless};
+use crate::life::Life;
+use crate::{Judgement, Store, Trouble, say};
+
+/// How often a roll-out is looked at.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+/// How much longer each host waits than the one before it until it writes a
+/// judgement: the first one writes, and the others hear of it.
+const TURN: Duration = Duration::from_millis(300);
+/// The most turns that a host waits.
+const MOST_TURNS: usize = 8;
+
+pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    let mut since = None;
+    let mut backoff = Backoff::default();
+    loop {
+        if since.is_some() && !life.asks_store(life.confirmed.get()) {
+            sleep(LOOK).await;
+            continue;
+        }
+        let began = life.node.now();
+        let question = life.store.judgements(since, NEWS_WAIT);
+        let Some(asked) = unless(&life.returns[1].1, question).await else {
+            continue;
+        };
+        say::store(&life, "news of verdicts", began, &asked);
+        match asked {
+            Ok(documents) => {
+                backoff.reset();
+                since = Some(documents.revision.max(since.unwrap_or(0)));
+                take(&life, documents.judgements);
+            }
+            Err(Trouble::HistoryGone) => since = None,
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
+/// Takes what the store says of roll-outs, unless it said something later.
+pub(crate) fn take<S: Store, D: Dialect>(life: &Life<S, D>, judgements: Vec<Judgement>) {
+    let mut known = life.judgements.borrow_mut();
+    for it in judgements {
+        let before = known.get(&it.service).map(|it| it.revision);
+        if before.is_none_or(|before| it.revision > before) {
+            known.insert(it.service.clone(), it);
+        }
+    }
+    drop(known);
+    apply(life);
+}
+
+/// Puts verdicts of the store in force for the orders that they are about.
+pub(crate) fn apply<S: Store, D: Dialect>(life: &Life<S, D>) {
+    let mut router = life.node.router();
+    for it in life.judgements.borrow().values() {
+        if let Some(rollout) = router.rollout(&it.service)
+            && rollout.order.release == it.release
+            && it.verdict != Verdict::Running
+            && it.verdict != rollout.verdict
+        {
+            rollout.verdict = it.verdict;
+            say_verdict(life, rollout, "the store");
+        }
+    }
+}
+
+/// Says a verdict with what decided it.
+pub(crate) fn say_verdict<S: Store, D: Dialect>(
+    life: &Life<S, D>,
+    rollout: &Rollout,
+    source: &str,
+) {
+    let pooled = rollout.pooled();
+    life.recorder().say(
+        Event::RolloutJudged,
+        &[
+            ("service", Value::Text(&rollout.order.service)),
+            ("release", Value::Text(&rollout.order.release)),
+            ("verdict", Value::Text(&rollout.verdict)),
+            ("source", Value::Text(&source)),
+            ("new_answers", Value::Count(pooled.new.answers.into())),
+            ("new_bad", Value::Count(pooled.new.bad.into())),
+            ("old_answers", Value::Count(pooled.old.answers.into())),
+            ("old_bad", Value::Count(pooled.old.bad.into())),
+        ],
+    );
+}
+
+/// Writes what roll-outs have come to.
+pub(crate) async fn judge<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    loop {
+        sleep(LOOK_PERIOD).await;
+        let findings = findings(&life.node, &life);
+        for it in findings {
+            let turns = u32::try_from(life.rank().min(MOST_TURNS)).unwrap_or_default();
+            sleep(TURN * turns).await;
+            let is_known = life
+                .judgements
+                .borrow()
+                .get(&it.service)
+                .is_some_and(|known| known.release == it.release && known.verdict == it.verdict);
+            if !is_known {
+                write(&life, it).await;
+            }
+        }
+    }
+}
+
+async fn write<S: Store, D: Dialect>(life: &Life<S, D>, judgement: Judgement) {
+    let began = life.node.now();
+    let written = life.store.judge(&judgement).await;
+    say::store(life, "judge", began, &written);
+    match written {
+        Ok(()) => {
+            life.recorder().say(
+                Event::RolloutWritten,
+                &[
+                    ("service", Value::Text(&judgement.service)),
+                    ("release", Value::Text(&judgement.release)),
+                    ("verdict", Value::Text(&judgement.verdict)),
+                ],
+            );
+            let service = judgement.service.clone();
+            life.judgements.borrow_mut().insert(service, judgement);
+        }
+        Err(Trouble::Conflict) => {
+            let began = life.node.now();
+            let found = life.store.judgements(None, Duration::ZERO).await;
+            say::store(life, "verdicts", began, &found);
+            if let Ok(found) = found {
+                take(life, found.judgements);
+            }
+        }
+        // The next look at the roll-out finds the same.
+        Err(_) => {}
+    }
+}
+
+fn findings<S: Store, D: Dialect>(node: &Node<D>, life: &Life<S, D>) -> Vec<Judgement> {
+    let now = node.now();
+    let mut router = node.router();
+    let known = life.judgements.borrow();
+    let mut findings = Vec::new();
+    for rollout in router.rollouts() {
+        let found = rollout.finding(now);
+        if found == Some(Verdict::Reverted) {
+            // This host has seen enough; the store hears of it when it can.
+            rollout.verdict = Verdict::Reverted;
+            say_verdict(life, rollout, "own evidence");
+            life.hurry();
+        }
+        let service = &rollout.order.service;
+        let written = known.get(service);
+        let is_written = written.is_some_and(|it| it.release == rollout.order.release);
+        let verdict = match (found, is_written) {
+            (Some(found), _) => found,
+            (None, false) => rollout.verdict,
+            (None, true) if rollout.verdict == Verdict::Reverted => rollout.verdict,
+            (None, true) => continue,
+        };
+        if is_written && written.is_some_and(|it| it.verdict == verdict) {
+            continue;
+        }
+        findings.push(Judgement {
+            service: service.clone(),
+            release: rollout.order.release.clone(),
+            verdict,
+            revision: written.map_or(0, |it| it.revision),
+        });
+    }
+    findings
+}
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -20,15 +20,29 @@
 use telemetry::{Event, Recorder, Value};
 use wire::{Frame, Identity, Payload};
 
-use crate::message::Message;
+use crate::follow::{documents, endpoints, members, verdicts};
+use crate::message::{Message, Question};
 use crate::peers::Peers;
-use crate::{Judgement, Member, Members, Store, follow, say, talk};
+use crate::{Judgement, Member, Members, Store, say, talk};
 
 /// How often old connections are closed.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// How often a host that leaves looks whether its last request has ended.
 const END_PERIOD: Duration = Duration::from_millis(50);
 
+/// How many hosts read the store for all.
+const READERS: usize = 2;
+/// The age at which a host reads itself what it knows from others. An endpoint
+/// that leaves may get no new work, and a configuration must be in force, two
+/// seconds after the store has it; readers tell once a second.
+const STALE: Duration = Duration::from_millis(1_250);
+/// What each place in the order of hosts adds to that, and the most places.
+const TURN: Duration = Duration::from_millis(10);
+const MOST_TURNS: usize = 25;
+/// How long a host that has started tells the others where it is. The readers
+/// find its entry within four seconds.
+const INTRODUCED: Duration = Duration::from_secs(10);
+
 /// The name under which the hosts' authority signs.
 const FLEET: &str = "barleypin";
 /// How long a connection between hosts lives without a word. News is told twice
@@ -47,9 +61,11 @@
     pub(crate) peers: RefCell<Peers>,
     /// The listing of endpoints that is in use.
     pub(crate) listed: Cell<Option<Listed>>,
+    /// The listing of hosts that is in use.
+    pub(crate) grouped: Cell<Option<Reading>>,
     pub(crate) config_text: RefCell<Option<Arc<[u8]>>>,
-    /// Whether another host is being asked for something.
-    pub(crate) asking: Cell<bool>,
+    /// What another host is being asked for.
+    pub(crate) asking: RefCell<HashSet<Question>>,
     /// Says that something changed which the others should hear at once.
     pub(crate) hurry: Sender<()>,
     pub(crate) changes: Receiver<()>,
@@ -58,8 +74,12 @@
     pub(crate) returns: [(Sender<()>, Receiver<()>); 2],
     /// The kinds of store call that failed last.
     pub(crate) lost: RefCell<HashSet<&'static str>>,
-    /// When the store or another host last confirmed the configuration.
+    /// When the store last confirmed the configuration in force, to this host or
+    /// to another one that told so.
     pub(crate) confirmed: Cell<Option<Duration>>,
+    /// Whether a question for news of the configuration is open at the store.
+    pub(crate) watches: Cell<bool>,
+    started: Duration,
     own: Member,
     rng: RefCell<Pcg32>,
     answers: Cell<bool>,
@@ -75,6 +95,14 @@
     pub(crate) fingerprint: u64,
 }
 
+/// Which of several readings of something is in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Reading {
+    /// When it was read.
+    pub(crate) at: Duration,
+    pub(crate) fingerprint: u64,
+}
+
 /// How long a host that was asked to stop still serves, all from that moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Serving {
@@ -97,7 +125,9 @@
             peers: RefCell::default(),
             listed: Cell::new(None),
             config_text: RefCell::default(),
-            asking: Cell::new(false),
+            asking: RefCell::default(),
+            watches: Cell::new(false),
+            grouped: Cell::new(None),
             returns: [bounded(1), bounded(1)],
             lost: RefCell::default(),
             confirmed: Cell::new(None),
@@ -105,9 +135,10 @@
             changes,
             incarnation: Incarnation(seed),
             store,
-            node,
             members: RefCell::new(Members::new(own.clone(), period)),
             judgements: RefCell::default(),
+            started: node.now(),
+            node,
             period,
             own,
             rng: RefCell::new(Pcg32::seed_from_u64(seed)),
@@ -119,11 +150,11 @@
     pub fn start(self: &Rc<Self>, front: Front) {
         self.node.spawn(front.run(Rc::clone(&self.node)));
         self.answers.set(true);
-        self.node.spawn(follow::documents(Rc::clone(self)));
-        self.node.spawn(follow::judgements(Rc::clone(self)));
-        self.node.spawn(follow::endpoints(Rc::clone(self)));
-        self.node.spawn(follow::members(Rc::clone(self)));
-        self.node.spawn(follow::judge(Rc::clone(self)));
+        self.node.spawn(documents::follow(Rc::clone(self)));
+        self.node.spawn(verdicts::follow(Rc::clone(self)));
+        self.node.spawn(endpoints::follow(Rc::clone(self)));
+        self.node.spawn(members::follow(Rc::clone(self)));
+        self.node.spawn(verdicts::judge(Rc::clone(self)));
         self.node.spawn(talk::join(Rc::clone(self)));
         self.node.spawn(announce(Rc::clone(self)));
         self.node.spawn(sweep(Rc::clone(&self.node)));
@@ -187,16 +218,35 @@
         sleep(at.saturating_sub(self.node.now())).await;
     }
 
-    /// Whether this host reads the listing of endpoints itself: it is one of
-    /// the first `readers` that live, or nobody has told it of a listing lately.
-    pub(crate) fn reads_listing(&self, readers: usize, stale: Duration) -> bool {
-        let now = self.node.now();
-        let age = self.listed.get().map(|it| now.saturating_sub(it.at));
-        if age.is_none_or(|it| it >= stale) {
+    /// Whether this host asks the store itself: it is one of the few that do, or
+    /// what it knows is too old. Hosts further down the order wait a little
+    /// longer, and most hear from those before them meanwhile.
+    pub(crate) fn asks_store(&self, known_at: Option<Duration>) -> bool {
+        let Some(at) = known_at else {
             return true;
-        }
-        let peers = self.peers.borrow();
-        peers.ready_before(now, &self.own.name) < readers
+        };
+        let rank = self.rank();
+        let turns = u32::try_from(rank.min(MOST_TURNS)).unwrap_or_default();
+        rank < READERS || self.node.now().saturating_sub(at) >= STALE + TURN * turns
+    }
+
+    /// This host's place among those that live.
+    pub(crate) fn rank(&self) -> usize {
+        self.peers.borrow().rank(self.node.now(), &self.own.name)
+    }
+
+    /// Takes that the configuration in force was the store's at this time, and
+    /// says whether that is much later than was known.
+    pub(crate) fn confirm(&self, at: Duration) -> bool {
+        let known = self.confirmed.get();
+        self.confirmed.set(known.max(Some(at)));
+        is_much_later(at, known)
+    }
+
+    /// This host, while the others may not have found its entry in the store.
+    pub(crate) fn introduction(&self) -> Option<Member> {
+        let is_new = self.node.now().saturating_sub(self.started) < INTRODUCED;
+        is_new.then(|| self.own.clone())
     }
 
     /// A message as it goes to another host; nothing if it can't be encoded.
@@ -248,6 +298,14 @@
     }
 }
 
+/// Whether something is worth telling on at once that was read at this time.
+pub(crate) fn is_much_later(at: Duration, known: Option<Duration>) -> bool {
+    /// Less than the hosts' reading period, so that each reading goes round once,
+    /// and more than two readings that happen to come together are apart.
+    const MUCH: Duration = Duration::from_millis(300);
+    known.is_none_or(|known| at >= known + MUCH)
+}
+
 async fn announce<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     let mut own = life.own.clone();
     while life.node.phase() == Phase::Serving {
--- a/crates/host/src/member.rs
+++ b/crates/host/src/member.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use kernel::{DataCentre, HostName, Region};
+use serde::{Deserialize, Serialize};
 
 /// A host, as the others see it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: HostName,
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -64,6 +64,15 @@
         self.others = others;
     }
 
+    /// Takes a host that told of itself, which the store's listing may not show yet.
+    pub fn meet(&mut self, now: Duration, member: Member) {
+        if member.name != self.own.name {
+            let renewed = now;
+            self.others
+                .insert(member.name.clone(), Seen { member, renewed });
+        }
+    }
+
     /// Says that the store can't be read: nobody is taken off for missing
     /// renewals that this host couldn't have seen.
     pub fn hold(&mut self, now: Duration) {
@@ -82,6 +91,11 @@
         self.others.values().map(|it| &it.member)
     }
 
+    /// All hosts that the store or they themselves told of, this one included.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Member> {
+        self.others().chain(std::iter::once(&self.own))
+    }
+
     /// Another host by its name.
     pub(crate) fn find(&self, name: &HostName) -> Option<&Member> {
         self.others.get(name).map(|it| &it.member)
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -12,9 +12,9 @@
 use link::{Incoming, Link, Peer};
 use wire::{Frame, Payload};
 
-use crate::follow;
-use crate::life::{Life, Listed};
-use crate::message::{Listing, ListingNews, Message, News};
+use crate::follow::{documents, endpoints, members, verdicts};
+use crate::life::{Life, Listed, Reading, is_much_later};
+use crate::message::{Listing, ListingNews, Members, Message, News, Question, Stamp};
 use crate::{Member, Store};
 
 /// How often a host tells the others what it knows.
@@ -22,6 +22,12 @@
 /// How many hosts are told at a time. Up to this number all are; beyond it
 /// news takes some rounds more, and a host's work stays the same.
 const FAN_OUT: usize = 7;
+/// How many hops news takes to reach nearly all of so many hosts.
+pub(crate) fn hops(hosts: usize) -> u32 {
+    let reached = hosts.max(2).ilog(FAN_OUT + 1);
+    reached + u32::from((FAN_OUT + 1).pow(reached) < hosts)
+}
+
 /// How long an answer of another host may take.
 const ANSWER: Duration = Duration::from_millis(400);
 /// The pause between two tries to join the others.
@@ -30,7 +36,7 @@
 /// Tells the others what this host knows, for as long as it lives.
 pub(crate) async fn tell<S: Store, D: Dialect>(life: Rc<Life<S, D>>, link: Link) {
     loop {
-        let message = Message::News(news(&life));
+        let message = Message::News(Box::new(news(&life)));
         if let Some(frame) = life.frame(&message) {
             for peer in audience(&life) {
                 link.send(&peer, &frame);
@@ -49,16 +55,27 @@
     let now = life.node.now();
     let is_ready = life.is_ready();
     let router = life.node.router();
+    let age = |at: Duration| now.saturating_sub(at);
     News {
         incarnation: life.incarnation,
+        own: life.introduction(),
         is_ready,
         version: router.version(),
+        confirmed: life.confirmed.get().map(age),
         listing: life.listed.get().map(|it| ListingNews {
-            age: now.saturating_sub(it.at),
+            stamp: Stamp {
+                age: age(it.at),
+                fingerprint: it.fingerprint,
+            },
             absence: it.absence,
+        }),
+        members: life.grouped.get().map(|it| Stamp {
+            age: age(it.at),
             fingerprint: it.fingerprint,
         }),
         rollouts: router.news(now),
+        judgements: life.judgements.borrow().values().cloned().collect(),
+        heartbeats: life.peers.borrow().heartbeats(now),
     }
 }
 
@@ -93,115 +110,166 @@
             continue;
         };
         match message {
-            Message::News(news) => learn(&life, &link, incoming.from.host, news),
-            question => {
+            Message::News(news) => learn(&life, &link, &incoming.from.host, *news),
+            Message::Ask(question) => {
                 if let (Some(reply), Some(frame)) =
-                    (incoming.reply, life.frame(&answer(&life, &question)))
+                    (incoming.reply, life.frame(&answer(&life, question)))
                 {
                     reply.send(&frame).await;
                 }
             }
+            // Answers come to those who asked.
+            _ => {}
         }
     }
 }
 
-fn answer<S: Store, D: Dialect>(life: &Life<S, D>, question: &Message) -> Message {
+fn answer<S: Store, D: Dialect>(life: &Life<S, D>, question: Question) -> Message {
+    let now = life.node.now();
     match question {
-        Message::AskConfig => match &*life.config_text.borrow() {
+        Question::Config => match &*life.config_text.borrow() {
             Some(text) => Message::Config(text.to_vec()),
             None => Message::Nothing,
         },
-        Message::AskListing => listing(life).map_or(Message::Nothing, Message::Listing),
-        _ => Message::Nothing,
+        Question::Listing => life.listed.get().map_or(Message::Nothing, |it| {
+            let router = life.node.router();
+            Message::Listing(Listing {
+                entries: router.directory().listed().cloned().collect(),
+                absence: it.absence,
+                age: now.saturating_sub(it.at),
+            })
+        }),
+        Question::Members => life.grouped.get().map_or(Message::Nothing, |it| {
+            Message::Members(Members {
+                members: life.members.borrow().all().cloned().collect(),
+                age: now.saturating_sub(it.at),
+            })
+        }),
     }
 }
 
-fn listing<S: Store, D: Dialect>(life: &Life<S, D>) -> Option<Listing> {
-    let listed = life.listed.get()?;
-    let router = life.node.router();
-    Some(Listing {
-        entries: router.directory().listed().cloned().collect(),
-        absence: listed.absence,
-        age: life.node.now().saturating_sub(listed.at),
-    })
-}
-
-fn learn<S: Store, D: Dialect>(life: &Rc<Life<S, D>>, link: &Link, from: HostName, news: News) {
+/// Takes a host's news, and tells on at once what is much later than was known:
+/// what one host reads goes round them all within some milliseconds a hop.
+fn learn<S: Store, D: Dialect>(life: &Rc<Life<S, D>>, link: &Link, from: &HostName, news: News) {
     let now = life.node.now();
-    let changed = life.node.router().hear(now, &from, news.rollouts.clone());
-    for rollout in changed {
-        follow::say_verdict(life, &rollout, from.as_str());
-    }
-    if news.version.is_some() && news.version == life.node.router().version() {
-        life.confirmed.set(Some(now));
-    }
-    let listing = news.listing;
-    let member = life.members.borrow().find(&from).map(peer);
-    life.peers.borrow_mut().hear(now, from, news);
-    let version = life.node.router().version();
-    let newer = life
-        .peers
-        .borrow()
-        .with_newer(now, version)
-        .and_then(|it| life.members.borrow().find(it).map(peer));
-    if let Some(peer) = newer {
-        ask(life, link, peer, Message::AskConfig);
-    }
-    if let (Some(listing), Some(member)) = (listing, member) {
-        learn_listing(life, link, member, listing);
+    if let Some(own) = news.own {
+        life.members.borrow_mut().meet(now, own);
+    }
+    let heard = life.node.router().hear(now, from, news.rollouts);
+    for order in &heard.ordered {
+        documents::say_order(life, order);
+    }
+    for rollout in &heard.judged {
+        verdicts::say_verdict(life, rollout, from.as_str());
+    }
+    verdicts::take(life, news.judgements);
+    {
+        let mut peers = life.peers.borrow_mut();
+        peers.hear(now, from, news.is_ready);
+        peers.hear_of(now, &news.heartbeats);
+    }
+    let Some(peer) = life.members.borrow().find(from).map(peer) else {
+        return;
+    };
+    let own = life.node.router().version();
+    if news.version > own {
+        ask(life, link, &peer, Question::Config);
+    }
+    let mut is_later = match news.confirmed {
+        Some(age) if news.version == own => life.confirm(read_at(now, age)),
+        _ => false,
+    };
+    if let Some(listing) = news.listing {
+        is_later |= learn_listing(life, link, &peer, listing);
     }
+    if let Some(stamp) = news.members {
+        learn_members(life, link, &peer, stamp);
+    }
+    if is_later {
+        life.hurry();
+    }
+}
+
+/// When something was read whose age another host told.
+fn read_at(now: Duration, age: Duration) -> Duration {
+    /// What news takes to arrive, at least. Without it, an age would grow too
+    /// slowly while it goes round between hosts.
+    const WAY: Duration = Duration::from_millis(20);
+    now.saturating_sub(age + WAY)
 }
 
 /// Takes over the age of another host's listing that is the same as this one's,
-/// and asks for one that is younger and different.
+/// and asks for one that is younger and different. Says whether it is much younger.
 fn learn_listing<S: Store, D: Dialect>(
     life: &Rc<Life<S, D>>,
     link: &Link,
-    from: Peer,
+    from: &Peer,
     news: ListingNews,
-) {
-    let at = life.node.now().saturating_sub(news.age);
+) -> bool {
+    let at = read_at(life.node.now(), news.stamp.age);
     match life.listed.get() {
-        Some(own) if own.at >= at => {}
-        Some(own) if own.fingerprint == news.fingerprint => {
+        Some(own) if own.at >= at => false,
+        Some(own) if own.fingerprint == news.stamp.fingerprint => {
             life.listed.set(Some(Listed {
                 at,
                 absence: news.absence,
                 ..own
             }));
             life.node.router().confirm_listing(at);
+            is_much_later(at, Some(own.at))
+        }
+        _ => {
+            ask(life, link, from, Question::Listing);
+            false
+        }
+    }
+}
+
+fn learn_members<S: Store, D: Dialect>(
+    life: &Rc<Life<S, D>>,
+    link: &Link,
+    from: &Peer,
+    stamp: Stamp,
+) {
+    let at = read_at(life.node.now(), stamp.age);
+    match life.grouped.get() {
+        Some(own) if own.at >= at => {}
+        Some(own) if own.fingerprint == stamp.fingerprint => {
+            life.grouped.set(Some(Reading { at, ..own }));
         }
-        _ => ask(life, link, from, Message::AskListing),
+        _ => ask(life, link, from, Question::Members),
     }
 }
 
-/// Asks another host for what it has newer, one question at a time.
-fn ask<S: Store, D: Dialect>(life: &Rc<Life<S, D>>, link: &Link, peer: Peer, question: Message) {
-    if life.asking.replace(true) {
+/// Asks another host for what it has newer, one question of a kind at a time.
+fn ask<S: Store, D: Dialect>(life: &Rc<Life<S, D>>, link: &Link, peer: &Peer, question: Question) {
+    if !life.asking.borrow_mut().insert(question) {
         return;
     }
     let (node, life, link) = (Rc::clone(&life.node), Rc::clone(life), link.clone());
+    let peer = peer.clone();
     node.spawn(async move {
-        if let Some(frame) = life.frame(&question)
+        if let Some(frame) = life.frame(&Message::Ask(question))
             && let Ok(Frame::Decide(payload)) = link.ask(&peer, &frame, ANSWER).await
         {
             take(&life, &payload);
         }
-        life.asking.set(false);
+        life.asking.borrow_mut().remove(&question);
     });
 }
 
 fn take<S: Store, D: Dialect>(life: &Life<S, D>, payload: &Payload) {
+    let now = life.node.now();
     match postcard::from_bytes(&payload.bytes) {
         Ok(Message::Config(text)) => {
             if let Ok(config) = life.store.config(&text) {
-                follow::configure(life, config, text.into());
+                documents::configure(life, config, text.into());
             }
         }
         Ok(Message::Listing(it)) => {
-            let now = life.node.now();
-            follow::list(life, now.saturating_sub(it.age), it.entries, it.absence);
+            endpoints::list(life, read_at(now, it.age), it.entries, it.absence);
         }
+        Ok(Message::Members(it)) => members::list(life, read_at(now, it.age), it.members),
         _ => {}
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,4 +1,4 @@
-//! The micro-kernel: the clock, the identifiers that every layer speaks, and
+//! The micro-kernel: the clock, the identifiers and hashes that every layer speaks, and
 //! the registry through which services find each other by name.
 //!
 //! This crate knows nothing of requests, endpoints, networks or files. It is
@@ -6,6 +6,7 @@
 //! `docs/ARCHITECTURE.md`.
 
 mod clock;
+pub mod hash;
 mod id;
 mod money;
 mod registry;
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -7,10 +7,9 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use kernel::{HostName, Release, ServiceName};
+use kernel::{HostName, Release, ServiceName, hash};
 use serde::{Deserialize, Serialize};
 
-use crate::hash;
 use drift::{Mean, Pace};
 
 pub use drift::Drift;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{EndpointId, ModelName, ServiceName};
+use kernel::{EndpointId, ModelName, ServiceName, hash};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
@@ -22,12 +22,13 @@
 use crate::pace::Pace;
 use crate::rollout::Side;
 use crate::sessions::Sessions;
-use crate::{Budget, Directory, Doubt, Rollout, Settings, hash};
+use crate::{Budget, Directory, Doubt, Rollout, Settings};
 
 pub use arrival::Arrival;
 pub use denial::Denial;
 pub use flight::Flight;
 pub use placement::Placement;
+pub use releases::Heard;
 
 /// Added to the longest pause of a session: its caller measures the pause
 /// from the answer's end, this host from what it last heard.
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use kernel::hash;
 use rand::RngExt;
 
 use super::{Placement, Router};
 use crate::call::Call;
 use crate::directory::Endpoint;
 use crate::endpoint::Key;
-use crate::hash;
 use crate::rollout::{Rollout, Side, Verdict};
 
 /// Time to read the prompts that wait which weighs as much as all places taken.
--- a/crates/route/src/router/releases.rs
+++ b/crates/route/src/router/releases.rs
@@ -2,12 +2,21 @@
 
 use std::time::Duration;
 
-use kernel::{HostName, ServiceName};
+use kernel::{HostName, ServiceName, hash};
 
 use super::{Router, SESSION_MARGIN};
+use crate::Rollout;
 use crate::call::Call;
 use crate::rollout::{self, Order, Side};
-use crate::{Rollout, hash};
+
+/// What another host's news of roll-outs changed.
+#[derive(Clone, Debug, Default)]
+pub struct Heard {
+    /// Orders that weren't known.
+    pub ordered: Vec<Order>,
+    /// Roll-outs that have a verdict now.
+    pub judged: Vec<Rollout>,
+}
 
 impl Router {
     /// Takes an operator's order; an older one, or the same again, changes nothing.
@@ -39,25 +48,21 @@
         self.rollouts.values().map(news).collect()
     }
 
-    /// Takes what another host tells of roll-outs; returns those whose verdict
-    /// changed by it.
-    pub fn hear(
-        &mut self,
-        now: Duration,
-        host: &HostName,
-        news: Vec<rollout::News>,
-    ) -> Vec<Rollout> {
-        let mut changed = Vec::new();
+    /// Takes what another host tells of roll-outs, and says what changed by it.
+    pub fn hear(&mut self, now: Duration, host: &HostName, news: Vec<rollout::News>) -> Heard {
+        let mut changed = Heard::default();
         for it in news {
             let started = now.saturating_sub(it.elapsed);
-            self.order(it.order.clone(), started);
+            if self.order(it.order.clone(), started) {
+                changed.ordered.push(it.order.clone());
+            }
             if let Some(rollout) = self.rollouts.get_mut(&it.order.service)
                 && rollout.order.revision == it.order.revision
             {
                 let before = rollout.verdict;
                 rollout.hear(now, host.clone(), &it);
                 if rollout.verdict != before {
-                    changed.push(rollout.clone());
+                    changed.judged.push(rollout.clone());
                 }
             }
         }
