Fill one endpoint of a new release before traffic moves

In the calm pool an endpoint has 3 of 48 taken, on trial as with all traffic, so it was found good and completed.

From half of the time on four times the allowed share goes to the new release, and one endpoint, the same for all hosts, takes short prompts for the largest model until all its places are taken. What crowded endpoints answer is judged by itself too. The trial gets half of the allowed share instead of 0.6, which pays for it; sessions that moved stay, since the share never falls.

--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -91,6 +91,11 @@
             ("source", Value::Text(&source)),
             ("new_answers", Value::Count(pooled.new.answers.into())),
             ("new_bad", Value::Count(pooled.new.bad.into())),
+            (
+                "crowded_answers",
+                Value::Count(pooled.crowded.answers.into()),
+            ),
+            ("crowded_bad", Value::Count(pooled.crowded.bad.into())),
             ("old_answers", Value::Count(pooled.old.answers.into())),
             ("old_bad", Value::Count(pooled.old.bad.into())),
         ],
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -2,6 +2,7 @@
 
 mod drift;
 mod evidence;
+mod sighting;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -14,14 +15,24 @@
 
 pub use drift::Drift;
 pub use evidence::{Evidence, Tally};
+pub use sighting::Sighting;
 
 /// The part of the allowed exposure that a release gets while it is unproven.
 /// The rest is for requests that hosts count differently at the edges.
-const TRIAL_PART: f64 = 0.6;
-/// When the trial ends and traffic moves, as a part of the time that the order gives.
-const MOVE_AT: f64 = 0.58;
+const TRIAL_PART: f64 = 0.5;
+/// When the trial ends and one endpoint of the new release is filled, as a part
+/// of the time that the order gives. A release may be bad only while most of an
+/// endpoint's places are taken, which a trial in a calm service never shows.
+const FILL_AT: f64 = 0.5;
+/// The part of the allowed exposure that the release gets meanwhile, of the
+/// requests of that time: with the largest model's answers it fills an endpoint
+/// of 48 places in a second and a half, and with the trial it stays at three
+/// quarters of what is allowed of all.
+const FILL_PART: f64 = 4.0;
+/// When traffic moves.
+const MOVE_AT: f64 = 0.62;
 /// When all traffic has moved.
-const MOVED_AT: f64 = 0.72;
+const MOVED_AT: f64 = 0.74;
 /// When the roll-out is complete. Endpoints of the old release stop at once
 /// then, so what was sent to them before the move must have ended.
 const COMPLETE_AT: f64 = 0.86;
@@ -128,21 +139,6 @@
     held: HashSet<u64>,
 }
 
-/// How an answer came.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Sighting {
-    /// Tells kinds of requests apart whose answers take different times.
-    pub class: u64,
-    /// Whether it is a failure, or none at all.
-    pub failed: bool,
-    /// How long a stream took to begin, in times of what its prompt should take.
-    pub first: Option<f64>,
-    /// The seconds that a whole answer took to begin.
-    pub whole: Option<f64>,
-    /// The seconds from one event to the next.
-    pub step: Option<f64>,
-}
-
 impl Rollout {
     /// A roll-out that began at `started`, which may expose an unproven release
     /// to this share of requests.
@@ -168,13 +164,14 @@
             Verdict::Reverted => 0.0,
             Verdict::Running if self.is_gathering(now) => 0.0,
             Verdict::Running => {
-                let trial = self.trial_share();
-                let moved = (self.progress(now) - MOVE_AT) / (MOVED_AT - MOVE_AT);
-                if moved > 0.0 && self.is_good() {
-                    (trial + moved * (1.0 - trial)).min(1.0)
-                } else {
-                    trial
+                let progress = self.progress(now);
+                if progress < FILL_AT || !self.is_good() {
+                    return self.trial_share();
                 }
+                // Never less than before: sessions that have moved stay.
+                let filled = (self.exposure * FILL_PART).min(1.0);
+                let moved = (progress - MOVE_AT) / (MOVED_AT - MOVE_AT);
+                filled + moved.clamp(0.0, 1.0) * (1.0 - filled)
             }
         }
     }
@@ -227,6 +224,13 @@
         self.progress(now) < FIRST_HALF
     }
 
+    /// Whether one endpoint of the new release is being filled.
+    #[must_use]
+    pub(crate) fn is_filling(&self, now: Duration) -> bool {
+        let progress = self.progress(now);
+        self.verdict == Verdict::Running && (FILL_AT..MOVE_AT).contains(&progress)
+    }
+
     /// Whether an endpoint of this release may take a request of this side.
     #[must_use]
     pub fn fits(&self, side: Side, release: &Release) -> bool {
@@ -251,8 +255,10 @@
             Side::Old => &mut self.own.old,
             Side::New => &mut self.own.new,
         };
-        tally.answers += 1;
-        tally.bad += u32::from(sighting.failed);
+        tally.add(sighting.tally());
+        if side == Side::New && sighting.is_crowded {
+            self.own.crowded.add(sighting.tally());
+        }
         if !sighting.failed {
             self.compare(side, (sighting.class, Pace::First), sighting.first);
             self.compare(side, (sighting.class, Pace::Whole), sighting.whole);
@@ -319,8 +325,10 @@
 
     fn is_bad(&self) -> bool {
         let all = self.pooled();
-        let fails =
-            all.new.bad >= MIN_BAD && all.new.least_bad_share() > all.old.bad_share() + MARGIN;
+        let usual = all.old.bad_share() + MARGIN;
+        let fails = [all.new, all.crowded]
+            .iter()
+            .any(|it| it.bad >= MIN_BAD && it.least_bad_share() > usual);
         let is_slow = all.step.exceeds(SLOW_STEP)
             || all.first.exceeds(SLOW_FIRST)
             || all.whole.exceeds(SLOW_WHOLE);
@@ -338,6 +346,7 @@
         for it in self.others.values() {
             sum.new.add(it.new);
             sum.old.add(it.old);
+            sum.crowded.add(it.crowded);
             sum.first.join(it.first);
             sum.whole.join(it.whole);
             sum.step.join(it.step);
--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -11,6 +11,8 @@
     pub new: Tally,
     /// The old one.
     pub old: Tally,
+    /// The new one, of endpoints with half of their places taken.
+    pub crowded: Tally,
     /// How much longer the new one's streams take to begin.
     pub first: Drift,
     /// How much longer its whole answers take to begin.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -34,6 +34,11 @@
 /// from the answer's end, this host from what it last heard.
 const SESSION_MARGIN: Duration = Duration::from_secs(1);
 
+/// The part of an endpoint's places that are taken, at which it counts as
+/// crowded. Lower than where releases that are bad under load begin to fail, some
+/// three quarters, since a host hears of an endpoint's load a little late.
+const CROWDED: f64 = 0.4;
+
 /// What a host believes, and where requests go by it.
 #[derive(Debug)]
 pub struct Router {
@@ -210,6 +215,7 @@
             endpoint: placement.endpoint,
             began: now,
             unread,
+            is_crowded: placement.used >= CROWDED,
             expected,
             first: None,
             events: 0,
--- a/crates/route/src/router/flight.rs
+++ b/crates/route/src/router/flight.rs
@@ -12,6 +12,8 @@
     pub endpoint: Key,
     pub(super) began: Duration,
     pub(super) unread: Duration,
+    /// Whether half of the endpoint's places were taken.
+    pub(super) is_crowded: bool,
     /// How long its answer should take to begin.
     pub(super) expected: Option<Duration>,
     pub(super) first: Option<Duration>,
@@ -41,6 +43,7 @@
         Sighting {
             class,
             failed,
+            is_crowded: self.is_crowded,
             first,
             whole,
             step,
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -26,6 +26,15 @@
 const CHANCE: f64 = 0.03;
 /// What the first moments of an endpoint weigh, while it is slow.
 const COLD: f64 = 0.5;
+/// What draws requests to the endpoint that is to be filled: more than anything
+/// that could be said against it.
+const FILL: f64 = 4.0;
+/// The part of its places at which it is filled. Up to 0.8 of them, a release
+/// that is bad under load failed in one trial of two, up to all in six of six.
+const FILLED: f64 = 1.0;
+/// The longest prompt with which an endpoint is filled, in tokens: about the mean
+/// of all prompts. Longer ones take most of the time that it reads.
+const SHORT_TOKENS: u64 = 2_500;
 /// The part of an endpoint's connections that hosts use together, in hundredths.
 const CONNECTIONS_USED: u32 = 90;
 
@@ -44,7 +53,15 @@
     /// Chooses the endpoint for the next attempt, or nothing where none takes work.
     pub fn place(&mut self, now: Duration, call: &mut Call) -> Option<Placement> {
         self.settle_side(call);
-        let placed = self.place_on_side(now, call);
+        let mut placed = self.place_on_side(now, call);
+        if let Some(it) = &mut placed
+            && it.used < FILLED
+            && self.fills(now, call) == Some(it.endpoint)
+        {
+            // The smallest model's answers are over before an endpoint fills up.
+            call.cascade.escalate();
+            it.model = call.model().cloned();
+        }
         let is_running = self.is_running(call);
         if placed.is_some() || !is_running {
             return placed;
@@ -79,7 +96,6 @@
 
     fn place_among(&mut self, now: Duration, call: &Call, strict: Strictness) -> Option<Placement> {
         let rollout = self.rollouts.get(&call.service);
-        let rng = &mut self.rng;
         let mut best: Option<(f64, Key, &Endpoint)> = None;
         let mut candidates = 0;
         let home = call.shape.shared.map(|(part, _)| {
@@ -90,6 +106,8 @@
                 .max()
                 .map(|it| it.1)
         });
+        let fill = self.fills(now, call);
+        let rng = &mut self.rng;
         for (key, it) in self.directory.of(&call.service) {
             if !allows(now, call, strict, rollout, it) || is_tried(call, strict, key) {
                 continue;
@@ -105,6 +123,9 @@
             if !it.entry.cold.is_zero() {
                 score += COLD;
             }
+            if fill == Some(key) && it.used(now) < FILLED {
+                score -= FILL;
+            }
             if home == Some(Some(key)) {
                 score -= CACHED * cached_part(call);
             }
@@ -128,6 +149,24 @@
             listing_age: self.listed.map(|at| now.saturating_sub(at)),
         })
     }
+
+    /// The endpoint of a new release that is to be filled with this request.
+    /// Every host chooses the same; long prompts would only hold up the others.
+    fn fills(&self, now: Duration, call: &Call) -> Option<Key> {
+        let rollout = self.rollouts.get(&call.service)?;
+        if call.side != Some(Side::New)
+            || !rollout.is_filling(now)
+            || call.shape.prompt_tokens > SHORT_TOKENS
+        {
+            return None;
+        }
+        self.directory
+            .of(&call.service)
+            .filter(|(_, it)| allows(now, call, Strictness::Fresh, Some(rollout), it))
+            .map(|(key, it)| (hash::of(it.entry.id.as_str()), key))
+            .max()
+            .map(|it| it.1)
+    }
 }
 
 fn allows(
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -1,16 +1,17 @@
 //! The small language of the scripts: one event a line.
 
 use std::collections::BTreeMap;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{DataCentre, EndpointId, HostName, Release, ServiceName, SessionId};
-use route::config::{Access, Answer, Config, Customer, Limits, Repeat, Route, Service, Target};
+use kernel::{EndpointId, HostName, Release, ServiceName, SessionId};
+use route::config::{Config, Customer, Limits, Service};
 use route::directory::Absence;
-use route::endpoint::{Entry, Load, State};
+use route::endpoint::Load;
 use route::rollout::{Order, Verdict};
-use route::{Arrival, Call, Ending, Flight, Placement, Router, Settings, Shape};
+use route::{Arrival, Call, Ending, Flight, Placement, Router, Shape};
+
+use crate::words::{Words, ending_of, entry, route, settings};
 
 /// One host's router, or several of them, and what the script has told them.
 pub(crate) struct Script {
@@ -144,6 +145,7 @@
             }
             "end" => Some(self.end(words.rest[0], words.rest[1])),
             "many" => Some(self.many(&words)),
+            "crowd" => Some(self.crowd(&words)),
             "order" => {
                 let order = Order {
                     service: words.rest[0].into(),
@@ -278,6 +280,38 @@
         parts.join(", ")
     }
 
+    /// Sends so many requests, one `each` milliseconds, that last for a while,
+    /// and counts where they went. Endpoints of the release `crowded-fails` fail
+    /// every second one that finds half of their places taken.
+    fn crowd(&mut self, words: &Words<'_>) -> String {
+        let count: u32 = words.rest[0].parse().unwrap();
+        let each = Duration::from_millis(words.number::<u64>("each", 40));
+        let lasts = Duration::from_millis(words.number::<u64>("lasts", 600));
+        let fails = words.text("crowded-fails").unwrap_or_default();
+        let mut open: Vec<(Duration, String, String, &str)> = Vec::new();
+        let mut counts = BTreeMap::<String, u32>::new();
+        for nr in 0..count {
+            while open.first().is_some_and(|it| it.0 <= self.now) {
+                let (_, id, _, ending) = open.remove(0);
+                self.end(&id, ending);
+            }
+            let id = format!("crowd-{}-{nr}", self.now.as_millis());
+            self.arrive(&Words::of(&format!("arrive {id} session={id}")));
+            let to = self.place(&id).unwrap().id.as_str().to_owned();
+            let beside = open.iter().filter(|it| it.2 == to).count();
+            let is_bad = !fails.is_empty() && to.ends_with(fails) && beside >= 5 && nr % 2 == 0;
+            let ending = if is_bad { "failed" } else { "answered" };
+            *counts.entry(to.clone()).or_default() += 1;
+            open.push((self.now + lasts, id, to, ending));
+            self.now += each;
+        }
+        for (_, id, _, ending) in open {
+            self.end(&id, ending);
+        }
+        let parts: Vec<_> = counts.iter().map(|(id, it)| format!("{id} {it}")).collect();
+        parts.join(", ")
+    }
+
     fn rollout(&mut self, service: &str) -> String {
         let now = self.now;
         let service = ServiceName::from(service);
@@ -308,110 +342,3 @@
             .0
     }
 }
-
-struct Words<'a> {
-    verb: &'a str,
-    rest: Vec<&'a str>,
-    named: BTreeMap<&'a str, &'a str>,
-}
-
-impl<'a> Words<'a> {
-    fn of(line: &'a str) -> Self {
-        let mut words = line.split_whitespace();
-        let verb = words.next().unwrap_or_default();
-        let (named, rest): (Vec<_>, Vec<_>) = words.partition(|it| it.contains('='));
-        let named = named.iter().filter_map(|it| it.split_once('=')).collect();
-        Self { verb, rest, named }
-    }
-
-    fn text(&self, name: &str) -> Option<&'a str> {
-        self.named.get(name).copied()
-    }
-
-    fn number<T: FromStr>(&self, name: &str, default: T) -> T {
-        let parse = |it: &str| it.parse().ok().unwrap();
-        self.text(name).map_or(default, parse)
-    }
-}
-
-fn settings() -> Settings {
-    Settings {
-        data_centre: DataCentre::from("dc1"),
-        retry_ratio: 0.9,
-        retry_slack: 10.0,
-        retry_window: Duration::from_secs(10),
-        exposure_share: 0.15,
-        exposure_slack: 30.0,
-        session_gap: Duration::from_secs(5),
-    }
-}
-
-fn route(words: &Words<'_>) -> Route {
-    let stream = words.text("stream").is_some();
-    Route {
-        name: words.rest[0].into(),
-        host: "shop".to_owned(),
-        prefix: words.rest[1].to_owned(),
-        targets: vec![Target {
-            service: words.rest[2].into(),
-            weight: 1.0,
-        }],
-        repeat: match words.text("repeat") {
-            Some("once") => Repeat::AtMostOnce,
-            _ => Repeat::Idempotent,
-        },
-        answer: if stream {
-            Answer::Stream {
-                pause: Duration::from_millis(1_200),
-            }
-        } else {
-            Answer::Whole
-        },
-        attempts: words.number::<u32>("attempts", 3),
-        timeout: Duration::from_millis(words.number::<u64>("timeout", 20_000)),
-        aim: Duration::from_millis(words.number::<u64>("aim", 3_000)),
-        priority: words.number::<u8>("rank", 0),
-        access: match words.text("access") {
-            Some("keyed") => Access::Keyed,
-            _ => Access::Public,
-        },
-        models: words
-            .text("models")
-            .map(|it| it.split(',').map(Into::into).collect())
-            .unwrap_or_default(),
-    }
-}
-
-/// `id@service/release`, with `!` after it for one that drains.
-fn entry(text: &str) -> Entry {
-    let (id, rest) = text.split_once('@').unwrap();
-    let (service, release) = rest.trim_end_matches('!').split_once('/').unwrap();
-    Entry {
-        id: id.into(),
-        service: service.into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: DataCentre::from("dc1"),
-        release: release.into(),
-        slots: 10,
-        state: if text.ends_with('!') {
-            State::Draining
-        } else {
-            State::Ready
-        },
-        cold: Duration::ZERO,
-    }
-}
-
-fn ending_of(text: &str) -> Ending {
-    match text {
-        "answered" => Ending::Answered,
-        "failed" => Ending::Failed,
-        "not-sent" => Ending::NotSent,
-        "refused" => Ending::Refused,
-        "moved" => Ending::Moved,
-        "broken" => Ending::Broken,
-        "silent" => Ending::Silent,
-        "unsure" => Ending::Unsure,
-        other => panic!("unknown ending {other}"),
-    }
-}
--- /dev/null
+++ b/crates/route/tests/harness/words.rs
@@ -0,0 +1,118 @@
+//! The words of the scripts, and what they stand for.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+use std::time::Duration;
+
+use kernel::DataCentre;
+use route::config::{Access, Answer, Repeat, Route, Target};
+use route::endpoint::{Entry, State};
+use route::{Ending, Settings};
+
+/// A line of a script.
+pub(crate) struct Words<'a> {
+    pub(crate) verb: &'a str,
+    pub(crate) rest: Vec<&'a str>,
+    named: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> Words<'a> {
+    pub(crate) fn of(line: &'a str) -> Self {
+        let mut words = line.split_whitespace();
+        let verb = words.next().unwrap_or_default();
+        let (named, rest): (Vec<_>, Vec<_>) = words.partition(|it| it.contains('='));
+        let named = named.iter().filter_map(|it| it.split_once('=')).collect();
+        Self { verb, rest, named }
+    }
+
+    pub(crate) fn text(&self, name: &str) -> Option<&'a str> {
+        self.named.get(name).copied()
+    }
+
+    pub(crate) fn number<T: FromStr>(&self, name: &str, default: T) -> T {
+        let parse = |it: &str| it.parse().ok().unwrap();
+        self.text(name).map_or(default, parse)
+    }
+}
+
+pub(crate) fn settings() -> Settings {
+    Settings {
+        data_centre: DataCentre::from("dc1"),
+        retry_ratio: 0.9,
+        retry_slack: 10.0,
+        retry_window: Duration::from_secs(10),
+        exposure_share: 0.15,
+        exposure_slack: 30.0,
+        session_gap: Duration::from_secs(5),
+    }
+}
+
+pub(crate) fn route(words: &Words<'_>) -> Route {
+    let stream = words.text("stream").is_some();
+    Route {
+        name: words.rest[0].into(),
+        host: "shop".to_owned(),
+        prefix: words.rest[1].to_owned(),
+        targets: vec![Target {
+            service: words.rest[2].into(),
+            weight: 1.0,
+        }],
+        repeat: match words.text("repeat") {
+            Some("once") => Repeat::AtMostOnce,
+            _ => Repeat::Idempotent,
+        },
+        answer: if stream {
+            Answer::Stream {
+                pause: Duration::from_millis(1_200),
+            }
+        } else {
+            Answer::Whole
+        },
+        attempts: words.number::<u32>("attempts", 3),
+        timeout: Duration::from_millis(words.number::<u64>("timeout", 20_000)),
+        aim: Duration::from_millis(words.number::<u64>("aim", 3_000)),
+        priority: words.number::<u8>("rank", 0),
+        access: match words.text("access") {
+            Some("keyed") => Access::Keyed,
+            _ => Access::Public,
+        },
+        models: words
+            .text("models")
+            .map(|it| it.split(',').map(Into::into).collect())
+            .unwrap_or_default(),
+    }
+}
+
+/// `id@service/release`, with `!` after it for one that drains.
+pub(crate) fn entry(text: &str) -> Entry {
+    let (id, rest) = text.split_once('@').unwrap();
+    let (service, release) = rest.trim_end_matches('!').split_once('/').unwrap();
+    Entry {
+        id: id.into(),
+        service: service.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: DataCentre::from("dc1"),
+        release: release.into(),
+        slots: 10,
+        state: if text.ends_with('!') {
+            State::Draining
+        } else {
+            State::Ready
+        },
+        cold: Duration::ZERO,
+    }
+}
+
+pub(crate) fn ending_of(text: &str) -> Ending {
+    match text {
+        "answered" => Ending::Answered,
+        "failed" => Ending::Failed,
+        "not-sent" => Ending::NotSent,
+        "refused" => Ending::Refused,
+        "moved" => Ending::Moved,
+        "broken" => Ending::Broken,
+        "silent" => Ending::Silent,
+        "unsure" => Ending::Unsure,
+        other => panic!("unknown ending {other}"),
+    }
+}
--- a/crates/route/tests/scripts.rs
+++ b/crates/route/tests/scripts.rs
@@ -4,6 +4,8 @@
 
 #[path = "harness/script.rs"]
 mod script;
+#[path = "harness/words.rs"]
+mod words;
 
 use script::Script;
 
