Ask endpoints what they read before a long prompt is placed

Cause: long prompts are read one after the other, some 0.5 s each on the largest model, and each host knows only of its own. On the grown sites, with 80 hosts, placement was blind: a dossier's answer began after 0.66 s at the median and 3.4 to 4.1 s at the 99th part of a hundred, aim 3 s.

The same change mends what the filling of a new release's endpoint did on 80 hosts: each takes at most its share of the places now, an answer is crowded by the endpoint's own word, and silence of a crowded endpoint says nothing against the release.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -2,7 +2,6 @@
 
 mod guard;
 mod stream;
-mod upstream;
 
 use std::time::Duration;
 
@@ -17,9 +16,9 @@
 use crate::conn::Conn;
 use crate::lull::Lull;
 use crate::serve::Progress;
+use crate::upstream::{Trouble, Upstream};
 use crate::{Addressing, Dialect, Node, Told};
 use guard::{Guard, Seen};
-use upstream::{Trouble, Upstream};
 
 /// The longest whole answer that is taken, in bytes. Whole answers are kept
 /// until their end, so that one that breaks off can be asked for again.
@@ -137,9 +136,8 @@
         let now = self.node.now();
         guard.seen.status = Some(head.status);
         guard.seen.confidence = told.confidence;
-        if let Some(load) = told.load {
-            let mut router = self.node.router();
-            router.load(now, self.placement.endpoint, load);
+        if let (Some(load), Some(flight)) = (told.load, &mut guard.flight) {
+            self.node.router().load(now, flight, load);
         }
         if told.not_run || head.status == 421 {
             return self.refused(upstream, &head, &told).await.into();
--- a/crates/forward/src/attempt/stream.rs
+++ b/crates/forward/src/attempt/stream.rs
@@ -8,10 +8,10 @@
 use route::{Call, Ending};
 
 use super::guard::Guard;
-use super::upstream::Upstream;
 use super::{Attempt, Exchange, may_move};
 use crate::answer::Answer;
 use crate::lull::Lull;
+use crate::upstream::Upstream;
 use crate::{Dialect, Told};
 
 impl<D: Dialect> Attempt<'_, D> {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,11 +12,13 @@
 mod conn;
 mod dialect;
 mod front;
+mod look;
 mod lull;
 mod node;
 mod pool;
 mod serve;
 mod timing;
+mod upstream;
 
 pub use answer::Notice;
 pub use dialect::{Addressing, Asked, Dialect, Told};
--- a/crates/forward/src/attempt/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -17,7 +17,7 @@
 ///
 /// The rest of the request is written while the answer is read, since an
 /// endpoint may answer before it has the whole request.
-pub(super) struct Upstream {
+pub(crate) struct Upstream {
     conn: Conn,
     request: Vec<u8>,
     sent: usize,
@@ -27,7 +27,7 @@
 
 /// What went wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Trouble {
+pub(crate) enum Trouble {
     /// The operating system took no byte of the request.
     NotSent,
     /// The connection broke after that, or what came is no answer.
@@ -35,7 +35,7 @@
 }
 
 impl Trouble {
-    pub(super) fn ending(self) -> Ending {
+    pub(crate) fn ending(self) -> Ending {
         match self {
             Self::NotSent => Ending::NotSent,
             Self::Broken => Ending::Broken,
@@ -44,7 +44,7 @@
 }
 
 impl Upstream {
-    pub(super) fn new(conn: Conn, request: Vec<u8>) -> Self {
+    pub(crate) fn new(conn: Conn, request: Vec<u8>) -> Self {
         Self {
             conn,
             request,
@@ -54,7 +54,7 @@
     }
 
     /// Reads once, writing meanwhile; 0 is the connection's end.
-    pub(super) async fn advance(&mut self) -> io::Result<usize> {
+    pub(crate) async fn advance(&mut self) -> io::Result<usize> {
         while self.sent < self.request.len() {
             let writer = self.conn.writer();
             let mut writer = &writer;
@@ -70,7 +70,7 @@
     }
 
     /// Waits for the next head.
-    pub(super) async fn head(&mut self, method: &str) -> Result<response::Head, Trouble> {
+    pub(crate) async fn head(&mut self, method: &str) -> Result<response::Head, Trouble> {
         loop {
             let unread = self.conn.unread();
             if let Some(end) = framing::head_end(unread) {
@@ -90,7 +90,7 @@
     }
 
     /// Reads a body to its end.
-    pub(super) async fn body(
+    pub(crate) async fn body(
         &mut self,
         head: &response::Head,
         body: &mut Vec<u8>,
@@ -115,7 +115,7 @@
 
     /// Reads an answer that nobody waits for. What may follow it on this
     /// connection later is anyone's guess, so no other request is sent on it.
-    pub(super) async fn skip(&mut self, head: &response::Head) -> Result<(), Trouble> {
+    pub(crate) async fn skip(&mut self, head: &response::Head) -> Result<(), Trouble> {
         /// More than any refusal or second answer had.
         const MAX: usize = 1024 * 1024;
         if head.length == Length::UntilClose {
@@ -126,7 +126,7 @@
     }
 
     /// Decodes what has been read.
-    pub(super) fn decode(
+    pub(crate) fn decode(
         &mut self,
         decoder: &mut Decoder,
         body: &mut Vec<u8>,
@@ -140,7 +140,7 @@
 
     /// The connection, if another request may be sent on it: the request went
     /// out whole, and nothing came beside its answer.
-    pub(super) fn into_clean(self) -> Option<Conn> {
+    pub(crate) fn into_clean(self) -> Option<Conn> {
         let is_clean =
             !self.is_spoilt && self.sent == self.request.len() && self.conn.unread().is_empty();
         is_clean.then_some(self.conn)
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use crate::endpoint::{Entry, Key, Load, State};
+use crate::endpoint::{Entry, Key, Load, Report, State};
 use crate::health::Health;
 
 /// The largest part of a service's endpoints that rest at once. If most of them
@@ -36,6 +36,8 @@
     /// The load that it told last, and the requests sent since.
     pub(crate) load: Option<(Duration, Load)>,
     pub(crate) sent_since_load: u32,
+    /// What it said of its work when it was asked last.
+    pub(crate) report: Option<(Duration, Report)>,
     pub(crate) health: Health,
 }
 
@@ -233,6 +235,7 @@
             unread: Duration::ZERO,
             load: None,
             sent_since_load: 0,
+            report: None,
             health: Health::default(),
         }
     }
@@ -243,6 +246,15 @@
         self.listed == Listed::Yes && self.entry.state == State::Ready
     }
 
+    /// Prompts that it reads or has still to read, if it said so just now.
+    pub(crate) fn unread_prompts(&self, now: Duration) -> Option<u32> {
+        /// As long as it takes to ask several and send the request.
+        const NEW: Duration = Duration::from_millis(100);
+        let (at, report) = self.report?;
+        let is_new = now.saturating_sub(at) <= NEW;
+        is_new.then_some(report.reading + report.waiting)
+    }
+
     /// The part of its places that is believed to be taken.
     pub(crate) fn used(&self, now: Duration) -> f64 {
         /// How long a load report is believed. Requests last about as long.
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -51,3 +51,20 @@
     /// Requests that can run at once.
     pub slots: u32,
 }
+
+impl Load {
+    /// The part of its places that is taken; more than 1 if requests wait.
+    #[must_use]
+    pub fn used(self) -> f64 {
+        f64::from(self.running + self.waiting) / f64::from(self.slots.max(1))
+    }
+}
+
+/// What an endpoint says of its work when it is asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Requests whose prompt is being read: they run and have no event yet.
+    pub reading: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -11,7 +11,7 @@
     pub new: Tally,
     /// The old one.
     pub old: Tally,
-    /// The new one, of endpoints with half of their places taken.
+    /// The new one, of endpoints with most of their places taken.
     pub crowded: Tally,
     /// How much longer the new one's streams take to begin.
     pub first: Drift,
--- a/crates/route/src/rollout/sighting.rs
+++ b/crates/route/src/rollout/sighting.rs
@@ -9,7 +9,7 @@
     pub class: u64,
     /// Whether it is a failure, or none at all.
     pub failed: bool,
-    /// Whether half of the endpoint's places were taken when it was asked.
+    /// Whether most of the endpoint's places were taken when it was asked.
     pub is_crowded: bool,
     /// How long a stream took to begin, in times of what its prompt should take.
     pub first: Option<f64>,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod denial;
 mod flight;
+mod look;
 mod place;
 mod placement;
 mod releases;
@@ -18,7 +19,7 @@
 use crate::call::{Call, Ending, Failure, Next, Spare};
 use crate::config::{Access, Config};
 use crate::directory::{Absence, Change};
-use crate::endpoint::{Entry, Key, Load};
+use crate::endpoint::{Entry, Load};
 use crate::pace::Pace;
 use crate::rollout::Side;
 use crate::sessions::Sessions;
@@ -27,6 +28,7 @@
 pub use arrival::Arrival;
 pub use denial::Denial;
 pub use flight::Flight;
+pub use look::Look;
 pub use placement::Placement;
 pub use releases::Heard;
 
@@ -35,9 +37,9 @@
 const SESSION_MARGIN: Duration = Duration::from_secs(1);
 
 /// The part of an endpoint's places that are taken, at which it counts as
-/// crowded. Lower than where releases that are bad under load begin to fail, some
-/// three quarters, since a host hears of an endpoint's load a little late.
-const CROWDED: f64 = 0.4;
+/// crowded. A little lower than where releases that are bad under load begin to
+/// fail, some three quarters.
+const CROWDED: f64 = 0.6;
 
 /// What a host believes, and where requests go by it.
 #[derive(Debug)]
@@ -55,6 +57,8 @@
     listed: Option<Duration>,
     /// Endpoints that were put to rest since the driver last asked.
     rested: Vec<(EndpointId, Ending)>,
+    /// How many prompts an endpoint usually has still to read, by its own word.
+    unread_prompts: f64,
     hosts: u32,
     rng: Pcg32,
 }
@@ -74,6 +78,7 @@
             wholes: HashMap::new(),
             listed: None,
             rested: Vec::new(),
+            unread_prompts: 0.0,
             hosts: 1,
             rng: Pcg32::seed_from_u64(seed),
         }
@@ -223,9 +228,11 @@
         }
     }
 
-    /// Takes an endpoint's word on its load.
-    pub fn load(&mut self, now: Duration, endpoint: Key, load: Load) {
-        if let Some(it) = self.directory.get_mut(endpoint) {
+    /// Takes an endpoint's word on its load, which comes with an attempt's answer.
+    pub fn load(&mut self, now: Duration, flight: &mut Flight, load: Load) {
+        // What other hosts send there is known only by this.
+        flight.is_crowded |= load.used() >= CROWDED;
+        if let Some(it) = self.directory.get_mut(flight.endpoint) {
             it.load = Some((now, load));
             it.sent_since_load = 0;
         }
@@ -384,7 +391,10 @@
                 Side::Old
             };
             let class = hash::of(&(&call.route.name, call.cascade.model()));
-            rollout.answer(side, &flight.sighting(class, failed));
+            let mut sighting = flight.sighting(class, failed);
+            // Where many wait, silence says nothing against a release.
+            sighting.is_crowded &= ending != Ending::Silent;
+            rollout.answer(side, &sighting);
         }
     }
 
--- a/crates/route/src/router/flight.rs
+++ b/crates/route/src/router/flight.rs
@@ -12,7 +12,7 @@
     pub endpoint: Key,
     pub(super) began: Duration,
     pub(super) unread: Duration,
-    /// Whether half of the endpoint's places were taken.
+    /// Whether most of the endpoint's places were taken.
     pub(super) is_crowded: bool,
     /// How long its answer should take to begin.
     pub(super) expected: Option<Duration>,
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use kernel::hash;
+use kernel::{ServiceName, hash};
 use rand::RngExt;
 
-use super::{Placement, Router};
+use super::{Look, Placement, Router};
 use crate::call::Call;
 use crate::directory::Endpoint;
-use crate::endpoint::Key;
+use crate::endpoint::{Key, Report};
 use crate::rollout::{Rollout, Side, Verdict};
 
 /// Time to read the prompts that wait which weighs as much as all places taken.
@@ -16,6 +16,14 @@
 /// What another data centre weighs, in parts of an endpoint's places. Small: it
 /// costs bytes between data centres, which are a hundredth of an answer's worth.
 const FAR: f64 = 0.04;
+/// What a prompt weighs that an endpoint still reads, or has to read: a long one
+/// takes some 0.3 s.
+const PROMPT: f64 = 0.3;
+/// How long a prompt must take to read for endpoints to be asked first. Asking
+/// takes some milliseconds, and a fiftieth of the price of a long answer.
+const WORTH_A_LOOK: Duration = Duration::from_millis(400);
+/// How many endpoints are asked.
+const LOOKS: usize = 3;
 /// What a cached beginning of the prompt weighs at most, in parts of an
 /// endpoint's places.
 const CACHED: f64 = 0.7;
@@ -32,6 +40,9 @@
 /// The part of its places at which it is filled. Up to 0.8 of them, a release
 /// that is bad under load failed in one trial of two, up to all in six of six.
 const FILLED: f64 = 1.0;
+/// How many times its share of those places a host may fill: some hosts have few
+/// requests, and what the others send is known late.
+const FILL_SHARES: u32 = 3;
 /// The longest prompt with which an endpoint is filled, in tokens: about the mean
 /// of all prompts. Longer ones take most of the time that it reads.
 const SHORT_TOKENS: u64 = 2_500;
@@ -55,7 +66,6 @@
         self.settle_side(call);
         let mut placed = self.place_on_side(now, call);
         if let Some(it) = &mut placed
-            && it.used < FILLED
             && self.fills(now, call) == Some(it.endpoint)
         {
             // The smallest model's answers are over before an endpoint fills up.
@@ -95,63 +105,115 @@
     }
 
     fn place_among(&mut self, now: Duration, call: &Call, strict: Strictness) -> Option<Placement> {
-        let rollout = self.rollouts.get(&call.service);
-        let mut best: Option<(f64, Key, &Endpoint)> = None;
-        let mut candidates = 0;
-        let home = call.shape.shared.map(|(part, _)| {
-            self.directory
-                .of(&call.service)
-                .filter(|(_, it)| allows(now, call, strict, rollout, it))
-                .map(|(key, it)| (hash::of(&(part, it.entry.id.as_str())), key))
-                .max()
-                .map(|it| it.1)
-        });
+        let scored = self.score(now, call, strict);
+        let candidates = scored.len();
+        let (_, endpoint) = scored.into_iter().min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let it = self.directory.get(endpoint)?;
+        Some(Placement {
+            endpoint,
+            id: it.entry.id.clone(),
+            address: it.entry.address,
+            model: call.model().cloned(),
+            side: call.side,
+            connections: self.connections(&call.service)?,
+            candidates,
+            used: it.used(now),
+            load_age: it.load.map(|(at, _)| now.saturating_sub(at)),
+            listing_age: self.listed.map(|at| now.saturating_sub(at)),
+        })
+    }
+
+    /// The endpoints that a request could go to, and what speaks against each.
+    fn score(&mut self, now: Duration, call: &Call, strict: Strictness) -> Vec<(f64, Key)> {
+        let home = self.home(now, call, strict);
         let fill = self.fills(now, call);
-        let rng = &mut self.rng;
+        let rollout = self.rollouts.get(&call.service);
+        let mut scored = Vec::new();
         for (key, it) in self.directory.of(&call.service) {
             if !allows(now, call, strict, rollout, it) || is_tried(call, strict, key) {
                 continue;
             }
-            candidates += 1;
             let mut score = it.used(now);
-            score += it.unread.div_duration_f64(FULL_UNREAD);
+            let unread = it
+                .unread_prompts(now)
+                .map_or(self.unread_prompts, f64::from);
+            score += it.unread.div_duration_f64(FULL_UNREAD).max(PROMPT * unread);
             score += BAD * it.health.bad_share();
-            score += CHANCE * rng.random::<f64>();
+            score += CHANCE * self.rng.random::<f64>();
             if it.entry.data_centre != self.settings.data_centre {
                 score += FAR;
             }
             if !it.entry.cold.is_zero() {
                 score += COLD;
             }
-            if fill == Some(key) && it.used(now) < FILLED {
+            if fill == Some(key) {
                 score -= FILL;
             }
-            if home == Some(Some(key)) {
+            if home == Some(key) {
                 score -= CACHED * cached_part(call);
             }
-            if best.is_none_or(|(least, _, _)| score < least) {
-                best = Some((score, key, it));
-            }
+            scored.push((score, key));
+        }
+        scored
+    }
+
+    /// The endpoint that has read the beginning of the prompt, if any has: every
+    /// host sends requests that share it to the same one.
+    fn home(&self, now: Duration, call: &Call, strict: Strictness) -> Option<Key> {
+        let (part, _) = call.shape.shared?;
+        let rollout = self.rollouts.get(&call.service);
+        self.directory
+            .of(&call.service)
+            .filter(|(_, it)| allows(now, call, strict, rollout, it))
+            .map(|(key, it)| (hash::of(&(part, it.entry.id.as_str())), key))
+            .max()
+            .map(|it| it.1)
+    }
+
+    /// The endpoints to be asked what they are at before a request is placed: those
+    /// that would be chosen, where the prompt takes long to read.
+    ///
+    /// Long prompts are read one after the other, and each host knows only of its
+    /// own. Two endpoints asked and the better one taken spare most of the waits.
+    pub fn looks(&mut self, now: Duration, call: &mut Call) -> Vec<Look> {
+        self.settle_side(call);
+        let expected = call.cascade.model().map(|it| self.expected(call, it));
+        if expected.is_none_or(|it| it < WORTH_A_LOOK) {
+            return Vec::new();
+        }
+        let mut scored = self.score(now, call, Strictness::Fresh);
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let look = |(_, endpoint): &(f64, Key)| {
+            let address = self.directory.get(*endpoint)?.entry.address;
+            Some(Look {
+                endpoint: *endpoint,
+                address,
+            })
+        };
+        scored.iter().take(LOOKS).filter_map(look).collect()
+    }
+
+    /// Takes an endpoint's word on what it is at.
+    pub fn report(&mut self, now: Duration, endpoint: Key, report: Report) {
+        /// How much one report moves what is usual.
+        const PART: f64 = 0.05;
+        if let Some(it) = self.directory.get_mut(endpoint) {
+            it.report = Some((now, report));
+            let prompts = f64::from(report.reading + report.waiting);
+            self.unread_prompts += PART * (prompts - self.unread_prompts);
         }
-        let (_, endpoint, it) = best?;
-        let config = self.config.as_ref()?;
-        let total = config.service(&call.service)?.max_connections;
-        Some(Placement {
-            endpoint,
-            id: it.entry.id.clone(),
-            address: it.entry.address,
-            model: call.model().cloned(),
-            side: call.side,
-            connections: connections(total, self.hosts),
-            candidates,
-            used: it.used(now),
-            load_age: it.load.map(|(at, _)| now.saturating_sub(at)),
-            listing_age: self.listed.map(|at| now.saturating_sub(at)),
-        })
+    }
+
+    /// This host's part of the connections that an endpoint takes from all.
+    fn connections(&self, service: &ServiceName) -> Option<u32> {
+        let total = self.config.as_ref()?.service(service)?.max_connections;
+        let used = total.saturating_mul(CONNECTIONS_USED) / 100;
+        Some((used / self.hosts.max(1)).max(1))
     }
 
     /// The endpoint of a new release that is to be filled with this request.
-    /// Every host chooses the same; long prompts would only hold up the others.
+    /// Every host chooses the same, and takes its share of the places; long prompts
+    /// would only hold up the others.
     fn fills(&self, now: Duration, call: &Call) -> Option<Key> {
         let rollout = self.rollouts.get(&call.service)?;
         if call.side != Some(Side::New)
@@ -163,9 +225,12 @@
         self.directory
             .of(&call.service)
             .filter(|(_, it)| allows(now, call, Strictness::Fresh, Some(rollout), it))
-            .map(|(key, it)| (hash::of(it.entry.id.as_str()), key))
-            .max()
-            .map(|it| it.1)
+            .max_by_key(|(_, it)| hash::of(it.entry.id.as_str()))
+            .filter(|(_, it)| {
+                let share = it.entry.slots * FILL_SHARES / self.hosts;
+                it.used(now) < FILLED && it.flights < share.max(1)
+            })
+            .map(|it| it.0)
     }
 }
 
@@ -193,9 +258,3 @@
     let number = |it: u64| u32::try_from(it).map_or(f64::from(u32::MAX), f64::from);
     (number(tokens) / number(call.shape.prompt_tokens.max(1))).min(1.0)
 }
-
-/// This host's part of the connections that an endpoint takes from all.
-fn connections(total: u32, hosts: u32) -> u32 {
-    let used = total.saturating_mul(CONNECTIONS_USED) / 100;
-    (used / hosts.max(1)).max(1)
-}
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -6,10 +6,10 @@
 
 use kernel::{EndpointId, HostName, Release, ServiceName, SessionId};
 use route::config::{Config, Customer, Limits, Service};
-use route::directory::Absence;
-use route::endpoint::Load;
+use route::directory::{Absence, Endpoint};
+use route::endpoint::{Load, Report};
 use route::rollout::{Order, Verdict};
-use route::{Arrival, Call, Ending, Flight, Placement, Router, Shape};
+use route::{Arrival, Call, Ending, Flight, Look, Placement, Router, Shape};
 
 use crate::words::{Words, ending_of, entry, route, settings};
 
@@ -111,13 +111,12 @@
                 (!leaving.is_empty()).then(|| format!("leaving {}", leaving.join(" ")))
             }
             "load" => {
-                let key = self.key_of(words.rest[0]);
-                let load = Load {
-                    running: words.number::<u32>("running", 0),
-                    waiting: words.number::<u32>("waiting", 0),
-                    slots: 10,
-                };
-                self.router().load(now, key, load);
+                self.load(&words);
+                None
+            }
+            "looks" => Some(self.looks(words.rest[0])),
+            "says" => {
+                self.says(&words);
                 None
             }
             "arrive" => Some(self.arrive(&words)),
@@ -181,6 +180,39 @@
         }
     }
 
+    fn load(&mut self, words: &Words<'_>) {
+        let open = self.calls.get_mut(words.rest[0]).unwrap();
+        let load = Load {
+            running: words.number::<u32>("running", 0),
+            waiting: words.number::<u32>("waiting", 0),
+            slots: 10,
+        };
+        let flight = open.flight.as_mut().unwrap();
+        self.hosts[self.host].load(self.now, flight, load);
+    }
+
+    fn looks(&mut self, id: &str) -> String {
+        let open = self.calls.get_mut(id).unwrap();
+        let looks = self.hosts[self.host].looks(self.now, &mut open.call);
+        let directory = self.hosts[self.host].directory();
+        let name = |it: &Look| directory.get(it.endpoint).unwrap().entry.id.to_string();
+        let mut names: Vec<_> = looks.iter().map(name).collect();
+        names.sort();
+        format!("asks {}", names.join(" "))
+    }
+
+    fn says(&mut self, words: &Words<'_>) {
+        let service = ServiceName::from(words.rest[1]);
+        let router = &mut self.hosts[self.host];
+        let of = |(key, it): (_, &Endpoint)| (it.entry.id.as_str() == words.rest[0]).then_some(key);
+        let key = router.directory().of(&service).find_map(of).unwrap();
+        let report = Report {
+            reading: words.number::<u32>("reading", 0),
+            waiting: words.number::<u32>("waiting", 0),
+        };
+        router.report(self.now, key, report);
+    }
+
     fn arrive(&mut self, words: &Words<'_>) -> String {
         let id = words.rest[0];
         let shape = Shape {
@@ -325,20 +357,4 @@
             rollout.share(now)
         )
     }
-
-    fn key_of(&mut self, id: &str) -> route::endpoint::Key {
-        let router = self.router();
-        let services: Vec<_> = router
-            .config()
-            .unwrap()
-            .services()
-            .map(|it| it.name.clone())
-            .collect();
-        services
-            .iter()
-            .flat_map(|it| router.directory().of(it).collect::<Vec<_>>())
-            .find(|(_, it)| it.entry.id.as_str() == id)
-            .unwrap()
-            .0
-    }
 }
