Give each model its own endpoint for a shared part of prompts

Cause: a request whose smallest model was unsure goes on to the largest at an endpoint that it hasn't tried, so never at the one to which all requests with the same part go; what the largest had read of that part was kept there for nobody.

--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -158,14 +158,17 @@
     }
 
     /// The endpoint that has read the beginning of the prompt, if any has: every
-    /// host sends requests that share it to the same one.
+    /// host sends requests that share it to the same one. Each model has its own:
+    /// what one has read is of no use to another, and a request that goes on to a
+    /// larger model does so at another endpoint than it came from.
     fn home(&self, now: Duration, call: &Call, strict: Strictness) -> Option<Key> {
         let (part, _) = call.shape.shared?;
+        let model = call.cascade.model();
         let rollout = self.rollouts.get(&call.service);
         self.directory
             .of(&call.service)
             .filter(|(_, it)| allows(now, call, strict, rollout, it))
-            .map(|(key, it)| (hash::of(&(part, it.entry.id.as_str())), key))
+            .map(|(key, it)| (hash::of(&(part, model, it.entry.id.as_str())), key))
             .max()
             .map(|it| it.1)
     }
