Take endpoints that haven't told their load for as busy as usual

Cause: an endpoint whose last word on its load was older than 1.5 s counted as empty. It was chosen before those that had told, also before the one that has read the beginning of a prompt; and the price of crowding in the cascade was reckoned from a service that looked emptier than it was. With 80 hosts hardly any endpoint has told any one host lately.

--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -20,6 +20,9 @@
     endpoints: SlotMap<Key, Endpoint>,
     by_id: HashMap<EndpointId, Key>,
     by_service: HashMap<ServiceName, Vec<Key>>,
+    /// The part of their places that endpoints of a service usually have taken, by
+    /// their own word.
+    usual: HashMap<ServiceName, f64>,
 }
 
 /// An endpoint, as this host knows it.
@@ -174,12 +177,35 @@
     pub fn used(&self, now: Duration, service: &ServiceName) -> f64 {
         let (mut used, mut count) = (0.0, 0.0);
         for (_, it) in self.of(service).filter(|(_, it)| it.takes_work()) {
-            used += it.used(now);
+            used += self.used_of(now, it);
             count += 1.0;
         }
         if count > 0.0 { used / count } else { 1.0 }
     }
 
+    /// The part of an endpoint's places that is believed to be taken.
+    ///
+    /// One that hasn't told lately is as busy as the others usually are. Taken for
+    /// empty, it would be chosen before those that tell, and among many hosts
+    /// hardly any endpoint has told this one lately.
+    #[must_use]
+    pub fn used_of(&self, now: Duration, it: &Endpoint) -> f64 {
+        let usual = self.usual.get(&it.entry.service).copied();
+        it.used(now, usual.unwrap_or_default())
+    }
+
+    /// Takes an endpoint's word on its load.
+    pub(crate) fn load(&mut self, now: Duration, key: Key, load: Load) {
+        /// How much one word moves what is usual.
+        const PART: f64 = 0.05;
+        if let Some(it) = self.endpoints.get_mut(key) {
+            it.load = Some((now, load));
+            it.sent_since_load = 0;
+            let usual = self.usual.entry(it.entry.service.clone()).or_default();
+            *usual += PART * (load.used() - *usual);
+        }
+    }
+
     /// Whether any endpoint is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -255,8 +281,7 @@
         is_new.then_some(report.reading + report.waiting)
     }
 
-    /// The part of its places that is believed to be taken.
-    pub(crate) fn used(&self, now: Duration) -> f64 {
+    fn used(&self, now: Duration, usual: f64) -> f64 {
         /// How long a load report is believed. Requests last about as long.
         const BELIEVED: Duration = Duration::from_millis(1_500);
         let slots = f64::from(self.entry.slots.max(1));
@@ -265,7 +290,7 @@
             Some((at, load)) if now.saturating_sub(at) < BELIEVED => {
                 f64::from(load.running + load.waiting) + f64::from(self.sent_since_load)
             }
-            _ => 0.0,
+            _ => usual * slots,
         };
         own.max(told) / slots
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -232,10 +232,7 @@
     pub fn load(&mut self, now: Duration, flight: &mut Flight, load: Load) {
         // What other hosts send there is known only by this.
         flight.is_crowded |= load.used() >= CROWDED;
-        if let Some(it) = self.directory.get_mut(flight.endpoint) {
-            it.load = Some((now, load));
-            it.sent_since_load = 0;
-        }
+        self.directory.load(now, flight.endpoint, load);
     }
 
     /// Takes the first part of an attempt's answer.
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -117,7 +117,7 @@
             side: call.side,
             connections: self.connections(&call.service)?,
             candidates,
-            used: it.used(now),
+            used: self.directory.used_of(now, it),
             load_age: it.load.map(|(at, _)| now.saturating_sub(at)),
             listing_age: self.listed.map(|at| now.saturating_sub(at)),
         })
@@ -133,7 +133,7 @@
             if !allows(now, call, strict, rollout, it) || is_tried(call, strict, key) {
                 continue;
             }
-            let mut score = it.used(now);
+            let mut score = self.directory.used_of(now, it);
             let unread = it
                 .unread_prompts(now)
                 .map_or(self.unread_prompts, f64::from);
@@ -231,7 +231,7 @@
             .max_by_key(|(_, it)| hash::of(it.entry.id.as_str()))
             .filter(|(_, it)| {
                 let share = it.entry.slots * FILL_SHARES / self.hosts;
-                it.used(now) < FILLED && it.flights < share.max(1)
+                self.directory.used_of(now, it) < FILLED && it.flights < share.max(1)
             })
             .map(|it| it.0)
     }
