--- a/crates/route/src/cascade.rs
+++ b/crates/route/src/cascade.rs
@@ -17,7 +17,7 @@
 /// The price of the capacity that the largest model's answer takes from other
 /// requests, in prices of that answer, while all places are taken. Trials at 5 and
 /// 10 earned 0.748 and 0.755 of what was asked, less prices, with 18 endpoints, and
-/// 0.673 and 0.672 with 60; with its square (15), 0.738.
+/// 0.673 and 0.667 with 60; with its square (15), 0.738.
 const CROWDED: f64 = 10.0;
 
 /// Which of a route's models answers a request, from the smallest to the largest.
