Look for the other hosts again soon after the start

Cause: hosts that start at once, as after a loss of power, read the listing of hosts before the others are in it, and the next time four seconds later. Until then each took itself for the only one: it told callers of no other host, read everything from the store itself, and shared no budget.

Ruled out: that hosts tell of themselves when they start. They can't tell one that they don't know.

Before: the new test fails (each of four lists all four after 4.0 s); after: it passes (0.6 s).

--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -14,8 +14,13 @@
 /// How often the listing of hosts is read: it only tells of new ones, which also
 /// tell of themselves. Whether hosts live is known from them.
 const PERIOD: Duration = Duration::from_secs(4);
+/// The time to the second reading; each later one takes twice as long as the one
+/// before it, up to the whole period. Hosts that start at once aren't in the
+/// listing yet when the others read it first.
+const FIRST_PERIOD: Duration = Duration::from_millis(500);
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    let mut period = FIRST_PERIOD;
     loop {
         let known = life.grouped.get().and(life.confirmed.get());
         if life.grouped.get().is_some() && !life.asks_store(known) {
@@ -29,7 +34,8 @@
             Ok(members) => list(&life, life.node.now(), members),
             Err(_) => life.members.borrow_mut().hold(life.node.now()),
         }
-        sleep(PERIOD).await;
+        sleep(period).await;
+        period = PERIOD.min(period * 2);
     }
 }
 
