--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -2,6 +2,7 @@
 
 mod arrival;
 mod denial;
+mod expect;
 mod flight;
 mod look;
 mod place;
@@ -23,7 +24,7 @@
 use crate::pace::Pace;
 use crate::rollout::Side;
 use crate::sessions::Sessions;
-use crate::{Budget, Directory, Doubt, Rollout, Settings};
+use crate::{Budget, Directory, Rollout, Settings};
 
 pub use arrival::Arrival;
 pub use denial::Denial;
@@ -304,50 +305,6 @@
         }
     }
 
-    /// Whether an answer of this confidence is dropped for the largest model's,
-    /// with the repeat taken from the budget.
-    pub fn escalates(&mut self, now: Duration, call: &mut Call, confidence: Option<u8>) -> bool {
-        let (Some(confidence), true) = (confidence, call.may_escalate()) else {
-            return false;
-        };
-        let largest = call.route.models.len() - 1;
-        let doubt = Doubt {
-            confidence,
-            priority: call.priority(),
-            waited: now.saturating_sub(call.arrived),
-            larger_takes: self.expected(call, largest),
-            aim: call.route.aim,
-            used: self.directory.used(now, &call.service),
-        };
-        doubt.is_worth_more() && self.reserve(now, call, Ending::Unsure)
-    }
-
-    /// How long the endpoint that was asked may take to begin its answer before
-    /// its silence tells that something is wrong with it.
-    #[must_use]
-    pub fn patience(&self, call: &Call, part: f64) -> Duration {
-        /// Long prompts take as long as they take, and longer beside others.
-        const TIMES: u32 = 3;
-        let least = call.route.aim.mul_f64(part);
-        let usual = match call.cascade.model() {
-            Some(model) => self.expected(call, model),
-            None => self
-                .wholes
-                .get(&call.route.name)
-                .copied()
-                .unwrap_or_default(),
-        };
-        least.max(usual * TIMES)
-    }
-
-    fn expected(&self, call: &Call, model: usize) -> Duration {
-        let pace = call.route.models.get(model).and_then(|it| {
-            let key = (call.service.clone(), it.clone());
-            self.paces.get(&key).copied()
-        });
-        pace.unwrap_or_default().expect(call.shape.prompt_tokens)
-    }
-
     /// What becomes of a request that has no endpoint to go to.
     #[must_use]
     pub fn unplaced(&self, now: Duration, call: &Call) -> Failure {
--- /dev/null
+++ b/crates/route/src/router/expect.rs
@@ -0,0 +1,54 @@
+//! How long answers should take, and what follows from it.
+
+use std::time::Duration;
+
+use super::Router;
+use crate::Doubt;
+use crate::call::{Call, Ending};
+
+impl Router {
+    /// Whether an answer of this confidence is dropped for the largest model's,
+    /// with the repeat taken from the budget.
+    pub fn escalates(&mut self, now: Duration, call: &mut Call, confidence: Option<u8>) -> bool {
+        let (Some(confidence), true) = (confidence, call.may_escalate()) else {
+            return false;
+        };
+        let largest = call.route.models.len() - 1;
+        let doubt = Doubt {
+            confidence,
+            priority: call.priority(),
+            waited: now.saturating_sub(call.arrived),
+            larger_takes: self.expected(call, largest),
+            aim: call.route.aim,
+            used: self.directory.used(now, &call.service),
+        };
+        doubt.is_worth_more() && self.reserve(now, call, Ending::Unsure)
+    }
+
+    /// How long the endpoint that was asked may take to begin its answer before
+    /// its silence tells that something is wrong with it.
+    #[must_use]
+    pub fn patience(&self, call: &Call, part: f64) -> Duration {
+        /// Long prompts take as long as they take, and longer beside others.
+        const TIMES: u32 = 3;
+        let least = call.route.aim.mul_f64(part);
+        let usual = match call.cascade.model() {
+            Some(model) => self.expected(call, model),
+            None => self
+                .wholes
+                .get(&call.route.name)
+                .copied()
+                .unwrap_or_default(),
+        };
+        least.max(usual * TIMES)
+    }
+
+    /// How long an answer of a model usually takes to begin.
+    pub(super) fn expected(&self, call: &Call, model: usize) -> Duration {
+        let pace = call.route.models.get(model).and_then(|it| {
+            let key = (call.service.clone(), it.clone());
+            self.paces.get(&key).copied()
+        });
+        pace.unwrap_or_default().expect(call.shape.prompt_tokens)
+    }
+}
