Try again soon to list a host that the store refused

Cause (thought through while reading the code): a host whose entry wasn't written, since the store was busy or lost, tried again with the next renewal, half a minute later. Until then no host found it that it hadn't found itself.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -20,5 +20,5 @@
 pub use life::{Life, Serving};
 pub use member::Member;
 pub use members::Members;
-pub use peers::{Heartbeat, Life as Sign, Peers};
+pub use peers::{Heartbeat, Peers, Sign};
 pub use store::{Store, Trouble};
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -27,6 +27,8 @@
 
 /// How often old connections are closed.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+/// How soon a host tries again to list itself.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// How often a host that leaves looks whether its last request has ended.
 const END_PERIOD: Duration = Duration::from_millis(50);
 
@@ -178,7 +180,7 @@
     pub fn live(&self) -> Vec<(SocketAddr, DataCentre, Region)> {
         let now = self.node.now();
         let peers = self.peers.borrow();
-        self.members.borrow().live(now, |it| peers.life(now, it))
+        self.members.borrow().live(now, |it| peers.sign(now, it))
     }
 
     /// Whether callers are to come: the front answers, a configuration and
@@ -311,11 +313,15 @@
     while life.node.phase() == Phase::Serving {
         if life.is_ready() {
             own.renewal += 1;
-            // The next renewal makes up for one that failed.
             let began = life.node.now();
             let renewed = life.store.announce(&own).await;
             say::store(&life, "announce", began, &renewed);
-            sleep(life.period).await;
+            let pause = match renewed {
+                Ok(()) => life.period,
+                // Nobody finds a host that isn't listed.
+                Err(_) => ANNOUNCE_PAUSE,
+            };
+            sleep(pause).await;
         } else {
             sleep(END_PERIOD).await;
         }
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -7,7 +7,7 @@
 use kernel::{DataCentre, HostName, Region};
 
 use crate::Member;
-use crate::peers::Life;
+use crate::peers::Sign;
 
 /// The most addresses that callers take.
 const MOST: usize = 64;
@@ -115,23 +115,23 @@
     pub(crate) fn live(
         &self,
         now: Duration,
-        life: impl Fn(&HostName) -> Life,
+        sign: impl Fn(&HostName) -> Sign,
     ) -> Vec<(SocketAddr, DataCentre, Region)> {
         let silent = self
             .others
             .keys()
-            .filter(|it| life(it) == Life::Silent)
+            .filter(|it| sign(it) == Sign::Silent)
             .count();
         let is_cut_off = silent * 2 > self.others.len();
         let others = self
             .others
             .iter()
-            .filter(|(name, it)| match life(name) {
-                Life::Ready => true,
-                Life::Unready => false,
-                Life::Silent if !is_cut_off => false,
-                Life::Unknown => now.saturating_sub(it.renewed) < TRUSTED,
-                Life::Silent => now.saturating_sub(it.renewed) < self.period * MISSED,
+            .filter(|(name, it)| match sign(name) {
+                Sign::Ready => true,
+                Sign::Unready => false,
+                Sign::Silent if !is_cut_off => false,
+                Sign::Unknown => now.saturating_sub(it.renewed) < TRUSTED,
+                Sign::Silent => now.saturating_sub(it.renewed) < self.period * MISSED,
             })
             .map(|(_, it)| &it.member);
         let own = (!self.is_leaving).then_some(&self.own);
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -45,7 +45,7 @@
 
 /// What is known of whether a host lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Life {
+pub enum Sign {
     /// It was heard lately, and takes callers.
     Ready,
     /// It was heard lately, and takes none.
@@ -96,12 +96,12 @@
 
     /// Whether a host lives.
     #[must_use]
-    pub fn life(&self, now: Duration, host: &HostName) -> Life {
+    pub fn sign(&self, now: Duration, host: &HostName) -> Sign {
         match self.heard.get(&tag(host)) {
-            None => Life::Unknown,
-            Some(it) if now.saturating_sub(it.at) > self.silence() => Life::Silent,
-            Some(it) if it.is_ready => Life::Ready,
-            Some(_) => Life::Unready,
+            None => Sign::Unknown,
+            Some(it) if now.saturating_sub(it.at) > self.silence() => Sign::Silent,
+            Some(it) if it.is_ready => Sign::Ready,
+            Some(_) => Sign::Unready,
         }
     }
 
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -20,11 +20,11 @@
     let (mut near, mut far) = (Peers::default(), Peers::default());
     near.hear(ms(1_000), &name(1), true);
     far.hear_of(ms(1_200), &near.heartbeats(ms(1_200)));
-    assert_eq!(far.life(ms(1_300), &name(1)), Sign::Ready);
-    assert_eq!(far.life(ms(2_700), &name(1)), Sign::Silent);
+    assert_eq!(far.sign(ms(1_300), &name(1)), Sign::Ready);
+    assert_eq!(far.sign(ms(2_700), &name(1)), Sign::Silent);
     near.hear(ms(1_400), &name(1), false);
     far.hear_of(ms(1_500), &near.heartbeats(ms(1_500)));
-    assert_eq!(far.life(ms(1_600), &name(1)), Sign::Unready);
+    assert_eq!(far.sign(ms(1_600), &name(1)), Sign::Unready);
 }
 
 /// A dead host lived on for ever in what the others told each other, if the age
@@ -39,7 +39,7 @@
         peers[to].hear_of(ms(now as u64), &told);
     }
     for it in &peers {
-        assert_eq!(it.life(ms(3_000), &name(9)), Sign::Silent);
+        assert_eq!(it.sign(ms(3_000), &name(9)), Sign::Silent);
     }
 }
 
