Take an endpoint that starts again for another one, and turn absurd figures away

Cause: an endpoint may start again under its identity and says so by the time of its start. The router went by the identity alone: the new process inherited the rest, the load and the requests of the former one. Besides, three kinds of message from outside ended a host, which was read in the code and then shown: an entry or a configuration with a span that no clock holds (1e300 ms), an endpoint that says how long it keeps connections (2^64 s), and a caller that says that its prompt has more than 2^32 tokens.

Change: `Entry` and `Report` bear the life of the process. A later life gets a key of its own in the arena, as connections had already; a former life's late entry or report changes nothing. A request that may have run stays one that may have run, since that is a matter of the call and not of the endpoint. An entry that lacks a field, or has another type, word or an absurd number in its place, names no endpoint; their number is logged when it changes (1603).

Not done: an order of operators that can't be read still hides the other documents; the operators' table has no other writers.

--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -49,7 +49,10 @@
 
     /// Keeps a connection for the next request.
     pub(crate) fn put(&self, now: Duration, endpoint: Key, conn: Conn, keeps: Option<Duration>) {
-        let until = keeps.map_or(Duration::MAX, |it| now + it.saturating_sub(MARGIN));
+        // An endpoint may name any time at all.
+        let until = keeps.map_or(Duration::MAX, |it| {
+            now.saturating_add(it.saturating_sub(MARGIN))
+        });
         let mut idle = self.idle.borrow_mut();
         let conns = idle.entry(endpoint).or_default();
         if conns.len() >= MOST_IDLE {
--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -31,14 +31,15 @@
         let began = node.now();
         let listed = life.store.endpoints().await;
         say::store(&life, "endpoints", began, &listed);
-        if let Ok(entries) = listed {
+        if let Ok(found) = listed {
             backoff.reset();
+            say::unusable(&life, "endpoints", found.unusable);
             let now = node.now();
             let absence = match failed {
                 Some(at) if now.saturating_sub(at) < LAPSED => Absence::Lapsed,
                 _ => Absence::Gone,
             };
-            list(&life, now, entries, absence);
+            list(&life, now, found.entries, absence);
             if life.watches.get() {
                 // A question for news is open, and the store answers: it would
                 // have told of a change.
@@ -84,7 +85,7 @@
         .iter()
         .map(|it| {
             let is_ready = it.state == State::Ready;
-            let who = (&it.id, &it.service, it.address, &it.release);
+            let who = (&it.id, it.incarnation, &it.service, it.address, &it.release);
             (who, it.slots, is_ready, it.cold.is_zero())
         })
         .collect();
--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -31,7 +31,10 @@
         let listed = life.store.members().await;
         say::store(&life, "hosts", began, &listed);
         match listed {
-            Ok(members) => list(&life, life.node.now(), members),
+            Ok(found) => {
+                say::unusable(&life, "hosts", found.unusable);
+                list(&life, life.node.now(), found.entries);
+            }
             Err(_) => life.members.borrow_mut().hold(life.node.now()),
         }
         sleep(period).await;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,4 +21,4 @@
 pub use member::Member;
 pub use members::Members;
 pub use peers::{Heartbeat, Peers, Sign};
-pub use store::{Store, Trouble};
+pub use store::{Found, Store, Trouble};
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -76,6 +76,8 @@
     pub(crate) returns: [(Sender<()>, Receiver<()>); 2],
     /// The kinds of store call that failed last.
     pub(crate) lost: RefCell<HashSet<&'static str>>,
+    /// How many entries of each listing couldn't be used when it was read last.
+    pub(crate) unusable: RefCell<HashMap<&'static str, usize>>,
     /// When the store last confirmed the configuration in force, to this host or
     /// to another one that told so.
     pub(crate) confirmed: Cell<Option<Duration>>,
@@ -132,6 +134,7 @@
             grouped: Cell::new(None),
             returns: [bounded(1), bounded(1)],
             lost: RefCell::default(),
+            unusable: RefCell::default(),
             confirmed: Cell::new(None),
             hurry,
             changes,
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -53,6 +53,25 @@
     }
 }
 
+/// Says how many entries of a listing can't be used, when their number changes:
+/// whoever writes them may do so at each reading.
+pub(crate) fn unusable<S: Store, D: Dialect>(
+    life: &Life<S, D>,
+    listing: &'static str,
+    count: usize,
+) {
+    let before = life.unusable.borrow_mut().insert(listing, count);
+    if before.unwrap_or_default() != count {
+        life.recorder().say(
+            Event::EntriesUnusable,
+            &[
+                ("listing", Value::Text(&listing)),
+                ("entries", Value::Count(count as u64)),
+            ],
+        );
+    }
+}
+
 /// Says what a listing of endpoints changed.
 pub(crate) fn endpoints<S: Store, D: Dialect>(life: &Life<S, D>, change: &Change, age: Duration) {
     let say = |event, id: &kernel::EndpointId| {
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -40,10 +40,10 @@
     ) -> impl Future<Output = Result<Documents, Trouble>>;
 
     /// Reads the listing of endpoints.
-    fn endpoints(&self) -> impl Future<Output = Result<Vec<Entry>, Trouble>>;
+    fn endpoints(&self) -> impl Future<Output = Result<Found<Entry>, Trouble>>;
 
     /// Reads the listing of hosts.
-    fn members(&self) -> impl Future<Output = Result<Vec<Member>, Trouble>>;
+    fn members(&self) -> impl Future<Output = Result<Found<Member>, Trouble>>;
 
     /// Lists this host, or renews its entry.
     fn announce(&self, member: &Member) -> impl Future<Output = Result<(), Trouble>>;
@@ -56,6 +56,16 @@
     fn judge(&self, judgement: &Judgement) -> impl Future<Output = Result<(), Trouble>>;
 }
 
+/// What the store lists, as far as it can be understood. Others may write there
+/// too: one entry that can't be read must not hide those that can.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found<T> {
+    /// The entries that can be used.
+    pub entries: Vec<T>,
+    /// How many others there are.
+    pub unusable: usize,
+}
+
 /// Why the store didn't do what it was asked.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, Hash)]
 pub enum Trouble {
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -195,7 +195,7 @@
     /// What news takes to arrive, at least. Without it, an age would grow too
     /// slowly while it goes round between hosts.
     const WAY: Duration = Duration::from_millis(20);
-    now.saturating_sub(age + WAY)
+    now.saturating_sub(age.saturating_add(WAY))
 }
 
 /// Takes over the age of another host's listing that is the same as this one's,
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -1,9 +1,10 @@
 //! The endpoints, what they are doing and how well.
 
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use kernel::{EndpointId, ServiceName};
+use kernel::{EndpointId, Incarnation, ServiceName};
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
@@ -77,7 +78,7 @@
         let mut change = Change::default();
         let mut seen = HashSet::with_capacity(entries.len());
         for entry in entries {
-            seen.insert(self.take(entry, &mut change));
+            seen.insert(self.take(now, entry, &mut change));
         }
         if absence == Absence::Gone {
             self.miss(now, &seen, &mut change);
@@ -85,17 +86,70 @@
         change
     }
 
-    fn take(&mut self, entry: Entry, change: &mut Change) -> Key {
-        if let Some(&key) = self.by_id.get(&entry.id) {
-            let known = &mut self.endpoints[key];
-            if known.takes_work() && entry.state == State::Draining {
-                change.leaving.push(entry.id.clone());
+    fn take(&mut self, now: Duration, entry: Entry, change: &mut Change) -> Key {
+        let Some(&key) = self.by_id.get(&entry.id) else {
+            change.added.push(entry.id.clone());
+            return self.insert(entry);
+        };
+        let known = &mut self.endpoints[key];
+        let is_moved = known.entry.service != entry.service;
+        match entry.incarnation.cmp(&known.entry.incarnation) {
+            // A former life's late word says only that the identity is in use.
+            Ordering::Less => known.listed = Listed::Yes,
+            Ordering::Equal if !is_moved => {
+                if known.takes_work() && entry.state == State::Draining {
+                    change.leaving.push(entry.id.clone());
+                }
+                known.listed = Listed::Yes;
+                known.entry = entry;
+            }
+            Ordering::Equal | Ordering::Greater => {
+                change.added.push(entry.id.clone());
+                return self.replace(now, key, entry);
+            }
+        }
+        key
+    }
+
+    /// Takes the word of an endpoint on the life that it is in, and gives the key
+    /// of that life: a new one if it has started again, none if the word is late.
+    pub(crate) fn renew(
+        &mut self,
+        now: Duration,
+        key: Key,
+        told: Option<Incarnation>,
+    ) -> Option<Key> {
+        let known = self.endpoints.get(key)?;
+        match told.cmp(&known.entry.incarnation) {
+            _ if told.is_none() => Some(key),
+            Ordering::Less => None,
+            Ordering::Equal => Some(key),
+            // Another life has the identity already, and this key is its past.
+            Ordering::Greater if self.by_id.get(&known.entry.id) != Some(&key) => None,
+            Ordering::Greater => {
+                let entry = Entry {
+                    incarnation: told,
+                    ..known.entry.clone()
+                };
+                Some(self.replace(now, key, entry))
             }
-            known.listed = Listed::Yes;
-            known.entry = entry;
-            return key;
         }
-        change.added.push(entry.id.clone());
+    }
+
+    /// Gives an endpoint that has started again a key of its own.
+    ///
+    /// All that was believed of the life before stays with the old key: load,
+    /// health, requests and connections. Kept for the new one, a rest would leave
+    /// a sound endpoint unused, and requests that ended with their process would
+    /// count as under way for good.
+    fn replace(&mut self, now: Duration, former: Key, entry: Entry) -> Key {
+        if let Some(it) = self.endpoints.get_mut(former) {
+            it.listed = Listed::Missing(now);
+        }
+        self.insert(entry)
+    }
+
+    fn insert(&mut self, entry: Entry) -> Key {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let key = self.endpoints.insert(Endpoint::new(entry));
         self.by_id.insert(id, key);
@@ -127,7 +181,9 @@
             if it.flights > 0 || now.saturating_sub(since) < KEPT {
                 return true;
             }
-            by_id.remove(&it.entry.id);
+            if by_id.get(&it.entry.id) == Some(&key) {
+                by_id.remove(&it.entry.id);
+            }
             if let Some(keys) = by_service.get_mut(&it.entry.service) {
                 keys.retain(|&it| it != key);
             }
@@ -273,12 +329,12 @@
     }
 
     /// Prompts that it reads or has still to read, if it said so just now.
-    pub(crate) fn unread_prompts(&self, now: Duration) -> Option<u32> {
+    pub(crate) fn unread_prompts(&self, now: Duration) -> Option<f64> {
         /// As long as it takes to ask several and send the request.
         const NEW: Duration = Duration::from_millis(100);
         let (at, report) = self.report?;
         let is_new = now.saturating_sub(at) <= NEW;
-        is_new.then_some(report.reading + report.waiting)
+        is_new.then(|| report.prompts())
     }
 
     fn used(&self, now: Duration, usual: f64) -> f64 {
@@ -288,7 +344,7 @@
         let own = f64::from(self.flights);
         let told = match self.load {
             Some((at, load)) if now.saturating_sub(at) < BELIEVED => {
-                f64::from(load.running + load.waiting) + f64::from(self.sent_since_load)
+                load.requests() + f64::from(self.sent_since_load)
             }
             _ => usual * slots,
         };
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kernel::{DataCentre, EndpointId, Release, ServiceName};
+use kernel::{DataCentre, EndpointId, Incarnation, Release, ServiceName};
 use serde::{Deserialize, Serialize};
 
 slotmap::new_key_type! {
@@ -16,6 +16,10 @@
 pub struct Entry {
     /// Its identity.
     pub id: EndpointId,
+    /// The life of its process, higher after each start. An endpoint may start
+    /// again under its identity and then knows nothing of before. None where the
+    /// directory doesn't tell.
+    pub incarnation: Option<Incarnation>,
     /// What it serves.
     pub service: ServiceName,
     /// Where it listens.
@@ -53,18 +57,32 @@
 }
 
 impl Load {
+    /// Requests that it has, by its own word, which may be any numbers.
+    pub(crate) fn requests(self) -> f64 {
+        f64::from(self.running) + f64::from(self.waiting)
+    }
+
     /// The part of its places that is taken; more than 1 if requests wait.
     #[must_use]
     pub fn used(self) -> f64 {
-        f64::from(self.running + self.waiting) / f64::from(self.slots.max(1))
+        self.requests() / f64::from(self.slots.max(1))
     }
 }
 
 /// What an endpoint says of its work when it is asked.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Report {
+    /// The life of the process that says it, if it tells.
+    pub incarnation: Option<Incarnation>,
     /// Requests whose prompt is being read: they run and have no event yet.
     pub reading: u32,
     /// Requests that wait.
     pub waiting: u32,
 }
+
+impl Report {
+    /// Prompts that it reads or has still to read.
+    pub(crate) fn prompts(self) -> f64 {
+        f64::from(self.reading) + f64::from(self.waiting)
+    }
+}
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -44,6 +44,7 @@
     }
 }
 
+/// Callers name any number of tokens; none is read that is longer than this.
 fn number(tokens: u64) -> f64 {
-    u32::try_from(tokens).map_or(f64::MAX, f64::from)
+    f64::from(u32::try_from(tokens).unwrap_or(u32::MAX))
 }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -134,9 +134,7 @@
                 continue;
             }
             let mut score = self.directory.used_of(now, it);
-            let unread = it
-                .unread_prompts(now)
-                .map_or(self.unread_prompts, f64::from);
+            let unread = it.unread_prompts(now).unwrap_or(self.unread_prompts);
             score += it.unread.div_duration_f64(FULL_UNREAD).max(PROMPT * unread);
             score += BAD * it.health.bad_share();
             score += CHANCE * self.rng.random::<f64>();
@@ -196,14 +194,16 @@
         scored.iter().take(LOOKS).filter_map(look).collect()
     }
 
-    /// Takes an endpoint's word on what it is at.
+    /// Takes an endpoint's word on what it is at, unless it is of a former life.
     pub fn report(&mut self, now: Duration, endpoint: Key, report: Report) {
         /// How much one report moves what is usual.
         const PART: f64 = 0.05;
+        let Some(endpoint) = self.directory.renew(now, endpoint, report.incarnation) else {
+            return;
+        };
         if let Some(it) = self.directory.get_mut(endpoint) {
             it.report = Some((now, report));
-            let prompts = f64::from(report.reading + report.waiting);
-            self.unread_prompts += PART * (prompts - self.unread_prompts);
+            self.unread_prompts += PART * (report.prompts() - self.unread_prompts);
         }
     }
 
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{EndpointId, HostName, Release, ServiceName, SessionId};
+use kernel::{EndpointId, HostName, Incarnation, Release, ServiceName, SessionId};
 use route::config::{Config, Customer, Limits, Service};
 use route::directory::{Absence, Endpoint};
 use route::endpoint::{Load, Report};
@@ -206,7 +206,9 @@
         let router = &mut self.hosts[self.host];
         let of = |(key, it): (_, &Endpoint)| (it.entry.id.as_str() == words.rest[0]).then_some(key);
         let key = router.directory().of(&service).find_map(of).unwrap();
+        let life = words.text("life");
         let report = Report {
+            incarnation: life.map(|it| Incarnation(it.parse().unwrap())),
             reading: words.number::<u32>("reading", 0),
             waiting: words.number::<u32>("waiting", 0),
         };
--- a/crates/route/tests/harness/words.rs
+++ b/crates/route/tests/harness/words.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use kernel::DataCentre;
+use kernel::{DataCentre, Incarnation};
 use route::config::{Access, Answer, Repeat, Route, Target};
 use route::endpoint::{Entry, State};
 use route::{Ending, Settings};
@@ -83,12 +83,17 @@
     }
 }
 
-/// `id@service/release`, with `!` after it for one that drains.
+/// `id@service/release`, with `!` after it for one that drains, and `#` and a
+/// number after the identity for one that tells its life.
 pub(crate) fn entry(text: &str) -> Entry {
-    let (id, rest) = text.split_once('@').unwrap();
+    let (who, rest) = text.split_once('@').unwrap();
+    let (id, life) = who.split_once('#').map_or((who, None), |(id, life)| {
+        (id, Some(Incarnation(life.parse().unwrap())))
+    });
     let (service, release) = rest.trim_end_matches('!').split_once('/').unwrap();
     Entry {
         id: id.into(),
+        incarnation: life,
         service: service.into(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: DataCentre::from("dc1"),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -38,6 +38,7 @@
     EndpointAdded, 1600, Info, "An endpoint is listed.";
     EndpointLeaving, 1601, Info, "An endpoint takes no new work.";
     EndpointResting, 1602, Warning, "An endpoint answers badly and is left alone for a while.";
+    EntriesUnusable, 1603, Warning, "Entries of a listing can't be used; the others hold.";
 
     RolloutSeen, 1700, Info, "A roll-out was ordered.";
     RolloutJudged, 1701, Info, "A roll-out came to a verdict.";
