--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -22,7 +22,7 @@
 
 use crate::follow::{documents, endpoints, members, verdicts};
 use crate::message::{Message, Question};
-use crate::peers::Peers;
+use crate::peers::{Peers, Sign};
 use crate::{Judgement, Member, Members, Store, say, talk};
 
 /// How often old connections are closed.
@@ -183,7 +183,13 @@
     pub fn live(&self) -> Vec<(SocketAddr, DataCentre, Region)> {
         let now = self.node.now();
         let peers = self.peers.borrow();
-        self.members.borrow().live(now, |it| peers.sign(now, it))
+        let own = if self.is_ready() {
+            Sign::Ready
+        } else {
+            Sign::Unready
+        };
+        let members = self.members.borrow();
+        members.live(now, own, |it| peers.sign(now, it))
     }
 
     /// Whether callers are to come: the front answers, a configuration and
@@ -201,7 +207,6 @@
         let began = self.node.now();
         let end = began + serving.whole;
         self.node.leave();
-        self.members.borrow_mut().leave();
         self.hurry();
         // The others notice by the missing renewals, too.
         let withdraw = timeout(serving.taking, self.store.withdraw(&self.own));
--- a/crates/host/src/members.rs
+++ b/crates/host/src/members.rs
@@ -24,7 +24,6 @@
     own: Member,
     others: HashMap<HostName, Seen>,
     period: Duration,
-    is_leaving: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -41,7 +40,6 @@
             own,
             others: HashMap::new(),
             period,
-            is_leaving: false,
         }
     }
 
@@ -81,11 +79,6 @@
         }
     }
 
-    /// Says that this host is leaving.
-    pub fn leave(&mut self) {
-        self.is_leaving = true;
-    }
-
     /// The other hosts, also those that callers aren't sent to.
     pub(crate) fn others(&self) -> impl Iterator<Item = &Member> {
         self.others.values().map(|it| &it.member)
@@ -112,9 +105,14 @@
     /// What a host said lately goes before its entry: the entry of one that
     /// died stays for seconds. Where most others are silent this host is the
     /// one that is cut off, and the entries are all that there is to go by.
+    ///
+    /// Itself it names only while it is ready. A host that the store turns away
+    /// knows no route, and callers that it called to itself would all be refused
+    /// for as long as that lasts, while the others are there to serve them.
     pub(crate) fn live(
         &self,
         now: Duration,
+        own: Sign,
         sign: impl Fn(&HostName) -> Sign,
     ) -> Vec<(SocketAddr, DataCentre, Region)> {
         let silent = self
@@ -134,7 +132,7 @@
                 Sign::Silent => now.saturating_sub(it.renewed) < self.period * MISSED,
             })
             .map(|(_, it)| &it.member);
-        let own = (!self.is_leaving).then_some(&self.own);
+        let own = (own == Sign::Ready).then_some(&self.own);
         let mut hosts: Vec<_> = others
             .chain(own)
             .map(|it| (it.front, it.data_centre.clone(), it.region.clone()))
