Keep a request that came before an order on the old release

The side that was chosen now belongs to its order; under another order the request is on the old release.

Test: `rollout_again.txt` fails before (the request goes to the release on trial) and passes now.

--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -45,7 +45,7 @@
     /// When the caller stops waiting, or the route's timeout ends.
     pub deadline: Duration,
     /// The release that it is to run on while a roll-out is under way.
-    pub(crate) side: Option<Side>,
+    pub(crate) lane: Option<Lane>,
     /// Whether the caller has a part of the answer.
     pub begun: bool,
     pub(crate) cascade: Cascade,
@@ -56,6 +56,14 @@
     pub(crate) spare: Spare,
 }
 
+/// The release that a request is to run on, as one order tells releases apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lane {
+    pub(crate) side: Side,
+    /// The order's number. What was new to an earlier order is old to this one.
+    pub(crate) revision: u64,
+}
+
 /// Whether the request may be sent once more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Spare {
@@ -158,7 +166,7 @@
             shape,
             arrived,
             deadline,
-            side: None,
+            lane: None,
             begun: false,
             tried: Vec::new(),
             attempts: 0,
@@ -168,6 +176,11 @@
         }
     }
 
+    /// The release that it is to run on while a roll-out is under way.
+    pub(crate) fn side(&self) -> Option<Side> {
+        self.lane.map(|it| it.side)
+    }
+
     /// The model that is to answer, where the route chooses it.
     #[must_use]
     pub fn model(&self) -> Option<&ModelName> {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -196,7 +196,7 @@
         let patience = patience.unwrap_or(route.timeout).min(route.timeout);
         let route = route.clone();
         let mut call = Call::new(route, customer, service, shape, now, now + patience);
-        call.side = self.side(now, &call, number);
+        call.lane = self.lane(now, &call, number);
         self.budget(&call.service).request(now);
         Ok(call)
     }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use super::{Look, Placement, Router};
-use crate::call::Call;
+use crate::call::{Call, Lane};
 use crate::directory::Endpoint;
 use crate::endpoint::{Key, Report};
 use crate::rollout::{Rollout, Side, Verdict};
@@ -78,7 +78,10 @@
         }
         // The endpoints of the new release may not have started yet, and those
         // of either may be down: the other one is better than no answer.
-        call.side = call.side.map(Side::other);
+        call.lane = call.lane.map(|it| Lane {
+            side: it.side.other(),
+            ..it
+        });
         self.place_on_side(now, call)
     }
 
@@ -89,14 +92,19 @@
     }
 
     /// Moves a request that is still under way off a release that was reverted
-    /// since it came, or onto one that is complete.
+    /// since it came, or onto one that is complete. One that came before the order
+    /// stays on the old release: the one that an earlier order brought in is old now.
     fn settle_side(&self, call: &mut Call) {
-        call.side = match self.rollouts.get(&call.service).map(|it| it.verdict) {
-            Some(Verdict::Running) => call.side.or(Some(Side::Old)),
-            Some(Verdict::Complete) => Some(Side::New),
-            Some(Verdict::Reverted) => Some(Side::Old),
-            None => None,
-        };
+        call.lane = self.rollouts.get(&call.service).map(|it| {
+            let revision = it.order.revision;
+            let chosen = call.lane.filter(|lane| lane.revision == revision);
+            let side = match it.verdict {
+                Verdict::Running => chosen.map_or(Side::Old, |lane| lane.side),
+                Verdict::Complete => Side::New,
+                Verdict::Reverted => Side::Old,
+            };
+            Lane { side, revision }
+        });
     }
 
     fn is_running(&self, call: &Call) -> bool {
@@ -114,7 +122,7 @@
             id: it.entry.id.clone(),
             address: it.entry.address,
             model: call.model().cloned(),
-            side: call.side,
+            side: call.side(),
             connections: self.connections(&call.service)?,
             candidates,
             used: self.directory.used_of(now, it),
@@ -219,7 +227,7 @@
     /// would only hold up the others.
     fn fills(&self, now: Duration, call: &Call) -> Option<Key> {
         let rollout = self.rollouts.get(&call.service)?;
-        if call.side != Some(Side::New)
+        if call.side() != Some(Side::New)
             || !rollout.is_filling(now)
             || call.shape.prompt_tokens > SHORT_TOKENS
         {
@@ -244,7 +252,7 @@
     rollout: Option<&Rollout>,
     it: &Endpoint,
 ) -> bool {
-    let fits = match (rollout, call.side) {
+    let fits = match (rollout, call.side()) {
         (Some(rollout), Some(side)) => rollout.fits(side, &it.entry.release),
         _ => true,
     };
--- a/crates/route/src/router/releases.rs
+++ b/crates/route/src/router/releases.rs
@@ -6,8 +6,8 @@
 
 use super::{Router, SESSION_MARGIN};
 use crate::Rollout;
-use crate::call::Call;
-use crate::rollout::{self, Order, Side};
+use crate::call::{Call, Lane};
+use crate::rollout::{self, Order};
 
 /// What another host's news of roll-outs changed.
 #[derive(Clone, Debug, Default)]
@@ -79,14 +79,18 @@
     }
 
     /// The release for a new request while a roll-out is under way.
-    pub(super) fn side(&self, now: Duration, call: &Call, number: u64) -> Option<Side> {
+    pub(super) fn lane(&self, now: Duration, call: &Call, number: u64) -> Option<Lane> {
         let rollout = self.rollouts.get(&call.service)?;
         let gap = self.settings.session_gap + SESSION_MARGIN;
         let session = call.shape.session.as_ref();
         let release = session.and_then(|it| self.sessions.release(now, it, gap));
-        Some(match release {
+        let side = match release {
             Some(release) => rollout.keep(now, release, number),
             None => rollout.side(now, number),
+        };
+        Some(Lane {
+            side,
+            revision: rollout.order.revision,
         })
     }
 }
