--- a/xtask/src/days.rs
+++ b/xtask/src/days.rs
@@ -1,4 +1,4 @@
-//! Replays the days under `days/`: each kind of trouble alone, and pairs.
+//! Replays the days under `deploy/days/`: each kind of trouble alone, and pairs.
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -12,13 +12,13 @@
 use crate::error::Error;
 
 /// Where the days are, from the repository's root.
-const FOLDER: &str = "days";
+const FOLDER: &str = "deploy/days";
 
 /// The command line.
 #[must_use]
 pub fn command() -> Command {
     Command::new("days")
-        .about("Replays the days under days/ with the users' bench, where it is there")
+        .about("Replays the days under deploy/days/ with the users' bench, where it is there")
         .arg(
             Arg::new("bench")
                 .long("bench")
