Ask endpoints no longer what they are at before long prompts

Hypothesis: the reports that were asked for before a prompt of 0.4 s or more was placed gain nothing beside own requests, endpoints' load in their answers and a little chance.

Removed: `Router::looks` and `report`, `forward::look`, the report's decoder, and the tests of just these (looks.txt, restart_report.txt, the stand-in's long prompt, the fuzzed report). absurd.txt loses its two lines about reports; what it shows, a prompt of 2^64 tokens, stays.

--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use framing::{request, response};
 use kernel::{Customer, RequestId};
-use route::endpoint::{Load, Report};
+use route::endpoint::Load;
 use route::{Placement, Shape};
 
 /// How callers' requests and endpoints' answers are spelled on the wire.
@@ -23,12 +23,6 @@
     /// Whether a field of an endpoint's answer is passed on to the caller.
     fn passes(&self, field: &str) -> bool;
 
-    /// Asks an endpoint what it is at.
-    fn question(&self) -> &'static [u8];
-
-    /// What an endpoint says that it is at.
-    fn report(&self, body: &[u8]) -> Option<Report>;
-
     /// The name of the field that echoes a request's id.
     fn id_field(&self) -> &'static str;
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,7 +12,6 @@
 mod conn;
 mod dialect;
 mod front;
-mod look;
 mod lull;
 mod node;
 mod pool;
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -14,7 +14,6 @@
 use crate::answer::{Answer, Notice};
 use crate::attempt::{Attempt, Result as AttemptResult};
 use crate::caller::Request;
-use crate::look::look;
 use crate::{Asked, Dialect, Node, Phase};
 
 /// The caller has no whole answer on this connection, and can't get one.
@@ -102,7 +101,6 @@
     let node = record.node;
     let mut last_event = asked.last_event;
     loop {
-        look(node, call).await;
         let now = node.now();
         let Some(placement) = node.router().place(now, call) else {
             let failure = node.router().unplaced(now, call);
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -4,11 +4,11 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use kernel::{EndpointId, Incarnation, ServiceName};
+use kernel::{EndpointId, ServiceName};
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use crate::endpoint::{Entry, Key, Load, Report, State};
+use crate::endpoint::{Entry, Key, Load, State};
 use crate::health::Health;
 
 /// The largest part of a service's endpoints that rest at once. If most of them
@@ -40,8 +40,6 @@
     /// The load that it told last, and the requests sent since.
     pub(crate) load: Option<(Duration, Load)>,
     pub(crate) sent_since_load: u32,
-    /// What it said of its work when it was asked last.
-    pub(crate) report: Option<(Duration, Report)>,
     pub(crate) health: Health,
 }
 
@@ -111,31 +109,6 @@
         key
     }
 
-    /// Takes the word of an endpoint on the life that it is in, and gives the key
-    /// of that life: a new one if it has started again, none if the word is late.
-    pub(crate) fn renew(
-        &mut self,
-        now: Duration,
-        key: Key,
-        told: Option<Incarnation>,
-    ) -> Option<Key> {
-        let known = self.endpoints.get(key)?;
-        match told.cmp(&known.entry.incarnation) {
-            _ if told.is_none() => Some(key),
-            Ordering::Less => None,
-            Ordering::Equal => Some(key),
-            // Another life has the identity already, and this key is its past.
-            Ordering::Greater if self.by_id.get(&known.entry.id) != Some(&key) => None,
-            Ordering::Greater => {
-                let entry = Entry {
-                    incarnation: told,
-                    ..known.entry.clone()
-                };
-                Some(self.replace(now, key, entry))
-            }
-        }
-    }
-
     /// Gives an endpoint that has started again a key of its own.
     ///
     /// All that was believed of the life before stays with the old key: load,
@@ -317,7 +290,6 @@
             unread: Duration::ZERO,
             load: None,
             sent_since_load: 0,
-            report: None,
             health: Health::default(),
         }
     }
@@ -328,15 +300,6 @@
         self.listed == Listed::Yes && self.entry.state == State::Ready
     }
 
-    /// Prompts that it reads or has still to read, if it said so just now.
-    pub(crate) fn unread_prompts(&self, now: Duration) -> Option<f64> {
-        /// As long as it takes to ask several and send the request.
-        const NEW: Duration = Duration::from_millis(100);
-        let (at, report) = self.report?;
-        let is_new = now.saturating_sub(at) <= NEW;
-        is_new.then(|| report.prompts())
-    }
-
     fn used(&self, now: Duration, usual: f64) -> f64 {
         /// How long a load report is believed. Requests last about as long.
         const BELIEVED: Duration = Duration::from_millis(1_500);
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -68,21 +68,3 @@
         self.requests() / f64::from(self.slots.max(1))
     }
 }
-
-/// What an endpoint says of its work when it is asked.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// The life of the process that says it, if it tells.
-    pub incarnation: Option<Incarnation>,
-    /// Requests whose prompt is being read: they run and have no event yet.
-    pub reading: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
-impl Report {
-    /// Prompts that it reads or has still to read.
-    pub(crate) fn prompts(self) -> f64 {
-        f64::from(self.reading) + f64::from(self.waiting)
-    }
-}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,5 +25,5 @@
 pub use config::Config;
 pub use directory::Directory;
 pub use rollout::Rollout;
-pub use router::{Arrival, Denial, Flight, Heard, Look, Placement, Router};
+pub use router::{Arrival, Denial, Flight, Heard, Placement, Router};
 pub use settings::Settings;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -4,7 +4,6 @@
 mod denial;
 mod expect;
 mod flight;
-mod look;
 mod place;
 mod placement;
 mod releases;
@@ -29,7 +28,6 @@
 pub use arrival::Arrival;
 pub use denial::Denial;
 pub use flight::Flight;
-pub use look::Look;
 pub use placement::Placement;
 pub use releases::Heard;
 
@@ -58,8 +56,6 @@
     listed: Option<Duration>,
     /// Endpoints that were put to rest since the driver last asked.
     rested: Vec<(EndpointId, Ending)>,
-    /// How many prompts an endpoint usually has still to read, by its own word.
-    unread_prompts: f64,
     hosts: u32,
     rng: Pcg32,
 }
@@ -79,7 +75,6 @@
             wholes: HashMap::new(),
             listed: None,
             rested: Vec::new(),
-            unread_prompts: 0.0,
             hosts: 1,
             rng: Pcg32::seed_from_u64(seed),
         }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -5,10 +5,10 @@
 use kernel::{ServiceName, hash};
 use rand::RngExt;
 
-use super::{Look, Placement, Router};
+use super::{Placement, Router};
 use crate::call::{Call, Lane};
 use crate::directory::Endpoint;
-use crate::endpoint::{Key, Report};
+use crate::endpoint::Key;
 use crate::rollout::{Rollout, Side, Verdict};
 
 /// Time to read the prompts that wait which weighs as much as all places taken.
@@ -16,14 +16,6 @@
 /// What another data centre weighs, in parts of an endpoint's places. Small: it
 /// costs bytes between data centres, which are a hundredth of an answer's worth.
 const FAR: f64 = 0.04;
-/// What a prompt weighs that an endpoint still reads, or has to read: a long one
-/// takes some 0.3 s.
-const PROMPT: f64 = 0.3;
-/// How long a prompt must take to read for endpoints to be asked first. Asking
-/// takes some milliseconds, and a fiftieth of the price of a long answer.
-const WORTH_A_LOOK: Duration = Duration::from_millis(400);
-/// How many endpoints are asked.
-const LOOKS: usize = 3;
 /// What a cached beginning of the prompt weighs at most, in parts of an
 /// endpoint's places.
 const CACHED: f64 = 0.7;
@@ -142,8 +134,7 @@
                 continue;
             }
             let mut score = self.directory.used_of(now, it);
-            let unread = it.unread_prompts(now).unwrap_or(self.unread_prompts);
-            score += it.unread.div_duration_f64(FULL_UNREAD).max(PROMPT * unread);
+            score += it.unread.div_duration_f64(FULL_UNREAD);
             score += BAD * it.health.bad_share();
             score += CHANCE * self.rng.random::<f64>();
             if it.entry.data_centre != self.settings.data_centre {
@@ -179,42 +170,6 @@
             .map(|it| it.1)
     }
 
-    /// The endpoints to be asked what they are at before a request is placed: those
-    /// that would be chosen, where the prompt takes long to read.
-    ///
-    /// Long prompts are read one after the other, and each host knows only of its
-    /// own. Two endpoints asked and the better one taken spare most of the waits.
-    pub fn looks(&mut self, now: Duration, call: &mut Call) -> Vec<Look> {
-        self.settle_side(call);
-        let expected = call.cascade.model().map(|it| self.expected(call, it));
-        if expected.is_none_or(|it| it < WORTH_A_LOOK) {
-            return Vec::new();
-        }
-        let mut scored = self.score(now, call, Strictness::Fresh);
-        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let look = |(_, endpoint): &(f64, Key)| {
-            let address = self.directory.get(*endpoint)?.entry.address;
-            Some(Look {
-                endpoint: *endpoint,
-                address,
-            })
-        };
-        scored.iter().take(LOOKS).filter_map(look).collect()
-    }
-
-    /// Takes an endpoint's word on what it is at, unless it is of a former life.
-    pub fn report(&mut self, now: Duration, endpoint: Key, report: Report) {
-        /// How much one report moves what is usual.
-        const PART: f64 = 0.05;
-        let Some(endpoint) = self.directory.renew(now, endpoint, report.incarnation) else {
-            return;
-        };
-        if let Some(it) = self.directory.get_mut(endpoint) {
-            it.report = Some((now, report));
-            self.unread_prompts += PART * (report.prompts() - self.unread_prompts);
-        }
-    }
-
     /// This host's part of the connections that an endpoint takes from all.
     fn connections(&self, service: &ServiceName) -> Option<u32> {
         let total = self.config.as_ref()?.service(service)?.max_connections;
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{EndpointId, HostName, Incarnation, Release, ServiceName, SessionId};
+use kernel::{EndpointId, HostName, Release, ServiceName, SessionId};
 use route::config::{Config, Customer, Limits, Service};
-use route::directory::{Absence, Endpoint};
-use route::endpoint::{Load, Report};
+use route::directory::Absence;
+use route::endpoint::Load;
 use route::rollout::{Order, Verdict};
-use route::{Arrival, Call, Ending, Flight, Look, Placement, Router, Shape};
+use route::{Arrival, Call, Ending, Flight, Placement, Router, Shape};
 
 use crate::words::{Words, ending_of, entry, route, settings};
 
@@ -114,11 +114,6 @@
                 self.load(&words);
                 None
             }
-            "looks" => Some(self.looks(words.rest[0])),
-            "says" => {
-                self.says(&words);
-                None
-            }
             "arrive" => Some(self.arrive(&words)),
             "send" => Some(self.send(words.rest[0])),
             "begun" => {
@@ -191,30 +186,6 @@
         self.hosts[self.host].load(self.now, flight, load);
     }
 
-    fn looks(&mut self, id: &str) -> String {
-        let open = self.calls.get_mut(id).unwrap();
-        let looks = self.hosts[self.host].looks(self.now, &mut open.call);
-        let directory = self.hosts[self.host].directory();
-        let name = |it: &Look| directory.get(it.endpoint).unwrap().entry.id.to_string();
-        let mut names: Vec<_> = looks.iter().map(name).collect();
-        names.sort();
-        format!("asks {}", names.join(" "))
-    }
-
-    fn says(&mut self, words: &Words<'_>) {
-        let service = ServiceName::from(words.rest[1]);
-        let router = &mut self.hosts[self.host];
-        let of = |(key, it): (_, &Endpoint)| (it.entry.id.as_str() == words.rest[0]).then_some(key);
-        let key = router.directory().of(&service).find_map(of).unwrap();
-        let life = words.text("life");
-        let report = Report {
-            incarnation: life.map(|it| Incarnation(it.parse().unwrap())),
-            reading: words.number::<u32>("reading", 0),
-            waiting: words.number::<u32>("waiting", 0),
-        };
-        router.report(self.now, key, report);
-    }
-
     fn arrive(&mut self, words: &Words<'_>) -> String {
         let id = words.rest[0];
         let shape = Shape {
