Ask a store that turns a host away for the configuration first

Cause: a host that the store turns away asked it for the documents, the verdicts, the endpoints, the hosts and the authority, each on its own, six to seven calls a second.

Ruled out: one question for all kinds also later, since the store may be away in part.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -13,9 +13,13 @@
 
 use async_std::channel::Receiver;
 use async_std::task::sleep;
+use forward::Dialect;
 use futures::future::{Either, select};
 use futures::pin_mut;
 
+use crate::Store;
+use crate::life::Life;
+
 /// How long one question for news waits. Each is paid for; a connection that
 /// went silent meanwhile is noticed by its keep-alive, see `http`, and a store
 /// that did by its other calls. The rest is noticed after this time.
@@ -31,12 +35,12 @@
 
 /// How long to wait before the next try: twice as long after each failure.
 #[derive(Debug, Default)]
-struct Backoff {
+pub(crate) struct Backoff {
     failures: u32,
 }
 
 impl Backoff {
-    async fn wait(&mut self) {
+    pub(crate) async fn wait(&mut self) {
         let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(4));
         self.failures += 1;
         sleep(pause.min(LONGEST_PAUSE)).await;
@@ -47,6 +51,19 @@
     }
 }
 
+/// Waits until a configuration is known, from the store or from another host.
+///
+/// Until then nothing else is of use, and a host that the store turns away would
+/// ask it for five things at a time, each of them paid for. One question tells as
+/// well when it is back.
+pub(crate) async fn configured<S: Store, D: Dialect>(life: &Life<S, D>) {
+    /// Short against the 30 ms that a start takes to the first answer.
+    const GLANCE: Duration = Duration::from_millis(5);
+    while life.node.router().version().is_none() {
+        sleep(GLANCE).await;
+    }
+}
+
 /// What a question to the store gives, or nothing if the store was away
 /// meanwhile and the question has to be asked anew.
 async fn unless<T>(returned: &Receiver<()>, question: impl Future<Output = T>) -> Option<T> {
--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -9,7 +9,7 @@
 use route::directory::Absence;
 use route::endpoint::{Entry, State};
 
-use super::{Backoff, LOOK};
+use super::{Backoff, LOOK, configured};
 use crate::life::{Life, Listed};
 use crate::{Store, say};
 
@@ -20,6 +20,7 @@
 const LAPSED: Duration = Duration::from_millis(2_200);
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    configured(&life).await;
     let mut failed = None;
     let mut backoff = Backoff::default();
     loop {
--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -7,7 +7,7 @@
 use forward::Dialect;
 use kernel::hash;
 
-use super::LOOK;
+use super::{LOOK, configured};
 use crate::life::{Life, Reading};
 use crate::{Member, Store, say};
 
@@ -20,6 +20,7 @@
 const FIRST_PERIOD: Duration = Duration::from_millis(500);
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    configured(&life).await;
     let mut period = FIRST_PERIOD;
     loop {
         let known = life.grouped.get().and(life.confirmed.get());
--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -9,7 +9,7 @@
 use route::rollout::Verdict;
 use telemetry::{Event, Value};
 
-use super::{Backoff, LOOK, NEWS_WAIT, unless};
+use super::{Backoff, LOOK, NEWS_WAIT, configured, unless};
 use crate::life::Life;
 use crate::{Judgement, Store, Trouble, say};
 
@@ -22,6 +22,7 @@
 const MOST_TURNS: usize = 8;
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    configured(&life).await;
     let mut since = None;
     let mut backoff = Backoff::default();
     loop {
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -12,7 +12,7 @@
 use link::{Incoming, Link, Peer};
 use wire::{Frame, Payload};
 
-use crate::follow::{documents, endpoints, members, verdicts};
+use crate::follow::{Backoff, documents, endpoints, members, verdicts};
 use crate::life::{Life, Listed, Reading, is_much_later};
 use crate::message::{Listing, ListingNews, Members, Message, News, Question, Stamp};
 use crate::{Member, Store};
@@ -30,8 +30,6 @@
 
 /// How long an answer of another host may take.
 const ANSWER: Duration = Duration::from_millis(400);
-/// The pause between two tries to join the others.
-const JOIN_PAUSE: Duration = Duration::from_millis(500);
 
 /// Tells the others what this host knows, for as long as it lives.
 pub(crate) async fn tell<S: Store, D: Dialect>(life: Rc<Life<S, D>>, link: Link) {
@@ -276,10 +274,11 @@
 
 /// Joins the others: their certificates come from the store.
 pub(crate) async fn join<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    let mut backoff = Backoff::default();
     let (link, inbox) = loop {
         match life.open_link().await {
             Some(it) => break it,
-            None => sleep(JOIN_PAUSE).await,
+            None => backoff.wait().await,
         }
     };
     life.node.spawn(tell(Rc::clone(&life), link.clone()));
