--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod soak;
 pub mod try_out;
 pub mod workload;
+pub mod worth;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,11 +1,11 @@
-//! Chores: demo, load, experiment, capacity, soak and days.
+//! Chores: demo, load, experiment, capacity, soak, days and worth.
 
 use std::process::ExitCode;
 
 use clap::Command;
 use error_stack::Report;
 use xtask::error::Error;
-use xtask::{capacity, days, demo, experiment, load, soak, try_out};
+use xtask::{capacity, days, demo, experiment, load, soak, try_out, worth};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -17,6 +17,7 @@
         Some(("experiment", matches)) => experiment::run(matches),
         Some(("soak", matches)) => soak::run(matches),
         Some(("days", matches)) => days::run(matches),
+        Some(("worth", matches)) => worth::run(matches),
         _ => unreachable!("clap requires one of the sub-commands"),
     };
     done.unwrap_or_else(|report: Report<Error>| {
@@ -37,4 +38,5 @@
         .subcommand(experiment::command())
         .subcommand(soak::command())
         .subcommand(days::command())
+        .subcommand(worth::command())
 }
--- /dev/null
+++ b/xtask/src/worth.rs
@@ -0,0 +1,136 @@
+//! Where the worth of a day goes: credit that wasn't earned and prices, by cause.
+//!
+//! Reads entries of the journal that the users' bench writes; what it means is in
+//! `docs/design/deciding.md`.
+
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use comfy_table::{Table, presets};
+use error_stack::{Report, ResultExt};
+use serde::Deserialize;
+
+use crate::error::Error;
+
+/// Causes that take less than this of what is asked are put together.
+const SMALL: f64 = 0.002;
+
+/// A run of the bench, as far as it is read.
+#[derive(Debug, Deserialize)]
+pub struct Entry {
+    /// The deployment.
+    pub site: String,
+    /// The days that were played.
+    pub days: Vec<Day>,
+}
+
+/// A day that was played.
+#[derive(Debug, Deserialize)]
+pub struct Day {
+    /// Its name.
+    pub name: String,
+    /// What it is worth, in parts of what is asked.
+    #[serde(rename = "G")]
+    pub worth: f64,
+    parts: Vec<Part>,
+    prices: Vec<Price>,
+}
+
+/// A part of the credit: its name, its weight, and what was earned of it.
+#[derive(Debug, Deserialize)]
+struct Part(String, f64, f64);
+
+/// A price: what is paid for, how much of it, and the price in parts of what is asked.
+#[derive(Debug, Deserialize)]
+struct Price(
+    String,
+    #[expect(dead_code, reason = "the file has it")] f64,
+    f64,
+);
+
+/// The command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("worth")
+        .about("Prints where the worth of played days went, from entries of the journal")
+        .arg(
+            Arg::new("entry")
+                .value_name("FILE")
+                .help("Entries of the journal")
+                .value_parser(value_parser!(PathBuf))
+                .action(ArgAction::Append)
+                .num_args(1..)
+                .required(true),
+        )
+}
+
+/// Prints a table of causes for each entry.
+///
+/// # Errors
+/// [`Error::Measure`] when an entry can't be read.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, Report<Error>> {
+    for path in matches.get_many::<PathBuf>("entry").unwrap_or_default() {
+        let file = File::open(path).change_context(Error::Measure)?;
+        let entry: Entry = serde_json::from_reader(file).change_context(Error::Measure)?;
+        println!("{}\n{}", entry.site, table(&entry));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// A line a cause, the largest on the first day first. Each column adds up to what
+/// the day's worth is short of 1.
+#[must_use]
+pub fn table(entry: &Entry) -> String {
+    let days: Vec<Vec<(String, f64)>> = entry.days.iter().map(Day::causes).collect();
+    let mut names: Vec<&String> = Vec::new();
+    for (name, _) in days.iter().flatten() {
+        if !names.contains(&name) {
+            names.push(name);
+        }
+    }
+    let of = |day: &[(String, f64)], name: &String| -> f64 {
+        day.iter().filter(|it| it.0 == *name).map(|it| it.1).sum()
+    };
+    let mut lines: Vec<(&str, Vec<f64>)> = names
+        .into_iter()
+        .map(|name| (name.as_str(), days.iter().map(|it| of(it, name)).collect()))
+        .collect();
+    let first = |it: &Vec<f64>| it.first().copied().unwrap_or_default();
+    lines.sort_by(|a, b| first(&b.1).total_cmp(&first(&a.1)));
+    let mut table = Table::new();
+    table.load_style(presets::ASCII_MARKDOWN);
+    let titles = entry.days.iter().map(|it| it.name.clone());
+    table.set_header(std::iter::once("missing".to_owned()).chain(titles));
+    let mut row = |name: &str, values: &[f64]| {
+        let values = values.iter().map(|it| format!("{it:.3}"));
+        table.add_row(std::iter::once(name.to_owned()).chain(values));
+    };
+    let mut rest = vec![0.0; days.len()];
+    for (name, values) in &lines {
+        if values.iter().any(|it| it.abs() >= SMALL) {
+            row(name, values);
+        } else {
+            rest.iter_mut().zip(values).for_each(|(sum, it)| *sum += it);
+        }
+    }
+    row("smaller ones", &rest);
+    let missing: Vec<f64> = entry.days.iter().map(|it| 1.0 - it.worth).collect();
+    row("all", &missing);
+    table.to_string()
+}
+
+impl Day {
+    fn causes(&self) -> Vec<(String, f64)> {
+        let parts = self.parts.iter().map(|Part(name, weight, earned)| {
+            let name = format!("credit: {name}");
+            (name, weight * (1.0 - earned))
+        });
+        let prices = self
+            .prices
+            .iter()
+            .map(|Price(name, _, price)| (name.clone(), *price));
+        parts.chain(prices).collect()
+    }
+}
