--- a/xtask/src/worth.rs
+++ b/xtask/src/worth.rs
@@ -17,7 +17,7 @@
 /// Causes that take less than this of what is asked are put together.
 const SMALL: f64 = 0.002;
 
-/// A run of the bench, as far as it is read.
+/// A run, as far as it is read.
 #[derive(Debug, Deserialize)]
 pub struct Entry {
     /// The deployment.
