--- a/crates/route/src/cascade.rs
+++ b/crates/route/src/cascade.rs
@@ -21,11 +21,10 @@
 const CROWDED: f64 = 5.0;
 /// The opinion at which an answer is as likely good as not, and how far from it the
 /// odds grow e-fold, both in hundredths. A model's opinion is rough: it tells on
-/// which side of what it can do a request lies, and hardly by how much. Of the
-/// smallest model's answers 0.56 to 0.58 bear an opinion above 50 where that part of
-/// requests is within its reach, and a quarter bear 50 to 90, which were asked
-/// again in vain when the opinion counted as the chance itself. Trials at 6 and 10:
-/// `docs/design/deciding.md`.
+/// which side of what it can do a request lies, and hardly by how much. Three in ten
+/// of the smallest model's answers bear an opinion of 50 to 90; most of those were
+/// asked again in vain when the opinion counted as the chance itself. Trials at 6 and
+/// 10: `docs/design/deciding.md`.
 const EVEN: f64 = 50.0;
 const SPREAD: f64 = 6.0;
 
