--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -26,6 +26,9 @@
 const NEWS_WAIT: Duration = Duration::from_secs(5);
 /// How often a host that doesn't read looks whether it has to.
 const LOOK: Duration = Duration::from_millis(100);
+/// The same for a host that isn't ready: short against the 30 ms that a start takes
+/// to the first answer.
+const GLANCE: Duration = Duration::from_millis(5);
 
 /// Waits until a configuration is known, from the store or from another host.
 ///
@@ -33,13 +36,21 @@
 /// ask it for five things at a time, each of them paid for. One question tells as
 /// well when it is back.
 pub(crate) async fn configured<S: Store, D: Dialect>(life: &Life<S, D>) {
-    /// Short against the 30 ms that a start takes to the first answer.
-    const GLANCE: Duration = Duration::from_millis(5);
     while life.node.router().version().is_none() {
         sleep(GLANCE).await;
     }
 }
 
+/// Waits until it may be this host's turn to ask the store. What isn't known at all
+/// is worth looking at more often.
+async fn pause<S: Store, D: Dialect>(life: &Life<S, D>) {
+    if life.is_ready() {
+        sleep(LOOK).await;
+    } else {
+        sleep(GLANCE).await;
+    }
+}
+
 /// What a question to the store gives, or nothing if the store was away
 /// meanwhile and the question has to be asked anew.
 async fn unless<T>(returned: &Receiver<()>, question: impl Future<Output = T>) -> Option<T> {
--- a/crates/host/src/follow/documents.rs
+++ b/crates/host/src/follow/documents.rs
@@ -3,13 +3,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use async_std::task::sleep;
 use forward::Dialect;
 use route::Config;
 use route::rollout::Order;
 use telemetry::{Event, Value};
 
-use super::{LOOK, NEWS_WAIT, unless, verdicts};
+use super::{NEWS_WAIT, pause, unless, verdicts};
 use crate::life::Life;
 use crate::{Backoff, Documents, Store, Trouble, say};
 
@@ -17,8 +16,8 @@
     let mut since = None;
     let mut backoff = Backoff::default();
     loop {
-        if since.is_some() && !life.asks_store(life.confirmed.get()) {
-            sleep(LOOK).await;
+        if !life.asks_store(life.confirmed.get()) {
+            pause(&life).await;
             continue;
         }
         let began = life.node.now();
--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -9,7 +9,7 @@
 use route::directory::Absence;
 use route::endpoint::{Entry, State};
 
-use super::{LOOK, configured};
+use super::{configured, pause};
 use crate::life::{Life, Listed};
 use crate::{Backoff, Store, say};
 
@@ -26,7 +26,7 @@
     loop {
         let node = &life.node;
         if !life.asks_store(life.listed.get().map(|it| it.at)) {
-            sleep(LOOK).await;
+            pause(&life).await;
             continue;
         }
         let began = node.now();
--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -1,66 +1,94 @@
-//! Follows the listing of hosts.
+//! Keeps the store's listing of hosts in agreement with the hosts that live.
+//!
+//! It is there for those who start: they find others by it, who know the rest.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_std::task::sleep;
 use forward::Dialect;
-use kernel::hash;
 
-use super::{LOOK, configured};
-use crate::life::{Life, Reading};
+use crate::life::Life;
 use crate::{Member, Store, say};
 
-/// How often the listing of hosts is read: it only tells of new ones, which also
-/// tell of themselves. Whether hosts live is known from them.
-const PERIOD: Duration = Duration::from_secs(4);
+/// How often the listing is read by those who read for all.
+const PERIOD: Duration = Duration::from_secs(10);
 /// The time to the second reading; each later one takes twice as long as the one
 /// before it, up to the whole period. Hosts that start at once aren't in the
 /// listing yet when the others read it first.
 const FIRST_PERIOD: Duration = Duration::from_millis(500);
+/// How often a host looks whether it is one of those.
+const LOOK: Duration = Duration::from_millis(200);
+/// How many entries are enough for those who start: a host that finds so many doesn't
+/// list itself, but leaves it to the readers, who list all at a time. Fewer would each
+/// be asked by all others at a start of the whole fleet; 295 single writes were a
+/// tenth of the calls of a quiet day.
+const ENOUGH: usize = 48;
+/// The most entries that are written at a time.
+const MOST: usize = 100;
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
-    configured(&life).await;
     let mut period = FIRST_PERIOD;
-    loop {
-        let known = life.grouped.get().and(life.confirmed.get());
-        if life.grouped.get().is_some() && !life.asks_store(known) {
-            sleep(LOOK).await;
+    let mut next = Duration::ZERO;
+    while !life.is_leaving() {
+        sleep(LOOK).await;
+        let now = life.node.now();
+        let found = life.found.get();
+        let is_due = now >= next && (life.reads_for_all() || !life.is_enlisted.get());
+        let Some(found) = found.filter(|_| is_due) else {
             continue;
+        };
+        if !life.is_enlisted.get() && found < ENOUGH {
+            let is_done = enlist(&life, &[life.own().clone()]).await;
+            life.is_enlisted.set(is_done);
         }
-        let began = life.node.now();
-        let listed = life.store.members().await;
-        say::store(&life, "hosts", began, &listed);
-        match listed {
-            Ok(found) => {
-                say::unusable(&life, "hosts", found.unusable);
-                list(&life, life.node.now(), found.entries);
-            }
-            Err(_) => life.members.borrow_mut().hold(life.node.now()),
+        if life.reads_for_all() {
+            agree(&life).await;
+        }
+        next = life.node.now() + period;
+        if life.is_enlisted.get() {
+            period = PERIOD.min(period * 2);
         }
-        sleep(period).await;
-        period = PERIOD.min(period * 2);
     }
 }
 
-/// Takes a listing of hosts that was read at `at`, unless a later one was taken.
-pub(crate) fn list<S: Store, D: Dialect>(life: &Life<S, D>, at: Duration, members: Vec<Member>) {
-    if life.grouped.get().is_some_and(|it| it.at >= at) {
+/// Reads the listing, lists those who live and are missing there, and takes those off
+/// who have long been silent.
+async fn agree<S: Store, D: Dialect>(life: &Life<S, D>) {
+    let began = life.node.now();
+    let listed = life.store.members().await;
+    say::store(life, "hosts", began, &listed);
+    let Ok(found) = listed else {
         return;
+    };
+    say::unusable(life, "hosts", found.unusable);
+    let (missing, gone) = {
+        let mut gossip = life.gossip.borrow_mut();
+        gossip.list(life.node.now(), found.entries.clone());
+        let roster = gossip.roster();
+        (
+            roster.missing(&found.entries),
+            roster.gone(life.node.now(), &found.entries),
+        )
+    };
+    if life.rank() == 0 {
+        enlist(life, &missing).await;
+        for some in gone.chunks(MOST) {
+            let began = life.node.now();
+            let withdrawn = life.store.withdraw(some).await;
+            say::store(life, "withdraw", began, &withdrawn);
+        }
     }
-    let fingerprint = fingerprint(&members);
-    life.grouped.set(Some(Reading { at, fingerprint }));
-    let now = life.node.now();
-    let mut known = life.members.borrow_mut();
-    known.list(now, members);
-    life.node.router().set_hosts(known.count());
 }
 
-fn fingerprint(members: &[Member]) -> u64 {
-    let mut facts: Vec<_> = members
-        .iter()
-        .map(|it| (&it.name, it.front, it.link))
-        .collect();
-    facts.sort();
-    hash::of(&facts)
+/// Lists these hosts, and says whether that succeeded.
+async fn enlist<S: Store, D: Dialect>(life: &Life<S, D>, members: &[Member]) -> bool {
+    let mut is_done = true;
+    for some in members.chunks(MOST) {
+        let began = life.node.now();
+        let announced = life.store.announce(some).await;
+        say::store(life, "announce", began, &announced);
+        is_done &= announced.is_ok();
+    }
+    is_done
 }
--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -9,7 +9,7 @@
 use route::rollout::Verdict;
 use telemetry::{Event, Value};
 
-use super::{LOOK, NEWS_WAIT, configured, unless};
+use super::{NEWS_WAIT, configured, pause, unless};
 use crate::life::Life;
 use crate::{Backoff, Judgement, Store, Trouble, say};
 
@@ -26,8 +26,8 @@
     let mut since = None;
     let mut backoff = Backoff::default();
     loop {
-        if since.is_some() && !life.asks_store(life.confirmed.get()) {
-            sleep(LOOK).await;
+        if !life.asks_store(life.confirmed.get()) {
+            pause(&life).await;
             continue;
         }
         let began = life.node.now();
@@ -159,6 +159,9 @@
     let known = life.judgements.borrow();
     let mut findings = Vec::new();
     for rollout in router.rollouts() {
+        if rollout.advance(now) {
+            life.hurry();
+        }
         let found = rollout.finding(now);
         if found == Some(Verdict::Reverted) {
             // This host has seen enough; the store hears of it when it can.
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -2,12 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::mem::Discriminant;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::channel::{Receiver, Sender, bounded};
-use async_std::future::timeout;
 use async_std::task::sleep;
 use forward::{Dialect, Front, Node, Phase};
 use kernel::{Incarnation, ServiceName};
@@ -21,14 +21,12 @@
 
 use crate::addresses::Address;
 use crate::follow::{documents, endpoints, members, verdicts};
+use crate::gossip::{Contact, Gossip, State};
 use crate::message::{Message, Question};
-use crate::peers::{Peers, Sign};
-use crate::{Backoff, Judgement, Member, Members, Store, say, talk};
+use crate::{Backoff, Joined, Judgement, Member, Store, say, talk};
 
 /// How often old connections are closed.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
-/// How soon a host tries again to list itself.
-const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// How often a host that leaves looks whether its last request has ended.
 const END_PERIOD: Duration = Duration::from_millis(50);
 
@@ -41,9 +39,14 @@
 /// What each place in the order of hosts adds to that, and the most places.
 const TURN: Duration = Duration::from_millis(10);
 const MOST_TURNS: usize = 25;
-/// How long a host that has started tells the others where it is. The readers
-/// find its entry within four seconds.
-const INTRODUCED: Duration = Duration::from_secs(10);
+/// How long a host that has just started waits for others to tell it what they know,
+/// and what each place in the order of hosts adds to that. Others that run tell it
+/// within some 50 ms. Where all start at once the first two read, and it takes longer
+/// to go round than any that could be worth a call of each.
+const START: Duration = Duration::from_millis(250);
+const MOST_START_TURNS: usize = 100;
+/// How long ago a call to the store may have been answered for it to count as reached.
+const REACHED: Duration = Duration::from_millis(2_500);
 
 /// The name under which the hosts' authority signs.
 const FLEET: &str = "barleypin";
@@ -57,17 +60,13 @@
 pub struct Life<S, D> {
     pub(crate) store: S,
     pub(crate) node: Rc<Node<D>>,
-    pub(crate) members: RefCell<Members>,
+    pub(crate) gossip: RefCell<Gossip>,
     pub(crate) judgements: RefCell<HashMap<ServiceName, Judgement>>,
-    pub(crate) period: Duration,
-    pub(crate) peers: RefCell<Peers>,
     /// The listing of endpoints that is in use.
     pub(crate) listed: Cell<Option<Listed>>,
-    /// The listing of hosts that is in use.
-    pub(crate) grouped: Cell<Option<Reading>>,
     pub(crate) config_text: RefCell<Option<Arc<[u8]>>>,
     /// What another host is being asked for.
-    pub(crate) asking: RefCell<HashSet<Question>>,
+    pub(crate) asking: RefCell<HashSet<Discriminant<Question>>>,
     /// Says that something changed which the others should hear at once.
     pub(crate) hurry: Sender<()>,
     pub(crate) changes: Receiver<()>,
@@ -83,6 +82,16 @@
     pub(crate) confirmed: Cell<Option<Duration>>,
     /// Whether a question for news of the configuration is open at the store.
     pub(crate) watches: Cell<bool>,
+    /// Whether the store was asked for the other hosts, with whatever success.
+    pub(crate) looked: Cell<bool>,
+    /// How many hosts the store listed then.
+    pub(crate) found: Cell<Option<usize>>,
+    /// Whether this host is in the store's listing.
+    pub(crate) is_enlisted: Cell<bool>,
+    /// This host's end of the links to the others, once it has joined them.
+    pub(crate) link: RefCell<Option<Link>>,
+    /// When a call to the store was last answered.
+    pub(crate) reached: Cell<Option<Duration>>,
     started: Duration,
     own: Member,
     rng: RefCell<Pcg32>,
@@ -99,14 +108,6 @@
     pub(crate) fingerprint: u64,
 }
 
-/// Which of several readings of something is in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Reading {
-    /// When it was read.
-    pub(crate) at: Duration,
-    pub(crate) fingerprint: u64,
-}
-
 /// How long a host that was asked to stop still serves, all from that moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Serving {
@@ -121,17 +122,21 @@
 }
 
 impl<S: Store, D: Dialect> Life<S, D> {
-    /// A host that has not started yet and will renew its entry each `period`.
+    /// A host that has not started yet.
     #[must_use]
-    pub fn new(store: S, node: Rc<Node<D>>, own: Member, period: Duration, seed: u64) -> Rc<Self> {
+    pub fn new(store: S, node: Rc<Node<D>>, own: Member, seed: u64) -> Rc<Self> {
         let (hurry, changes) = bounded(1);
         Rc::new(Self {
-            peers: RefCell::default(),
+            gossip: RefCell::new(Gossip::new(own.clone(), Incarnation(seed), node.now())),
             listed: Cell::new(None),
             config_text: RefCell::default(),
             asking: RefCell::default(),
             watches: Cell::new(false),
-            grouped: Cell::new(None),
+            looked: Cell::new(false),
+            found: Cell::new(None),
+            is_enlisted: Cell::new(false),
+            link: RefCell::default(),
+            reached: Cell::new(None),
             returns: [bounded(1), bounded(1)],
             lost: RefCell::default(),
             unusable: RefCell::default(),
@@ -140,11 +145,9 @@
             changes,
             incarnation: Incarnation(seed),
             store,
-            members: RefCell::new(Members::new(own.clone(), period)),
             judgements: RefCell::default(),
             started: node.now(),
             node,
-            period,
             own,
             rng: RefCell::new(Pcg32::seed_from_u64(seed)),
             answers: Cell::new(false),
@@ -161,7 +164,6 @@
         self.node.spawn(members::follow(Rc::clone(self)));
         self.node.spawn(verdicts::judge(Rc::clone(self)));
         self.node.spawn(talk::join(Rc::clone(self)));
-        self.node.spawn(announce(Rc::clone(self)));
         self.node.spawn(sweep(Rc::clone(&self.node)));
         self.node.spawn(say::gauges(Rc::clone(self)));
     }
@@ -181,15 +183,8 @@
     /// The hosts that callers may be sent to.
     #[must_use]
     pub fn live(&self) -> Vec<Address> {
-        let now = self.node.now();
-        let peers = self.peers.borrow();
-        let own = if self.is_ready() {
-            Sign::Ready
-        } else {
-            Sign::Unready
-        };
-        let members = self.members.borrow();
-        members.live(now, own, |it| peers.sign(now, it))
+        self.renew_state();
+        self.gossip.borrow().roster().addresses(self.node.now())
     }
 
     /// Whether callers are to come: the front answers, a configuration and
@@ -208,13 +203,6 @@
         let end = began + serving.whole;
         self.node.leave();
         self.hurry();
-        // The others notice by the missing renewals, too.
-        let withdraw = timeout(serving.taking, self.store.withdraw(&self.own));
-        if let Ok(withdrawn) = withdraw.await {
-            say::store(self, "withdraw", began, &withdrawn);
-        }
-        // A slow store must not make the time longer in which every request is
-        // taken: what comes late may not end before the process does.
         self.sleep_until(began + serving.taking).await;
         self.node.finish(end);
         self.sleep_until(began + serving.known.min(serving.whole))
@@ -222,6 +210,18 @@
         while self.node.busy() > 0 && self.node.now() < end {
             sleep(END_PERIOD).await;
         }
+        self.say_goodbye().await;
+    }
+
+    /// Tells the neighbours that this host is gone: they need not find out.
+    async fn say_goodbye(&self) {
+        let now = self.node.now();
+        let link = self.link.borrow().clone();
+        self.gossip.borrow_mut().set_state(now, State::Gone);
+        if let Some(link) = link {
+            talk::say(self, &link);
+            sleep(END_PERIOD).await;
+        }
     }
 
     async fn sleep_until(&self, at: Duration) {
@@ -232,17 +232,64 @@
     /// what it knows is too old. Hosts further down the order wait a little
     /// longer, and most hear from those before them meanwhile.
     pub(crate) fn asks_store(&self, known_at: Option<Duration>) -> bool {
-        let Some(at) = known_at else {
+        if self.reads_for_all() {
             return true;
+        }
+        let (since, patience, most) = match known_at {
+            Some(at) => (at, STALE, MOST_TURNS),
+            None => (self.started, START, MOST_START_TURNS),
         };
-        let rank = self.rank();
-        let turns = u32::try_from(rank.min(MOST_TURNS)).unwrap_or_default();
-        rank < READERS || self.node.now().saturating_sub(at) >= STALE + TURN * turns
+        let turns = u32::try_from(self.rank().min(most)).unwrap_or_default();
+        self.looked.get() && self.node.now().saturating_sub(since) >= patience + TURN * turns
+    }
+
+    /// Whether this host is one of those that read the store for all. Before it knows
+    /// the others nobody is.
+    pub(crate) fn reads_for_all(&self) -> bool {
+        self.looked.get() && self.rank() < READERS
     }
 
     /// This host's place among those that live.
     pub(crate) fn rank(&self) -> usize {
-        self.peers.borrow().rank(self.node.now(), &self.own.name)
+        self.gossip.borrow().roster().rank()
+    }
+
+    /// This host, as the others find it.
+    pub(crate) fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Whether this host was asked to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.node.phase() != Phase::Serving
+    }
+
+    /// Takes into what is told how this host is.
+    pub(crate) fn renew_state(&self) {
+        let now = self.node.now();
+        let mut gossip = self.gossip.borrow_mut();
+        if gossip.roster().own().state == State::Gone {
+            return;
+        }
+        let state = match (self.is_leaving(), self.is_ready()) {
+            (true, _) => State::Leaving,
+            (false, true) => State::Ready,
+            (false, false) => State::Starting,
+        };
+        if gossip.set_state(now, state) {
+            self.hurry();
+        }
+        let hosts = u32::try_from(gossip.roster().count()).unwrap_or(u32::MAX);
+        self.node.router().set_hosts(hosts);
+    }
+
+    /// Whether the store was reached lately.
+    pub(crate) fn contact(&self) -> Contact {
+        let now = self.node.now();
+        match self.reached.get() {
+            Some(at) if now.saturating_sub(at) < REACHED => Contact::Store,
+            _ => Contact::Lost,
+        }
     }
 
     /// Takes that the configuration in force was the store's at this time, and
@@ -253,12 +300,6 @@
         is_much_later(at, known)
     }
 
-    /// This host, while the others may not have found its entry in the store.
-    pub(crate) fn introduction(&self) -> Option<Member> {
-        let is_new = self.node.now().saturating_sub(self.started) < INTRODUCED;
-        is_new.then(|| self.own.clone())
-    }
-
     /// A message as it goes to another host; nothing if it can't be encoded.
     pub(crate) fn frame(&self, message: &Message) -> Option<Frame> {
         let from = Identity {
@@ -273,9 +314,13 @@
     pub(crate) async fn open_link(&self) -> Option<(Link, Receiver<Incoming>)> {
         let made = Authority::generate(FLEET).ok()?;
         let began = self.node.now();
-        let authority = self.store.authority(made).await;
-        say::store(self, "authority", began, &authority);
-        let authority = authority.ok()?;
+        let joined = self.store.join(made).await;
+        say::store(self, "join", began, &joined);
+        let Joined { authority, members } = joined.ok()?;
+        self.found.set(Some(members.len()));
+        self.is_enlisted.set(members.contains(&self.own));
+        let now = self.node.now();
+        self.gossip.borrow_mut().list(now, members);
         let keys = authority.issue(&self.own.name).ok()?;
         self.recorder()
             .say(Event::Joined, &[("address", Value::Text(&self.own.link))]);
@@ -305,17 +350,18 @@
 
     /// Waits after a question to the store that failed.
     pub(crate) async fn back_off(&self, backoff: &mut Backoff) {
-        let lot = self.rng.borrow_mut().random::<f64>();
+        let lot = self.lot();
         sleep(backoff.pause(self.others(), lot)).await;
     }
 
     /// How many other hosts are heard.
     fn others(&self) -> usize {
-        self.peers.borrow().count(self.node.now())
+        self.gossip.borrow().roster().count() - 1
     }
 
-    pub(crate) fn chance(&self, below: u64) -> u64 {
-        self.rng.borrow_mut().random_range(0..below)
+    /// A number from 0 to 1, by chance.
+    pub(crate) fn lot(&self) -> f64 {
+        self.rng.borrow_mut().random()
     }
 }
 
@@ -327,26 +373,6 @@
     known.is_none_or(|known| at >= known + MUCH)
 }
 
-async fn announce<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
-    let mut own = life.own.clone();
-    while life.node.phase() == Phase::Serving {
-        if life.is_ready() {
-            own.renewal += 1;
-            let began = life.node.now();
-            let renewed = life.store.announce(&own).await;
-            say::store(&life, "announce", began, &renewed);
-            let pause = match renewed {
-                Ok(()) => life.period,
-                // Nobody finds a host that isn't listed.
-                Err(_) => Backoff::shared(ANNOUNCE_PAUSE, life.others()),
-            };
-            sleep(pause).await;
-        } else {
-            sleep(END_PERIOD).await;
-        }
-    }
-}
-
 async fn sweep<D: Dialect>(node: Rc<Node<D>>) {
     loop {
         sleep(SWEEP_PERIOD).await;
--- a/crates/host/src/member.rs
+++ b/crates/host/src/member.rs
@@ -8,7 +8,7 @@
 use crate::addresses::Address;
 
 /// A host, as the others see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: HostName,
@@ -20,8 +20,6 @@
     pub data_centre: DataCentre,
     /// Its region.
     pub region: Region,
-    /// The number of its last renewal, which rises with each; 0 while it has none.
-    pub renewal: u64,
 }
 
 impl Member {
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use kernel::Incarnation;
 use route::directory::Absence;
 use route::endpoint::Entry;
 use route::rollout;
 use serde::{Deserialize, Serialize};
 
-use crate::peers::Heartbeat;
-use crate::{Judgement, Member};
+use crate::Judgement;
+use crate::gossip::{Comparison, Digest, Pulse, Record};
 
 /// What hosts say to each other.
 ///
@@ -18,49 +17,50 @@
 pub(crate) enum Message {
     /// What a host knows, told several times a second.
     News(Box<News>),
-    /// Asks for something that the other host has newer.
+    /// Asks for something.
     Ask(Question),
     /// The configuration, as operators wrote it.
     Config(Vec<u8>),
     /// The listing of endpoints.
     Listing(Listing),
-    /// The listing of hosts.
-    Members(Members),
-    /// The host has nothing to answer with.
+    /// All that a host that has just started needs.
+    Known(Box<Known>),
+    /// What the other host knows of all hosts and the asking one doesn't.
+    Comparison(Comparison),
+    /// What was wanted of a comparison.
+    Records(Vec<Record>),
+    /// The host lives, and has nothing else to answer with.
     Nothing,
 }
 
 /// What a host asks another for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Question {
     Config,
     Listing,
-    Members,
+    /// Everything, for a host that has just started.
+    Everything,
+    /// What both know differently of the hosts.
+    Comparison(Digest),
+    /// Whether it lives.
+    Life,
 }
 
 /// What a host knows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct News {
-    /// The life of its process.
-    pub(crate) incarnation: Incarnation,
-    /// The host itself, while others may not have read its entry.
-    pub(crate) own: Option<Member>,
-    /// Whether callers may be sent to it.
-    pub(crate) is_ready: bool,
+    /// Of the hosts.
+    pub(crate) pulse: Pulse,
     /// The version of the configuration in force there.
     pub(crate) version: Option<u64>,
     /// How long ago the store last confirmed that version, as far as it knows.
     pub(crate) confirmed: Option<Duration>,
     /// Its listing of endpoints.
     pub(crate) listing: Option<ListingNews>,
-    /// Its listing of hosts.
-    pub(crate) members: Option<Stamp>,
     /// What it knows of roll-outs.
     pub(crate) rollouts: Vec<rollout::News>,
     /// What the store says of roll-outs.
     pub(crate) judgements: Vec<Judgement>,
-    /// When it heard of the others.
-    pub(crate) heartbeats: Vec<Heartbeat>,
 }
 
 /// Which of several readings a host goes by.
@@ -89,10 +89,11 @@
     pub(crate) age: Duration,
 }
 
-/// The listing of hosts, as the store had it.
+/// All that a host knows. A host that took the configuration alone would serve by it
+/// before it knows which release is on trial, and which sessions stay off it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Members {
-    pub(crate) members: Vec<Member>,
-    /// How long ago it was read.
-    pub(crate) age: Duration,
+pub(crate) struct Known {
+    pub(crate) news: News,
+    pub(crate) config: Option<Vec<u8>>,
+    pub(crate) listing: Option<Listing>,
 }
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -1,5 +1,6 @@
 //! Says what a host believes: log lines at changes, gauges all the time.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,6 +31,9 @@
     };
     let timed = (!call.starts_with("news")).then_some(took);
     life.recorder().metrics().store_call(call, name, timed);
+    if result.is_ok() {
+        life.reached.set(Some(life.node.now()));
+    }
     let mut lost = life.lost.borrow_mut();
     match result {
         // These are answers: the store is there.
@@ -94,7 +98,7 @@
 /// Sets the gauges, and says when readiness or the hosts changed.
 pub(crate) async fn gauges<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     let mut was_ready = false;
-    let mut hosts: Vec<SocketAddr> = Vec::new();
+    let mut hosts: HashSet<SocketAddr> = HashSet::new();
     loop {
         sleep(PERIOD).await;
         life.recorder().say_dropped();
@@ -108,13 +112,9 @@
             life.recorder().say(event, &[]);
             was_ready = is_ready;
         }
-        let now: Vec<SocketAddr> = life.live().into_iter().map(|it| it.front).collect();
+        let now: HashSet<SocketAddr> = life.live().into_iter().map(|it| it.front).collect();
         if now != hosts {
-            let list: Vec<String> = now.iter().map(SocketAddr::to_string).collect();
-            life.recorder().say(
-                Event::HostsChanged,
-                &[("hosts", Value::Text(&list.join(" ")))],
-            );
+            hosts_changed(&life, &hosts, &now);
             hosts = now;
         }
         let level = level(&life, hosts.len());
@@ -122,6 +122,30 @@
     }
 }
 
+/// Says which hosts callers are sent to that they weren't before, and the other way
+/// round. Of hundreds that change at once the first few tell which data centre it is.
+fn hosts_changed<S: Store, D: Dialect>(
+    life: &Life<S, D>,
+    before: &HashSet<SocketAddr>,
+    now: &HashSet<SocketAddr>,
+) {
+    const MOST: usize = 16;
+    let some = |of: &HashSet<SocketAddr>, but: &HashSet<SocketAddr>| {
+        let mut some: Vec<_> = of.difference(but).collect();
+        some.sort_unstable();
+        let names = some.iter().take(MOST).map(ToString::to_string);
+        names.collect::<Vec<_>>().join(" ")
+    };
+    life.recorder().say(
+        Event::HostsChanged,
+        &[
+            ("hosts", Value::Count(now.len() as u64)),
+            ("added", Value::Text(&some(now, before))),
+            ("removed", Value::Text(&some(before, now))),
+        ],
+    );
+}
+
 fn level<S: Store, D: Dialect>(life: &Life<S, D>, hosts: usize) -> Gauges {
     let now = life.node.now();
     let mut router = life.node.router();
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -28,9 +28,9 @@
     /// [`Trouble::Unreadable`].
     fn config(&self, text: &[u8]) -> Result<Arc<Config>, Trouble>;
 
-    /// The authority by which hosts know each other: the one that the store
-    /// has, or `made` if it had none.
-    fn authority(&self, made: Authority) -> impl Future<Output = Result<Authority, Trouble>>;
+    /// What a host needs to find and trust the others. The store's authority is
+    /// `made` if it had none.
+    fn join(&self, made: Authority) -> impl Future<Output = Result<Joined, Trouble>>;
 
     /// Reads what roll-outs have come to, or waits for news of it.
     fn judgements(
@@ -45,17 +45,26 @@
     /// Reads the listing of hosts.
     fn members(&self) -> impl Future<Output = Result<Found<Member>, Trouble>>;
 
-    /// Lists this host, or renews its entry.
-    fn announce(&self, member: &Member) -> impl Future<Output = Result<(), Trouble>>;
+    /// Lists these hosts, or renews their entries.
+    fn announce(&self, members: &[Member]) -> impl Future<Output = Result<(), Trouble>>;
 
-    /// Takes this host off the list.
-    fn withdraw(&self, member: &Member) -> impl Future<Output = Result<(), Trouble>>;
+    /// Takes these hosts off the list.
+    fn withdraw(&self, members: &[Member]) -> impl Future<Output = Result<(), Trouble>>;
 
     /// Writes what a roll-out has come to, unless it was written since
     /// `judgement.revision`.
     fn judge(&self, judgement: &Judgement) -> impl Future<Output = Result<(), Trouble>>;
 }
 
+/// What a host needs to find and trust the others.
+#[derive(Clone, Debug)]
+pub struct Joined {
+    /// By which hosts know each other.
+    pub authority: Authority,
+    /// The hosts that the store lists.
+    pub members: Vec<Member>,
+}
+
 /// What the store lists, as far as it can be understood. Others may write there
 /// too: one entry that can't be read must not hide those that can.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/host/src/talk/learn.rs
@@ -0,0 +1,186 @@
+//! What this host takes from the others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use forward::Dialect;
+use kernel::HostName;
+use link::{Link, Peer};
+
+use super::{ask, peer};
+use crate::Store;
+use crate::follow::{documents, endpoints, verdicts};
+use crate::gossip::Record;
+use crate::life::{Life, Listed, is_much_later};
+use crate::message::{Known, Listing, ListingNews, Message, News, Question};
+
+/// Takes a host's news, and has told on at once what is much later than was known:
+/// what one host reads goes round them all within some milliseconds a hop.
+pub(super) fn news<S: Store, D: Dialect>(
+    life: &Rc<Life<S, D>>,
+    link: &Link,
+    from: &HostName,
+    news: &News,
+) {
+    let is_news = take(life, from, news);
+    let heard = life
+        .gossip
+        .borrow_mut()
+        .hear(life.node.now(), from, &news.pulse);
+    let known = life.gossip.borrow().roster().get(from).cloned();
+    if is_news || heard.is_news {
+        life.hurry();
+    }
+    let Some(peer) = known.map(|it| peer(&it.member)) else {
+        return;
+    };
+    if heard.differs {
+        let digest = life.gossip.borrow().digest();
+        ask::ask_once(life, link, &peer, Question::Comparison(digest));
+    }
+    let own = life.node.router().version();
+    if news.version > own {
+        let question = match own {
+            Some(_) => Question::Config,
+            None => Question::Everything,
+        };
+        ask::ask_once(life, link, &peer, question);
+    }
+    let is_confirmed = match news.confirmed {
+        Some(age) if news.version == own => life.confirm(read_at(life.node.now(), age)),
+        _ => false,
+    };
+    let is_listed = match news.listing {
+        Some(it) if own.is_some() => listing_news(life, link, &peer, it),
+        _ => false,
+    };
+    if is_confirmed || is_listed {
+        life.hurry();
+    }
+}
+
+/// Takes what a host says of roll-outs, and says whether the neighbours are to hear
+/// of it at once.
+fn take<S: Store, D: Dialect>(life: &Life<S, D>, from: &HostName, news: &News) -> bool {
+    let mut rollouts = news.rollouts.clone();
+    let gossip = life.gossip.borrow();
+    for it in &mut rollouts {
+        // Who is no nearer would only hear its own sum again.
+        it.sums.retain(|sum| {
+            let own = gossip.graph().distance(sum.root);
+            own.is_some_and(|own| own < sum.distance)
+        });
+    }
+    drop(gossip);
+    let heard = life.node.router().hear(life.node.now(), from, rollouts);
+    for order in &heard.ordered {
+        documents::say_order(life, order);
+    }
+    for rollout in &heard.judged {
+        verdicts::say_verdict(life, rollout, from.as_str());
+    }
+    verdicts::take(life, news.judgements.clone());
+    heard.is_news
+}
+
+/// Takes all that another host knows.
+pub(super) fn known<S: Store, D: Dialect>(
+    life: &Rc<Life<S, D>>,
+    link: &Link,
+    from: &Peer,
+    known: Known,
+) {
+    let now = life.node.now();
+    life.gossip.borrow_mut().answered(now, &from.host);
+    // Before the configuration, by which requests are served at once.
+    take(life, &from.host, &known.news);
+    if let Some(it) = known.listing {
+        listing(life, it);
+    }
+    if let Some(text) = known.config {
+        config(life, text);
+    }
+    news(life, link, &from.host, &known.news);
+}
+
+/// Takes another host's answer.
+pub(super) fn answer<S: Store, D: Dialect>(
+    life: &Rc<Life<S, D>>,
+    link: &Link,
+    from: &Peer,
+    answer: Message,
+) {
+    match answer {
+        Message::Config(text) => config(life, text),
+        Message::Listing(it) => listing(life, it),
+        Message::Known(it) => known(life, link, from, *it),
+        Message::Comparison(it) => {
+            let now = life.node.now();
+            let (wanted, is_news) = life.gossip.borrow_mut().settle(now, &it);
+            if !wanted.is_empty()
+                && let Some(frame) = life.frame(&Message::Records(wanted))
+            {
+                link.send(from, &frame);
+            }
+            if is_news {
+                life.hurry();
+            }
+        }
+        // Answers only.
+        Message::News(_) | Message::Ask(_) | Message::Records(_) | Message::Nothing => {}
+    }
+}
+
+/// Takes what another host knows of hosts.
+pub(super) fn records<S: Store, D: Dialect>(life: &Life<S, D>, records: &[Record]) {
+    let now = life.node.now();
+    if life.gossip.borrow_mut().merge(now, records) {
+        life.hurry();
+    }
+}
+
+fn config<S: Store, D: Dialect>(life: &Life<S, D>, text: Vec<u8>) {
+    if let Ok(config) = life.store.config(&text) {
+        documents::configure(life, config, text.into());
+    }
+}
+
+fn listing<S: Store, D: Dialect>(life: &Life<S, D>, it: Listing) {
+    let at = read_at(life.node.now(), it.age);
+    endpoints::list(life, at, it.entries, it.absence);
+}
+
+/// When something was read whose age another host told.
+fn read_at(now: Duration, age: Duration) -> Duration {
+    /// What news takes to arrive, at least. Without it, an age would grow too
+    /// slowly while it goes round between hosts.
+    const WAY: Duration = Duration::from_millis(20);
+    now.saturating_sub(age.saturating_add(WAY))
+}
+
+/// Takes over the age of another host's listing that is the same as this one's,
+/// and asks for one that is younger and different. Says whether it is much younger.
+fn listing_news<S: Store, D: Dialect>(
+    life: &Rc<Life<S, D>>,
+    link: &Link,
+    from: &Peer,
+    news: ListingNews,
+) -> bool {
+    let at = read_at(life.node.now(), news.stamp.age);
+    match life.listed.get() {
+        Some(own) if own.at >= at => false,
+        Some(own) if own.fingerprint == news.stamp.fingerprint => {
+            life.listed.set(Some(Listed {
+                at,
+                absence: news.absence,
+                ..own
+            }));
+            life.node.router().confirm_listing(at);
+            is_much_later(at, Some(own.at))
+        }
+        _ => {
+            ask::ask_once(life, link, from, Question::Listing);
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/tests/gossip.rs
@@ -0,0 +1,229 @@
+//! How news of the hosts travels among hundreds of them, in simulated time.
+
+#[path = "gossip/network.rs"]
+mod network;
+
+use std::time::Duration;
+
+use host::gossip::Graph;
+use network::{Host, Network, data_centre, name};
+
+const HOSTS: usize = 295;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Whether a host names just these as ready.
+fn names(host: &Host, now: Duration, expected: usize) -> bool {
+    host.gossip.roster().addresses(now).len() == expected
+}
+
+fn calm(hosts: usize, seed: u64) -> Network {
+    let mut network = Network::new(hosts, seed);
+    network.start_all();
+    network.run(8 * SECOND);
+    let now = network.now;
+    assert!(network.up().all(|it| names(it, now, hosts)));
+    network
+}
+
+fn is_named(host: &Host, now: Duration, nr: usize) -> bool {
+    let front = host
+        .gossip
+        .roster()
+        .get(&name(nr))
+        .map(|it| it.member.front);
+    let addresses = host.gossip.roster().addresses(now);
+    addresses.iter().any(|it| Some(it.front) == front)
+}
+
+/// All hosts start at once, as after a loss of power. Each told seven others drawn
+/// anew twice a second, and met nearly all of 294 within a minute: 43,000 handshakes,
+/// and as many connections kept. They have a few neighbours, and know all soon.
+#[test]
+fn hosts_that_start_at_once_know_all() {
+    for (hosts, seed) in [(2, 1), (3, 1), (8, 1), (9, 2), (24, 3), (76, 4), (295, 5)] {
+        let mut network = Network::new(hosts, seed);
+        network.start_all();
+        let now = network.now + 6 * SECOND;
+        let took = network.until("all know all", 5 * SECOND, |it| names(it, now, hosts));
+        println!("{hosts} hosts know all after {took:?}");
+        network.run(30 * SECOND);
+        let most = network.up().map(|it| it.met.len()).max().unwrap();
+        println!("{hosts} hosts: at most {most} are told by one in half a minute");
+        assert!(most < 30, "{most} hosts are told by one");
+    }
+}
+
+/// A host's own work doesn't grow with the number of hosts: no more than 30
+/// connections, and 7 kB a second sent and received.
+#[test]
+fn a_hosts_work_is_bounded() {
+    for hosts in [9, 76, 295, 600] {
+        let mut network = calm(hosts, 7);
+        let before: usize = network.hosts.iter().map(|it| it.bytes).sum();
+        let most_before: Vec<usize> = network.hosts.iter().map(|it| it.bytes).collect();
+        network.run(10 * SECOND);
+        let mean = (network.hosts.iter().map(|it| it.bytes).sum::<usize>() - before) / hosts / 10;
+        let busiest = network
+            .hosts
+            .iter()
+            .zip(most_before)
+            .map(|(it, before)| (it.bytes - before) / 10);
+        let busiest = busiest.max().unwrap();
+        let connections = |it: &Host| {
+            let graph = it.gossip.graph();
+            let mut all: Vec<_> = graph.successors().chain(graph.predecessors()).collect();
+            all.sort_unstable();
+            all.dedup();
+            all.len()
+        };
+        let most = network.up().map(connections).max().unwrap();
+        println!("{hosts} hosts: {mean} B/s a host, busiest {busiest}, {most} connections");
+        assert!(busiest < 7_000, "{busiest} B/s at {hosts} hosts");
+        assert!(most < 30, "{most} connections at {hosts} hosts");
+    }
+}
+
+/// One host reads something new. All know it within two seconds, also while a third
+/// of them dies at that moment and one datagram in twenty is lost.
+#[test]
+fn a_change_is_known_to_all_soon() {
+    for (seed, dead) in [(11, 0), (12, HOSTS / 3), (13, HOSTS / 3), (14, HOSTS / 2)] {
+        let mut network = calm(HOSTS, seed);
+        for nr in 0..dead {
+            network.kill((nr * 2 + 1) % HOSTS);
+        }
+        network.learn(0, 9);
+        let took = network.until("all know the change", 2 * SECOND, |it| it.version == 9);
+        println!("{dead} of {HOSTS} dead: known to all after {took:?}");
+    }
+}
+
+/// Hosts lose power. Callers aren't sent there any more within three seconds, five if
+/// those who would have heard a dead one are dead too, and nobody who lives is taken
+/// for silent.
+#[test]
+fn dead_hosts_are_unnamed_and_live_ones_stay() {
+    for (seed, dead) in [(21, 1), (22, HOSTS / 3), (23, HOSTS / 2)] {
+        let mut network = calm(HOSTS, seed);
+        let killed: Vec<usize> = (0..dead).map(|nr| (nr * 2 + 1) % HOSTS).collect();
+        for &it in &killed {
+            network.kill(it);
+        }
+        // Whom nobody who lives should hear is found when the others are known dead.
+        let most = match dead {
+            1 => 3 * SECOND,
+            _ => 5 * SECOND,
+        };
+        let now = network.now + most;
+        let left = HOSTS - dead;
+        let took = network.until("the dead are unnamed", most, |it| names(it, now, left));
+        println!("{dead} of {HOSTS} dead: unnamed everywhere after {took:?}");
+        network.run(5 * SECOND);
+        let now = network.now;
+        assert!(network.up().all(|it| names(it, now, left)));
+    }
+}
+
+/// Power comes back for all at once, and each finds everybody's entry of before in
+/// the store. The word of the former lives must not stand against the new ones.
+#[test]
+fn hosts_that_start_again_at_once_know_all() {
+    let mut network = calm(HOSTS, 31);
+    (0..HOSTS).for_each(|it| network.kill(it));
+    network.run(SECOND);
+    let all: Vec<usize> = (0..HOSTS).collect();
+    (0..HOSTS).for_each(|it| network.start(it, &all));
+    network.run(Duration::from_millis(100));
+    let now = network.now + 10 * SECOND;
+    let took = network.until("all know all", 5 * SECOND, |it| names(it, now, HOSTS));
+    println!("{HOSTS} started again: all known after {took:?}");
+    network.run(5 * SECOND);
+    let now = network.now;
+    assert!(network.up().all(|it| names(it, now, HOSTS)));
+}
+
+/// A data centre is cut off from the others and comes back. Its hosts go on among
+/// themselves, and nobody stays apart afterwards.
+#[test]
+fn a_data_centre_that_was_apart_comes_back() {
+    let mut network = calm(HOSTS, 41);
+    let apart = (0..HOSTS).filter(|&it| data_centre(it) == 2).count();
+    for nr in (0..HOSTS).filter(|&it| data_centre(it) == 2) {
+        network.hosts[nr].part = 1;
+    }
+    network.run(6 * SECOND);
+    let now = network.now;
+    let main = network.hosts.iter().filter(|it| it.part == 0);
+    assert!(main.clone().all(|it| names(it, now, HOSTS - apart)));
+    network.hosts.iter_mut().for_each(|it| it.part = 0);
+    let began = network.now;
+    let is_whole = |it: &Network| it.up().all(|host| names(host, it.now, HOSTS));
+    while !is_whole(&network) {
+        assert!(
+            network.now.saturating_sub(began) < 5 * SECOND,
+            "somebody stays apart"
+        );
+        network.run(Duration::from_millis(10));
+        let least = |at: usize| {
+            let side = network.hosts.iter().enumerate();
+            let side = side.filter(|(nr, _)| (data_centre(*nr) == 2) == (at == 1));
+            side.map(|(_, it)| it.gossip.roster().addresses(network.now).len())
+                .min()
+                .unwrap()
+        };
+        assert!(least(0) >= HOSTS - apart, "callers are left too few");
+        assert!(least(1) >= apart, "callers are left too few");
+    }
+    println!(
+        "a data centre of {apart} is back after {:?}",
+        network.now.saturating_sub(began)
+    );
+}
+
+/// One host is cut off for seconds and hears nobody. It went on to take all whom it
+/// should hear for silent, and told so when it was back.
+#[test]
+fn a_host_that_was_cut_off_accuses_nobody() {
+    let mut network = calm(HOSTS, 51);
+    network.hosts[17].part = 1;
+    network.run(6 * SECOND);
+    let now = network.now;
+    assert!(names(&network.hosts[17], now, HOSTS));
+    assert!(!is_named(&network.hosts[0], now, 17));
+    network.hosts[17].part = 0;
+    for _ in 0..300 {
+        network.run(Duration::from_millis(10));
+        let now = network.now;
+        assert!(
+            network
+                .up()
+                .all(|it| it.gossip.roster().addresses(now).len() >= HOSTS - 1)
+        );
+    }
+    network.run(2 * SECOND);
+    let now = network.now;
+    assert!(network.up().all(|it| names(it, now, HOSTS)));
+}
+
+/// Each host reckons by itself who tells whom, and all come to the same: a way leads
+/// from everybody to those who gather what all have seen.
+#[test]
+fn everybody_reaches_the_roots() {
+    for hosts in [2, 8, 24, 76, 295] {
+        let network = calm(hosts, 61);
+        for root in 0..2 {
+            let mut farthest = 0;
+            let mut roots = 0;
+            for host in network.up() {
+                let graph: &Graph = host.gossip.graph();
+                let distance = graph.distance(root).unwrap();
+                roots += usize::from(distance == 0);
+                farthest = farthest.max(distance);
+                assert_eq!(graph.parent(root).is_none(), distance == 0);
+            }
+            assert_eq!(roots, 1);
+            println!("{hosts} hosts: root {root} is at most {farthest} hops away");
+            assert!(u32::from(farthest) <= Graph::hops(hosts) + 1);
+        }
+    }
+}
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -2,6 +2,7 @@
 
 mod drift;
 mod evidence;
+mod pooled;
 mod sighting;
 
 use std::collections::{HashMap, HashSet};
@@ -12,9 +13,11 @@
 use serde::{Deserialize, Serialize};
 
 use drift::{Mean, Pace};
+use pooled::Pool;
 
 pub use drift::Drift;
 pub use evidence::{Evidence, Tally};
+pub use pooled::{Sum, Total};
 pub use sighting::Sighting;
 
 /// The part of the allowed exposure that a release gets while it is unproven.
@@ -57,6 +60,10 @@
 /// How long hosts tell each other which sessions are under way before the new
 /// release gets any. News comes twice in that time.
 const GATHERING: Duration = Duration::from_millis(1_200);
+/// How long before a release leaves its trial all hosts are told so, and as long again
+/// for each time that it has to be told on: three times what a change takes to reach
+/// all, so that lost messages are made up for.
+const NOTICE: Duration = Duration::from_millis(300);
 /// What is added for each time that news has to be told on to reach all hosts,
 /// and how many more hosts it reaches then.
 const FURTHER: Duration = Duration::from_millis(600);
@@ -120,12 +127,27 @@
     pub elapsed: Duration,
     /// What it has come to.
     pub verdict: Verdict,
+    /// How long after the order the release leaves its trial, once hosts agree on it.
+    pub moves_on: Option<Duration>,
     /// What the host has seen of the releases.
     pub evidence: Evidence,
+    /// What the host and others have seen, on its way to those who gather it.
+    pub sums: Vec<Sum>,
+    /// What all have seen.
+    pub totals: Vec<Total>,
     /// Sessions that are on the old release and would be on the new one.
     pub held: Vec<u64>,
 }
 
+/// How much is told of what may be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Only what wasn't told before: neighbours tell it on, and hear it from others.
+    Fresh,
+    /// All, for a host that has just started.
+    All,
+}
+
 /// A roll-out.
 #[derive(Clone, Debug)]
 pub struct Rollout {
@@ -136,12 +158,15 @@
     started: Duration,
     gathering: Duration,
     exposure: f64,
-    own: Evidence,
-    others: HashMap<HostName, Evidence>,
+    notice: Duration,
+    moves_on: Option<Duration>,
+    pool: Pool,
     /// The old release's usual times, as logarithms.
     usual: HashMap<(u64, Pace), Mean>,
     /// Sessions that began on the old release and stay there while it is on trial.
     held: HashSet<u64>,
+    /// Those of them that were told to the neighbours.
+    told: HashSet<u64>,
 }
 
 impl Rollout {
@@ -156,10 +181,12 @@
             verdict: Verdict::Running,
             started,
             exposure,
-            own: Evidence::default(),
-            others: HashMap::new(),
+            notice: NOTICE * if hosts > 1 { 1 + further } else { 0 },
+            moves_on: None,
+            pool: Pool::default(),
             usual: HashMap::new(),
             held: HashSet::new(),
+            told: HashSet::new(),
         }
     }
 
@@ -171,10 +198,11 @@
             Verdict::Reverted => 0.0,
             Verdict::Running if self.is_gathering(now) => 0.0,
             Verdict::Running => {
-                let progress = self.progress(now);
-                if progress < FILL_AT || !self.is_good() {
+                // This host's own verdict comes with its next look at the roll-out.
+                if !self.has_moved_on(now) || self.is_bad() {
                     return self.trial_share();
                 }
+                let progress = self.progress(now);
                 // Never less than before: sessions that have moved stay.
                 let filled = (self.exposure * FILL_PART).min(1.0);
                 let moved = (progress - MOVE_AT) / (MOVED_AT - MOVE_AT);
@@ -234,8 +262,34 @@
     /// Whether one endpoint of the new release is being filled.
     #[must_use]
     pub(crate) fn is_filling(&self, now: Duration) -> bool {
-        let progress = self.progress(now);
-        self.verdict == Verdict::Running && (FILL_AT..MOVE_AT).contains(&progress)
+        let is_running = self.verdict == Verdict::Running;
+        is_running && self.has_moved_on(now) && self.progress(now) < MOVE_AT
+    }
+
+    /// Has the release leave its trial, if it is time and it has proved good; says
+    /// whether the others are to hear of that.
+    ///
+    /// Failure: each host decided for itself, by what it had heard of the others'
+    /// answers. Among hundreds some knew enough a second before the others; a session
+    /// that went from one to the other was answered by the new release and by the old
+    /// one in turns. So one host proposes a moment that all hear of before it comes.
+    pub fn advance(&mut self, now: Duration) -> bool {
+        let elapsed = self.elapsed(now);
+        let fills = self.order.over.mul_f64(FILL_AT);
+        let is_due = self.verdict == Verdict::Running && elapsed + self.notice >= fills;
+        if self.moves_on.is_some() || !is_due || !self.is_good() {
+            return false;
+        }
+        self.moves_on = Some(fills.max(elapsed + self.notice));
+        true
+    }
+
+    fn has_moved_on(&self, now: Duration) -> bool {
+        self.moves_on.is_some_and(|it| self.elapsed(now) >= it)
+    }
+
+    fn elapsed(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.started)
     }
 
     /// Whether an endpoint of this release may take a request of this side.
@@ -259,12 +313,12 @@
     /// Takes an answer, or a failure, of either release.
     pub fn answer(&mut self, side: Side, sighting: &Sighting) {
         let tally = match side {
-            Side::Old => &mut self.own.old,
-            Side::New => &mut self.own.new,
+            Side::Old => &mut self.pool.own.old,
+            Side::New => &mut self.pool.own.new,
         };
         tally.add(sighting.tally());
         if side == Side::New && sighting.is_crowded {
-            self.own.crowded.add(sighting.tally());
+            self.pool.own.crowded.add(sighting.tally());
         }
         if !sighting.failed {
             self.compare(side, (sighting.class, Pace::First), sighting.first);
@@ -283,9 +337,9 @@
             Side::Old => usual.add(value),
             Side::New if usual.is_known() => {
                 let drift = match key.1 {
-                    Pace::First => &mut self.own.first,
-                    Pace::Whole => &mut self.own.whole,
-                    Pace::Step => &mut self.own.step,
+                    Pace::First => &mut self.pool.own.first,
+                    Pace::Whole => &mut self.pool.own.whole,
+                    Pace::Step => &mut self.pool.own.step,
                 };
                 drift.add(value - usual.value);
             }
@@ -296,43 +350,68 @@
     /// What this host has seen.
     #[must_use]
     pub fn evidence(&self) -> Evidence {
-        self.own
+        self.pool.own
     }
 
     /// What this host tells the others, with the sessions that stay on the old
     /// release: its own, and those that it heard of.
-    #[must_use]
-    pub fn news(&self, now: Duration, held: impl Iterator<Item = u64>) -> News {
+    pub fn news(&mut self, now: Duration, held: impl Iterator<Item = u64>, scope: Scope) -> News {
         let mut held: HashSet<u64> = held.collect();
         if self.is_trial(now) {
             held.extend(&self.held);
         }
-        let held = held.into_iter().collect();
+        if scope == Scope::Fresh {
+            held.retain(|it| self.told.insert(*it));
+        }
         News {
             order: self.order.clone(),
-            elapsed: now.saturating_sub(self.started),
+            elapsed: self.elapsed(now),
             verdict: self.verdict,
-            evidence: self.own,
-            held,
+            moves_on: self.moves_on,
+            evidence: self.pool.own,
+            sums: Vec::new(),
+            totals: self.pool.totals(scope),
+            held: held.into_iter().collect(),
+        }
+    }
+
+    /// What this host has seen and those who tell it, for one who gathers it.
+    #[must_use]
+    pub fn sum(&self, now: Duration, root: usize, distance: u8) -> Sum {
+        self.pool.sum(now, root, distance)
+    }
+
+    /// Has this host, which gathers what all have seen, say what that is while it can
+    /// decide something. It tells so as `gatherer`.
+    pub fn gather(&mut self, now: Duration, root: usize, gatherer: u64) {
+        if self.verdict == Verdict::Running {
+            self.pool.gather(now, root, gatherer);
         }
     }
 
-    /// Takes what another host tells of the same roll-out; its evidence
-    /// replaces what it told before.
-    pub fn hear(&mut self, now: Duration, host: HostName, news: &News) {
-        self.others.insert(host, news.evidence);
+    /// Takes what another host tells of the same roll-out; its evidence replaces what
+    /// it told before. Says whether neighbours are to hear of it at once.
+    pub fn hear(&mut self, now: Duration, host: &HostName, news: &News) -> bool {
+        let known = self.held.len();
         self.held.extend(&news.held);
         // A host that has started since saw the order later than the others.
         self.started = self.started.min(now.saturating_sub(news.elapsed));
+        let verdict = self.verdict;
         if self.verdict == Verdict::Running {
             self.verdict = news.verdict;
         }
+        let earlier = [self.moves_on, news.moves_on].into_iter().flatten().min();
+        let is_agreed = earlier != self.moves_on;
+        self.moves_on = earlier;
+        let is_pooled = self.pool.hear(now, host, news);
+        let is_held = self.is_trial(now) && self.held.len() > known;
+        is_held || is_agreed || is_pooled || self.verdict != verdict
     }
 
     /// How much of the time that the order gives has passed.
     #[must_use]
     pub fn progress(&self, now: Duration) -> f64 {
-        now.saturating_sub(self.started)
+        self.elapsed(now)
             .div_duration_f64(self.order.over.max(Duration::from_millis(1)))
     }
 
@@ -355,16 +434,7 @@
     /// What all hosts have seen, as far as this one knows.
     #[must_use]
     pub fn pooled(&self) -> Evidence {
-        let mut sum = self.own;
-        for it in self.others.values() {
-            sum.new.add(it.new);
-            sum.old.add(it.old);
-            sum.crowded.add(it.crowded);
-            sum.first.join(it.first);
-            sum.whole.join(it.whole);
-            sum.step.join(it.step);
-        }
-        sum
+        self.pool.pooled()
     }
 }
 
--- a/crates/route/src/rollout/drift.rs
+++ b/crates/route/src/rollout/drift.rs
@@ -39,7 +39,7 @@
     }
 
     pub(super) fn join(&mut self, other: Self) {
-        self.count += other.count;
+        self.count = self.count.saturating_add(other.count);
         self.sum += other.sum;
         self.squares += other.squares;
     }
--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -21,6 +21,23 @@
     pub step: Drift,
 }
 
+impl Evidence {
+    /// Adds what others have seen.
+    pub(super) fn add(&mut self, other: &Self) {
+        self.new.add(other.new);
+        self.old.add(other.old);
+        self.crowded.add(other.crowded);
+        self.first.join(other.first);
+        self.whole.join(other.whole);
+        self.step.join(other.step);
+    }
+
+    /// How many answers it is about.
+    pub(super) fn answers(&self) -> u32 {
+        self.new.answers.saturating_add(self.old.answers)
+    }
+}
+
 /// How a release answered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
@@ -46,7 +63,7 @@
     }
 
     pub(super) fn add(&mut self, other: Self) {
-        self.answers += other.answers;
-        self.bad += other.bad;
+        self.answers = self.answers.saturating_add(other.answers);
+        self.bad = self.bad.saturating_add(other.bad);
     }
 }
--- a/crates/route/src/router/releases.rs
+++ b/crates/route/src/router/releases.rs
@@ -7,7 +7,7 @@
 use super::{Router, SESSION_MARGIN};
 use crate::Rollout;
 use crate::call::{Call, Lane};
-use crate::rollout::{self, Order};
+use crate::rollout::{self, Order, Scope};
 
 /// What another host's news of roll-outs changed.
 #[derive(Clone, Debug, Default)]
@@ -16,6 +16,8 @@
     pub ordered: Vec<Order>,
     /// Roll-outs that have a verdict now.
     pub judged: Vec<Rollout>,
+    /// Whether neighbours are to hear of it at once.
+    pub is_news: bool,
 }
 
 impl Router {
@@ -33,18 +35,19 @@
     }
 
     /// What this host tells the others of roll-outs.
-    #[must_use]
-    pub fn news(&self, now: Duration) -> Vec<rollout::News> {
+    pub fn news(&mut self, now: Duration, scope: Scope) -> Vec<rollout::News> {
         let gap = self.settings.session_gap + SESSION_MARGIN;
-        let news = |rollout: &Rollout| {
-            let held = self
+        let mut news = Vec::with_capacity(self.rollouts.len());
+        for rollout in self.rollouts.values_mut() {
+            let held: Vec<u64> = self
                 .sessions
                 .others_than(now, &rollout.order.release, gap)
                 .map(|it| hash::of(it.as_str()))
-                .filter(|&it| rollout.is_contested(it));
-            rollout.news(now, held)
-        };
-        self.rollouts.values().map(news).collect()
+                .filter(|&it| rollout.is_contested(it))
+                .collect();
+            news.push(rollout.news(now, held.into_iter(), scope));
+        }
+        news
     }
 
     /// Takes what another host tells of roll-outs, and says what changed by it.
@@ -54,12 +57,13 @@
             let started = now.saturating_sub(it.elapsed);
             if self.order(it.order.clone(), started) {
                 changed.ordered.push(it.order.clone());
+                changed.is_news = true;
             }
             if let Some(rollout) = self.rollouts.get_mut(&it.order.service)
                 && rollout.order.revision == it.order.revision
             {
                 let before = rollout.verdict;
-                rollout.hear(now, host.clone(), &it);
+                changed.is_news |= rollout.hear(now, host, &it);
                 if rollout.verdict != before {
                     changed.judged.push(rollout.clone());
                 }
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -8,11 +8,14 @@
 use route::config::{Config, Customer, Limits, Service};
 use route::directory::Absence;
 use route::endpoint::Load;
-use route::rollout::{Order, Verdict};
+use route::rollout::{Order, Scope, Verdict};
 use route::{Arrival, Call, Ending, Flight, Placement, Router, Shape};
 
 use crate::words::{Words, ending_of, entry, route, settings};
 
+/// How often a host looks at its roll-outs.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// One host's router, or several of them, and what the script has told them.
 pub(crate) struct Script {
     hosts: Vec<Router>,
@@ -83,7 +86,7 @@
         let now = self.now;
         match words.verb {
             "wait" => {
-                self.now += Duration::from_millis(words.rest[0].parse().unwrap());
+                self.pass(Duration::from_millis(words.rest[0].parse().unwrap()));
                 None
             }
             "host" => {
@@ -166,7 +169,7 @@
                     words.rest[0].parse().unwrap(),
                     words.rest[1].parse().unwrap(),
                 );
-                let news = self.hosts[from].news(now);
+                let news = self.hosts[from].news(now, Scope::All);
                 let name = HostName::from(format!("host-{from}"));
                 self.hosts[to].hear(now, &name, news);
                 None
@@ -175,6 +178,23 @@
         }
     }
 
+    /// Lets time pass: the hosts look at their roll-outs meanwhile.
+    fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = end.min(self.now + LOOK);
+            self.advance();
+        }
+    }
+
+    fn advance(&mut self) {
+        for host in &mut self.hosts {
+            host.rollouts().for_each(|it| {
+                it.advance(self.now);
+            });
+        }
+    }
+
     fn load(&mut self, words: &Words<'_>) {
         let open = self.calls.get_mut(words.rest[0]).unwrap();
         let load = Load {
@@ -187,6 +207,7 @@
     }
 
     fn arrive(&mut self, words: &Words<'_>) -> String {
+        self.advance();
         let id = words.rest[0];
         let shape = Shape {
             prompt_tokens: words.number::<u64>("tokens", 0),
@@ -273,13 +294,13 @@
             };
             let ending = words.text(&to).or(words.text("end")).unwrap_or(usual);
             let took = words.number(&format!("{to}-took"), words.number("took", 0));
-            self.now += Duration::from_millis(took);
+            self.pass(Duration::from_millis(took));
             let open = self.calls.get_mut(&id).unwrap();
             let flight = open.flight.as_mut().unwrap();
             self.hosts[self.host].first(self.now, &open.call, flight);
             *counts.entry(to).or_default() += 1;
             self.end(&id, ending);
-            self.now += Duration::from_millis(words.number::<u64>("each", 10));
+            self.pass(Duration::from_millis(words.number::<u64>("each", 10)));
         }
         let parts: Vec<_> = counts.iter().map(|(id, it)| format!("{id} {it}")).collect();
         parts.join(", ")
@@ -317,7 +338,7 @@
             };
             *counts.entry(to.clone()).or_default() += 1;
             open.push((self.now + lasts, id, to, ending));
-            self.now += each;
+            self.pass(each);
         }
         for (_, id, _, ending) in open {
             self.end(&id, ending);
--- /dev/null
+++ b/crates/route/tests/pooled.rs
@@ -0,0 +1,98 @@
+//! How all hosts come to know what each has seen of a new release.
+
+use std::time::Duration;
+
+use kernel::HostName;
+use route::Rollout;
+use route::rollout::{News, Order, Scope, Sighting};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn rollout() -> Rollout {
+    let order = Order {
+        service: "pool".into(),
+        release: "v2".into(),
+        over: Duration::from_secs(20),
+        revision: 1,
+    };
+    Rollout::new(order, NOW, 0.1, 295)
+}
+
+fn see(rollout: &mut Rollout, answers: u32, bad: u32) {
+    for nr in 0..answers {
+        let sighting = Sighting {
+            failed: nr < bad,
+            ..Sighting::default()
+        };
+        rollout.answer(route::rollout::Side::New, &sighting);
+    }
+}
+
+fn name(nr: usize) -> HostName {
+    HostName::from(format!("host-{nr}"))
+}
+
+fn told(rollout: &mut Rollout, now: Duration) -> News {
+    rollout.news(now, std::iter::empty(), Scope::Fresh)
+}
+
+/// With hundreds of hosts each hears a few others only, and a release that failed a few
+/// requests at each was found bad when most of the time was over. What a host has seen is
+/// added to what it hears on the way to one host, which tells all the sum.
+#[test]
+fn what_far_hosts_have_seen_is_known_to_all() {
+    // Host 3 tells 2, 2 tells 1, 1 tells 0, which gathers and tells 3.
+    let mut hosts: Vec<Rollout> = (0..4).map(|_| rollout()).collect();
+    for it in &mut hosts {
+        see(it, 10, 4);
+    }
+    for from in [3, 2, 1] {
+        let sum = hosts[from].sum(NOW, 0, u8::try_from(from).unwrap());
+        let mut news = told(&mut hosts[from], NOW);
+        news.sums.push(sum);
+        hosts[from - 1].hear(NOW, &name(from), &news);
+    }
+    hosts[0].gather(NOW, 0, 77);
+    let news = told(&mut hosts[0], NOW);
+    assert_eq!(news.totals.len(), 1);
+    assert!(hosts[3].hear(NOW, &name(0), &news), "it is news");
+    let pooled = hosts[3].pooled();
+    assert_eq!((pooled.new.answers, pooled.new.bad), (40, 16));
+    // It goes round once: who knows it doesn't tell it again.
+    assert!(!hosts[3].hear(NOW, &name(0), &news));
+    assert_eq!(told(&mut hosts[3], NOW).totals.len(), 1);
+    assert_eq!(told(&mut hosts[3], NOW).totals.len(), 0);
+}
+
+/// A neighbour dies, or tells another one since hosts came and went. What it told is
+/// counted for two seconds more, and not twice for good.
+#[test]
+fn what_a_lost_neighbour_told_is_forgotten() {
+    let (mut root, mut leaf) = (rollout(), rollout());
+    see(&mut leaf, 10, 4);
+    let sum = leaf.sum(NOW, 0, 1);
+    let mut news = told(&mut leaf, NOW);
+    news.sums.push(sum);
+    root.hear(NOW, &name(1), &news);
+    let answers = |after: u64| {
+        let now = NOW + Duration::from_millis(after);
+        root.sum(now, 0, 0).evidence.new.answers
+    };
+    assert_eq!((answers(0), answers(1_900), answers(2_100)), (10, 10, 0));
+}
+
+/// The sessions that stay on the old release are told once. Each piece of news had them
+/// all, twice a second, to every neighbour, for as long as the trial lasted.
+#[test]
+fn held_sessions_are_told_once() {
+    let (mut near, mut far) = (rollout(), rollout());
+    let held = [1, 2, 3];
+    let mut tell = |scope| near.news(NOW, held.into_iter(), scope).held.len();
+    assert_eq!(tell(Scope::Fresh), 3);
+    assert_eq!(tell(Scope::Fresh), 0);
+    assert_eq!(tell(Scope::All), 3);
+    let news = near.news(NOW, held.into_iter(), Scope::All);
+    assert!(far.hear(NOW, &name(1), &news));
+    assert_eq!(told(&mut far, NOW).held.len(), 3);
+    assert_eq!(told(&mut far, NOW).held.len(), 0);
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -34,6 +34,7 @@
 
     HostsChanged, 1500, Info, "The hosts that callers are sent to changed.";
     Joined, 1501, Info, "This host can talk to the others.";
+    HostSilent, 1502, Warning, "Another host has fallen silent and doesn't answer.";
 
     EndpointAdded, 1600, Info, "An endpoint is listed.";
     EndpointLeaving, 1601, Info, "An endpoint takes no new work.";
