Have hosts that start ask the store once

Each took itself for one of the readers until it had heard the others, so it read documents, verdicts and endpoints, and waited for news of two.

Now a host tells whom it finds before it reads for anybody, reads for others a second after its start, lists itself at once where few are listed, and on the fleet's first start finds the others spread over half a second (three calls a host, for the authority that all try to write, become one). Without a configuration the readers confirm each second, so that the others needn't ask. The second reader reads endpoints only where the first didn't.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -24,6 +24,9 @@
 /// went silent meanwhile is noticed by its keep-alive, see `http`, and a store
 /// that did by its other calls. The rest is noticed after this time.
 const NEWS_WAIT: Duration = Duration::from_secs(5);
+/// The same while no configuration is known, when nothing else is asked of the store:
+/// what a reader knows must stay young enough for the others not to ask, too.
+const FIRST_NEWS_WAIT: Duration = Duration::from_secs(1);
 /// How often a host that doesn't read looks whether it has to.
 const LOOK: Duration = Duration::from_millis(100);
 /// The same for a host that isn't ready: short against the 30 ms that a start takes
--- a/crates/host/src/follow/documents.rs
+++ b/crates/host/src/follow/documents.rs
@@ -8,7 +8,7 @@
 use route::rollout::Order;
 use telemetry::{Event, Value};
 
-use super::{NEWS_WAIT, pause, unless, verdicts};
+use super::{FIRST_NEWS_WAIT, NEWS_WAIT, pause, unless, verdicts};
 use crate::life::Life;
 use crate::{Backoff, Documents, Store, Trouble, say};
 
@@ -22,10 +22,14 @@
         }
         let began = life.node.now();
         life.watches.set(since.is_some());
+        let wait = match life.node.router().version() {
+            Some(_) => NEWS_WAIT,
+            None => FIRST_NEWS_WAIT,
+        };
         let question = async {
             match since {
                 None => life.store.documents().await,
-                Some(since) => life.store.changes(since, NEWS_WAIT).await,
+                Some(since) => life.store.changes(since, wait).await,
             }
         };
         let asked = unless(&life.returns[0].1, question).await;
@@ -39,7 +43,9 @@
                 backoff.reset();
                 since = Some(documents.revision.max(since.unwrap_or(0)));
                 take(&life, documents);
-                life.confirm(life.node.now());
+                if life.confirm(life.node.now()) {
+                    life.hurry();
+                }
             }
             Err(Trouble::HistoryGone) => since = None,
             Err(_) => life.back_off(&mut backoff).await,
--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -25,7 +25,7 @@
     let mut backoff = Backoff::default();
     loop {
         let node = &life.node;
-        if !life.asks_store(life.listed.get().map(|it| it.at)) {
+        if !asks(&life) {
             pause(&life).await;
             continue;
         }
@@ -55,6 +55,19 @@
     }
 }
 
+/// Whether this host reads the listing itself. The second of those who read for all
+/// does so only when the first hasn't: it is there for the case that the first fails,
+/// and its readings would be half of the calls of a quiet day.
+fn asks<S: Store, D: Dialect>(life: &Life<S, D>) -> bool {
+    const LATE: Duration = Duration::from_millis(150);
+    let known = life.listed.get().map(|it| it.at);
+    let is_fresh = known.is_some_and(|at| life.node.now() < at + PERIOD + LATE);
+    match life.rank() {
+        1 if is_fresh => false,
+        _ => life.asks_store(known),
+    }
+}
+
 /// Takes a listing of endpoints that was read at `at`, unless a later one was taken.
 pub(crate) fn list<S: Store, D: Dialect>(
     life: &Life<S, D>,
--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -19,11 +19,13 @@
 const FIRST_PERIOD: Duration = Duration::from_millis(500);
 /// How often a host looks whether it is one of those.
 const LOOK: Duration = Duration::from_millis(200);
+/// The same before it has found the others.
+const FIRST_LOOK: Duration = Duration::from_millis(10);
 /// How many entries are enough for those who start: a host that finds so many doesn't
-/// list itself, but leaves it to the readers, who list all at a time. Fewer would each
-/// be asked by all others at a start of the whole fleet; 295 single writes were a
-/// tenth of the calls of a quiet day.
-const ENOUGH: usize = 48;
+/// list itself, but leaves it to the readers, who list all at a time. With fewer, those
+/// that are listed would each be asked by dozens at a start of the whole fleet; 295
+/// single writes would be half of the calls of a quiet day.
+const ENOUGH: usize = 24;
 /// The most entries that are written at a time.
 const MOST: usize = 100;
 
@@ -31,7 +33,12 @@
     let mut period = FIRST_PERIOD;
     let mut next = Duration::ZERO;
     while !life.is_leaving() {
-        sleep(LOOK).await;
+        let look = match life.found.get() {
+            Some(_) => LOOK,
+            // Whoever starts at the same time is to find it.
+            None => FIRST_LOOK,
+        };
+        sleep(look).await;
         let now = life.node.now();
         let found = life.found.get();
         let is_due = now >= next && (life.reads_for_all() || !life.is_enlisted.get());
@@ -42,7 +49,7 @@
             let is_done = enlist(&life, &[life.own().clone()]).await;
             life.is_enlisted.set(is_done);
         }
-        if life.reads_for_all() {
+        if life.asks_store(life.confirmed.get()) {
             agree(&life).await;
         }
         next = life.node.now() + period;
--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -21,7 +21,7 @@
 pub use graph::{DEGREE, Graph, ROOTS};
 pub use record::{Record, State};
 pub use roster::Roster;
-use watch::Watch;
+use watch::{Finding, Watch};
 
 /// How often a host tells its neighbours what it knows, if nothing happens.
 pub const PERIOD: Duration = Duration::from_millis(500);
@@ -219,10 +219,11 @@
     /// tell it something reach; such a one believes nothing, unless it reaches the
     /// store: then it may be the only one left.
     pub fn unanswered(&mut self, now: Duration, host: &HostName, contact: Contact) -> bool {
-        let is_cut_off = contact == Contact::Lost && self.watch.is_deaf(now);
-        if !self.watch.unanswered(now, host) || is_cut_off {
-            return false;
+        match (self.watch.unanswered(now, host), contact) {
+            (Finding::Silent, _) | (Finding::Deaf, Contact::Store) => {}
+            (Finding::Heard, _) | (Finding::Deaf, Contact::Lost) => return false,
         }
+        self.watch.spare(now, host);
         let Some(name) = self.roster.silence(now, host) else {
             return false;
         };
@@ -249,6 +250,10 @@
         }
         let before: Vec<HostName> = self.graph.successors().cloned().collect();
         self.graph = Graph::new(&self.roster);
+        // New neighbours hear first who tells them: nobody else may know this host.
+        if self.graph.successors().any(|it| !before.contains(it)) {
+            self.mark(self.roster.own().member.name.clone());
+        }
         self.linger(now, before);
         self.watch.expect(now, self.graph.predecessors());
     }
--- a/crates/host/src/gossip/watch.rs
+++ b/crates/host/src/gossip/watch.rs
@@ -22,7 +22,8 @@
 struct Expected {
     /// When it was heard last, or began to be expected.
     heard: Duration,
-    is_asked: bool,
+    /// When it was asked whether it lives, while no answer has come.
+    asked: Option<Duration>,
     /// Until when nothing is concluded from its silence.
     spared: Duration,
 }
@@ -36,7 +37,7 @@
             // It is told of the change as well, and speaks within one of its periods.
             let fresh = Expected {
                 heard: now.saturating_sub(SILENCE / 2),
-                is_asked: false,
+                asked: None,
                 spared: Duration::ZERO,
             };
             expected.insert(it.clone(), known.unwrap_or(fresh));
@@ -54,8 +55,8 @@
     pub(super) fn suspects(&mut self, now: Duration) -> Vec<HostName> {
         let mut suspects = Vec::new();
         for (name, it) in &mut self.expected {
-            if !it.is_asked && now >= it.heard + SILENCE && now >= it.spared {
-                it.is_asked = true;
+            if it.asked.is_none() && now >= it.heard + SILENCE && now >= it.spared {
+                it.asked = Some(now);
                 suspects.push(name.clone());
             }
         }
@@ -65,28 +66,47 @@
 
     pub(super) fn answered(&mut self, now: Duration, host: &HostName) {
         if let Some(it) = self.expected.get_mut(host) {
-            it.is_asked = false;
+            it.asked = None;
             it.heard = it.heard.max(now);
         }
     }
 
-    /// Takes that a host didn't answer, and says whether it is silent: it may have
-    /// been heard meanwhile.
-    pub(super) fn unanswered(&mut self, now: Duration, host: &HostName) -> bool {
+    /// Takes that a host didn't answer, and says what follows from it.
+    pub(super) fn unanswered(&mut self, now: Duration, host: &HostName) -> Finding {
+        /// Neighbours speak twice a second: one that lives did in this time before the
+        /// question, or while an answer was waited for.
+        const BEFORE: Duration = Duration::from_millis(200);
         let Some(it) = self.expected.get_mut(host) else {
-            return false;
+            return Finding::Heard;
+        };
+        let Some(asked) = it.asked.take() else {
+            return Finding::Heard;
         };
-        it.is_asked = false;
         if now < it.heard + SILENCE {
-            return false;
+            return Finding::Heard;
+        }
+        let is_heard = |it: &Expected| it.heard + BEFORE > asked;
+        if !self.expected.values().any(is_heard) {
+            return Finding::Deaf;
         }
-        it.spared = now + CONTRADICTED;
-        true
+        Finding::Silent
     }
 
-    /// Whether none of those who should be heard was.
-    pub(super) fn is_deaf(&self, now: Duration) -> bool {
-        let is_heard = |it: &Expected| now < it.heard + SILENCE;
-        !self.expected.values().any(is_heard)
+    /// Has nothing concluded from a host's silence for a while, after it was found.
+    pub(super) fn spare(&mut self, now: Duration, host: &HostName) {
+        if let Some(it) = self.expected.get_mut(host) {
+            it.spared = now + CONTRADICTED;
+        }
     }
 }
+
+/// What follows from a host's not answering.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Finding {
+    /// It was heard meanwhile, or isn't expected any more.
+    Heard,
+    /// It is silent, and others aren't.
+    Silent,
+    /// All are.
+    Deaf,
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -19,6 +19,6 @@
 
 pub use backoff::Backoff;
 pub use documents::{Documents, Judgement};
-pub use life::{Life, Serving};
+pub use life::{Life, Serving, Start};
 pub use member::Member;
 pub use store::{Found, Joined, Store, Trouble};
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -45,6 +45,13 @@
 /// to go round than any that could be worth a call of each.
 const START: Duration = Duration::from_millis(250);
 const MOST_START_TURNS: usize = 100;
+/// How long after its start a host begins to read for others: news of it has gone
+/// round by then, and that of others which started with it.
+const SETTLED: Duration = Duration::from_secs(1);
+/// How far apart hosts find the others when the whole fleet starts for the first time.
+/// All at once would find nobody, and each try to write the authority: three calls a
+/// host in place of one.
+const FIRST_START: Duration = Duration::from_millis(500);
 /// How long ago a call to the store may have been answered for it to count as reached.
 const REACHED: Duration = Duration::from_millis(2_500);
 
@@ -84,6 +91,8 @@
     pub(crate) watches: Cell<bool>,
     /// Whether the store was asked for the other hosts, with whatever success.
     pub(crate) looked: Cell<bool>,
+    /// Whether a neighbour was asked for everything, with whatever success.
+    pub(crate) greeted: Cell<bool>,
     /// How many hosts the store listed then.
     pub(crate) found: Cell<Option<usize>>,
     /// Whether this host is in the store's listing.
@@ -92,6 +101,7 @@
     pub(crate) link: RefCell<Option<Link>>,
     /// When a call to the store was last answered.
     pub(crate) reached: Cell<Option<Duration>>,
+    start: Start,
     started: Duration,
     own: Member,
     rng: RefCell<Pcg32>,
@@ -108,6 +118,15 @@
     pub(crate) fingerprint: u64,
 }
 
+/// Whether others may be there when a host starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// The whole fleet starts for the first time.
+    First,
+    /// Any later one.
+    Later,
+}
+
 /// How long a host that was asked to stop still serves, all from that moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Serving {
@@ -124,7 +143,7 @@
 impl<S: Store, D: Dialect> Life<S, D> {
     /// A host that has not started yet.
     #[must_use]
-    pub fn new(store: S, node: Rc<Node<D>>, own: Member, seed: u64) -> Rc<Self> {
+    pub fn new(store: S, node: Rc<Node<D>>, own: Member, start: Start, seed: u64) -> Rc<Self> {
         let (hurry, changes) = bounded(1);
         Rc::new(Self {
             gossip: RefCell::new(Gossip::new(own.clone(), Incarnation(seed), node.now())),
@@ -133,10 +152,12 @@
             asking: RefCell::default(),
             watches: Cell::new(false),
             looked: Cell::new(false),
+            greeted: Cell::new(false),
             found: Cell::new(None),
             is_enlisted: Cell::new(false),
             link: RefCell::default(),
             reached: Cell::new(None),
+            start,
             returns: [bounded(1), bounded(1)],
             lost: RefCell::default(),
             unusable: RefCell::default(),
@@ -232,7 +253,7 @@
     /// what it knows is too old. Hosts further down the order wait a little
     /// longer, and most hear from those before them meanwhile.
     pub(crate) fn asks_store(&self, known_at: Option<Duration>) -> bool {
-        if self.reads_for_all() {
+        if self.reads_for_all() && (known_at.is_none() || self.is_settled()) {
             return true;
         }
         let (since, patience, most) = match known_at {
@@ -243,10 +264,19 @@
         self.looked.get() && self.node.now().saturating_sub(since) >= patience + TURN * turns
     }
 
-    /// Whether this host is one of those that read the store for all. Before it knows
-    /// the others nobody is.
+    /// Whether this host has been running for so long that all others have heard of it.
+    /// Of several that start at once each takes itself for the first until then, and
+    /// knows already what it would ask for.
+    fn is_settled(&self) -> bool {
+        self.node.now() >= self.started + SETTLED
+    }
+
+    /// Whether this host is one of those that read the store for all. Before it has
+    /// heard the others, of which it knows some entries at most, it can't tell.
     pub(crate) fn reads_for_all(&self) -> bool {
-        self.looked.get() && self.rank() < READERS
+        let has_waited = self.node.now() >= self.started + START;
+        let knows_others = self.looked.get() && (self.greeted.get() || has_waited);
+        knows_others && self.rank() < READERS
     }
 
     /// This host's place among those that live.
@@ -310,6 +340,13 @@
         Some(Frame::Decide(Payload { from, bytes }))
     }
 
+    /// Waits for this host's turn to find the others.
+    pub(crate) async fn wait_to_join(&self) {
+        if self.start == Start::First {
+            sleep(FIRST_START.mul_f64(self.lot())).await;
+        }
+    }
+
     /// Opens this host's end of the talk between hosts.
     pub(crate) async fn open_link(&self) -> Option<(Link, Receiver<Incoming>)> {
         let made = Authority::generate(FLEET).ok()?;
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -27,14 +27,16 @@
 
 /// Joins the others: their certificates come from the store.
 pub(crate) async fn join<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
+    life.wait_to_join().await;
     let mut backoff = Backoff::default();
     let (link, inbox) = loop {
         let opened = life.open_link().await;
         life.looked.set(true);
-        match opened {
-            Some(it) => break it,
-            None => life.back_off(&mut backoff).await,
+        if let Some(it) = opened {
+            break it;
         }
+        life.greeted.set(true);
+        life.back_off(&mut backoff).await;
     };
     life.link.replace(Some(link.clone()));
     life.node.spawn(tell(Rc::clone(&life), link.clone()));
@@ -158,7 +160,7 @@
             continue;
         };
         match message {
-            Message::News(news) => learn::news(&life, &link, &incoming.from.host, &news),
+            Message::News(news) => learn::news(&life, &link, &incoming.from, &news),
             Message::Records(records) => learn::records(&life, &records),
             Message::Ask(question) => {
                 if let (Some(reply), Some(frame)) =
--- a/crates/host/src/talk/greet.rs
+++ b/crates/host/src/talk/greet.rs
@@ -14,7 +14,9 @@
 const TRIES: usize = 3;
 
 /// Asks the neighbours for all that they know, until one knows a configuration. It is
-/// there within some milliseconds, and spares the store four calls a host.
+/// there within some milliseconds, and spares the store four calls a host. Where the
+/// first neighbour that answers knows none, all have just started, and those that read
+/// for all begin at once.
 pub(super) async fn greet<S: Store, D: Dialect>(life: Rc<Life<S, D>>, link: Link) {
     let audience = life.gossip.borrow().audience();
     for it in audience.iter().take(TRIES).map(peer) {
@@ -24,6 +26,8 @@
         let answer = ask::ask(&life, &link, &it, Question::Everything).await;
         if let Some(Message::Known(known)) = answer {
             learn::known(&life, &link, &it, *known);
+            life.greeted.set(true);
         }
     }
+    life.greeted.set(true);
 }
--- a/crates/host/src/talk/learn.rs
+++ b/crates/host/src/talk/learn.rs
@@ -19,22 +19,21 @@
 pub(super) fn news<S: Store, D: Dialect>(
     life: &Rc<Life<S, D>>,
     link: &Link,
-    from: &HostName,
+    from: &Peer,
     news: &News,
 ) {
-    let is_news = take(life, from, news);
+    let is_news = take(life, &from.host, news);
     let heard = life
         .gossip
         .borrow_mut()
-        .hear(life.node.now(), from, &news.pulse);
-    let known = life.gossip.borrow().roster().get(from).cloned();
+        .hear(life.node.now(), &from.host, &news.pulse);
+    let known = life.gossip.borrow().roster().get(&from.host).cloned();
     if is_news || heard.is_news {
         life.hurry();
     }
-    let Some(peer) = known.map(|it| peer(&it.member)) else {
-        return;
-    };
-    if heard.differs {
+    let is_known = known.is_some();
+    let peer = known.map_or_else(|| from.clone(), |it| peer(&it.member));
+    if heard.differs || !is_known {
         let digest = life.gossip.borrow().digest();
         ask::ask_once(life, link, &peer, Question::Comparison(digest));
     }
@@ -100,7 +99,7 @@
     if let Some(text) = known.config {
         config(life, text);
     }
-    news(life, link, &from.host, &known.news);
+    news(life, link, from, &known.news);
 }
 
 /// Takes another host's answer.
