Serve requests that come while a host starts

Only the first reader keeps the listing of hosts.

Shown by `a_request_that_comes_first_is_served`: 503 without the wait, 200 with it.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use async_std::task::sleep;
 use kernel::Clock;
 use route::Router;
 use telemetry::Recorder;
@@ -22,6 +23,7 @@
     pub(crate) pool: Pool,
     tasks: LocalExecutor<'static>,
     clock: Arc<dyn Clock>,
+    started: Duration,
     router: RefCell<Router>,
     phase: Cell<Phase>,
     open: Cell<usize>,
@@ -60,6 +62,7 @@
             timing,
             pool: Pool::default(),
             tasks: LocalExecutor::new(),
+            started: clock.now(),
             clock,
             router: RefCell::new(router),
             phase: Cell::new(Phase::Serving),
@@ -119,6 +122,21 @@
         self.phase.set(Phase::Finishing { end });
     }
 
+    /// Waits, while the host has only just started, until it knows a configuration and
+    /// endpoints.
+    pub(crate) async fn settle(&self) {
+        const LOOK: Duration = Duration::from_millis(10);
+        let end = self.started + self.timing.start;
+        while !self.knows_where() && self.now() < end {
+            sleep(LOOK).await;
+        }
+    }
+
+    fn knows_where(&self) -> bool {
+        let router = self.router();
+        router.config().is_some() && !router.directory().is_empty()
+    }
+
     /// Requests that are between their head and the end of their answer.
     #[must_use]
     pub fn busy(&self) -> usize {
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -32,6 +32,7 @@
     };
     answer.echo = Some((node.dialect.id_field(), id.as_str().to_owned()));
     let record = Record::new(node, request, &id);
+    node.settle().await;
     let mut call = match admit(node, request, &asked, &id) {
         Ok(call) => call,
         Err(outcome) => {
--- a/crates/forward/src/timing.rs
+++ b/crates/forward/src/timing.rs
@@ -20,6 +20,11 @@
     pub first_part: f64,
     /// The part of a stream's longest pause after which it is resumed elsewhere.
     pub pause_part: f64,
+    /// How long after a host's start requests wait for its first configuration and
+    /// endpoints. They are there within 50 ms where others run, and within a quarter
+    /// of a second where hundreds start at once; a refusal would have each caller come
+    /// back later instead. What a host hasn't heard by then it won't hear soon.
+    pub start: Duration,
     /// How long a caller may take no byte of its answer.
     pub write: Duration,
     /// How long a closed connection is read on, so that unread bytes don't
@@ -35,6 +40,7 @@
             idle: Duration::from_secs(4),
             first_part: 0.6,
             pause_part: 0.7,
+            start: Duration::from_millis(600),
             write: Duration::from_secs(10),
             linger: Duration::from_millis(500),
         }
--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -11,7 +11,7 @@
 use crate::life::Life;
 use crate::{Member, Store, say};
 
-/// How often the listing is read by those who read for all.
+/// How often the listing is read by the first of those who read for all.
 const PERIOD: Duration = Duration::from_secs(10);
 /// The time to the second reading; each later one takes twice as long as the one
 /// before it, up to the whole period. Hosts that start at once aren't in the
@@ -49,7 +49,7 @@
             let is_done = enlist(&life, &[life.own().clone()]).await;
             life.is_enlisted.set(is_done);
         }
-        if life.asks_store(life.confirmed.get()) {
+        if life.rank() == 0 && life.asks_store(life.confirmed.get()) {
             agree(&life).await;
         }
         next = life.node.now() + period;
@@ -78,13 +78,11 @@
             roster.gone(life.node.now(), &found.entries),
         )
     };
-    if life.rank() == 0 {
-        enlist(life, &missing).await;
-        for some in gone.chunks(MOST) {
-            let began = life.node.now();
-            let withdrawn = life.store.withdraw(some).await;
-            say::store(life, "withdraw", began, &withdrawn);
-        }
+    enlist(life, &missing).await;
+    for some in gone.chunks(MOST) {
+        let began = life.node.now();
+        let withdrawn = life.store.withdraw(some).await;
+        say::store(life, "withdraw", began, &withdrawn);
     }
 }
 
