Tell the others of the end before the last look at what is left

A request that came meanwhile was passed on, and cut off with the process.

Now it says so first, and ends at the look that finds nothing.

--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -235,20 +235,23 @@
         self.node.finish(end);
         self.sleep_until(began + serving.known.min(serving.whole))
             .await;
-        while self.node.busy() > 0 && self.node.now() < end {
+        self.say_goodbye();
+        // Nothing may be waited for between the last look and the end: who comes
+        // meanwhile would be taken, and cut off with the process.
+        loop {
             sleep(END_PERIOD).await;
+            if self.node.busy() == 0 || self.node.now() >= end {
+                break;
+            }
         }
-        self.say_goodbye().await;
     }
 
     /// Tells the neighbours that this host is gone: they need not find out.
-    async fn say_goodbye(&self) {
+    fn say_goodbye(&self) {
         let now = self.node.now();
-        let link = self.link.borrow().clone();
         self.gossip.borrow_mut().set_state(now, State::Gone);
-        if let Some(link) = link {
-            talk::say(self, &link);
-            sleep(END_PERIOD).await;
+        if let Some(link) = &*self.link.borrow() {
+            talk::say(self, link);
         }
     }
 
