--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -8,7 +8,7 @@
 use async_std::task::sleep;
 use forward::Dialect;
 use route::directory::Change;
-use telemetry::{Event, Gauges, Value};
+use telemetry::{Event, Gauges, Links, Value};
 
 use crate::life::Life;
 use crate::{Store, Trouble};
@@ -146,6 +146,19 @@
     );
 }
 
+fn links<S: Store, D: Dialect>(life: &Life<S, D>) -> Links {
+    let Some(link) = life.link.borrow().clone() else {
+        return Links::default();
+    };
+    let transport = link.transport();
+    Links {
+        connections: link.connections() as u64,
+        handshakes: link.counters().snapshot().handshakes,
+        sent: transport.bytes_sent,
+        received: transport.bytes_received,
+    }
+}
+
 fn level<S: Store, D: Dialect>(life: &Life<S, D>, hosts: usize) -> Gauges {
     let now = life.node.now();
     let mut router = life.node.router();
@@ -160,6 +173,8 @@
         endpoints: endpoints as u64,
         resting: resting as u64,
         hosts: hosts as u64,
+        reads_for_all: u64::from(life.reads_for_all()),
+        links: links(life),
         callers: life.node.open() as u64,
         requests: life.node.busy() as u64,
         budgets: budgets
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -82,6 +82,12 @@
         &self.inner.inbox.counters
     }
 
+    /// How many connections are open, in either direction.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.inner.lock_open().len()
+    }
+
     /// What went over the wire since the link was bound.
     #[must_use]
     pub fn transport(&self) -> Transport {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -20,7 +20,7 @@
 pub use field::{Field, Value};
 pub use instruments::Instruments;
 pub use log::Log;
-pub use metrics::{CATALOGUE, Gauges, Metrics};
+pub use metrics::{CATALOGUE, Gauges, Links, Metrics};
 pub use recorder::Recorder;
 pub use slog::Level;
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -70,6 +70,23 @@
         "Endpoints that are left alone.",
     ),
     ("barleypin_hosts", "Hosts that callers are sent to."),
+    (
+        "barleypin_reads_for_all",
+        "Whether this host reads the store for all: 1 or 0.",
+    ),
+    (
+        "barleypin_link_connections",
+        "Open connections to other hosts.",
+    ),
+    (
+        "barleypin_link_handshakes",
+        "Connections with other hosts that came about since the start.",
+    ),
+    (
+        "barleypin_link_sent_bytes",
+        "Bytes sent to other hosts since the start, with all that QUIC and TLS add.",
+    ),
+    ("barleypin_link_received_bytes", "The same, received."),
     ("barleypin_callers", "Callers' open connections."),
     ("barleypin_requests_open", "Requests being worked on."),
     (
@@ -105,6 +122,10 @@
     pub resting: u64,
     /// Hosts that callers are sent to.
     pub hosts: u64,
+    /// Whether this host reads the store for all, as 1 or 0.
+    pub reads_for_all: u64,
+    /// What goes over the links to other hosts.
+    pub links: Links,
     /// Callers' open connections.
     pub callers: u64,
     /// Requests being worked on.
@@ -116,6 +137,19 @@
     pub rollouts: Vec<(String, f64, route::rollout::Evidence)>,
 }
 
+/// What goes over the links to other hosts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Links {
+    /// Open connections.
+    pub connections: u64,
+    /// Connections that came about since the start.
+    pub handshakes: u64,
+    /// Bytes sent since the start.
+    pub sent: u64,
+    /// Bytes received since the start.
+    pub received: u64,
+}
+
 /// The instruments.
 pub struct Metrics {
     instruments: Instruments,
@@ -137,6 +171,11 @@
     endpoints: Gauge<u64>,
     resting: Gauge<u64>,
     hosts: Gauge<u64>,
+    reads_for_all: Gauge<u64>,
+    link_connections: Gauge<u64>,
+    link_handshakes: Gauge<u64>,
+    link_sent: Gauge<u64>,
+    link_received: Gauge<u64>,
     callers: Gauge<u64>,
     requests_open: Gauge<u64>,
     budget_left: Gauge<f64>,
@@ -170,6 +209,11 @@
             endpoints: it.whole("endpoints"),
             resting: it.whole("endpoints_resting"),
             hosts: it.whole("hosts"),
+            reads_for_all: it.whole("reads_for_all"),
+            link_connections: it.whole("link_connections"),
+            link_handshakes: it.whole("link_handshakes"),
+            link_sent: it.whole("link_sent_bytes"),
+            link_received: it.whole("link_received_bytes"),
             callers: it.whole("callers"),
             requests_open: it.whole("requests_open"),
             budget_left: it.real("retry_budget_left"),
@@ -255,6 +299,11 @@
         self.endpoints.record(gauges.endpoints, &[]);
         self.resting.record(gauges.resting, &[]);
         self.hosts.record(gauges.hosts, &[]);
+        self.reads_for_all.record(gauges.reads_for_all, &[]);
+        self.link_connections.record(gauges.links.connections, &[]);
+        self.link_handshakes.record(gauges.links.handshakes, &[]);
+        self.link_sent.record(gauges.links.sent, &[]);
+        self.link_received.record(gauges.links.received, &[]);
         self.callers.record(gauges.callers, &[]);
         self.requests_open.record(gauges.requests, &[]);
         for (service, left) in &gauges.budgets {
