--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -2,22 +2,26 @@
 
 mod drift;
 mod evidence;
+mod news;
+mod order;
 mod pooled;
+mod side;
 mod sighting;
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use derive_more::Display;
-use kernel::{HostName, Release, ServiceName, hash};
-use serde::{Deserialize, Serialize};
+use kernel::{HostName, Release, hash};
 
 use drift::{Mean, Pace};
 use pooled::Pool;
 
 pub use drift::Drift;
 pub use evidence::{Evidence, Tally};
+pub use news::{News, Scope};
+pub use order::{Order, Verdict};
 pub use pooled::{Sum, Total};
+pub use side::Side;
 pub use sighting::Sighting;
 
 /// The part of the allowed exposure that a release gets while it is unproven.
@@ -69,85 +73,6 @@
 const FURTHER: Duration = Duration::from_millis(600);
 const REACHED: u32 = 8;
 
-/// What operators ask for.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Order {
-    /// The service.
-    pub service: ServiceName,
-    /// The new release.
-    pub release: Release,
-    /// How long it may take.
-    pub over: Duration,
-    /// The number of the order; a newer one is higher.
-    pub revision: u64,
-}
-
-/// What a roll-out has come to.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Verdict {
-    /// The new release is on trial, or traffic moves to it.
-    #[display("running")]
-    Running,
-    /// All traffic goes to the new release.
-    #[display("complete")]
-    Complete,
-    /// No traffic goes to the new release.
-    #[display("reverted")]
-    Reverted,
-}
-
-/// Which release a request runs on.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum Side {
-    /// The one that was there before.
-    #[display("old")]
-    Old,
-    /// The one that is rolled out.
-    #[display("new")]
-    New,
-}
-
-impl Side {
-    /// The other one.
-    #[must_use]
-    pub fn other(self) -> Self {
-        match self {
-            Self::Old => Self::New,
-            Self::New => Self::Old,
-        }
-    }
-}
-
-/// What one host tells the others of a roll-out.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct News {
-    /// What was asked for.
-    pub order: Order,
-    /// How long ago it was seen.
-    pub elapsed: Duration,
-    /// What it has come to.
-    pub verdict: Verdict,
-    /// How long after the order the release leaves its trial, once hosts agree on it.
-    pub moves_on: Option<Duration>,
-    /// What the host has seen of the releases.
-    pub evidence: Evidence,
-    /// What the host and others have seen, on its way to those who gather it.
-    pub sums: Vec<Sum>,
-    /// What all have seen.
-    pub totals: Vec<Total>,
-    /// Sessions that are on the old release and would be on the new one.
-    pub held: Vec<u64>,
-}
-
-/// How much is told of what may be told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
-    /// Only what wasn't told before: neighbours tell it on, and hear it from others.
-    Fresh,
-    /// All, for a host that has just started.
-    All,
-}
-
 /// A roll-out.
 #[derive(Clone, Debug)]
 pub struct Rollout {
