--- a/crates/host/tests/gossip.rs
+++ b/crates/host/tests/gossip.rs
@@ -205,6 +205,27 @@
     assert!(network.up().all(|it| names(it, now, HOSTS)));
 }
 
+/// A third of the hosts stand still for seconds, each by itself, and go on. They pass for
+/// silent, and callers aren't sent there until they have contradicted; left to the next
+/// comparison of views, that would be more than a second after they are back. Those that
+/// are tried again hear of it, and tell each other.
+#[test]
+fn hosts_that_stood_still_are_soon_back() {
+    let mut network = calm(HOSTS, 71);
+    let still: Vec<usize> = (0..HOSTS / 3).map(|nr| (nr * 2 + 1) % HOSTS).collect();
+    for &it in &still {
+        network.hosts[it].part = it + 1;
+    }
+    network.run(6 * SECOND);
+    network.hosts.iter_mut().for_each(|it| it.part = 0);
+    let now = network.now + SECOND;
+    let took = network.until("all are back", SECOND, |it| names(it, now, HOSTS));
+    println!(
+        "{} hosts that stood still are back after {took:?}",
+        still.len()
+    );
+}
+
 /// Each host reckons by itself who tells whom, and all come to the same: a way leads
 /// from everybody to those who gather what all have seen.
 #[test]
