--- a/crates/host/src/life/turns.rs
+++ b/crates/host/src/life/turns.rs
@@ -21,8 +21,8 @@
 const MOST_TURNS: usize = 25;
 /// How long a host that has just started waits for others to tell it what they know,
 /// and what each place in the order of hosts adds to that. Others that run tell it
-/// within some 50 ms. Where all start at once the first two read, and it takes longer
-/// to go round than any that could be worth a call of each.
+/// within some 50 ms. Where all start at once the first few read, and it takes longer
+/// to go round: a shorter wait would have hundreds read what is on its way to them.
 const START: Duration = Duration::from_millis(250);
 const MOST_START_TURNS: usize = 100;
 /// How long after its start a host begins to read for others: news of it has gone
