Say what a caller has of an answer, and over which connection it came

The three explanations of an answer that a caller couldn't read can't be told apart by the lines as they are. A request's line now has the number of events that were written, an attempt's line whether its connection was opened for it or kept and how many answers to other requests came before its own; barleypin_strays_total counts those. A failure passed on after an event was written would be the first explanation, an attempt with a stray or on a kept connection the second, neither the third. No change of what hosts do.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -10,6 +10,7 @@
 use kernel::RequestId;
 use route::config::Repeat;
 use route::{Call, Ending, Flight, Placement};
+use telemetry::Connection;
 
 use crate::answer::Answer;
 use crate::caller::Request;
@@ -119,14 +120,18 @@
         answer: &mut Answer,
         guard: &mut Guard<'_, D>,
     ) -> Exchange {
-        let mut upstream = match self.connect(call).await {
-            Ok(conn) => Upstream::new(conn, self.bytes(call)),
+        let (conn, connection) = match self.connect(call).await {
+            Ok(it) => it,
             Err(ending) => return ending.into(),
         };
+        guard.seen.connection = Some(connection);
+        let mut upstream = Upstream::new(conn, self.bytes(call));
         let mut lull = Lull::new(self.node.clock());
         let (head, told) = loop {
             let wait = self.first_wait(call);
-            match lull.within(wait, self.head(&mut upstream)).await {
+            let head = lull.within(wait, self.head(&mut upstream)).await;
+            guard.seen.strays = upstream.strays();
+            match head {
                 Some(Ok(it)) => break it,
                 Some(Err(trouble)) => return trouble.ending().into(),
                 None if self.gives_up(call) => return Ending::Silent.into(),
@@ -160,7 +165,7 @@
             .await
     }
 
-    async fn connect(&self, call: &Call) -> std::result::Result<Conn, Ending> {
+    async fn connect(&self, call: &Call) -> std::result::Result<(Conn, Connection), Ending> {
         let (node, placement) = (self.node, self.placement);
         let max_idle = match call.route.repeat {
             Repeat::Idempotent => node.timing.idle,
@@ -168,7 +173,7 @@
         };
         let now = node.now();
         if let Some(conn) = node.pool.take(now, placement.endpoint, max_idle) {
-            return Ok(conn);
+            return Ok((conn, Connection::Kept));
         }
         let limit = node.timing.connect.min(call.left(now));
         let opened = Conn::open(placement.address, limit).await;
@@ -176,7 +181,7 @@
         match opened {
             Ok(conn) => {
                 node.recorder.connect(&placement.id, took, &Ok(()));
-                Ok(conn)
+                Ok((conn, Connection::Opened))
             }
             Err(err) => {
                 node.recorder.connect(&placement.id, took, &Err(err));
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -4,6 +4,7 @@
 
 use kernel::RequestId;
 use route::{Ending, Flight, Placement};
+use telemetry::Connection;
 
 use crate::serve::Progress;
 use crate::{Dialect, Node};
@@ -28,6 +29,8 @@
     pub(super) status: Option<u16>,
     pub(super) confidence: Option<u8>,
     pub(super) last_event: Option<u64>,
+    pub(super) connection: Option<Connection>,
+    pub(super) strays: u32,
 }
 
 impl<D: Dialect> Guard<'_, D> {
@@ -47,6 +50,8 @@
             confidence: self.seen.confidence,
             last_event: self.seen.last_event,
             status: self.seen.status,
+            connection: self.seen.connection,
+            strays: self.seen.strays,
         });
         Some(flight)
     }
--- a/crates/forward/src/attempt/stream.rs
+++ b/crates/forward/src/attempt/stream.rs
@@ -92,6 +92,8 @@
                 answer.begin(&self.node.dialect, head);
             }
             answer.event(event.bytes);
+            let events = &self.progress.events;
+            events.set(events.get() + 1);
             *self.last_event = event.id.or(*self.last_event);
             count += 1;
         }
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -183,6 +183,8 @@
     pub(crate) first: Cell<Option<Duration>>,
     /// The longest pause between two parts.
     pub(crate) pause: Cell<Option<Duration>>,
+    /// How many events of a stream were written to the caller.
+    pub(crate) events: Cell<u64>,
     trail: RefCell<String>,
     smooth: Cell<Smooth>,
 }
@@ -229,6 +231,7 @@
             pause: progress.pause.get(),
             total: self.node.now().saturating_sub(self.arrived),
             attempts: progress.attempts.get(),
+            events: progress.events.get(),
             trail: &progress.trail.borrow(),
             smooth: progress.smooth.get(),
             config: self.node.router().version(),
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -21,8 +21,8 @@
     conn: Conn,
     request: Vec<u8>,
     sent: usize,
-    /// Whether anything came that belongs to no answer that was waited for.
-    is_spoilt: bool,
+    /// How many answers came that were not waited for.
+    strays: u32,
 }
 
 /// What went wrong.
@@ -49,10 +49,15 @@
             conn,
             request,
             sent: 0,
-            is_spoilt: false,
+            strays: 0,
         }
     }
 
+    /// How many answers came that were not waited for.
+    pub(crate) fn strays(&self) -> u32 {
+        self.strays
+    }
+
     /// Reads once, writing meanwhile; 0 is the connection's end.
     pub(crate) async fn advance(&mut self) -> io::Result<usize> {
         while self.sent < self.request.len() {
@@ -121,7 +126,7 @@
         if head.length == Length::UntilClose {
             return Err(Trouble::Broken);
         }
-        self.is_spoilt = true;
+        self.strays += 1;
         self.body(head, &mut Vec::new(), MAX).await
     }
 
@@ -142,7 +147,7 @@
     /// out whole, and nothing came beside its answer.
     pub(crate) fn into_clean(self) -> Option<Conn> {
         let is_clean =
-            !self.is_spoilt && self.sent == self.request.len() && self.conn.unread().is_empty();
+            self.strays == 0 && self.sent == self.request.len() && self.conn.unread().is_empty();
         is_clean.then_some(self.conn)
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -24,4 +24,4 @@
 pub use recorder::Recorder;
 pub use slog::Level;
 
-pub use report::{Attempt, Outcome, Report, Smooth};
+pub use report::{Attempt, Connection, Outcome, Report, Smooth};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -24,6 +24,10 @@
         "Attempts after a request's first one, by how the one before ended.",
     ),
     ("barleypin_attempts_total", "Attempts ended, by ending."),
+    (
+        "barleypin_strays_total",
+        "Answers to other requests that came on an endpoint's connection and were dropped.",
+    ),
     (
         "barleypin_connections_total",
         "Connections to endpoints, by whether they could be opened.",
@@ -157,6 +161,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     attempts: Counter<u64>,
+    strays: Counter<u64>,
     connections: Counter<u64>,
     ejections: Counter<u64>,
     request_seconds: Histogram<f64>,
@@ -195,6 +200,7 @@
             refusals: it.counter("refusals"),
             retries: it.counter("retries"),
             attempts: it.counter("attempts"),
+            strays: it.counter("strays"),
             connections: it.counter("connections"),
             ejections: it.counter("ejections"),
             request_seconds: it.histogram("request_seconds"),
@@ -256,6 +262,10 @@
         self.attempts.add(1, &[label("ending", ending.to_string())]);
     }
 
+    pub(crate) fn strays(&self, strays: u32) {
+        self.strays.add(strays.into(), &[]);
+    }
+
     pub(crate) fn connect(&self, opened: bool) {
         let result = if opened { "opened" } else { "failed" };
         self.connections.add(1, &[label("result", result)]);
@@ -354,6 +364,7 @@
             self.ejections
                 .add(0, &[label("reason", ending.to_string())]);
         }
+        self.strays.add(0, &[]);
         self.lines_dropped.add(0, &[]);
     }
 }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -84,6 +84,7 @@
                 ("reason", words(reason.as_ref())),
                 ("status", Value::Count(report.status.into())),
                 ("attempts", Value::Count(report.attempts.into())),
+                ("events", Value::Count(report.events)),
                 ("trail", Value::Text(&report.trail)),
                 ("config", Value::count(report.config)),
                 ("first_ms", Value::time(report.first)),
@@ -97,6 +98,7 @@
     /// Takes the end of an attempt.
     pub fn attempt(&self, attempt: &Attempt<'_>) {
         self.metrics.attempt(attempt.ending);
+        self.metrics.strays(attempt.strays);
         let is_ordinary = Smooth::from(attempt.ending) == Smooth::Yes;
         if !self.may_write(weight(is_ordinary, attempt.id)) {
             return;
@@ -118,6 +120,8 @@
                     Value::count(attempt.confidence.map(u64::from)),
                 ),
                 ("last_event", Value::count(attempt.last_event)),
+                ("connection", words(attempt.connection.as_ref())),
+                ("strays", Value::Count(attempt.strays.into())),
                 ("candidates", Value::Count(placement.candidates as u64)),
                 ("used", Value::Share(placement.used)),
                 ("load_age_ms", Value::time(placement.load_age)),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -26,6 +26,9 @@
     pub total: Duration,
     /// How many endpoints it was sent to.
     pub attempts: u32,
+    /// How many events of a stream were written to the caller. A failure that
+    /// is passed on after one of them is no answer that a caller can read.
+    pub events: u64,
     /// Its attempts in order: the endpoint, how it ended and the milliseconds.
     pub trail: &'a str,
     /// Whether anything went wrong on the way to its end.
@@ -91,6 +94,22 @@
     pub last_event: Option<u64>,
     /// The status of the endpoint's answer.
     pub status: Option<u16>,
+    /// The connection that it went over, once there was one.
+    pub connection: Option<Connection>,
+    /// How many answers to other requests came before its own and were dropped.
+    pub strays: u32,
+}
+
+/// The connection that an attempt went over. What an endpoint still has to say
+/// to an earlier request can come on a kept one only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Connection {
+    /// Opened for it.
+    #[display("opened")]
+    Opened,
+    /// Kept from an earlier request.
+    #[display("kept")]
+    Kept,
 }
 
 impl Outcome {
--- a/crates/telemetry/tests/bounds.rs
+++ b/crates/telemetry/tests/bounds.rs
@@ -63,6 +63,7 @@
         pause: None,
         total: Duration::from_millis(9),
         attempts: 1,
+        events: 0,
         trail: "i-1 answered 9",
         smooth: Smooth::Yes,
         config: Some(7),
--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -99,6 +99,7 @@
         pause: Some(Duration::from_millis(2)),
         total: Duration::from_millis(9),
         attempts: 1,
+        events: 0,
         trail: "",
         smooth: telemetry::Smooth::Yes,
         config: None,
