Mark a stream as begun before its first byte is written

Cause: whether the caller had a part of its answer was held twice, by the writer of the answer and by the call on which decisions are made. The call's copy was set at the top of the loop over what an endpoint sends, so only when something more came after the first event had gone out. A stream that fell silent or broke off after its first event counted as not begun: the next endpoint's failure was passed on as a whole answer, into the stream. Class: one fact with two owners, of which one lags behind a wait. A denial (404) went the same way without the fact being asked for at all.

Now the call alone knows, from before the first byte is written; the writer keeps nothing to compare, and asserts in debug builds that an answer gets one status line. Whole answers where the rest of a stream was asked for are failures of that endpoint. A stream that has begun may go on at another endpoint after a failure, as after a silence: it did so before by the lagging mark only, where one event had been sent. Events before a missing one go out at once and no longer wait for the next endpoint.

Also seen on the way: a begun stream whose status was another 2xx than 200 would have left its connection open after a cut, so that the next answer would have been read as a chunk; the cut goes by the call's mark now.

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -18,7 +18,6 @@
     writer: TcpStream,
     is_head: bool,
     keep: Keep,
-    begun: bool,
     out: Vec<u8>,
     /// The status that was sent.
     pub(crate) status: u16,
@@ -79,18 +78,12 @@
             writer,
             is_head: request.is_some_and(|it| it.method == "HEAD"),
             keep,
-            begun: false,
             out: Vec::new(),
             status: 0,
             echo: None,
         }
     }
 
-    /// Whether the caller has a part of it.
-    pub(crate) fn has_begun(&self) -> bool {
-        self.begun
-    }
-
     /// Whether a part of it waits to be sent.
     pub(crate) fn has_pending(&self) -> bool {
         !self.out.is_empty()
@@ -153,7 +146,6 @@
     pub(crate) async fn flush(&mut self) -> io::Result<()> {
         let out = std::mem::take(&mut self.out);
         if !out.is_empty() {
-            self.begun = true;
             (&self.writer).write_all(&out).await?;
         }
         self.out = out;
@@ -171,9 +163,11 @@
         }
     }
 
+    /// Begins the head. An answer has one: what a second status line begins would
+    /// reach the caller as a part of the first answer.
     fn start(&mut self, status: u16) {
+        debug_assert_eq!(self.status, 0, "an answer has one status line");
         self.status = status;
-        self.out.clear();
         let line = format!("HTTP/1.1 {status} {}\r\n", reason(status));
         self.out.extend_from_slice(line.as_bytes());
     }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -282,8 +282,11 @@
             None => return Ending::Silent.into(),
         }
         self.keep(upstream, &head, told);
-        if head.status >= 500 || is_promise(head.status) {
-            let passes = !is_promise(head.status);
+        // Where the rest of a stream was asked for, any whole answer means that this
+        // endpoint can't go on with it.
+        let is_failure = head.status >= 500 || is_promise(head.status);
+        if is_failure || call.has_begun() {
+            let passes = !is_promise(head.status) && !call.has_begun();
             return Exchange::Ended(Ending::Failed, passes.then_some(Whole { head, body }));
         }
         self.progress.first.set(Some(self.node.now()));
--- a/crates/forward/src/attempt/stream.rs
+++ b/crates/forward/src/attempt/stream.rs
@@ -14,6 +14,14 @@
 use crate::upstream::Upstream;
 use crate::{Dialect, Told};
 
+/// What was passed on of the events that were there.
+#[derive(Clone, Copy, Debug, Default)]
+struct Passed {
+    count: u32,
+    /// Whether an event is missing after them.
+    has_gap: bool,
+}
+
 impl<D: Dialect> Attempt<'_, D> {
     /// Passes on a stream until it ends or can't go on at this endpoint.
     pub(super) async fn stream(
@@ -33,33 +41,28 @@
             if upstream.decode(&mut decoder, events.input()).is_err() {
                 return Ending::Broken.into();
             }
-            let Some(count) = self.pass_on(&mut events, head, answer) else {
-                return Ending::Broken.into();
-            };
+            let Passed { count, has_gap } = self.pass_on(&mut events, head, call, answer);
             if let Some(flight) = &mut guard.flight {
                 flight.events(node.now(), count);
             }
             if answer.has_pending() {
                 self.note_pause(&mut passed);
             }
-            let is_done = decoder.is_done() && !events.has_rest();
-            if is_done && answer.status != 0 {
+            let is_done = decoder.is_done() && !has_gap && !events.has_rest();
+            if is_done && call.has_begun() {
                 self.keep(upstream, head, told);
                 return match timeout(node.timing.write, answer.finish()).await {
                     Ok(Ok(())) => Exchange::Delivered,
                     _ => Exchange::CallerGone,
                 };
             }
-            if decoder.is_done() {
-                return Ending::Broken.into();
-            }
-            if answer.has_begun() {
-                call.begun = true;
-            }
             match timeout(node.timing.write, answer.flush()).await {
                 Ok(Ok(())) => {}
                 _ => return Exchange::CallerGone,
             }
+            if decoder.is_done() || has_gap {
+                return Ending::Broken.into();
+            }
             match lull.within(self.pause(call), upstream.advance()).await {
                 Some(Ok(1..)) => call.release(),
                 Some(Ok(0)) if decoder.finish().is_ok() => {}
@@ -70,34 +73,37 @@
         }
     }
 
-    /// Passes on the whole events that are there, each once and in order, and
-    /// says how many; nothing where one is missing.
+    /// Passes on the whole events that are there, each once and in order, up to
+    /// the first one that is missing.
     fn pass_on(
         &mut self,
         events: &mut Events,
         head: &response::Head,
+        call: &mut Call,
         answer: &mut Answer,
-    ) -> Option<u32> {
-        let mut count = 0;
+    ) -> Passed {
+        let mut passed = Passed::default();
         while let Some(event) = events.take() {
             if let (Some(id), Some(last)) = (event.id, *self.last_event) {
                 if id <= last {
                     continue;
                 }
                 if id > last + 1 {
-                    return None;
+                    passed.has_gap = true;
+                    return passed;
                 }
             }
-            if answer.status == 0 {
+            if !call.has_begun() {
+                call.begin();
                 answer.begin(&self.node.dialect, head);
             }
             answer.event(event.bytes);
             let events = &self.progress.events;
             events.set(events.get() + 1);
             *self.last_event = event.id.or(*self.last_event);
-            count += 1;
+            passed.count += 1;
         }
-        Some(count)
+        passed
     }
 
     /// Notes when a part of the answer goes out.
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -49,7 +49,7 @@
         .set((call.route.clone(), call.customer.clone()));
     let outcome = attempts(&record, request, &asked, &mut call, &mut answer).await;
     let result = match outcome {
-        Outcome::Failed(_) if answer.has_begun() && answer.status == 200 => Err(Cut),
+        Outcome::Failed(_) if call.has_begun() => Err(Cut),
         Outcome::Gone => Err(Cut),
         _ => Ok(()),
     };
@@ -105,7 +105,7 @@
         let now = node.now();
         let Some(placement) = node.router().place(now, call) else {
             let failure = node.router().unplaced(now, call);
-            return fail(answer, failure).await;
+            return fail(call, answer, failure).await;
         };
         let attempt = Attempt {
             node,
@@ -134,7 +134,7 @@
                             Err(_) => Outcome::Gone,
                         };
                     }
-                    (Next::Fail(failure), _) => return fail(answer, failure).await,
+                    (Next::Fail(failure), _) => return fail(call, answer, failure).await,
                 }
             }
         }
@@ -156,9 +156,9 @@
     }
 }
 
-async fn fail(answer: &mut Answer, failure: Failure) -> Outcome {
+async fn fail(call: &Call, answer: &mut Answer, failure: Failure) -> Outcome {
     // Where a part of a stream has gone out the connection's end has to tell.
-    if !answer.has_begun() {
+    if !call.has_begun() {
         answer.notice(failure.into()).await;
     }
     Outcome::Failed(failure)
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -46,8 +46,9 @@
     pub deadline: Duration,
     /// The release that it is to run on while a roll-out is under way.
     pub(crate) lane: Option<Lane>,
-    /// Whether the caller has a part of the answer.
-    pub begun: bool,
+    /// Whether a stream's first event has been taken for the caller. Everything that
+    /// depends on it asks here: see [`Self::begin`].
+    begun: bool,
     pub(crate) cascade: Cascade,
     pub(crate) tried: Vec<Key>,
     pub(crate) attempts: u32,
@@ -218,6 +219,23 @@
         }
     }
 
+    /// Takes it that the caller's answer is this stream from now on: no other answer
+    /// may be sent, a failure neither, and another endpoint can only go on with it.
+    ///
+    /// It is to be called before the stream's first byte is written. Marked after the
+    /// write, a stream that stopped at its first event counted as one that hadn't begun;
+    /// the next endpoint's failure was then written into it, where a chunk's size
+    /// belongs, and its caller could read no more (docs/incidents/2026-12-salina-grown.md).
+    pub fn begin(&mut self) {
+        self.begun = true;
+    }
+
+    /// Whether the caller's answer is a stream that has begun.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// How many attempts were made.
     #[must_use]
     pub fn attempts(&self) -> u32 {
@@ -235,8 +253,9 @@
         let safe = match ending {
             Ending::NotSent => return self.unsent < MAX_UNSENT && self.left(now) > Duration::ZERO,
             Ending::Refused | Ending::Moved | Ending::Unsure => true,
-            Ending::Failed => !self.begun && self.route.repeat == Repeat::Idempotent,
-            Ending::Broken | Ending::Silent => self.route.repeat == Repeat::Idempotent,
+            Ending::Failed | Ending::Broken | Ending::Silent => {
+                self.route.repeat == Repeat::Idempotent
+            }
             Ending::Answered | Ending::Cancelled => false,
         };
         safe && self.attempts < self.route.attempts && self.left(now) > Duration::ZERO
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -120,7 +120,7 @@
             "arrive" => Some(self.arrive(&words)),
             "send" => Some(self.send(words.rest[0])),
             "begun" => {
-                self.calls.get_mut(words.rest[0]).unwrap().call.begun = true;
+                self.calls.get_mut(words.rest[0]).unwrap().call.begin();
                 None
             }
             "first" => {
