Tell an attempt's answers apart by their connection, and keep what is read past

An attempt at an endpoint that the same request was sent to before opens a connection of its own: the request's name can't tell its attempts apart, a connection that has carried only this attempt can. It costs a handshake where a service has one endpoint left, nothing elsewhere.

How far a stray answer has been read is kept with the connection, so that a wait begun anew goes on there. The bound of its length stays.

Weighed: closing every connection that carried a refusal (a handshake for each refusal of a full endpoint, hundreds a second when a service is full); a name of our own for each attempt (endpoints echo the caller's, which must reach them unchanged).

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -172,7 +172,17 @@
             Repeat::AtMostOnce => node.timing.warm,
         };
         let now = node.now();
-        if let Some(conn) = node.pool.take(now, placement.endpoint, max_idle) {
+        // A request has one name in all its attempts. An endpoint that repeats its
+        // refusal late does so on the connection that it refused on; taken for the next
+        // attempt's answer, it had a caller told "not run" of a request that ran. What
+        // an endpoint says on a connection that is new to the request is about this
+        // attempt.
+        let kept = if call.has_tried(placement.endpoint) {
+            None
+        } else {
+            node.pool.take(now, placement.endpoint, max_idle)
+        };
+        if let Some(conn) = kept {
             return Ok((conn, Connection::Kept));
         }
         let limit = node.timing.connect.min(call.left(now));
@@ -246,7 +256,7 @@
             if told.id.as_ref() == Some(self.id) {
                 return Ok((head, told));
             }
-            upstream.skip(&head).await?;
+            upstream.pass_over(&head)?;
         }
     }
 
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -23,6 +23,18 @@
     sent: usize,
     /// How many answers came that were not waited for.
     strays: u32,
+    /// The one of them that is being read past.
+    stray: Option<Stray>,
+}
+
+/// The body of an answer that nobody waits for, while it comes.
+///
+/// It is kept with the connection, not by whoever waits: a wait may run out in the
+/// middle of it and be begun anew, and would look for a head in the rest of the body.
+/// A sound answer behind it was lost that way.
+struct Stray {
+    decoder: Decoder,
+    body: Vec<u8>,
 }
 
 /// What went wrong.
@@ -50,6 +62,7 @@
             request,
             sent: 0,
             strays: 0,
+            stray: None,
         }
     }
 
@@ -74,8 +87,9 @@
         self.conn.fill().await
     }
 
-    /// Waits for the next head.
+    /// Waits for the next head. A wait that is given up may be begun anew.
     pub(crate) async fn head(&mut self, method: &str) -> Result<response::Head, Trouble> {
+        self.read_stray().await?;
         loop {
             let unread = self.conn.unread();
             if let Some(end) = framing::head_end(unread) {
@@ -118,16 +132,38 @@
         }
     }
 
-    /// Reads an answer that nobody waits for. What may follow it on this
+    /// Passes over an answer that nobody waits for. What may follow it on this
     /// connection later is anyone's guess, so no other request is sent on it.
-    pub(crate) async fn skip(&mut self, head: &response::Head) -> Result<(), Trouble> {
-        /// More than any refusal or second answer had.
-        const MAX: usize = 1024 * 1024;
+    pub(crate) fn pass_over(&mut self, head: &response::Head) -> Result<(), Trouble> {
         if head.length == Length::UntilClose {
             return Err(Trouble::Broken);
         }
         self.strays += 1;
-        self.body(head, &mut Vec::new(), MAX).await
+        self.stray = Some(Stray {
+            decoder: Decoder::new(head.length),
+            body: Vec::new(),
+        });
+        Ok(())
+    }
+
+    /// Reads the answer that is passed over to its end.
+    async fn read_stray(&mut self) -> Result<(), Trouble> {
+        /// More than any refusal or second answer had.
+        const MAX: usize = 1024 * 1024;
+        while let Some(Stray { decoder, body }) = &mut self.stray {
+            let taken = decoder
+                .decode(self.conn.unread(), body)
+                .map_err(|_| Trouble::Broken)?;
+            self.conn.consume(taken);
+            if decoder.is_done() {
+                self.stray = None;
+                return Ok(());
+            }
+            if body.len() > MAX || !matches!(self.advance().await, Ok(1..)) {
+                return Err(Trouble::Broken);
+            }
+        }
+        Ok(())
     }
 
     /// Decodes what has been read.
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -242,6 +242,13 @@
         self.attempts
     }
 
+    /// Whether an attempt before the one under way went to this endpoint.
+    #[must_use]
+    pub fn has_tried(&self, endpoint: Key) -> bool {
+        let earlier = self.tried.split_last().map_or(&[][..], |it| it.1);
+        earlier.contains(&endpoint)
+    }
+
     /// Whether a larger model could be asked instead of this one: while the
     /// caller has none of the answer.
     pub(crate) fn may_escalate(&self) -> bool {
