Leave begun streams out of the filling of a release

Cause: the choice of the endpoint that is filled escalates to the largest model and didn't ask whether the caller has a part of the answer. The script's last endpoint is d-v2 in place of c-v2: the one that is filled is no longer chosen for it; the model is what the test is about.

Before: rollout_filled_begun.txt 'model large'. After: 'model small', all scripts pass.

--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -179,7 +179,12 @@
 
     /// The endpoint of a new release that is to be filled with this request. Every
     /// host takes its share of the places; long prompts would only hold up the others.
+    /// What fills it is answered by the largest model: a stream that another model has
+    /// begun would change its model midway, so it is left out.
     fn fills(&self, now: Duration, call: &Call) -> Option<Key> {
+        if call.has_begun() {
+            return None;
+        }
         let key = self.filled(now, call)?;
         let it = self.directory.get(key)?;
         let share = it.entry.slots * FILL_SHARES / self.hosts;
