Refuse streams to callers that know no chunks

A caller of HTTP/1.0 got a stream in chunks, whose sizes it reads as a part of the stream. Without chunks a stream ends with its connection and a cut looks like the end, so there is no sound way to send it one: 505, at once. Weighed: holding the stream back until its end to send it with a length (8 MB a caller, for callers that the platform doesn't have).

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -208,6 +208,7 @@
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
         _ => "Status",
     }
 }
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -42,6 +42,13 @@
             return Ok(());
         }
     };
+    if call.route.is_stream() && !request.head.reads_chunks {
+        // Without chunks a stream ends with its connection, and one that is cut off looks
+        // like a whole one.
+        answer.notice(Notice::of(505)).await;
+        record.end(Outcome::Rejected, answer.status);
+        return Ok(());
+    }
     // Set once: the request has one route.
     let _ = record
         .progress
--- a/crates/framing/src/request.rs
+++ b/crates/framing/src/request.rs
@@ -16,6 +16,8 @@
     pub length: Length,
     /// Whether the connection takes another request after this one.
     pub keep: bool,
+    /// Whether its sender can read chunked bodies, which HTTP/1.0 doesn't know.
+    pub reads_chunks: bool,
 }
 
 impl Head {
@@ -45,6 +47,7 @@
             target: target.to_owned(),
             length: fields.length()?.unwrap_or(Length::Known(0)),
             keep: minor == 1 && !fields.lists("connection", "close"),
+            reads_chunks: minor == 1,
             fields,
         })
     }
