--- a/crates/http/tests/suite/server.rs
+++ b/crates/http/tests/suite/server.rs
@@ -337,6 +337,37 @@
     });
 }
 
+#[gtest]
+fn the_word_to_go_on_never_comes_behind_the_answer() {
+    // Story: a caller's library asks whether to send its question and sends it without
+    // waiting. The answer goes out at once, and then the word to go on: a second
+    // status line, in the answer or in front of the connection's next one. The word was
+    // written by a task of its own, which nothing held back once the answer had begun.
+    const TRIES: usize = 200;
+    block_on(async {
+        let server = Server::bind(LOCAL, Limits::default(), echo).await.unwrap();
+        let mut stream = support::connect(server.address());
+        for nr in 0..TRIES {
+            support::send(
+                &mut stream,
+                r"POST / HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\nhi",
+            );
+            let (mut head, mut body) = message::read_message(&mut stream).unwrap();
+            if head.starts_with("HTTP/1.1 100") {
+                (head, body) = message::read_message(&mut stream).unwrap();
+            }
+            assert!(head.starts_with("HTTP/1.1 200"), "question {nr}: {head}");
+            assert_eq!(body, "POST / [-] hi", "question {nr}");
+            support::send(&mut stream, r"GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+            let (head, _) = message::read_message(&mut stream).unwrap();
+            assert!(
+                head.starts_with("HTTP/1.1 200"),
+                "behind question {nr}: {head}"
+            );
+        }
+    });
+}
+
 #[gtest]
 fn a_caller_that_reads_nothing_is_given_up() {
     // Story: a caller's host hangs while an answer is streamed to it. The
