Have whoever waits for a body write the word to go on

Cause: a connection had two writers. The library writes "100 Continue" from a task of its own once the body is first asked for, and nothing orders that task with the answer. Where a caller sends its body without waiting, as most do after a moment, the handler had it at once, the answer went out, and the word came behind its first bytes or behind the whole of it: a second status line in a stream, or in front of the connection's next answer. Class: a fact (whether the answer has begun) that a second writer doesn't ask for.

Now the word is written where the body is waited for, under the lock that the answer's beginning takes, and not at all where the body is there already or the answer has begun. What the library writes by itself goes nowhere.

Ruled out: the same on the client's side (the library writes nothing there), words for bodies that are refused unread (none is written).

--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -16,10 +16,11 @@
 use futures::future::poll_fn;
 use futures::io::{AsyncRead, AsyncWrite};
 
-use input::Input;
+use input::{GoOn, Input};
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const READ_SIZE: usize = 8 * 1024;
+const GO_ON: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// The greatest head that `async-h1` takes, in bytes.
 pub(crate) const MAX_HEAD: usize = 8 * 1024 - 1;
@@ -168,6 +169,42 @@
         .await;
     }
 
+    /// Says that the peer waits for a word before it sends the body.
+    pub(crate) fn owe_go_on(&self) {
+        self.input().go_on = GoOn::Due(0);
+    }
+
+    /// Writes the word to go on, if the peer still waits for it.
+    ///
+    /// Failure: the library has a task of its own write it once the body is first
+    /// asked for. Where the body was there already, the word came behind the answer,
+    /// and the caller read a second status line in it. It is written by whoever waits
+    /// for the body instead, under the lock that [`Self::begin_answer`] takes, and so
+    /// never once the answer has begun.
+    pub(crate) fn poll_go_on(&self, cx: &mut Context<'_>) {
+        let mut input = self.input();
+        while let GoOn::Due(written) = input.go_on {
+            let rest = &GO_ON[written..];
+            let Poll::Ready(result) = Pin::new(&mut &self.stream).poll_write(cx, rest) else {
+                return;
+            };
+            input.go_on = match result {
+                Ok(got @ 1..) if got < rest.len() => GoOn::Due(written + got),
+                // All is written, or the connection is broken: who reads from it sees that.
+                _ => GoOn::Done,
+            };
+        }
+    }
+
+    /// Takes it that the answer begins, and says whether it can: not behind a part
+    /// of the word to go on.
+    pub(crate) fn begin_answer(&self) -> bool {
+        matches!(
+            std::mem::take(&mut self.input().go_on),
+            GoOn::Done | GoOn::Due(0)
+        )
+    }
+
     /// Has a task polled again that waits for bytes which nobody asked the
     /// socket for: the library's chunk decoder does so when the last line end
     /// comes in two parts, and the caller of a whole answer would wait until
@@ -245,20 +282,22 @@
     }
 }
 
+/// All that the library writes by itself is a word to go on. It goes nowhere, see
+/// [`Conn::poll_go_on`].
 impl AsyncWrite for Conn {
     fn poll_write(
         self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        _: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &self.stream).poll_write(cx, buf)
+        Poll::Ready(Ok(buf.len()))
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut &self.stream).poll_close(cx)
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/http/src/conn/input.rs
+++ b/crates/http/src/conn/input.rs
@@ -20,6 +20,17 @@
     pub(super) body_done: bool,
     /// Who waits to watch for the peer's close until the body is read.
     pub(super) watcher: Option<Waker>,
+    pub(super) go_on: GoOn,
+}
+
+/// Whether the peer waits for a word before it sends its body.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum GoOn {
+    /// It doesn't, or gets none any more.
+    #[default]
+    Done,
+    /// It does, and so many bytes of the word were written.
+    Due(usize),
 }
 
 impl Input {
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -122,6 +122,9 @@
     method: Method,
     next: Next,
 ) -> Written {
+    if !conn.begin_answer() {
+        return Written::Cut;
+    }
     let mut message = h1::encode_response(response);
     if next == Next::Close {
         message.insert_header(CONNECTION, "close");
--- a/crates/http/src/server/head.rs
+++ b/crates/http/src/server/head.rs
@@ -1,7 +1,7 @@
 //! The head of a request: read within its limits, and checked.
 
 use async_std::future::timeout;
-use http_types::headers::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http_types::headers::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 
 use super::incoming::Incoming;
 use super::refusal::Refusal;
@@ -77,6 +77,9 @@
         return Err(Refusal::new(Status::PayloadTooLarge, "body too large"));
     }
     conn.release_body(len);
+    if len != Some(0) && waits_for_word(&decoded) {
+        conn.owe_go_on();
+    }
 
     let method = decoded.method();
     let url = decoded.url();
@@ -107,6 +110,12 @@
     })
 }
 
+fn waits_for_word(decoded: &http_types::Request) -> bool {
+    decoded
+        .header(EXPECT)
+        .is_some_and(|it| it.last().as_str().eq_ignore_ascii_case("100-continue"))
+}
+
 /// The library joins host and path into one URL. Any other byte could move
 /// the border between them, and the request to another path.
 fn is_host_byte(byte: u8) -> bool {
--- a/crates/http/src/server/incoming.rs
+++ b/crates/http/src/server/incoming.rs
@@ -60,6 +60,7 @@
             }
             return Poll::Ready(Ok(()));
         }
+        self.conn.poll_go_on(cx);
         self.conn.keep_armed(cx);
         self.deadline.poll(cx)
     }
