--- a/crates/engine/tests/suite/client.rs
+++ b/crates/engine/tests/suite/client.rs
@@ -9,7 +9,9 @@
 use async_std::future::timeout;
 use async_std::task::block_on;
 use datadriven::{TestCase, walk};
-use engine::{Attempt, Call, Chat, Client, Endpoint, Order, Priority, Wanted};
+use engine::{
+    Attempt, Call, Chat, Client, Code, Endpoint, Failure, Fault, Order, Priority, Wanted, Why,
+};
 use http::{Body, Headers, Method, Options, Pool};
 use kernel::{AttemptId, Incarnation, SystemClock};
 use serde_json::json;
@@ -235,3 +237,99 @@
         "{seen}"
     );
 }
+
+/// An endpoint that plays one script a connection, until its peer closes it: it takes a
+/// request for each answer, and says it. Answers in one text come without a request
+/// between them.
+fn scripted(connections: Vec<Vec<String>>) -> Endpoint {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let to = endpoint(listener.local_addr().unwrap());
+    thread::spawn(move || {
+        for answers in connections {
+            let (mut stream, _) = listener.accept().unwrap();
+            for answer in answers {
+                if read_message(&mut stream).is_none() {
+                    break;
+                }
+                stream.write_all(answer.as_bytes()).unwrap();
+            }
+        }
+    });
+    to
+}
+
+fn said(status: &str, body: &str) -> String {
+    let len = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-length: {len}\r\n\r\n{body}")
+}
+
+fn refused() -> String {
+    said("503 X", r#"{"error":{"code":"overloaded"}}"#)
+}
+
+fn answered(attempt: &str) -> String {
+    let body = json!({"id": attempt, "choices": [{"message": {"content": "hi"}}],
+        "finish_reason": "stop", "usage": {"prompt_tokens": 1, "completion_tokens": 1}});
+    said("200 OK", &body.to_string())
+}
+
+#[test]
+fn a_late_refusal_is_not_the_next_calls() {
+    // Story: a booking was made and its caller heard "not run". The endpoint had
+    // refused a call before it, and said so a second time when the booking came on the
+    // same connection. A refusal names no attempt, so only the connection can tell
+    // whose it is.
+    let to = scripted(vec![
+        vec![refused(), refused() + &said("200 OK", "booked")],
+        vec![said("200 OK", "booked")],
+    ]);
+    let client = client();
+    let ask = || async {
+        let response = client
+            .call(&to, &attempt(), seat_hold(), &Options::default())
+            .await;
+        response.map(|it| it.status)
+    };
+    let first = block_on(ask());
+    assert_eq!(first.unwrap_err(), Failure::Refused(Code::Overloaded));
+    assert_eq!(block_on(ask()).unwrap(), http::Status::Ok);
+}
+
+#[test]
+fn a_connection_with_anothers_answer_is_given_up() {
+    // Story: one answer too many on a kept connection cost each question on it its
+    // answer, one after the other. The first to read a foreign one gave the connection
+    // back, with its own answer still to come, for the next one to find.
+    let to = scripted(vec![
+        vec![answered("7-0"), answered("7-1")],
+        vec![answered("7-2")],
+    ]);
+    let client = client();
+    let ask = |id| {
+        let attempt = Attempt {
+            id: AttemptId(id),
+            ..attempt()
+        };
+        block_on(client.chat(&to, &attempt, &chat(), &Options::default()))
+    };
+    let foreign = Failure::Cut(Why::Content(Fault::Foreign));
+    assert_eq!(ask(1).unwrap_err(), foreign);
+    assert_eq!(ask(2).unwrap().content, "hi");
+}
+
+#[test]
+fn a_report_that_is_none_costs_its_connection() {
+    // Story: the same with load reports. An endpoint that lives passed for gone, since
+    // each report on that connection was the answer to something before it.
+    let report = json!({"name": "e1", "incarnation": 42, "state": "live", "running": 1,
+        "waiting": 0, "slots": 8, "versions": [], "age_ms": 0});
+    let to = scripted(vec![
+        vec![answered("7-0"), answered("7-1")],
+        vec![said("200 OK", &report.to_string())],
+    ]);
+    let client = client();
+    let ask = || block_on(client.load(&to, &Options::default()));
+    let malformed = Failure::Cut(Why::Content(Fault::Malformed));
+    assert_eq!(ask().unwrap_err(), malformed);
+    assert_eq!(ask().unwrap().slots, 8);
+}
