Give up a connection that brought another's answer

Cause: an answer's connection went back to the kept ones as soon as its body had been read, before anyone could tell whether it was the answer to what was asked. After one answer too many its own answer was still to come on it, for the next request to read, and so on: each question on that connection failed. Class: an answer identified by less than what tells it apart, and a connection's state (an answer is due) that nobody kept.

Now a body keeps its connection until it is dropped, and who finds that it isn't its own has the connection closed: a whole answer with another attempt's name, and anything that isn't the JSON that was asked for. Streams did so before, since they are given up before their end.

Ruled out: timed-out and dropped exchanges (their connections are closed), bytes that come while a connection is idle (it isn't used again). Not covered, since HTTP/1.1 can't: a second answer to a plain call, which bears no name, where it comes after the next request was written.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -65,10 +65,12 @@
         options: &Options,
     ) -> Result<Answer, Failure> {
         let response = self.complete(to, attempt, chat, false, options).await?;
-        let whole: Whole = response.body.parse(MAX_ANSWER).await?;
-        whole
-            .into_answer(&attempt.name())
-            .map_err(|it| Failure::Cut(Why::Content(it)))
+        let mut body = response.body;
+        let whole: Whole = body.drain_json(MAX_ANSWER).await?;
+        whole.into_answer(&attempt.name()).map_err(|it| {
+            body.give_up();
+            Failure::Cut(Why::Content(it))
+        })
     }
 
     async fn complete(
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::Error;
+use crate::client::Answer;
 use crate::copy::poll_copy;
 
 use channel::Pieces;
@@ -26,8 +27,18 @@
 }
 
 enum Source {
-    Bytes { bytes: Arc<Vec<u8>>, pos: usize },
-    Reader { reader: Reader, len: Option<u64> },
+    Bytes {
+        bytes: Arc<Vec<u8>>,
+        pos: usize,
+    },
+    Reader {
+        reader: Reader,
+        len: Option<u64>,
+    },
+    Answer {
+        answer: Box<Answer>,
+        len: Option<u64>,
+    },
     Channel(Pieces),
 }
 
@@ -76,12 +87,20 @@
         }
     }
 
+    /// The bytes of an answer, `len` of them when that is known.
+    pub(crate) fn answer(answer: Answer, len: Option<u64>) -> Self {
+        let answer = Box::new(answer);
+        Self {
+            source: Source::Answer { answer, len },
+        }
+    }
+
     /// How many bytes there are in all, when that is known before the end.
     #[must_use]
     pub fn len(&self) -> Option<u64> {
         match &self.source {
             Source::Bytes { bytes, .. } => Some(bytes.len() as u64),
-            Source::Reader { len, .. } => *len,
+            Source::Reader { len, .. } | Source::Answer { len, .. } => *len,
             Source::Channel(_) => None,
         }
     }
@@ -97,11 +116,28 @@
     /// # Errors
     /// [`Error::TooLarge`] past the limit, [`Error::Cut`] when the body broke off.
     pub async fn collect(mut self, limit: usize) -> Result<Vec<u8>, Error> {
+        self.drain(limit).await
+    }
+
+    /// Reads to the end as JSON, at most `limit` bytes.
+    ///
+    /// # Errors
+    /// As [`Body::collect`], and [`Error::Json`] when the bytes aren't a `T`.
+    pub async fn parse<T: DeserializeOwned>(mut self, limit: usize) -> Result<T, Error> {
+        self.drain_json(limit).await
+    }
+
+    /// What [`Body::collect`] does, for who has yet to tell whether this is the answer
+    /// to its request, see [`Body::give_up`].
+    ///
+    /// # Errors
+    /// As [`Body::collect`].
+    pub async fn drain(&mut self, limit: usize) -> Result<Vec<u8>, Error> {
         if self.len().is_some_and(|len| len > limit as u64) {
             return Err(Error::TooLarge { limit });
         }
-        if let Source::Bytes { bytes, pos: 0 } = self.source {
-            return Ok(Arc::unwrap_or_clone(bytes));
+        if let Source::Bytes { bytes, pos: 0 } = &mut self.source {
+            return Ok(Arc::unwrap_or_clone(std::mem::take(bytes)));
         }
         let mut all = Vec::new();
         while let Some(piece) = self.piece().await? {
@@ -113,13 +149,29 @@
         Ok(all)
     }
 
-    /// Reads to the end as JSON, at most `limit` bytes.
+    /// What [`Body::parse`] does, for the same. An answer that is no `T` may be
+    /// another's, so its connection is given up here.
     ///
     /// # Errors
-    /// As [`Body::collect`], and [`Error::Json`] when the bytes aren't a `T`.
-    pub async fn parse<T: DeserializeOwned>(self, limit: usize) -> Result<T, Error> {
-        let bytes = self.collect(limit).await?;
-        serde_json::from_slice(&bytes).map_err(|err| Error::from(&err))
+    /// As [`Body::parse`].
+    pub async fn drain_json<T: DeserializeOwned>(&mut self, limit: usize) -> Result<T, Error> {
+        let bytes = self.drain(limit).await?;
+        serde_json::from_slice(&bytes).map_err(|err| {
+            self.give_up();
+            Error::from(&err)
+        })
+    }
+
+    /// Has the connection on which this answer came closed.
+    ///
+    /// Failure: a peer answers one request twice. On a kept connection the next
+    /// request reads the second answer, and its own comes after it, for the request
+    /// after that, and so on for as long as the connection is used. Whoever reads an
+    /// answer that isn't its own ends that, since a new connection has carried nothing yet.
+    pub fn give_up(&mut self) {
+        if let Source::Answer { answer, .. } = &mut self.source {
+            answer.give_up();
+        }
     }
 
     /// The next bytes as they come, nothing at the end.
@@ -157,6 +209,7 @@
         match &mut self.get_mut().source {
             Source::Bytes { bytes, pos } => Poll::Ready(Ok(&bytes[*pos..])),
             Source::Reader { reader, .. } => Pin::new(reader).poll_fill_buf(cx),
+            Source::Answer { answer, .. } => Pin::new(answer).poll_fill_buf(cx),
             Source::Channel(pieces) => pieces.poll_fill_buf(cx),
         }
     }
@@ -165,6 +218,7 @@
         match &mut self.get_mut().source {
             Source::Bytes { pos, .. } => *pos += amt,
             Source::Reader { reader, .. } => Pin::new(reader).consume(amt),
+            Source::Answer { answer, .. } => Pin::new(answer).consume(amt),
             Source::Channel(pieces) => pieces.consume(amt),
         }
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -18,6 +18,7 @@
 
 use pool::Need;
 
+pub(crate) use answer::Answer;
 pub use pool::Pool;
 
 /// Sends requests and keeps connections for the next ones. Clones share them.
--- a/crates/http/src/client/answer.rs
+++ b/crates/http/src/client/answer.rs
@@ -25,7 +25,7 @@
 }
 
 /// Makes the response of a head. `release` gets the connection when the body
-/// was read to its end and the peer keeps it open.
+/// was read to its end and dropped, and the peer keeps it open.
 pub(super) fn open(
     mut head: http_types::Response,
     method: Method,
@@ -53,10 +53,12 @@
     let answer = Answer {
         reader,
         left: len,
-        end: Some((conn, release)),
+        has_ended: false,
+        conn,
+        release,
         deadline: Deadline::new(deadline),
     };
-    response.body = Body::reader(answer, len);
+    response.body = Body::answer(answer, len);
     Ok(response)
 }
 
@@ -82,18 +84,29 @@
         .is_some_and(|it| it.last().as_str().eq_ignore_ascii_case("close"))
 }
 
-struct Answer {
+/// The body of an answer while it is read.
+///
+/// It keeps its connection until it is dropped: only who has read the whole can tell
+/// whether it is the answer to what was asked.
+pub(crate) struct Answer {
     reader: Box<dyn AsyncBufRead + Send + Sync + Unpin>,
     left: Option<u64>,
-    /// The connection until the body has ended, and where it goes then.
-    end: Option<(Conn, Option<Release>)>,
+    has_ended: bool,
+    conn: Conn,
+    /// Where the connection goes once the body has ended.
+    release: Option<Release>,
     deadline: Deadline,
 }
 
 impl Answer {
+    /// Has the connection closed, also when the body is read to its end.
+    pub(crate) fn give_up(&mut self) {
+        self.release = None;
+    }
+
     fn poll_more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.left == Some(0) || self.end.is_none() {
-            self.finish();
+        if self.left == Some(0) || self.has_ended {
+            self.has_ended = true;
             return Poll::Ready(Ok(()));
         }
         self.deadline.check()?;
@@ -105,18 +118,18 @@
             if self.left.is_some() {
                 return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
             }
-            self.finish();
+            self.has_ended = true;
             return Poll::Ready(Ok(()));
         }
-        if let Some((conn, _)) = &self.end {
-            conn.keep_armed(cx);
-        }
+        self.conn.keep_armed(cx);
         self.deadline.poll(cx)
     }
+}
 
-    fn finish(&mut self) {
-        if let Some((conn, Some(release))) = self.end.take() {
-            release(conn);
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if let Some(release) = self.release.take_if(|_| self.has_ended) {
+            release(self.conn.clone());
         }
     }
 }
@@ -125,7 +138,7 @@
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
         ready!(this.poll_more(cx))?;
-        if this.end.is_none() {
+        if this.has_ended {
             return Poll::Ready(Ok(&[]));
         }
         Pin::new(&mut this.reader).poll_fill_buf(cx)
