Close the connection on which an engine or service refused

Cause: a refusal names no attempt, so on a kept connection one that is said a second time, late, was the next call's answer: its caller heard "not run" of a call that ran, and one that may run once only was sent again. Class: an answer identified by less than what tells attempts apart.

Now a connection on which an endpoint refused is closed.

Weighed: fresh connections only for a request's later attempts, as the relay does. There the answers' names tell requests apart; here nothing does, and the next call is another request as a rule. A refusal costs a handshake; a full service says some, the decider's limits hold back the rest. What it costs on a full site wasn't measured.

--- a/crates/engine/src/failure.rs
+++ b/crates/engine/src/failure.rs
@@ -81,6 +81,12 @@
 /// Only a code of the closed list proves that nothing ran. A 503 by the service
 /// behind the endpoint, or by something between, proves nothing.
 ///
+/// Failure: an endpoint says its refusal twice, the second time late. A refusal names no
+/// attempt, so the next call on that connection took it for its own, and "not run" was
+/// said of a call that ran. A connection on which an endpoint refused is therefore
+/// closed: on a new one, all that it says is about the new call. That costs a handshake
+/// a refusal.
+///
 /// # Errors
 /// [`http::Error::Cut`] when what could have been a refusal didn't come whole.
 pub(crate) async fn read(response: Response) -> Result<Reply, http::Error> {
@@ -99,10 +105,11 @@
     let Response {
         status,
         headers,
-        body,
+        mut body,
     } = response;
-    let bytes = body.collect(MAX_REFUSAL).await?;
+    let bytes = body.drain(MAX_REFUSAL).await?;
     if let Ok(refusal) = serde_json::from_slice::<Refusal>(&bytes) {
+        body.give_up();
         return Ok(Reply::Refusal(refusal.error.code));
     }
     Ok(Reply::Answer(Response {
