--- a/crates/http/tests/suite/client.rs
+++ b/crates/http/tests/suite/client.rs
@@ -241,3 +241,31 @@
     assert_eq!(end.err(), Some(Error::MaybeSent(Cause::Closed)));
     assert!(begin.elapsed() < options.first_byte);
 }
+
+#[test]
+fn an_answer_that_was_given_up_is_not_the_next_requests() {
+    // Story: a store is slow, and a host gives a call up: before the answer, or in the
+    // middle of it. Whatever is still to come on that connection would be read as the
+    // answer to the next call, so that call gets a connection of its own.
+    for begun in ["", "HTTP/1.1 200 OK\\r\\ncontent-length: 5\\r\\n\\r\\nhel"] {
+        let script = format!(
+            "conn\nrecv\nsend {begun}\nhold\n\
+             conn\nrecv\nsend HTTP/1.1 200 OK\\r\\ncontent-length: 3\\r\\n\\r\\ntwo\n"
+        );
+        let peer = Peer::start(&script);
+        let client = Client::new(Arc::new(SystemClock::new()), Pool::default());
+        let patient = Options::default();
+        let hasty = Options {
+            first_byte: Duration::from_millis(100),
+            ..patient
+        };
+        let request = Request::new(Method::Post, "/").body(Body::bytes("question"));
+        match block_on(client.send(peer.address, request, &hasty)) {
+            // Dropped with a part of its body unread.
+            Ok(mut response) => drop(block_on(response.body.piece()).unwrap()),
+            Err(err) => assert_eq!(err, Error::MaybeSent(Cause::Timeout)),
+        }
+        let line = block_on(ask(&client, peer.address, Method::Post, &patient));
+        assert_eq!(line, "200 two", "after {begun:?}");
+    }
+}
