Refuse requests whose heads end in two ways

Cause: where a head ends was known twice. The connection hands a head over up to two CR LF; the library stops at two line feeds and drops the rest. A request behind a head that ends with line feeds alone was lost, and its caller took each later answer on the connection for the one to the request before it. Class: one fact with two owners.

Now a request whose head has a lone line feed or CR is refused, as the relay does. Answers are taken as before: what follows one unasked is nobody's answer.

--- a/crates/http/src/conn.rs
+++ b/crates/http/src/conn.rs
@@ -32,12 +32,13 @@
     input: Arc<Mutex<Input>>,
 }
 
-/// What happens to bytes beyond ASCII in a head.
+/// What happens to what readers of a head differ on: bytes beyond ASCII, and line ends
+/// other than CR LF.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Foreign {
     /// The head is malformed.
     Refuse,
-    /// They become `?`: the peer's answer is worth more than one of its headers.
+    /// The bytes become `?`: the peer's answer is worth more than one of its headers.
     Replace,
 }
 
@@ -229,7 +230,11 @@
     fn release_head(&self, end: usize, foreign: Foreign) -> Result<(), HeadError> {
         let mut input = self.input();
         let head = input.pos..input.pos + end;
-        for byte in &mut input.buf[head] {
+        let head = &mut input.buf[head];
+        if foreign == Foreign::Refuse && !has_sound_line_ends(head) {
+            return Err(HeadError::Malformed);
+        }
+        for byte in head {
             if foreign == Foreign::Replace && !byte.is_ascii() {
                 *byte = b'?';
             }
@@ -266,6 +271,22 @@
     }
 }
 
+/// Whether lines end with CR LF only.
+///
+/// Failure: for the library a head ends at two line feeds, for this connection at two
+/// CR LF. A request behind the former was handed over as the rest of the head, and was
+/// lost: its caller took each later answer for the one to the request before it. Where
+/// a line feed or a CR can't stand alone, both find the same end.
+fn has_sound_line_ends(head: &[u8]) -> bool {
+    let lf = |at: usize| at > 0 && head[at - 1] == b'\r';
+    let cr = |at: usize| head.get(at + 1) == Some(&b'\n');
+    head.iter().enumerate().all(|(at, byte)| match byte {
+        b'\n' => lf(at),
+        b'\r' => cr(at),
+        _ => true,
+    })
+}
+
 /// Control bytes other than tab and line ends have no place in a head, and a
 /// byte beyond ASCII in a header value would make the library panic.
 fn is_head_byte(byte: u8) -> bool {
