Have the directory hear when absent entries mean gone endpoints

Cause: whether an absent entry means a gone endpoint was known twice, by the stamp under which hosts compare listings and by the directory. A later listing with the same entries passed for the same, so its age and its word on absent entries went into the stamp alone.

Now a later listing says the same only if it doesn't tell of gone endpoints for the first time; else the host asks for it. That is one listing a host and outage.

Ruled out: stale readings (the other hosts' readings of that moment had the entry gone), a host that was cut off (its listing was confirmed each second).

--- a/crates/host/src/talk/learn.rs
+++ b/crates/host/src/talk/learn.rs
@@ -157,7 +157,7 @@
     now.saturating_sub(age.saturating_add(WAY))
 }
 
-/// Takes over the age of another host's listing that is the same as this one's,
+/// Takes over the age of another host's listing that says the same as this one's,
 /// and asks for one that is younger and different. Says whether it is much younger.
 fn listing_news<S: Store, D: Dialect>(
     life: &Rc<Life<S, D>>,
@@ -168,7 +168,7 @@
     let at = read_at(life.node.now(), news.stamp.age);
     match life.listed.get() {
         Some(own) if own.at >= at => false,
-        Some(own) if own.fingerprint == news.stamp.fingerprint => {
+        Some(own) if own.says_all_of(&news) => {
             life.listed.set(Some(Listed {
                 at,
                 absence: news.absence,
