Bring about missing entries that a host keeps which was cut off alone

Traced there: three of nine hosts had no answers from the store until 11.8 s, the others read it, and all had a listing of 11.63 s. An endpoint's entry was gone at 11.985 s. The reader for all, one of the three, read without it at 12.187 s and at 13.196 s. Its own readings had failed within 2.2 s, so it kept the endpoint as one whose entry may have lapsed while the store was away, and so did all who heard of these listings; at 14.203 s it dropped four endpoints at once. The request of 14.074 s is 0.09 s late.

Ruled out: stale readings (a new endpoint was in that of 13.196 s), a host that didn't hear (all nine log the same at 14.2 s).

--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -11,17 +11,15 @@
 
 use super::{configured, pause};
 use crate::life::{Life, Listed};
-use crate::{Backoff, Store, say};
+use crate::{Backoff, Outage, Store, say};
 
 /// How often the listing of endpoints is read. An endpoint that leaves may get
 /// no new work two seconds after it said so; each reading is paid for.
 const PERIOD: Duration = Duration::from_secs(1);
-/// How long after an outage entries may be missing of endpoints that live.
-const LAPSED: Duration = Duration::from_millis(2_200);
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     configured(&life).await;
-    let mut failed = None;
+    let mut outage = Outage::default();
     let mut backoff = Backoff::default();
     loop {
         let node = &life.node;
@@ -36,10 +34,8 @@
             backoff.reset();
             say::unusable(&life, "endpoints", found.unusable);
             let now = node.now();
-            let absence = match failed {
-                Some(at) if now.saturating_sub(at) < LAPSED => Absence::Lapsed,
-                _ => Absence::Gone,
-            };
+            let known = life.listed.get().map(|it| (it.at, it.absence));
+            let absence = outage.absence(now, known);
             list(&life, now, found.entries, absence);
             if life.watches.get() {
                 // A question for news is open, and the store answers: it would
@@ -49,7 +45,7 @@
             life.hurry();
             sleep(PERIOD).await;
         } else {
-            failed = Some(node.now());
+            outage.fail(node.now());
             life.back_off(&mut backoff).await;
         }
     }
