--- a/crates/host/src/outage.rs
+++ b/crates/host/src/outage.rs
@@ -31,7 +31,7 @@
     /// gone, 0.1 s longer than the two seconds for which it may get new work. Where a
     /// listing that could be relied on is younger than [`AWAY`], nothing has lapsed since.
     #[must_use]
-    pub fn absence(&self, now: Duration, known: Option<(Duration, Absence)>) -> Absence {
+    pub fn absence(&mut self, now: Duration, known: Option<(Duration, Absence)>) -> Absence {
         let was_read = known
             .is_some_and(|(at, absence)| absence == Absence::Gone && now.saturating_sub(at) < AWAY);
         match self.failed {
