Go by what all know of an outage, from its end

Cause: whether the store was away was this host's own failure, for 2.2 s from the last one. It said nothing of hosts that had no failure to tell by, ran out before the next question among hundreds of hosts (3.2 s), and began anew with each refusal.

Now an outage is what this host has failed in since the listing in force was read, or what that listing itself tells; missing entries are kept for 2.2 s from this host's first reading after it, whatever fails then. The listing that says 'gone' for the first time is told on at once, since its age would else grow past the 1.25 s at which hosts read for themselves.

--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -81,7 +81,7 @@
         fingerprint: fingerprint(&entries),
     };
     life.listed.set(Some(listed));
-    if before.is_none_or(|it| it.fingerprint != listed.fingerprint) {
+    if before.is_none_or(|it| !it.covers(listed.fingerprint, absence)) {
         life.hurry();
     }
     let change = life.node.router().list(at, entries, absence);
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -24,7 +24,7 @@
 use crate::addresses::Address;
 use crate::follow::{documents, endpoints, members, verdicts};
 use crate::gossip::{Contact, Gossip, State};
-use crate::message::{ListingNews, Message, Question};
+use crate::message::{Message, Question};
 use crate::{Backoff, Joined, Judgement, Member, Store, say, talk};
 
 /// How often old connections are closed.
@@ -103,16 +103,16 @@
 }
 
 impl Listed {
-    /// Whether a later listing tells nothing that this one doesn't.
+    /// Whether a later listing with this fingerprint tells nothing that this one doesn't.
     ///
     /// The same entries tell more where an absent one means that its endpoint is gone,
     /// and didn't before: after an outage of the store, endpoints are kept in use whose
     /// entries may only have lapsed. Taken for the same, the later listing never reached
     /// the directory, and an endpoint that was lost in the outage got requests for as
     /// long as no other entry changed.
-    pub(crate) fn says_all_of(&self, later: &ListingNews) -> bool {
-        let tells_of_gone = self.absence == Absence::Lapsed && later.absence == Absence::Gone;
-        self.fingerprint == later.stamp.fingerprint && !tells_of_gone
+    pub(crate) fn covers(&self, fingerprint: u64, absence: Absence) -> bool {
+        let tells_of_gone = self.absence == Absence::Lapsed && absence == Absence::Gone;
+        self.fingerprint == fingerprint && !tells_of_gone
     }
 }
 
--- a/crates/host/src/outage.rs
+++ b/crates/host/src/outage.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Outage {
     failed: Option<Duration>,
+    /// This host's first reading after it.
+    returned: Option<Duration>,
 }
 
 impl Outage {
@@ -30,13 +32,33 @@
     /// off from it, the others read it, and kept for its sake an endpoint whose entry was
     /// gone, 0.1 s longer than the two seconds for which it may get new work. Where a
     /// listing that could be relied on is younger than [`AWAY`], nothing has lapsed since.
-    #[must_use]
+    ///
+    /// Nor does it tell that all is well where this host's readings haven't failed, or
+    /// did so long ago: it may have started meanwhile, or waited long between two
+    /// questions. What the others say of the listing in force counts then.
     pub fn absence(&mut self, now: Duration, known: Option<(Duration, Absence)>) -> Absence {
-        let was_read = known
-            .is_some_and(|(at, absence)| absence == Absence::Gone && now.saturating_sub(at) < AWAY);
-        match self.failed {
-            Some(at) if now.saturating_sub(at) < LAPSED && !was_read => Absence::Lapsed,
-            _ => Absence::Gone,
+        if !self.was_away(now, known) {
+            self.returned = None;
+            return Absence::Gone;
+        }
+        let returned = *self.returned.get_or_insert(now);
+        // Failures after the return don't prolong it: a store that fails now and then
+        // would have endpoints kept for ever that are gone.
+        if now.saturating_sub(returned) < LAPSED {
+            Absence::Lapsed
+        } else {
+            Absence::Gone
+        }
+    }
+
+    fn was_away(&self, now: Duration, known: Option<(Duration, Absence)>) -> bool {
+        match known {
+            Some((_, Absence::Lapsed)) => true,
+            Some((at, Absence::Gone)) => {
+                let has_failed_since = self.failed.is_some_and(|it| it >= at);
+                has_failed_since && now.saturating_sub(at) >= AWAY
+            }
+            None => self.failed.is_some(),
         }
     }
 }
--- a/crates/host/src/talk/learn.rs
+++ b/crates/host/src/talk/learn.rs
@@ -168,7 +168,7 @@
     let at = read_at(life.node.now(), news.stamp.age);
     match life.listed.get() {
         Some(own) if own.at >= at => false,
-        Some(own) if own.says_all_of(&news) => {
+        Some(own) if own.covers(news.stamp.fingerprint, news.absence) => {
             life.listed.set(Some(Listed {
                 at,
                 absence: news.absence,
