--- a/crates/http/tests/suite/main.rs
+++ b/crates/http/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod message;
+mod order;
 mod round_trip;
 mod server;
 mod support;
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -228,7 +228,7 @@
     /// It is to be called before the stream's first byte is written. Marked after the
     /// write, a stream that stopped at its first event counted as one that hadn't begun;
     /// the next endpoint's failure was then written into it, where a chunk's size
-    /// belongs, and its caller could read no more (docs/incidents/2026-12-salina-grown.md).
+    /// belongs, and its caller could read no more (docs/design/relay.md).
     pub fn begin(&mut self) {
         self.begun = true;
     }
