--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -78,6 +78,7 @@
         let mut guard = Guard {
             node,
             id: self.id,
+            print: call.print,
             placement: self.placement,
             progress: self.progress,
             number: call.attempts(),
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Ending, Flight, Placement};
+use route::{Ending, Flight, Placement, Print};
 use telemetry::Connection;
 
 use crate::serve::Progress;
@@ -13,6 +13,7 @@
 pub(super) struct Guard<'a, D: Dialect> {
     pub(super) node: &'a Node<D>,
     pub(super) id: &'a RequestId,
+    pub(super) print: Print,
     pub(super) placement: &'a Placement,
     pub(super) progress: &'a Progress,
     pub(super) number: u32,
@@ -41,6 +42,7 @@
         self.progress.note(self.placement, ending, took);
         self.node.recorder.attempt(&telemetry::Attempt {
             id: self.id,
+            print: self.print,
             number: self.number,
             placement: self.placement,
             ending,
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -85,6 +85,7 @@
         id: id.as_str(),
         host: &host,
         path: request.head.path(),
+        body: &request.body,
         key: asked.key.as_deref(),
         patience: asked.patience,
         shape: asked.shape.clone(),
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -5,10 +5,10 @@
 
 use kernel::{ModelName, ServiceName, SessionId};
 
-use crate::Cascade;
 use crate::config::{Customer, Repeat, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
+use crate::{Cascade, Print};
 
 /// How often a connection is opened in vain before the request is refused. No
 /// endpoint has seen any of it, so this doesn't count as an attempt; each try
@@ -40,6 +40,8 @@
     pub service: ServiceName,
     /// What it asks for.
     pub shape: Shape,
+    /// Tells that the same request comes again under another name.
+    pub print: Print,
     /// When it came.
     pub arrived: Duration,
     /// When the caller stops waiting, or the route's timeout ends.
@@ -158,6 +160,7 @@
         customer: Option<Arc<Customer>>,
         service: ServiceName,
         shape: Shape,
+        print: Print,
         arrived: Duration,
         deadline: Duration,
     ) -> Self {
@@ -167,6 +170,7 @@
             customer,
             service,
             shape,
+            print,
             arrived,
             deadline,
             lane: None,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -23,7 +23,7 @@
 use crate::pace::Pace;
 use crate::rollout::Side;
 use crate::sessions::Sessions;
-use crate::{Budget, Directory, Rollout, Settings};
+use crate::{Budget, Directory, Print, Rollout, Settings};
 
 pub use arrival::Arrival;
 pub use denial::Denial;
@@ -166,6 +166,7 @@
         let Arrival {
             host,
             path,
+            body,
             key,
             patience,
             shape,
@@ -190,7 +191,8 @@
             .clone();
         let patience = patience.unwrap_or(route.timeout).min(route.timeout);
         let route = route.clone();
-        let mut call = Call::new(route, customer, service, shape, now, now + patience);
+        let print = Print::of(path, customer.as_ref().map(|it| &it.name), body);
+        let mut call = Call::new(route, customer, service, shape, print, now, now + patience);
         call.lane = self.lane(now, &call, number);
         self.budget(&call.service).request(now);
         Ok(call)
--- a/crates/route/src/router/arrival.rs
+++ b/crates/route/src/router/arrival.rs
@@ -13,6 +13,8 @@
     pub host: &'a str,
     /// The path, without a query.
     pub path: &'a str,
+    /// The body.
+    pub body: &'a [u8],
     /// The customer's key, if it has one.
     pub key: Option<&'a str>,
     /// How long the caller waits.
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -221,6 +221,7 @@
             id,
             host: words.text("host").unwrap_or("shop"),
             path: words.text("path").unwrap_or("/a/x"),
+            body: words.text("body").unwrap_or(id).as_bytes(),
             key: words.text("key"),
             patience,
             shape,
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -108,6 +108,7 @@
             Event::Attempt,
             &[
                 ("request", Value::Text(attempt.id)),
+                ("print", Value::Text(&attempt.print)),
                 ("attempt", Value::Count(attempt.number.into())),
                 ("endpoint", Value::Text(&placement.id)),
                 ("address", Value::Text(&placement.address)),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Denial, Ending, Failure, Placement};
+use route::{Denial, Ending, Failure, Placement, Print};
 
 /// How a request ended.
 #[derive(Clone, Debug)]
@@ -76,6 +76,8 @@
 pub struct Attempt<'a> {
     /// The request.
     pub id: &'a RequestId,
+    /// What the request says, whatever its caller calls it.
+    pub print: Print,
     /// Which attempt of the request this is, from 1.
     pub number: u32,
     /// Where it went, and why.
