Send a request that ends its endpoints to no more of them

Callers saw stretches of many seconds in which half of all requests to a service failed: one request ended each endpoint that ran it, and came again and again.

Cause: what a host learned from an endpoint's end it noted of the endpoint, not of the request, which had no name that outlives one try. Class: a fault's evidence is kept with the victim and not with the cause.

The mend: ends of processes are told from cut connections by one connection that is refused; what was under way at an end is remembered by its print and told to all hosts; a request found under three ends is refused at once. It holds because the ends add up over names, hosts and lives of endpoints, and what ran beside it isn't counted: an end that a held request accounts for counts against nobody else.

Ruled out: callers' repeats alone (one caller, one host at a time shows it), and repeats beyond a route's attempts (each arrival kept to them).

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -53,6 +53,10 @@
                 status: 503,
                 retry_after: Some(SOON),
             },
+            Denial::Quarantined { retry_after } => Self {
+                status: 503,
+                retry_after: Some(retry_after),
+            },
             Denial::NoRoute => Self::of(404),
             Denial::UnknownKey => Self::of(401),
         }
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -104,7 +104,7 @@
                 Result::Delivered
             }
             Exchange::CallerGone => {
-                node.router().cancel(flight);
+                node.router().cancel(node.now(), flight);
                 Result::CallerGone
             }
             Exchange::Ended(ending, parked) => Result::Ended {
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -62,7 +62,8 @@
 impl<D: Dialect> Drop for Guard<'_, D> {
     fn drop(&mut self) {
         if let Some(flight) = self.land(Ending::Cancelled) {
-            self.node.router().cancel(flight);
+            let now = self.node.now();
+            self.node.router().cancel(now, flight);
         }
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod conn;
 mod dialect;
+mod doubt;
 mod front;
 mod lull;
 mod node;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a host share.
 
 use std::cell::{Cell, RefCell, RefMut};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use async_std::task::sleep;
 use kernel::Clock;
 use route::Router;
+use route::endpoint::Key;
 use telemetry::Recorder;
 
 use crate::pool::Pool;
@@ -21,6 +23,8 @@
     pub(crate) recorder: Rc<Recorder>,
     pub(crate) timing: Timing,
     pub(crate) pool: Pool,
+    /// The endpoints that are being asked whether they have ended.
+    pub(crate) asked: RefCell<HashSet<Key>>,
     tasks: LocalExecutor<'static>,
     clock: Arc<dyn Clock>,
     started: Duration,
@@ -61,6 +65,7 @@
             recorder,
             timing,
             pool: Pool::default(),
+            asked: RefCell::default(),
             tasks: LocalExecutor::new(),
             started: clock.now(),
             clock,
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::answer::{Answer, Notice};
 use crate::attempt::{Attempt, Result as AttemptResult};
 use crate::caller::Request;
-use crate::{Asked, Dialect, Node, Phase};
+use crate::{Asked, Dialect, Node, Phase, doubt};
 
 /// The caller has no whole answer on this connection, and can't get one.
 #[derive(Debug)]
@@ -134,6 +134,7 @@
             } => {
                 let next = node.router().end(node.now(), call, flight, ending);
                 tell_rested(node);
+                doubt::ask(node);
                 match (next, parked) {
                     (Next::Again, _) => node.recorder.metrics().retry(ending),
                     (Next::Fail(Failure::Passed), Some(whole)) => {
@@ -175,7 +176,7 @@
 /// Reports a request's end, also when its caller leaves in the middle and its
 /// work is dropped.
 struct Record<'a, D: Dialect> {
-    node: &'a Node<D>,
+    node: &'a Rc<Node<D>>,
     id: &'a RequestId,
     arrived: Duration,
     progress: Progress,
@@ -213,7 +214,7 @@
 }
 
 impl<'a, D: Dialect> Record<'a, D> {
-    fn new(node: &'a Node<D>, request: &Request, id: &'a RequestId) -> Self {
+    fn new(node: &'a Rc<Node<D>>, request: &Request, id: &'a RequestId) -> Self {
         Self {
             node,
             id,
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -22,7 +22,7 @@
 use wire::{Frame, Identity, Payload};
 
 use crate::addresses::Address;
-use crate::follow::{documents, endpoints, members, verdicts};
+use crate::follow::{documents, endpoints, ends, members, verdicts};
 use crate::gossip::{Contact, Gossip, State};
 use crate::message::{Message, Question};
 use crate::{Backoff, Joined, Judgement, Member, Store, say, talk};
@@ -182,6 +182,7 @@
         self.node.spawn(endpoints::follow(Rc::clone(self)));
         self.node.spawn(members::follow(Rc::clone(self)));
         self.node.spawn(verdicts::judge(Rc::clone(self)));
+        self.node.spawn(ends::follow(Rc::clone(self)));
         self.node.spawn(talk::join(Rc::clone(self)));
         self.node.spawn(sweep(Rc::clone(&self.node)));
         self.node.spawn(say::gauges(Rc::clone(self)));
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -4,7 +4,7 @@
 
 use route::directory::Absence;
 use route::endpoint::Entry;
-use route::rollout;
+use route::{quarantine, rollout};
 use serde::{Deserialize, Serialize};
 
 use crate::Judgement;
@@ -31,6 +31,8 @@
     Records(Vec<Record>),
     /// The host lives, and has nothing else to answer with.
     Nothing,
+    /// What a host knows of endpoints that ended, and of requests that ended them.
+    Ends(quarantine::News),
 }
 
 /// What a host asks another for.
@@ -44,6 +46,8 @@
     Comparison(Digest),
     /// Whether it lives.
     Life,
+    /// What it knows of endpoints that ended.
+    Ends,
 }
 
 /// What a host knows.
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -177,6 +177,7 @@
         links: links(life),
         callers: life.node.open() as u64,
         requests: life.node.busy() as u64,
+        held: router.quarantine().len() as u64,
         budgets: budgets
             .into_iter()
             .map(|(service, left)| (service.to_string(), left))
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -17,6 +17,7 @@
 use futures::pin_mut;
 use kernel::{HostName, hash};
 use link::{Incoming, Link, Peer};
+use route::quarantine;
 use route::rollout::{self, Scope};
 use wire::Frame;
 
@@ -68,6 +69,9 @@
 /// Tells the neighbours once what this host knows.
 pub(crate) fn say<S: Store, D: Dialect>(life: &Life<S, D>, link: &Link) {
     let news = news(life, Scope::Fresh);
+    let ends = ends(life, Scope::Fresh);
+    let ended = (!ends.is_empty()).then(|| life.frame(&Message::Ends(ends)));
+    let ended = ended.flatten();
     let mut usual = None;
     for peer in life.gossip.borrow().audience().iter().map(peer) {
         let own = with_sums(life, &news, &peer.host);
@@ -80,9 +84,18 @@
         if let Some(frame) = frame {
             link.send(&peer, &frame);
         }
+        if let Some(frame) = &ended {
+            link.send(&peer, frame);
+        }
     }
 }
 
+/// What this host knows of endpoints that ended.
+fn ends<S: Store, D: Dialect>(life: &Life<S, D>, scope: Scope) -> quarantine::News {
+    let now = life.node.now();
+    life.node.router().quarantine().news(now, scope)
+}
+
 /// What this host knows. Of that which travels once, all or what is fresh.
 pub(crate) fn news<S: Store, D: Dialect>(life: &Life<S, D>, scope: Scope) -> News {
     let now = life.node.now();
@@ -162,6 +175,7 @@
         match message {
             Message::News(news) => learn::news(&life, &link, &incoming.from, &news),
             Message::Records(records) => learn::records(&life, &records),
+            Message::Ends(news) => learn::ends(&life, &news),
             Message::Ask(question) => {
                 if let (Some(reply), Some(frame)) =
                     (incoming.reply, life.frame(&answer::answer(&life, question)))
--- a/crates/host/src/talk/answer.rs
+++ b/crates/host/src/talk/answer.rs
@@ -3,7 +3,7 @@
 use forward::Dialect;
 use route::rollout::Scope;
 
-use super::news;
+use super::{ends, news};
 use crate::Store;
 use crate::life::Life;
 use crate::message::{Known, Listing, Message, Question};
@@ -19,6 +19,7 @@
         })),
         Question::Comparison(digest) => Message::Comparison(life.gossip.borrow().compare(&digest)),
         Question::Life => Message::Nothing,
+        Question::Ends => Message::Ends(ends(life, Scope::All)),
     }
 }
 
--- a/crates/host/src/talk/greet.rs
+++ b/crates/host/src/talk/greet.rs
@@ -27,6 +27,7 @@
         if let Some(Message::Known(known)) = answer {
             learn::known(&life, &link, &it, *known);
             life.greeted.set(true);
+            ask::ask_once(&life, &link, &it, Question::Ends);
         }
     }
     life.greeted.set(true);
--- a/crates/host/src/talk/learn.rs
+++ b/crates/host/src/talk/learn.rs
@@ -6,6 +6,7 @@
 use forward::Dialect;
 use kernel::HostName;
 use link::{Link, Peer};
+use route::quarantine;
 
 use super::{ask, peer};
 use crate::Store;
@@ -125,11 +126,18 @@
                 life.hurry();
             }
         }
+        Message::Ends(it) => ends(life, &it),
         // Answers only.
         Message::News(_) | Message::Ask(_) | Message::Records(_) | Message::Nothing => {}
     }
 }
 
+/// Takes what another host knows of endpoints that ended.
+pub(super) fn ends<S: Store, D: Dialect>(life: &Life<S, D>, news: &quarantine::News) {
+    let now = life.node.now();
+    life.node.router().quarantine().hear(now, news);
+}
+
 /// Takes what another host knows of hosts.
 pub(super) fn records<S: Store, D: Dialect>(life: &Life<S, D>, records: &[Record]) {
     let now = life.node.now();
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -58,6 +58,8 @@
     pub(crate) attempts: u32,
     pub(crate) unsent: u32,
     pub(crate) may_have_run: bool,
+    /// Whether it broke off at an endpoint, which may have ended.
+    pub(crate) broke: bool,
     pub(crate) spare: Spare,
 }
 
@@ -180,6 +182,7 @@
             attempts: 0,
             unsent: 0,
             may_have_run: false,
+            broke: false,
             spare: Spare::Unasked,
         }
     }
@@ -277,6 +280,10 @@
                 self.may_have_run = true;
                 self.cascade.escalate();
             }
+            Ending::Broken => {
+                self.may_have_run = true;
+                self.broke = true;
+            }
             _ => self.may_have_run = true,
         }
     }
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kernel::{DataCentre, EndpointId, Incarnation, Release, ServiceName};
+use kernel::{DataCentre, EndpointId, Incarnation, Release, ServiceName, hash};
 use serde::{Deserialize, Serialize};
 
 slotmap::new_key_type! {
@@ -11,6 +11,10 @@
     pub struct Key;
 }
 
+/// One life of an endpoint, as a number that all hosts reckon alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Process(u64);
+
 /// What the directory lists of an endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -36,6 +40,14 @@
     pub cold: Duration,
 }
 
+impl Entry {
+    /// The life of the endpoint that this entry is of.
+    #[must_use]
+    pub fn process(&self) -> Process {
+        Process(hash::of(&(&self.id, self.incarnation)))
+    }
+}
+
 /// Whether an endpoint takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
--- /dev/null
+++ b/crates/route/src/quarantine/finished.rs
@@ -0,0 +1,52 @@
+//! Attempts that are over.
+
+use std::time::Duration;
+
+use crate::endpoint::Process;
+use crate::{Ending, Print};
+
+/// An attempt that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finished {
+    /// When it ended.
+    pub at: Duration,
+    /// Where it was.
+    pub process: Process,
+    /// The request.
+    pub print: Print,
+    /// What its end says of its endpoint.
+    pub outcome: Outcome,
+}
+
+/// What an attempt's end says of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It ran the request to its end.
+    Answered,
+    /// It may have ended.
+    Broken,
+    /// Nothing: it may still have been at work.
+    Unknown,
+}
+
+impl Outcome {
+    /// What an ending says; nothing if the endpoint hasn't begun to run the request.
+    #[must_use]
+    pub fn of(ending: Ending) -> Option<Self> {
+        match ending {
+            Ending::Answered => Some(Self::Answered),
+            Ending::Broken => Some(Self::Broken),
+            Ending::Failed | Ending::Silent | Ending::Unsure | Ending::Cancelled => {
+                Some(Self::Unknown)
+            }
+            Ending::NotSent | Ending::Refused | Ending::Moved => None,
+        }
+    }
+}
+
+impl Finished {
+    /// Whether it is an attempt of this request that broke off.
+    pub(super) fn is_broken(&self, print: Print) -> bool {
+        self.print == print && self.outcome == Outcome::Broken
+    }
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -2,6 +2,7 @@
 
 mod arrival;
 mod denial;
+mod ends;
 mod expect;
 mod flight;
 mod place;
@@ -19,11 +20,11 @@
 use crate::call::{Call, Ending, Failure, Next, Spare};
 use crate::config::{Access, Config};
 use crate::directory::{Absence, Change};
-use crate::endpoint::{Entry, Load};
+use crate::endpoint::{Entry, Key, Load};
 use crate::pace::Pace;
 use crate::rollout::Side;
 use crate::sessions::Sessions;
-use crate::{Budget, Directory, Print, Rollout, Settings};
+use crate::{Budget, Directory, Print, Quarantine, Rollout, Settings};
 
 pub use arrival::Arrival;
 pub use denial::Denial;
@@ -49,6 +50,9 @@
     budgets: HashMap<ServiceName, Budget>,
     rollouts: HashMap<ServiceName, Rollout>,
     sessions: Sessions,
+    quarantine: Quarantine,
+    /// Endpoints whose connections broke and that may have ended, for the driver to ask.
+    doubted: Vec<Key>,
     paces: HashMap<(ServiceName, ModelName), Pace>,
     /// How long whole answers usually take to begin, by route.
     wholes: HashMap<Arc<str>, Duration>,
@@ -71,6 +75,8 @@
             budgets: HashMap::new(),
             rollouts: HashMap::new(),
             sessions: Sessions::default(),
+            quarantine: Quarantine::default(),
+            doubted: Vec::new(),
             paces: HashMap::new(),
             wholes: HashMap::new(),
             listed: None,
@@ -192,6 +198,9 @@
         let patience = patience.unwrap_or(route.timeout).min(route.timeout);
         let route = route.clone();
         let print = Print::of(path, customer.as_ref().map(|it| &it.name), body);
+        if let Some(retry_after) = self.quarantine.holds(now, print) {
+            return Err(Denial::Quarantined { retry_after });
+        }
         let mut call = Call::new(route, customer, service, shape, print, now, now + patience);
         call.lane = self.lane(now, &call, number);
         self.budget(&call.service).request(now);
@@ -215,8 +224,11 @@
             it.sent_since_load += 1;
             it.unread += unread;
         }
+        let process = self.directory.get(placement.endpoint);
         Flight {
             endpoint: placement.endpoint,
+            print: call.print,
+            process: process.map(|it| it.entry.process()),
             began: now,
             unread,
             is_crowded: placement.used >= CROWDED,
@@ -267,12 +279,13 @@
         if matches!(ending, Ending::Refused | Ending::Moved) {
             call.refused.push(flight.endpoint);
         }
+        self.finish(now, &flight, ending);
         self.land(now, call, flight, ending);
         call.note(ending);
         if ending == Ending::NotSent {
             call.attempts -= 1;
         }
-        if !call.may_repeat(now, ending) {
+        if !call.may_repeat(now, ending) || self.quarantine.stops(now, call.print) {
             return Next::Fail(call.failure(now, ending));
         }
         if ending == Ending::NotSent || self.reserve(now, call, ending) {
@@ -300,7 +313,8 @@
     }
 
     /// Ends an attempt whose caller left.
-    pub fn cancel(&mut self, mut flight: Flight) {
+    pub fn cancel(&mut self, now: Duration, mut flight: Flight) {
+        self.finish(now, &flight, Ending::Cancelled);
         self.read(&mut flight);
         if let Some(it) = self.directory.get_mut(flight.endpoint) {
             it.flights = it.flights.saturating_sub(1);
--- a/crates/route/src/router/denial.rs
+++ b/crates/route/src/router/denial.rs
@@ -1,5 +1,7 @@
 //! Why a request goes nowhere.
 
+use std::time::Duration;
+
 /// Why a request goes nowhere, before any endpoint is considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
 pub enum Denial {
@@ -15,14 +17,23 @@
     /// The key is missing or belongs to nobody.
     #[display("unknown_key")]
     UnknownKey,
+    /// Endpoints end under it.
+    #[display("quarantined")]
+    Quarantined {
+        /// When it is no longer held.
+        retry_after: Duration,
+    },
 }
 
 impl Denial {
     /// Every reason.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::NotReady,
         Self::Stopping,
         Self::NoRoute,
         Self::UnknownKey,
+        Self::Quarantined {
+            retry_after: Duration::ZERO,
+        },
     ];
 }
--- a/crates/route/src/router/flight.rs
+++ b/crates/route/src/router/flight.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::endpoint::Key;
+use crate::Print;
+use crate::endpoint::{Key, Process};
 use crate::rollout::Sighting;
 
 /// An attempt that is under way.
@@ -10,6 +11,10 @@
 pub struct Flight {
     /// The endpoint.
     pub endpoint: Key,
+    /// The request.
+    pub(super) print: Print,
+    /// The endpoint's life when the attempt began.
+    pub(super) process: Option<Process>,
     pub(super) began: Duration,
     pub(super) unread: Duration,
     /// Whether most of the endpoint's places were taken.
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -125,7 +125,10 @@
 
     /// The endpoints that a request could go to, and what speaks against each.
     fn score(&mut self, now: Duration, call: &Call, strict: Strictness) -> Vec<(f64, Key)> {
-        let home = self.home(now, call, strict);
+        // What broke off together would meet again at the endpoint that all of it shares.
+        // Where one request ends its endpoints, it would take the same others with it each
+        // time, and nothing would tell them apart.
+        let home = self.home(now, call, strict).filter(|_| !call.broke);
         let fill = self.fills(now, call);
         let rollout = self.rollouts.get(&call.service);
         let mut scored = Vec::new();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -41,6 +41,8 @@
     EndpointResting, 1602, Warning, "An endpoint answers badly and is left alone for a while.";
     EntriesUnusable, 1603, Warning, "Entries of a listing can't be used; the others hold.";
 
+    RequestHeld, 1604, Warning, "Endpoints end under a request; it is sent to no more of them.";
+
     RolloutSeen, 1700, Info, "A roll-out was ordered.";
     RolloutJudged, 1701, Info, "A roll-out came to a verdict.";
     RolloutWritten, 1702, Info, "This host wrote a roll-out's verdict to the store.";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -93,6 +93,10 @@
     ("barleypin_link_received_bytes", "The same, received."),
     ("barleypin_callers", "Callers' open connections."),
     ("barleypin_requests_open", "Requests being worked on."),
+    (
+        "barleypin_requests_held",
+        "Requests that go nowhere because endpoints end under them.",
+    ),
     (
         "barleypin_retry_budget_left",
         "Repeats that this host may still send, by service.",
@@ -134,6 +138,8 @@
     pub callers: u64,
     /// Requests being worked on.
     pub requests: u64,
+    /// Requests that are held because endpoints end under them.
+    pub held: u64,
     /// Repeats left, by service.
     pub budgets: Vec<(String, f64)>,
     /// Roll-outs: the service, the share, and the pooled answers and bad ones
@@ -183,6 +189,7 @@
     link_received: Gauge<u64>,
     callers: Gauge<u64>,
     requests_open: Gauge<u64>,
+    requests_held: Gauge<u64>,
     budget_left: Gauge<f64>,
     rollout_answers: Gauge<u64>,
     rollout_share: Gauge<f64>,
@@ -222,6 +229,7 @@
             link_received: it.whole("link_received_bytes"),
             callers: it.whole("callers"),
             requests_open: it.whole("requests_open"),
+            requests_held: it.whole("requests_held"),
             budget_left: it.real("retry_budget_left"),
             rollout_answers: it.whole("rollout_answers"),
             rollout_share: it.real("rollout_share"),
@@ -316,6 +324,7 @@
         self.link_received.record(gauges.links.received, &[]);
         self.callers.record(gauges.callers, &[]);
         self.requests_open.record(gauges.requests, &[]);
+        self.requests_held.record(gauges.held, &[]);
         for (service, left) in &gauges.budgets {
             self.budget_left
                 .record(*left, &[label("service", service.clone())]);
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use kernel::{Clock, EndpointId, RequestId};
-use route::Failure;
+use route::{Denial, Failure};
 
 use crate::allowance::{Allowance, Weight};
 use crate::{Attempt, Event, Field, Log, Metrics, Outcome, Report, Smooth, Value};
@@ -72,7 +72,8 @@
             return;
         }
         let retry_after = match report.outcome {
-            Outcome::Failed(Failure::NotRun { retry_after }) => Some(retry_after),
+            Outcome::Failed(Failure::NotRun { retry_after })
+            | Outcome::Denied(Denial::Quarantined { retry_after }) => Some(retry_after),
             _ => None,
         };
         self.log.write(
