--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -44,7 +44,7 @@
     CallerGone,
     /// There is no answer yet.
     Ended {
-        flight: Flight,
+        flight: Box<Flight>,
         ending: Ending,
         parked: Option<Whole>,
     },
@@ -108,7 +108,7 @@
                 Result::CallerGone
             }
             Exchange::Ended(ending, parked) => Result::Ended {
-                flight,
+                flight: Box::new(flight),
                 ending,
                 parked,
             },
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -132,7 +132,7 @@
                 ending,
                 parked,
             } => {
-                let next = node.router().end(node.now(), call, flight, ending);
+                let next = node.router().end(node.now(), call, *flight, ending);
                 tell_rested(node);
                 doubt::ask(node);
                 match (next, parked) {
--- /dev/null
+++ b/crates/route/tests/harness/ends.rs
@@ -0,0 +1,51 @@
+//! The scripts' words about endpoints that end.
+
+use route::Router;
+use route::endpoint::Key;
+use route::rollout::Scope;
+
+use super::Script;
+use crate::words::Words;
+
+impl Script {
+    /// The words about endpoints that end.
+    pub(super) fn line_of_ends(&mut self, words: &Words<'_>) -> Option<String> {
+        let now = self.now;
+        match words.verb {
+            "ended" => Some(self.doubted(|router, key| router.ended(now, key))),
+            "stands" => Some(self.doubted(Router::stands)),
+            "held" => {
+                let quarantine = self.router().quarantine();
+                quarantine.age(now);
+                Some(format!("{} held", quarantine.len()))
+            }
+            "tell" => {
+                let (from, to): (usize, usize) = (
+                    words.rest[0].parse().unwrap(),
+                    words.rest[1].parse().unwrap(),
+                );
+                let news = self.hosts[from].quarantine().news(now, Scope::Fresh);
+                self.hosts[to].quarantine().hear(now, &news);
+                None
+            }
+            "leave" => {
+                let open = self.calls.get_mut(words.rest[0]).unwrap();
+                let flight = open.flight.take().unwrap();
+                self.hosts[self.host].cancel(now, flight);
+                None
+            }
+            other => panic!("unknown word {other}"),
+        }
+    }
+
+    /// Tells this host what is found of the endpoints to which connections broke, and
+    /// says which they are.
+    fn doubted(&mut self, found: impl Fn(&mut Router, Key)) -> String {
+        let doubted = self.router().take_doubted();
+        for (key, _, _) in &doubted {
+            found(self.router(), *key);
+        }
+        let ids: Vec<_> = doubted.iter().map(|it| it.1.as_str()).collect();
+        format!("asked {}", ids.join(" "))
+    }
+}
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -1,5 +1,8 @@
 //! The small language of the scripts: one event a line.
 
+#[path = "ends.rs"]
+mod ends;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +10,7 @@
 use kernel::{EndpointId, HostName, Release, ServiceName, SessionId};
 use route::config::{Config, Customer, Limits, Service};
 use route::directory::Absence;
-use route::endpoint::{Key, Load};
+use route::endpoint::Load;
 use route::rollout::{Order, Scope, Verdict};
 use route::{Arrival, Call, Ending, Flight, Placement, Router, Shape};
 
@@ -178,47 +181,6 @@
         }
     }
 
-    /// The words about endpoints that end.
-    fn line_of_ends(&mut self, words: &Words<'_>) -> Option<String> {
-        let now = self.now;
-        match words.verb {
-            "ended" => Some(self.doubted(|router, key| router.ended(now, key))),
-            "stands" => Some(self.doubted(Router::stands)),
-            "held" => {
-                let quarantine = self.router().quarantine();
-                quarantine.age(now);
-                Some(format!("{} held", quarantine.len()))
-            }
-            "tell" => {
-                let (from, to): (usize, usize) = (
-                    words.rest[0].parse().unwrap(),
-                    words.rest[1].parse().unwrap(),
-                );
-                let news = self.hosts[from].quarantine().news(now, Scope::Fresh);
-                self.hosts[to].quarantine().hear(now, &news);
-                None
-            }
-            "leave" => {
-                let open = self.calls.get_mut(words.rest[0]).unwrap();
-                let flight = open.flight.take().unwrap();
-                self.hosts[self.host].cancel(now, flight);
-                None
-            }
-            other => panic!("unknown word {other}"),
-        }
-    }
-
-    /// Tells this host what is found of the endpoints to which connections broke, and
-    /// says which they are.
-    fn doubted(&mut self, found: impl Fn(&mut Router, Key)) -> String {
-        let doubted = self.router().take_doubted();
-        for (key, _, _) in &doubted {
-            found(self.router(), *key);
-        }
-        let ids: Vec<_> = doubted.iter().map(|it| it.1.as_str()).collect();
-        format!("asked {}", ids.join(" "))
-    }
-
     /// Lets time pass: the hosts look at their roll-outs meanwhile.
     fn pass(&mut self, span: Duration) {
         let end = self.now + span;
