Write down the requests to an endpoint that leaves, and have lines tell its word

Cause: not known yet. While the store was away hosts went on sending requests to an endpoint whose answers had told them that it leaves. Hosts' lines couldn't show what the answers say; an attempt's line now does (`leaving`). Nothing goes by it yet.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -142,6 +142,7 @@
         let now = self.node.now();
         guard.seen.status = Some(head.status);
         guard.seen.confidence = told.confidence;
+        guard.seen.is_leaving = Some(told.is_leaving);
         if let (Some(load), Some(flight)) = (told.load, &mut guard.flight) {
             self.node.router().load(now, flight, load);
         }
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -29,6 +29,7 @@
 pub(super) struct Seen {
     pub(super) status: Option<u16>,
     pub(super) confidence: Option<u8>,
+    pub(super) is_leaving: Option<bool>,
     pub(super) last_event: Option<u64>,
     pub(super) connection: Option<Connection>,
     pub(super) strays: u32,
@@ -50,6 +51,7 @@
             left: self.left,
             config: self.config,
             confidence: self.seen.confidence,
+            is_leaving: self.seen.is_leaving,
             last_event: self.seen.last_event,
             status: self.seen.status,
             connection: self.seen.connection,
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -66,6 +66,8 @@
     pub id: Option<RequestId>,
     /// Whether the endpoint says that it ran nothing.
     pub not_run: bool,
+    /// Whether the endpoint says that it is leaving.
+    pub is_leaving: bool,
     /// Whether it bears the endpoint's signature.
     pub is_signed: bool,
     /// The endpoint's load.
--- a/crates/telemetry/src/field.rs
+++ b/crates/telemetry/src/field.rs
@@ -19,6 +19,8 @@
     Share(f64),
     /// A time, written in milliseconds.
     Time(Duration),
+    /// Whether something is so.
+    Flag(bool),
     /// Nothing is known; the field is left out.
     Unknown,
 }
@@ -35,6 +37,12 @@
     pub fn count(count: Option<u64>) -> Self {
         count.map_or(Self::Unknown, Self::Count)
     }
+
+    /// Something that may not be known.
+    #[must_use]
+    pub fn flag(flag: Option<bool>) -> Self {
+        flag.map_or(Self::Unknown, Self::Flag)
+    }
 }
 
 pub(crate) struct Fields<'a>(pub(crate) &'a [Field<'a>]);
@@ -51,6 +59,7 @@
                     let millis = u64::try_from(it.as_millis()).unwrap_or(u64::MAX);
                     serializer.emit_u64(key, millis)?;
                 }
+                Value::Flag(it) => serializer.emit_bool(key, it)?,
                 Value::Unknown => {}
             }
         }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -121,6 +121,7 @@
                     "confidence",
                     Value::count(attempt.confidence.map(u64::from)),
                 ),
+                ("leaving", Value::flag(attempt.is_leaving)),
                 ("last_event", Value::count(attempt.last_event)),
                 ("connection", words(attempt.connection.as_ref())),
                 ("strays", Value::Count(attempt.strays.into())),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -92,6 +92,8 @@
     pub config: Option<u64>,
     /// How sure the model was of its answer, from 0 to 100.
     pub confidence: Option<u8>,
+    /// Whether the answer said that its endpoint leaves.
+    pub is_leaving: Option<bool>,
     /// The last event of a stream that the caller had when it ended.
     pub last_event: Option<u64>,
     /// The status of the endpoint's answer.
