Leave alone for as long as it says an endpoint that refuses

Callers waited for refusals that were known to come, or were told to come back long before any endpoint wanted requests again.

Cause: a refusal was taken for a matter of its request alone; what it says for the host wasn't read. Class: as with the word of an endpoint that leaves, answers were read for load and health only. The mend holds because no strictness of the choice passes over the endpoint until then; an endpoint's new life starts without it.

Ruled out: resting the endpoint as one that answers badly: a rest is passed over where no other endpoint is left, and half of a service rests at most.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -149,6 +149,9 @@
         if told.is_leaving {
             self.leave(guard);
         }
+        if let (Some(pause), Some(flight)) = (told.retry_after, &guard.flight) {
+            self.node.router().refuse(now, flight, pause);
+        }
         if told.not_run || head.status == 421 {
             return self.refused(upstream, &head, &told).await.into();
         }
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -74,6 +74,8 @@
     pub load: Option<Load>,
     /// How sure the model is, from 0 to 100.
     pub confidence: Option<u8>,
+    /// For how long the endpoint, which refuses, wants nothing of this host.
+    pub retry_after: Option<Duration>,
     /// How long the endpoint keeps the connection.
     pub keeps: Option<Duration>,
 }
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -35,6 +35,9 @@
     /// before the directory does, and a listing that is read while the store is away, or
     /// from before, still has it as ready. Its next life is another endpoint.
     pub(crate) has_left: bool,
+    /// Until when it wants nothing of this host, by its own word. However few others there
+    /// are, it would only refuse.
+    pub(crate) unwilling_until: Duration,
     /// Whether the directory still lists it.
     pub(crate) listed: Listed,
     /// Requests of this host that are under way there.
@@ -249,6 +252,22 @@
         took_work
     }
 
+    /// Takes an endpoint's word that it wants nothing for so long.
+    pub(crate) fn refuse(&mut self, now: Duration, key: Key, pause: Duration) {
+        /// An endpoint may name any time at all.
+        const LONGEST: Duration = Duration::from_hours(1);
+        if let Some(it) = self.endpoints.get_mut(key) {
+            it.unwilling_until = it.unwilling_until.max(now + pause.min(LONGEST));
+        }
+    }
+
+    /// When the first of a service's endpoints wants requests that takes work at all.
+    pub(crate) fn willing_in(&self, now: Duration, service: &ServiceName) -> Duration {
+        let takes_work = self.of(service).filter(|(_, it)| it.takes_work());
+        let unwilling = takes_work.map(|(_, it)| it.unwilling(now));
+        unwilling.min().unwrap_or_default()
+    }
+
     /// Whether any endpoint is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -300,6 +319,7 @@
         Self {
             entry,
             has_left: false,
+            unwilling_until: Duration::ZERO,
             listed: Listed::Yes,
             flights: 0,
             unread: Duration::ZERO,
@@ -315,6 +335,11 @@
         self.listed == Listed::Yes && self.entry.state == State::Ready && !self.has_left
     }
 
+    /// For how long it wants nothing of this host yet.
+    pub(crate) fn unwilling(&self, now: Duration) -> Duration {
+        self.unwilling_until.saturating_sub(now)
+    }
+
     fn used(&self, now: Duration, usual: f64) -> f64 {
         /// How long a load report is believed. Requests last about as long.
         const BELIEVED: Duration = Duration::from_millis(1_500);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -8,6 +8,7 @@
 mod place;
 mod placement;
 mod releases;
+mod told;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -20,7 +21,7 @@
 use crate::call::{Call, Ending, Failure, Next, Spare};
 use crate::config::{Access, Config};
 use crate::directory::{Absence, Change};
-use crate::endpoint::{Entry, Key, Load};
+use crate::endpoint::{Entry, Key};
 use crate::pace::Pace;
 use crate::rollout::Side;
 use crate::sessions::Sessions;
@@ -240,19 +241,6 @@
         }
     }
 
-    /// Takes an endpoint's word on its load, which comes with an attempt's answer.
-    pub fn load(&mut self, now: Duration, flight: &mut Flight, load: Load) {
-        // What other hosts send there is known only by this.
-        flight.is_crowded |= load.used() >= CROWDED;
-        self.directory.load(now, flight.endpoint, load);
-    }
-
-    /// Takes an endpoint's word that it leaves, which comes with an attempt's answer, and
-    /// says whether it took work until now.
-    pub fn leave(&mut self, flight: &Flight) -> bool {
-        self.directory.leave(flight.endpoint)
-    }
-
     /// Takes the first part of an attempt's answer.
     pub fn first(&mut self, now: Duration, call: &Call, flight: &mut Flight) {
         if flight.first.is_some() {
@@ -292,13 +280,24 @@
             call.attempts -= 1;
         }
         if !call.may_repeat(now, ending) || self.quarantine.stops(now, call.print) {
-            return Next::Fail(call.failure(now, ending));
+            return Next::Fail(self.failure(now, call, ending));
         }
         if ending == Ending::NotSent || self.reserve(now, call, ending) {
             call.spare = Spare::Unasked;
             return Next::Again;
         }
-        Next::Fail(call.failure(now, ending))
+        Next::Fail(self.failure(now, call, ending))
+    }
+
+    /// How a request ends after this last attempt. Who may come back is told when an
+    /// endpoint wants requests again, if none does before.
+    fn failure(&self, now: Duration, call: &Call, ending: Ending) -> Failure {
+        match call.failure(now, ending) {
+            Failure::NotRun { retry_after } => Failure::NotRun {
+                retry_after: retry_after.max(self.directory.willing_in(now, &call.service)),
+            },
+            other => other,
+        }
     }
 
     /// Whether a request may be sent once more after this ending, with the
@@ -330,7 +329,7 @@
     /// What becomes of a request that has no endpoint to go to.
     #[must_use]
     pub fn unplaced(&self, now: Duration, call: &Call) -> Failure {
-        call.failure(now, Ending::NotSent)
+        self.failure(now, call, Ending::NotSent)
     }
 
     fn land(&mut self, now: Duration, call: &Call, mut flight: Flight, ending: Ending) {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -220,7 +220,8 @@
         (Some(rollout), Some(side)) => rollout.fits(side, &it.entry.release),
         _ => true,
     };
-    fits && it.takes_work() && (strict > Strictness::Fresh || !it.health.is_resting(now))
+    let is_open = it.takes_work() && it.unwilling(now).is_zero();
+    fits && is_open && (strict > Strictness::Fresh || !it.health.is_resting(now))
 }
 
 /// Whether an endpoint had its turn with this request.
