Order what the store says by its era before its version

After a store came back from an older copy operators' new configuration was never in force, their new order was never followed, and a roll-out's status that was lost was never written again.

Cause: versions were compared as if a higher one were always the newer; a store that comes back gives them out again. Class: a number that is unique in one life of its giver, used beyond it. The mend holds because the era comes first in the one type by which revisions are compared, a question that was asked with a version of another era is asked anew, and what the store lacks of a roll-out counts as not written.

Ruled out: 410 alone as the sign: endpoints' heartbeats raise versions by 18 a second, so the count passes the point of before within a second, and no 410 comes.

--- a/crates/host/src/documents.rs
+++ b/crates/host/src/documents.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use kernel::{Release, ServiceName};
-use route::Config;
 use route::rollout::{Order, Verdict};
+use route::{Config, Revision};
 use serde::{Deserialize, Serialize};
 
 /// What operators wrote, and what hosts found about it: all of it, or what
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Documents {
     /// The store's revision that this shows.
-    pub revision: u64,
+    pub revision: Revision,
     /// The configuration, and its text as operators wrote it.
     pub config: Option<(Arc<Config>, Arc<[u8]>)>,
     /// Orders to roll a release out.
@@ -30,6 +30,6 @@
     pub release: Release,
     /// What it has come to.
     pub verdict: Verdict,
-    /// The revision at which this was written; 0 for what hasn't been yet.
-    pub revision: u64,
+    /// When this was written; none for what hasn't been yet.
+    pub revision: Option<Revision>,
 }
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -17,6 +17,7 @@
 use forward::Dialect;
 use futures::future::{Either, select};
 use futures::pin_mut;
+use route::Revision;
 
 use crate::Store;
 use crate::life::Life;
@@ -34,6 +35,11 @@
 /// to the first answer.
 const GLANCE: Duration = Duration::from_millis(5);
 
+/// Whether news of the store since `since` is of another era.
+fn is_of_another_era(since: Option<Revision>, news: Revision) -> bool {
+    since.is_some_and(|it| it.era != news.era)
+}
+
 /// Waits until a configuration is known, from the store or from another host.
 ///
 /// Until then nothing else is of use, and a host that the store turns away would
--- a/crates/host/src/follow/documents.rs
+++ b/crates/host/src/follow/documents.rs
@@ -4,22 +4,23 @@
 use std::sync::Arc;
 
 use forward::Dialect;
-use route::Config;
 use route::rollout::Order;
+use route::{Config, Revision};
 use telemetry::{Event, Value};
 
-use super::{FIRST_NEWS_WAIT, NEWS_WAIT, pause, unless, verdicts};
+use super::{FIRST_NEWS_WAIT, NEWS_WAIT, is_of_another_era, pause, unless, verdicts};
 use crate::life::Life;
 use crate::{Backoff, Documents, Store, Trouble, say};
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
-    let mut since = None;
+    let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     loop {
         if !life.asks_store(life.confirmed.get()) {
             pause(&life).await;
             continue;
         }
+        since = since.filter(|it| it.era == life.store.era());
         let began = life.node.now();
         life.watches.set(since.is_some());
         let wait = match life.node.router().version() {
@@ -39,9 +40,12 @@
         };
         say::store(&life, "news of documents", began, &asked);
         match asked {
+            // The store came back from a copy meanwhile: versions before this one may have
+            // been given out anew, and what was written with them isn't among the news.
+            Ok(documents) if is_of_another_era(since, documents.revision) => since = None,
             Ok(documents) => {
                 backoff.reset();
-                since = Some(documents.revision.max(since.unwrap_or(0)));
+                since = Some(documents.revision.max(since.unwrap_or_default()));
                 take(&life, documents);
                 if life.confirm(life.node.now()) {
                     life.hurry();
--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -5,13 +5,13 @@
 
 use async_std::task::sleep;
 use forward::{Dialect, Node};
-use route::Rollout;
 use route::rollout::Verdict;
+use route::{Revision, Rollout};
 use telemetry::{Event, Value};
 
-use super::{NEWS_WAIT, configured, pause, unless};
+use super::{NEWS_WAIT, configured, is_of_another_era, pause, unless};
 use crate::life::Life;
-use crate::{Backoff, Judgement, Store, Trouble, say};
+use crate::{Backoff, Documents, Judgement, Store, Trouble, say};
 
 /// How often a roll-out is looked at.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
@@ -23,13 +23,14 @@
 
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     configured(&life).await;
-    let mut since = None;
+    let mut since: Option<Revision> = None;
     let mut backoff = Backoff::default();
     loop {
         if !life.asks_store(life.confirmed.get()) {
             pause(&life).await;
             continue;
         }
+        since = since.filter(|it| it.era == life.store.era());
         let began = life.node.now();
         let question = life.store.judgements(since, NEWS_WAIT);
         let Some(asked) = unless(&life.returns[1].1, question).await else {
@@ -37,9 +38,13 @@
         };
         say::store(&life, "news of verdicts", began, &asked);
         match asked {
+            Ok(documents) if is_of_another_era(since, documents.revision) => since = None,
             Ok(documents) => {
                 backoff.reset();
-                since = Some(documents.revision.max(since.unwrap_or(0)));
+                if since.is_none() {
+                    forget(&life, &documents);
+                }
+                since = Some(documents.revision.max(since.unwrap_or_default()));
                 take(&life, documents.judgements);
             }
             Err(Trouble::HistoryGone) => since = None,
@@ -48,10 +53,21 @@
     }
 }
 
+/// Forgets what the store said in an earlier era and no longer says: it is written again.
+fn forget<S: Store, D: Dialect>(life: &Life<S, D>, documents: &Documents) {
+    let era = documents.revision.era;
+    let is_of_now = |it: &Judgement| it.revision.is_some_and(|it| it.era >= era);
+    life.judgements.borrow_mut().retain(|_, it| is_of_now(it));
+}
+
 /// Takes what the store says of roll-outs, unless it said something later.
 pub(crate) fn take<S: Store, D: Dialect>(life: &Life<S, D>, judgements: Vec<Judgement>) {
     let mut known = life.judgements.borrow_mut();
     for it in judgements {
+        // Others may not have heard yet that the store came back without this.
+        if it.revision.is_some_and(|it| it.era < life.store.era()) {
+            continue;
+        }
         let before = known.get(&it.service).map(|it| it.revision);
         if before.is_none_or(|before| it.revision > before) {
             known.insert(it.service.clone(), it);
@@ -145,6 +161,7 @@
             let found = life.store.judgements(None, Duration::ZERO).await;
             say::store(life, "verdicts", began, &found);
             if let Ok(found) = found {
+                forget(life, &found);
                 take(life, found.judgements);
             }
         }
@@ -176,6 +193,8 @@
             (Some(found), _) => found,
             (None, false) => rollout.verdict,
             (None, true) if rollout.verdict == Verdict::Reverted => rollout.verdict,
+            // The store came back from before it was told.
+            (None, true) if rollout.began_as().era < life.store.era() => rollout.verdict,
             (None, true) => continue,
         };
         if is_written && written.is_some_and(|it| it.verdict == verdict) {
@@ -185,7 +204,7 @@
             service: service.clone(),
             release: rollout.order.release.clone(),
             verdict,
-            revision: written.map_or(0, |it| it.revision),
+            revision: written.and_then(|it| it.revision),
         });
     }
     findings
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -83,6 +83,8 @@
     pub(crate) is_enlisted: Cell<bool>,
     /// This host's end of the links to the others, once it has joined them.
     pub(crate) link: RefCell<Option<Link>>,
+    /// How often the store has come back from a copy, once it was reached.
+    pub(crate) era: Cell<Option<u64>>,
     /// When a call to the store was last answered.
     pub(crate) reached: Cell<Option<Duration>>,
     start: Start,
@@ -154,6 +156,7 @@
             found: Cell::new(None),
             is_enlisted: Cell::new(false),
             link: RefCell::default(),
+            era: Cell::new(None),
             reached: Cell::new(None),
             start,
             returns: [bounded(1), bounded(1)],
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -31,6 +31,7 @@
     };
     let timed = (!call.starts_with("news")).then_some(took);
     life.recorder().metrics().store_call(call, name, timed);
+    note_era(life);
     if result.is_ok() {
         life.reached.set(Some(life.node.now()));
     }
@@ -57,6 +58,21 @@
     }
 }
 
+/// Takes that the store has come back from an older copy, if it has: questions that are
+/// open there were asked with versions that mean something else now.
+fn note_era<S: Store, D: Dialect>(life: &Life<S, D>) {
+    let era = life.store.era();
+    if life
+        .era
+        .replace(Some(era))
+        .is_some_and(|before| before != era)
+    {
+        life.recorder()
+            .say(Event::StoreRestored, &[("era", Value::Count(era))]);
+        life.ask_anew();
+    }
+}
+
 /// Says how many entries of a listing can't be used, when their number changes:
 /// whoever writes them may do so at each reading.
 pub(crate) fn unusable<S: Store, D: Dialect>(
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -5,8 +5,8 @@
 
 use derive_more::{Display, Error};
 use link::keys::Authority;
-use route::Config;
 use route::endpoint::Entry;
+use route::{Config, Revision};
 
 use crate::{Documents, Judgement, Member};
 
@@ -15,10 +15,14 @@
     /// Reads all documents as of one moment.
     fn documents(&self) -> impl Future<Output = Result<Documents, Trouble>>;
 
-    /// Waits up to `wait` for documents that changed after `since`.
+    /// How often the store has come back from an older copy, by its latest answer.
+    fn era(&self) -> u64;
+
+    /// Waits up to `wait` for documents that changed after `since`. The answer may be of
+    /// another era; then it may lack some that did.
     fn changes(
         &self,
-        since: u64,
+        since: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<Documents, Trouble>>;
 
@@ -35,7 +39,7 @@
     /// Reads what roll-outs have come to, or waits for news of it.
     fn judgements(
         &self,
-        since: Option<u64>,
+        since: Option<Revision>,
         wait: Duration,
     ) -> impl Future<Output = Result<Documents, Trouble>>;
 
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -8,7 +8,7 @@
 use crate::config::{Customer, Repeat, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
-use crate::{Cascade, Print};
+use crate::{Cascade, Print, Revision};
 
 /// How often a connection is opened in vain before the request is refused. No
 /// endpoint has seen any of it, so this doesn't count as an attempt; each try
@@ -67,8 +67,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Lane {
     pub(crate) side: Side,
-    /// The order's number. What was new to an earlier order is old to this one.
-    pub(crate) revision: u64,
+    /// When the order was first seen written. What was new to an earlier order is old to
+    /// this one.
+    pub(crate) revision: Revision,
 }
 
 /// Whether the request may be sent once more.
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -13,6 +13,8 @@
 
 use kernel::{HostName, Release, hash};
 
+use crate::Revision;
+
 use drift::{Mean, Pace};
 use pooled::Pool;
 
@@ -80,6 +82,8 @@
     pub order: Order,
     /// What it has come to.
     pub verdict: Verdict,
+    /// The order's revision when the roll-out began.
+    began_as: Revision,
     started: Duration,
     gathering: Duration,
     exposure: f64,
@@ -102,6 +106,7 @@
         let further = hosts.max(REACHED).ilog(REACHED) - 1;
         Self {
             gathering: GATHERING + FURTHER * further,
+            began_as: order.revision,
             order,
             verdict: Verdict::Running,
             started,
@@ -115,6 +120,28 @@
         }
     }
 
+    /// The order's revision when the roll-out began: what tells it from others, also
+    /// after the order was written again.
+    #[must_use]
+    pub fn began_as(&self) -> Revision {
+        self.began_as
+    }
+
+    /// Takes an order that is the same one, written again after the store came back
+    /// without it, and says whether it is.
+    ///
+    /// Taken for a new one, a release that was found bad would be tried again, and
+    /// sessions that have moved would move back.
+    pub(crate) fn renew(&mut self, order: &Order) -> bool {
+        let known = &mut self.order;
+        let is_same = (&known.release, known.over) == (&order.release, order.over);
+        let is_again = is_same && order.revision.era > known.revision.era;
+        if is_again {
+            known.revision = order.revision;
+        }
+        is_again
+    }
+
     /// The share of requests that goes to the new release.
     #[must_use]
     pub fn share(&self, now: Duration) -> f64 {
--- a/crates/route/src/rollout/order.rs
+++ b/crates/route/src/rollout/order.rs
@@ -6,6 +6,8 @@
 use kernel::{Release, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::Revision;
+
 /// What operators ask for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Order {
@@ -15,8 +17,8 @@
     pub release: Release,
     /// How long it may take.
     pub over: Duration,
-    /// The number of the order; a newer one is higher.
-    pub revision: u64,
+    /// When it was written; a newer one is higher.
+    pub revision: Revision,
 }
 
 /// What a roll-out has come to.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -23,7 +23,7 @@
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key};
 use crate::pace::Pace;
-use crate::rollout::Side;
+use crate::rollout::{Order, Side};
 use crate::sessions::Sessions;
 use crate::{Budget, Directory, Print, Quarantine, Rollout, Settings};
 
@@ -50,6 +50,8 @@
     directory: Directory,
     budgets: HashMap<ServiceName, Budget>,
     rollouts: HashMap<ServiceName, Rollout>,
+    /// The orders before those of the roll-outs, the newest first.
+    former: HashMap<ServiceName, Vec<Order>>,
     sessions: Sessions,
     quarantine: Quarantine,
     /// Endpoints whose connections broke and that may have ended, for the driver to ask.
@@ -75,6 +77,7 @@
             directory: Directory::default(),
             budgets: HashMap::new(),
             rollouts: HashMap::new(),
+            former: HashMap::new(),
             sessions: Sessions::default(),
             quarantine: Quarantine::default(),
             doubted: Vec::new(),
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -88,7 +88,7 @@
     /// stays on the old release: the one that an earlier order brought in is old now.
     fn settle_side(&self, call: &mut Call) {
         call.lane = self.rollouts.get(&call.service).map(|it| {
-            let revision = it.order.revision;
+            let revision = it.began_as();
             let chosen = call.lane.filter(|lane| lane.revision == revision);
             let side = match it.verdict {
                 Verdict::Running => chosen.map_or(Side::Old, |lane| lane.side),
--- a/crates/route/src/router/releases.rs
+++ b/crates/route/src/router/releases.rs
@@ -1,5 +1,6 @@
 //! What the router knows of roll-outs.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use kernel::{HostName, ServiceName, hash};
@@ -20,12 +21,30 @@
     pub is_news: bool,
 }
 
+/// How many former orders of a service are remembered.
+const MOST_FORMER: usize = 8;
+
+/// Whether an order is one of before that a store brought back which came back from a
+/// copy: the row is as old as it was then, and what replaced it is only lost there.
+fn is_restored(former: &HashMap<ServiceName, Vec<Order>>, order: &Order) -> bool {
+    let former = former.get(&order.service).map_or(&[][..], Vec::as_slice);
+    former.iter().any(|it| {
+        let is_same = it.release == order.release && it.revision.version == order.revision.version;
+        is_same && it.revision.era < order.revision.era
+    })
+}
+
 impl Router {
     /// Takes an operator's order; an older one, or the same again, changes nothing.
     pub fn order(&mut self, order: Order, started: Duration) -> bool {
-        let known = self.rollouts.get(&order.service);
-        if known.is_some_and(|it| it.order.revision >= order.revision) {
-            return false;
+        if let Some(known) = self.rollouts.get_mut(&order.service) {
+            let is_older = known.order.revision >= order.revision;
+            if is_older || is_restored(&self.former, &order) || known.renew(&order) {
+                return false;
+            }
+            let former = self.former.entry(order.service.clone()).or_default();
+            former.truncate(MOST_FORMER - 1);
+            former.insert(0, known.order.clone());
         }
         let exposure = self.settings.exposure_share;
         let service = order.service.clone();
@@ -94,7 +113,7 @@
         };
         Some(Lane {
             side,
-            revision: rollout.order.revision,
+            revision: rollout.began_as(),
         })
     }
 }
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -12,7 +12,7 @@
 use route::directory::Absence;
 use route::endpoint::Load;
 use route::rollout::{Order, Scope, Verdict};
-use route::{Arrival, Call, Ending, Flight, Placement, Router, Shape};
+use route::{Arrival, Call, Ending, Flight, Placement, Revision, Router, Shape};
 
 use crate::words::{Words, ending_of, entry, route, settings};
 
@@ -151,7 +151,10 @@
                     service: words.rest[0].into(),
                     release: Release::from(words.rest[1]),
                     over: Duration::from_millis(words.number::<u64>("over", 20_000)),
-                    revision: words.number::<u64>("revision", 1),
+                    revision: Revision {
+                        era: words.number::<u64>("era", 0),
+                        version: words.number::<u64>("revision", 1),
+                    },
                 };
                 let taken = self.router().order(order, now);
                 (!taken).then(|| "known".to_owned())
--- a/crates/route/tests/pooled.rs
+++ b/crates/route/tests/pooled.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use kernel::HostName;
-use route::Rollout;
 use route::rollout::{News, Order, Scope, Sighting};
+use route::{Revision, Rollout};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -13,7 +13,7 @@
         service: "pool".into(),
         release: "v2".into(),
         over: Duration::from_secs(20),
-        revision: 1,
+        revision: Revision::default(),
     };
     Rollout::new(order, NOW, 0.1, 295)
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -31,6 +31,7 @@
 
     StoreLost, 1400, Warning, "The store doesn't answer a kind of call.";
     StoreBack, 1401, Info, "The store answers a kind of call again.";
+    StoreRestored, 1402, Warning, "The store came back from an older copy.";
 
     HostsChanged, 1500, Info, "The hosts that callers are sent to changed.";
     Joined, 1501, Info, "This host can talk to the others.";
