Know better than an older copy which endpoints leave, are gone, or live

After a store came back from an older copy requests went to endpoints that were leaving or gone, and callers were refused though endpoints lived.

Cause: what an entry says was taken for what is, though the store that has it may show an earlier moment. Class: a fact read back from a copy outranks the same fact read later from the original. The mend holds because what was leaving leaves for that life, what was gone stays gone until an entry that nobody renews has lapsed, and what is missing counts as after an outage.

Ruled out: that an entry which says 'leaving' never counts as ready again.

--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -20,6 +20,7 @@
 pub(crate) async fn follow<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
     configured(&life).await;
     let mut outage = Outage::default();
+    let mut era = life.store.era();
     let mut backoff = Backoff::default();
     loop {
         let node = &life.node;
@@ -35,8 +36,13 @@
             say::unusable(&life, "endpoints", found.unusable);
             let now = node.now();
             let known = life.listed.get().map(|it| (it.at, it.absence));
+            if std::mem::replace(&mut era, life.store.era()) != era {
+                outage.restore(now);
+            }
             let absence = outage.absence(now, known);
-            list(&life, now, found.entries, absence);
+            let mut entries = found.entries;
+            node.router().directory().correct(now, &mut entries);
+            list(&life, now, entries, absence);
             if life.watches.get() {
                 // A question for news is open, and the store answers: it would
                 // have told of a change.
--- a/crates/host/src/outage.rs
+++ b/crates/host/src/outage.rs
@@ -17,6 +17,8 @@
     failed: Option<Duration>,
     /// This host's first reading after it.
     returned: Option<Duration>,
+    /// This host's first reading after the store came back from an older copy.
+    restored: Option<Duration>,
 }
 
 impl Outage {
@@ -25,6 +27,12 @@
         self.failed = Some(now);
     }
 
+    /// Takes it that the store came back from an older copy, which lacks entries that were
+    /// written since: their endpoints live, and renew them.
+    pub fn restore(&mut self, now: Duration) {
+        self.restored = Some(now);
+    }
+
     /// What a missing entry means in a listing that is read now, where `known` tells when
     /// the one in force was read, by whichever host, and what it meant in that one.
     ///
@@ -52,6 +60,12 @@
     }
 
     fn was_away(&self, now: Duration, known: Option<(Duration, Absence)>) -> bool {
+        if self
+            .restored
+            .is_some_and(|it| now.saturating_sub(it) < LAPSED)
+        {
+            return true;
+        }
         match known {
             Some((_, Absence::Lapsed)) => true,
             Some((at, Absence::Gone)) => {
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -69,6 +69,8 @@
     {
         life.recorder()
             .say(Event::StoreRestored, &[("era", Value::Count(era))]);
+        let now = life.node.now();
+        life.node.router().restored(now);
         life.ask_anew();
     }
 }
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
-use crate::endpoint::{Entry, Key, Load, State};
+use crate::endpoint::{Entry, Key, Load, Process, State};
 use crate::health::Health;
 
 /// The largest part of a service's endpoints that rest at once. If most of them
@@ -24,6 +24,9 @@
     /// The part of their places that endpoints of a service usually have taken, by
     /// their own word.
     usual: HashMap<ServiceName, f64>,
+    /// Endpoints that were gone when the store came back from an older copy, and until
+    /// when it may still list them.
+    gone: HashMap<Process, Duration>,
 }
 
 /// An endpoint, as this host knows it.
@@ -31,9 +34,9 @@
 pub struct Endpoint {
     /// What the directory says of it.
     pub entry: Entry,
-    /// Whether it said itself that it leaves. No listing undoes that: the endpoint knows
-    /// before the directory does, and a listing that is read while the store is away, or
-    /// from before, still has it as ready. Its next life is another endpoint.
+    /// Whether it said that it leaves, in an answer or before the store came back from an
+    /// older copy. No listing undoes that: one that was read before, or shows the copy,
+    /// has it as ready. Its next life is another endpoint.
     pub(crate) has_left: bool,
     /// Until when it wants nothing of this host, by its own word. However few others there
     /// are, it would only refuse.
@@ -78,6 +81,45 @@
 }
 
 impl Directory {
+    /// Takes it that the store came back from an older copy.
+    ///
+    /// Failure: the copy lists endpoints that are gone since, until their entries lapse
+    /// there, and has those as ready that leave. What is sent there is lost. So what was
+    /// gone stays gone for that time, and who was leaving leaves.
+    pub fn restored(&mut self, now: Duration) {
+        /// Entries lapse after three heartbeats of silence; those are 1.2 s apart.
+        const LAPSE: Duration = Duration::from_secs(5);
+        let gone = self
+            .endpoints
+            .values()
+            .filter(|it| it.listed != Listed::Yes);
+        let gone = gone.map(|it| (it.entry.process(), now + LAPSE));
+        self.gone = gone.collect();
+        for it in self.endpoints.values_mut() {
+            it.has_left |= it.entry.state == State::Draining;
+        }
+    }
+
+    /// Puts right what the store says of endpoints of which this host knows better: it may
+    /// show an older copy. The others hear of the listing as it is then.
+    pub fn correct(&self, now: Duration, entries: &mut Vec<Entry>) {
+        let is_gone = |it: &Entry| {
+            let until = self.gone.get(&it.process());
+            until.is_some_and(|it| now < *it)
+        };
+        entries.retain(|it| !is_gone(it));
+        for it in entries {
+            let known = self
+                .by_id
+                .get(&it.id)
+                .and_then(|it| self.endpoints.get(*it));
+            let is_same = |known: &&Endpoint| known.entry.process() == it.process();
+            if known.filter(is_same).is_some_and(|it| it.has_left) {
+                it.state = State::Draining;
+            }
+        }
+    }
+
     /// Takes a whole listing.
     pub fn list(&mut self, now: Duration, entries: Vec<Entry>, absence: Absence) -> Change {
         let mut change = Change::default();
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -134,6 +134,11 @@
         self.directory.list(now, entries, absence)
     }
 
+    /// Takes it that the store came back from an older copy.
+    pub fn restored(&mut self, now: Duration) {
+        self.directory.restored(now);
+    }
+
     /// Says that the listing in force was still the store's at this time.
     pub fn confirm_listing(&mut self, at: Duration) {
         self.listed = self.listed.max(Some(at));
