Keep in the store which requests end endpoints

After all hosts had lost power at once, a request that was held ended endpoints again.

Cause: what hosts know of it they knew only of each other. Class: a fact that must last was on no place that lasts. The mend holds because the first of the hosts that read for all has the store keep it, and a host that starts reads it with the first thing that it asks for, so that no call is added to a start.

Ruled out: each host writing for itself (as many writes as hosts); a table of its own (one more reading a start).

--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -186,6 +186,7 @@
         self.node.spawn(members::follow(Rc::clone(self)));
         self.node.spawn(verdicts::judge(Rc::clone(self)));
         self.node.spawn(ends::follow(Rc::clone(self)));
+        self.node.spawn(ends::keep(Rc::clone(self)));
         self.node.spawn(talk::join(Rc::clone(self)));
         self.node.spawn(sweep(Rc::clone(&self.node)));
         self.node.spawn(say::gauges(Rc::clone(self)));
@@ -323,11 +324,16 @@
         let began = self.node.now();
         let joined = self.store.join(made).await;
         say::store(self, "join", began, &joined);
-        let Joined { authority, members } = joined.ok()?;
+        let Joined {
+            authority,
+            members,
+            held,
+        } = joined.ok()?;
         self.found.set(Some(members.len()));
         self.is_enlisted.set(members.contains(&self.own));
         let now = self.node.now();
         self.gossip.borrow_mut().list(now, members);
+        self.node.router().quarantine().recall(now, &held);
         let keys = authority.issue(&self.own.name).ok()?;
         self.recorder()
             .say(Event::Joined, &[("address", Value::Text(&self.own.link))]);
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 use link::keys::Authority;
 use route::endpoint::Entry;
-use route::{Config, Revision};
+use route::{Config, Print, Revision};
 
 use crate::{Documents, Judgement, Member};
 
@@ -55,6 +55,12 @@
     /// Takes these hosts off the list.
     fn withdraw(&self, members: &[Member]) -> impl Future<Output = Result<(), Trouble>>;
 
+    /// Keeps requests that end endpoints, for hosts that start.
+    fn hold(&self, prints: &[Print]) -> impl Future<Output = Result<(), Trouble>>;
+
+    /// Keeps these no longer.
+    fn release(&self, prints: &[Print]) -> impl Future<Output = Result<(), Trouble>>;
+
     /// Writes what a roll-out has come to, unless it was written since
     /// `judgement.revision`.
     fn judge(&self, judgement: &Judgement) -> impl Future<Output = Result<(), Trouble>>;
@@ -67,6 +73,8 @@
     pub authority: Authority,
     /// The hosts that the store lists.
     pub members: Vec<Member>,
+    /// Requests that end endpoints, as hosts have found before.
+    pub held: Vec<Print>,
 }
 
 /// What the store lists, as far as it can be understood. Others may write there
--- a/crates/route/src/print.rs
+++ b/crates/route/src/print.rs
@@ -16,6 +16,12 @@
 pub struct Print(u64);
 
 impl Print {
+    /// The print that is written so, in hexadecimal figures.
+    #[must_use]
+    pub fn read(text: &str) -> Option<Self> {
+        u64::from_str_radix(text, 16).ok().map(Self)
+    }
+
     /// The print of a request.
     #[must_use]
     pub fn of(path: &str, customer: Option<&Customer>, body: &[u8]) -> Self {
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -2,12 +2,15 @@
 
 mod end;
 mod finished;
+mod held;
+mod kept;
 mod news;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use end::End;
+use held::Held;
 
 use crate::Print;
 use crate::endpoint::Process;
@@ -53,8 +56,10 @@
     ends: BTreeMap<Process, End>,
     /// The ends under which a request was found.
     found_under: HashMap<Print, BTreeSet<Process>>,
-    /// The requests that are held, and since when.
-    held: HashMap<Print, Duration>,
+    /// The requests that are held.
+    held: HashMap<Print, Held>,
+    /// Requests that are no longer held, of which the driver hasn't been told.
+    released: Vec<Print>,
     /// Attempts that are over, whose endpoints may yet end because of them.
     finished: VecDeque<Finished>,
     /// Requests that were held since the driver last asked.
@@ -69,8 +74,7 @@
     /// How much longer a request is held; nothing if it isn't.
     #[must_use]
     pub fn holds(&self, now: Duration, print: Print) -> Option<Duration> {
-        let since = self.held.get(&print)?;
-        let left = (*since + HELD).saturating_sub(now);
+        let left = self.held.get(&print)?.left(now);
         (!left.is_zero()).then_some(left)
     }
 
@@ -163,8 +167,11 @@
                 self.clear(now, print);
             }
         }
-        self.held
-            .retain(|_, since| now.saturating_sub(*since) < HELD);
+        let is_over = |it: &(&Print, &Held)| it.1.left(now).is_zero();
+        let over: Vec<Print> = self.held.iter().filter(is_over).map(|it| *it.0).collect();
+        for it in over {
+            self.release(it);
+        }
     }
 
     /// Takes that a request ends no endpoint: one outlived its answer.
@@ -177,7 +184,13 @@
                 self.has_news |= end.clear(now, print);
             }
         }
-        self.held.remove(&print);
+        self.release(print);
+    }
+
+    fn release(&mut self, print: Print) {
+        if self.held.remove(&print).is_some() {
+            self.released.push(print);
+        }
     }
 
     /// Remembers an end, with the requests that this host had there until just now.
@@ -248,11 +261,16 @@
 
     fn hold(&mut self, now: Duration, print: Print, since: Duration) {
         if self.held.len() == MOST_HELD
-            && let Some((&oldest, _)) = self.held.iter().min_by_key(|it| it.1)
+            && let Some((&oldest, _)) = self.held.iter().min_by_key(|it| it.1.since)
         {
-            self.held.remove(&oldest);
+            self.release(oldest);
         }
-        self.held.insert(print, since);
+        let held = Held {
+            since,
+            changed: now,
+            is_kept: false,
+        };
+        self.held.insert(print, held);
         self.caught.push(print);
         self.has_news = true;
         for process in self.found_under.get(&print).into_iter().flatten() {
--- a/crates/route/src/quarantine/news.rs
+++ b/crates/route/src/quarantine/news.rs
@@ -48,6 +48,8 @@
     pub print: Print,
     /// For how long it has been held.
     pub age: Duration,
+    /// Whether the store has it.
+    pub is_kept: bool,
 }
 
 impl News {
@@ -84,13 +86,17 @@
             self.retold = now;
         }
         let tells_all = retells || scope == Scope::All;
-        let held = self.held.iter().map(|(print, since)| HeldNews {
+        let is_fresh = |at: Duration| now.saturating_sub(at) <= FRESH;
+        let held = self.held.iter();
+        let held = held.filter(|(_, it)| tells_all || is_fresh(it.changed));
+        let held = held.map(|(print, it)| HeldNews {
             print: *print,
-            age: now.saturating_sub(*since),
+            age: now.saturating_sub(it.since),
+            is_kept: it.is_kept,
         });
         News {
             ends: ends.collect(),
-            held: held.filter(|it| tells_all || it.age <= FRESH).collect(),
+            held: held.collect(),
         }
     }
 
@@ -119,7 +125,7 @@
             {
                 is_news = true;
                 self.has_news = true;
-                self.held.remove(print);
+                self.release(*print);
             }
         }
         for print in &news.suspects {
@@ -135,6 +141,10 @@
         if news.age < HELD && !is_known && !self.is_cleared(news.print) {
             self.hold(now, news.print, now.saturating_sub(news.age));
         }
+        let is_kept = self.held.get(&news.print).is_some_and(|it| it.is_kept);
+        if news.is_kept && !is_kept {
+            self.keep(now, &[news.print]);
+        }
     }
 
     /// Whether this host knows better than one that holds a request.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -137,6 +137,7 @@
     /// Takes it that the store came back from an older copy.
     pub fn restored(&mut self, now: Duration) {
         self.directory.restored(now);
+        self.quarantine.restored();
     }
 
     /// Says that the listing in force was still the store's at this time.
