Have a refused request's line tell its print

Cause: whoever is asked why a request is refused as quarantined needs the lines of those before it, which bear other names.

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -53,7 +53,7 @@
                 status: 503,
                 retry_after: Some(SOON),
             },
-            Denial::Quarantined { retry_after } => Self {
+            Denial::Quarantined { retry_after, .. } => Self {
                 status: 503,
                 retry_after: Some(retry_after),
             },
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -8,7 +8,7 @@
 
 use kernel::RequestId;
 use route::config::{Customer, Route};
-use route::{Arrival, Call, Denial, Ending, Failure, Next, Placement};
+use route::{Arrival, Call, Denial, Ending, Failure, Next, Placement, Print};
 use telemetry::{Event, Outcome, Report, Smooth, Value};
 
 use crate::answer::{Answer, Notice};
@@ -36,6 +36,9 @@
     let mut call = match admit(node, request, &asked, &id) {
         Ok(call) => call,
         Err(outcome) => {
+            if let Outcome::Denied(Denial::Quarantined { print, .. }) = outcome {
+                record.progress.print.set(Some(print));
+            }
             let notice = notice_of(outcome);
             answer.notice(notice).await;
             record.end(outcome, notice.status);
@@ -49,6 +52,7 @@
         record.end(Outcome::Rejected, answer.status);
         return Ok(());
     }
+    record.progress.print.set(Some(call.print));
     // Set once: the request has one route.
     let _ = record
         .progress
@@ -187,6 +191,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     route: OnceCell<(Arc<Route>, Option<Arc<Customer>>)>,
+    print: Cell<Option<Print>>,
     pub(crate) attempts: Cell<u32>,
     /// When the first part of an endpoint's answer went out.
     pub(crate) first: Cell<Option<Duration>>,
@@ -232,6 +237,7 @@
         let first = progress.first.get();
         let report = Report {
             id: self.id,
+            print: progress.print.get(),
             route: route.map(|it| &*it.0.name),
             customer: customer.map(|it| it.name.as_str()),
             outcome,
--- a/crates/host/src/follow/ends.rs
+++ b/crates/host/src/follow/ends.rs
@@ -13,9 +13,9 @@
 
 /// How often it is looked for such requests. Endpoints end within a tenth of a second
 /// under them, and each goes on ending them until all hosts know.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(100);
 /// How often it is looked for what the store is to keep.
-const KEEP_LOOK: Duration = Duration::from_millis(200);
+const KEEP_LOOK: Duration = Duration::from_millis(500);
 /// How much longer each host waits than the one before it until it writes: the first one
 /// does, and the others hear of it.
 const TURN: Duration = Duration::from_millis(400);
--- a/crates/route/src/print.rs
+++ b/crates/route/src/print.rs
@@ -16,6 +16,9 @@
 pub struct Print(u64);
 
 impl Print {
+    /// Of no request.
+    pub(crate) const NONE: Self = Self(0);
+
     /// The print that is written so, in hexadecimal figures.
     #[must_use]
     pub fn read(text: &str) -> Option<Self> {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -209,7 +209,7 @@
         let route = route.clone();
         let print = Print::of(path, customer.as_ref().map(|it| &it.name), body);
         if let Some(retry_after) = self.quarantine.holds(now, print) {
-            return Err(Denial::Quarantined { retry_after });
+            return Err(Denial::Quarantined { print, retry_after });
         }
         let mut call = Call::new(route, customer, service, shape, print, now, now + patience);
         call.lane = self.lane(now, &call, number);
--- a/crates/route/src/router/denial.rs
+++ b/crates/route/src/router/denial.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::Print;
+
 /// Why a request goes nowhere, before any endpoint is considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
 pub enum Denial {
@@ -20,6 +22,8 @@
     /// Endpoints end under it.
     #[display("quarantined")]
     Quarantined {
+        /// What it says, whatever its caller calls it.
+        print: Print,
         /// When it is no longer held.
         retry_after: Duration,
     },
@@ -33,6 +37,7 @@
         Self::NoRoute,
         Self::UnknownKey,
         Self::Quarantined {
+            print: Print::NONE,
             retry_after: Duration::ZERO,
         },
     ];
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -73,13 +73,14 @@
         }
         let retry_after = match report.outcome {
             Outcome::Failed(Failure::NotRun { retry_after })
-            | Outcome::Denied(Denial::Quarantined { retry_after }) => Some(retry_after),
+            | Outcome::Denied(Denial::Quarantined { retry_after, .. }) => Some(retry_after),
             _ => None,
         };
         self.log.write(
             event,
             &[
                 ("request", Value::Text(report.id)),
+                ("print", words(report.print.as_ref())),
                 ("route", words(report.route.as_ref())),
                 ("customer", words(report.customer.as_ref())),
                 ("reason", words(reason.as_ref())),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -10,6 +10,9 @@
 pub struct Report<'a> {
     /// The request.
     pub id: &'a RequestId,
+    /// What it says, whatever its caller calls it; known once it was admitted, or refused
+    /// for that.
+    pub print: Option<Print>,
     /// Its route, if one was found.
     pub route: Option<&'a str>,
     /// Whose it is.
--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -90,6 +90,7 @@
         std::sync::Arc::new(kernel::ManualClock::default()),
     );
     let report = telemetry::Report {
+        print: None,
         id: &RequestId::from("q1"),
         route: None,
         customer: None,
