Hold nothing that an endpoint has lately outlived

Found on the way, read in the code and brought about by a script: many callers send the same read, three endpoints end within a moment for reasons of their own, and the read, which was under way at each, would have been refused to all for an hour.

Cause: an answer cleared a request of ends that were known before it only. The mend holds because an answer at an endpoint that goes on for a second speaks for the request for 30 s, also at ends that come after; a request that ends each endpoint never has one.

--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -5,12 +5,14 @@
 mod held;
 mod kept;
 mod news;
+mod proven;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use end::End;
 use held::Held;
+use proven::Proven;
 
 use crate::Print;
 use crate::endpoint::Process;
@@ -62,6 +64,8 @@
     released: Vec<Print>,
     /// Attempts that are over, whose endpoints may yet end because of them.
     finished: VecDeque<Finished>,
+    /// Requests that endpoints have lately outlived.
+    proven: Proven,
     /// Requests that were held since the driver last asked.
     caught: Vec<Print>,
     /// When all that are held were last told.
@@ -164,6 +168,7 @@
             let (print, outcome) = (it.print, it.outcome);
             self.finished.pop_front();
             if outcome == Outcome::Answered {
+                self.proven.prove(now, print);
                 self.clear(now, print);
             }
         }
@@ -240,6 +245,12 @@
             self.found_under.entry(print).or_default().insert(process);
             self.has_news = true;
         }
+        if is_new
+            && self.proven.contains(now, print)
+            && let Some(end) = self.ends.get_mut(&process)
+        {
+            end.clear(now, print);
+        }
         is_new
     }
 
