--- a/crates/forward/src/doubt.rs
+++ b/crates/forward/src/doubt.rs
@@ -18,7 +18,8 @@
 /// How long a connection has to stay open to show that its endpoint stands: one that is
 /// about to end may still be given connections.
 const STAYS: Duration = Duration::from_millis(100);
-/// How often an endpoint is asked that takes a connection and closes it.
+/// How often an endpoint is asked that takes a connection and closes it, or doesn't answer:
+/// the first packet may be lost.
 const TRIES: u32 = 3;
 
 /// Asks the endpoints that may have ended since this was last called.
@@ -56,9 +57,8 @@
                 node.recorder.connect(id, took, &Err(err));
                 if is_refused {
                     let now = node.now();
-                    node.router().ended(now, key);
+                    return node.router().ended(now, key);
                 }
-                return;
             }
         }
     }
