--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -17,7 +17,7 @@
 use crate::Print;
 use crate::endpoint::Process;
 
-pub use finished::{Finished, Outcome};
+pub(crate) use finished::{Finished, Outcome};
 pub use news::{EndNews, HeldNews, News};
 
 /// Under how many ends of endpoints a request is found before it is held. Endpoints end
@@ -32,12 +32,14 @@
 /// caller that leaves, or an answer that is dropped for a larger model's, ends the
 /// attempt while the harm is already done.
 const AFTERMATH: Duration = Duration::from_secs(1);
-/// The most ends that are remembered, the most requests for each of them, the most
-/// attempts whose endpoints may yet end, and the most requests that are held. Whoever
-/// sends a million different requests fills no memory.
+/// The most ends that are remembered. Only a request under which an endpoint ended takes a
+/// place, so whoever sends a million different ones fills no memory.
 const MOST_ENDS: usize = 256;
+/// The most requests that are remembered of one end.
 const MOST_SUSPECTS: usize = 128;
+/// The most attempts of the last moments whose endpoints may yet end.
 const MOST_FINISHED: usize = 4_096;
+/// The most requests that are held at a time; of more, the latest.
 const MOST_HELD: usize = 64;
 
 /// Which requests end the endpoints that run them.
@@ -84,8 +86,7 @@
 
     /// Whether a request that is under way may go to no further endpoint: it is held, or
     /// would be if the endpoints at which it broke off have ended.
-    #[must_use]
-    pub fn stops(&self, now: Duration, print: Print) -> bool {
+    pub(crate) fn stops(&self, now: Duration, print: Print) -> bool {
         if self.holds(now, print).is_some() {
             return true;
         }
@@ -121,7 +122,7 @@
     }
 
     /// Takes the end of an attempt.
-    pub fn finish(&mut self, now: Duration, finished: Finished) {
+    pub(crate) fn finish(&mut self, now: Duration, finished: Finished) {
         self.age(now);
         if let Some(end) = self.ends.get(&finished.process) {
             let is_close = now.saturating_sub(end.at) <= AFTERMATH;
@@ -137,7 +138,7 @@
     }
 
     /// Takes that an endpoint's process has ended.
-    pub fn end(&mut self, now: Duration, process: Process) {
+    pub(crate) fn end(&mut self, now: Duration, process: Process) {
         self.age(now);
         if self.ends.contains_key(&process) {
             return;
@@ -147,7 +148,7 @@
     }
 
     /// Takes that an endpoint's process goes on although connections to it broke.
-    pub fn stands(&mut self, process: Process) {
+    pub(crate) fn stands(&mut self, process: Process) {
         let broken = |it: &&mut Finished| it.process == process && it.outcome == Outcome::Broken;
         for it in self.finished.iter_mut().filter(broken) {
             it.outcome = Outcome::Unknown;
@@ -155,8 +156,7 @@
     }
 
     /// Whether it is known that an endpoint's process has ended.
-    #[must_use]
-    pub fn knows(&self, process: Process) -> bool {
+    pub(crate) fn knows(&self, process: Process) -> bool {
         self.ends.contains_key(&process)
     }
 
--- a/crates/route/src/quarantine/finished.rs
+++ b/crates/route/src/quarantine/finished.rs
@@ -7,20 +7,20 @@
 
 /// An attempt that is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Finished {
+pub(crate) struct Finished {
     /// When it ended.
-    pub at: Duration,
+    pub(crate) at: Duration,
     /// Where it was.
-    pub process: Process,
+    pub(crate) process: Process,
     /// The request.
-    pub print: Print,
+    pub(crate) print: Print,
     /// What its end says of its endpoint.
-    pub outcome: Outcome,
+    pub(crate) outcome: Outcome,
 }
 
 /// What an attempt's end says of its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
+pub(crate) enum Outcome {
     /// It ran the request to its end.
     Answered,
     /// It may have ended.
@@ -31,8 +31,7 @@
 
 impl Outcome {
     /// What an ending says; nothing if the endpoint hasn't begun to run the request.
-    #[must_use]
-    pub fn of(ending: Ending) -> Option<Self> {
+    pub(crate) fn of(ending: Ending) -> Option<Self> {
         match ending {
             Ending::Answered => Some(Self::Answered),
             Ending::Broken => Some(Self::Broken),
--- a/crates/route/src/quarantine/kept.rs
+++ b/crates/route/src/quarantine/kept.rs
@@ -25,7 +25,7 @@
     }
 
     /// Takes that the store came back from an older copy, which may lack what it had.
-    pub fn restored(&mut self) {
+    pub(crate) fn restored(&mut self) {
         for it in self.held.values_mut() {
             it.is_kept = false;
         }
