Send nothing to data centres that operators have emptied

Cause: hosts read no row that says so. Ruled out: a listing that lags (endpoints of an emptied data centre stay listed as ready all the while), hosts out of touch (the first request beyond the bound came from hosts in touch, 5.000 s after the acknowledgement). Change: what operators say of a data centre is kept with its revision and told by news like orders, in a message of its own, to neighbours at once and with all that a starting host is told; a whole reading of the store takes back what it lacks, unless that was said in an earlier era. An endpoint there takes no work: the one predicate (Endpoint:: takes_work) that placing, filling, homes of shared parts, loads and evidence ask. Between the choice and the first byte a Permit is asked for, without which nothing can be written to an endpoint (Upstream::new takes it); refused, the attempt ends as withheld, which counts against nobody, and goes elsewhere. A service with no endpoint but such is refused at once, Retry-After 1 s at least. An order that can't be read hides no document any more. Left open: a host that starts after a restore, from a copy without the row, follows the others only once it hears them.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -9,7 +9,7 @@
 use framing::response;
 use kernel::RequestId;
 use route::config::Repeat;
-use route::{Call, Ending, Flight, Placement};
+use route::{Call, Ending, Flight, Permit, Placement};
 use telemetry::{Connection, Event, Value};
 
 use crate::answer::Answer;
@@ -125,8 +125,12 @@
             Ok(it) => it,
             Err(ending) => return ending.into(),
         };
+        let permit = match self.permit(guard) {
+            Ok(it) => it,
+            Err(ending) => return ending.into(),
+        };
         guard.seen.connection = Some(connection);
-        let mut upstream = Upstream::new(conn, self.bytes(call));
+        let mut upstream = Upstream::new(conn, self.bytes(call), permit);
         let mut lull = Lull::new(self.node.clock());
         let (head, told) = loop {
             let wait = self.first_wait(call);
@@ -198,6 +202,16 @@
         }
     }
 
+    /// Asks whether the request may go out now that there is a connection.
+    fn permit(&self, guard: &Guard<'_, D>) -> std::result::Result<Permit, Ending> {
+        let flight = guard.flight.as_ref().ok_or(Ending::Withheld)?;
+        let permit = self.node.router().permit(flight);
+        permit.map_err(|why| {
+            self.node.recorder.metrics().withheld(why);
+            Ending::Withheld
+        })
+    }
+
     /// The request as it goes to the endpoint.
     fn bytes(&self, call: &Call) -> Vec<u8> {
         let to = Addressing {
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -6,7 +6,7 @@
 use framing::{Decoder, Length, response};
 use futures::future::{Either, select};
 use futures::pin_mut;
-use route::Ending;
+use route::{Ending, Permit};
 
 use crate::conn::Conn;
 
@@ -56,7 +56,8 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(conn: Conn, request: Vec<u8>) -> Self {
+    /// Sends a request, which needs a permit: there is no other way to an endpoint.
+    pub(crate) fn new(conn: Conn, request: Vec<u8>, _: Permit) -> Self {
         Self {
             conn,
             request,
--- a/crates/host/src/documents.rs
+++ b/crates/host/src/documents.rs
@@ -4,7 +4,7 @@
 
 use kernel::{Release, ServiceName};
 use route::rollout::{Order, Verdict};
-use route::{Config, Revision};
+use route::{Config, Evacuation, Revision};
 use serde::{Deserialize, Serialize};
 
 /// What operators wrote, and what hosts found about it: all of it, or what
@@ -17,6 +17,10 @@
     pub config: Option<(Arc<Config>, Arc<[u8]>)>,
     /// Orders to roll a release out.
     pub orders: Vec<Order>,
+    /// What operators said of data centres; of all documents, only those that are emptied.
+    pub evacuations: Vec<Evacuation>,
+    /// How many documents couldn't be read. One that can't must not hide the others.
+    pub unreadable: usize,
     /// What roll-outs have come to.
     pub judgements: Vec<Judgement>,
 }
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -7,6 +7,7 @@
 pub(crate) mod documents;
 pub(crate) mod endpoints;
 pub(crate) mod ends;
+pub(crate) mod evacuations;
 pub(crate) mod members;
 pub(crate) mod verdicts;
 
--- a/crates/host/src/follow/documents.rs
+++ b/crates/host/src/follow/documents.rs
@@ -8,7 +8,7 @@
 use route::{Config, Revision};
 use telemetry::{Event, Value};
 
-use super::{FIRST_NEWS_WAIT, NEWS_WAIT, is_of_another_era, pause, unless, verdicts};
+use super::{FIRST_NEWS_WAIT, NEWS_WAIT, evacuations, is_of_another_era, pause, unless, verdicts};
 use crate::life::Life;
 use crate::{Backoff, Documents, Store, Trouble, say};
 
@@ -45,8 +45,12 @@
             Ok(documents) if is_of_another_era(since, documents.revision) => since = None,
             Ok(documents) => {
                 backoff.reset();
-                since = Some(documents.revision.max(since.unwrap_or_default()));
-                take(&life, documents);
+                let revision = documents.revision;
+                match since {
+                    None => read(&life, documents),
+                    Some(_) => take(&life, documents),
+                }
+                since = Some(revision.max(since.unwrap_or_default()));
                 if life.confirm(life.node.now()) {
                     life.hurry();
                 }
@@ -57,7 +61,18 @@
     }
 }
 
+/// Takes all documents as of one moment.
+fn read<S: Store, D: Dialect>(life: &Life<S, D>, mut documents: Documents) {
+    let emptied = std::mem::take(&mut documents.evacuations);
+    evacuations::read(life, documents.revision, emptied);
+    take(life, documents);
+}
+
+/// Takes documents that changed.
 fn take<S: Store, D: Dialect>(life: &Life<S, D>, documents: Documents) {
+    // Before the configuration, by which requests are served at once.
+    evacuations::hear(life, documents.evacuations);
+    say::unusable(life, "documents", documents.unreadable);
     if let Some((config, text)) = documents.config {
         configure(life, config, text);
     }
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -4,7 +4,7 @@
 
 use route::directory::Absence;
 use route::endpoint::Entry;
-use route::{quarantine, rollout};
+use route::{Evacuation, quarantine, rollout};
 use serde::{Deserialize, Serialize};
 
 use crate::Judgement;
@@ -33,6 +33,8 @@
     Nothing,
     /// What a host knows of endpoints that ended, and of requests that ended them.
     Ends(quarantine::News),
+    /// What operators said of data centres.
+    Evacuations(Vec<Evacuation>),
 }
 
 /// What a host asks another for.
@@ -94,10 +96,12 @@
 }
 
 /// All that a host knows. A host that took the configuration alone would serve by it
-/// before it knows which release is on trial, and which sessions stay off it.
+/// before it knows which release is on trial, which sessions stay off it, and which data
+/// centres are emptied.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Known {
     pub(crate) news: News,
     pub(crate) config: Option<Vec<u8>>,
     pub(crate) listing: Option<Listing>,
+    pub(crate) evacuations: Vec<Evacuation>,
 }
--- a/crates/host/src/say.rs
+++ b/crates/host/src/say.rs
@@ -190,6 +190,7 @@
         listing_age: since(router.listed()),
         endpoints: endpoints as u64,
         resting: resting as u64,
+        data_centres_emptied: router.directory().evacuations().emptied().count() as u64,
         hosts: hosts as u64,
         reads_for_all: u64::from(life.reads_for_all()),
         links: links(life),
--- a/crates/host/src/talk.rs
+++ b/crates/host/src/talk.rs
@@ -17,14 +17,14 @@
 use futures::pin_mut;
 use kernel::{HostName, hash};
 use link::{Incoming, Link, Peer};
-use route::quarantine;
 use route::rollout::{self, Scope};
+use route::{Evacuation, quarantine};
 use wire::Frame;
 
 use crate::gossip::{GATHER, PERIOD, ROOTS, SPACING};
 use crate::life::Life;
 use crate::message::{ListingNews, Message, News, Stamp};
-use crate::{Backoff, Member, Store};
+use crate::{Backoff, Member, Store, follow};
 
 /// Joins the others: their certificates come from the store.
 pub(crate) async fn join<S: Store, D: Dialect>(life: Rc<Life<S, D>>) {
@@ -71,7 +71,9 @@
     let news = news(life, Scope::Fresh);
     let ends = ends(life, Scope::Fresh);
     let ended = (!ends.is_empty()).then(|| life.frame(&Message::Ends(ends)));
-    let ended = ended.flatten();
+    let said = evacuations(life);
+    let said = (!said.is_empty()).then(|| life.frame(&Message::Evacuations(said)));
+    let beside: Vec<_> = [said, ended].into_iter().flatten().flatten().collect();
     let mut usual = None;
     for peer in life.gossip.borrow().audience().iter().map(peer) {
         let own = with_sums(life, &news, &peer.host);
@@ -84,12 +86,18 @@
         if let Some(frame) = frame {
             link.send(&peer, &frame);
         }
-        if let Some(frame) = &ended {
+        for frame in &beside {
             link.send(&peer, frame);
         }
     }
 }
 
+/// What operators said of data centres, also of those that were taken back: whoever was cut
+/// off meanwhile still has them as emptied.
+fn evacuations<S: Store, D: Dialect>(life: &Life<S, D>) -> Vec<Evacuation> {
+    life.node.router().directory().evacuations().news()
+}
+
 /// What this host knows of endpoints that ended.
 fn ends<S: Store, D: Dialect>(life: &Life<S, D>, scope: Scope) -> quarantine::News {
     let now = life.node.now();
@@ -176,6 +184,7 @@
             Message::News(news) => learn::news(&life, &link, &incoming.from, &news),
             Message::Records(records) => learn::records(&life, &records),
             Message::Ends(news) => learn::ends(&life, &news),
+            Message::Evacuations(said) => follow::evacuations::hear(&life, said),
             Message::Ask(question) => {
                 if let (Some(reply), Some(frame)) =
                     (incoming.reply, life.frame(&answer::answer(&life, question)))
--- a/crates/host/src/talk/answer.rs
+++ b/crates/host/src/talk/answer.rs
@@ -3,7 +3,7 @@
 use forward::Dialect;
 use route::rollout::Scope;
 
-use super::{ends, news};
+use super::{ends, evacuations, news};
 use crate::Store;
 use crate::life::Life;
 use crate::message::{Known, Listing, Message, Question};
@@ -16,6 +16,7 @@
             news: news(life, Scope::All),
             config: config(life),
             listing: listing(life),
+            evacuations: evacuations(life),
         })),
         Question::Comparison(digest) => Message::Comparison(life.gossip.borrow().compare(&digest)),
         Question::Life => Message::Nothing,
--- a/crates/host/src/talk/learn.rs
+++ b/crates/host/src/talk/learn.rs
@@ -10,7 +10,7 @@
 
 use super::{ask, peer};
 use crate::Store;
-use crate::follow::{documents, endpoints, verdicts};
+use crate::follow::{documents, endpoints, evacuations, verdicts};
 use crate::gossip::Record;
 use crate::life::{Life, Listed, is_much_later};
 use crate::message::{Known, Listing, ListingNews, Message, News, Question};
@@ -94,6 +94,7 @@
     life.gossip.borrow_mut().answered(now, &from.host);
     // Before the configuration, by which requests are served at once.
     take(life, &from.host, &known.news);
+    evacuations::hear(life, known.evacuations);
     if let Some(it) = known.listing {
         listing(life, it);
     }
@@ -127,6 +128,7 @@
             }
         }
         Message::Ends(it) => ends(life, &it),
+        Message::Evacuations(it) => evacuations::hear(life, it),
         // Answers only.
         Message::News(_) | Message::Ask(_) | Message::Records(_) | Message::Nothing => {}
     }
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -10,9 +10,9 @@
 use crate::rollout::Side;
 use crate::{Cascade, Print, Revision};
 
-/// How often a connection is opened in vain before the request is refused. No
-/// endpoint has seen any of it, so this doesn't count as an attempt; each try
-/// costs the caller up to the time that a connection may take.
+/// How often an endpoint is chosen in vain before the request is refused. None has seen
+/// any of it, so this doesn't count as an attempt; each try costs the caller up to the
+/// time that a connection may take.
 const MAX_UNSENT: u32 = 4;
 
 /// What a request asks for, as far as placing it depends on that.
@@ -95,6 +95,9 @@
     /// The endpoint can't have seen any of the request.
     #[display("not_sent")]
     NotSent,
+    /// It was chosen and then no longer allowed: nothing was sent.
+    #[display("withheld")]
+    Withheld,
     /// The endpoint says that it ran nothing.
     #[display("refused")]
     Refused,
@@ -141,11 +144,18 @@
 }
 
 impl Ending {
+    /// Whether the endpoint has seen nothing of the request.
+    #[must_use]
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::NotSent | Self::Withheld)
+    }
+
     /// Every ending.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Answered,
         Self::Failed,
         Self::NotSent,
+        Self::Withheld,
         Self::Refused,
         Self::Moved,
         Self::Broken,
@@ -262,7 +272,9 @@
     /// Whether the same attempt could be made again, its budget aside.
     pub(crate) fn may_repeat(&self, now: Duration, ending: Ending) -> bool {
         let safe = match ending {
-            Ending::NotSent => return self.unsent < MAX_UNSENT && self.left(now) > Duration::ZERO,
+            Ending::NotSent | Ending::Withheld => {
+                return self.unsent < MAX_UNSENT && self.left(now) > Duration::ZERO;
+            }
             Ending::Refused | Ending::Moved | Ending::Unsure => true,
             Ending::Failed | Ending::Broken | Ending::Silent => {
                 self.route.repeat == Repeat::Idempotent
@@ -275,7 +287,7 @@
     pub(crate) fn note(&mut self, ending: Ending) {
         self.release();
         match ending {
-            Ending::NotSent => self.unsent += 1,
+            Ending::NotSent | Ending::Withheld => self.unsent += 1,
             Ending::Refused | Ending::Moved => {}
             Ending::Unsure => {
                 self.may_have_run = true;
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -1,5 +1,8 @@
 //! The endpoints, what they are doing and how well.
 
+mod endpoint;
+mod evacuate;
+
 use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -9,7 +12,10 @@
 use slotmap::SlotMap;
 
 use crate::endpoint::{Entry, Key, Load, Process, State};
-use crate::health::Health;
+use crate::evacuation::Evacuations;
+
+pub use endpoint::Endpoint;
+pub(crate) use endpoint::Listed;
 
 /// The largest part of a service's endpoints that rest at once. If most of them
 /// answer badly the cause is elsewhere, and the rest would only be overrun.
@@ -27,38 +33,7 @@
     /// Endpoints that were gone when the store came back from an older copy, and until
     /// when it may still list them.
     gone: HashMap<Process, Duration>,
-}
-
-/// An endpoint, as this host knows it.
-#[derive(Clone, Debug)]
-pub struct Endpoint {
-    /// What the directory says of it.
-    pub entry: Entry,
-    /// Whether it said that it leaves, in an answer or before the store came back from an
-    /// older copy. No listing undoes that: one that was read before, or shows the copy,
-    /// has it as ready. Its next life is another endpoint.
-    pub(crate) has_left: bool,
-    /// Until when it wants nothing of this host, by its own word. However few others there
-    /// are, it would only refuse.
-    pub(crate) unwilling_until: Duration,
-    /// Whether the directory still lists it.
-    pub(crate) listed: Listed,
-    /// Requests of this host that are under way there.
-    pub(crate) flights: u32,
-    /// The time that reading the prompts of those takes that haven't begun to answer.
-    pub(crate) unread: Duration,
-    /// The load that it told last, and the requests sent since.
-    pub(crate) load: Option<(Duration, Load)>,
-    pub(crate) sent_since_load: u32,
-    pub(crate) health: Health,
-}
-
-/// Whether the directory lists an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Listed {
-    Yes,
-    /// Not since this time.
-    Missing(Duration),
+    evacuations: Evacuations,
 }
 
 /// Whether an absent entry means that its endpoint is gone.
@@ -148,7 +123,12 @@
                     change.leaving.push(entry.id.clone());
                 }
                 known.listed = Listed::Yes;
+                let is_elsewhere = known.entry.data_centre != entry.data_centre;
                 known.entry = entry;
+                if is_elsewhere {
+                    let data_centre = known.entry.data_centre.clone();
+                    self.endpoints[key].access = self.access(&data_centre);
+                }
             }
             Ordering::Equal | Ordering::Greater => {
                 change.added.push(entry.id.clone());
@@ -173,7 +153,8 @@
 
     fn insert(&mut self, entry: Entry) -> Key {
         let (id, service) = (entry.id.clone(), entry.service.clone());
-        let key = self.endpoints.insert(Endpoint::new(entry));
+        let access = self.access(&entry.data_centre);
+        let key = self.endpoints.insert(Endpoint::new(entry, access));
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         key
@@ -303,13 +284,6 @@
         }
     }
 
-    /// When the first of a service's endpoints wants requests that takes work at all.
-    pub(crate) fn willing_in(&self, now: Duration, service: &ServiceName) -> Duration {
-        let takes_work = self.of(service).filter(|(_, it)| it.takes_work());
-        let unwilling = takes_work.map(|(_, it)| it.unwilling(now));
-        unwilling.min().unwrap_or_default()
-    }
-
     /// Whether any endpoint is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -355,44 +329,3 @@
         (share / count, (resting + 1.0) / (count + 1.0))
     }
 }
-
-impl Endpoint {
-    fn new(entry: Entry) -> Self {
-        Self {
-            entry,
-            has_left: false,
-            unwilling_until: Duration::ZERO,
-            listed: Listed::Yes,
-            flights: 0,
-            unread: Duration::ZERO,
-            load: None,
-            sent_since_load: 0,
-            health: Health::default(),
-        }
-    }
-
-    /// Whether new work may be sent to it.
-    #[must_use]
-    pub fn takes_work(&self) -> bool {
-        self.listed == Listed::Yes && self.entry.state == State::Ready && !self.has_left
-    }
-
-    /// For how long it wants nothing of this host yet.
-    pub(crate) fn unwilling(&self, now: Duration) -> Duration {
-        self.unwilling_until.saturating_sub(now)
-    }
-
-    fn used(&self, now: Duration, usual: f64) -> f64 {
-        /// How long a load report is believed. Requests last about as long.
-        const BELIEVED: Duration = Duration::from_millis(1_500);
-        let slots = f64::from(self.entry.slots.max(1));
-        let own = f64::from(self.flights);
-        let told = match self.load {
-            Some((at, load)) if now.saturating_sub(at) < BELIEVED => {
-                load.requests() + f64::from(self.sent_since_load)
-            }
-            _ => usual * slots,
-        };
-        own.max(told) / slots
-    }
-}
--- /dev/null
+++ b/crates/route/src/directory/evacuate.rs
@@ -0,0 +1,63 @@
+//! What the directory makes of data centres that operators empty.
+
+use std::time::Duration;
+
+use kernel::{DataCentre, ServiceName};
+
+use super::{Directory, Endpoint};
+use crate::Revision;
+use crate::evacuation::{Access, Evacuation, Evacuations};
+
+impl Directory {
+    /// Which data centres are emptied.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Takes a word on a data centre, and says whether it changes what is used.
+    pub(crate) fn evacuate(&mut self, said: Evacuation) -> bool {
+        let is_change = self.evacuations.hear(said);
+        self.renew_access();
+        is_change
+    }
+
+    /// Takes all that the store has of data centres that are emptied, and says whether it
+    /// changes what is used.
+    pub(crate) fn read_evacuations(&mut self, at: Revision, emptied: Vec<Evacuation>) -> bool {
+        let is_change = self.evacuations.read(at, emptied);
+        self.renew_access();
+        is_change
+    }
+
+    fn renew_access(&mut self) {
+        for it in self.endpoints.values_mut() {
+            it.access = access(&self.evacuations, &it.entry.data_centre);
+        }
+    }
+
+    pub(super) fn access(&self, data_centre: &DataCentre) -> Access {
+        access(&self.evacuations, data_centre)
+    }
+
+    /// When a request for a service may come back that no endpoint takes now.
+    pub(crate) fn willing_in(&self, now: Duration, service: &ServiceName) -> Duration {
+        /// A data centre stays emptied for as long as operators work there: who asks
+        /// more often only hears the same.
+        const EMPTIED: Duration = Duration::from_secs(1);
+        let wait = |it: &Endpoint| match it.access {
+            Access::Open => it.unwilling(now),
+            Access::Emptied => EMPTIED.max(it.unwilling(now)),
+        };
+        let ready = self.of(service).filter(|(_, it)| it.would_take_work());
+        ready.map(|(_, it)| wait(it)).min().unwrap_or_default()
+    }
+}
+
+fn access(evacuations: &Evacuations, data_centre: &DataCentre) -> Access {
+    if evacuations.is_emptied(data_centre) {
+        Access::Emptied
+    } else {
+        Access::Open
+    }
+}
--- a/crates/route/src/quarantine/finished.rs
+++ b/crates/route/src/quarantine/finished.rs
@@ -38,7 +38,7 @@
             Ending::Failed | Ending::Silent | Ending::Unsure | Ending::Cancelled => {
                 Some(Self::Unknown)
             }
-            Ending::NotSent | Ending::Refused | Ending::Moved => None,
+            Ending::NotSent | Ending::Withheld | Ending::Refused | Ending::Moved => None,
         }
     }
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -3,6 +3,7 @@
 mod arrival;
 mod denial;
 mod ends;
+mod evacuate;
 mod expect;
 mod flight;
 mod place;
@@ -285,13 +286,13 @@
         self.finish(now, &flight, ending);
         self.land(now, call, flight, ending);
         call.note(ending);
-        if ending == Ending::NotSent {
+        if ending.is_unsent() {
             call.attempts -= 1;
         }
         if !call.may_repeat(now, ending) || self.quarantine.stops(now, call.print) {
             return Next::Fail(self.failure(now, call, ending));
         }
-        if ending == Ending::NotSent || self.reserve(now, call, ending) {
+        if ending.is_unsent() || self.reserve(now, call, ending) {
             call.spare = Spare::Unasked;
             return Next::Again;
         }
@@ -361,7 +362,7 @@
                     self.rested.push((id, ending));
                 }
             }
-            Ending::Refused | Ending::Cancelled => {}
+            Ending::Withheld | Ending::Refused | Ending::Cancelled => {}
         }
         let failed = match ending {
             Ending::Answered | Ending::Unsure => false,
--- a/crates/route/src/router/ends.rs
+++ b/crates/route/src/router/ends.rs
@@ -7,6 +7,7 @@
 
 use super::{Flight, Router};
 use crate::endpoint::Key;
+use crate::evacuation::Access;
 use crate::quarantine::{Finished, Outcome};
 use crate::{Ending, Quarantine};
 
@@ -35,13 +36,15 @@
     }
 
     /// Endpoints that may have ended, since connections to them broke; those that were
-    /// asked for before are not among them.
+    /// asked for before are not among them, nor those of emptied data centres, to which
+    /// nothing is opened any more.
     pub fn take_doubted(&mut self) -> Vec<(Key, EndpointId, SocketAddr)> {
         let mut doubted = std::mem::take(&mut self.doubted);
         doubted.sort_unstable();
         doubted.dedup();
         let known = |key| {
-            let entry = &self.directory.get(key)?.entry;
+            let it = self.directory.get(key)?;
+            let entry = (it.access == Access::Open).then_some(&it.entry)?;
             Some((key, entry.id.clone(), entry.address))
         };
         doubted.into_iter().filter_map(known).collect()
--- a/crates/route/tests/harness/ends.rs
+++ b/crates/route/tests/harness/ends.rs
@@ -39,7 +39,7 @@
                 self.hosts[self.host].cancel(now, flight);
                 None
             }
-            other => panic!("unknown word {other}"),
+            _ => Some(self.line_of_evacuations(words)),
         }
     }
 
--- /dev/null
+++ b/crates/route/tests/harness/evacuations.rs
@@ -0,0 +1,51 @@
+//! The scripts' words about data centres that operators empty.
+
+use route::evacuation::Access;
+use route::{Evacuation, Revision};
+
+use super::Script;
+use crate::words::Words;
+
+impl Script {
+    /// The words about data centres that operators empty.
+    pub(super) fn line_of_evacuations(&mut self, words: &Words<'_>) -> String {
+        let at = Revision {
+            era: words.number::<u64>("era", 0),
+            version: words.number::<u64>("at", 1),
+        };
+        let said = |data_centre: &str, version, access| Evacuation {
+            data_centre: data_centre.into(),
+            revision: Revision { version, ..at },
+            access,
+        };
+        match words.verb {
+            "empty" => {
+                let said = said(words.rest[0], at.version, Access::Emptied);
+                let is_change = self.router().evacuate(said);
+                if is_change { "emptied" } else { "known" }.to_owned()
+            }
+            "take-back" => {
+                let said = said(words.rest[0], at.version, Access::Open);
+                let is_change = self.router().evacuate(said);
+                if is_change { "taken back" } else { "known" }.to_owned()
+            }
+            "read" => {
+                let emptied = words.rest.iter().map(|it| {
+                    let (data_centre, version) = it.split_once('@').unwrap();
+                    said(data_centre, version.parse().unwrap(), Access::Emptied)
+                });
+                let emptied = emptied.collect();
+                let is_change = self.router().read_evacuations(at, emptied);
+                if is_change { "changed" } else { "known" }.to_owned()
+            }
+            "go-out" => {
+                let flight = self.calls[words.rest[0]].flight.as_ref().unwrap();
+                match self.hosts[self.host].permit(flight) {
+                    Ok(_) => "goes out".to_owned(),
+                    Err(why) => format!("withheld: {why}"),
+                }
+            }
+            other => panic!("unknown word {other}"),
+        }
+    }
+}
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -2,6 +2,8 @@
 
 #[path = "ends.rs"]
 mod ends;
+#[path = "evacuations.rs"]
+mod evacuations;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/route/tests/harness/words.rs
+++ b/crates/route/tests/harness/words.rs
@@ -83,9 +83,11 @@
     }
 }
 
-/// `id@service/release`, with `!` after it for one that drains, and `#` and a
-/// number after the identity for one that tells its life.
+/// `id@service/release`, with `!` after it for one that drains, `#` and a number after the
+/// identity for one that tells its life, and `^` and its data centre at the end if that
+/// isn't `dc1`.
 pub(crate) fn entry(text: &str) -> Entry {
+    let (text, data_centre) = text.split_once('^').unwrap_or((text, "dc1"));
     let (who, rest) = text.split_once('@').unwrap();
     let (id, life) = who.split_once('#').map_or((who, None), |(id, life)| {
         (id, Some(Incarnation(life.parse().unwrap())))
@@ -96,7 +98,7 @@
         incarnation: life,
         service: service.into(),
         address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: DataCentre::from("dc1"),
+        data_centre: DataCentre::from(data_centre),
         release: release.into(),
         slots: 10,
         state: if text.ends_with('!') {
@@ -113,6 +115,7 @@
         "answered" => Ending::Answered,
         "failed" => Ending::Failed,
         "not-sent" => Ending::NotSent,
+        "withheld" => Ending::Withheld,
         "refused" => Ending::Refused,
         "moved" => Ending::Moved,
         "broken" => Ending::Broken,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -44,6 +44,9 @@
 
     RequestHeld, 1604, Warning, "Endpoints end under a request; it is sent to no more of them.";
 
+    DataCentreEmptied, 1650, Warning, "Operators emptied a data centre; nothing more goes to its endpoints.";
+    DataCentreOpen, 1651, Info, "Operators took a data centre back; its endpoints are used again.";
+
     RolloutSeen, 1700, Info, "A roll-out was ordered.";
     RolloutJudged, 1701, Info, "A roll-out came to a verdict.";
     RolloutWritten, 1702, Info, "This host wrote a roll-out's verdict to the store.";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
-use route::{Denial, Ending};
+use route::{Denial, Ending, Withheld};
 
 use crate::{Instruments, Outcome, Report};
 
@@ -23,6 +23,10 @@
         "barleypin_retries_total",
         "Attempts after a request's first one, by how the one before ended.",
     ),
+    (
+        "barleypin_withheld_total",
+        "Attempts whose endpoint was no longer allowed when they were to go out, by reason.",
+    ),
     ("barleypin_attempts_total", "Attempts ended, by ending."),
     (
         "barleypin_strays_total",
@@ -73,6 +77,10 @@
         "barleypin_endpoints_resting",
         "Endpoints that are left alone.",
     ),
+    (
+        "barleypin_data_centres_emptied",
+        "Data centres to whose endpoints nothing is sent.",
+    ),
     ("barleypin_hosts", "Hosts that callers are sent to."),
     (
         "barleypin_reads_for_all",
@@ -128,6 +136,8 @@
     pub endpoints: u64,
     /// Endpoints that are left alone.
     pub resting: u64,
+    /// Data centres to whose endpoints nothing is sent.
+    pub data_centres_emptied: u64,
     /// Hosts that callers are sent to.
     pub hosts: u64,
     /// Whether this host reads the store for all, as 1 or 0.
@@ -166,6 +176,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    withheld: Counter<u64>,
     attempts: Counter<u64>,
     strays: Counter<u64>,
     connections: Counter<u64>,
@@ -181,6 +192,7 @@
     listing_age: Gauge<f64>,
     endpoints: Gauge<u64>,
     resting: Gauge<u64>,
+    data_centres_emptied: Gauge<u64>,
     hosts: Gauge<u64>,
     reads_for_all: Gauge<u64>,
     link_connections: Gauge<u64>,
@@ -206,6 +218,7 @@
             requests: it.counter("requests"),
             refusals: it.counter("refusals"),
             retries: it.counter("retries"),
+            withheld: it.counter("withheld"),
             attempts: it.counter("attempts"),
             strays: it.counter("strays"),
             connections: it.counter("connections"),
@@ -221,6 +234,7 @@
             listing_age: it.real("listing_age_seconds"),
             endpoints: it.whole("endpoints"),
             resting: it.whole("endpoints_resting"),
+            data_centres_emptied: it.whole("data_centres_emptied"),
             hosts: it.whole("hosts"),
             reads_for_all: it.whole("reads_for_all"),
             link_connections: it.whole("link_connections"),
@@ -288,6 +302,11 @@
         self.retries.add(1, &[label("reason", ending.to_string())]);
     }
 
+    /// Counts an attempt whose endpoint was no longer allowed when it was to go out.
+    pub fn withheld(&self, reason: Withheld) {
+        self.withheld.add(1, &[label("reason", reason.to_string())]);
+    }
+
     /// Counts an endpoint that is left alone.
     pub fn ejection(&self, reason: Ending) {
         self.ejections
@@ -316,6 +335,8 @@
         self.listing_age.record(gauges.listing_age, &[]);
         self.endpoints.record(gauges.endpoints, &[]);
         self.resting.record(gauges.resting, &[]);
+        self.data_centres_emptied
+            .record(gauges.data_centres_emptied, &[]);
         self.hosts.record(gauges.hosts, &[]);
         self.reads_for_all.record(gauges.reads_for_all, &[]);
         self.link_connections.record(gauges.links.connections, &[]);
@@ -373,6 +394,9 @@
             self.ejections
                 .add(0, &[label("reason", ending.to_string())]);
         }
+        for reason in Withheld::ALL {
+            self.withheld.add(0, &[label("reason", reason.to_string())]);
+        }
         self.strays.add(0, &[]);
         self.lines_dropped.add(0, &[]);
     }
