Have few hosts bear each cold endpoint

Cause: an endpoint that has just started looks idle to all hosts at once; what kept them off was a flat price in placing, which load elsewhere outweighs, and nothing bounds what all send together. Endpoints of a data centre that is taken back have the same and no entry that says so yet. Change: a service's configuration says what its endpoints bear after a start. Of the hosts that know each other, heard or not, as many as requests a second come first for a cold endpoint by a hash of both, and each of these spaces its requests a second and more apart; the others leave it alone, and so does a host that may not know all others yet (two seconds after it has found them). It is asked for at the first byte, with the Permit. A data centre that is taken back counts as cold for as long as a start takes. Homes of shared parts and the filling of a release pass over cold endpoints, the same ones on all hosts. The flat price stays.

--- a/crates/host/src/follow/evacuations.rs
+++ b/crates/host/src/follow/evacuations.rs
@@ -17,15 +17,17 @@
     emptied: Vec<Evacuation>,
 ) {
     change(life, || {
-        life.node.router().read_evacuations(at, emptied);
+        let now = life.node.now();
+        life.node.router().read_evacuations(now, at, emptied);
     });
 }
 
 /// Takes words on data centres, from the store or from another host.
 pub(crate) fn hear<S: Store, D: Dialect>(life: &Life<S, D>, said: Vec<Evacuation>) {
     change(life, || {
+        let (now, mut router) = (life.node.now(), life.node.router());
         for it in said {
-            life.node.router().evacuate(it);
+            router.evacuate(now, it);
         }
     });
 }
--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use kernel::{HostName, Incarnation, hash};
+use route::Peers;
 
 use super::{Graph, Record, State};
 use crate::Member;
@@ -158,7 +159,13 @@
         self.fingerprint
     }
 
-    pub(super) fn epoch(&self) -> u64 {
+    /// The hosts that share what cold endpoints take: all that are known.
+    #[must_use]
+    pub fn peers(&self) -> Peers {
+        Peers::new(&self.own, self.known.keys())
+    }
+
+    pub(crate) fn epoch(&self) -> u64 {
         self.epoch
     }
 
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -79,6 +79,10 @@
     pub(crate) greeted: Cell<bool>,
     /// How many hosts the store listed then.
     pub(crate) found: Cell<Option<usize>>,
+    /// When that was.
+    pub(crate) joined: Cell<Option<Duration>>,
+    /// The hosts that the router knows of, by the roster's epoch.
+    peers: Cell<Option<u64>>,
     /// Whether this host is in the store's listing.
     pub(crate) is_enlisted: Cell<bool>,
     /// This host's end of the links to the others, once it has joined them.
@@ -154,6 +158,8 @@
             looked: Cell::new(false),
             greeted: Cell::new(false),
             found: Cell::new(None),
+            joined: Cell::new(None),
+            peers: Cell::new(None),
             is_enlisted: Cell::new(false),
             link: RefCell::default(),
             era: Cell::new(None),
@@ -282,6 +288,19 @@
         }
         let hosts = u32::try_from(gossip.roster().count()).unwrap_or(u32::MAX);
         self.node.router().set_hosts(hosts);
+        let epoch = Some(gossip.roster().epoch());
+        if self.knows_hosts() && self.peers.replace(epoch) != epoch {
+            let peers = gossip.roster().peers();
+            self.node.router().set_peers(Some(peers));
+        }
+    }
+
+    /// Whether this host surely knows the others: it has found them in the store's listing,
+    /// and such as started at the same moment have had the time to tell it.
+    fn knows_hosts(&self) -> bool {
+        const TELLING: Duration = Duration::from_secs(2);
+        let joined = self.joined.get();
+        joined.is_some_and(|it| self.node.now() >= it + TELLING)
     }
 
     /// Whether the store was reached lately.
@@ -330,6 +349,7 @@
             held,
         } = joined.ok()?;
         self.found.set(Some(members.len()));
+        self.joined.set(Some(self.node.now()));
         self.is_enlisted.set(members.contains(&self.own));
         let now = self.node.now();
         self.gossip.borrow_mut().list(now, members);
--- a/crates/route/src/config/service.rs
+++ b/crates/route/src/config/service.rs
@@ -2,6 +2,8 @@
 
 use kernel::{ModelName, ServiceName};
 
+use crate::WarmUp;
+
 /// A set of endpoints that do the same work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -9,6 +11,8 @@
     pub name: ServiceName,
     /// The connections that one endpoint takes from all hosts together.
     pub max_connections: u32,
+    /// What its endpoints bear after a start, if that is less than usual.
+    pub warm_up: Option<WarmUp>,
     /// What its endpoints are if they run models.
     pub engine: Option<Engine>,
 }
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -2,6 +2,7 @@
 
 mod endpoint;
 mod evacuate;
+mod warmth;
 
 use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
@@ -13,6 +14,7 @@
 
 use crate::endpoint::{Entry, Key, Load, Process, State};
 use crate::evacuation::Evacuations;
+use crate::warm_up::{Peers, WarmUp};
 
 pub use endpoint::Endpoint;
 pub(crate) use endpoint::Listed;
@@ -34,6 +36,9 @@
     /// when it may still list them.
     gone: HashMap<Process, Duration>,
     evacuations: Evacuations,
+    warm_ups: HashMap<ServiceName, WarmUp>,
+    /// The hosts that share what cold endpoints take, once this host knows them.
+    peers: Option<Peers>,
 }
 
 /// Whether an absent entry means that its endpoint is gone.
@@ -105,6 +110,7 @@
         if absence == Absence::Gone {
             self.miss(now, &seen, &mut change);
         }
+        self.renew_warmth(now);
         change
     }
 
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::warmth::Warmth;
 use crate::endpoint::{Entry, Load, State};
 use crate::evacuation::Access;
 use crate::health::Health;
@@ -17,6 +18,8 @@
     pub(crate) has_left: bool,
     /// Whether operators have emptied its data centre.
     pub(crate) access: Access,
+    /// Whether it is cold.
+    pub(crate) warmth: Warmth,
     /// Until when it wants nothing of this host, by its own word. However few others there
     /// are, it would only refuse.
     pub(crate) unwilling_until: Duration,
@@ -46,6 +49,7 @@
             entry,
             has_left: false,
             access,
+            warmth: Warmth::default(),
             unwilling_until: Duration::ZERO,
             listed: Listed::Yes,
             flights: 0,
@@ -67,9 +71,10 @@
         self.listed == Listed::Yes && self.entry.state == State::Ready && !self.has_left
     }
 
-    /// For how long it wants nothing of this host yet.
-    pub(crate) fn unwilling(&self, now: Duration) -> Duration {
-        self.unwilling_until.saturating_sub(now)
+    /// For how long this host may send it nothing yet: it wants nothing, or is cold.
+    pub(crate) fn wait(&self, now: Duration) -> Duration {
+        let unwilling = self.unwilling_until.saturating_sub(now);
+        unwilling.max(self.warmth.wait(now))
     }
 
     pub(super) fn used(&self, now: Duration, usual: f64) -> f64 {
--- a/crates/route/src/directory/evacuate.rs
+++ b/crates/route/src/directory/evacuate.rs
@@ -16,24 +16,34 @@
     }
 
     /// Takes a word on a data centre, and says whether it changes what is used.
-    pub(crate) fn evacuate(&mut self, said: Evacuation) -> bool {
+    pub(crate) fn evacuate(&mut self, now: Duration, said: Evacuation) -> bool {
         let is_change = self.evacuations.hear(said);
-        self.renew_access();
+        self.renew_access(now);
         is_change
     }
 
     /// Takes all that the store has of data centres that are emptied, and says whether it
     /// changes what is used.
-    pub(crate) fn read_evacuations(&mut self, at: Revision, emptied: Vec<Evacuation>) -> bool {
+    pub(crate) fn read_evacuations(
+        &mut self,
+        now: Duration,
+        at: Revision,
+        emptied: Vec<Evacuation>,
+    ) -> bool {
         let is_change = self.evacuations.read(at, emptied);
-        self.renew_access();
+        self.renew_access(now);
         is_change
     }
 
-    fn renew_access(&mut self) {
+    fn renew_access(&mut self, now: Duration) {
         for it in self.endpoints.values_mut() {
-            it.access = access(&self.evacuations, &it.entry.data_centre);
+            let access = access(&self.evacuations, &it.entry.data_centre);
+            let before = std::mem::replace(&mut it.access, access);
+            if (before, access) == (Access::Emptied, Access::Open) {
+                Self::return_to_use(now, &self.warm_ups, it);
+            }
         }
+        self.renew_shares();
     }
 
     pub(super) fn access(&self, data_centre: &DataCentre) -> Access {
@@ -46,8 +56,8 @@
         /// more often only hears the same.
         const EMPTIED: Duration = Duration::from_secs(1);
         let wait = |it: &Endpoint| match it.access {
-            Access::Open => it.unwilling(now),
-            Access::Emptied => EMPTIED.max(it.unwilling(now)),
+            Access::Open => it.wait(now),
+            Access::Emptied => EMPTIED.max(it.wait(now)),
         };
         let ready = self.of(service).filter(|(_, it)| it.would_take_work());
         ready.map(|(_, it)| wait(it)).min().unwrap_or_default()
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -40,6 +40,13 @@
     pub cold: Duration,
 }
 
+impl Process {
+    /// A host's place in an order of hosts that is this process' own.
+    pub(crate) fn rank(self, host: u64) -> u64 {
+        hash::of(&(self.0, host))
+    }
+}
+
 impl Entry {
     /// The life of the endpoint that this entry is of.
     #[must_use]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,6 +23,7 @@
 mod router;
 mod sessions;
 mod settings;
+mod warm_up;
 
 pub use budget::Budget;
 pub use call::{Call, Ending, Failure, Next, Shape};
@@ -37,3 +38,4 @@
 pub use rollout::Rollout;
 pub use router::{Arrival, Denial, Flight, Heard, Placement, Router};
 pub use settings::Settings;
+pub use warm_up::{Peers, WarmUp};
--- a/crates/route/src/permit.rs
+++ b/crates/route/src/permit.rs
@@ -21,9 +21,12 @@
     /// It leaves, or is gone.
     #[display("leaving")]
     Leaving,
+    /// It is cold, and this host's share of what it takes is used up.
+    #[display("cold")]
+    Cold,
 }
 
 impl Withheld {
     /// Every reason.
-    pub const ALL: [Self; 2] = [Self::Emptied, Self::Leaving];
+    pub const ALL: [Self; 3] = [Self::Emptied, Self::Leaving, Self::Cold];
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -99,6 +99,10 @@
         if self.version().is_some_and(|it| it >= config.version) {
             return false;
         }
+        let warm_ups = config
+            .services()
+            .filter_map(|it| Some((it.name.clone(), it.warm_up?)));
+        self.directory.set_warm_ups(warm_ups.collect());
         self.config = Some(config);
         true
     }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -143,7 +143,7 @@
             if it.entry.data_centre != self.settings.data_centre {
                 score += FAR;
             }
-            if !it.entry.cold.is_zero() {
+            if it.warmth.is_cold(now) {
                 score += COLD;
             }
             if fill == Some(key) {
@@ -167,7 +167,7 @@
         let rollout = self.rollouts.get(&call.service);
         self.directory
             .of(&call.service)
-            .filter(|(_, it)| allows(now, call, strict, rollout, it))
+            .filter(|(_, it)| allows(now, call, strict, rollout, it) && !it.warmth.is_cold(now))
             .map(|(key, it)| (hash::of(&(part, model, it.entry.id.as_str())), key))
             .max()
             .map(|it| it.1)
@@ -204,6 +204,8 @@
         self.directory
             .of(&call.service)
             .filter(|(_, it)| allows(now, call, Strictness::Fresh, Some(rollout), it))
+            // Whatever is in this host's share, the others would choose another one.
+            .filter(|(_, it)| !it.warmth.is_cold(now))
             .max_by_key(|(_, it)| hash::of(it.entry.id.as_str()))
             .map(|it| it.0)
     }
@@ -220,7 +222,7 @@
         (Some(rollout), Some(side)) => rollout.fits(side, &it.entry.release),
         _ => true,
     };
-    let is_open = it.takes_work() && it.unwilling(now).is_zero();
+    let is_open = it.takes_work() && it.wait(now).is_zero();
     fits && is_open && (strict > Strictness::Fresh || !it.health.is_resting(now))
 }
 
--- a/crates/route/tests/harness/evacuations.rs
+++ b/crates/route/tests/harness/evacuations.rs
@@ -9,6 +9,7 @@
 impl Script {
     /// The words about data centres that operators empty.
     pub(super) fn line_of_evacuations(&mut self, words: &Words<'_>) -> String {
+        let now = self.now;
         let at = Revision {
             era: words.number::<u64>("era", 0),
             version: words.number::<u64>("at", 1),
@@ -21,12 +22,12 @@
         match words.verb {
             "empty" => {
                 let said = said(words.rest[0], at.version, Access::Emptied);
-                let is_change = self.router().evacuate(said);
+                let is_change = self.router().evacuate(now, said);
                 if is_change { "emptied" } else { "known" }.to_owned()
             }
             "take-back" => {
                 let said = said(words.rest[0], at.version, Access::Open);
-                let is_change = self.router().evacuate(said);
+                let is_change = self.router().evacuate(now, said);
                 if is_change { "taken back" } else { "known" }.to_owned()
             }
             "read" => {
@@ -35,12 +36,12 @@
                     said(data_centre, version.parse().unwrap(), Access::Emptied)
                 });
                 let emptied = emptied.collect();
-                let is_change = self.router().read_evacuations(at, emptied);
+                let is_change = self.router().read_evacuations(now, at, emptied);
                 if is_change { "changed" } else { "known" }.to_owned()
             }
             "go-out" => {
                 let flight = self.calls[words.rest[0]].flight.as_ref().unwrap();
-                match self.hosts[self.host].permit(flight) {
+                match self.hosts[self.host].permit(now, flight) {
                     Ok(_) => "goes out".to_owned(),
                     Err(why) => format!("withheld: {why}"),
                 }
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -14,7 +14,7 @@
 use route::directory::Absence;
 use route::endpoint::Load;
 use route::rollout::{Order, Scope, Verdict};
-use route::{Arrival, Call, Ending, Flight, Placement, Revision, Router, Shape};
+use route::{Arrival, Call, Ending, Flight, Placement, Revision, Router, Shape, WarmUp};
 
 use crate::words::{Words, ending_of, entry, route, settings};
 
@@ -70,6 +70,10 @@
                 "service" => services.push(Service {
                     name: words.rest[0].into(),
                     max_connections: words.number::<u32>("connections", 100),
+                    warm_up: words.text("warm-up").map(|it| WarmUp {
+                        span: Duration::from_secs(3),
+                        rate: it.parse().unwrap(),
+                    }),
                     engine: None,
                 }),
                 "customer" => customers.push(Customer {
--- /dev/null
+++ b/crates/route/tests/warm_up.rs
@@ -0,0 +1,205 @@
+//! What all hosts together send to cold endpoints, counted where it arrives.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::HostName;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use route::config::{Access, Answer, Config, Limits, Repeat, Route, Service, Target};
+use route::directory::Absence;
+use route::endpoint::{Entry, State};
+use route::{Arrival, Ending, Peers, Router, Settings, Shape, WarmUp};
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(10);
+const COLD: Duration = Duration::from_secs(6);
+const ENDPOINTS: usize = 4;
+
+/// A fleet whose hosts all have more requests than the endpoints bear, and what it may do.
+struct Fleet {
+    hosts: usize,
+    rate: f64,
+    /// The part of the others that a host doesn't know.
+    unknown: f64,
+    /// How long requests are under way, at most.
+    way: Duration,
+    seed: u64,
+}
+
+impl Fleet {
+    /// When requests arrive at each endpoint.
+    fn play(&self) -> Vec<Vec<Duration>> {
+        let mut rng = Pcg32::seed_from_u64(self.seed);
+        let names: Vec<HostName> = (0..self.hosts)
+            .map(|nr| HostName::from(format!("host-{nr}")))
+            .collect();
+        let mut hosts: Vec<_> = names
+            .iter()
+            .map(|own| {
+                let known = names.iter().filter(|_| rng.random::<f64>() >= self.unknown);
+                let peers = Peers::new(own, known);
+                let mut host = router(self.rate, rng.random());
+                // Their clocks differ, and so does what they were told last.
+                let clock = Duration::from_secs_f64(100.0 * rng.random::<f64>());
+                let age = SECOND.mul_f64(rng.random());
+                host.list(clock, entries(age), Absence::Gone);
+                host.set_peers(Some(peers));
+                (clock, host)
+            })
+            .collect();
+        let mut arrivals = vec![Vec::new(); ENDPOINTS];
+        let mut now = Duration::ZERO;
+        while now + SECOND < COLD {
+            for (clock, host) in &mut hosts {
+                if let Some(to) = send(host, *clock + now) {
+                    arrivals[to].push(now + self.way.mul_f64(rng.random()));
+                }
+            }
+            now += STEP;
+        }
+        arrivals
+    }
+
+    fn most_in_a_second(&self) -> usize {
+        let most = |mut times: Vec<Duration>| {
+            times.sort_unstable();
+            let from = |at: &Duration| {
+                let end = *at + SECOND;
+                times.iter().filter(|it| (*at..end).contains(*it)).count()
+            };
+            times.iter().map(from).max().unwrap_or_default()
+        };
+        self.play().into_iter().map(most).max().unwrap_or_default()
+    }
+}
+
+fn router(rate: f64, seed: u64) -> Router {
+    let mut router = Router::new(
+        Settings {
+            data_centre: "dc1".into(),
+            retry_ratio: 0.9,
+            retry_slack: 10.0,
+            retry_window: Duration::from_secs(10),
+            exposure_share: 0.15,
+            exposure_slack: 30.0,
+            session_gap: Duration::from_secs(5),
+        },
+        seed,
+    );
+    let service = Service {
+        name: "pool".into(),
+        max_connections: 100,
+        warm_up: Some(WarmUp { span: COLD, rate }),
+        engine: None,
+    };
+    let route = Route {
+        name: "draft".into(),
+        host: "shop".to_owned(),
+        prefix: "/".to_owned(),
+        targets: vec![Target {
+            service: "pool".into(),
+            weight: 1.0,
+        }],
+        repeat: Repeat::Idempotent,
+        answer: Answer::Whole,
+        attempts: 3,
+        timeout: Duration::from_secs(5),
+        aim: SECOND,
+        priority: 0,
+        access: Access::Public,
+        models: Vec::new(),
+    };
+    let limits = Limits::default();
+    router.configure(Arc::new(Config::new(
+        1,
+        limits,
+        vec![service],
+        Vec::new(),
+        vec![route],
+    )));
+    router
+}
+
+fn entries(age: Duration) -> Vec<Entry> {
+    let entry = |nr| Entry {
+        id: format!("e{nr}").as_str().into(),
+        incarnation: None,
+        service: "pool".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "dc2".into(),
+        release: "v1".into(),
+        slots: 10,
+        state: State::Ready,
+        cold: COLD.saturating_sub(age),
+    };
+    (0..ENDPOINTS).map(entry).collect()
+}
+
+/// Sends a request if the host lets it out, and says where to.
+fn send(host: &mut Router, now: Duration) -> Option<usize> {
+    let arrival = Arrival {
+        id: "q",
+        host: "shop",
+        path: "/",
+        body: &[],
+        key: None,
+        patience: None,
+        shape: Shape::default(),
+    };
+    let mut call = host.admit(now, arrival).unwrap();
+    let placement = host.place(now, &mut call)?;
+    let flight = host.begin(now, &mut call, &placement);
+    let permit = host.permit(now, &flight);
+    let is_out = permit.is_ok();
+    let ending = if is_out {
+        Ending::Answered
+    } else {
+        Ending::Withheld
+    };
+    host.end(now, &mut call, flight, ending);
+    is_out.then(|| placement.id.as_str()[1..].parse().unwrap())
+}
+
+/// All hosts send what they have to an endpoint that has just started.
+#[test]
+fn hosts_that_know_each_other_stay_within_the_rate() {
+    for (nr, hosts) in [1, 2, 5, 6, 7, 8, 30, 84, 300].into_iter().enumerate() {
+        for rate in [0.5, 1.0, 7.6, 40.0] {
+            let fleet = Fleet {
+                hosts,
+                rate,
+                unknown: 0.0,
+                way: Duration::from_millis(40),
+                seed: nr as u64,
+            };
+            let most = fleet.most_in_a_second();
+            let bound = rate.ceil();
+            assert!(
+                f64::from(u32::try_from(most).unwrap()) <= bound,
+                "{hosts} hosts, {rate} a second: {most}"
+            );
+            assert!(most > 0, "{hosts} hosts, {rate} a second");
+        }
+    }
+}
+
+/// Hosts that don't know many others yet take themselves for those that bear an endpoint.
+#[test]
+fn hosts_that_dont_know_all_send_more_in_that_proportion() {
+    const RATE: f64 = 7.6;
+    let unknown = 0.3;
+    let mut most = 0;
+    for seed in 0..20 {
+        let fleet = Fleet {
+            hosts: 84,
+            rate: RATE,
+            unknown,
+            way: Duration::from_millis(40),
+            seed,
+        };
+        most = most.max(fleet.most_in_a_second());
+    }
+    println!("{most} in a second");
+    assert!(most <= 16, "{most}");
+}
