Hand on what changes in the listing of endpoints

A reader begins its next reading a second after the end of the last one, which takes most of a second over ten megabits. What is handed on is the reading itself, not the directory's view of it.

--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -5,12 +5,12 @@
 
 use async_std::task::sleep;
 use forward::Dialect;
-use kernel::hash;
 use route::directory::Absence;
-use route::endpoint::{Entry, State};
+use route::endpoint::Entry;
 
 use super::{configured, pause};
 use crate::life::{Life, Listed};
+use crate::listing::fingerprint;
 use crate::{Backoff, Outage, Store, say};
 
 /// How often the listing of endpoints is read. An endpoint that leaves may get
@@ -49,7 +49,9 @@
                 life.confirm(began);
             }
             life.hurry();
-            sleep(PERIOD).await;
+            // A long listing takes most of a second to read: begun a second after the last
+            // one's end, each would be so old that all hosts read it themselves.
+            sleep(PERIOD.saturating_sub(node.now().saturating_sub(began))).await;
         } else {
             outage.fail(node.now());
             life.back_off(&mut backoff).await;
@@ -86,6 +88,7 @@
         absence,
         fingerprint: fingerprint(&entries),
     };
+    life.listing.borrow_mut().take(&entries);
     life.listed.set(Some(listed));
     if before.is_none_or(|it| !it.covers(listed.fingerprint, absence)) {
         life.hurry();
@@ -94,17 +97,3 @@
     let age = life.node.now().saturating_sub(at);
     say::endpoints(life, &change, age);
 }
-
-/// A number that tells two listings apart by what hosts go by.
-fn fingerprint(entries: &[Entry]) -> u64 {
-    let mut facts: Vec<_> = entries
-        .iter()
-        .map(|it| {
-            let is_ready = it.state == State::Ready;
-            let who = (&it.id, it.incarnation, &it.service, it.address, &it.release);
-            (who, it.slots, is_ready, it.cold.is_zero())
-        })
-        .collect();
-    facts.sort();
-    hash::of(&facts)
-}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -11,6 +11,7 @@
 mod follow;
 pub mod gossip;
 mod life;
+pub mod listing;
 mod member;
 mod message;
 mod outage;
--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -24,6 +24,7 @@
 use crate::addresses::Address;
 use crate::follow::{documents, endpoints, ends, members, verdicts};
 use crate::gossip::{Contact, Gossip, State};
+use crate::listing::Listing;
 use crate::message::{Message, Question};
 use crate::{Backoff, Joined, Judgement, Member, Store, say, talk};
 
@@ -53,7 +54,9 @@
     pub(crate) node: Rc<Node<D>>,
     pub(crate) gossip: RefCell<Gossip>,
     pub(crate) judgements: RefCell<HashMap<ServiceName, Judgement>>,
-    /// The listing of endpoints that is in use.
+    /// The listing of endpoints that is in use, as it is handed on.
+    pub(crate) listing: RefCell<Listing>,
+    /// The same, as it is compared with others.
     pub(crate) listed: Cell<Option<Listed>>,
     pub(crate) config_text: RefCell<Option<Arc<[u8]>>>,
     /// What another host is being asked for.
@@ -151,6 +154,7 @@
         let (hurry, changes) = bounded(1);
         Rc::new(Self {
             gossip: RefCell::new(Gossip::new(own.clone(), Incarnation(seed), node.now())),
+            listing: RefCell::default(),
             listed: Cell::new(None),
             config_text: RefCell::default(),
             asking: RefCell::default(),
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -9,6 +9,7 @@
 
 use crate::Judgement;
 use crate::gossip::{Comparison, Digest, Pulse, Record};
+use crate::listing::Change;
 
 /// What hosts say to each other.
 ///
@@ -35,6 +36,8 @@
     Ends(quarantine::News),
     /// What operators said of data centres.
     Evacuations(Vec<Evacuation>),
+    /// What has changed in the listing of endpoints.
+    ListingChange(ListingChange),
 }
 
 /// What a host asks another for.
@@ -50,6 +53,8 @@
     Life,
     /// What it knows of endpoints that ended.
     Ends,
+    /// What has changed since the listing with this fingerprint, or all of it.
+    ListingSince(u64),
 }
 
 /// What a host knows.
@@ -95,6 +100,15 @@
     pub(crate) age: Duration,
 }
 
+/// What has changed in the listing of endpoints since one that the other host has.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ListingChange {
+    pub(crate) change: Change,
+    pub(crate) absence: Absence,
+    /// How long ago the listing was read that it leads to.
+    pub(crate) age: Duration,
+}
+
 /// All that a host knows. A host that took the configuration alone would serve by it
 /// before it knows which release is on trial, which sessions stay off it, and which data
 /// centres are emptied.
--- a/crates/host/src/talk/answer.rs
+++ b/crates/host/src/talk/answer.rs
@@ -6,7 +6,7 @@
 use super::{ends, evacuations, news};
 use crate::Store;
 use crate::life::Life;
-use crate::message::{Known, Listing, Message, Question};
+use crate::message::{Known, Listing, ListingChange, Message, Question};
 
 pub(super) fn answer<S: Store, D: Dialect>(life: &Life<S, D>, question: Question) -> Message {
     match question {
@@ -20,6 +20,7 @@
         })),
         Question::Comparison(digest) => Message::Comparison(life.gossip.borrow().compare(&digest)),
         Question::Life => Message::Nothing,
+        Question::ListingSince(from) => listing_since(life, from),
         Question::Ends => Message::Ends(ends(life, Scope::All)),
     }
 }
@@ -28,11 +29,23 @@
     life.config_text.borrow().as_ref().map(|it| it.to_vec())
 }
 
+/// What has changed since a listing, or all of it where that isn't remembered.
+fn listing_since<S: Store, D: Dialect>(life: &Life<S, D>, from: u64) -> Message {
+    let change = life.listing.borrow().since(from);
+    if let (Some(change), Some(listed)) = (change, life.listed.get()) {
+        return Message::ListingChange(ListingChange {
+            change,
+            absence: listed.absence,
+            age: life.node.now().saturating_sub(listed.at),
+        });
+    }
+    listing(life).map_or(Message::Nothing, Message::Listing)
+}
+
 fn listing<S: Store, D: Dialect>(life: &Life<S, D>) -> Option<Listing> {
     let listed = life.listed.get()?;
-    let router = life.node.router();
     Some(Listing {
-        entries: router.directory().listed().cloned().collect(),
+        entries: life.listing.borrow().entries().cloned().collect(),
         absence: listed.absence,
         age: life.node.now().saturating_sub(listed.at),
     })
--- a/crates/host/src/talk/ask.rs
+++ b/crates/host/src/talk/ask.rs
@@ -14,6 +14,10 @@
 
 /// How long an answer of another host may take.
 const ANSWER: Duration = Duration::from_millis(400);
+/// The same for an answer with a whole listing: hundreds of kilobytes, over links of ten
+/// megabits that callers use too. Given up sooner, it is asked for again and again, and
+/// never comes whole.
+const LONG_ANSWER: Duration = Duration::from_secs(2);
 
 /// Asks another host for what it has newer, one question of a kind at a time.
 pub(super) fn ask_once<S: Store, D: Dialect>(
@@ -43,8 +47,12 @@
     peer: &Peer,
     question: Question,
 ) -> Option<Message> {
+    let limit = match question {
+        Question::Listing | Question::ListingSince(_) => LONG_ANSWER,
+        _ => ANSWER,
+    };
     let frame = life.frame(&Message::Ask(question))?;
-    let Ok(Frame::Decide(payload)) = link.ask(peer, &frame, ANSWER).await else {
+    let Ok(Frame::Decide(payload)) = link.ask(peer, &frame, limit).await else {
         return None;
     };
     postcard::from_bytes(&payload.bytes).ok()
--- a/crates/host/src/talk/learn.rs
+++ b/crates/host/src/talk/learn.rs
@@ -13,7 +13,7 @@
 use crate::follow::{documents, endpoints, evacuations, verdicts};
 use crate::gossip::Record;
 use crate::life::{Life, Listed, is_much_later};
-use crate::message::{Known, Listing, ListingNews, Message, News, Question};
+use crate::message::{Known, Listing, ListingChange, ListingNews, Message, News, Question};
 
 /// Takes a host's news, and has told on at once what is much later than was known:
 /// what one host reads goes round them all within some milliseconds a hop.
@@ -114,6 +114,7 @@
     match answer {
         Message::Config(text) => config(life, text),
         Message::Listing(it) => listing(life, it),
+        Message::ListingChange(it) => listing_change(life, link, from, &it),
         Message::Known(it) => known(life, link, from, *it),
         Message::Comparison(it) => {
             let now = life.node.now();
@@ -159,6 +160,25 @@
     endpoints::list(life, at, it.entries, it.absence);
 }
 
+/// Takes what has changed in the listing; all of it is asked for where this host's own has
+/// changed meanwhile, or leads elsewhere.
+fn listing_change<S: Store, D: Dialect>(
+    life: &Rc<Life<S, D>>,
+    link: &Link,
+    from: &Peer,
+    it: &ListingChange,
+) {
+    let changed = life.listing.borrow().changed(&it.change);
+    match changed {
+        Some(entries) => {
+            let at = read_at(life.node.now(), it.age);
+            endpoints::list(life, at, entries, it.absence);
+        }
+        None if life.listing.borrow().fingerprint() == Some(it.change.to) => {}
+        None => ask::ask_once(life, link, from, Question::Listing),
+    }
+}
+
 /// When something was read whose age another host told.
 fn read_at(now: Duration, age: Duration) -> Duration {
     /// What news takes to arrive, at least. Without it, an age would grow too
@@ -187,8 +207,11 @@
             life.node.router().confirm_listing(at);
             is_much_later(at, Some(own.at))
         }
-        _ => {
-            ask::ask_once(life, link, from, Question::Listing);
+        known => {
+            let question = known.map_or(Question::Listing, |it| {
+                Question::ListingSince(it.fingerprint)
+            });
+            ask::ask_once(life, link, from, question);
             false
         }
     }
--- /dev/null
+++ b/crates/host/tests/listing.rs
@@ -0,0 +1,121 @@
+//! The listing of endpoints, handed on among hosts.
+
+use std::time::Duration;
+
+use host::listing::{Change, Listing, fingerprint};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use route::endpoint::{Entry, State};
+
+fn entry(nr: u32) -> Entry {
+    Entry {
+        id: format!("i-{nr:010x}").as_str().into(),
+        incarnation: None,
+        service: "huvo11a".into(),
+        address: "10.1.64.26:8301".parse().unwrap(),
+        data_centre: "kariakoo".into(),
+        release: "v1".into(),
+        slots: 12,
+        state: State::Ready,
+        cold: Duration::ZERO,
+    }
+}
+
+/// Some endpoints come, go, leave or turn cold.
+fn next(rng: &mut Pcg32, entries: &mut Vec<Entry>, changes: usize, newest: &mut u32) {
+    for _ in 0..changes {
+        let place = rng.random_range(0..entries.len());
+        match rng.random_range(0..4) {
+            0 => {
+                *newest += 1;
+                entries.push(entry(*newest));
+            }
+            1 => drop(entries.swap_remove(place)),
+            2 => entries[place].state = State::Draining,
+            _ => entries[place].cold = Duration::from_millis(rng.random_range(0..3_000)),
+        }
+    }
+}
+
+fn sorted(entries: impl Iterator<Item = Entry>) -> Vec<Entry> {
+    let mut entries: Vec<_> = entries.collect();
+    entries.sort_by(|a, b| a.id.cmp(&b.id));
+    entries
+}
+
+/// A host that hears of some listings only comes to the same one as the host that read all.
+#[test]
+fn changes_lead_to_the_same_listing() {
+    for seed in 0..50 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut newest = 40;
+        let mut entries: Vec<_> = (0..newest).map(entry).collect();
+        let (mut reader, mut other) = (Listing::default(), Listing::default());
+        let (mut changes, mut wholes) = (0, 0);
+        for _ in 0..200 {
+            let count = rng.random_range(0..4);
+            next(&mut rng, &mut entries, count, &mut newest);
+            reader.take(&entries);
+            if rng.random::<f64>() < 0.6 {
+                continue;
+            }
+            let known = other.fingerprint();
+            let change = known.and_then(|it| reader.since(it));
+            match change.and_then(|it| other.changed(&it)) {
+                Some(taken) => {
+                    other.take(&taken);
+                    changes += 1;
+                }
+                None if known == reader.fingerprint() => {}
+                None => {
+                    other.take(&entries);
+                    wholes += 1;
+                }
+            }
+            assert_eq!(other.fingerprint(), Some(fingerprint(&entries)), "seed {seed}");
+            let held = sorted(other.entries().cloned()).into_iter();
+            let is_same = |(held, read): (Entry, Entry)| {
+                held.state == read.state && held.cold.is_zero() == read.cold.is_zero()
+            };
+            assert!(held.zip(sorted(entries.iter().cloned())).all(is_same), "seed {seed}");
+        }
+        assert!(changes > 3 * wholes, "seed {seed}: {changes} and {wholes}");
+    }
+}
+
+/// A change of one listing is taken for a change of another: endpoints that are gone come
+/// back, or new ones are missing.
+#[test]
+fn a_change_of_another_listing_is_not_taken() {
+    let mut listing = Listing::default();
+    listing.take(&[entry(1), entry(2)]);
+    let mut other = Listing::default();
+    other.take(&[entry(1), entry(3)]);
+    other.take(&[entry(1)]);
+    let change = other.since(fingerprint(&[entry(1), entry(3)])).unwrap();
+    assert_eq!(listing.changed(&change), None);
+    let wrong = Change {
+        from: listing.fingerprint().unwrap(),
+        ..change
+    };
+    assert_eq!(listing.changed(&wrong), None, "it leads elsewhere");
+}
+
+/// Each host is handed the whole listing for each change of an entry.
+#[test]
+fn thousands_of_endpoints_cost_what_changes() {
+    /// For control, by host, in a second: all that a fleet of 330 may.
+    const BUDGET: usize = 7_000;
+    let mut rng = Pcg32::seed_from_u64(1);
+    let mut newest = 3_000;
+    let mut entries: Vec<_> = (0..newest).map(entry).collect();
+    let mut listing = Listing::default();
+    listing.take(&entries);
+    let before = listing.fingerprint().unwrap();
+    next(&mut rng, &mut entries, 30, &mut newest);
+    listing.take(&entries);
+    let change = postcard::to_stdvec(&listing.since(before).unwrap()).unwrap();
+    let whole = postcard::to_stdvec(&entries).unwrap();
+    println!("{} bytes of {}", change.len(), whole.len());
+    assert!(change.len() < BUDGET / 2, "{}", change.len());
+}
