--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -23,8 +23,8 @@
 /// hop that news takes to all: the host hears of it, and contradicts if it lives.
 ///
 /// Failure: a data centre that was apart comes back, and each side has found most of
-/// the other silent. Believed at once, these findings left 28 of 295 hosts for callers
-/// until the contradictions came, half a second later.
+/// the other silent. Believed at once, these findings would leave a tenth of the hosts for
+/// callers until the contradictions came, half a second later.
 const DOUBTED: Duration = Duration::from_millis(150);
 /// The most hosts that are known at a time, three times the most that are planned
 /// for: names that somebody makes up must not fill the memory.
--- a/crates/host/tests/listing.rs
+++ b/crates/host/tests/listing.rs
@@ -72,12 +72,19 @@
                     wholes += 1;
                 }
             }
-            assert_eq!(other.fingerprint(), Some(fingerprint(&entries)), "seed {seed}");
+            assert_eq!(
+                other.fingerprint(),
+                Some(fingerprint(&entries)),
+                "seed {seed}"
+            );
             let held = sorted(other.entries().cloned()).into_iter();
             let is_same = |(held, read): (Entry, Entry)| {
                 held.state == read.state && held.cold.is_zero() == read.cold.is_zero()
             };
-            assert!(held.zip(sorted(entries.iter().cloned())).all(is_same), "seed {seed}");
+            assert!(
+                held.zip(sorted(entries.iter().cloned())).all(is_same),
+                "seed {seed}"
+            );
         }
         assert!(changes > 3 * wholes, "seed {seed}: {changes} and {wholes}");
     }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -8,7 +8,7 @@
 const PIECES: usize = 10;
 /// The part of the fleet's allowance that hosts use. The rest covers that their
 /// windows don't begin at the same moment and that a host counts requests which
-/// broke off before the service could have seen them. A guess, not measured.
+/// broke off before the service could have seen them.
 const USED: f64 = 0.8;
 
 /// Counts requests and repeats of one service over a sliding window.
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -9,7 +9,7 @@
 /// Bad sightings, weighted by age, below which an endpoint is never judged.
 const MIN_BAD: f64 = 2.5;
 /// How much greater than its service's share of bad answers an endpoint's may
-/// be. Services have some of their own: up to one answer in seven was seen.
+/// be. Services have some of their own, up to one answer in seven.
 const MARGIN: f64 = 0.25;
 /// The first rest of an endpoint that answers badly, and the longest: each one
 /// is twice as long as the one before until the endpoint answers well again.
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Seconds a token of a prompt takes before anything is known: between the
-/// fastest (0.005 ms) and the slowest model (0.05 ms) that were measured.
+/// fastest (0.005 ms) and the slowest model (0.05 ms) in use.
 const PRIOR: f64 = 0.02e-3;
 /// How many tokens of sightings the prior weighs as much as.
 const PRIOR_TOKENS: f64 = 20_000.0;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -38,9 +38,8 @@
 /// from the answer's end, this host from what it last heard.
 const SESSION_MARGIN: Duration = Duration::from_secs(1);
 
-/// The part of an endpoint's places that are taken, at which it counts as
-/// crowded. Where a release that is bad under load was found, eight of ten answers
-/// of endpoints beyond it were failures.
+/// The part of an endpoint's places that are taken, at which it counts as crowded: a
+/// release that is bad under load shows it beyond that.
 const CROWDED: f64 = 0.6;
 
 /// What a host believes, and where requests go by it.
@@ -375,8 +374,8 @@
         };
         if ending == Ending::Silent && flight.is_filled {
             // All hosts together send it more than it reads at once, and what waits
-            // there is silent. Counted, it had good releases judged bad within two
-            // seconds: 28 of 30 bad answers were of this kind. Failures count.
+            // there is silent. Counted, it would have good releases judged bad. Failures
+            // count.
             return;
         }
         if let Some(rollout) = self.rollouts.get_mut(&call.service) {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -13,8 +13,8 @@
 
 /// Time to read the prompts that wait which weighs as much as all places taken.
 const FULL_UNREAD: Duration = Duration::from_secs(1);
-/// What another data centre weighs, in parts of an endpoint's places. Small: it
-/// costs bytes between data centres, which are a hundredth of an answer's worth.
+/// What another data centre weighs, in parts of an endpoint's places. Small: it costs
+/// bytes between data centres, and nobody waits for them.
 const FAR: f64 = 0.04;
 /// What a cached beginning of the prompt weighs at most, in parts of an
 /// endpoint's places.
@@ -29,14 +29,13 @@
 /// What draws requests to the endpoint that is to be filled: more than anything
 /// that could be said against it.
 const FILL: f64 = 4.0;
-/// The part of its places at which it is filled. Releases that are bad under load
-/// showed it in half of the trials, at this and at more.
+/// The part of its places at which it is filled: all of them, as load would.
 const FILLED: f64 = 1.0;
 /// How many times its share of those places a host may fill: some hosts have few
 /// requests, and what the others send is known late.
 const FILL_SHARES: u32 = 3;
-/// The longest prompt with which an endpoint is filled, in tokens: about the mean
-/// of all prompts. Longer ones take most of the time that it reads.
+/// The longest prompt with which an endpoint is filled, in tokens. Longer ones take most
+/// of the time that it reads.
 const SHORT_TOKENS: u64 = 2_500;
 /// The part of an endpoint's connections that hosts use together, in hundredths.
 const CONNECTIONS_USED: u32 = 90;
