--- a/crates/barleyctl/src/command/explain.rs
+++ b/crates/barleyctl/src/command/explain.rs
@@ -163,8 +163,16 @@
             .number(name)
             .map_or("unknown".to_owned(), std::string::ToString::to_string)
     };
+    let withheld = match attempt.text("withheld") {
+        Some("emptied") => " (its data centre was emptied meanwhile, so nothing was sent)",
+        Some("leaving") => " (it was leaving by then, so nothing was sent)",
+        Some("cold") => {
+            " (it had just started and this host's share was used up; nothing was sent)"
+        }
+        _ => "",
+    };
     format!(
-        "The last attempt told of, to {} at {}, ended as {}: chosen among {} candidates, believed \
+        "The last attempt told of, to {} at {}, ended as {}{withheld}: chosen among {} candidates, believed \
          {} full by a report {} ms old and a listing {} ms old, with {} ms left.",
         attempt.text("endpoint").unwrap_or("an unknown endpoint"),
         attempt.text("address").unwrap_or("an unknown address"),
--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -203,11 +203,12 @@
     }
 
     /// Asks whether the request may go out now that there is a connection.
-    fn permit(&self, guard: &Guard<'_, D>) -> std::result::Result<Permit, Ending> {
+    fn permit(&self, guard: &mut Guard<'_, D>) -> std::result::Result<Permit, Ending> {
         let flight = guard.flight.as_ref().ok_or(Ending::Withheld)?;
         let permit = self.node.router().permit(self.node.now(), flight);
         permit.map_err(|why| {
             self.node.recorder.metrics().withheld(why);
+            guard.seen.withheld = Some(why);
             Ending::Withheld
         })
     }
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Ending, Flight, Placement, Print};
+use route::{Ending, Flight, Placement, Print, Withheld};
 use telemetry::Connection;
 
 use crate::serve::Progress;
@@ -30,6 +30,7 @@
     pub(super) status: Option<u16>,
     pub(super) confidence: Option<u8>,
     pub(super) is_leaving: Option<bool>,
+    pub(super) withheld: Option<Withheld>,
     pub(super) last_event: Option<u64>,
     pub(super) connection: Option<Connection>,
     pub(super) strays: u32,
@@ -52,6 +53,7 @@
             config: self.config,
             confidence: self.seen.confidence,
             is_leaving: self.seen.is_leaving,
+            withheld: self.seen.withheld,
             last_event: self.seen.last_event,
             status: self.seen.status,
             connection: self.seen.connection,
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -122,6 +122,7 @@
                     "confidence",
                     Value::count(attempt.confidence.map(u64::from)),
                 ),
+                ("withheld", words(attempt.withheld.as_ref())),
                 ("leaving", Value::flag(attempt.is_leaving)),
                 ("last_event", Value::count(attempt.last_event)),
                 ("connection", words(attempt.connection.as_ref())),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Denial, Ending, Failure, Placement, Print};
+use route::{Denial, Ending, Failure, Placement, Print, Withheld};
 
 /// How a request ended.
 #[derive(Clone, Debug)]
@@ -97,6 +97,8 @@
     pub confidence: Option<u8>,
     /// Whether the answer said that its endpoint leaves.
     pub is_leaving: Option<bool>,
+    /// Why nothing went out, if that was withheld.
+    pub withheld: Option<Withheld>,
     /// The last event of a stream that the caller had when it ended.
     pub last_event: Option<u64>,
     /// The status of the endpoint's answer.
