--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -9,7 +9,7 @@
 
 use crate::Judgement;
 use crate::gossip::{Comparison, Digest, Pulse, Record};
-use crate::listing::Change;
+use crate::listing::{Change, Patch, Sketch};
 
 /// What hosts say to each other.
 ///
@@ -38,6 +38,10 @@
     Evacuations(Vec<Evacuation>),
     /// What has changed in the listing of endpoints.
     ListingChange(ListingChange),
+    /// The listing that was named isn't remembered.
+    ListingForgotten,
+    /// Where the listing of endpoints differs from the other host's.
+    ListingPatch(ListingPatch),
 }
 
 /// What a host asks another for.
@@ -53,8 +57,10 @@
     Life,
     /// What it knows of endpoints that ended.
     Ends,
-    /// What has changed since the listing with this fingerprint, or all of it.
+    /// What has changed since the listing with this fingerprint.
     ListingSince(u64),
+    /// Where the listing differs from one with this sketch.
+    ListingPatch(Sketch),
 }
 
 /// What a host knows.
@@ -109,6 +115,15 @@
     pub(crate) age: Duration,
 }
 
+/// Where the listing of endpoints differs from the other host's.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ListingPatch {
+    pub(crate) patch: Patch,
+    pub(crate) absence: Absence,
+    /// How long ago the listing was read that it leads to.
+    pub(crate) age: Duration,
+}
+
 /// All that a host knows. A host that took the configuration alone would serve by it
 /// before it knows which release is on trial, which sessions stay off it, and which data
 /// centres are emptied.
--- a/crates/host/src/talk/answer.rs
+++ b/crates/host/src/talk/answer.rs
@@ -6,7 +6,8 @@
 use super::{ends, evacuations, news};
 use crate::Store;
 use crate::life::Life;
-use crate::message::{Known, Listing, ListingChange, Message, Question};
+use crate::listing::Sketch;
+use crate::message::{Known, Listing, ListingChange, ListingPatch, Message, Question};
 
 pub(super) fn answer<S: Store, D: Dialect>(life: &Life<S, D>, question: Question) -> Message {
     match question {
@@ -21,6 +22,7 @@
         Question::Comparison(digest) => Message::Comparison(life.gossip.borrow().compare(&digest)),
         Question::Life => Message::Nothing,
         Question::ListingSince(from) => listing_since(life, from),
+        Question::ListingPatch(sketch) => listing_patch(life, &sketch),
         Question::Ends => Message::Ends(ends(life, Scope::All)),
     }
 }
@@ -29,7 +31,7 @@
     life.config_text.borrow().as_ref().map(|it| it.to_vec())
 }
 
-/// What has changed since a listing, or all of it where that isn't remembered.
+/// What has changed since a listing.
 fn listing_since<S: Store, D: Dialect>(life: &Life<S, D>, from: u64) -> Message {
     let change = life.listing.borrow().since(from);
     if let (Some(change), Some(listed)) = (change, life.listed.get()) {
@@ -39,7 +41,19 @@
             age: life.node.now().saturating_sub(listed.at),
         });
     }
-    listing(life).map_or(Message::Nothing, Message::Listing)
+    Message::ListingForgotten
+}
+
+fn listing_patch<S: Store, D: Dialect>(life: &Life<S, D>, sketch: &Sketch) -> Message {
+    let patch = life.listing.borrow().patch(sketch);
+    let (Some(patch), Some(listed)) = (patch, life.listed.get()) else {
+        return Message::Nothing;
+    };
+    Message::ListingPatch(ListingPatch {
+        patch,
+        absence: listed.absence,
+        age: life.node.now().saturating_sub(listed.at),
+    })
 }
 
 fn listing<S: Store, D: Dialect>(life: &Life<S, D>) -> Option<Listing> {
--- a/crates/host/src/talk/ask.rs
+++ b/crates/host/src/talk/ask.rs
@@ -48,7 +48,7 @@
     question: Question,
 ) -> Option<Message> {
     let limit = match question {
-        Question::Listing | Question::ListingSince(_) => LONG_ANSWER,
+        Question::Listing | Question::ListingPatch(_) => LONG_ANSWER,
         _ => ANSWER,
     };
     let frame = life.frame(&Message::Ask(question))?;
--- a/crates/host/src/talk/learn.rs
+++ b/crates/host/src/talk/learn.rs
@@ -13,7 +13,9 @@
 use crate::follow::{documents, endpoints, evacuations, verdicts};
 use crate::gossip::Record;
 use crate::life::{Life, Listed, is_much_later};
-use crate::message::{Known, Listing, ListingChange, ListingNews, Message, News, Question};
+use crate::message::{
+    Known, Listing, ListingChange, ListingNews, ListingPatch, Message, News, Question,
+};
 
 /// Takes a host's news, and has told on at once what is much later than was known:
 /// what one host reads goes round them all within some milliseconds a hop.
@@ -115,6 +117,8 @@
         Message::Config(text) => config(life, text),
         Message::Listing(it) => listing(life, it),
         Message::ListingChange(it) => listing_change(life, link, from, &it),
+        Message::ListingForgotten => ask_for_patch(life, link, from),
+        Message::ListingPatch(it) => listing_patch(life, &it),
         Message::Known(it) => known(life, link, from, *it),
         Message::Comparison(it) => {
             let now = life.node.now();
@@ -160,8 +164,8 @@
     endpoints::list(life, at, it.entries, it.absence);
 }
 
-/// Takes what has changed in the listing; all of it is asked for where this host's own has
-/// changed meanwhile, or leads elsewhere.
+/// Takes what has changed in the listing; where this host's own has changed meanwhile, it is
+/// asked where the two differ.
 fn listing_change<S: Store, D: Dialect>(
     life: &Rc<Life<S, D>>,
     link: &Link,
@@ -175,7 +179,22 @@
             endpoints::list(life, at, entries, it.absence);
         }
         None if life.listing.borrow().fingerprint() == Some(it.change.to) => {}
-        None => ask::ask_once(life, link, from, Question::Listing),
+        None => ask_for_patch(life, link, from),
+    }
+}
+
+fn ask_for_patch<S: Store, D: Dialect>(life: &Rc<Life<S, D>>, link: &Link, from: &Peer) {
+    let sketch = life.listing.borrow().sketch();
+    ask::ask_once(life, link, from, Question::ListingPatch(sketch));
+}
+
+/// Takes where the listing differs. One that doesn't fit any more is of no use, and the next
+/// news begins anew.
+fn listing_patch<S: Store, D: Dialect>(life: &Life<S, D>, it: &ListingPatch) {
+    let patched = life.listing.borrow().patched(&it.patch);
+    if let Some(entries) = patched {
+        let at = read_at(life.node.now(), it.age);
+        endpoints::list(life, at, entries, it.absence);
     }
 }
 
--- a/crates/host/tests/listing.rs
+++ b/crates/host/tests/listing.rs
@@ -108,6 +108,36 @@
     assert_eq!(listing.changed(&wrong), None, "it leads elsewhere");
 }
 
+/// Hosts whose listings no remembered change leads from are handed all of it.
+#[test]
+fn where_two_listings_differ_leads_to_the_same() {
+    for seed in 0..50 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut newest = rng.random_range(1..400);
+        let mut entries: Vec<_> = (0..newest).map(entry).collect();
+        let mut other = Listing::default();
+        other.take(&entries);
+        let changes = rng.random_range(0..20).min(entries.len() / 2);
+        next(&mut rng, &mut entries, changes, &mut newest);
+        let mut own = Listing::default();
+        own.take(&entries);
+        let patch = own.patch(&other.sketch()).unwrap();
+        let patched = other.patched(&patch).unwrap();
+        assert_eq!(fingerprint(&patched), fingerprint(&entries), "seed {seed}");
+        assert!(
+            patch.entries.len() <= 16 * changes,
+            "seed {seed}: {}",
+            patch.entries.len()
+        );
+        // Endpoints that only one of them has would stay or be lost.
+        other.take(&[entry(9_999)]);
+        assert_eq!(
+            other.patched(&patch).is_some(),
+            patch.entries.len() == entries.len()
+        );
+    }
+}
+
 /// Each host is handed the whole listing for each change of an entry.
 #[test]
 fn thousands_of_endpoints_cost_what_changes() {
@@ -124,5 +154,13 @@
     let change = postcard::to_stdvec(&listing.since(before).unwrap()).unwrap();
     let whole = postcard::to_stdvec(&entries).unwrap();
     println!("{} bytes of {}", change.len(), whole.len());
+    let mut other = Listing::default();
+    next(&mut rng, &mut entries, 30, &mut newest);
+    other.take(&entries);
+    let sketch = other.sketch();
+    let patch = postcard::to_stdvec(&listing.patch(&sketch).unwrap()).unwrap();
+    let sketch = postcard::to_stdvec(&sketch).unwrap();
+    println!("{} and {} bytes of a patch", sketch.len(), patch.len());
+    assert!(sketch.len() + patch.len() < whole.len() / 10);
     assert!(change.len() < BUDGET / 2, "{}", change.len());
 }
