Split the router, the catalogue of metrics and a host's listing by type

Moves only: attempts from the choice of an endpoint to what becomes of the request; the catalogue; the listing as it is compared. The directory's own view of the listing is handed on by nobody any more and goes.

--- a/crates/host/src/life.rs
+++ b/crates/host/src/life.rs
@@ -1,5 +1,6 @@
 //! A host from its start to its end.
 
+mod listed;
 mod turns;
 
 use std::cell::{Cell, RefCell};
@@ -17,7 +18,6 @@
 use link::{Incoming, Link};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use route::directory::Absence;
 use telemetry::{Event, Recorder, Value};
 use wire::{Frame, Identity, Payload};
 
@@ -28,6 +28,8 @@
 use crate::message::{Message, Question};
 use crate::{Backoff, Joined, Judgement, Member, Store, say, talk};
 
+pub(crate) use listed::{Listed, is_much_later};
+
 /// How often old connections are closed.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// How often a host that leaves looks whether its last request has ended.
@@ -101,30 +103,6 @@
     answers: Cell<bool>,
 }
 
-/// A listing of endpoints, as far as it is compared with others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Listed {
-    /// When it was read.
-    pub(crate) at: Duration,
-    /// What an absent entry means in it.
-    pub(crate) absence: Absence,
-    pub(crate) fingerprint: u64,
-}
-
-impl Listed {
-    /// Whether a later listing with this fingerprint tells nothing that this one doesn't.
-    ///
-    /// The same entries tell more where an absent one means that its endpoint is gone,
-    /// and didn't before: after an outage of the store, endpoints are kept in use whose
-    /// entries may only have lapsed. Taken for the same, the later listing never reached
-    /// the directory, and an endpoint that was lost in the outage got requests for as
-    /// long as no other entry changed.
-    pub(crate) fn covers(&self, fingerprint: u64, absence: Absence) -> bool {
-        let tells_of_gone = self.absence == Absence::Lapsed && absence == Absence::Gone;
-        self.fingerprint == fingerprint && !tells_of_gone
-    }
-}
-
 /// Whether others may be there when a host starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Start {
@@ -402,14 +380,6 @@
     }
 }
 
-/// Whether something is worth telling on at once that was read at this time.
-pub(crate) fn is_much_later(at: Duration, known: Option<Duration>) -> bool {
-    /// Less than the hosts' reading period, so that each reading goes round once,
-    /// and more than two readings that happen to come together are apart.
-    const MUCH: Duration = Duration::from_millis(300);
-    known.is_none_or(|known| at >= known + MUCH)
-}
-
 async fn sweep<D: Dialect>(node: Rc<Node<D>>) {
     loop {
         sleep(SWEEP_PERIOD).await;
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -212,14 +212,6 @@
         (takes.len(), resting.count())
     }
 
-    /// The entries of the listing in force.
-    pub fn listed(&self) -> impl Iterator<Item = &Entry> {
-        self.endpoints
-            .values()
-            .filter(|it| it.listed == Listed::Yes)
-            .map(|it| &it.entry)
-    }
-
     /// An endpoint by its key.
     #[must_use]
     pub fn get(&self, key: Key) -> Option<&Endpoint> {
--- /dev/null
+++ b/crates/route/src/router/attempts.rs
@@ -0,0 +1,182 @@
+//! Attempts, from the choice of an endpoint to what becomes of the request.
+
+use std::time::Duration;
+
+use kernel::hash;
+
+use super::{CROWDED, Flight, Placement, Router, SESSION_MARGIN};
+use crate::call::{Call, Ending, Failure, Next, Spare};
+use crate::rollout::Side;
+
+impl Router {
+    /// Begins an attempt.
+    pub fn begin(&mut self, now: Duration, call: &mut Call, placement: &Placement) -> Flight {
+        call.attempts += 1;
+        call.tried.push(placement.endpoint);
+        let expected = call.cascade.model().map(|it| self.expected(call, it));
+        let unread = expected.unwrap_or_default();
+        let is_filled = self.filled(now, call) == Some(placement.endpoint);
+        if let Some(it) = self.directory.get_mut(placement.endpoint) {
+            if let Some(session) = &call.shape.session {
+                let gap = self.settings.session_gap + SESSION_MARGIN;
+                let release = &it.entry.release;
+                self.sessions.note(now, session, release, gap);
+            }
+            it.flights += 1;
+            it.sent_since_load += 1;
+            it.unread += unread;
+        }
+        let process = self.directory.get(placement.endpoint);
+        Flight {
+            endpoint: placement.endpoint,
+            print: call.print,
+            process: process.map(|it| it.entry.process()),
+            began: now,
+            unread,
+            is_crowded: placement.used >= CROWDED,
+            is_filled,
+            expected,
+            first: None,
+            events: 0,
+            last: now,
+        }
+    }
+
+    /// Takes the first part of an attempt's answer.
+    pub fn first(&mut self, now: Duration, call: &Call, flight: &mut Flight) {
+        if flight.first.is_some() {
+            return;
+        }
+        flight.first = Some(now);
+        self.read(flight);
+        let took = now.saturating_sub(flight.began);
+        let Some(model) = call.model() else {
+            /// How much one answer moves what is usual.
+            const PART: f64 = 0.05;
+            let usual = self.wholes.entry(call.route.name.clone()).or_insert(took);
+            *usual = usual.mul_f64(1.0 - PART) + took.mul_f64(PART);
+            return;
+        };
+        let key = (call.service.clone(), model.clone());
+        let pace = self.paces.entry(key).or_default();
+        pace.sight(call.shape.prompt_tokens, took);
+    }
+
+    fn read(&mut self, flight: &mut Flight) {
+        let unread = std::mem::take(&mut flight.unread);
+        if let Some(it) = self.directory.get_mut(flight.endpoint) {
+            it.unread = it.unread.saturating_sub(unread);
+        }
+    }
+
+    /// Ends an attempt and says what becomes of the request.
+    pub fn end(&mut self, now: Duration, call: &mut Call, flight: Flight, ending: Ending) -> Next {
+        if matches!(ending, Ending::Refused | Ending::Moved) {
+            call.refused.push(flight.endpoint);
+        }
+        self.finish(now, &flight, ending);
+        self.land(now, call, flight, ending);
+        call.note(ending);
+        if ending.is_unsent() {
+            call.attempts -= 1;
+        }
+        if !call.may_repeat(now, ending) || self.quarantine.stops(now, call.print) {
+            return Next::Fail(self.failure(now, call, ending));
+        }
+        if ending.is_unsent() || self.reserve(now, call, ending) {
+            call.spare = Spare::Unasked;
+            return Next::Again;
+        }
+        Next::Fail(self.failure(now, call, ending))
+    }
+
+    /// How a request ends after this last attempt. Who may come back is told when an
+    /// endpoint wants requests again, if none does before.
+    fn failure(&self, now: Duration, call: &Call, ending: Ending) -> Failure {
+        match call.failure(now, ending) {
+            Failure::NotRun { retry_after } => Failure::NotRun {
+                retry_after: retry_after.max(self.directory.willing_in(now, &call.service)),
+            },
+            other => other,
+        }
+    }
+
+    /// Whether a request may be sent once more after this ending, with the
+    /// repeat taken from the budget.
+    ///
+    /// It is asked before an attempt is given up that might still succeed: an
+    /// endpoint's silence, or a small model's doubt, is no reason to end a
+    /// request that can go nowhere else.
+    pub fn reserve(&mut self, now: Duration, call: &mut Call, ending: Ending) -> bool {
+        let hosts = self.hosts;
+        if call.spare != Spare::Reserved
+            && call.may_repeat(now, ending)
+            && self.budget(&call.service).repeat(now, hosts)
+        {
+            call.spare = Spare::Reserved;
+        }
+        call.spare == Spare::Reserved
+    }
+
+    /// Ends an attempt whose caller left.
+    pub fn cancel(&mut self, now: Duration, mut flight: Flight) {
+        self.finish(now, &flight, Ending::Cancelled);
+        self.read(&mut flight);
+        if let Some(it) = self.directory.get_mut(flight.endpoint) {
+            it.flights = it.flights.saturating_sub(1);
+        }
+    }
+
+    /// What becomes of a request that has no endpoint to go to.
+    #[must_use]
+    pub fn unplaced(&self, now: Duration, call: &Call) -> Failure {
+        self.failure(now, call, Ending::NotSent)
+    }
+
+    fn land(&mut self, now: Duration, call: &Call, mut flight: Flight, ending: Ending) {
+        self.read(&mut flight);
+        let key = flight.endpoint;
+        let Some(it) = self.directory.get_mut(key) else {
+            return;
+        };
+        it.flights = it.flights.saturating_sub(1);
+        let release = it.entry.release.clone();
+        if let Some(session) = &call.shape.session {
+            self.sessions.renew(now, session);
+        }
+        match ending {
+            Ending::Answered | Ending::Unsure => it.health.good(now),
+            Ending::NotSent | Ending::Moved => it.health.unreachable(now),
+            Ending::Failed | Ending::Broken | Ending::Silent => {
+                let id = it.entry.id.clone();
+                if self.directory.bad(now, key) {
+                    self.rested.push((id, ending));
+                }
+            }
+            Ending::Withheld | Ending::Refused | Ending::Cancelled => {}
+        }
+        let failed = match ending {
+            Ending::Answered | Ending::Unsure => false,
+            Ending::Failed | Ending::Broken | Ending::Silent => true,
+            _ => return,
+        };
+        if ending == Ending::Silent && flight.is_filled {
+            // All hosts together send it more than it reads at once, and what waits
+            // there is silent. Counted, it would have good releases judged bad. Failures
+            // count.
+            return;
+        }
+        if let Some(rollout) = self.rollouts.get_mut(&call.service) {
+            let side = if release == rollout.order.release {
+                Side::New
+            } else {
+                Side::Old
+            };
+            let class = hash::of(&(&call.route.name, call.cascade.model()));
+            let mut sighting = flight.sighting(class, failed);
+            // Where many wait, silence says nothing against a release.
+            sighting.is_crowded &= ending != Ending::Silent;
+            rollout.answer(side, &sighting);
+        }
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/reference/relay-metrics.md`; `docs/OPERATIONS.md` shows how to use them.
 
 mod allowance;
+mod catalogue;
 mod event;
 mod events;
 mod field;
@@ -16,11 +17,12 @@
 mod recorder;
 mod report;
 
+pub use catalogue::CATALOGUE;
 pub use event::Event;
 pub use field::{Field, Value};
 pub use instruments::Instruments;
 pub use log::Log;
-pub use metrics::{CATALOGUE, Gauges, Links, Metrics};
+pub use metrics::{Gauges, Links, Metrics};
 pub use recorder::Recorder;
 pub use slog::Level;
 
