--- a/crates/host/src/life/turns.rs
+++ b/crates/host/src/life/turns.rs
@@ -12,18 +12,21 @@
 
 /// How many hosts read the store for all.
 const READERS: usize = 2;
-/// The age at which a host reads itself what it knows from others. An endpoint
-/// that leaves may get no new work, and a configuration must be in force, two
-/// seconds after the store has it; readers tell once a second.
-const STALE: Duration = Duration::from_millis(1_250);
+/// How long before the bound a host reads itself what it knows from others: an endpoint that
+/// leaves may get no new work, and a configuration must be in force, by then. Turns, the
+/// reading, and what is under way to an endpoint take part of it.
+const MARGIN: Duration = Duration::from_millis(750);
+/// The age at which it does so at the earliest: readers tell once a second.
+const LEAST_STALE: Duration = Duration::from_millis(1_250);
 /// What each place in the order of hosts adds to that, and the most places.
 const TURN: Duration = Duration::from_millis(10);
 const MOST_TURNS: usize = 25;
 /// How long a host that has just started waits for others to tell it what they know,
-/// and what each place in the order of hosts adds to that. Others that run tell it
-/// within some 50 ms. Where all start at once the first few read, and it takes longer
-/// to go round: a shorter wait would have hundreds read what is on its way to them.
-const START: Duration = Duration::from_millis(250);
+/// to which each place in the order of hosts adds. Others that run tell it within some
+/// 50 ms. Where all start at once the first few read, and a listing of thousands takes
+/// them most of a second and as long to go round: a shorter wait would have hundreds
+/// read what is on its way to them.
+const START: Duration = Duration::from_millis(1_500);
 const MOST_START_TURNS: usize = 100;
 /// How long after its start a host begins to read for others: news of it has gone
 /// round by then, and that of others which started with it. Longer, and what all know
@@ -47,13 +50,19 @@
             return true;
         }
         let (since, patience, most) = match known_at {
-            Some(at) => (at, STALE, MOST_TURNS),
+            Some(at) => (at, self.stale(), MOST_TURNS),
             None => (self.started, START, MOST_START_TURNS),
         };
         let turns = u32::try_from(rank.min(most)).unwrap_or_default();
         self.looked.get() && self.node.now().saturating_sub(since) >= patience + TURN * turns
     }
 
+    /// The age at which this host reads itself what it knows from others.
+    fn stale(&self) -> Duration {
+        let follow = self.node.router().settings().follow;
+        LEAST_STALE.max(follow.saturating_sub(MARGIN))
+    }
+
     /// Whether another host was asked for what it knows, or none answers soon.
     fn is_greeted(&self) -> bool {
         let has_waited = self.node.now() >= self.started + GREETING;
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -19,6 +19,8 @@
     pub exposure_share: f64,
     /// Requests that an unproven release may get beside the share.
     pub exposure_slack: f64,
+    /// How soon hosts follow what the store has, at the latest.
+    pub follow: Duration,
     /// The longest pause between two requests of one session.
     pub session_gap: Duration,
 }
--- a/crates/route/tests/harness/words.rs
+++ b/crates/route/tests/harness/words.rs
@@ -43,6 +43,7 @@
         retry_window: Duration::from_secs(10),
         exposure_share: 0.15,
         exposure_slack: 30.0,
+        follow: Duration::from_secs(2),
         session_gap: Duration::from_secs(5),
     }
 }
--- a/crates/route/tests/warm_up.rs
+++ b/crates/route/tests/warm_up.rs
@@ -83,6 +83,7 @@
             retry_window: Duration::from_secs(10),
             exposure_share: 0.15,
             exposure_slack: 30.0,
+            follow: Duration::from_secs(2),
             session_gap: Duration::from_secs(5),
         },
         seed,
