Deny callers of a route that requires a key while no customers are configured

Router::admit took a route that requires a key for public while the configuration had no customers, so a configuration whose last customer was removed opened all its routes to everybody.

--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -47,7 +47,7 @@
 pub struct ForwardedFields<'a> {
     /// The endpoint that it is sent to.
     pub placement: &'a Placement,
-    /// The customer, if the route requires a key and any customers are configured.
+    /// The customer, if the route requires a key.
     pub customer: Option<&'a Customer>,
     /// The time left until the request's deadline.
     pub time_left: Duration,
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -33,7 +33,7 @@
 pub struct Call {
     /// The route that matched.
     pub route: Arc<Route>,
-    /// The customer, if the route requires a key and any customers are configured.
+    /// The customer, if the route requires a key.
     pub customer: Option<Arc<Customer>>,
     /// The service that handles the request.
     pub service: ServiceName,
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -76,12 +76,6 @@
         self.keys.get(key).map(|&idx| &self.customers[idx])
     }
 
-    /// Returns whether any customers are configured.
-    #[must_use]
-    pub fn has_customers(&self) -> bool {
-        !self.customers.is_empty()
-    }
-
     /// Returns the service with this name.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
--- a/crates/route/src/config/route.rs
+++ b/crates/route/src/config/route.rs
@@ -72,7 +72,7 @@
 pub enum RouteAccess {
     /// Everyone.
     Public,
-    /// Customers with a valid key, or everyone while no customers are configured.
+    /// Customers with a valid key; nobody while no customers are configured.
     Keyed,
 }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -210,11 +210,11 @@
         let config = self.config.as_ref().ok_or(Denial::NotReady)?;
         let route = config.route(host, path).ok_or(Denial::NoRoute)?;
         let customer = match route.access {
-            RouteAccess::Keyed if config.has_customers() => {
+            RouteAccess::Keyed => {
                 let customer = key.and_then(|it| config.customer(it));
                 Some(customer.ok_or(Denial::UnknownKey)?.clone())
             }
-            _ => None,
+            RouteAccess::Public => None,
         };
         let number = match &profile.session {
             Some(session) => hash::of(session.as_str()),
