Compare an endpoint's errors with those of the endpoints in use

The mean error rate of a service's other endpoints added nothing for ejected ones and still divided by their number, so with some of them ejected the rest looked worse than they were.

ejected_alike.txt: four of twelve endpoints are ejected; when the other eight all begin to fail, a fifth was ejected, now none.

--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -321,9 +321,9 @@
         is_ejected
     }
 
-    /// Returns the mean error rate of a service's other endpoints, where ejected ones count as
-    /// zero, and the fraction of its endpoints that would be ejected with this one. Considers only
-    /// endpoints that take requests.
+    /// Returns the mean error rate of a service's other endpoints that aren't ejected, and the
+    /// fraction of its endpoints that would be ejected with this one. Considers only endpoints that
+    /// take requests.
     fn error_statistics(&self, now: Duration, service: &ServiceName, excluded: Key) -> (f64, f64) {
         let (mut error_rate_sum, mut ejected, mut count) = (0.0, 0.0, 0.0);
         for (key, it) in self.endpoints_of(service) {
@@ -337,11 +337,15 @@
                 error_rate_sum += it.health.error_rate();
             }
         }
-        if count == 0.0 {
-            // The only endpoint that takes requests is never ejected for failed or missing
-            // responses.
-            return (0.0, 1.0);
-        }
-        (error_rate_sum / count, (ejected + 1.0) / (count + 1.0))
+        // The fraction is 1 for the only endpoint that takes requests: it is never ejected for
+        // failed or missing responses.
+        let ejected_fraction = (ejected + 1.0) / (count + 1.0);
+        let in_use = count - ejected;
+        let mean_error_rate = if in_use > 0.0 {
+            error_rate_sum / in_use
+        } else {
+            0.0
+        };
+        (mean_error_rate, ejected_fraction)
     }
 }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -47,8 +47,8 @@
     }
 
     /// Records a failure and returns whether the endpoint should be ejected.
-    /// `service_error_rate` is the mean error rate of the service's other endpoints, where ejected
-    /// ones count as zero.
+    /// `service_error_rate` is the mean error rate of the service's other endpoints that aren't
+    /// ejected.
     pub(crate) fn record_failure(&mut self, now: Duration, service_error_rate: f64) -> bool {
         self.decay(now);
         self.failures += 1.0;
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -158,7 +158,12 @@
             }
             "end" => Some(self.end(line.args[0], line.args[1])),
             "many" => Some(self.send_many(&line)),
+            "burst" => Some(self.send_at_once(&line)),
             "crowd" => Some(self.send_overlapping(&line)),
+            "ejected" => {
+                let (in_use, ejected) = self.router().directory().endpoint_counts(now);
+                Some(format!("{ejected} of {in_use} ejected"))
+            }
             "order" => {
                 let order = Order {
                     service: line.args[0].into(),
@@ -330,6 +335,27 @@
         parts.join(", ")
     }
 
+    /// Sends a number of requests before the first of them ends, and counts them by endpoint.
+    fn send_at_once(&mut self, line: &Line<'_>) -> String {
+        let count: u32 = line.args[0].parse().unwrap();
+        let mut sent = Vec::new();
+        for nr in 0..count {
+            let id = format!("burst-{}-{nr}", self.now.as_millis());
+            self.arrive(&Line::of(&format!("arrive {id} session={id}")));
+            if let Some(placement) = self.place(&id) {
+                sent.push((id, placement.id.as_str().to_owned()));
+            }
+        }
+        let mut counts = BTreeMap::<String, u32>::new();
+        for (id, to) in sent {
+            let ending = line.text(&to).or(line.text("end")).unwrap_or("answered");
+            self.end(&id, ending);
+            *counts.entry(to).or_default() += 1;
+        }
+        let parts: Vec<_> = counts.iter().map(|(id, it)| format!("{id} {it}")).collect();
+        parts.join(", ")
+    }
+
     /// Sends a number of overlapping requests, one every `each` milliseconds, and counts them
     /// by endpoint. A request to an endpoint with at least five of the earlier ones in flight times
     /// out if the endpoint's ID ends with the value of `crowded-silent`. It fails if its number is
