Eject an endpoint again after one failure, as intended

The failures that an ejected endpoint keeps, so that one more suffices, decayed while it was ejected: after the shortest ejection it took two. They now stay until the ejection ends, and one failure suffices for a half-life after it.

--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -67,9 +67,11 @@
         let ejection = FIRST_EJECTION * 2u32.pow(self.ejections.min(3));
         self.ejected_until = now + ejection.min(MAX_EJECTION);
         self.ejections += 1;
-        // After a short ejection, fewer failures than usual are enough for the next one.
-        self.failures = MIN_FAILURES - 1.0;
+        // For a half-life after the ejection, one failure is enough for the next one. The counts
+        // don't decay while the endpoint gets no requests.
+        self.failures = 2.0 * (MIN_FAILURES - 1.0);
         self.successes = 0.0;
+        self.updated_at = self.ejected_until;
     }
 
     fn decay(&mut self, now: Duration) {
