Report no change when an unknown evacuation ends

Once 256 data centres were known, the end of an evacuation that this host never knew counted as a change of the data centres in use. Found by reading; no test reaches the bound.

--- a/crates/route/src/evacuation.rs
+++ b/crates/route/src/evacuation.rs
@@ -123,7 +123,7 @@
         let is_evacuated = change.access == DataCentreAccess::Evacuated;
         if !is_evacuated && self.latest.len() >= MAX_OPEN {
             self.latest.remove(&change.data_centre);
-            return true;
+            return false;
         }
         self.latest.insert(change.data_centre.clone(), change);
         is_evacuated
