Take the heartbeat of endpoints from the settings, and drop settings that nothing reads

After the store came back from an older copy, endpoints that were gone were ignored for five seconds, which is the lifetime of an entry with heartbeats of 1.2 s. A deployment of thousands of endpoints renews entries every 5 s, so a gone endpoint was listed again ten seconds before its entry expired and got requests. The time is now four heartbeats and 0.2 s (5 s as before at 1.2 s).

--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -66,15 +66,19 @@
     /// The copy lists endpoints that have gone since, until their entries expire, and shows
     /// leaving endpoints as ready. Requests sent to these would be lost. So endpoints that were
     /// gone are ignored until then, and leaving ones stay marked as leaving.
-    pub fn store_restored(&mut self, now: Duration) {
-        /// The time for which endpoints that are gone are ignored. Longer than the lifetime of an
-        /// entry, so that the store no longer lists them after it.
-        const IGNORE_GONE_TIME: Duration = Duration::from_secs(5);
+    ///
+    /// `heartbeat` is the interval at which endpoints renew their entries.
+    pub fn store_restored(&mut self, now: Duration, heartbeat: Duration) {
+        /// The heartbeats for which endpoints that are gone are ignored. More than the three after
+        /// which an entry is removed, so that the store no longer lists them after it.
+        const IGNORED_HEARTBEATS: u32 = 4;
+        const MARGIN: Duration = Duration::from_millis(200);
+        let until = now + heartbeat * IGNORED_HEARTBEATS + MARGIN;
         let gone = self
             .endpoints
             .values()
             .filter(|it| it.listed != Listed::Yes);
-        let gone = gone.map(|it| (it.entry.process(), now + IGNORE_GONE_TIME));
+        let gone = gone.map(|it| (it.entry.process(), until));
         self.gone_until = gone.collect();
         for it in self.endpoints.values_mut() {
             it.is_leaving |= it.entry.state == State::Draining;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -149,7 +149,7 @@
 
     /// Records that the store was restored from an older copy.
     pub fn store_restored(&mut self, now: Duration) {
-        self.directory.store_restored(now);
+        self.directory.store_restored(now, self.settings.heartbeat);
         self.quarantine.store_restored();
     }
 
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -19,8 +19,8 @@
     pub retry_window: Duration,
     /// The fraction of a service's requests that a release on trial may receive.
     pub exposure_share: f64,
-    /// The requests that a release on trial may receive in addition to the share. Currently unused.
-    pub exposure_slack: f64,
+    /// The interval at which endpoints renew their entries in the store.
+    pub heartbeat: Duration,
     /// The time within which hosts must follow changes in the store.
     pub max_propagation_delay: Duration,
     /// The longest pause between two requests of a session.
--- a/crates/route/tests/harness/line.rs
+++ b/crates/route/tests/harness/line.rs
@@ -46,7 +46,7 @@
         retry_slack: 10.0,
         retry_window: Duration::from_secs(10),
         exposure_share: 0.15,
-        exposure_slack: 30.0,
+        heartbeat: Duration::from_millis(1_200),
         max_propagation_delay: Duration::from_secs(2),
         session_gap: Duration::from_secs(5),
     }
