Let groups of hosts that double in size read the store when no news arrives

If the readers were late, hosts read for themselves 10 ms after one another, and all from rank 25 on at the same time: 960 of 985. At a start the first eight read at once, and all others 1.5 to 2.5 s later, while a listing of thousands still travelled. Now the readers are followed by groups that double in size, 50 ms apart, and hosts beyond the 64th wait until failure detection has made other ranks; at a start the first eight follow in three groups, the others later by the hops that state needs, counted from the last state that they received.

A starting host asked its neighbours one after another, and after 50 ms the first eight read the store whatever the answer: a busy running host answers later (KNOWN-RED, starting_hosts_make_few_store_calls).

succession.rs, hosts that read when the first 0, 2, 8 or 20 fail, at 8 to 2,000 hosts: 64 at most.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -388,7 +388,7 @@
 
     /// Returns the number of other live hosts.
     fn live_peer_count(&self) -> usize {
-        self.gossip.borrow().roster().count() - 1
+        self.host_count() - 1
     }
 
     /// Returns a random number from 0 to 1.
--- a/crates/host/src/host/readers.rs
+++ b/crates/host/src/host/readers.rs
@@ -8,64 +8,48 @@
 use forward::Dialect;
 
 use super::Host;
-use crate::Store;
+use crate::{Store, succession};
 
-/// Number of hosts that read the store on behalf of all.
-const READER_COUNT: usize = 2;
 /// Margin before the propagation bound at which a host reads the store itself. By that
 /// bound an endpoint that leaves must get no new requests and a configuration must be in
 /// force. Rank delays, the reading, and requests on their way to an endpoint use part of
-/// Least interval between two readings of the listing of endpoints by a reader.
-const MIN_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// the margin.
 const READ_MARGIN: Duration = Duration::from_millis(750);
+/// Least interval between two readings of the listing of endpoints by a reader.
+const MIN_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Least age of the known state at which a host that isn't a reader reads the store: readers
 /// send what they read once a second.
 const MIN_READ_AGE: Duration = Duration::from_millis(1_250);
-/// Delay added to that age, or to [`STARTUP_WAIT`], for each rank in the order of hosts.
-const RANK_DELAY: Duration = Duration::from_millis(10);
-/// Rank from which on the delay added to the age no longer grows.
-const MAX_DELAYED_RANKS: usize = 25;
-/// Time that a host waits for state from other hosts, counted from its start and without
-/// the delay of its rank. Long enough for a few hosts to read a large listing and for it to
-/// spread; otherwise hundreds of hosts that start at once would read it themselves.
-const STARTUP_WAIT: Duration = Duration::from_millis(1_500);
-/// Rank from which on the delay added to [`STARTUP_WAIT`] no longer grows.
-const MAX_DELAYED_STARTUP_RANKS: usize = 100;
 /// Time after its start at which a host begins to read on behalf of others. By then its own
 /// record, and those of hosts that started with it, have spread. Must be shorter than the
 /// time after which hosts read the store themselves, or each would do so before a reader
 /// confirms its state.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(300);
-/// Number of hosts that read the store after bootstrapping from other hosts gave them no
-/// state. When all hosts start at once, the others get their state from these.
-const STARTUP_READER_COUNT: usize = 8;
-/// Time that a host waits, counted from its start, for the state of a running host before it
-/// may read the store.
+/// Time that a host of the first ranks waits, counted from its start, for the state of a running
+/// host before it may read the store. If all hosts were down, nobody answers, and all wait for it.
 const BOOTSTRAP_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl<S: Store, D: Dialect> Host<S, D> {
     /// Returns whether this host should read the store itself, given that its state is as of
     /// `known_at`.
     ///
-    /// It should if it is a reader that all others know, if it has no state after its
-    /// bootstrap and is one of the startup readers, or if it has attempted to join and its
+    /// It should if it is a reader that all others know, or if it has attempted to join and its
     /// state is too old or hasn't arrived in time. In the last case, hosts of a higher rank
-    /// wait a little longer, and most get an update from lower ranks in the meantime.
+    /// wait longer, and most get an update from lower ranks in the meantime.
     pub(crate) fn should_read_store(&self, known_at: Option<Duration>) -> bool {
-        let rank = self.rank();
-        let is_startup_reader =
-            known_at.is_none() && self.has_bootstrap_ended() && rank < STARTUP_READER_COUNT;
-        if is_startup_reader || (self.is_reader() && self.is_known_to_all()) {
+        if self.is_reader() && self.is_known_to_all() {
             return true;
         }
-        let (since, wait, max_ranks) = match known_at {
-            Some(at) => (at, self.read_age(), MAX_DELAYED_RANKS),
-            None => (self.started, STARTUP_WAIT, MAX_DELAYED_STARTUP_RANKS),
+        let (since, wait) = match known_at {
+            Some(at) => (at, self.read_age() + succession::read_delay(self.rank())),
+            None => (
+                self.state_received.get().unwrap_or(self.started),
+                succession::startup_delay(self.rank(), self.host_count()),
+            ),
         };
-        let delayed_ranks = u32::try_from(rank.min(max_ranks)).unwrap_or_default();
-        self.join_attempted.get()
-            && self.node.now().saturating_sub(since) >= wait + RANK_DELAY * delayed_ranks
+        // A host that is still asking others for their state may not know its rank.
+        let is_asking = known_at.is_none() && !self.has_bootstrap_ended();
+        self.join_attempted.get() && !is_asking && self.node.now().saturating_sub(since) >= wait
     }
 
     /// Returns the age at which this host reads the store itself instead of relying on
@@ -107,8 +91,9 @@
     /// The others take the answer of a running host as late as it comes: a busy one needs longer
     /// than the timeout, and hosts that start together would all read the store meanwhile.
     fn has_bootstrap_ended(&self) -> bool {
-        let has_waited = self.node.now() >= self.started + BOOTSTRAP_TIMEOUT;
-        self.join_attempted.get() && (self.bootstrap_attempted.get() || has_waited)
+        let has_timed_out = self.node.now() >= self.started + BOOTSTRAP_TIMEOUT
+            && self.rank() < succession::READER_COUNT;
+        self.join_attempted.get() && (self.bootstrap_attempted.get() || has_timed_out)
     }
 
     /// Returns whether this host has been running long enough to be known to all others.
@@ -121,7 +106,11 @@
     /// bootstrap has ended or timed out, its roster is incomplete, and it doesn't count itself
     /// as one.
     pub(crate) fn is_reader(&self) -> bool {
-        self.has_bootstrap_ended() && self.rank() < READER_COUNT
+        self.has_bootstrap_ended() && self.rank() < succession::READER_COUNT
+    }
+
+    pub(super) fn host_count(&self) -> usize {
+        self.gossip.borrow().roster().count()
     }
 
     /// Returns this host's rank in the order of hosts, from 0.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -19,6 +19,7 @@
 mod report;
 mod store;
 
+pub mod succession;
 pub use backoff::Backoff;
 pub use documents::{Documents, RolloutVerdict};
 pub use host::{Host, ShutdownSchedule, Start};
