Keep the store's listing of hosts small, whatever the size of the fleet

The first reader wrote an entry for each live host, and every host that starts reads all entries to find some others: a start of the whole fleet read the square of its size, two calls and a quarter of a megabyte for each of 985 hosts. Beyond 64 live entries none is added now; outdated ones are rewritten as before, and entries of dead hosts don't count.

--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -1,6 +1,7 @@
 //! Reconciles the store's listing of hosts with the live hosts.
 //!
-//! Hosts that start use the listing to find some others, which know the rest.
+//! Hosts that start use the listing to find some others, which know the rest. It has some of the
+//! live hosts, not all.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -1,6 +1,7 @@
 //! The table of known hosts.
 
-use std::collections::{BTreeMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use kernel::{HostName, Incarnation, hash};
@@ -16,6 +17,11 @@
 /// Time after which the entry of a silent or gone host is withdrawn from the store; longer than
 /// most restarts and network partitions.
 const WITHDRAW_AFTER: Duration = Duration::from_mins(1);
+/// Number of live hosts from which on no further ones are added to the store's listing. A host that
+/// starts needs only some of them, which send it the rest, and every start reads the whole listing:
+/// with an entry of each host, a start of the whole fleet would read a number of entries that grows
+/// with the square of its size.
+const MAX_LISTED: usize = 64;
 /// Time for which callers are sent to a host that is only listed in the store. A live host is
 /// heard within this time, and a dead one is detected.
 const LISTED_TIMEOUT: Duration = Duration::from_secs(6);
@@ -115,14 +121,24 @@
         known.map(|it| it.record.member.address()).collect()
     }
 
-    /// Returns the live hosts that are missing from these store entries or have moved, except
-    /// those only listed in the store.
+    /// Returns live hosts to add to these store entries, so that enough of the entries are of live
+    /// hosts, and those whose entries are outdated.
     #[must_use]
     pub fn missing(&self, listed: &[Member]) -> Vec<Member> {
-        let listed: HashSet<&Member> = listed.iter().collect();
-        let is_reported = |it: &&Record| it.state != State::Listed;
-        let live = self.live().filter(is_reported).map(|it| &it.member);
-        live.filter(|it| !listed.contains(it)).cloned().collect()
+        let by_name: HashMap<_, _> = listed.iter().map(|it| (&it.name, it)).collect();
+        let is_reported = |it: &&KnownHost| it.record.is_live() && it.record.state != State::Listed;
+        let mut live: Vec<_> = self.hosts.values().filter(is_reported).collect();
+        live.sort_unstable_by_key(|it| it.name_hash);
+        let (known, unknown): (Vec<_>, Vec<_>) = live
+            .into_iter()
+            .map(|it| &it.record.member)
+            .partition(|it| by_name.contains_key(&it.name));
+        let room = MAX_LISTED.saturating_sub(known.len());
+        let moved = known.into_iter().filter(|it| by_name[&it.name] != *it);
+        moved
+            .chain(unknown.into_iter().take(room))
+            .cloned()
+            .collect()
     }
 
     /// Returns the entries whose hosts have been silent or gone for long.
