Make room for new hosts in a full roster, and keep known ones up to date

At 1,024 known hosts no record of another host was merged, newer ones of known hosts neither; silent and gone hosts are kept for ten minutes, so 985 hosts of which 40 had been replaced refused every further one.

--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -31,9 +31,10 @@
 /// Each side of a network partition marks most of the other silent. Without this delay, callers
 /// would see only a fraction of the hosts after a reconnection, until the refutations arrive.
 const SILENT_GRACE_PER_HOP: Duration = Duration::from_millis(150);
-/// Number of known hosts from which on no records of other hosts are merged. Bounds the memory
-/// that records with invented names can take.
-const MAX_HOSTS: usize = 1_024;
+/// Number of known hosts from which on records of unknown hosts are not merged, unless a record of
+/// a host that isn't live can be dropped for one. Bounds the memory that records with invented
+/// names can take.
+const MAX_HOSTS: usize = 4_096;
 
 /// The hosts that this host knows, with their latest records.
 #[derive(Debug)]
@@ -248,7 +249,7 @@
             Some(known) if !record.supersedes(known) => return None,
             _ => {}
         }
-        if record.state == State::Listed || self.hosts.len() >= MAX_HOSTS {
+        if record.state == State::Listed || !self.has_room_for(name) {
             return None;
         }
         self.insert(now, record.clone());
@@ -258,6 +259,22 @@
     /// Refutes a record about this host that supersedes its own.
     ///
     /// If the clock was set back between two runs of the process, the former run's record has
+    /// Returns whether a record of this host can be stored. At the bound, the record of the host
+    /// that has been gone the longest makes room for a new host: otherwise hosts that were replaced
+    /// would keep new ones out until their records expire.
+    fn has_room_for(&mut self, name: &HostName) -> bool {
+        if self.hosts.contains_key(name) || self.hosts.len() < MAX_HOSTS {
+            return true;
+        }
+        let gone = self.hosts.values().filter(|it| !it.record.is_live());
+        let oldest = gone.min_by_key(|it| it.stored_at);
+        let Some(oldest) = oldest.map(|it| it.record.member.name.clone()) else {
+            return false;
+        };
+        self.hosts.remove(&oldest);
+        true
+    }
+
     /// the higher incarnation and would supersede this one's for ever; this run takes a higher
     /// incarnation.
     fn refute(&mut self, now: Duration, claim: &Record) -> Option<HostName> {
