Choose the readers of the store, and the hosts that callers get, by capacity

The hosts that read the store for all, and those that callers of a data centre were told, were chosen by a hash alone: a reader could have 0.12 of a core and 10 Mbit/s beside hosts with a core and 1,000 Mbit/s, and of 164 hosts of a data centre 56 got callers, ten large and 154 small ones alike. Hosts tell their processor and link in their records and entries now. Ranks go by the product of the two, then by hash. Callers get the hosts of their data centre rated at a quarter of the best one and more, if these are eight or more and have a quarter of its processors; else all of them as before.

--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -154,15 +154,18 @@
     }
 
     /// Returns this host's position among the ready hosts or, if none is ready, among those
-    /// that are listed or starting. All hosts with the same view agree on the order. It is by
-    /// hash because hosts with similar names would otherwise have adjacent ranks.
+    /// that are listed or starting. All hosts with the same view agree on the order. Hosts of
+    /// greater capacity come first: those of the first ranks read the store for all, and a small
+    /// host takes longer for a large listing than it stays current. Equal ones are ordered by hash
+    /// because hosts with similar names would otherwise have adjacent ranks.
     #[must_use]
     pub fn rank(&self) -> usize {
-        let own = name_hash(&self.own);
+        let order = |it: &KnownHost| (Reverse(it.record.member.capacity.rating()), it.name_hash);
+        let own = order(&self.hosts[&self.own]);
         let before = |state: fn(State) -> bool| {
             self.hosts
                 .values()
-                .filter(|it| it.name_hash < own && state(it.record.state))
+                .filter(|it| order(it) < own && state(it.record.state))
                 .count()
         };
         let is_any_ready = self.live().any(|it| it.state == State::Ready);
@@ -256,9 +259,6 @@
         Some(name.clone())
     }
 
-    /// Refutes a record about this host that supersedes its own.
-    ///
-    /// If the clock was set back between two runs of the process, the former run's record has
     /// Returns whether a record of this host can be stored. At the bound, the record of the host
     /// that has been gone the longest makes room for a new host: otherwise hosts that were replaced
     /// would keep new ones out until their records expire.
@@ -275,6 +275,9 @@
         true
     }
 
+    /// Refutes a record about this host that supersedes its own.
+    ///
+    /// If the clock was set back between two runs of the process, the former run's record has
     /// the higher incarnation and would supersede this one's for ever; this run takes a higher
     /// incarnation.
     fn refute(&mut self, now: Duration, claim: &Record) -> Option<HostName> {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod addresses;
 mod backoff;
+mod capacity;
 mod documents;
 mod follow;
 pub mod gossip;
@@ -18,9 +19,10 @@
 mod outage;
 mod report;
 mod store;
-
 pub mod succession;
+
 pub use backoff::Backoff;
+pub use capacity::Capacity;
 pub use documents::{Documents, RolloutVerdict};
 pub use host::{Host, ShutdownSchedule, Start};
 pub use member::Member;
--- a/crates/host/src/member.rs
+++ b/crates/host/src/member.rs
@@ -5,6 +5,7 @@
 use kernel::{DataCentre, HostName, Region};
 use serde::{Deserialize, Serialize};
 
+use crate::Capacity;
 use crate::addresses::Address;
 
 /// The name, addresses and location of a host.
@@ -20,6 +21,8 @@
     pub data_centre: DataCentre,
     /// Region in which the host runs.
     pub region: Region,
+    /// Processor and link of the host.
+    pub capacity: Capacity,
 }
 
 impl Member {
@@ -29,6 +32,7 @@
             front: self.front,
             data_centre: self.data_centre.clone(),
             region: self.region.clone(),
+            capacity: self.capacity,
         }
     }
 }
--- a/crates/host/tests/addresses.rs
+++ b/crates/host/tests/addresses.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use host::Capacity;
 use host::addresses::{Address, choose};
 use kernel::DataCentre;
 
@@ -14,6 +15,7 @@
             front: address(nr % DATA_CENTRES, nr / DATA_CENTRES),
             data_centre: data_centre(nr % DATA_CENTRES),
             region: "here".into(),
+            capacity: Capacity::default(),
         })
         .collect()
 }
@@ -88,3 +90,52 @@
 fn caller_without_location_gets_maximum() {
     assert_eq!(choose(&hosts(295), None, None).len(), 64);
 }
+
+/// Returns hosts of which `large` in each data centre have eight times the processor and fifty
+/// times the link of the others.
+fn mixed_hosts(count: usize, large: usize) -> Vec<Address> {
+    let mut hosts = hosts(count);
+    for (nr, it) in hosts.iter_mut().enumerate() {
+        it.capacity = if nr / DATA_CENTRES < large {
+            Capacity {
+                millicores: 1_000,
+                link_mbps: 1_000,
+            }
+        } else {
+            Capacity {
+                millicores: 120,
+                link_mbps: 20,
+            }
+        };
+    }
+    hosts
+}
+
+/// Guards against small hosts getting as many callers as large ones, which stay idle, and against
+/// callers depending on a few hosts or on too small a part of the fleet.
+#[test]
+fn callers_get_large_hosts_if_these_suffice() {
+    let of_large = |addresses: &[SocketAddr], large: usize| {
+        let is_large = |it: &&SocketAddr| {
+            let text = it.ip().to_string();
+            text.rsplit('.').next().unwrap().parse::<usize>().unwrap() <= large
+        };
+        addresses.iter().filter(is_large).count()
+    };
+    for count in [295, 985, 1_200] {
+        for caller in 0..DATA_CENTRES {
+            let addresses = addresses_for(&mixed_hosts(count, 10), caller);
+            assert_eq!(local_count(&addresses, caller), 10, "{count} hosts");
+            assert_eq!(addresses.len(), 12);
+            assert_eq!(of_large(&addresses, 10), 12);
+            let few = addresses_for(&mixed_hosts(count, 3), caller);
+            assert!(
+                local_count(&few, caller) >= 40,
+                "three large hosts don't suffice"
+            );
+        }
+    }
+    let hosts = mixed_hosts(6 * 250, 8);
+    let addresses = addresses_for(&hosts, 0);
+    assert_eq!(addresses.len(), 64, "8 of 37 cores don't suffice");
+}
--- a/crates/host/tests/gossip/network.rs
+++ b/crates/host/tests/gossip/network.rs
@@ -5,11 +5,11 @@
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::time::Duration;
 
-use host::Member;
 use host::gossip::{
     BATCH_DELAY, Comparison, Contact, Digest, GOSSIP_INTERVAL, Gossip, MIN_GOSSIP_INTERVAL,
     MembershipUpdate, RECONNECT_INTERVAL, Record, State,
 };
+use host::{Capacity, Member};
 use kernel::{HostName, Incarnation};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -355,5 +355,6 @@
         link: at(7_340),
         data_centre: format!("dc-{}", nr % DATA_CENTRES).into(),
         region: "here".into(),
+        capacity: Capacity::default(),
     }
 }
