--- a/crates/host/src/listing.rs
+++ b/crates/host/src/listing.rs
@@ -145,6 +145,7 @@
     }
 
     /// Returns the entries, ordered by endpoint.
+    #[must_use]
     pub fn entries(&self) -> impl ExactSizeIterator<Item = &Entry> {
         self.entries.values()
     }
--- a/crates/host/src/outage.rs
+++ b/crates/host/src/outage.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outage {
     /// Shortest outage of the store in which entries can lapse.
-    min_outage: Duration,
+    shortest: Duration,
     /// The last failed reading.
     last_failure: Option<Duration>,
     /// The first successful reading after an outage.
@@ -32,9 +32,9 @@
     /// endpoints renew their entries.
     #[must_use]
     pub fn new(heartbeat: Duration) -> Self {
-        let min_outage = heartbeat * MISSED_HEARTBEATS;
+        let shortest = heartbeat * MISSED_HEARTBEATS;
         Self {
-            min_outage: min_outage.saturating_sub(REMOVAL_MARGIN),
+            shortest: shortest.saturating_sub(REMOVAL_MARGIN),
             last_failure: None,
             returned: None,
             restored: None,
@@ -91,7 +91,7 @@
             Some((_, Absence::Lapsed)) => true,
             Some((at, Absence::Gone)) => {
                 let has_failed_since = self.last_failure.is_some_and(|it| it >= at);
-                has_failed_since && now.saturating_sub(at) >= self.min_outage
+                has_failed_since && now.saturating_sub(at) >= self.shortest
             }
             None => self.last_failure.is_some(),
         }
--- a/crates/host/tests/roster.rs
+++ b/crates/host/tests/roster.rs
@@ -11,7 +11,12 @@
 
 fn member(nr: usize) -> Member {
     let at = |port| {
-        let ip = format!("10.{}.{}.{}:{port}", 1 + nr / 60_000, nr / 250 % 240, 1 + nr % 250);
+        let ip = format!(
+            "10.{}.{}.{}:{port}",
+            1 + nr / 60_000,
+            nr / 250 % 240,
+            1 + nr % 250
+        );
         ip.parse().unwrap()
     };
     Member {
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -113,17 +113,8 @@
                 self.router().set_host_count(hosts);
                 None
             }
-            "list" | "list-lapsed" => {
-                let absence = if line.command == "list" {
-                    Absence::Gone
-                } else {
-                    Absence::Lapsed
-                };
-                let entries = line.args.iter().map(|it| entry(it)).collect();
-                let change = self.router().update_listing(now, entries, absence);
-                let leaving: Vec<_> = change.leaving.iter().map(EndpointId::as_str).collect();
-                (!leaving.is_empty()).then(|| format!("leaving {}", leaving.join(" ")))
-            }
+            "list" => self.update_listing(&line, Absence::Gone),
+            "list-lapsed" => self.update_listing(&line, Absence::Lapsed),
             "load" => {
                 self.load(&line);
                 None
@@ -160,10 +151,7 @@
             "many" => Some(self.send_many(&line)),
             "burst" => Some(self.send_at_once(&line)),
             "crowd" => Some(self.send_overlapping(&line)),
-            "ejected" => {
-                let (in_use, ejected) = self.router().directory().endpoint_counts(now);
-                Some(format!("{ejected} of {in_use} ejected"))
-            }
+            "ejected" => Some(self.count_ejected()),
             "order" => {
                 let order = Order {
                     service: line.args[0].into(),
@@ -200,6 +188,20 @@
         }
     }
 
+    fn update_listing(&mut self, line: &Line<'_>, absence: Absence) -> Option<String> {
+        let now = self.now;
+        let entries = line.args.iter().map(|it| entry(it)).collect();
+        let change = self.router().update_listing(now, entries, absence);
+        let leaving: Vec<_> = change.leaving.iter().map(EndpointId::as_str).collect();
+        (!leaving.is_empty()).then(|| format!("leaving {}", leaving.join(" ")))
+    }
+
+    fn count_ejected(&mut self) -> String {
+        let now = self.now;
+        let (in_use, ejected) = self.router().directory().endpoint_counts(now);
+        format!("{ejected} of {in_use} ejected")
+    }
+
     /// Advances the clock in steps, and the hosts' roll-outs with it.
     fn pass(&mut self, span: Duration) {
         let end = self.now + span;
