Let a few hosts write what all know to the store

Verdicts on roll-outs and quarantined requests are written by the first host whose turn it is, 0.3 or 0.4 s a rank, and from the eighth rank on by all at the same time: while the store accepts no writes, 977 of 985 hosts would retry. Hosts beyond the 64th rank leave it to the others.

succession.rs: at 8 to 2,000 hosts 64 write at most. Also: the test of kept changes changes one entry at least in a reading, also of a small listing.

--- a/crates/host/src/follow/quarantine.rs
+++ b/crates/host/src/follow/quarantine.rs
@@ -9,7 +9,7 @@
 use telemetry::{Event, Value};
 
 use crate::host::Host;
-use crate::{Backoff, Store, report};
+use crate::{Backoff, Store, report, succession};
 
 /// Interval of checks for new quarantined requests. Such a request makes an endpoint's
 /// process exit within a tenth of a second, and then those of others until all hosts know it.
@@ -19,8 +19,6 @@
 /// Delay per rank before a host writes. The first host writes, and the others learn of it
 /// before their delay has passed.
 const RANK_DELAY: Duration = Duration::from_millis(400);
-/// Rank from which on the delay no longer grows.
-const MAX_DELAYED_RANKS: usize = 8;
 
 pub(crate) async fn share<S: Store, D: Dialect>(host: Rc<Host<S, D>>) {
     loop {
@@ -60,8 +58,10 @@
         if host.node.router().quarantine().unpersisted().is_empty() {
             continue;
         }
-        let delayed_ranks = u32::try_from(host.rank().min(MAX_DELAYED_RANKS)).unwrap_or_default();
-        sleep(RANK_DELAY * delayed_ranks).await;
+        let Some(delay) = succession::write_delay(host.rank(), RANK_DELAY) else {
+            continue;
+        };
+        sleep(delay).await;
         let unpersisted = host.node.router().quarantine().unpersisted();
         if unpersisted.is_empty() {
             continue;
--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -13,16 +13,13 @@
     LONG_POLL_TIMEOUT, is_of_another_era, unless_restarted, wait_for_config, wait_to_read,
 };
 use crate::host::Host;
-use crate::{Backoff, Documents, RolloutVerdict, Store, StoreError, report};
+use crate::{Backoff, Documents, RolloutVerdict, Store, StoreError, report, succession};
 
 /// Interval at which roll-outs are evaluated.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay per rank before a host writes a verdict. The first host writes, and the others
 /// learn of it before their delay has passed.
 const RANK_DELAY: Duration = Duration::from_millis(300);
-/// Rank from which on the delay no longer grows.
-const MAX_DELAYED_RANKS: usize = 8;
-
 pub(crate) async fn follow<S: Store, D: Dialect>(host: Rc<Host<S, D>>) {
     wait_for_config(&host).await;
     let mut since: Option<Revision> = None;
@@ -127,10 +124,11 @@
     loop {
         sleep(EVALUATION_INTERVAL).await;
         let unwritten_verdicts = unwritten_verdicts(&host.node, &host);
+        let Some(delay) = succession::write_delay(host.rank(), RANK_DELAY) else {
+            continue;
+        };
         for it in unwritten_verdicts {
-            let delayed_ranks =
-                u32::try_from(host.rank().min(MAX_DELAYED_RANKS)).unwrap_or_default();
-            sleep(RANK_DELAY * delayed_ranks).await;
+            sleep(delay).await;
             let is_known = host
                 .verdicts
                 .borrow()
--- a/crates/host/src/succession.rs
+++ b/crates/host/src/succession.rs
@@ -15,8 +15,8 @@
 /// Number of hosts that read the store, by rank, before failure detection has removed those of
 /// them that are dead from the order.
 const MAX_SUCCESSORS: usize = 64;
-/// Delay of all further hosts. Longer than it takes to detect dead hosts, after which the ranks
-/// are other ones.
+/// Delay of all further hosts that read. Longer than it takes to detect dead hosts, after which the
+/// ranks are other ones.
 const LAST_DELAY: Duration = Duration::from_secs(2);
 
 /// Number of hosts that read the store soon after a start in which no other host gave them state.
@@ -43,6 +43,18 @@
     }
 }
 
+/// Returns how long a host of this rank waits before it writes what all hosts know to the store, by
+/// steps in which the others learn that it is written; `None` if it leaves that to others.
+///
+/// While the store accepts no writes, all hosts whose turn it is retry.
+#[must_use]
+pub fn write_delay(rank: usize, step: Duration) -> Option<Duration> {
+    /// Number of hosts that write one after another; the further ones write at the same time.
+    const SINGLE_WRITERS: usize = 8;
+    let steps = u32::try_from(rank.min(SINGLE_WRITERS)).unwrap_or_default();
+    (rank < MAX_SUCCESSORS).then_some(step * steps)
+}
+
 /// Returns how long a host of this rank waits, from its start or from the last state that it
 /// received since, before it reads the store itself.
 #[must_use]
--- a/crates/host/tests/listing.rs
+++ b/crates/host/tests/listing.rs
@@ -194,7 +194,7 @@
         let before = listing.fingerprint().unwrap();
         // Twenty readings, in each of which one entry in 400 changes.
         for _ in 0..20 {
-            let count = usize::try_from(size / 400).unwrap();
+            let count = usize::try_from(size / 400).unwrap().max(1);
             change_some(&mut rng, &mut entries, count, &mut last_id);
             listing.replace(entries.clone());
         }
--- a/crates/host/tests/succession.rs
+++ b/crates/host/tests/succession.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use host::gossip::Graph;
-use host::succession::{read_delay, startup_delay};
+use host::succession::{read_delay, startup_delay, write_delay};
 
 const SIZES: [usize; 5] = [8, 30, 300, 1_000, 2_000];
 /// Time from the start of a reading until all hosts know of it, per hop of gossip.
@@ -43,3 +43,15 @@
 fn successors_wait_less_than_the_margin() {
     assert!((0..64).all(|it| read_delay(it) <= Duration::from_millis(250)));
 }
+
+/// Guards against all hosts of a large fleet retrying a write that the store doesn't accept.
+#[test]
+fn few_hosts_write_what_all_know() {
+    let step = Duration::from_millis(300);
+    for hosts in SIZES {
+        let writers = (0..hosts).filter(|&it| write_delay(it, step).is_some());
+        assert_eq!(writers.count(), hosts.min(64), "{hosts} hosts");
+    }
+    assert_eq!(write_delay(0, step), Some(Duration::ZERO));
+    assert_eq!(write_delay(40, step), Some(8 * step));
+}
