Bound the memory of bodies that a host holds

A request's body is held until its attempts end, twice over, and a whole response until its caller has read it; nothing counted them, so slow callers with large bodies took a host over its memory, which ends it with all its requests.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -12,6 +12,7 @@
 use route::{Call, Ending, InFlight, Permit, Placement};
 use telemetry::{ConnectionOrigin, Event, Value};
 
+use crate::buffers::Reservation;
 use crate::caller::Request;
 use crate::conn::Conn;
 use crate::lazy_timeout::LazyTimeout;
@@ -56,6 +57,8 @@
 pub(crate) struct BufferedResponse {
     pub(crate) head: response::Head,
     pub(crate) body: Vec<u8>,
+    /// The memory that the body takes.
+    pub(crate) reservation: Reservation,
 }
 
 /// The outcome of the exchange with the endpoint.
@@ -338,12 +341,9 @@
     ) -> Ending {
         /// The limit on reading the body of a refusal, after which the connection isn't reused.
         const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
-        if let Ok(Ok(())) = timeout(
-            REFUSAL_BODY_TIMEOUT,
-            upstream.body(head, &mut Vec::new(), MAX_BUFFERED_BYTES),
-        )
-        .await
-        {
+        let mut refusal = self.buffer(head.clone());
+        let whole = upstream.body(&mut refusal, MAX_BUFFERED_BYTES);
+        if let Ok(Ok(())) = timeout(REFUSAL_BODY_TIMEOUT, whole).await {
             self.return_to_pool(upstream, head, response_fields);
         }
         if head.status == 421 {
@@ -362,31 +362,39 @@
         writer: &mut ResponseWriter,
         lazy_timeout: &mut LazyTimeout<'_>,
     ) -> ExchangeOutcome {
-        let mut body = Vec::new();
+        let mut buffered = self.buffer(head);
         let left = call.time_left(self.node.now());
-        let whole = upstream.body(&head, &mut body, MAX_BUFFERED_BYTES);
+        let whole = upstream.body(&mut buffered, MAX_BUFFERED_BYTES);
         match lazy_timeout.within(left, whole).await {
             Some(Ok(())) => {}
             Some(Err(err)) => return err.ending().into(),
             None => return Ending::TimedOut.into(),
         }
-        self.return_to_pool(upstream, &head, response_fields);
+        let head = &buffered.head;
+        self.return_to_pool(upstream, head, response_fields);
         // If the caller already has part of a stream, a response that isn't a stream means
         // that this endpoint can't resume it.
         let may_forward = !promises_not_run(head.status) && !call.has_started();
         if head.status >= 500 || !may_forward {
-            return ExchangeOutcome::Ended(
-                Ending::Failed,
-                may_forward.then_some(BufferedResponse { head, body }),
-            );
+            return ExchangeOutcome::Ended(Ending::Failed, may_forward.then_some(buffered));
         }
         self.progress.first_byte.set(Some(self.node.now()));
-        match writer.send_buffered(&self.node.dialect, &head, &body).await {
+        let sent = writer.send_buffered(&self.node.dialect, &buffered, self.node.timeouts.write);
+        match sent.await {
             Ok(()) => ExchangeOutcome::Delivered,
             Err(_) => ExchangeOutcome::CallerGone,
         }
     }
 
+    /// Returns a response whose body is still to be read.
+    fn buffer(&self, head: response::Head) -> BufferedResponse {
+        BufferedResponse {
+            head,
+            body: Vec::new(),
+            reservation: self.node.buffers.reserve(),
+        }
+    }
+
     fn is_head(&self) -> bool {
         self.request.head.method == "HEAD"
     }
--- a/crates/forward/src/caller.rs
+++ b/crates/forward/src/caller.rs
@@ -9,11 +9,13 @@
 use futures::future::{Either, pending, select};
 use futures::pin_mut;
 use futures::stream::{FuturesUnordered, StreamExt};
+use route::Denial;
 use route::config::Limits;
 
+use crate::buffers::Reservation;
 use crate::conn::Conn;
 use crate::response_writer::{LocalResponse, ResponseWriter};
-use crate::serve::serve;
+use crate::serve::{deny, serve};
 use crate::{Dialect, Node, Phase};
 
 /// The number of pipelined bytes that are buffered while a request is served. Further
@@ -26,16 +28,26 @@
 #[derive(Debug)]
 pub(crate) struct Request {
     pub(crate) head: request::Head,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Body,
     /// The time at which the head was complete.
     pub(crate) arrived: Duration,
 }
 
+/// The body of a request, with the memory that it takes.
+#[derive(Debug, derive_more::Deref)]
+pub(crate) struct Body {
+    #[deref]
+    bytes: Vec<u8>,
+    reservation: Reservation,
+}
+
 /// The result of reading from a caller's connection.
 enum Incoming {
     Request(Box<Request>),
     /// A request that violates a limit or the protocol, and the status of the response.
     Rejected(u16),
+    /// A request whose body there is no memory for.
+    NoMemory(Box<request::Head>),
     /// The connection was closed, failed, or was idle for too long.
     End,
 }
@@ -57,6 +69,11 @@
                 response.send_local(LocalResponse::of(status)).await;
                 Persistence::Close
             }
+            Incoming::NoMemory(head) => {
+                let response = ResponseWriter::new(conn.writer(), Some(&head), Persistence::Close);
+                deny(node, &head, Denial::NoMemory, response).await;
+                Persistence::Close
+            }
             Incoming::Request(request) => serve_request(node, &mut conn, *request).await,
         };
         if persistence == Persistence::Close {
@@ -126,13 +143,19 @@
     {
         return Incoming::End;
     }
-    match read_body(conn, head.length, limits.body_bytes).await {
-        Ok(body) => Incoming::Request(Box::new(Request {
+    let mut body = Body {
+        bytes: Vec::new(),
+        reservation: node.buffers.reserve(),
+    };
+    match read_body(conn, head.length, limits.body_bytes, &mut body).await {
+        Ok(()) => Incoming::Request(Box::new(Request {
             head,
             body,
             arrived,
         })),
-        Err(end) => end,
+        Err(BodyError::NoMemory) => Incoming::NoMemory(Box::new(head)),
+        Err(BodyError::Rejected(status)) => Incoming::Rejected(status),
+        Err(BodyError::End) => Incoming::End,
     }
 }
 
@@ -162,27 +185,50 @@
     }
 }
 
-async fn read_body(conn: &mut Conn, length: Length, max: usize) -> Result<Vec<u8>, Incoming> {
-    if matches!(length, Length::Known(len) if len > max as u64) {
-        return Err(Incoming::Rejected(413));
+/// The reason why a body wasn't read.
+enum BodyError {
+    /// It violates a limit or the protocol; the status of the response.
+    Rejected(u16),
+    /// There is no memory for it.
+    NoMemory,
+    /// The connection was closed or failed.
+    End,
+}
+
+async fn read_body(
+    conn: &mut Conn,
+    length: Length,
+    max: usize,
+    body: &mut Body,
+) -> Result<(), BodyError> {
+    if let Length::Known(len) = length {
+        let len = usize::try_from(len).unwrap_or(usize::MAX);
+        if len > max {
+            return Err(BodyError::Rejected(413));
+        }
+        if !body.reservation.try_hold(len) {
+            return Err(BodyError::NoMemory);
+        }
     }
     let mut decoder = Decoder::new(length);
-    let mut body = Vec::new();
     loop {
         let taken = decoder
-            .decode(conn.unread(), &mut body)
-            .map_err(|_| Incoming::Rejected(400))?;
+            .decode(conn.unread(), &mut body.bytes)
+            .map_err(|_| BodyError::Rejected(400))?;
         conn.consume(taken);
         if body.len() > max {
-            return Err(Incoming::Rejected(413));
+            return Err(BodyError::Rejected(413));
+        }
+        if !body.reservation.try_hold(body.bytes.len()) {
+            return Err(BodyError::NoMemory);
         }
         if decoder.is_done() {
-            return Ok(body);
+            return Ok(());
         }
         match timeout(BODY_READ_TIMEOUT, conn.fill()).await {
             Ok(Ok(1..)) => {}
-            Ok(_) => return Err(Incoming::End),
-            Err(_) => return Err(Incoming::Rejected(408)),
+            Ok(_) => return Err(BodyError::End),
+            Err(_) => return Err(BodyError::Rejected(408)),
         }
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,7 @@
 //! processing it. See `docs/design/relay.md`.
 
 mod attempt;
+mod buffers;
 mod caller;
 mod conn;
 mod dialect;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -13,6 +13,7 @@
 use route::endpoint::Key;
 use telemetry::Recorder;
 
+use crate::buffers::Buffers;
 use crate::pool::Pool;
 use crate::{Dialect, Timeouts};
 
@@ -23,6 +24,7 @@
     pub(crate) recorder: Rc<Recorder>,
     pub(crate) timeouts: Timeouts,
     pub(crate) pool: Pool,
+    pub(crate) buffers: Rc<Buffers>,
     /// The endpoints that are being probed.
     pub(crate) probing: RefCell<HashSet<Key>>,
     tasks: LocalExecutor<'static>,
@@ -51,13 +53,15 @@
 }
 
 impl<D: Dialect> Node<D> {
-    /// Creates the state of a host that has no configuration or endpoints yet.
+    /// Creates the state of a host that has no configuration or endpoints yet. Bodies of requests
+    /// and responses take `buffer_bytes` of memory at most.
     #[must_use]
     pub fn new(
         router: Router,
         dialect: D,
         recorder: Rc<Recorder>,
         timeouts: Timeouts,
+        buffer_bytes: usize,
         clock: Arc<dyn Clock>,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -65,6 +69,7 @@
             recorder,
             timeouts,
             pool: Pool::default(),
+            buffers: Buffers::new(buffer_bytes),
             probing: RefCell::default(),
             tasks: LocalExecutor::new(),
             started: clock.now(),
--- a/crates/forward/src/response_writer.rs
+++ b/crates/forward/src/response_writer.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use framing::{request, response};
 use route::{Denial, Failure};
 
 use crate::Dialect;
+use crate::attempt::BufferedResponse;
 use crate::caller::Persistence;
 
 /// Writes one response to a caller.
@@ -49,6 +51,8 @@
         /// Applies while a host is starting or stopping. Short, since other hosts can serve
         /// the request now.
         const RETRY_DELAY: Duration = Duration::from_millis(200);
+        /// Long enough for some requests to end; until then other hosts may serve this one.
+        const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
         match denial {
             Denial::NotReady | Denial::Stopping => Self {
                 status: 503,
@@ -58,6 +62,10 @@
                 status: 503,
                 retry_after: Some(retry_after),
             },
+            Denial::NoMemory => Self {
+                status: 503,
+                retry_after: Some(MEMORY_RETRY_DELAY),
+            },
             Denial::NoRoute => Self::of(404),
             Denial::UnknownKey => Self::of(401),
         }
@@ -112,13 +120,16 @@
         let _ = self.flush().await;
     }
 
-    /// Sends a complete response of an endpoint.
+    /// Sends a complete response of an endpoint. Fails if the caller reads none of it for
+    /// `write_timeout`: it would take memory for as long as the connection stays open.
     pub(crate) async fn send_buffered<D: Dialect>(
         &mut self,
         dialect: &D,
-        head: &response::Head,
-        body: &[u8],
+        whole: &BufferedResponse,
+        write_timeout: Duration,
     ) -> io::Result<()> {
+        const PIECE_BYTES: usize = 64 * 1024;
+        let BufferedResponse { head, body, .. } = whole;
         self.copy_head(dialect, head);
         let length = match head.status {
             204 | 304 => None,
@@ -131,7 +142,11 @@
         if !self.is_head {
             self.out.extend_from_slice(body);
         }
-        self.flush().await
+        for piece in std::mem::take(&mut self.out).chunks(PIECE_BYTES) {
+            let written = timeout(write_timeout, (&self.writer).write_all(piece)).await;
+            written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        }
+        Ok(())
     }
 
     /// Appends the head of a stream to the output buffer.
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use framing::request;
 use kernel::RequestId;
 use route::config::{Customer, Route};
 use route::{Call, Denial, Ending, Failure, IncomingRequest, Next, Placement, RequestFingerprint};
@@ -31,7 +32,7 @@
         return Ok(());
     };
     response.request_id = Some((node.dialect.request_id_field(), id.as_str().to_owned()));
-    let record = RequestRecord::new(node, request, &id);
+    let record = RequestRecord::new(node, request.arrived, &id);
     node.wait_until_configured().await;
     let mut call = match admit(node, request, &request_fields, &id) {
         Ok(call) => call,
@@ -68,6 +69,23 @@
     result
 }
 
+/// Denies a request whose body wasn't read.
+pub(crate) async fn deny<D: Dialect>(
+    node: &Rc<Node<D>>,
+    head: &request::Head,
+    denial: Denial,
+    mut response: ResponseWriter,
+) {
+    let local = LocalResponse::from(denial);
+    let Some(id) = node.dialect.parse_request(head).id else {
+        return response.send_local(local).await;
+    };
+    response.request_id = Some((node.dialect.request_id_field(), id.as_str().to_owned()));
+    let record = RequestRecord::new(node, node.now(), &id);
+    response.send_local(local).await;
+    record.end(Outcome::Denied(denial), local.status);
+}
+
 /// Returns the response to a request that wasn't admitted. [`admit`] returns only
 /// [`Outcome::Denied`].
 fn local_response(outcome: Outcome) -> LocalResponse {
@@ -149,7 +167,7 @@
                     // answered with a 502 by `send_failure`.
                     (Next::Fail(Failure::Passed), Some(whole)) => {
                         return match response
-                            .send_buffered(&node.dialect, &whole.head, &whole.body)
+                            .send_buffered(&node.dialect, &whole, node.timeouts.write)
                             .await
                         {
                             Ok(()) => Outcome::Failed(Failure::Passed),
@@ -229,11 +247,11 @@
 }
 
 impl<'a, D: Dialect> RequestRecord<'a, D> {
-    fn new(node: &'a Rc<Node<D>>, request: &Request, id: &'a RequestId) -> Self {
+    fn new(node: &'a Rc<Node<D>>, arrived: Duration, id: &'a RequestId) -> Self {
         Self {
             node,
             id,
-            arrived: request.arrived,
+            arrived,
             progress: Progress::default(),
             ended: Cell::new(false),
         }
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -8,6 +8,7 @@
 use futures::pin_mut;
 use route::{Ending, Permit};
 
+use crate::attempt::BufferedResponse;
 use crate::conn::Conn;
 
 /// The longest head of a response.
@@ -110,22 +111,34 @@
         }
     }
 
-    /// Reads a complete body.
+    /// Reads the complete body of a response. If its length is known, first waits until there is
+    /// memory for all of it: responses that each hold a part would wait for each other.
     pub(crate) async fn body(
         &mut self,
-        head: &response::Head,
-        body: &mut Vec<u8>,
+        response: &mut BufferedResponse,
         max: usize,
     ) -> Result<(), UpstreamError> {
+        let BufferedResponse {
+            head,
+            body,
+            reservation,
+        } = response;
+        if let Length::Known(len) = head.length {
+            let len = usize::try_from(len).unwrap_or(usize::MAX);
+            if len > max {
+                return Err(UpstreamError::Broken);
+            }
+            reservation.hold(len).await;
+        }
         let mut decoder = Decoder::new(head.length);
         loop {
             self.decode(&mut decoder, body)?;
+            if body.len() > max || !reservation.try_hold(body.len()) {
+                return Err(UpstreamError::Broken);
+            }
             if decoder.is_done() {
                 return Ok(());
             }
-            if body.len() > max {
-                return Err(UpstreamError::Broken);
-            }
             match self.advance().await {
                 Ok(1..) => {}
                 Ok(0) => return decoder.finish().map_err(|_| UpstreamError::Broken),
--- a/crates/route/src/router/denial.rs
+++ b/crates/route/src/router/denial.rs
@@ -13,6 +13,10 @@
     /// The host is shutting down, and the request might not complete in time.
     #[display("stopping")]
     Stopping,
+    /// The host has no memory for the request's body. Only the caller's connection knows this, the
+    /// router doesn't.
+    #[display("no_memory")]
+    NoMemory,
     /// No route matches.
     #[display("no_route")]
     NoRoute,
@@ -31,9 +35,10 @@
 
 impl Denial {
     /// All variants.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::NotReady,
         Self::Stopping,
+        Self::NoMemory,
         Self::NoRoute,
         Self::UnknownKey,
         Self::Quarantined {
