Read the listing of hosts seldom, also where another host wrote the entry

A host took itself for unregistered unless it had written its entry itself, and as the first reader it then read the listing every half second for ever. The interval grows with each reading that lacks no host now, whoever wrote the entries.

a_reader_without_an_entry_of_its_own_reads_the_hosts_seldom: two readings in five seconds at most.

--- a/crates/host/src/follow/members.rs
+++ b/crates/host/src/follow/members.rs
@@ -14,8 +14,8 @@
 
 /// Longest interval at which the first of the readers reads the listing.
 const READ_INTERVAL: Duration = Duration::from_secs(10);
-/// Initial interval. It doubles up to the longest one with each round in which this host is
-/// registered: hosts that start at the same time aren't in the listing at first.
+/// Initial interval. It doubles up to the longest one with each reading that lacks no host: hosts
+/// that start at the same time aren't in the listing at first.
 const FIRST_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a host checks whether it has to read or write the listing.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -49,24 +49,33 @@
             let is_done = register(&host, &[host.own().clone()]).await;
             host.is_registered.set(is_done);
         }
-        if host.rank() == 0 && host.should_read_store(host.config_confirmed.get()) {
-            reconcile(&host).await;
-        }
         next = host.node.now() + interval;
-        if host.is_registered.get() {
+        if host.rank() == 0
+            && host.should_read_store(host.config_confirmed.get())
+            && reconcile(&host).await == Reconciled::Complete
+        {
             interval = READ_INTERVAL.min(interval * 2);
         }
     }
 }
 
+/// The result of comparing the listing with the live hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reconciled {
+    /// The listing had enough live hosts.
+    Complete,
+    /// It lacked some, or couldn't be read.
+    Incomplete,
+}
+
 /// Reads the listing, adds live hosts that are missing from it, and removes hosts that
 /// have been silent or gone for long.
-async fn reconcile<S: Store, D: Dialect>(host: &Host<S, D>) {
+async fn reconcile<S: Store, D: Dialect>(host: &Host<S, D>) -> Reconciled {
     let began = host.node.now();
     let listed = host.store.members().await;
     report::record_store_call(host, "hosts", began, &listed);
     let Ok(found) = listed else {
-        return;
+        return Reconciled::Incomplete;
     };
     report::log_unusable(host, "hosts", found.unusable);
     let (missing, expired) = {
@@ -84,6 +93,11 @@
         let result = host.store.withdraw(batch).await;
         report::record_store_call(host, "withdraw", began, &result);
     }
+    if missing.is_empty() {
+        Reconciled::Complete
+    } else {
+        Reconciled::Incomplete
+    }
 }
 
 /// Writes the entries of these hosts. Returns whether that succeeded.
