--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -146,7 +146,7 @@
     let written = host.store.write_verdict(&rollout_verdict).await;
     report::record_store_call(host, "judge", began, &written);
     match written {
-        Ok(()) => {
+        Ok(revision) => {
             host.recorder().log_event(
                 Event::RolloutWritten,
                 &[
@@ -156,7 +156,12 @@
                 ],
             );
             let service = rollout_verdict.service.clone();
-            host.verdicts.borrow_mut().insert(service, rollout_verdict);
+            let revision = revision.or(rollout_verdict.revision);
+            let written = RolloutVerdict {
+                revision,
+                ..rollout_verdict
+            };
+            host.verdicts.borrow_mut().insert(service, written);
         }
         Err(StoreError::Conflict) => {
             let began = host.node.now();
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -79,11 +79,12 @@
     ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Writes a verdict on a roll-out if the stored one still has `rollout_verdict.revision`,
-    /// or if none is stored and that is `None`.
+    /// or if none is stored and that is `None`. Returns the revision of the written one, if the
+    /// store tells it.
     fn write_verdict(
         &self,
         rollout_verdict: &RolloutVerdict,
-    ) -> impl Future<Output = Result<(), StoreError>>;
+    ) -> impl Future<Output = Result<Option<Revision>, StoreError>>;
 }
 
 /// The data that a host reads from the store to join the fleet: to find and authenticate the other
