Wait for changes of the listing at the store, and know at a start that listed hosts come first

After each reading the reader paused for the interval, so it asked anew when the listing was an interval old and never waited at the store: a change was seen up to a second late. It pauses after a reading with changes only.

At a start the ranks come from a roster that lacks most hosts, so of hundreds of hosts many took themselves for one of the first eight and read everything. A host that the store doesn't list ranks behind those that it found there, and the entries are those of the first hosts by rank. A page of the listing without entries that isn't the last one ends no fetch but counts as a failure.

--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -33,6 +33,15 @@
     Change(&'a Change),
 }
 
+/// The outcome of a reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// The listing may have changed.
+    Changed,
+    /// Nothing changed while the store waited for changes.
+    Unchanged,
+}
+
 /// The state of a host that reads the listing.
 struct Reader<S, D> {
     host: Rc<Host<S, D>>,
@@ -60,7 +69,7 @@
         }
         let began = node.now();
         match reader.read().await {
-            Ok(()) => {
+            Ok(reading) => {
                 backoff.reset();
                 if host.is_watching_documents.get() {
                     // The store responds and a long poll is open: it would have returned a
@@ -68,9 +77,11 @@
                     host.confirm_config(node.now());
                 }
                 host.schedule_update();
-                // Changes that follow each other closely are read together.
-                let pause = host.read_interval();
-                sleep(pause.saturating_sub(node.now().saturating_sub(began))).await;
+                if reading == Reading::Changed {
+                    // Changes that follow each other closely are read together.
+                    let pause = host.read_interval();
+                    sleep(pause.saturating_sub(node.now().saturating_sub(began))).await;
+                }
             }
             Err(StoreError::HistoryGone) if !reader.needs_whole => reader.needs_whole = true,
             Err(_) => {
@@ -98,7 +109,7 @@
 
 impl<S: Store, D: Dialect> Reader<S, D> {
     /// Reads what changed since the listing in use, or all of it if there is none.
-    async fn read(&mut self) -> Result<(), StoreError> {
+    async fn read(&mut self) -> Result<Reading, StoreError> {
         let known = self.host.listing_meta.get();
         // A store that was restored from a copy has lost the changes that the listing has.
         let is_of_this_era = |it: &ListingMeta| it.revision.era >= self.host.store.era();
@@ -108,7 +119,7 @@
         }
     }
 
-    async fn read_whole(&mut self) -> Result<(), StoreError> {
+    async fn read_whole(&mut self) -> Result<Reading, StoreError> {
         let host = &self.host;
         let began = host.node.now();
         let listed = host.store.endpoints().await;
@@ -123,10 +134,10 @@
         drop(router);
         let meta = self.meta(now, table.revision, fingerprint(&entries));
         put_in_use(&self.host, meta, Content::Whole(entries));
-        Ok(())
+        Ok(Reading::Changed)
     }
 
-    async fn read_changes(&mut self, known: ListingMeta) -> Result<(), StoreError> {
+    async fn read_changes(&mut self, known: ListingMeta) -> Result<Reading, StoreError> {
         let host = &self.host;
         let began = host.node.now();
         let age = began.saturating_sub(known.at);
@@ -151,15 +162,19 @@
         // entries older than its own.
         let in_use = host.listing_meta.get();
         if in_use.is_some_and(|it| it.revision > changes.revision) {
-            return Ok(());
+            return Ok(Reading::Changed);
         }
         let change = host.listing.borrow().change_to(entries, changes.gone);
         let Some(change) = change else {
-            return Ok(());
+            return Ok(Reading::Changed);
         };
         let meta = self.meta(now, changes.revision, change.to);
         put_in_use(&self.host, meta, Content::Change(&change));
-        Ok(())
+        Ok(if change.is_empty() {
+            Reading::Unchanged
+        } else {
+            Reading::Changed
+        })
     }
 
     /// Returns the properties of a listing that was read now.
--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -55,6 +55,18 @@
     stored_at: Duration,
     /// The last live state before this record; the record's own state if the host was unknown.
     last_live_state: State,
+    /// The last time at which the host was live again after it was silent.
+    returned_at: Option<Duration>,
+}
+
+impl KnownHost {
+    /// Returns the key by which hosts are ordered.
+    fn order(&self) -> (Reverse<u64>, u32) {
+        (
+            Reverse(self.record.member.capacity.rating()),
+            self.name_hash,
+        )
+    }
 }
 
 impl Roster {
@@ -123,13 +135,14 @@
     }
 
     /// Returns live hosts to add to these store entries, so that enough of the entries are of live
-    /// hosts, and those whose entries are outdated.
+    /// hosts, and those whose entries are outdated. The first by rank are added first, so that a
+    /// host without an entry knows that others come before it.
     #[must_use]
     pub fn missing(&self, listed: &[Member]) -> Vec<Member> {
         let by_name: HashMap<_, _> = listed.iter().map(|it| (&it.name, it)).collect();
         let is_reported = |it: &&KnownHost| it.record.is_live() && it.record.state != State::Listed;
         let mut live: Vec<_> = self.hosts.values().filter(is_reported).collect();
-        live.sort_unstable_by_key(|it| it.name_hash);
+        live.sort_unstable_by_key(|it| it.order());
         let (known, unknown): (Vec<_>, Vec<_>) = live
             .into_iter()
             .map(|it| &it.record.member)
@@ -160,12 +173,11 @@
     /// because hosts with similar names would otherwise have adjacent ranks.
     #[must_use]
     pub fn rank(&self) -> usize {
-        let order = |it: &KnownHost| (Reverse(it.record.member.capacity.rating()), it.name_hash);
-        let own = order(&self.hosts[&self.own]);
+        let own = self.hosts[&self.own].order();
         let before = |state: fn(State) -> bool| {
             self.hosts
                 .values()
-                .filter(|it| order(it) < own && state(it.record.state))
+                .filter(|it| it.order() < own && state(it.record.state))
                 .count()
         };
         let is_any_ready = self.live().any(|it| it.state == State::Ready);
--- a/crates/host/src/host/readers.rs
+++ b/crates/host/src/host/readers.rs
@@ -44,7 +44,7 @@
             Some(at) => (at, self.read_age() + succession::read_delay(self.rank())),
             None => (
                 self.state_received.get().unwrap_or(self.started),
-                succession::startup_delay(self.rank(), self.host_count()),
+                succession::startup_delay(self.startup_rank(), self.host_count()),
             ),
         };
         // A host that is still asking others for their state may not know its rank.
@@ -92,7 +92,7 @@
     /// than the timeout, and hosts that start together would all read the store meanwhile.
     fn has_bootstrap_ended(&self) -> bool {
         let has_timed_out = self.node.now() >= self.started + BOOTSTRAP_TIMEOUT
-            && self.rank() < succession::READER_COUNT;
+            && self.startup_rank() < succession::READER_COUNT;
         self.join_attempted.get() && (self.bootstrap_attempted.get() || has_timed_out)
     }
 
@@ -113,6 +113,18 @@
         self.gossip.borrow().roster().count()
     }
 
+    /// Returns this host's rank while it may not know most of the others.
+    ///
+    /// If the store lists others and not this host, these come first, whatever the order: with a
+    /// roster that still lacks most hosts, many would take themselves for one of the first.
+    fn startup_rank(&self) -> usize {
+        let rank = self.rank();
+        if self.is_registered.get() {
+            return rank;
+        }
+        rank.max(self.hosts_found.get().unwrap_or_default())
+    }
+
     /// Returns this host's rank in the order of hosts, from 0.
     pub(crate) fn rank(&self) -> usize {
         self.gossip.borrow().roster().rank()
--- a/crates/host/src/messaging/listing.rs
+++ b/crates/host/src/messaging/listing.rs
@@ -90,6 +90,7 @@
             let request = Request::ListingPage(after.clone());
             if let Some(Message::ListingPage(it)) = self.request(request).await
                 && let Some(entries) = it.entries.unpack()
+                && (it.is_last || !entries.is_empty())
             {
                 return Some((entries, it.is_last));
             }
