Compare views with a neighbour that is live again after it was silent

While a host counts as silent, its predecessors don't send to it. After a data centre had reconnected, a host whose refutation came after those of others had missed these, and learned of them only when views are compared after 1.2 s: for a moment it named 139 of 246 hosts to callers. A host now compares its view with a successor that has just returned. The rings are also sorted with each key computed once, not at each comparison.

--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -71,6 +71,9 @@
     former_successors: Vec<(HostName, Duration)>,
     /// Hosts whose records changed since the previous update.
     unsent: Vec<HostName>,
+    /// Successors that are live again after they were silent, since the last
+    /// [`Self::take_returned`].
+    returned: Vec<HostName>,
     /// The hosts whose fingerprints differ from this one's, each with the time at which that
     /// was first seen.
     mismatched_since: HashMap<HostName, Duration>,
@@ -84,6 +87,7 @@
         let roster = Roster::new(own, incarnation, now);
         let mut gossip = Self {
             unsent: vec![roster.own().member.name.clone()],
+            returned: Vec::new(),
             graph: Graph::default(),
             former_successors: Vec::new(),
             failure_detector: FailureDetector::default(),
@@ -177,6 +181,16 @@
         }
     }
 
+    /// Returns the successors to compare views with, because they are live again after they were
+    /// silent. While a host counts as silent, changes aren't sent to it, and its own refutation may
+    /// arrive after those of others: without a comparison it would learn of these late.
+    pub fn take_returned(&mut self, now: Duration) -> Vec<Member> {
+        self.update_graph(now);
+        let returned = std::mem::take(&mut self.returned);
+        let find = |it: &HostName| self.roster.get(it).map(|it| it.member.clone());
+        returned.iter().filter_map(find).collect()
+    }
+
     /// Returns a compact digest of the roster for a comparison.
     #[must_use]
     pub fn digest(&self) -> Digest {
@@ -268,6 +282,9 @@
         if self.graph.successors().any(|it| !before.contains(it)) {
             self.queue_record(self.roster.own().member.name.clone());
         }
+        let is_new = |it: &&HostName| !before.contains(it) && self.roster.has_returned(now, it);
+        self.returned
+            .extend(self.graph.successors().filter(is_new).cloned());
         self.keep_former_successors(now, before);
         self.failure_detector
             .monitor(now, self.graph.predecessors());
--- a/crates/host/src/gossip/graph.rs
+++ b/crates/host/src/gossip/graph.rs
@@ -151,7 +151,7 @@
 /// Returns the hosts in their order on a ring.
 fn ring_order(nodes: &[Node<'_>], hosts: &[usize], ring: usize) -> Vec<usize> {
     let mut order = hosts.to_vec();
-    order.sort_unstable_by_key(|&it| hash::of(&(ring, nodes[it].name_hash)));
+    order.sort_by_cached_key(|&it| hash::of(&(ring, nodes[it].name_hash)));
     order
 }
 
--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Returns whether a host has just become live again after it was silent.
+    pub(super) fn has_returned(&self, now: Duration, host: &HostName) -> bool {
+        const JUST_NOW: Duration = Duration::from_secs(1);
+        let returned_at = self.hosts.get(host).and_then(|it| it.returned_at);
+        returned_at.is_some_and(|it| now < it + JUST_NOW)
+    }
+
     /// Returns a fingerprint of the live hosts' records, except those only listed in the store.
     /// Equal views have equal fingerprints.
     #[must_use]
@@ -350,6 +357,10 @@
                     it.last_live_state
                 }
             }),
+            returned_at: match before {
+                Some(it) if !it.record.is_live() && record.is_live() => Some(now),
+                _ => before.and_then(|it| it.returned_at),
+            },
             name_hash: name_hash(&name),
             record_hash: record_hash(&record),
             record,
--- a/crates/host/src/messaging.rs
+++ b/crates/host/src/messaging.rs
@@ -24,7 +24,7 @@
 
 use crate::gossip::{BATCH_DELAY, GOSSIP_INTERVAL, MIN_GOSSIP_INTERVAL, ROOT_COUNT};
 use crate::host::Host;
-use crate::message::{ListingStatus, Message, StateUpdate};
+use crate::message::{ListingStatus, Message, Request, StateUpdate};
 use crate::{Backoff, Member, Store, follow};
 
 /// Joins the fleet, with retries until that succeeds, starts the tasks that communicate with
@@ -57,6 +57,7 @@
 async fn send_updates<S: Store, D: Dialect>(host: Rc<Host<S, D>>, link: Link) {
     loop {
         send_update(&host, &link);
+        compare_with_returned(&host, &link);
         sleep(MIN_GOSSIP_INTERVAL.saturating_sub(BATCH_DELAY)).await;
         let pause = sleep(GOSSIP_INTERVAL.saturating_sub(MIN_GOSSIP_INTERVAL));
         let change = host.update_requests.recv();
@@ -100,6 +101,15 @@
     }
 }
 
+/// Compares views with neighbours that are live again after they were silent.
+fn compare_with_returned<S: Store, D: Dialect>(host: &Rc<Host<S, D>>, link: &Link) {
+    let returned = host.gossip.borrow_mut().take_returned(host.node.now());
+    for it in returned.iter().map(peer) {
+        let digest = host.gossip.borrow().digest();
+        request::send_in_background(host, link, &it, Request::Compare(digest));
+    }
+}
+
 /// Returns the operators' evacuation orders for data centres. Revoked ones are included because
 /// a host that was cut off may still have them in force.
 fn evacuations<S: Store, D: Dialect>(host: &Host<S, D>) -> Vec<Evacuation> {
--- a/crates/host/src/messaging/request.rs
+++ b/crates/host/src/messaging/request.rs
@@ -33,13 +33,34 @@
     let (node, host, link) = (Rc::clone(&host.node), Rc::clone(host), link.clone());
     let peer = peer.clone();
     node.spawn(async move {
-        if let Some(response) = send(&host, &link, &peer, request).await {
-            apply::response(&host, &link, &peer, response);
-        }
+        send_and_apply(&host, &link, &peer, request).await;
         host.in_flight_requests.borrow_mut().remove(&kind);
     });
 }
 
+/// Sends a request in the background.
+pub(super) fn send_in_background<S: Store, D: Dialect>(
+    host: &Rc<Host<S, D>>,
+    link: &Link,
+    peer: &Peer,
+    request: Request,
+) {
+    let (node, host, link) = (Rc::clone(&host.node), Rc::clone(host), link.clone());
+    let peer = peer.clone();
+    node.spawn(async move { send_and_apply(&host, &link, &peer, request).await });
+}
+
+async fn send_and_apply<S: Store, D: Dialect>(
+    host: &Rc<Host<S, D>>,
+    link: &Link,
+    peer: &Peer,
+    request: Request,
+) {
+    if let Some(response) = send(host, link, peer, request).await {
+        apply::response(host, link, peer, response);
+    }
+}
+
 /// Sends a request; returns `None` if there is no usable response.
 pub(super) async fn send<S: Store, D: Dialect>(
     host: &Host<S, D>,
--- a/crates/host/tests/gossip/network.rs
+++ b/crates/host/tests/gossip/network.rs
@@ -239,6 +239,10 @@
             let message = Message::Update(nr, update.clone(), version);
             self.send(nr, number_of(&it.name), message);
         }
+        for it in self.hosts[nr].gossip.take_returned(self.now) {
+            let digest = self.hosts[nr].gossip.digest();
+            self.send(nr, number_of(&it.name), Message::Compare(nr, digest));
+        }
     }
 
     fn check_suspects(&mut self, nr: usize) {
