--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -18,6 +18,9 @@
 use crate::listing::{Change, fingerprint};
 use crate::{Backoff, Outage, Store, StoreError, report};
 
+/// Time between two readings with changes, so that changes that follow each other closely are read
+/// together. An endpoint that leaves may get requests for as long.
+const BATCH_PAUSE: Duration = Duration::from_secs(1);
 /// Least wait for changes. Not zero, with which a store could answer before it looks.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 
@@ -78,9 +81,7 @@
                 }
                 host.schedule_update();
                 if reading == Reading::Changed {
-                    // Changes that follow each other closely are read together.
-                    let pause = host.read_interval();
-                    sleep(pause.saturating_sub(node.now().saturating_sub(began))).await;
+                    sleep(BATCH_PAUSE.saturating_sub(node.now().saturating_sub(began))).await;
                 }
             }
             Err(StoreError::HistoryGone) if !reader.needs_whole => reader.needs_whole = true,
