Decode the request rates that endpoints state, and log and count them

Events 1605 and 1606 tell when an endpoint states a rate and when it no longer does; the line of an attempt has the rate that was known at its first byte; a counter and a gauge. A response without a rate counts only if its request was sent after the host learned of the rate. Nothing is decided by it yet.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: forwards a request to one endpoint and relays the response.
 
 mod guard;
+mod status;
 mod stream;
 
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use kernel::RequestId;
 use route::config::RetryPolicy;
 use route::{Call, Ending, InFlight, Permit, Placement};
-use telemetry::{ConnectionOrigin, Event, Value};
+use telemetry::ConnectionOrigin;
 
 use crate::buffers::Reservation;
 use crate::caller::Request;
@@ -154,18 +155,7 @@
             }
         };
         let now = self.node.now();
-        guard.details.status = Some(head.status);
-        guard.details.confidence = response_fields.confidence;
-        guard.details.is_leaving = Some(response_fields.is_leaving);
-        if let (Some(load), Some(in_flight)) = (response_fields.load, &mut guard.in_flight) {
-            self.node.router().record_load(now, in_flight, load);
-        }
-        if response_fields.is_leaving {
-            self.report_leaving(guard);
-        }
-        if let (Some(pause), Some(in_flight)) = (response_fields.retry_after, &guard.in_flight) {
-            self.node.router().record_pause(now, in_flight, pause);
-        }
+        self.record_status(&head, &response_fields, guard);
         if response_fields.not_run || head.status == 421 {
             return self
                 .handle_refusal(upstream, &head, &response_fields)
@@ -237,6 +227,7 @@
     /// Asks the router whether the request may still be sent, now that the connection is open.
     fn permit(&self, guard: &mut AttemptGuard<'_, D>) -> Result<Permit, Ending> {
         let in_flight = guard.in_flight.as_ref().ok_or(Ending::Withheld)?;
+        guard.details.rate_limit = self.node.router().rate_limit(in_flight);
         let permit = self.node.router().permit(self.node.now(), in_flight);
         permit.map_err(|why| {
             self.node.recorder.metrics().withheld(why);
@@ -318,20 +309,6 @@
         }
     }
 
-    /// Marks the endpoint as leaving, as its response says, so that it gets no new requests.
-    fn report_leaving(&self, guard: &AttemptGuard<'_, D>) {
-        let Some(in_flight) = &guard.in_flight else {
-            return;
-        };
-        if self.node.router().record_leaving(in_flight) {
-            let endpoint = ("endpoint", Value::Text(&self.placement.id));
-            self.node.recorder.log_event(
-                Event::EndpointLeaving,
-                &[endpoint, ("told_by", Value::Text(&"its answer"))],
-            );
-        }
-    }
-
     /// Reads the rest of a refusal and returns how the attempt ends.
     async fn handle_refusal(
         &self,
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Ending, InFlight, Placement, RequestFingerprint, Withheld};
+use route::{Ending, InFlight, Placement, RequestFingerprint, RequestRate, Withheld};
 use telemetry::{AttemptReport, ConnectionOrigin};
 
 use crate::serve::Progress;
@@ -30,6 +30,8 @@
     pub(super) status: Option<u16>,
     pub(super) confidence: Option<u8>,
     pub(super) is_leaving: Option<bool>,
+    /// The limit that the endpoint was known to state when the request was sent.
+    pub(super) rate_limit: Option<RequestRate>,
     pub(super) withheld: Option<Withheld>,
     /// Set when the exchange with the endpoint ends; `None` if the attempt is dropped.
     pub(super) last_event: Option<u64>,
@@ -55,6 +57,7 @@
             config_version: self.config_version,
             confidence: self.details.confidence,
             is_leaving: self.details.is_leaving,
+            rate_limit: self.details.rate_limit,
             withheld: self.details.withheld,
             last_event: self.details.last_event,
             status: self.details.status,
--- /dev/null
+++ b/crates/forward/src/attempt/status.rs
@@ -0,0 +1,82 @@
+//! What an endpoint says of itself in the head of a response.
+
+use framing::response;
+use route::rate_limit::Change;
+use telemetry::{Event, Value};
+
+use super::Attempt;
+use super::guard::AttemptGuard;
+use crate::{Dialect, ResponseFields};
+
+impl<D: Dialect> Attempt<'_, D> {
+    /// Tells the router what a response says of its endpoint: load, shutdown, pause and limit.
+    pub(super) fn record_status(
+        &self,
+        head: &response::Head,
+        fields: &ResponseFields,
+        guard: &mut AttemptGuard<'_, D>,
+    ) {
+        let now = self.node.now();
+        guard.details.status = Some(head.status);
+        guard.details.confidence = fields.confidence;
+        guard.details.is_leaving = Some(fields.is_leaving);
+        if let (Some(load), Some(in_flight)) = (fields.load, &mut guard.in_flight) {
+            self.node.router().record_load(now, in_flight, load);
+        }
+        if fields.is_leaving {
+            self.report_leaving(guard);
+        }
+        if let (Some(pause), Some(in_flight)) = (fields.retry_after, &guard.in_flight) {
+            self.node.router().record_pause(now, in_flight, pause);
+        }
+        self.report_rate_limit(head, fields, guard);
+    }
+
+    /// Marks the endpoint as leaving, as its response says, so that it gets no new requests.
+    fn report_leaving(&self, guard: &AttemptGuard<'_, D>) {
+        let Some(in_flight) = &guard.in_flight else {
+            return;
+        };
+        if self.node.router().record_leaving(in_flight) {
+            let endpoint = ("endpoint", Value::Text(&self.placement.id));
+            self.node.recorder.log_event(
+                Event::EndpointLeaving,
+                &[endpoint, ("told_by", Value::Text(&"its answer"))],
+            );
+        }
+    }
+
+    /// Records the limit that the response states, or that a response which the endpoint signed
+    /// states none. A 421 comes from another endpoint.
+    fn report_rate_limit(
+        &self,
+        head: &response::Head,
+        fields: &ResponseFields,
+        guard: &AttemptGuard<'_, D>,
+    ) {
+        let Some(in_flight) = guard.in_flight.as_ref().filter(|_| head.status != 421) else {
+            return;
+        };
+        let is_whole_status = fields.is_signed && head.is_success();
+        if fields.rate_limit.is_none() && !is_whole_status {
+            return;
+        }
+        let now = self.node.now();
+        let change = self
+            .node
+            .router()
+            .record_rate_limit(now, in_flight, fields.rate_limit);
+        let endpoint = ("endpoint", Value::Text(&self.placement.id));
+        match change {
+            Some(Change::Stated(rate)) => self.node.recorder.log_event(
+                Event::EndpointLimited,
+                &[endpoint, ("per_second", Value::Text(&rate))],
+            ),
+            Some(Change::Lifted) => self
+                .node
+                .recorder
+                .log_event(Event::EndpointUnlimited, &[endpoint]),
+            None => {}
+        }
+    }
+}
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -5,7 +5,7 @@
 use framing::{request, response};
 use kernel::{Customer, RequestId};
 use route::endpoint::Load;
-use route::{Placement, RequestProfile};
+use route::{Placement, RequestProfile, RequestRate};
 
 /// Encodes and decodes the header fields of callers' requests and endpoints' responses.
 ///
@@ -74,6 +74,8 @@
     pub load: Option<Load>,
     /// The model's confidence in its response, from 0 to 100.
     pub confidence: Option<u8>,
+    /// The rate that the endpoint takes from all hosts together.
+    pub rate_limit: Option<RequestRate>,
     /// The time for which the endpoint asks to get no further requests.
     pub retry_after: Option<Duration>,
     /// The endpoint's idle timeout for the connection.
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -198,6 +198,7 @@
         listing_age: since(router.listing_time()),
         endpoints: endpoints as u64,
         ejected: resting as u64,
+        endpoints_limited: router.directory().limited_count() as u64,
         data_centres_evacuated: router.directory().evacuations().evacuated().count() as u64,
         hosts: hosts as u64,
         is_reader: u64::from(host.is_reader()),
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -273,6 +273,13 @@
         (takes.len(), ejected.count())
     }
 
+    /// Returns the number of endpoints that take requests and state a limit on their rate.
+    #[must_use]
+    pub fn limited_count(&self) -> usize {
+        let is_limited = |it: &&Endpoint| it.takes_work() && it.rate_limit.rate().is_some();
+        self.endpoints.values().filter(is_limited).count()
+    }
+
     /// Returns the endpoint with this key.
     #[must_use]
     pub fn get(&self, key: Key) -> Option<&Endpoint> {
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::endpoint::{Entry, Load, State};
 use crate::evacuation::DataCentreAccess;
 use crate::health::Health;
+use crate::rate_limit::RateLimit;
 
 /// An endpoint and what this host knows about it.
 #[derive(Clone, Debug)]
@@ -18,6 +19,8 @@
     pub(crate) is_leaving: bool,
     /// Whether its data centre may be used.
     pub(crate) access: DataCentreAccess,
+    /// The rate that it states in its responses.
+    pub(crate) rate_limit: RateLimit,
     /// Its cold-start state.
     pub(crate) cold_start: ColdStart,
     /// Until when it asked this host to send nothing. It is skipped even if no other endpoint is
@@ -49,6 +52,7 @@
             entry,
             is_leaving: false,
             access,
+            rate_limit: RateLimit::default(),
             cold_start: ColdStart::default(),
             paused_until: Duration::ZERO,
             listed: Listed::Yes,
--- a/crates/route/src/router/reports.rs
+++ b/crates/route/src/router/reports.rs
@@ -4,6 +4,7 @@
 
 use super::{CROWDED_UTILIZATION, InFlight, Router};
 use crate::endpoint::Load;
+use crate::{RequestRate, rate_limit};
 
 impl Router {
     /// Records the load that an endpoint reported in a response.
@@ -20,6 +21,24 @@
         self.directory.mark_leaving(in_flight.endpoint)
     }
 
+    /// Records the rate that an endpoint stated in a response, or that it stated none. Returns
+    /// the change, if there is one.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Duration,
+        in_flight: &InFlight,
+        stated: Option<RequestRate>,
+    ) -> Option<rate_limit::Change> {
+        let it = self.directory.get_mut(in_flight.endpoint)?;
+        it.rate_limit.record(now, in_flight.started, stated)
+    }
+
+    /// Returns the rate that an attempt's endpoint states, as far as this host knows.
+    #[must_use]
+    pub fn rate_limit(&self, in_flight: &InFlight) -> Option<RequestRate> {
+        self.directory.get(in_flight.endpoint)?.rate_limit.rate()
+    }
+
     /// Records that an endpoint asked in a response that this host send it nothing for `pause`.
     pub fn record_pause(&mut self, now: Duration, in_flight: &InFlight, pause: Duration) {
         self.directory
--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -90,6 +90,14 @@
     ("barleypin_link_received_bytes", "The same, received."),
     ("barleypin_callers", "Callers' open connections."),
     ("barleypin_requests_open", "Requests being worked on."),
+    (
+        "barleypin_endpoints_limited",
+        "Endpoints that state a limit on the rate of requests from all hosts together.",
+    ),
+    (
+        "barleypin_limited_attempts_total",
+        "Attempts sent to endpoints that were known to state such a limit.",
+    ),
     (
         "barleypin_requests_held",
         "Requests that go nowhere because endpoints end under them.",
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -43,6 +43,8 @@
     EntriesUnusable, 1603, Warning, "The number of unusable entries in a listing changed; they are ignored and the others are used.";
 
     RequestHeld, 1604, Warning, "A request was quarantined because endpoints exited while running it.";
+    EndpointLimited, 1605, Warning, "An endpoint states a limit on the rate of requests from all hosts.";
+    EndpointUnlimited, 1606, Info, "An endpoint no longer states a limit on the rate of requests.";
 
     DataCentreEmptied, 1650, Warning, "Operators evacuated a data centre; its endpoints get no requests.";
     DataCentreOpen, 1651, Info, "Operators reopened a data centre; its endpoints get requests again.";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -24,6 +24,8 @@
     pub endpoints: u64,
     /// The ejected ones among these endpoints.
     pub ejected: u64,
+    /// Endpoints that state a limit on the rate of requests.
+    pub endpoints_limited: u64,
     /// Data centres that operators have evacuated.
     pub data_centres_evacuated: u64,
     /// Hosts in the list for callers.
@@ -67,6 +69,7 @@
     retries: Counter<u64>,
     withheld: Counter<u64>,
     attempts: Counter<u64>,
+    limited_attempts: Counter<u64>,
     strays: Counter<u64>,
     connections: Counter<u64>,
     ejections: Counter<u64>,
@@ -81,6 +84,7 @@
     listing_age: Gauge<f64>,
     endpoints: Gauge<u64>,
     ejected: Gauge<u64>,
+    endpoints_limited: Gauge<u64>,
     data_centres_evacuated: Gauge<u64>,
     hosts: Gauge<u64>,
     is_reader: Gauge<u64>,
@@ -109,6 +113,7 @@
             retries: it.counter("retries"),
             withheld: it.counter("withheld"),
             attempts: it.counter("attempts"),
+            limited_attempts: it.counter("limited_attempts"),
             strays: it.counter("strays"),
             connections: it.counter("connections"),
             ejections: it.counter("ejections"),
@@ -123,6 +128,7 @@
             listing_age: it.float_gauge("listing_age_seconds"),
             endpoints: it.int_gauge("endpoints"),
             ejected: it.int_gauge("endpoints_resting"),
+            endpoints_limited: it.int_gauge("endpoints_limited"),
             data_centres_evacuated: it.int_gauge("data_centres_emptied"),
             hosts: it.int_gauge("hosts"),
             is_reader: it.int_gauge("reads_for_all"),
@@ -173,6 +179,10 @@
         self.attempts.add(1, &[label("ending", ending.to_string())]);
     }
 
+    pub(crate) fn limited_attempt(&self) {
+        self.limited_attempts.add(1, &[]);
+    }
+
     pub(crate) fn strays(&self, strays: u32) {
         self.strays.add(strays.into(), &[]);
     }
@@ -224,6 +234,7 @@
         self.listing_age.record(gauges.listing_age, &[]);
         self.endpoints.record(gauges.endpoints, &[]);
         self.ejected.record(gauges.ejected, &[]);
+        self.endpoints_limited.record(gauges.endpoints_limited, &[]);
         self.data_centres_evacuated
             .record(gauges.data_centres_evacuated, &[]);
         self.hosts.record(gauges.hosts, &[]);
@@ -286,6 +297,7 @@
         for reason in Withheld::ALL {
             self.withheld.add(0, &[label("reason", reason.to_string())]);
         }
+        self.limited_attempts.add(0, &[]);
         self.strays.add(0, &[]);
         self.lines_dropped.add(0, &[]);
     }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -104,6 +104,9 @@
     /// Records the end of an attempt.
     pub fn record_attempt(&self, attempt: &AttemptReport<'_>) {
         self.metrics.attempt(attempt.ending);
+        if attempt.rate_limit.is_some() {
+            self.metrics.limited_attempt();
+        }
         self.metrics.strays(attempt.strays);
         let is_routine = AttemptSummary::from(attempt.ending) == AttemptSummary::NoneFailed;
         if !self.may_write(priority(is_routine, attempt.id)) {
@@ -128,6 +131,7 @@
                 ),
                 ("withheld", optional_text(attempt.withheld.as_ref())),
                 ("leaving", Value::flag(attempt.is_leaving)),
+                ("per_second", optional_text(attempt.rate_limit.as_ref())),
                 ("last_event", Value::count(attempt.last_event)),
                 ("connection", optional_text(attempt.connection.as_ref())),
                 ("strays", Value::Count(attempt.strays.into())),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Denial, Ending, Failure, Placement, RequestFingerprint, Withheld};
+use route::{Denial, Ending, Failure, Placement, RequestFingerprint, RequestRate, Withheld};
 
 /// The report on a request that has ended.
 #[derive(Clone, Debug)]
@@ -100,6 +100,8 @@
     pub confidence: Option<u8>,
     /// Whether the response stated that the endpoint is leaving.
     pub is_leaving: Option<bool>,
+    /// The limit that the endpoint was known to state when the request was sent.
+    pub rate_limit: Option<RequestRate>,
     /// The reason why the request wasn't sent, if the router withheld it.
     pub withheld: Option<Withheld>,
     /// The id after which a stream would be resumed: of the last event that was forwarded, or
