Add failing tests of endpoints that state a request rate

An endpoint that says how many requests a second it takes from all hosts together is used like any other.

--- /dev/null
+++ b/crates/route/tests/rate_limits/fleet.rs
@@ -0,0 +1,186 @@
+//! A simulated fleet before endpoints of which one states a request rate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::HostName;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use route::config::{
+    Config, Limits, ResponseKind, RetryPolicy, Route, RouteAccess, Service, Target,
+};
+use route::directory::Absence;
+use route::endpoint::{Entry, State};
+use route::{Ending, IncomingRequest, Peers, RequestProfile, RequestRate, Router, Settings};
+
+const STEP: Duration = Duration::from_millis(50);
+/// The time after which all hosts were told and the rate must hold.
+const TOLD: Duration = Duration::from_secs(3);
+const LENGTH: Duration = Duration::from_secs(10);
+const WINDOW: Duration = Duration::from_secs(4);
+/// The maximum delay of a request on its way.
+const MAX_DELAY: Duration = Duration::from_millis(40);
+const ENDPOINTS: usize = 4;
+/// The index of the endpoint that states a rate.
+const LIMITED: usize = 0;
+
+/// A fleet in which every host has more requests than the endpoint takes, and is told of the
+/// rate by the responses to its own requests.
+pub(crate) struct Fleet {
+    hosts: Vec<Host>,
+    rate: f64,
+    rng: Pcg32,
+    /// The arrival times of requests at the endpoint that states a rate.
+    arrivals: Vec<Duration>,
+}
+
+struct Host {
+    router: Router,
+    /// The difference of its clock.
+    clock: Duration,
+}
+
+impl Fleet {
+    pub(crate) fn new(hosts: usize, rate: f64, seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let names: Vec<HostName> = (0..hosts)
+            .map(|nr| HostName::from(format!("host-{nr}")))
+            .collect();
+        let hosts = names.iter().map(|own| {
+            let mut router = router(rng.random());
+            let clock = Duration::from_secs_f64(100.0 * rng.random::<f64>());
+            router.update_listing(clock, entries(), Absence::Gone);
+            router.set_peers(Some(Peers::new(own, names.iter())));
+            Host { router, clock }
+        });
+        Self {
+            hosts: hosts.collect(),
+            rate,
+            rng,
+            arrivals: Vec::new(),
+        }
+    }
+
+    /// Plays [`LENGTH`] of traffic.
+    pub(crate) fn run(&mut self) {
+        let mut now = Duration::ZERO;
+        while now < LENGTH {
+            for nr in 0..self.hosts.len() {
+                self.send(now, nr);
+            }
+            now += STEP;
+        }
+    }
+
+    /// Sends one request from a host, if it is permitted, and tells it the response.
+    fn send(&mut self, now: Duration, host: usize) {
+        let arrival = IncomingRequest {
+            id: "q",
+            host: "shop",
+            path: "/",
+            body: &[],
+            key: None,
+            timeout: None,
+            profile: RequestProfile::default(),
+        };
+        let Host { router, clock } = &mut self.hosts[host];
+        let local = *clock + now;
+        let mut call = router.admit(local, arrival).unwrap();
+        let Some(placement) = router.place(local, &mut call) else {
+            return;
+        };
+        let in_flight = router.begin_attempt(local, &mut call, &placement);
+        if router.permit(local, &in_flight).is_err() {
+            router.end_attempt(local, &mut call, in_flight, Ending::Withheld);
+            return;
+        }
+        let is_limited = placement.id.as_str() == id(LIMITED);
+        let stated = is_limited.then(|| RequestRate::per_second(self.rate).unwrap());
+        router.record_rate_limit(local, &in_flight, stated);
+        router.end_attempt(local, &mut call, in_flight, Ending::Answered);
+        if is_limited {
+            let delay = MAX_DELAY.mul_f64(self.rng.random());
+            self.arrivals.push(now + delay);
+        }
+    }
+
+    /// Returns the maximum number of requests in [`WINDOW`] at the endpoint that states a rate,
+    /// once all hosts were told.
+    pub(crate) fn most_in_window(&self) -> u32 {
+        let mut times: Vec<_> = self.arrivals.iter().filter(|it| **it >= TOLD).collect();
+        times.sort_unstable();
+        let within = |from: &Duration| {
+            let until = times.partition_point(|it| **it < *from + WINDOW);
+            until - times.partition_point(|it| *it < from)
+        };
+        let most = times.iter().map(|it| within(it)).max();
+        u32::try_from(most.unwrap_or_default()).unwrap()
+    }
+
+    /// Returns the number of requests in [`WINDOW`] that the users' rule allows.
+    pub(crate) fn max_in_window(&self) -> f64 {
+        1.5 * self.rate * WINDOW.as_secs_f64() + 5.0
+    }
+}
+
+fn id(nr: usize) -> String {
+    format!("e{nr}")
+}
+
+fn router(seed: u64) -> Router {
+    let mut router = Router::new(
+        Settings {
+            data_centre: "dc1".into(),
+            retry_ratio: 0.9,
+            retry_slack: 10.0,
+            retry_window: Duration::from_secs(10),
+            exposure_share: 0.15,
+            heartbeat: Duration::from_millis(1_200),
+            max_propagation_delay: Duration::from_secs(2),
+            session_gap: Duration::from_secs(5),
+        },
+        seed,
+    );
+    let service = Service {
+        name: "pool".into(),
+        max_connections: 100,
+        warm_up: None,
+        engine: None,
+    };
+    let route = Route {
+        name: "draft".into(),
+        host: "shop".to_owned(),
+        prefix: "/".to_owned(),
+        targets: vec![Target {
+            service: "pool".into(),
+            weight: 1.0,
+        }],
+        retry_policy: RetryPolicy::Idempotent,
+        response: ResponseKind::Whole,
+        attempts: 3,
+        timeout: Duration::from_secs(5),
+        target_latency: Duration::from_secs(1),
+        priority: 0,
+        access: RouteAccess::Public,
+        models: Vec::new(),
+    };
+    let limits = Limits::default();
+    let config = Config::new(1, limits, vec![service], Vec::new(), vec![route]);
+    router.configure(Arc::new(config));
+    router
+}
+
+fn entries() -> Vec<Entry> {
+    let entry = |nr| Entry {
+        id: id(nr).as_str().into(),
+        incarnation: None,
+        service: "pool".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "dc2".into(),
+        release: "v1".into(),
+        slots: 10,
+        state: State::Ready,
+        cold: Duration::ZERO,
+    };
+    (0..ENDPOINTS).map(entry).collect()
+}
