Move the division of a request rate among hosts out of the warm-up's file

Cold endpoints are the first use of it; endpoints that state a rate are the next. Peers::divide returns the group of hosts that this one belongs to, which cold endpoints need only for the first group.

--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -12,9 +12,10 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
+use crate::Peers;
 use crate::endpoint::{Entry, Key, Load, ProcessId, State};
 use crate::evacuation::Evacuations;
-use crate::warm_up::{Peers, WarmUp};
+use crate::warm_up::WarmUp;
 
 pub use endpoint::Endpoint;
 pub(crate) use endpoint::Listed;
--- a/crates/route/src/directory/cold_start.rs
+++ b/crates/route/src/directory/cold_start.rs
@@ -6,8 +6,20 @@
 use kernel::ServiceName;
 
 use super::{Directory, Endpoint};
+use crate::Peers;
 use crate::endpoint::Key;
-use crate::warm_up::{Peers, Share, WarmUp};
+use crate::warm_up::WarmUp;
+
+/// The request rate that this host may use at a cold endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Share {
+    /// The endpoint hasn't been cold, or its service has no warm-up limits.
+    Unlimited,
+    /// Zero: other hosts are selected, or this host doesn't know the others yet.
+    Zero,
+    /// One request per interval.
+    OnePer(Duration),
+}
 
 /// Cold-start state of an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -122,7 +134,14 @@
         it.cold_start.share = match (warm_up, &self.peers) {
             (None, _) => Share::Unlimited,
             (Some(_), None) => Share::Zero,
-            (Some(warm_up), Some(peers)) => peers.share(*warm_up, it.entry.process()),
+            (Some(warm_up), Some(peers)) => {
+                let division = peers.divide(warm_up.rate, it.entry.process());
+                if division.group == 0 {
+                    Share::OnePer(division.interval)
+                } else {
+                    Share::Zero
+                }
+            }
         };
     }
 }
