Keep all hosts together within the request rate that an endpoint states

Callers saw nothing; a service whose endpoint asked for relief (1.1 to 1.5 requests a second from all hosts) got its usual 3 to 5 a second.

Cause: nothing used what endpoints state, and what one host is told is a bound on the sum of all. Class: a bound on all hosts together that each host knows by itself. A host that kept to it alone would multiply it with the fleet; hosts that told each other their requests would know them late.

The rate is divided like that of cold endpoints: rendezvous hashing selects as many hosts as requests a second, and each spaces its requests. What differs is that only a response tells of it. So hosts report the rate to each other, with a version, and its use, at most every two seconds: an endpoint that nobody uses passes from group to group each second, or nobody would learn that it takes more again. A response without a rate lifts the limit if its request was sent after the host knew of it.

--- a/crates/forward/src/attempt/status.rs
+++ b/crates/forward/src/attempt/status.rs
@@ -1,7 +1,6 @@
 //! What an endpoint says of itself in the head of a response.
 
 use framing::response;
-use route::rate_limit::Change;
 use telemetry::{Event, Value};
 
 use super::Attempt;
@@ -66,17 +65,9 @@
             .node
             .router()
             .record_rate_limit(now, in_flight, fields.rate_limit);
-        let endpoint = ("endpoint", Value::Text(&self.placement.id));
-        match change {
-            Some(Change::Stated(rate)) => self.node.recorder.log_event(
-                Event::EndpointLimited,
-                &[endpoint, ("per_second", Value::Text(&rate))],
-            ),
-            Some(Change::Lifted) => self
-                .node
-                .recorder
-                .log_event(Event::EndpointUnlimited, &[endpoint]),
-            None => {}
+        if let Some(change) = change {
+            let recorder = &self.node.recorder;
+            recorder.log_rate_limit(&self.placement.id, change, "its answer");
         }
     }
 }
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -9,6 +9,7 @@
 pub(crate) mod evacuations;
 pub(crate) mod members;
 pub(crate) mod quarantine;
+pub(crate) mod rate_limits;
 pub(crate) mod verdicts;
 
 use std::time::Duration;
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -22,7 +22,7 @@
 use wire::{Frame, Identity, Payload};
 
 use crate::addresses::Address;
-use crate::follow::{documents, endpoints, members, quarantine, verdicts};
+use crate::follow::{documents, endpoints, members, quarantine, rate_limits, verdicts};
 use crate::gossip::{Contact, Gossip, State};
 use crate::listing::Listing;
 use crate::message::{Message, Request};
@@ -187,6 +187,7 @@
         self.node.spawn(verdicts::write_all(Rc::clone(self)));
         self.node.spawn(quarantine::share(Rc::clone(self)));
         self.node.spawn(quarantine::persist(Rc::clone(self)));
+        self.node.spawn(rate_limits::share(Rc::clone(self)));
         self.node.spawn(messaging::join(Rc::clone(self)));
         self.node.spawn(sweep(Rc::clone(&self.node)));
         self.node.spawn(report::run_gauges(Rc::clone(self)));
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -4,7 +4,7 @@
 
 use kernel::EndpointId;
 use route::directory::Absence;
-use route::{Evacuation, Revision, quarantine, rollout};
+use route::{Evacuation, Revision, quarantine, rate_limit, rollout};
 use serde::{Deserialize, Serialize};
 
 use crate::RolloutVerdict;
@@ -42,6 +42,8 @@
     ListingChangesUnavailable,
     /// A patch from the requesting host's listing of endpoints to the sender's.
     ListingPatch(ListingPatch),
+    /// Request rates that endpoints state.
+    RateLimits(Vec<rate_limit::Report>),
 }
 
 /// A request to another host.
--- a/crates/host/src/messaging.rs
+++ b/crates/host/src/messaging.rs
@@ -78,7 +78,10 @@
     let evacuations = evacuations(host);
     let evacuations =
         (!evacuations.is_empty()).then(|| host.frame(&Message::Evacuations(evacuations)));
-    let extra_frames: Vec<_> = [evacuations, quarantine]
+    let rate_limits = host.node.router().rate_limit_reports(host.node.now());
+    let rate_limits =
+        (!rate_limits.is_empty()).then(|| host.frame(&Message::RateLimits(rate_limits)));
+    let extra_frames: Vec<_> = [evacuations, quarantine, rate_limits]
         .into_iter()
         .flatten()
         .flatten()
@@ -217,6 +220,7 @@
             Message::Records(records) => apply::records(&host, &records),
             Message::Quarantine(it) => apply::quarantine_update(&host, &it),
             Message::Evacuations(it) => follow::evacuations::apply(&host, it),
+            Message::RateLimits(it) => follow::rate_limits::apply(&host, &it),
             Message::Request(request) => {
                 if let (Some(reply), Some(frame)) = (
                     incoming.reply,
--- a/crates/host/src/messaging/apply.rs
+++ b/crates/host/src/messaging/apply.rs
@@ -144,6 +144,7 @@
         | Message::Request(_)
         | Message::Records(_)
         | Message::ListingPage(_)
+        | Message::RateLimits(_)
         | Message::Empty => {}
     }
 }
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -3,6 +3,7 @@
 mod cold_start;
 mod endpoint;
 mod evacuate;
+mod rate_limits;
 
 use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
@@ -19,6 +20,7 @@
 
 pub use endpoint::Endpoint;
 pub(crate) use endpoint::Listed;
+use rate_limits::RateLimits;
 
 /// Ejections for failed or missing responses stay below this fraction of a service's endpoints. If
 /// more of them fail, the cause is elsewhere, and the remaining ones would only be overloaded.
@@ -38,7 +40,8 @@
     gone_until: HashMap<ProcessId, Duration>,
     evacuations: Evacuations,
     warm_ups: HashMap<ServiceName, WarmUp>,
-    /// The hosts that share the request rate of cold endpoints, once this host knows them.
+    rate_limits: RateLimits,
+    /// The hosts that share request rates of endpoints, once this host knows them.
     peers: Option<Peers>,
     /// The last time at which endpoints that are gone were removed.
     last_removal: Duration,
@@ -274,13 +277,6 @@
         (takes.len(), ejected.count())
     }
 
-    /// Returns the number of endpoints that take requests and state a limit on their rate.
-    #[must_use]
-    pub fn limited_count(&self) -> usize {
-        let is_limited = |it: &&Endpoint| it.takes_work() && it.rate_limit.rate().is_some();
-        self.endpoints.values().filter(is_limited).count()
-    }
-
     /// Returns the endpoint with this key.
     #[must_use]
     pub fn get(&self, key: Key) -> Option<&Endpoint> {
--- a/crates/route/src/directory/cold_start.rs
+++ b/crates/route/src/directory/cold_start.rs
@@ -78,11 +78,12 @@
         self.refresh_shares();
     }
 
-    /// Sets the hosts that share the rate of cold endpoints; `None` while this host may not know
+    /// Sets the hosts that share request rates of endpoints; `None` while this host may not know
     /// all of them.
     pub(crate) fn set_peers(&mut self, peers: Option<Peers>) {
         self.peers = peers;
         self.refresh_shares();
+        self.refresh_rate_limits();
     }
 
     /// Sets the cold-start time of an endpoint from its latest entry, relative to `at`, the time at
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -19,7 +19,7 @@
     pub(crate) is_leaving: bool,
     /// Whether its data centre may be used.
     pub(crate) access: DataCentreAccess,
-    /// The rate that it states in its responses.
+    /// The rate that it states in its responses, and this host's part of it.
     pub(crate) rate_limit: RateLimit,
     /// Its cold-start state.
     pub(crate) cold_start: ColdStart,
@@ -79,10 +79,17 @@
         self.is_listed() && self.entry.state == State::Ready && !self.is_leaving
     }
 
-    /// Returns how long this host must send it nothing, because it refuses requests or is cold.
+    /// Returns how long this host must send it nothing, because it refuses requests, is cold or
+    /// limits the rate of requests.
     pub(crate) fn wait(&self, now: Duration) -> Duration {
         let paused = self.paused_until.saturating_sub(now);
-        paused.max(self.cold_start.wait(now))
+        let cold = self.cold_start.wait(now);
+        paused.max(cold).max(self.rate_limit.wait(now))
+    }
+
+    /// Returns whether all hosts together may send it only few requests.
+    pub(crate) fn is_rate_limited(&self, now: Duration) -> bool {
+        self.cold_start.is_cold(now) || self.rate_limit.rate().is_some()
     }
 
     pub(super) fn utilization(&self, now: Duration, typical_utilization: f64) -> f64 {
--- a/crates/route/src/permit.rs
+++ b/crates/route/src/permit.rs
@@ -23,9 +23,12 @@
     /// The endpoint is cold, and this host may not send it a request now.
     #[display("cold")]
     Cold,
+    /// The endpoint states a request rate, and this host may not send it a request now.
+    #[display("limited")]
+    Limited,
 }
 
 impl Withheld {
     /// All variants.
-    pub const ALL: [Self; 3] = [Self::Evacuated, Self::Leaving, Self::Cold];
+    pub const ALL: [Self; 4] = [Self::Evacuated, Self::Leaving, Self::Cold, Self::Limited];
 }
--- a/crates/route/src/router/permits.rs
+++ b/crates/route/src/router/permits.rs
@@ -1,4 +1,5 @@
-//! Permission to send requests, depending on evacuated data centres and cold endpoints.
+//! Permission to send requests, depending on evacuated data centres, cold endpoints and stated
+//! request rates.
 
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
         self.directory.read_evacuations(now, at, evacuated)
     }
 
-    /// Sets the hosts, including this one, that share the request rate of cold endpoints.
+    /// Sets the hosts, including this one, that share the request rates of endpoints.
     /// `None` while this host may not know all of them.
     pub fn set_peers(&mut self, peers: Option<Peers>) {
         self.directory.set_peers(peers);
@@ -47,7 +48,11 @@
         if !it.cold_start.wait(now).is_zero() {
             return Err(Withheld::Cold);
         }
+        if !it.rate_limit.wait(now).is_zero() {
+            return Err(Withheld::Limited);
+        }
         it.cold_start.record_send(now);
+        self.directory.record_limited_send(now, in_flight.endpoint);
         Ok(Permit(()))
     }
 }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -175,7 +175,7 @@
         self.directory
             .endpoints_of(&call.service)
             .filter(|(_, it)| {
-                is_candidate(now, call, leniency, rollout, it) && !it.cold_start.is_cold(now)
+                is_candidate(now, call, leniency, rollout, it) && !it.is_rate_limited(now)
             })
             .map(|(key, it)| (hash::of(&(part_id, model, it.entry.id.as_str())), key))
             .max()
@@ -214,9 +214,9 @@
         self.directory
             .endpoints_of(&call.service)
             .filter(|(_, it)| is_candidate(now, call, Leniency::Healthy, Some(rollout), it))
-            // Cold endpoints are excluded even if this host may use them, so that all hosts
-            // choose the same.
-            .filter(|(_, it)| !it.cold_start.is_cold(now))
+            // Rate-limited endpoints are excluded even if this host may use them, so that all
+            // hosts choose the same.
+            .filter(|(_, it)| !it.is_rate_limited(now))
             .max_by_key(|(_, it)| hash::of(it.entry.id.as_str()))
             .map(|it| it.0)
     }
--- a/crates/route/src/router/reports.rs
+++ b/crates/route/src/router/reports.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use kernel::EndpointId;
+
 use super::{CROWDED_UTILIZATION, InFlight, Router};
 use crate::endpoint::Load;
 use crate::{RequestRate, rate_limit};
@@ -29,8 +31,28 @@
         in_flight: &InFlight,
         stated: Option<RequestRate>,
     ) -> Option<rate_limit::Change> {
-        let it = self.directory.get_mut(in_flight.endpoint)?;
-        it.rate_limit.record(now, in_flight.started, stated)
+        let (key, sent_at) = (in_flight.endpoint, in_flight.started);
+        self.directory.record_rate_limit(now, sent_at, key, stated)
+    }
+
+    /// Returns whether a rate changed since the last call that other hosts must be told of.
+    pub fn take_rate_limit_news(&mut self) -> bool {
+        self.directory.take_rate_limit_news()
+    }
+
+    /// Returns the reports on stated rates to send in one update to the neighbours.
+    pub fn rate_limit_reports(&mut self, now: Duration) -> Vec<rate_limit::Report> {
+        self.directory.rate_limit_reports(now)
+    }
+
+    /// Applies another host's reports on stated rates, and returns the endpoints whose rate
+    /// changed.
+    pub fn apply_rate_limit_reports(
+        &mut self,
+        now: Duration,
+        reports: &[rate_limit::Report],
+    ) -> Vec<(EndpointId, rate_limit::Change)> {
+        self.directory.apply_rate_limit_reports(now, reports)
     }
 
     /// Returns the rate that an attempt's endpoint states, as far as this host knows.
--- a/crates/route/tests/rate_limits.rs
+++ b/crates/route/tests/rate_limits.rs
@@ -3,8 +3,12 @@
 #[path = "rate_limits/fleet.rs"]
 mod fleet;
 
+use std::time::Duration;
+
 use fleet::Fleet;
 
+const SECOND: Duration = Duration::from_secs(1);
+
 /// Guards against each host keeping to a stated rate by itself, so that the sum grows with the
 /// number of hosts.
 #[test]
@@ -24,3 +28,73 @@
     }
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
+
+/// Guards against hosts that the endpoint hasn't told yet sending a request each: in a large fleet
+/// these alone are more than it takes.
+#[test]
+fn hosts_that_were_not_told_keep_to_the_rate() {
+    for hosts in [6, 84, 985] {
+        let mut fleet = Fleet::new(hosts, 1.5, 1);
+        fleet.run_for(3 * SECOND, |nr| nr < 2);
+        fleet.clear();
+        fleet.run_for(8 * SECOND, |_| true);
+        let (most, bound) = (fleet.most_in_window(), fleet.max_in_window());
+        assert!(
+            f64::from(most) <= bound,
+            "{hosts} hosts: {most} requests in 4 s, allowed {bound}"
+        );
+        assert!(most > 0, "{hosts} hosts: no request");
+    }
+}
+
+/// Guards against a rate that is no longer stated keeping hosts from an endpoint.
+#[test]
+fn all_hosts_use_an_endpoint_again_that_states_no_rate() {
+    for hosts in [6, 84, 985] {
+        let mut fleet = Fleet::new(hosts, 1.5, 2);
+        fleet.run_for(4 * SECOND, |_| true);
+        fleet.set_rate(0.0);
+        fleet.run_for(3 * SECOND, |_| true);
+        fleet.clear();
+        fleet.run_for(SECOND, |_| true);
+        // A host has 20 requests in a second and four endpoints.
+        let requests = fleet.requests();
+        assert!(
+            requests > 2 * hosts,
+            "{hosts} hosts: {requests} requests in 1 s"
+        );
+    }
+}
+
+/// Guards against an endpoint that nobody uses because the hosts that may have no requests, so
+/// that nobody learns that it takes more again.
+#[test]
+fn the_rate_is_used_whichever_hosts_have_requests() {
+    for (hosts, seconds) in [(6, 20), (30, 45)] {
+        for requesting in 0..3 {
+            let mut fleet = Fleet::new(hosts, 1.5, 3);
+            fleet.run_for(3 * SECOND, |_| true);
+            fleet.clear();
+            fleet.run_for(seconds * SECOND, |nr| nr == requesting);
+            let requests = fleet.requests();
+            assert!(requests > 0, "{hosts} hosts, host {requesting}: no request");
+        }
+    }
+}
+
+/// Guards against all hosts using at once a rate that nobody used for a while.
+#[test]
+fn all_hosts_keep_to_the_rate_after_a_pause() {
+    for hosts in [6, 84, 985] {
+        let mut fleet = Fleet::new(hosts, 1.5, 4);
+        fleet.run_for(3 * SECOND, |_| true);
+        fleet.run_for(60 * SECOND, |_| false);
+        fleet.clear();
+        fleet.run_for(8 * SECOND, |_| true);
+        let (most, bound) = (fleet.most_in_window(), fleet.max_in_window());
+        assert!(
+            f64::from(most) <= bound,
+            "{hosts} hosts: {most} requests in 4 s, allowed {bound}"
+        );
+    }
+}
--- a/crates/route/tests/rate_limits/fleet.rs
+++ b/crates/route/tests/rate_limits/fleet.rs
@@ -11,6 +11,7 @@
 };
 use route::directory::Absence;
 use route::endpoint::{Entry, State};
+use route::rate_limit::Report;
 use route::{Ending, IncomingRequest, Peers, RequestProfile, RequestRate, Router, Settings};
 
 const STEP: Duration = Duration::from_millis(50);
@@ -21,23 +22,32 @@
 /// The maximum delay of a request on its way.
 const MAX_DELAY: Duration = Duration::from_millis(40);
 const ENDPOINTS: usize = 4;
+/// The number of hosts that a host sends reports to.
+const NEIGHBOURS: usize = 6;
+/// The interval of a host's updates without changes.
+const STEPS_PER_UPDATE: u128 = 10;
 /// The index of the endpoint that states a rate.
 const LIMITED: usize = 0;
 
-/// A fleet in which every host has more requests than the endpoint takes, and is told of the
-/// rate by the responses to its own requests.
+/// A fleet that is told of the rate by the responses to its own requests, and whose hosts send
+/// each other reports.
 pub(crate) struct Fleet {
     hosts: Vec<Host>,
     rate: f64,
     rng: Pcg32,
     /// The arrival times of requests at the endpoint that states a rate.
     arrivals: Vec<Duration>,
+    /// Reports on their way, each with its receiver.
+    reports: Vec<(usize, Vec<Report>)>,
+    now: Duration,
 }
 
 struct Host {
     router: Router,
     /// The difference of its clock.
     clock: Duration,
+    /// The hosts that it sends reports to.
+    neighbours: Vec<usize>,
 }
 
 impl Fleet {
@@ -51,24 +61,80 @@
             let clock = Duration::from_secs_f64(100.0 * rng.random::<f64>());
             router.update_listing(clock, entries(), Absence::Gone);
             router.set_peers(Some(Peers::new(own, names.iter())));
-            Host { router, clock }
+            let neighbour = |_| rng.random_range(0..names.len());
+            Host {
+                router,
+                clock,
+                neighbours: (0..NEIGHBOURS).map(neighbour).collect(),
+            }
         });
         Self {
             hosts: hosts.collect(),
             rate,
             rng,
             arrivals: Vec::new(),
+            reports: Vec::new(),
+            now: Duration::ZERO,
         }
     }
 
-    /// Plays [`LENGTH`] of traffic.
+    /// Plays [`LENGTH`] in which every host has more requests than the endpoint takes.
     pub(crate) fn run(&mut self) {
-        let mut now = Duration::ZERO;
-        while now < LENGTH {
+        self.run_for(LENGTH, |_| true);
+    }
+
+    /// Plays some time in which the hosts have requests that `has_requests` selects.
+    pub(crate) fn run_for(&mut self, time: Duration, has_requests: impl Fn(usize) -> bool) {
+        let until = self.now + time;
+        while self.now < until {
+            self.deliver_reports();
+            for nr in (0..self.hosts.len()).filter(|it| has_requests(*it)) {
+                self.send(self.now, nr);
+            }
             for nr in 0..self.hosts.len() {
-                self.send(now, nr);
+                self.send_reports(nr);
             }
-            now += STEP;
+            self.now += STEP;
+        }
+    }
+
+    /// Sets the rate that the endpoint states; zero if it states none.
+    pub(crate) fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    /// Forgets the requests so far.
+    pub(crate) fn clear(&mut self) {
+        self.arrivals.clear();
+    }
+
+    pub(crate) fn requests(&self) -> usize {
+        self.arrivals.len()
+    }
+
+    /// Sends a host's reports at its interval, and at once after a change.
+    fn send_reports(&mut self, nr: usize) {
+        let host = &mut self.hosts[nr];
+        let steps = self.now.as_millis() / STEP.as_millis();
+        let is_due = (steps + nr as u128).is_multiple_of(STEPS_PER_UPDATE);
+        if !host.router.take_rate_limit_news() && !is_due {
+            return;
+        }
+        let reports = host.router.rate_limit_reports(host.clock + self.now);
+        if reports.is_empty() {
+            return;
+        }
+        for &to in &host.neighbours {
+            self.reports.push((to, reports.clone()));
+        }
+    }
+
+    /// Delivers the reports of the step before.
+    fn deliver_reports(&mut self) {
+        for (to, reports) in std::mem::take(&mut self.reports) {
+            let host = &mut self.hosts[to];
+            let local = host.clock + self.now;
+            host.router.apply_rate_limit_reports(local, &reports);
         }
     }
 
@@ -83,7 +149,7 @@
             timeout: None,
             profile: RequestProfile::default(),
         };
-        let Host { router, clock } = &mut self.hosts[host];
+        let Host { router, clock, .. } = &mut self.hosts[host];
         let local = *clock + now;
         let mut call = router.admit(local, arrival).unwrap();
         let Some(placement) = router.place(local, &mut call) else {
@@ -95,7 +161,8 @@
             return;
         }
         let is_limited = placement.id.as_str() == id(LIMITED);
-        let stated = is_limited.then(|| RequestRate::per_second(self.rate).unwrap());
+        let states_rate = is_limited && self.rate > 0.0;
+        let stated = states_rate.then(|| RequestRate::per_second(self.rate).unwrap());
         router.record_rate_limit(local, &in_flight, stated);
         router.end_attempt(local, &mut call, in_flight, Ending::Answered);
         if is_limited {
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use kernel::{Clock, EndpointId, RequestId};
+use route::rate_limit::Change;
 use route::{Denial, Failure};
 
 use crate::line_limiter::{LineLimiter, LinePriority};
@@ -47,6 +48,19 @@
         }
     }
 
+    /// Logs that the rate that an endpoint states has changed.
+    pub fn log_rate_limit(&self, endpoint: &EndpointId, change: Change, told_by: &'static str) {
+        let endpoint = ("endpoint", Value::Text(endpoint));
+        let told_by = ("told_by", Value::Text(&told_by));
+        match change {
+            Change::Stated(rate) => {
+                let per_second = ("per_second", Value::Text(&rate));
+                self.log_event(Event::EndpointLimited, &[endpoint, per_second, told_by]);
+            }
+            Change::Lifted => self.log_event(Event::EndpointUnlimited, &[endpoint, told_by]),
+        }
+    }
+
     /// Logs and counts the lines that the rate limit has dropped since the last call, if any.
     /// Call it at regular intervals.
     pub fn log_dropped_lines(&self) {
