Use the whole rate of an endpoint that a single host may send to

Cause: the rate of each selected host was rounded down to a whole number of requests a second, so that several hosts' requests at the two ends of the same second stay within the rate. Where one host is selected (a rate below 2) the rounding serves nothing.

--- a/crates/route/src/peers.rs
+++ b/crates/route/src/peers.rs
@@ -54,13 +54,13 @@
         let hosts = 1 + self.others.len();
         let may_send = |it: &usize| to_f64(*it) <= rate;
         let senders = (1..=hosts).take_while(may_send).count().max(1);
-        let rate_per_sender = (rate / to_f64(senders)).floor();
-        let rate = if rate_per_sender < 1.0 {
-            rate
-        } else {
-            rate_per_sender
+        // Several senders may each send at both ends of the same second, so each keeps to a whole
+        // number of requests per second.
+        let rate_per_sender = match senders {
+            1 => rate,
+            _ => (rate / to_f64(senders)).floor(),
         };
-        let interval = Duration::try_from_secs_f64(INTERVAL_MARGIN / rate);
+        let interval = Duration::try_from_secs_f64(INTERVAL_MARGIN / rate_per_sender);
         let own = endpoint.rank(self.own);
         let is_before = |it: &&u64| endpoint.rank(**it) > own;
         Division {
--- a/crates/route/tests/rate_limits.rs
+++ b/crates/route/tests/rate_limits.rs
@@ -29,6 +29,26 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Guards against refusing requests that an endpoint would take.
+#[test]
+fn a_stated_rate_is_used() {
+    const SECONDS: u32 = 30;
+    for hosts in [1, 6, 84, 985] {
+        for rate in [0.4, 1.1, 1.5] {
+            let mut fleet = Fleet::with_endpoints(1, hosts, rate, 5);
+            fleet.run_for(3 * SECOND, |_| true);
+            fleet.clear();
+            fleet.run_for(SECONDS * SECOND, |_| true);
+            let used = f64::from(u32::try_from(fleet.requests()).unwrap());
+            let share = used / (rate * f64::from(SECONDS));
+            assert!(
+                (0.9..=1.0).contains(&share),
+                "{hosts} hosts, {rate} a second: {share:.2} of it used"
+            );
+        }
+    }
+}
+
 /// Guards against hosts that the endpoint hasn't told yet sending a request each: in a large fleet
 /// these alone are more than it takes.
 #[test]
--- a/crates/route/tests/rate_limits/fleet.rs
+++ b/crates/route/tests/rate_limits/fleet.rs
@@ -52,6 +52,10 @@
 
 impl Fleet {
     pub(crate) fn new(hosts: usize, rate: f64, seed: u64) -> Self {
+        Self::with_endpoints(ENDPOINTS, hosts, rate, seed)
+    }
+
+    pub(crate) fn with_endpoints(endpoints: usize, hosts: usize, rate: f64, seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
         let names: Vec<HostName> = (0..hosts)
             .map(|nr| HostName::from(format!("host-{nr}")))
@@ -59,7 +63,7 @@
         let hosts = names.iter().map(|own| {
             let mut router = router(rng.random());
             let clock = Duration::from_secs_f64(100.0 * rng.random::<f64>());
-            router.update_listing(clock, entries(), Absence::Gone);
+            router.update_listing(clock, entries(endpoints), Absence::Gone);
             router.set_peers(Some(Peers::new(own, names.iter())));
             let neighbour = |_| rng.random_range(0..names.len());
             Host {
@@ -237,7 +241,7 @@
     router
 }
 
-fn entries() -> Vec<Entry> {
+fn entries(count: usize) -> Vec<Entry> {
     let entry = |nr| Entry {
         id: id(nr).as_str().into(),
         incarnation: None,
@@ -249,5 +253,5 @@
         state: State::Ready,
         cold: Duration::ZERO,
     };
-    (0..ENDPOINTS).map(entry).collect()
+    (0..count).map(entry).collect()
 }
