--- a/crates/route/tests/rate_limits.rs
+++ b/crates/route/tests/rate_limits.rs
@@ -2,6 +2,8 @@
 
 #[path = "rate_limits/fleet.rs"]
 mod fleet;
+#[path = "harness/router.rs"]
+mod harness;
 
 use std::time::Duration;
 
--- a/crates/route/tests/rate_limits/fleet.rs
+++ b/crates/route/tests/rate_limits/fleet.rs
@@ -1,18 +1,16 @@
 //! A simulated fleet before endpoints of which one states a request rate.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::HostName;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use route::config::{
-    Config, Limits, ResponseKind, RetryPolicy, Route, RouteAccess, Service, Target,
-};
 use route::directory::Absence;
-use route::endpoint::{Entry, State};
+use route::endpoint::Entry;
 use route::rate_limit::Report;
-use route::{Ending, IncomingRequest, Peers, RequestProfile, RequestRate, Router, Settings};
+use route::{Ending, Peers, RequestRate, Router};
+
+use crate::harness::{entry, request, router};
 
 const STEP: Duration = Duration::from_millis(50);
 /// The time after which all hosts were told and the rate must hold.
@@ -61,7 +59,7 @@
             .map(|nr| HostName::from(format!("host-{nr}")))
             .collect();
         let hosts = names.iter().map(|own| {
-            let mut router = router(rng.random());
+            let mut router = router(None, rng.random());
             let clock = Duration::from_secs_f64(100.0 * rng.random::<f64>());
             router.update_listing(clock, entries(endpoints), Absence::Gone);
             router.set_peers(Some(Peers::new(own, names.iter())));
@@ -144,18 +142,9 @@
 
     /// Sends one request from a host, if it is permitted, and tells it the response.
     fn send(&mut self, now: Duration, host: usize) {
-        let arrival = IncomingRequest {
-            id: "q",
-            host: "shop",
-            path: "/",
-            body: &[],
-            key: None,
-            timeout: None,
-            profile: RequestProfile::default(),
-        };
         let Host { router, clock, .. } = &mut self.hosts[host];
         let local = *clock + now;
-        let mut call = router.admit(local, arrival).unwrap();
+        let mut call = router.admit(local, request("q")).unwrap();
         let Some(placement) = router.place(local, &mut call) else {
             return;
         };
@@ -198,60 +187,7 @@
     format!("e{nr}")
 }
 
-fn router(seed: u64) -> Router {
-    let mut router = Router::new(
-        Settings {
-            data_centre: "dc1".into(),
-            retry_ratio: 0.9,
-            retry_slack: 10.0,
-            retry_window: Duration::from_secs(10),
-            exposure_share: 0.15,
-            heartbeat: Duration::from_millis(1_200),
-            max_propagation_delay: Duration::from_secs(2),
-            session_gap: Duration::from_secs(5),
-        },
-        seed,
-    );
-    let service = Service {
-        name: "pool".into(),
-        max_connections: 100,
-        warm_up: None,
-        engine: None,
-    };
-    let route = Route {
-        name: "draft".into(),
-        host: "shop".to_owned(),
-        prefix: "/".to_owned(),
-        targets: vec![Target {
-            service: "pool".into(),
-            weight: 1.0,
-        }],
-        retry_policy: RetryPolicy::Idempotent,
-        response: ResponseKind::Whole,
-        attempts: 3,
-        timeout: Duration::from_secs(5),
-        target_latency: Duration::from_secs(1),
-        priority: 0,
-        access: RouteAccess::Public,
-        models: Vec::new(),
-    };
-    let limits = Limits::default();
-    let config = Config::new(1, limits, vec![service], Vec::new(), vec![route]);
-    router.configure(Arc::new(config));
-    router
-}
-
 fn entries(count: usize) -> Vec<Entry> {
-    let entry = |nr| Entry {
-        id: id(nr).as_str().into(),
-        incarnation: None,
-        service: "pool".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "dc2".into(),
-        release: "v1".into(),
-        slots: 10,
-        state: State::Ready,
-        cold: Duration::ZERO,
-    };
+    let entry = |nr| entry(&id(nr), "v1", Duration::ZERO);
     (0..count).map(entry).collect()
 }
--- a/crates/route/tests/warm_up.rs
+++ b/crates/route/tests/warm_up.rs
@@ -1,17 +1,16 @@
 //! Tests of the request rate that all hosts together send to cold endpoints.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::HostName;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use route::config::{
-    Config, Limits, ResponseKind, RetryPolicy, Route, RouteAccess, Service, Target,
-};
 use route::directory::Absence;
-use route::endpoint::{Entry, State};
-use route::{Ending, IncomingRequest, Peers, RequestProfile, Router, Settings, WarmUp};
+use route::endpoint::Entry;
+use route::{Ending, Peers, Router, WarmUp};
+
+#[path = "harness/router.rs"]
+mod harness;
 
 const SECOND: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(10);
@@ -83,80 +82,17 @@
 }
 
 fn router(rate: f64, seed: u64) -> Router {
-    let mut router = Router::new(
-        Settings {
-            data_centre: "dc1".into(),
-            retry_ratio: 0.9,
-            retry_slack: 10.0,
-            retry_window: Duration::from_secs(10),
-            exposure_share: 0.15,
-            heartbeat: Duration::from_millis(1_200),
-            max_propagation_delay: Duration::from_secs(2),
-            session_gap: Duration::from_secs(5),
-        },
-        seed,
-    );
-    let service = Service {
-        name: "pool".into(),
-        max_connections: 100,
-        warm_up: Some(WarmUp { span: COLD, rate }),
-        engine: None,
-    };
-    let route = Route {
-        name: "draft".into(),
-        host: "shop".to_owned(),
-        prefix: "/".to_owned(),
-        targets: vec![Target {
-            service: "pool".into(),
-            weight: 1.0,
-        }],
-        retry_policy: RetryPolicy::Idempotent,
-        response: ResponseKind::Whole,
-        attempts: 3,
-        timeout: Duration::from_secs(5),
-        target_latency: SECOND,
-        priority: 0,
-        access: RouteAccess::Public,
-        models: Vec::new(),
-    };
-    let limits = Limits::default();
-    router.configure(Arc::new(Config::new(
-        1,
-        limits,
-        vec![service],
-        Vec::new(),
-        vec![route],
-    )));
-    router
+    harness::router(Some(WarmUp { span: COLD, rate }), seed)
 }
 
 fn entries(age: Duration) -> Vec<Entry> {
-    let entry = |nr| Entry {
-        id: format!("e{nr}").as_str().into(),
-        incarnation: None,
-        service: "pool".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        data_centre: "dc2".into(),
-        release: "v1".into(),
-        slots: 10,
-        state: State::Ready,
-        cold: COLD.saturating_sub(age),
-    };
+    let entry = |nr| harness::entry(&format!("e{nr}"), "v1", COLD.saturating_sub(age));
     (0..ENDPOINTS).map(entry).collect()
 }
 
 /// Sends a request if the host permits it, and returns the endpoint's index.
 fn send(host: &mut Router, now: Duration) -> Option<usize> {
-    let arrival = IncomingRequest {
-        id: "q",
-        host: "shop",
-        path: "/",
-        body: &[],
-        key: None,
-        timeout: None,
-        profile: RequestProfile::default(),
-    };
-    let mut call = host.admit(now, arrival).unwrap();
+    let mut call = host.admit(now, harness::request("q")).unwrap();
     let placement = host.place(now, &mut call)?;
     let in_flight = host.begin_attempt(now, &mut call, &placement);
     let permit = host.permit(now, &in_flight);
