Allow a starting host no slack of the retry budget before it knows the others

A host counts itself alone until it has heard others, and used the whole slack of the retry budget. Now the slack is divided once the store has listed the hosts at the join (if it lists them all) or two seconds later; the share of its own requests a host has from the start. Scripts of one host say now that it is alone.

--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -22,7 +22,7 @@
 use failure_detector::{FailureDetector, ProbeResult};
 pub use graph::{DEGREE, Graph, ROOT_COUNT};
 pub use record::{Record, State};
-pub use roster::Roster;
+pub use roster::{MAX_LISTED, Roster};
 
 /// The approximate interval between routine updates to the neighbours.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -21,7 +21,7 @@
 /// starts needs only some of them, which send it the rest, and every start reads the whole listing:
 /// with an entry of each host, a start of the whole fleet would read a number of entries that grows
 /// with the square of its size.
-const MAX_LISTED: usize = 64;
+pub const MAX_LISTED: usize = 64;
 /// Time for which callers are sent to a host that is only listed in the store. A live host is
 /// heard within this time, and a dead one is detected.
 const LISTED_TIMEOUT: Duration = Duration::from_secs(6);
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -23,7 +23,7 @@
 
 use crate::addresses::Address;
 use crate::follow::{documents, endpoints, members, quarantine, rate_limits, verdicts};
-use crate::gossip::{Contact, Gossip, State};
+use crate::gossip::{Contact, Gossip, MAX_LISTED, State};
 use crate::listing::Listing;
 use crate::message::{Message, Request};
 use crate::{Backoff, JoinInfo, Member, RolloutVerdict, Store, messaging, report};
@@ -282,8 +282,10 @@
         if gossip.set_state(now, state) {
             self.schedule_update();
         }
-        let hosts = u32::try_from(gossip.roster().count()).unwrap_or(u32::MAX);
-        self.node.router().set_host_count(hosts);
+        if self.knows_host_count() {
+            let hosts = u32::try_from(gossip.roster().count()).unwrap_or(u32::MAX);
+            self.node.router().set_host_count(hosts);
+        }
         let epoch = Some(gossip.roster().epoch());
         if self.is_roster_settled() && self.peers_epoch.replace(epoch) != epoch {
             let peers = gossip.roster().peers();
@@ -291,6 +293,13 @@
         }
     }
 
+    /// Returns whether the roster has all hosts: the store listed them at the join, unless it lists
+    /// only some, or they had time to announce themselves.
+    fn knows_host_count(&self) -> bool {
+        let found = self.hosts_found.get();
+        found.is_some_and(|it| (1..MAX_LISTED).contains(&it)) || self.is_roster_settled()
+    }
+
     /// Returns whether the roster can be relied on: the host has joined, and hosts that
     /// started at the same time have had time to announce themselves.
     fn is_roster_settled(&self) -> bool {
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -15,7 +15,8 @@
 /// Guards against retry storms, in which the retries of all hosts keep an overloaded
 /// service from recovering. Escalations to a larger model count as retries. The limit needs no
 /// coordination: each host allows itself the ratio of its own requests, and an equal share of
-/// the slack among the live hosts that it knows. In a network partition, each side divides the
+/// the slack among the live hosts that it knows. A host that has just started and may not know
+/// them allows itself no slack: if a fleet starts at once, each would use the whole. In a network partition, each side divides the
 /// slack among its own hosts only, so the sides together may exceed it.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -57,9 +58,9 @@
     }
 
     /// Records a retry if the budget allows one, and returns whether it does. `hosts` is the
-    /// number of hosts that share the slack, including this one.
+    /// number of hosts that share the slack, including this one; `None` if it isn't known.
     #[must_use]
-    pub fn try_retry(&mut self, now: Duration, hosts: u32) -> bool {
+    pub fn try_retry(&mut self, now: Duration, hosts: Option<u32>) -> bool {
         self.current_bucket(now);
         if self.balance(hosts) < 1.0 {
             return false;
@@ -71,16 +72,17 @@
     /// Returns how many retries the budget still allows if `hosts` hosts share the slack.
     /// Negative if the allowance has shrunk below the retries in the window.
     #[must_use]
-    pub fn remaining(&self, now: Duration, hosts: u32) -> f64 {
+    pub fn remaining(&self, now: Duration, hosts: Option<u32>) -> f64 {
         let mut copy = self.clone();
         copy.current_bucket(now);
         copy.balance(hosts)
     }
 
-    fn balance(&self, hosts: u32) -> f64 {
+    fn balance(&self, hosts: Option<u32>) -> f64 {
         let requests: u32 = self.buckets.iter().map(|it| it.requests).sum();
         let retries: u32 = self.buckets.iter().map(|it| it.retries).sum();
-        let allowed = f64::from(requests) * self.ratio + self.slack / f64::from(hosts.max(1));
+        let slack = hosts.map_or(0.0, |it| self.slack / f64::from(it.max(1)));
+        let allowed = f64::from(requests) * self.ratio + slack;
         allowed - f64::from(retries)
     }
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -65,8 +65,8 @@
     listing_time: Option<Duration>,
     /// Endpoints that were ejected since the last [`Self::take_ejected`], except unreachable ones.
     ejected: Vec<(EndpointId, Ending)>,
-    /// The number of live hosts, including this one.
-    host_count: u32,
+    /// The number of live hosts, including this one; `None` until this host knows them.
+    host_count: Option<u32>,
     rng: Pcg32,
 }
 
@@ -88,7 +88,7 @@
             first_byte_times: HashMap::new(),
             listing_time: None,
             ejected: Vec::new(),
-            host_count: 1,
+            host_count: None,
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -204,7 +204,12 @@
     /// Sets the number of live hosts, including this one. They share retry budgets, connection
     /// limits and the filling of endpoints. Roll-outs that start later also depend on it.
     pub fn set_host_count(&mut self, host_count: u32) {
-        self.host_count = host_count.max(1);
+        self.host_count = Some(host_count.max(1));
+    }
+
+    /// Returns the number of live hosts that are known, including this one.
+    fn known_hosts(&self) -> u32 {
+        self.host_count.unwrap_or(1)
     }
 
     /// Admits a request: selects its route, customer, service and release.
--- a/crates/route/src/router/rollouts.rs
+++ b/crates/route/src/router/rollouts.rs
@@ -58,10 +58,8 @@
         }
         let exposure = self.settings.exposure_share;
         let service = order.service.clone();
-        self.rollouts.insert(
-            service,
-            Rollout::new(order, started, exposure, self.host_count),
-        );
+        let rollout = Rollout::new(order, started, exposure, self.known_hosts());
+        self.rollouts.insert(service, rollout);
         true
     }
 
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -36,10 +36,17 @@
     in_flight: Option<InFlight>,
 }
 
+/// Returns the router of a host that knows that there are no others.
+fn lone_host(seed: u64) -> Router {
+    let mut router = Router::new(settings(), seed);
+    router.set_host_count(1);
+    router
+}
+
 impl Script {
     pub(crate) fn new() -> Self {
         Self {
-            hosts: vec![Router::new(settings(), 7)],
+            hosts: vec![lone_host(7)],
             host: 0,
             now: Duration::from_secs(100),
             calls: BTreeMap::new(),
@@ -104,7 +111,7 @@
                 self.host = line.args[0].parse().unwrap();
                 while self.hosts.len() <= self.host {
                     let seed = self.hosts.len() as u64;
-                    self.hosts.push(Router::new(settings(), seed));
+                    self.hosts.push(lone_host(seed));
                 }
                 None
             }
