Discard no response when no endpoint takes another attempt

Reproduced with real processes (rate_limits.rs): both endpoints of the pool state 1.5 a second and answer with low confidence: 18 of 18 requests that were sent ended 502 and none was served.

Cause: a response is discarded for a larger model's, and a silent endpoint abandoned, as soon as the retry budget has a retry; whether any endpoint takes the next attempt wasn't asked. Endpoints that all are cold had the same fault. Now a retry is reserved only if an endpoint without a limited rate is open; one with such a rate isn't certain, as another request may use this host's part of it first. With it all are served or refused as not run.

--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -101,7 +101,7 @@
         if !call.may_retry(now, ending) || self.quarantine.blocks_retry(now, call.fingerprint) {
             return Next::Fail(self.failure(now, call, ending));
         }
-        if ending.is_unsent() || self.reserve_retry(now, call, ending) {
+        if ending.is_unsent() || self.take_retry(now, call, ending) {
             call.retry = Retry::NotRequested;
             return Next::Again;
         }
@@ -121,11 +121,16 @@
     }
 
     /// Reserves a retry after this ending from the budget, and returns whether the request
-    /// has one.
+    /// has one and an endpoint takes it.
     ///
     /// Call this before abandoning an attempt that may still succeed, such as one that is
     /// slow or whose model has low confidence: without a retry, the request would fail.
     pub fn reserve_retry(&mut self, now: Duration, call: &mut Call, ending: Ending) -> bool {
+        self.has_other_endpoint(now, call) && self.take_retry(now, call, ending)
+    }
+
+    /// Takes a retry from the budget, and returns whether the request has one.
+    fn take_retry(&mut self, now: Duration, call: &mut Call, ending: Ending) -> bool {
         let hosts = self.host_count;
         if call.retry != Retry::Reserved
             && call.may_retry(now, ending)
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -124,6 +124,18 @@
         })
     }
 
+    /// Returns whether an endpoint is certain to take another attempt of the request now. One with
+    /// a limited rate isn't: another request may use this host's part of it first.
+    pub(super) fn has_other_endpoint(&self, now: Duration, call: &Call) -> bool {
+        let is_open = |(key, it): (Key, &Endpoint)| {
+            it.takes_work()
+                && it.wait(now).is_zero()
+                && !it.is_rate_limited(now)
+                && !call.refused.contains(&key)
+        };
+        self.directory.endpoints_of(&call.service).any(is_open)
+    }
+
     /// Returns the eligible endpoints with their scores.
     fn score_endpoints(
         &mut self,
