Give a starting host its part of the slack as soon as the store lists its fleet

Cause: an empty listing counted as unknown. It means that no other host runs, but for the very first start of a fleet, when there are no callers yet.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -297,7 +297,7 @@
     /// only some, or they had time to announce themselves.
     fn knows_host_count(&self) -> bool {
         let found = self.hosts_found.get();
-        found.is_some_and(|it| (1..MAX_LISTED).contains(&it)) || self.is_roster_settled()
+        found.is_some_and(|it| it < MAX_LISTED) || self.is_roster_settled()
     }
 
     /// Returns whether the roster can be relied on: the host has joined, and hosts that
