Count an endpoint that is changed and removed once in a change of the listing

What was seen: of the shifted deployment a reader's change of 22 entries reached no other host; each read the store for itself, some 3.6 s late, and DRAIN broke.

Cause: a reader adds the endpoints that announced their leaving in a response to the changes that the store tells. If such an endpoint is removed before the next reading, it is among the changed and the removed entries. Its old hash was subtracted twice from the fingerprint, and it stayed in the reader's listing as draining. The change that other hosts ask for has it as removed only, so it leads to another fingerprint than it names and each receiver drops it; no patch fits either, since the fingerprint is no longer that of the entries.

Changed: a removed endpoint isn't among the changed ones. The new test fails on the code before at each size (1 of 20 draws at 30 endpoints, 9 at 300, 20 at 3,000: the endpoint is kept, and the other host refuses the change) and passes now.

--- a/crates/host/src/listing.rs
+++ b/crates/host/src/listing.rs
@@ -74,18 +74,19 @@
     }
 
     /// Returns the change that these entries and removals make to the listing; `None` before
-    /// the first listing. Entries that are the same already are left out.
+    /// the first listing. Entries that are the same already are left out, and so are those of
+    /// removed endpoints: counted twice, they would give a fingerprint that no receiver reaches.
     #[must_use]
     pub fn change_to(&self, changed: Vec<Entry>, gone: Vec<EndpointId>) -> Option<Change> {
         let from = self.fingerprint?;
+        let mut gone: BTreeSet<_> = gone.into_iter().collect();
         let is_other = |it: &Entry| self.entries.get(&it.id) != Some(it);
         let changed: BTreeMap<_, _> = changed
             .into_iter()
-            .filter(is_other)
+            .filter(|it| is_other(it) && !gone.contains(&it.id))
             .map(|it| (it.id.clone(), it))
             .collect();
-        let is_listed = |id: &EndpointId| self.entries.contains_key(id);
-        let gone: BTreeSet<_> = gone.into_iter().filter(is_listed).collect();
+        gone.retain(|it| self.entries.contains_key(it));
         let mut change = Change {
             from,
             to: from,
--- a/crates/host/tests/listing.rs
+++ b/crates/host/tests/listing.rs
@@ -204,3 +204,38 @@
         );
     }
 }
+
+/// Guards against changes of the listing that every receiver refuses, because the sender counted an
+/// endpoint that was both changed and removed twice.
+#[test]
+fn changes_with_removed_endpoints_reach_another_host() {
+    let (mut kept, mut refused) = (Vec::new(), Vec::new());
+    for size in [30, 300, 3_000] {
+        for seed in 0..20 {
+            let mut rng = Pcg32::seed_from_u64(seed);
+            let (mut reader, mut other) = (Listing::default(), Listing::default());
+            for it in [&mut reader, &mut other] {
+                it.replace((0..size).map(entry).collect());
+            }
+            let before = other.fingerprint().unwrap();
+            let mut some = || rng.random_range(0..size);
+            let count = usize::try_from(size / 20).unwrap();
+            // An endpoint may announce that it leaves, and be removed before the next reading.
+            let gone: Vec<_> = (0..count).map(|_| entry(some()).id).collect();
+            let mut changed: Vec<_> = (0..count).map(|_| entry(some())).collect();
+            for it in &mut changed {
+                it.state = State::Draining;
+            }
+            let change = reader.change_to(changed, gone.clone()).unwrap();
+            assert!(reader.apply(&change));
+            if !other.apply(&reader.changes_since(before).unwrap()) {
+                refused.push((size, seed));
+            }
+            if reader.entries().any(|it| gone.contains(&it.id)) {
+                kept.push((size, seed));
+            }
+        }
+    }
+    assert!(kept.is_empty(), "kept: {kept:?}, refused: {refused:?}");
+    assert!(refused.is_empty(), "{refused:?}");
+}
