Log and count updates of the listing that can't be applied, and ask for a patch at once

It returns now whether the listing is in use; a refused change or patch is event 1607 and counts in barleypin_refused_updates_total by kind, and after a refused change the host asks for a patch at once, not with the next update.

--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -36,6 +36,18 @@
     Change(&'a Change),
 }
 
+/// Whether a listing was put in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub(crate) enum Acceptance {
+    /// It was.
+    InUse,
+    /// The listing in use supersedes it.
+    Superseded,
+    /// The change doesn't apply to the listing in use, or leads to another one than it names.
+    Refused,
+}
+
 /// The outcome of a reading.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reading {
@@ -134,7 +146,7 @@
         router.directory().correct(now, &mut entries);
         drop(router);
         let meta = self.meta(now, table.revision, fingerprint(&entries));
-        put_in_use(&self.host, meta, Content::Whole(entries));
+        let _ = put_in_use(&self.host, meta, Content::Whole(entries));
         Ok(Reading::Changed)
     }
 
@@ -170,7 +182,7 @@
             return Ok(Reading::Changed);
         };
         let meta = self.meta(now, changes.revision, change.to);
-        put_in_use(&self.host, meta, Content::Change(&change));
+        let _ = put_in_use(&self.host, meta, Content::Change(&change));
         Ok(if change.is_empty() {
             Reading::Unchanged
         } else {
@@ -198,10 +210,10 @@
     host: &Host<S, D>,
     meta: ListingMeta,
     content: Content<'_>,
-) {
+) -> Acceptance {
     let before = host.listing_meta.get();
     if before.is_some_and(|it| !meta.supersedes(&it)) {
-        return;
+        return Acceptance::Superseded;
     }
     // Entries that are absent from now on, also those of earlier listings, are gone only if the
     // whole listing is compared.
@@ -213,7 +225,7 @@
         }
         Content::Change(change) => {
             if !host.listing.borrow_mut().apply(change) {
-                return;
+                return Acceptance::Refused;
             }
             if reveals_removals {
                 update_directory(host, meta)
@@ -229,6 +241,7 @@
     }
     let age = host.node.now().saturating_sub(meta.at);
     report::log_endpoint_changes(host, &change, age);
+    Acceptance::InUse
 }
 
 fn update_directory<S: Store, D: Dialect>(
--- a/crates/host/src/messaging/apply.rs
+++ b/crates/host/src/messaging/apply.rs
@@ -7,16 +7,17 @@
 use kernel::HostName;
 use link::{Link, Peer};
 use route::quarantine;
+use telemetry::RefusedUpdate;
 
 use super::{listing, peer, request};
-use crate::Store;
-use crate::follow::endpoints::{self, Content};
+use crate::follow::endpoints::{self, Acceptance, Content};
 use crate::follow::{documents, evacuations, verdicts};
 use crate::gossip::Record;
 use crate::host::{Host, ListingMeta, is_much_later};
 use crate::message::{
     FullState, ListingChange, ListingPatch, ListingStatus, Message, Request, StateUpdate,
 };
+use crate::{Store, report};
 
 /// Applies a host's update, and schedules an early update from this host if something changed,
 /// or if the configuration or listing was confirmed much later than known before.
@@ -123,7 +124,7 @@
         Message::Config(text) => config(host, text),
         Message::ListingChange(it) => listing_change(host, link, from, &it),
         Message::ListingChangesUnavailable => request_patch(host, link, from),
-        Message::ListingPatch(it) => listing_patch(host, &it),
+        Message::ListingPatch(it) => listing_patch(host, from, &it),
         Message::FullState(it) => full_state(host, link, from, *it),
         Message::Comparison(it) => {
             let now = host.node.now();
@@ -197,7 +198,12 @@
     if own != Some(it.change.from) {
         return request_patch(host, link, from);
     }
-    endpoints::put_in_use(host, meta(host, it.status), Content::Change(&it.change));
+    let acceptance =
+        endpoints::put_in_use(host, meta(host, it.status), Content::Change(&it.change));
+    if acceptance == Acceptance::Refused {
+        report::log_refused_listing(host, &from.host, RefusedUpdate::Change);
+        request_patch(host, link, from);
+    }
 }
 
 fn request_patch<S: Store, D: Dialect>(host: &Rc<Host<S, D>>, link: &Link, from: &Peer) {
@@ -205,12 +211,14 @@
     request::send_once(host, link, from, Request::ListingPatch(sketch));
 }
 
-/// Applies a patch of the listing. A patch that no longer fits is dropped; the next update
-/// triggers a new request.
-fn listing_patch<S: Store, D: Dialect>(host: &Host<S, D>, it: &ListingPatch) {
+/// Applies a patch of the listing. If it doesn't fit, the next update triggers a new request.
+fn listing_patch<S: Store, D: Dialect>(host: &Host<S, D>, from: &Peer, it: &ListingPatch) {
     let change = host.listing.borrow().change_of(&it.patch);
-    if let Some(change) = change {
-        endpoints::put_in_use(host, meta(host, it.status), Content::Change(&change));
+    let acceptance = change.map_or(Acceptance::Refused, |change| {
+        endpoints::put_in_use(host, meta(host, it.status), Content::Change(&change))
+    });
+    if acceptance == Acceptance::Refused {
+        report::log_refused_listing(host, &from.host, RefusedUpdate::Patch);
     }
 }
 
--- a/crates/host/src/messaging/listing.rs
+++ b/crates/host/src/messaging/listing.rs
@@ -79,7 +79,7 @@
         listing.apply(&change);
         let entries = listing.entries().cloned().collect();
         let meta = apply::meta(self.host, status);
-        endpoints::put_in_use(self.host, meta, Content::Whole(entries));
+        let _ = endpoints::put_in_use(self.host, meta, Content::Whole(entries));
         Some(())
     }
 
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -7,8 +7,9 @@
 
 use async_std::task::sleep;
 use forward::Dialect;
+use kernel::HostName;
 use route::directory::Change;
-use telemetry::{Event, Gauges, Links, Value};
+use telemetry::{Event, Gauges, Links, RefusedUpdate, Value};
 
 use crate::host::Host;
 use crate::{Store, StoreError};
@@ -94,6 +95,22 @@
     }
 }
 
+/// Logs and counts an update of the listing from another host that can't be applied.
+pub(crate) fn log_refused_listing<S: Store, D: Dialect>(
+    host: &Host<S, D>,
+    from: &HostName,
+    update: RefusedUpdate,
+) {
+    host.recorder().metrics().refused_update(update);
+    host.recorder().log_event(
+        Event::ListingRefused,
+        &[
+            ("from", Value::Text(from)),
+            ("update", Value::Text(&update)),
+        ],
+    );
+}
+
 /// Logs the endpoints that a listing added, and those that take no new requests from now on.
 pub(crate) fn log_endpoint_changes<S: Store, D: Dialect>(
     host: &Host<S, D>,
--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -98,6 +98,10 @@
         "barleypin_limited_attempts_total",
         "Attempts sent to endpoints that were known to state such a limit.",
     ),
+    (
+        "barleypin_refused_updates_total",
+        "Updates of the listing of endpoints from other hosts that couldn't be applied, by kind.",
+    ),
     (
         "barleypin_requests_held",
         "Requests that go nowhere because endpoints end under them.",
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -46,6 +46,8 @@
     EndpointLimited, 1605, Warning, "An endpoint states a limit on the rate of requests from all hosts.";
     EndpointUnlimited, 1606, Info, "An endpoint no longer states a limit on the rate of requests.";
 
+    ListingRefused, 1607, Warning, "An update of the listing of endpoints from another host can't be applied.";
+
     DataCentreEmptied, 1650, Warning, "Operators evacuated a data centre; its endpoints get no requests.";
     DataCentreOpen, 1651, Info, "Operators reopened a data centre; its endpoints get requests again.";
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -26,4 +26,6 @@
 pub use recorder::Recorder;
 pub use slog::Level;
 
-pub use report::{AttemptReport, AttemptSummary, ConnectionOrigin, Outcome, RequestReport};
+pub use report::{
+    AttemptReport, AttemptSummary, ConnectionOrigin, Outcome, RefusedUpdate, RequestReport,
+};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use route::{Denial, Ending, Withheld};
 
-use crate::{CATALOGUE, Instruments, Outcome, RequestReport};
+use crate::{CATALOGUE, Instruments, Outcome, RefusedUpdate, RequestReport};
 
 /// The bounds of all histograms in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 14] = [
@@ -70,6 +70,7 @@
     withheld: Counter<u64>,
     attempts: Counter<u64>,
     limited_attempts: Counter<u64>,
+    refused_updates: Counter<u64>,
     strays: Counter<u64>,
     connections: Counter<u64>,
     ejections: Counter<u64>,
@@ -114,6 +115,7 @@
             withheld: it.counter("withheld"),
             attempts: it.counter("attempts"),
             limited_attempts: it.counter("limited_attempts"),
+            refused_updates: it.counter("refused_updates"),
             strays: it.counter("strays"),
             connections: it.counter("connections"),
             ejections: it.counter("ejections"),
@@ -206,6 +208,12 @@
         self.withheld.add(1, &[label("reason", reason.to_string())]);
     }
 
+    /// Counts an update from another host that couldn't be applied.
+    pub fn refused_update(&self, update: RefusedUpdate) {
+        self.refused_updates
+            .add(1, &[label("kind", update.to_string())]);
+    }
+
     /// Counts an ejection of an endpoint.
     pub fn ejection(&self, reason: Ending) {
         self.ejections
@@ -297,6 +305,10 @@
         for reason in Withheld::ALL {
             self.withheld.add(0, &[label("reason", reason.to_string())]);
         }
+        for update in RefusedUpdate::ALL {
+            self.refused_updates
+                .add(0, &[label("kind", update.to_string())]);
+        }
         self.limited_attempts.add(0, &[]);
         self.strays.add(0, &[]);
         self.lines_dropped.add(0, &[]);
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -144,3 +144,19 @@
         }
     }
 }
+
+/// A kind of update of the listing of endpoints that a host may not be able to apply.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum RefusedUpdate {
+    /// The changes since this host's listing.
+    #[display("change")]
+    Change,
+    /// The parts in which its listing differs.
+    #[display("patch")]
+    Patch,
+}
+
+impl RefusedUpdate {
+    /// All variants.
+    pub const ALL: [Self; 2] = [Self::Change, Self::Patch];
+}
