--- a/crates/forward/src/attempt/status.rs
+++ b/crates/forward/src/attempt/status.rs
@@ -1,4 +1,4 @@
-//! What an endpoint says of itself in the head of a response.
+//! The status that an endpoint reports in the head of a response.
 
 use framing::response;
 use telemetry::{Event, Value};
@@ -8,7 +8,7 @@
 use crate::{Dialect, ResponseFields};
 
 impl<D: Dialect> Attempt<'_, D> {
-    /// Tells the router what a response says of its endpoint: load, shutdown, pause and limit.
+    /// Tells the router the load, shutdown, pause and rate limit that a response reports.
     pub(super) fn record_status(
         &self,
         head: &response::Head,
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -80,7 +80,7 @@
     }
 
     /// Returns how long this host must send it nothing, because it refuses requests, is cold or
-    /// limits the rate of requests.
+    /// states a request rate.
     pub(crate) fn wait(&self, now: Duration) -> Duration {
         let paused = self.paused_until.saturating_sub(now);
         let cold = self.cold_start.wait(now);
--- a/crates/route/src/directory/rate_limits.rs
+++ b/crates/route/src/directory/rate_limits.rs
@@ -1,4 +1,4 @@
-//! Rates that endpoints state, and what other hosts are told of them.
+//! The request rates that endpoints state, and the reports on them to other hosts.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
--- a/crates/route/src/rate_limit.rs
+++ b/crates/route/src/rate_limit.rs
@@ -47,7 +47,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RateLimit {
     rate: Option<RequestRate>,
-    /// Orders what hosts tell each other: each change has a higher version than the one before.
+    /// Orders the reports of hosts: each change has a higher version than the one before.
     /// Odd while the endpoint states a rate.
     version: u32,
     /// The time at which this host learned of this version.
--- a/crates/route/src/rate_limit/report.rs
+++ b/crates/route/src/rate_limit/report.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other of the rates that endpoints state.
+//! Reports between hosts on the request rates that endpoints state.
 
 use std::time::Duration;
 
