Test that a stated rate holds in a restart, a partition and when it falls

Simulated, 6, 84 and 985 hosts: a third of the hosts restarts and wasn't told, the two halves send each other no reports, and the rate falls from 7.6 to 1.1 a second. Requests in the first second after the restart aren't counted: each restarted host sends until its first response, and the users' rule excuses it. The check of the bound stands once in the file.

--- a/crates/route/tests/rate_limits.rs
+++ b/crates/route/tests/rate_limits.rs
@@ -11,6 +11,14 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+fn check_bound(fleet: &Fleet, hosts: usize) {
+    let (most, bound) = (fleet.most_in_window(), fleet.max_in_window());
+    assert!(
+        f64::from(most) <= bound,
+        "{hosts} hosts: {most} requests in 4 s, allowed {bound}"
+    );
+}
+
 /// Guards against each host keeping to a stated rate by itself, so that the sum grows with the
 /// number of hosts.
 #[test]
@@ -60,12 +68,8 @@
         fleet.run_for(3 * SECOND, |nr| nr < 2);
         fleet.clear();
         fleet.run_for(8 * SECOND, |_| true);
-        let (most, bound) = (fleet.most_in_window(), fleet.max_in_window());
-        assert!(
-            f64::from(most) <= bound,
-            "{hosts} hosts: {most} requests in 4 s, allowed {bound}"
-        );
-        assert!(most > 0, "{hosts} hosts: no request");
+        check_bound(&fleet, hosts);
+        assert!(fleet.requests() > 0, "{hosts} hosts: no request");
     }
 }
 
@@ -113,10 +117,48 @@
         fleet.run_for(60 * SECOND, |_| false);
         fleet.clear();
         fleet.run_for(8 * SECOND, |_| true);
-        let (most, bound) = (fleet.most_in_window(), fleet.max_in_window());
-        assert!(
-            f64::from(most) <= bound,
-            "{hosts} hosts: {most} requests in 4 s, allowed {bound}"
-        );
+        check_bound(&fleet, hosts);
+    }
+}
+
+/// Guards against hosts that restart, and were not told, using the rate beside the others.
+#[test]
+fn all_hosts_keep_to_the_rate_after_a_restart() {
+    for hosts in [6, 84, 985] {
+        let mut fleet = Fleet::new(hosts, 1.5, 6);
+        fleet.run_for(4 * SECOND, |_| true);
+        fleet.restart(hosts / 3);
+        fleet.run_for(SECOND, |_| true);
+        fleet.clear();
+        fleet.run_for(8 * SECOND, |_| true);
+        check_bound(&fleet, hosts);
+    }
+}
+
+/// Guards against both sides of a network partition using the whole rate.
+#[test]
+fn all_hosts_keep_to_the_rate_in_a_partition() {
+    for hosts in [6, 84, 985] {
+        let mut fleet = Fleet::new(hosts, 1.5, 7);
+        fleet.partition();
+        fleet.run_for(3 * SECOND, |_| true);
+        fleet.clear();
+        fleet.run_for(20 * SECOND, |_| true);
+        check_bound(&fleet, hosts);
+    }
+}
+
+/// Guards against hosts that go on with a former, higher rate.
+#[test]
+fn all_hosts_keep_to_a_rate_that_falls() {
+    for hosts in [6, 84, 985] {
+        let mut fleet = Fleet::new(hosts, 7.6, 8);
+        fleet.run_for(4 * SECOND, |_| true);
+        fleet.set_rate(1.1);
+        fleet.run_for(2 * SECOND, |_| true);
+        fleet.clear();
+        fleet.run_for(8 * SECOND, |_| true);
+        check_bound(&fleet, hosts);
+        assert!(fleet.requests() > 0, "{hosts} hosts: no request");
     }
 }
--- a/crates/route/tests/rate_limits/fleet.rs
+++ b/crates/route/tests/rate_limits/fleet.rs
@@ -37,6 +37,9 @@
     arrivals: Vec<Duration>,
     /// Reports on their way, each with its receiver.
     reports: Vec<(usize, Vec<Report>)>,
+    /// Whether the first half of the hosts and the second one don't reach each other.
+    is_partitioned: bool,
+    endpoints: usize,
     now: Duration,
 }
 
@@ -55,9 +58,7 @@
 
     pub(crate) fn with_endpoints(endpoints: usize, hosts: usize, rate: f64, seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let names: Vec<HostName> = (0..hosts)
-            .map(|nr| HostName::from(format!("host-{nr}")))
-            .collect();
+        let names: Vec<HostName> = (0..hosts).map(name).collect();
         let hosts = names.iter().map(|own| {
             let mut router = router(None, rng.random());
             let clock = Duration::from_secs_f64(100.0 * rng.random::<f64>());
@@ -76,6 +77,8 @@
             rng,
             arrivals: Vec::new(),
             reports: Vec::new(),
+            is_partitioned: false,
+            endpoints,
             now: Duration::ZERO,
         }
     }
@@ -105,6 +108,24 @@
         self.rate = rate;
     }
 
+    /// Drops reports between the two halves of the fleet from now on.
+    pub(crate) fn partition(&mut self) {
+        self.is_partitioned = true;
+    }
+
+    /// Restarts the first `count` hosts, which lose what they were told.
+    pub(crate) fn restart(&mut self, count: usize) {
+        let names: Vec<HostName> = (0..self.hosts.len()).map(name).collect();
+        for (nr, host) in self.hosts.iter_mut().enumerate().take(count) {
+            host.router = router(None, self.rng.random());
+            let now = host.clock + self.now;
+            host.router
+                .update_listing(now, entries(self.endpoints), Absence::Gone);
+            host.router
+                .set_peers(Some(Peers::new(&names[nr], names.iter())));
+        }
+    }
+
     /// Forgets the requests so far.
     pub(crate) fn clear(&mut self) {
         self.arrivals.clear();
@@ -126,7 +147,11 @@
         if reports.is_empty() {
             return;
         }
-        for &to in &host.neighbours {
+        let half = self.hosts.len() / 2;
+        for &to in &self.hosts[nr].neighbours {
+            if self.is_partitioned && (nr < half) != (to < half) {
+                continue;
+            }
             self.reports.push((to, reports.clone()));
         }
     }
@@ -183,6 +208,10 @@
     }
 }
 
+fn name(nr: usize) -> HostName {
+    HostName::from(format!("host-{nr}"))
+}
+
 fn id(nr: usize) -> String {
     format!("e{nr}")
 }
