Tell a host that starts the rates that endpoints state, before it serves

Callers saw nothing; an endpoint in need got requests of every host that started, as if it had stated no limit. Cause: the state that a starting host gets from a neighbour had no rates, and reports on endpoints that it didn't list yet were dropped, so it learned of a rate with its own first response or the next full report, up to five seconds later.

The full state now has the reports on all rates, and reports on unlisted endpoints are kept for a minute and applied when their endpoint is listed.

--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -120,11 +120,12 @@
 
 /// The full state of a host, except quarantined requests and the listing of endpoints, which are
 /// requested separately. It is sent as a whole because a host that had only the configuration would serve requests
-/// without knowing which release is on trial, which sessions are kept off it, and which data
-/// centres are evacuated.
+/// without knowing which release is on trial, which sessions are kept off it, which data centres
+/// are evacuated, and how many requests endpoints take.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct FullState {
     pub(crate) update: StateUpdate,
     pub(crate) config: Option<Vec<u8>>,
     pub(crate) evacuations: Vec<Evacuation>,
+    pub(crate) rate_limits: Vec<rate_limit::Report>,
 }
--- a/crates/host/src/messaging/apply.rs
+++ b/crates/host/src/messaging/apply.rs
@@ -11,7 +11,7 @@
 
 use super::{listing, peer, request};
 use crate::follow::endpoints::{self, Acceptance, Content};
-use crate::follow::{documents, evacuations, verdicts};
+use crate::follow::{documents, evacuations, rate_limits, verdicts};
 use crate::gossip::Record;
 use crate::host::{Host, ListingMeta, is_much_later};
 use crate::message::{
@@ -107,6 +107,7 @@
     // Applied before the configuration: requests are served as soon as that is in force.
     rollouts(host, &from.host, &state.update);
     evacuations::apply(host, state.evacuations);
+    rate_limits::apply(host, &state.rate_limits);
     if let Some(text) = state.config {
         config(host, text);
     }
--- a/crates/host/src/messaging/respond.rs
+++ b/crates/host/src/messaging/respond.rs
@@ -18,6 +18,7 @@
             update: state_update(host, Scope::Full),
             config: config(host),
             evacuations: evacuations(host),
+            rate_limits: host.node.router().all_rate_limit_reports(host.node.now()),
         })),
         Request::Compare(digest) => Message::Comparison(host.gossip.borrow().compare(&digest)),
         Request::Ping => Message::Empty,
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -220,6 +220,7 @@
         let key = self.endpoints.insert(Endpoint::new(entry, access));
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
+        self.apply_kept_report(key);
         key
     }
 
--- a/crates/route/src/directory/rate_limits.rs
+++ b/crates/route/src/directory/rate_limits.rs
@@ -1,12 +1,13 @@
 //! The request rates that endpoints state, and the reports on them to other hosts.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::hash_map::Entry as Slot;
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use kernel::EndpointId;
 
 use super::Directory;
-use crate::endpoint::Key;
+use crate::endpoint::{Key, ProcessId};
 use crate::rate_limit::{Change, Effect, Report, RequestRate};
 
 /// Maximum number of reports in an update. With two updates a second to each neighbour, they take
@@ -21,6 +22,8 @@
 /// The time for which a lifted limit is still reported, so that outdated reports of it don't
 /// count.
 const LIFTED_RETENTION: Duration = Duration::from_mins(1);
+/// The time for which a report on an endpoint that isn't listed yet is kept.
+const UNLISTED_RETENTION: Duration = Duration::from_mins(1);
 
 /// The endpoints that state a rate or did recently, and the reports that are due.
 #[derive(Clone, Debug, Default)]
@@ -29,10 +32,21 @@
     /// Endpoints to report, changes first.
     due: VecDeque<Key>,
     last_full_report: Duration,
+    /// Reports on endpoints that this host doesn't list yet. Without them, a host that starts, and
+    /// is told the rates before the listing, would send each endpoint requests until the next
+    /// report.
+    unlisted: HashMap<ProcessId, Unlisted>,
     /// Whether a rate changed since the last [`Directory::take_rate_limit_news`].
     has_news: bool,
 }
 
+/// A report on an endpoint that isn't listed yet.
+#[derive(Clone, Debug)]
+struct Unlisted {
+    report: Report,
+    received_at: Duration,
+}
+
 impl RateLimits {
     fn insert(&mut self, key: Key) {
         self.known.insert(key);
@@ -47,6 +61,25 @@
         }
     }
 
+    /// Keeps a report until its endpoint is listed. Returns the change if the report is newer than
+    /// the one that was kept.
+    fn keep_unlisted(&mut self, now: Duration, report: &Report) -> Option<Change> {
+        let unlisted = Unlisted {
+            report: report.clone(),
+            received_at: now,
+        };
+        match self.unlisted.entry(report.process()) {
+            Slot::Occupied(kept) if kept.get().report.version >= report.version => return None,
+            Slot::Occupied(mut kept) => {
+                kept.insert(unlisted);
+            }
+            Slot::Vacant(free) => {
+                free.insert(unlisted);
+            }
+        }
+        Some(report.rate.map_or(Change::Lifted, Change::Stated))
+    }
+
     /// Returns the least time between two reports of the use of one rate, which grows with the
     /// number of rates: reports that come later than expected would let other hosts use the rate
     /// as well.
@@ -111,6 +144,17 @@
             limit.is_some_and(|it| it.rate().is_some() || now < it.changed_at() + LIFTED_RETENTION)
         });
         self.rate_limits.due.extend(&self.rate_limits.known);
+        let is_recent = |it: &Unlisted| now < it.received_at + UNLISTED_RETENTION;
+        self.rate_limits.unlisted.retain(|_, it| is_recent(it));
+    }
+
+    /// Returns the reports on all rates, for a host that starts.
+    pub(crate) fn all_rate_limit_reports(&self, now: Duration) -> Vec<Report> {
+        let known = self.rate_limits.known.iter();
+        let endpoints = known.filter_map(|it| self.endpoints.get(*it));
+        endpoints
+            .map(|it| it.rate_limit.report(now, &it.entry))
+            .collect()
     }
 
     /// Applies another host's reports, and returns the endpoints whose rate changed.
@@ -129,12 +173,11 @@
     }
 
     fn apply_rate_limit_report(&mut self, now: Duration, report: &Report) -> Option<Change> {
-        let key = *self.by_id.get(&report.endpoint)?;
-        let it = self.endpoints.get_mut(key)?;
-        if it.entry.incarnation != report.incarnation {
-            return None;
-        }
+        let Some(key) = self.process(report) else {
+            return self.rate_limits.keep_unlisted(now, report);
+        };
         let refresh_interval = self.rate_limits.refresh_interval();
+        let it = self.endpoints.get_mut(key)?;
         match it.rate_limit.apply(now, report, refresh_interval) {
             Effect::Changed(change) => {
                 self.rate_limits.insert(key);
@@ -149,6 +192,22 @@
         }
     }
 
+    /// Returns the listed process that a report is about.
+    fn process(&self, report: &Report) -> Option<Key> {
+        let key = *self.by_id.get(&report.endpoint)?;
+        let it = self.endpoints.get(key)?;
+        (it.entry.incarnation == report.incarnation).then_some(key)
+    }
+
+    /// Applies the report that was kept for an endpoint which is listed from now on.
+    pub(super) fn apply_kept_report(&mut self, key: Key) {
+        let process = self.endpoints.get(key).map(|it| it.entry.process());
+        let kept = process.and_then(|it| self.rate_limits.unlisted.remove(&it));
+        if let Some(it) = kept {
+            self.apply_rate_limit_report(it.received_at, &it.report);
+        }
+    }
+
     /// Divides the rates anew, after the hosts changed.
     pub(super) fn refresh_rate_limits(&mut self) {
         for key in self.rate_limits.known.clone() {
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -41,6 +41,11 @@
 }
 
 impl ProcessId {
+    /// Returns the ID of the process that an endpoint's start with this incarnation began.
+    pub(crate) fn new(endpoint: &EndpointId, incarnation: Option<Incarnation>) -> Self {
+        Self(hash::of(&(endpoint, incarnation)))
+    }
+
     /// Returns the sort key of a host for rendezvous hashing with this process.
     pub(crate) fn rank(self, host: u64) -> u64 {
         hash::of(&(self.0, host))
@@ -51,7 +56,7 @@
     /// Returns the ID of the endpoint's current process.
     #[must_use]
     pub fn process(&self) -> ProcessId {
-        ProcessId(hash::of(&(&self.id, self.incarnation)))
+        ProcessId::new(&self.id, self.incarnation)
     }
 }
 
--- a/crates/route/src/rate_limit/report.rs
+++ b/crates/route/src/rate_limit/report.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Change, RateLimit, RequestRate};
-use crate::endpoint::Entry;
+use crate::endpoint::{Entry, ProcessId};
 
 /// A host's report of the rate that an endpoint states.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -23,6 +23,13 @@
     pub unused: Duration,
 }
 
+impl Report {
+    /// Returns the process that states the rate.
+    pub(crate) fn process(&self) -> ProcessId {
+        ProcessId::new(&self.endpoint, self.incarnation)
+    }
+}
+
 /// The effect of a report.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Effect {
--- a/crates/route/src/router/reports.rs
+++ b/crates/route/src/router/reports.rs
@@ -45,8 +45,14 @@
         self.directory.rate_limit_reports(now)
     }
 
+    /// Returns the reports on all stated rates, for a host that starts.
+    #[must_use]
+    pub fn all_rate_limit_reports(&self, now: Duration) -> Vec<rate_limit::Report> {
+        self.directory.all_rate_limit_reports(now)
+    }
+
     /// Applies another host's reports on stated rates, and returns the endpoints whose rate
-    /// changed.
+    /// changed. Those on endpoints that aren't listed yet apply once they are.
     pub fn apply_rate_limit_reports(
         &mut self,
         now: Duration,
--- a/crates/route/tests/rate_limits.rs
+++ b/crates/route/tests/rate_limits.rs
@@ -162,3 +162,23 @@
         assert!(fleet.requests() > 0, "{hosts} hosts: no request");
     }
 }
+
+/// Guards against hosts that have just started sending requests before they learn of the rate.
+#[test]
+fn hosts_that_start_keep_to_the_rate_from_their_first_request() {
+    let mut violations = Vec::new();
+    for hosts in [6, 30, 84, 300, 985] {
+        let mut fleet = Fleet::new(hosts, 1.5, 9);
+        fleet.run_for(4 * SECOND, |_| true);
+        fleet.clear();
+        fleet.restart(hosts / 3);
+        fleet.run_for(8 * SECOND, |_| true);
+        let (most, bound) = (fleet.most_in_window(), fleet.max_in_window());
+        if f64::from(most) > bound {
+            violations.push(format!(
+                "{hosts} hosts: {most} requests in 4 s, allowed {bound}"
+            ));
+        }
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
--- a/crates/route/tests/rate_limits/fleet.rs
+++ b/crates/route/tests/rate_limits/fleet.rs
@@ -113,12 +113,19 @@
         self.is_partitioned = true;
     }
 
-    /// Restarts the first `count` hosts, which lose what they were told.
+    /// Restarts the first `count` hosts, which lose what they were told. Each gets the state of a
+    /// host that ran on before it has the listing.
     pub(crate) fn restart(&mut self, count: usize) {
         let names: Vec<HostName> = (0..self.hosts.len()).map(name).collect();
+        let told = self.hosts.last().map(|it| {
+            let now = it.clock + self.now;
+            it.router.all_rate_limit_reports(now)
+        });
+        let told = told.unwrap_or_default();
         for (nr, host) in self.hosts.iter_mut().enumerate().take(count) {
             host.router = router(None, self.rng.random());
             let now = host.clock + self.now;
+            host.router.apply_rate_limit_reports(now, &told);
             host.router
                 .update_listing(now, entries(self.endpoints), Absence::Gone);
             host.router
