Divide the slack of retry budgets among silent hosts as well

In a network partition each side divided the slack among its live hosts, so both sides together had it twice.

The router is now told live and silent hosts; the slack counts both, and what fills an endpoint, a share of connections and roll-outs go by the live ones as before.

--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kernel::{HostName, Incarnation, hash};
-use route::Peers;
+use route::{HostCount, Peers};
 
 use super::{Graph, Record, State};
 use crate::Member;
@@ -117,6 +117,17 @@
         self.live().count()
     }
 
+    /// Returns the number of live and silent hosts, this host included.
+    #[must_use]
+    pub fn host_count(&self) -> HostCount {
+        let is_silent = |it: &&KnownHost| it.record.state == State::Silent;
+        let silent = self.hosts.values().filter(is_silent).count();
+        HostCount {
+            live: u32::try_from(self.count()).unwrap_or(u32::MAX),
+            silent: u32::try_from(silent).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Returns the addresses of the hosts that callers may be sent to.
     #[must_use]
     pub fn addresses(&self, now: Duration) -> Vec<Address> {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -283,8 +283,9 @@
             self.schedule_update();
         }
         if self.knows_host_count() {
-            let hosts = u32::try_from(gossip.roster().count()).unwrap_or(u32::MAX);
-            self.node.router().set_host_count(hosts);
+            self.node
+                .router()
+                .set_host_count(gossip.roster().host_count());
         }
         let epoch = Some(gossip.roster().epoch());
         if self.is_roster_settled() && self.peers_epoch.replace(epoch) != epoch {
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -15,9 +15,9 @@
 /// Guards against retry storms, in which the retries of all hosts keep an overloaded
 /// service from recovering. Escalations to a larger model count as retries. The limit needs no
 /// coordination: each host allows itself the ratio of its own requests, and an equal share of
-/// the slack among the live hosts that it knows. A host that has just started and may not know
-/// them allows itself no slack: if a fleet starts at once, each would use the whole. In a network partition, each side divides the
-/// slack among its own hosts only, so the sides together may exceed it.
+/// the slack among the hosts that it knows. Silent ones count: in a network partition, each side
+/// would otherwise use the whole slack. A host that has just started and may not know the others
+/// allows itself no slack: if a fleet starts at once, each would use the whole.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     ratio: f64,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -27,7 +27,7 @@
 use crate::prefill::PrefillEstimator;
 use crate::rollout::Order;
 use crate::sessions::Sessions;
-use crate::{Directory, Quarantine, RequestFingerprint, RetryBudget, Rollout, Settings};
+use crate::{Directory, HostCount, Quarantine, RequestFingerprint, RetryBudget, Rollout, Settings};
 
 pub use denial::Denial;
 pub use in_flight::InFlight;
@@ -65,8 +65,8 @@
     listing_time: Option<Duration>,
     /// Endpoints that were ejected since the last [`Self::take_ejected`], except unreachable ones.
     ejected: Vec<(EndpointId, Ending)>,
-    /// The number of live hosts, including this one; `None` until this host knows them.
-    host_count: Option<u32>,
+    /// `None` until this host knows the others.
+    host_count: Option<HostCount>,
     rng: Pcg32,
 }
 
@@ -190,7 +190,7 @@
     #[must_use]
     pub fn budgets(&self, now: Duration) -> Vec<(ServiceName, f64)> {
         let retries_left = |(name, it): (&ServiceName, &RetryBudget)| {
-            (name.clone(), it.remaining(now, self.host_count))
+            (name.clone(), it.remaining(now, self.budget_hosts()))
         };
         self.budgets.iter().map(retries_left).collect()
     }
@@ -201,15 +201,22 @@
         &self.directory
     }
 
-    /// Sets the number of live hosts, including this one. They share retry budgets, connection
-    /// limits and the filling of endpoints. Roll-outs that start later also depend on it.
-    pub fn set_host_count(&mut self, host_count: u32) {
-        self.host_count = Some(host_count.max(1));
+    /// Sets the number of hosts. They share the slack of retry budgets; the live ones share
+    /// connection limits and the filling of endpoints. Roll-outs that start later also depend on
+    /// the live ones.
+    pub fn set_host_count(&mut self, host_count: HostCount) {
+        self.host_count = Some(host_count);
     }
 
     /// Returns the number of live hosts that are known, including this one.
-    fn known_hosts(&self) -> u32 {
-        self.host_count.unwrap_or(1)
+    fn live_hosts(&self) -> u32 {
+        self.host_count.map_or(1, |it| it.live.max(1))
+    }
+
+    /// Returns the number of hosts that share the slack of retry budgets; `None` until this host
+    /// knows them.
+    fn budget_hosts(&self) -> Option<u32> {
+        self.host_count.map(HostCount::sharing)
     }
 
     /// Admits a request: selects its route, customer, service and release.
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -131,7 +131,7 @@
 
     /// Takes a retry from the budget, and returns whether the request has one.
     fn take_retry(&mut self, now: Duration, call: &mut Call, ending: Ending) -> bool {
-        let hosts = self.host_count;
+        let hosts = self.budget_hosts();
         if call.retry != Retry::Reserved
             && call.may_retry(now, ending)
             && self.budget(&call.service).try_retry(now, hosts)
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -199,7 +199,7 @@
     fn connections(&self, service: &ServiceName) -> Option<u32> {
         let total = self.config.as_ref()?.service(service)?.max_connections;
         let used = total.saturating_mul(CONNECTIONS_PERCENT) / 100;
-        Some((used / self.known_hosts()).max(1))
+        Some((used / self.live_hosts()).max(1))
     }
 
     /// Returns the endpoint of a new release to fill with this request, if the request is
@@ -212,7 +212,7 @@
         }
         let key = self.endpoint_being_filled(now, call)?;
         let it = self.directory.get(key)?;
-        let share = it.entry.slots * FILL_SHARE_FACTOR / self.known_hosts();
+        let share = it.entry.slots * FILL_SHARE_FACTOR / self.live_hosts();
         let has_room = self.directory.endpoint_utilization(now, it) < FILL_UTILIZATION
             && it.in_flight < share.max(1);
         (has_room && call.profile.prompt_tokens <= MAX_FILL_PROMPT_TOKENS).then_some(key)
--- a/crates/route/src/router/rollouts.rs
+++ b/crates/route/src/router/rollouts.rs
@@ -58,7 +58,7 @@
         }
         let exposure = self.settings.exposure_share;
         let service = order.service.clone();
-        let rollout = Rollout::new(order, started, exposure, self.known_hosts());
+        let rollout = Rollout::new(order, started, exposure, self.live_hosts());
         self.rollouts.insert(service, rollout);
         true
     }
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -15,7 +15,8 @@
 use route::endpoint::Load;
 use route::rollout::{Order, Scope, Verdict};
 use route::{
-    Call, Ending, InFlight, IncomingRequest, Placement, RequestProfile, Revision, Router, WarmUp,
+    Call, Ending, HostCount, InFlight, IncomingRequest, Placement, RequestProfile, Revision,
+    Router, WarmUp,
 };
 
 use crate::line::{Line, ending_of, entry, route, settings};
@@ -39,7 +40,7 @@
 /// Returns the router of a host that knows that there are no others.
 fn lone_host(seed: u64) -> Router {
     let mut router = Router::new(settings(), seed);
-    router.set_host_count(1);
+    router.set_host_count(HostCount { live: 1, silent: 0 });
     router
 }
 
@@ -117,7 +118,11 @@
             }
             "hosts" => {
                 let hosts = line.args[0].parse().unwrap();
-                self.router().set_host_count(hosts);
+                let count = HostCount {
+                    live: hosts,
+                    silent: 0,
+                };
+                self.router().set_host_count(count);
                 None
             }
             "list" => self.update_listing(&line, Absence::Gone),
