Restart long polls that began in an outage, and don't take them for news of the documents

Two causes, both needed: since the endpoints are followed by their changes, the first successful reading of them after a failure no longer restarted the open polls for documents and verdicts, because calls whose name begins with 'news' were left out; and each such reading confirmed the configuration to all hosts as long as a poll for documents was open, also one that had begun in the outage and is never answered. So nobody read the store until that poll timed out after 6 s, or a host started.

Now a host keeps from when on the store responds to it: from the beginning of the first call that succeeds after a failure. Polls that began before are restarted (event 1403), and only a poll that began since counts as following the documents. Polls for verdicts are the same and restarted with them; the poll for endpoints ends after a second or so by itself; the list of hosts and the quarantine are read or written at intervals, not polled.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -14,11 +14,8 @@
 
 use std::time::Duration;
 
-use async_std::channel::Receiver;
 use async_std::task::sleep;
 use forward::Dialect;
-use futures::future::{Either, select};
-use futures::pin_mut;
 use route::Revision;
 
 use crate::Store;
@@ -59,14 +56,3 @@
         sleep(STARTUP_POLL_INTERVAL).await;
     }
 }
-
-/// Returns the result of a store call, or `None` if the call has to be restarted since
-/// the store was unavailable meanwhile.
-async fn unless_restarted<T>(restart: &Receiver<()>, call: impl Future<Output = T>) -> Option<T> {
-    let restart = restart.recv();
-    pin_mut!(call, restart);
-    match select(call, restart).await {
-        Either::Left((answer, _)) => Some(answer),
-        Either::Right(_) => None,
-    }
-}
--- a/crates/host/src/follow/documents.rs
+++ b/crates/host/src/follow/documents.rs
@@ -9,8 +9,8 @@
 use telemetry::{Event, Value};
 
 use super::{
-    LONG_POLL_TIMEOUT, STARTUP_LONG_POLL_TIMEOUT, evacuations, is_of_another_era, unless_restarted,
-    verdicts, wait_to_read,
+    LONG_POLL_TIMEOUT, STARTUP_LONG_POLL_TIMEOUT, evacuations, is_of_another_era, verdicts,
+    wait_to_read,
 };
 use crate::host::Host;
 use crate::{Backoff, Documents, Store, StoreError, report};
@@ -25,19 +25,17 @@
         }
         since = since.filter(|it| it.era == host.store.era());
         let began = host.node.now();
-        host.is_watching_documents.set(since.is_some());
         let wait = match host.node.router().version() {
             Some(_) => LONG_POLL_TIMEOUT,
             None => STARTUP_LONG_POLL_TIMEOUT,
         };
-        let call = async {
-            match since {
-                None => host.store.documents().await,
-                Some(since) => host.store.changes(since, wait).await,
+        let result = match since {
+            None => Some(host.store.documents().await),
+            Some(since) => {
+                let changes = host.store.changes(since, wait);
+                host.documents_poll.run(began, changes).await
             }
         };
-        let result = unless_restarted(&host.long_poll_restarts[0].1, call).await;
-        host.is_watching_documents.set(false);
         let Some(result) = result else {
             continue;
         };
--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -86,9 +86,7 @@
         match reader.read().await {
             Ok(reading) => {
                 backoff.reset();
-                if host.is_watching_documents.get() {
-                    // The store responds and a long poll is open: it would have returned a
-                    // change.
+                if host.is_following_documents() {
                     host.confirm_config(node.now());
                 }
                 host.schedule_update();
--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -9,9 +9,7 @@
 use route::{Revision, Rollout};
 use telemetry::{Event, Value};
 
-use super::{
-    LONG_POLL_TIMEOUT, is_of_another_era, unless_restarted, wait_for_config, wait_to_read,
-};
+use super::{LONG_POLL_TIMEOUT, is_of_another_era, wait_for_config, wait_to_read};
 use crate::host::Host;
 use crate::{Backoff, Documents, RolloutVerdict, Store, StoreError, report, succession};
 
@@ -32,7 +30,11 @@
         since = since.filter(|it| it.era == host.store.era());
         let began = host.node.now();
         let call = host.store.verdicts(since, LONG_POLL_TIMEOUT);
-        let Some(result) = unless_restarted(&host.long_poll_restarts[1].1, call).await else {
+        let result = match since {
+            None => Some(call.await),
+            Some(_) => host.verdicts_poll.run(began, call).await,
+        };
+        let Some(result) = result else {
             continue;
         };
         report::record_store_call(&host, "news of verdicts", began, &result);
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -22,9 +22,11 @@
 use wire::{Frame, Identity, Payload};
 
 use crate::addresses::Address;
+use crate::availability::Availability;
 use crate::follow::{documents, endpoints, members, quarantine, rate_limits, verdicts};
 use crate::gossip::{Contact, Gossip, MAX_LISTED, State};
 use crate::listing::Listing;
+use crate::long_poll::LongPoll;
 use crate::message::{Message, Request};
 use crate::{Backoff, JoinInfo, Member, RolloutVerdict, Store, messaging, report};
 
@@ -70,9 +72,11 @@
     pub(crate) update_trigger: Sender<()>,
     pub(crate) update_requests: Receiver<()>,
     pub(crate) incarnation: Incarnation,
-    /// Restart the long polls of the store, for documents and for verdicts, after the store
-    /// was unavailable or was restored from a copy.
-    pub(crate) long_poll_restarts: [(Sender<()>, Receiver<()>); 2],
+    /// The long poll for changes of the operators' documents.
+    pub(crate) documents_poll: LongPoll,
+    /// The long poll for verdicts on roll-outs.
+    pub(crate) verdicts_poll: LongPoll,
+    pub(crate) availability: Cell<Availability>,
     /// The kinds of store call whose last attempt failed.
     pub(crate) failing_calls: RefCell<HashSet<&'static str>>,
     /// Number of unusable entries in each listing when it was last read.
@@ -80,8 +84,6 @@
     /// The time at which the store last had the configuration in force, as observed by this host or
     /// by one that reported it.
     pub(crate) config_confirmed: Cell<Option<Duration>>,
-    /// Whether a long poll for changes of the documents is open at the store.
-    pub(crate) is_watching_documents: Cell<bool>,
     /// Whether an attempt to join the fleet has ended, successful or not.
     pub(crate) join_attempted: Cell<bool>,
     /// Whether the bootstrap from neighbours is over: one has sent its state, all attempts
@@ -103,8 +105,6 @@
     /// Number of times that the store was restored from a copy; unknown before the
     /// first call to it.
     pub(crate) era: Cell<Option<u64>>,
-    /// The time of the last successful store call.
-    pub(crate) store_reached: Cell<Option<Duration>>,
     start: Start,
     pub(crate) started: Duration,
     own: Member,
@@ -147,7 +147,6 @@
             listing_sources: RefCell::default(),
             is_fetching_listing: Cell::new(false),
             in_flight_requests: RefCell::default(),
-            is_watching_documents: Cell::new(false),
             join_attempted: Cell::new(false),
             bootstrap_attempted: Cell::new(false),
             state_received: Cell::new(None),
@@ -157,9 +156,10 @@
             is_registered: Cell::new(false),
             link: RefCell::default(),
             era: Cell::new(None),
-            store_reached: Cell::new(None),
             start,
-            long_poll_restarts: [bounded(1), bounded(1)],
+            documents_poll: LongPoll::default(),
+            verdicts_poll: LongPoll::default(),
+            availability: Cell::new(Availability::new(node.now())),
             failing_calls: RefCell::default(),
             unusable_entries: RefCell::default(),
             config_confirmed: Cell::new(None),
@@ -312,7 +312,7 @@
     /// Returns [`Contact::Store`] if a call to the store succeeded recently.
     pub(crate) fn contact(&self) -> Contact {
         let now = self.node.now();
-        match self.store_reached.get() {
+        match self.availability.get().last_success() {
             Some(at) if now.saturating_sub(at) < STORE_CONTACT_TIMEOUT => Contact::Store,
             _ => Contact::Lost,
         }
@@ -373,18 +373,33 @@
         Link::bind(&settings).ok()
     }
 
-    /// Restarts the long polls of the store.
-    ///
-    /// A store that stops responding without closing its connections never answers the
-    /// polls that were open. Without a restart, a new configuration would be missed until
-    /// the poll times out.
-    pub(crate) fn restart_long_polls(&self) {
-        for (sender, _) in &self.long_poll_restarts {
-            // One pending restart is enough.
-            let _ = sender.try_send(());
+    /// Restarts the open long polls of the store that began before `before`.
+    pub(crate) fn restart_long_polls(&self, before: Duration) {
+        let polls = [
+            ("news of documents", &self.documents_poll),
+            ("news of verdicts", &self.verdicts_poll),
+        ];
+        for (call, poll) in polls {
+            let Some(began) = poll.restart(before) else {
+                continue;
+            };
+            let age = self.node.now().saturating_sub(began);
+            self.recorder().log_event(
+                Event::PollRestarted,
+                &[("call", Value::Text(&call)), ("ms", Value::Time(age))],
+            );
         }
     }
 
+    /// Returns whether the store would have told this host of a change of the documents: a long
+    /// poll for them is open, and began while the store was available. One that began in an
+    /// outage may never be answered. If it counted, all hosts would take an outdated configuration
+    /// for confirmed, and none would read the store.
+    pub(crate) fn is_following_documents(&self) -> bool {
+        let began = self.documents_poll.began();
+        began.is_some_and(|it| self.availability.get().has_been_available_since(it))
+    }
+
     /// Sends the neighbours an update soon instead of at the next interval.
     pub(crate) fn schedule_update(&self) {
         // One pending update is enough.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -6,6 +6,7 @@
 //! define the stored format. See `docs/design/relay.md`.
 
 pub mod addresses;
+mod availability;
 mod backoff;
 mod capacity;
 mod documents;
@@ -13,6 +14,7 @@
 pub mod gossip;
 mod host;
 pub mod listing;
+mod long_poll;
 mod member;
 mod message;
 mod messaging;
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -33,9 +33,7 @@
     let timed = (!call.starts_with("news")).then_some(took);
     host.recorder().metrics().store_call(call, name, timed);
     detect_restore(host);
-    if result.is_ok() {
-        host.store_reached.set(Some(host.node.now()));
-    }
+    record_availability(host, began, result);
     let mut failing_calls = host.failing_calls.borrow_mut();
     match result {
         // The store responded, so this isn't logged as a failure.
@@ -51,14 +49,34 @@
         Ok(_) if failing_calls.remove(call) => {
             host.recorder()
                 .log_event(Event::StoreBack, &[("call", Value::Text(&call))]);
-            if timed.is_some() {
-                host.restart_long_polls();
-            }
         }
         _ => {}
     }
 }
 
+/// Records whether the store responded, and when it does again, restarts the long polls that began
+/// before the call that succeeded.
+fn record_availability<S: Store, D: Dialect, T>(
+    host: &Host<S, D>,
+    began: Duration,
+    result: &Result<T, StoreError>,
+) {
+    let mut availability = host.availability.get();
+    let is_back = match result {
+        Ok(_) | Err(StoreError::Conflict | StoreError::HistoryGone) => {
+            availability.record_success(began, host.node.now())
+        }
+        Err(_) => {
+            availability.record_failure();
+            false
+        }
+    };
+    host.availability.set(availability);
+    if is_back {
+        host.restart_long_polls(began);
+    }
+}
+
 /// Detects that the store was restored from an older copy. Open long polls are restarted then,
 /// because they refer to revisions that may have been assigned anew.
 fn detect_restore<S: Store, D: Dialect>(host: &Host<S, D>) {
@@ -72,7 +90,7 @@
             .log_event(Event::StoreRestored, &[("era", Value::Count(era))]);
         let now = host.node.now();
         host.node.router().store_restored(now);
-        host.restart_long_polls();
+        host.restart_long_polls(now);
     }
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -32,6 +32,7 @@
     StoreLost, 1400, Warning, "Calls of this kind to the store fail.";
     StoreBack, 1401, Info, "Calls of this kind to the store succeed again.";
     StoreRestored, 1402, Warning, "The store was restored from an older copy.";
+    PollRestarted, 1403, Info, "A long poll of the store was restarted, since it may have begun while the store didn't respond or had other contents.";
 
     HostsChanged, 1500, Info, "The list of hosts for callers changed.";
     Joined, 1501, Info, "This host read the list of hosts from the store.";
