--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -2,6 +2,7 @@
 
 mod listing_meta;
 mod readers;
+mod store_calls;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -24,11 +25,11 @@
 use crate::addresses::Address;
 use crate::availability::Availability;
 use crate::follow::{documents, endpoints, members, quarantine, rate_limits, verdicts};
-use crate::gossip::{Contact, Gossip, MAX_LISTED, State};
+use crate::gossip::{Gossip, MAX_LISTED, State};
 use crate::listing::Listing;
 use crate::long_poll::LongPoll;
 use crate::message::{Message, Request};
-use crate::{Backoff, JoinInfo, Member, RolloutVerdict, Store, messaging, report};
+use crate::{JoinInfo, Member, RolloutVerdict, Store, messaging, report};
 
 pub(crate) use listing_meta::{ListingMeta, is_much_later};
 
@@ -41,8 +42,6 @@
 /// first time. Without the spread, each host would find no certificate authority in the store
 /// and try to write its own: three store calls per host instead of one.
 const FIRST_START_SPREAD: Duration = Duration::from_millis(500);
-/// Time after the last successful call to the store at which it counts as unreachable.
-const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Name of the certificate authority that the hosts share.
 const AUTHORITY_NAME: &str = "barleypin";
@@ -309,23 +308,6 @@
         joined_at.is_some_and(|it| self.node.now() >= it + SETTLING_TIME)
     }
 
-    /// Returns [`Contact::Store`] if a call to the store succeeded recently.
-    pub(crate) fn contact(&self) -> Contact {
-        let now = self.node.now();
-        match self.availability.get().last_success() {
-            Some(at) if now.saturating_sub(at) < STORE_CONTACT_TIMEOUT => Contact::Store,
-            _ => Contact::Lost,
-        }
-    }
-
-    /// Records that at `at`, the store still had the configuration that is in force. Returns
-    /// whether `at` is enough later than the last known time to inform other hosts.
-    pub(crate) fn confirm_config(&self, at: Duration) -> bool {
-        let known = self.config_confirmed.get();
-        self.config_confirmed.set(known.max(Some(at)));
-        is_much_later(at, known)
-    }
-
     /// Encodes a message to another host; `None` if it can't be encoded.
     pub(crate) fn frame(&self, message: &Message) -> Option<Frame> {
         let from = Identity {
@@ -373,50 +355,12 @@
         Link::bind(&settings).ok()
     }
 
-    /// Restarts the open long polls of the store that began before `before`.
-    pub(crate) fn restart_long_polls(&self, before: Duration) {
-        let polls = [
-            ("news of documents", &self.documents_poll),
-            ("news of verdicts", &self.verdicts_poll),
-        ];
-        for (call, poll) in polls {
-            let Some(began) = poll.restart(before) else {
-                continue;
-            };
-            let age = self.node.now().saturating_sub(began);
-            self.recorder().log_event(
-                Event::PollRestarted,
-                &[("call", Value::Text(&call)), ("ms", Value::Time(age))],
-            );
-        }
-    }
-
-    /// Returns whether the store would have told this host of a change of the documents: a long
-    /// poll for them is open, and began while the store was available. One that began in an
-    /// outage may never be answered. If it counted, all hosts would take an outdated configuration
-    /// for confirmed, and none would read the store.
-    pub(crate) fn is_following_documents(&self) -> bool {
-        let began = self.documents_poll.began();
-        began.is_some_and(|it| self.availability.get().has_been_available_since(it))
-    }
-
     /// Sends the neighbours an update soon instead of at the next interval.
     pub(crate) fn schedule_update(&self) {
         // One pending update is enough.
         let _ = self.update_trigger.try_send(());
     }
 
-    /// Waits after a failed call to the store.
-    pub(crate) async fn back_off(&self, backoff: &mut Backoff) {
-        let jitter = self.random_fraction();
-        sleep(backoff.next_delay(self.live_peer_count(), jitter)).await;
-    }
-
-    /// Returns the number of other live hosts.
-    fn live_peer_count(&self) -> usize {
-        self.host_count() - 1
-    }
-
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction(&self) -> f64 {
         self.rng.borrow_mut().random()
--- /dev/null
+++ b/crates/host/src/host/store_calls.rs
@@ -0,0 +1,71 @@
+//! The availability of the store to a host, its long polls, and the pauses between calls.
+
+use std::time::Duration;
+
+use async_std::task::sleep;
+use forward::Dialect;
+use telemetry::{Event, Value};
+
+use super::{Host, is_much_later};
+use crate::gossip::Contact;
+use crate::{Backoff, Store};
+
+/// Time after the last successful call to the store at which it counts as unreachable.
+const STORE_CONTACT_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+impl<S: Store, D: Dialect> Host<S, D> {
+    /// Returns [`Contact::Store`] if a call to the store succeeded recently.
+    pub(crate) fn contact(&self) -> Contact {
+        let now = self.node.now();
+        match self.availability.get().last_success() {
+            Some(at) if now.saturating_sub(at) < STORE_CONTACT_TIMEOUT => Contact::Store,
+            _ => Contact::Lost,
+        }
+    }
+
+    /// Records that at `at`, the store still had the configuration that is in force. Returns
+    /// whether `at` is enough later than the last known time to inform other hosts.
+    pub(crate) fn confirm_config(&self, at: Duration) -> bool {
+        let known = self.config_confirmed.get();
+        self.config_confirmed.set(known.max(Some(at)));
+        is_much_later(at, known)
+    }
+
+    /// Restarts the open long polls of the store that began before `before`.
+    pub(crate) fn restart_long_polls(&self, before: Duration) {
+        let polls = [
+            ("news of documents", &self.documents_poll),
+            ("news of verdicts", &self.verdicts_poll),
+        ];
+        for (call, poll) in polls {
+            let Some(began) = poll.restart(before) else {
+                continue;
+            };
+            let age = self.node.now().saturating_sub(began);
+            self.recorder().log_event(
+                Event::PollRestarted,
+                &[("call", Value::Text(&call)), ("ms", Value::Time(age))],
+            );
+        }
+    }
+
+    /// Returns whether the store would have told this host of a change of the documents: a long
+    /// poll for them is open, and began while the store was available. One that began in an
+    /// outage may never be answered. If it counted, all hosts would take an outdated configuration
+    /// for confirmed, and none would read the store.
+    pub(crate) fn is_following_documents(&self) -> bool {
+        let began = self.documents_poll.began();
+        began.is_some_and(|it| self.availability.get().has_been_available_since(it))
+    }
+
+    /// Waits after a failed call to the store.
+    pub(crate) async fn back_off(&self, backoff: &mut Backoff) {
+        let jitter = self.random_fraction();
+        sleep(backoff.next_delay(self.live_peer_count(), jitter)).await;
+    }
+
+    /// Returns the number of other live hosts.
+    fn live_peer_count(&self) -> usize {
+        self.host_count() - 1
+    }
+}
