--- a/crates/route/tests/rate_limits.rs
+++ b/crates/route/tests/rate_limits.rs
@@ -182,3 +182,27 @@
     }
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
+
+/// Guards against each side of a network partition dividing the rate among its own hosts once it
+/// has forgotten those of the other side.
+#[test]
+fn all_hosts_keep_to_the_rate_in_a_long_partition() {
+    let mut violations = Vec::new();
+    for hosts in [6, 84, 985] {
+        for rate in [1.5, 7.6] {
+            let mut fleet = Fleet::new(hosts, rate, 10);
+            fleet.partition();
+            fleet.run_for(3 * SECOND, |_| true);
+            fleet.forget_other_half();
+            fleet.clear();
+            fleet.run_for(10 * SECOND, |_| true);
+            let (most, bound) = (fleet.most_in_window(), fleet.max_in_window());
+            if f64::from(most) > bound {
+                violations.push(format!(
+                    "{hosts} hosts, {rate} a second: {most} requests in 4 s, allowed {bound}"
+                ));
+            }
+        }
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
--- a/crates/route/tests/rate_limits/fleet.rs
+++ b/crates/route/tests/rate_limits/fleet.rs
@@ -113,6 +113,21 @@
         self.is_partitioned = true;
     }
 
+    /// Makes the hosts of each half forget those of the other one, as after a long partition.
+    pub(crate) fn forget_other_half(&mut self) {
+        let names: Vec<HostName> = (0..self.hosts.len()).map(name).collect();
+        let half = names.len() / 2;
+        for (nr, host) in self.hosts.iter_mut().enumerate() {
+            let side = if nr < half {
+                &names[..half]
+            } else {
+                &names[half..]
+            };
+            host.router
+                .set_peers(Some(Peers::new(&names[nr], side.iter())));
+        }
+    }
+
     /// Restarts the first `count` hosts, which lose what they were told. Each gets the state of a
     /// host that ran on before it has the listing.
     pub(crate) fn restart(&mut self, count: usize) {
