Let readers hear from other hosts that the store responds again

The readers were still in a wait after a failed call, of up to 3.2 s with 70 hosts, or in a call that the silent store never answers, while other hosts had heard from the store at 26.0 s and kept all from calling it.

The other hosts' updates say when the store last confirmed the configuration. A reader whose last call failed before that restarts its open polls, that for endpoints too, and ends its waits, once until one of its calls succeeds. A poll for endpoints that is given up counts as a failed reading: entries may have lapsed.

--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -28,7 +28,7 @@
 /// confirmations arrive before the other hosts start to read the store.
 const STARTUP_LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which a host that doesn't read the store checks whether it should.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The same for a host that isn't ready, so that the checks don't delay its start.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -55,6 +55,8 @@
     Changed,
     /// Nothing changed while the store waited for changes.
     Unchanged,
+    /// The poll was given up because the store may never answer it.
+    Restarted,
 }
 
 /// The state of a host that reads the listing.
@@ -84,6 +86,8 @@
         }
         let began = node.now();
         match reader.read().await {
+            // Entries may have lapsed meanwhile, as after a poll that failed.
+            Ok(Reading::Restarted) => reader.outage.record_failure(node.now()),
             Ok(reading) => {
                 backoff.reset();
                 if host.is_following_documents() {
@@ -153,7 +157,10 @@
         let began = host.node.now();
         let age = began.saturating_sub(known.at);
         let wait = host.poll_wait().saturating_sub(age).max(MIN_WAIT);
-        let result = host.store.endpoint_changes(known.revision, wait).await;
+        let call = host.store.endpoint_changes(known.revision, wait);
+        let Some(result) = host.endpoints_poll.run(began, call).await else {
+            return Ok(Reading::Restarted);
+        };
         report::record_store_call(host, "news of endpoints", began, &result);
         let changes = result?;
         if changes.revision.era != known.revision.era {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -75,7 +75,11 @@
     pub(crate) documents_poll: LongPoll,
     /// The long poll for verdicts on roll-outs.
     pub(crate) verdicts_poll: LongPoll,
+    /// The long poll for changes of the listing of endpoints.
+    pub(crate) endpoints_poll: LongPoll,
     pub(crate) availability: Cell<Availability>,
+    /// Number of times that the store responded to other hosts after it hadn't to this one.
+    pub(crate) store_returns: Cell<u32>,
     /// The kinds of store call whose last attempt failed.
     pub(crate) failing_calls: RefCell<HashSet<&'static str>>,
     /// Number of unusable entries in each listing when it was last read.
@@ -158,6 +162,8 @@
             start,
             documents_poll: LongPoll::default(),
             verdicts_poll: LongPoll::default(),
+            endpoints_poll: LongPoll::default(),
+            store_returns: Cell::new(0),
             availability: Cell::new(Availability::new(node.now())),
             failing_calls: RefCell::default(),
             unusable_entries: RefCell::default(),
--- a/crates/host/src/host/store_calls.rs
+++ b/crates/host/src/host/store_calls.rs
@@ -7,6 +7,7 @@
 use telemetry::{Event, Value};
 
 use super::{Host, is_much_later};
+use crate::follow::POLL_INTERVAL;
 use crate::gossip::Contact;
 use crate::{Backoff, Store};
 
@@ -36,6 +37,7 @@
         let polls = [
             ("news of documents", &self.documents_poll),
             ("news of verdicts", &self.verdicts_poll),
+            ("news of endpoints", &self.endpoints_poll),
         ];
         for (call, poll) in polls {
             let Some(began) = poll.restart(before) else {
@@ -58,10 +60,34 @@
         began.is_some_and(|it| self.availability.get().has_been_available_since(it))
     }
 
-    /// Waits after a failed call to the store.
+    /// Records that the store responded to another host at `at`. If this host is a reader and the
+    /// store didn't respond to it before, its open polls are restarted, and its waits after failed
+    /// calls end.
+    ///
+    /// Such a poll may never be answered, and in a large fleet such a wait takes seconds. While the
+    /// readers are held up, the first host that hears from the store would keep all others from
+    /// calling it, and nobody would learn of a change.
+    pub(crate) fn hear_from_store(&self, at: Duration) {
+        if !self.is_reader() {
+            return;
+        }
+        let mut availability = self.availability.get();
+        let is_news = availability.record_response_to_other(at);
+        self.availability.set(availability);
+        if is_news {
+            self.store_returns.set(self.store_returns.get() + 1);
+            self.restart_long_polls(at);
+        }
+    }
+
+    /// Waits after a failed call to the store, until [`Self::hear_from_store`] ends the wait.
     pub(crate) async fn back_off(&self, backoff: &mut Backoff) {
-        let jitter = self.random_fraction();
-        sleep(backoff.next_delay(self.live_peer_count(), jitter)).await;
+        let returns = self.store_returns.get();
+        let delay = backoff.next_delay(self.live_peer_count(), self.random_fraction());
+        let until = self.node.now() + delay;
+        while self.node.now() < until && self.store_returns.get() == returns {
+            sleep(POLL_INTERVAL.min(until.saturating_sub(self.node.now()))).await;
+        }
     }
 
     /// Returns the number of other live hosts.
--- a/crates/host/src/messaging/apply.rs
+++ b/crates/host/src/messaging/apply.rs
@@ -50,8 +50,12 @@
         };
         request::send_once(host, link, &peer, request);
     }
-    let is_confirmed = match update.confirmed {
-        Some(age) if update.version == own => host.confirm_config(read_at(host.node.now(), age)),
+    let confirmed = update.confirmed.map(|it| read_at(host.node.now(), it));
+    if let Some(at) = confirmed {
+        host.hear_from_store(at);
+    }
+    let is_confirmed = match confirmed {
+        Some(at) if update.version == own => host.confirm_config(at),
         _ => false,
     };
     let is_listed = match update.listing {
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -67,7 +67,7 @@
             availability.record_success(began, host.node.now())
         }
         Err(_) => {
-            availability.record_failure();
+            availability.record_failure(host.node.now());
             false
         }
     };
