Let no call from before a failure vouch for the store at the time of the failure

Found while reading the diff: the first successful call after a failure tells from when on the store responds, and that was the call's beginning. A long poll that began before an outage and is answered after it would have vouched for polls that began in the outage. Now the time is the later one of the call's beginning and the failure.

--- a/crates/host/src/availability.rs
+++ b/crates/host/src/availability.rs
@@ -4,7 +4,7 @@
 
 /// Availability of the store to this host, by the results of its own calls.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Availability {
+pub struct Availability {
     last_success: Option<Duration>,
     /// The time from which on the store is known to respond; `None` since a failure, until a call
     /// succeeds.
@@ -18,7 +18,8 @@
 impl Availability {
     /// Creates the state of a host that has made no call yet. A first failed call counts as an
     /// outage.
-    pub(crate) fn new(now: Duration) -> Self {
+    #[must_use]
+    pub fn new(now: Duration) -> Self {
         Self {
             last_success: None,
             available_since: Some(now),
@@ -26,7 +27,8 @@
         }
     }
 
-    pub(crate) fn record_failure(&mut self, now: Duration) {
+    /// Records a failed call.
+    pub fn record_failure(&mut self, now: Duration) {
         self.available_since = None;
         self.failed_at = Some(now);
     }
@@ -36,33 +38,36 @@
     ///
     /// It should only once until a call succeeds: a store that serves only the other hosts would
     /// otherwise be called as often as they hear from it.
-    pub(crate) fn record_response_to_other(&mut self, at: Duration) -> bool {
+    pub fn record_response_to_other(&mut self, at: Duration) -> bool {
         let is_news = self.failed_at.is_some_and(|it| it < at) && !self.has_heard;
         self.has_heard |= is_news;
         is_news
     }
 
-    /// Records a successful call that began at `began`. Returns whether it is the first one after a
-    /// failure.
-    pub(crate) fn record_success(&mut self, began: Duration, now: Duration) -> bool {
+    /// Records a successful call that began at `began`. If it is the first one after a failure,
+    /// returns the time from which on the store is known to respond: calls that began earlier may
+    /// never be answered.
+    pub fn record_success(&mut self, began: Duration, now: Duration) -> Option<Duration> {
+        let failed_at = self.failed_at.take();
         self.last_success = Some(now);
-        self.failed_at = None;
         self.has_heard = false;
         if self.available_since.is_some() {
-            return false;
+            return None;
         }
-        self.available_since = Some(began);
-        true
+        // A call that began before the failure proves nothing of the time of the failure.
+        self.available_since = failed_at.max(Some(began));
+        self.available_since
     }
 
     /// Returns the time of the last successful call.
-    pub(crate) fn last_success(&self) -> Option<Duration> {
+    #[must_use]
+    pub fn last_success(&self) -> Option<Duration> {
         self.last_success
     }
 
-    /// Returns whether the store has responded to all calls that began at `at` or later. Calls that
-    /// began earlier may have reached it while it didn't respond.
-    pub(crate) fn has_been_available_since(&self, at: Duration) -> bool {
+    /// Returns whether the store is known to have responded from `at` until now.
+    #[must_use]
+    pub fn has_been_available_since(&self, at: Duration) -> bool {
         self.available_since.is_some_and(|it| it <= at)
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -23,6 +23,7 @@
 mod store;
 pub mod succession;
 
+pub use availability::Availability;
 pub use backoff::Backoff;
 pub use capacity::Capacity;
 pub use documents::{Documents, RolloutVerdict};
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -54,26 +54,26 @@
     }
 }
 
-/// Records whether the store responded, and when it does again, restarts the long polls that began
-/// before the call that succeeded.
+/// Records whether the store responded, and when it does again, restarts the long polls that may
+/// have reached it while it didn't.
 fn record_availability<S: Store, D: Dialect, T>(
     host: &Host<S, D>,
     began: Duration,
     result: &Result<T, StoreError>,
 ) {
     let mut availability = host.availability.get();
-    let is_back = match result {
+    let back_since = match result {
         Ok(_) | Err(StoreError::Conflict | StoreError::HistoryGone) => {
             availability.record_success(began, host.node.now())
         }
         Err(_) => {
             availability.record_failure(host.node.now());
-            false
+            None
         }
     };
     host.availability.set(availability);
-    if is_back {
-        host.restart_long_polls(began);
+    if let Some(since) = back_since {
+        host.restart_long_polls(since);
     }
 }
 
