Log and measure whether a host reaches any endpoint

Now the results of connections to different endpoints are compared: after two endpoints in a row to which none could be opened, four others are checked; where all fail, the host is cut off (event 1608, gauge barleypin_endpoints_unreachable), and two endpoints are checked each quarter of a second until one opens (1609). No decision uses it yet. Tests of route, forward, telemetry, host and the stand-in deployment pass.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::response_writer::ResponseWriter;
 use crate::serve::Progress;
 use crate::upstream::{Upstream, UpstreamError};
-use crate::{Dialect, ForwardedFields, Node, ResponseFields};
+use crate::{Dialect, ForwardedFields, Node, ResponseFields, reach};
 use guard::{AttemptDetails, AttemptGuard};
 
 /// The longest response body that isn't a stream; an attempt with a longer one ends as
@@ -210,17 +210,10 @@
             return Ok((conn, ConnectionOrigin::Reused));
         }
         let limit = node.timeouts.connect.min(call.time_left(now));
-        let opened = Conn::open(placement.address, limit).await;
-        let took = node.now().saturating_sub(now);
-        match opened {
-            Ok(conn) => {
-                node.recorder.record_connect(&placement.id, took, &Ok(()));
-                Ok((conn, ConnectionOrigin::Opened))
-            }
-            Err(err) => {
-                node.recorder.record_connect(&placement.id, took, &Err(err));
-                Err(Ending::NotSent)
-            }
+        let endpoint = (placement.endpoint, &placement.id, placement.address);
+        match reach::open(node, endpoint, limit).await {
+            Ok(conn) => Ok((conn, ConnectionOrigin::Opened)),
+            Err(_) => Err(Ending::NotSent),
         }
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod pool;
 mod probe;
+mod reach;
 mod response_writer;
 mod serve;
 mod timeouts;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -11,6 +11,7 @@
 use kernel::Clock;
 use route::Router;
 use route::endpoint::Key;
+use route::reach::State;
 use telemetry::Recorder;
 
 use crate::buffers::Buffers;
@@ -27,6 +28,10 @@
     pub(crate) buffers: Rc<Buffers>,
     /// The endpoints that are being probed.
     pub(crate) probing: RefCell<HashSet<Key>>,
+    /// Whether checks run that show whether this host is cut off from all endpoints.
+    pub(crate) checks_reach: Cell<bool>,
+    /// Whether this host reaches endpoints, as last logged.
+    pub(crate) reach: Cell<State>,
     tasks: LocalExecutor<'static>,
     clock: Arc<dyn Clock>,
     started: Duration,
@@ -71,6 +76,8 @@
             pool: Pool::default(),
             buffers: Buffers::new(buffer_bytes),
             probing: RefCell::default(),
+            checks_reach: Cell::new(false),
+            reach: Cell::default(),
             tasks: LocalExecutor::new(),
             started: clock.now(),
             clock,
--- a/crates/forward/src/probe.rs
+++ b/crates/forward/src/probe.rs
@@ -9,8 +9,7 @@
 use kernel::EndpointId;
 use route::endpoint::Key;
 
-use crate::conn::Conn;
-use crate::{Dialect, Node};
+use crate::{Dialect, Node, reach};
 
 /// The timeout for opening a probe's connection. It delays the quarantine of requests that
 /// make endpoints exit.
@@ -40,12 +39,8 @@
 /// nothing listens there; a timeout doesn't, since the network may be partitioned.
 async fn probe<D: Dialect>(node: &Node<D>, key: Key, id: &EndpointId, address: SocketAddr) {
     for _ in 0..MAX_PROBES {
-        let began = node.now();
-        let opened = Conn::open(address, CONNECT_TIMEOUT).await;
-        let took = node.now().saturating_sub(began);
-        match opened {
+        match reach::open(node, (key, id, address), CONNECT_TIMEOUT).await {
             Ok(mut conn) => {
-                node.recorder.record_connect(id, took, &Ok(()));
                 sleep(MIN_OPEN_TIME).await;
                 if conn.is_reusable() {
                     node.pool.put(node.now(), key, conn, None);
@@ -53,9 +48,7 @@
                 }
             }
             Err(err) => {
-                let is_refused = err.kind() == ErrorKind::ConnectionRefused;
-                node.recorder.record_connect(id, took, &Err(err));
-                if is_refused {
+                if err.kind() == ErrorKind::ConnectionRefused {
                     let now = node.now();
                     return node.router().process_ended(now, key);
                 }
--- /dev/null
+++ b/crates/forward/src/reach.rs
@@ -0,0 +1,98 @@
+//! Opens connections to endpoints, and checks whether this host is cut off from all of them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_std::task::sleep;
+use futures::future::join_all;
+use kernel::EndpointId;
+use route::endpoint::Key;
+use route::reach::State;
+use telemetry::Event;
+
+use crate::conn::Conn;
+use crate::{Dialect, Node};
+
+/// The timeout for opening a connection that only shows whether an endpoint is reachable.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// The pause between two rounds of checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Opens a connection to an endpoint, and records the result.
+pub(crate) async fn open<D: Dialect>(
+    node: &Node<D>,
+    (key, id, address): (Key, &EndpointId, SocketAddr),
+    limit: Duration,
+) -> io::Result<Conn> {
+    let began = node.now();
+    let opened = Conn::open(address, limit).await;
+    record(node, key, id, began, &opened);
+    opened
+}
+
+/// Starts checks if connections to several endpoints failed in a row.
+pub(crate) fn spawn_checks<D: Dialect>(node: &Rc<Node<D>>) {
+    if node.router().needs_reach_checks() && !node.checks_reach.replace(true) {
+        let shared = Rc::clone(node);
+        node.spawn(async move {
+            run_checks(&shared).await;
+            shared.checks_reach.set(false);
+        });
+    }
+}
+
+/// Opens connections to some endpoints until one opens.
+async fn run_checks<D: Dialect>(node: &Node<D>) {
+    loop {
+        let endpoints = node.router().reach_checks();
+        if endpoints.is_empty() {
+            return;
+        }
+        let began = node.now();
+        let connects = endpoints.iter().map(|it| Conn::open(it.2, CHECK_TIMEOUT));
+        let results = join_all(connects).await;
+        let mut opened = Vec::new();
+        for ((key, id, _), result) in endpoints.iter().zip(results) {
+            match result {
+                Ok(conn) => opened.push((*key, id, conn)),
+                failed @ Err(_) => record(node, *key, id, began, &failed),
+            }
+        }
+        // One connection that opens outweighs the failures of the same round.
+        for (key, id, conn) in opened {
+            let opened = Ok(conn);
+            record(node, key, id, began, &opened);
+            if let Ok(conn) = opened {
+                node.pool.put(node.now(), key, conn, None);
+            }
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+fn record<D: Dialect>(
+    node: &Node<D>,
+    endpoint: Key,
+    id: &EndpointId,
+    began: Duration,
+    opened: &io::Result<Conn>,
+) {
+    let now = node.now();
+    let took = now.saturating_sub(began);
+    node.recorder
+        .record_connect(id, took, opened.as_ref().err());
+    match opened {
+        Ok(_) => node.router().connect_opened(),
+        Err(_) => node.router().connect_failed(now, endpoint),
+    }
+    let reach = node.router().reach();
+    if node.reach.replace(reach) != reach {
+        let event = match reach {
+            State::Reachable => Event::EndpointsReachable,
+            State::CutOff => Event::EndpointsUnreachable,
+        };
+        node.recorder.log_event(event, &[]);
+    }
+}
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{Attempt, AttemptOutcome};
 use crate::caller::Request;
 use crate::response_writer::{LocalResponse, ResponseWriter};
-use crate::{Dialect, Node, Phase, RequestFields, probe};
+use crate::{Dialect, Node, Phase, RequestFields, probe, reach};
 
 /// The response is incomplete and can't be completed; the connection must be closed.
 #[derive(Debug)]
@@ -161,6 +161,7 @@
                     .end_attempt(node.now(), call, *in_flight, ending);
                 report_ejections(node);
                 probe::spawn_probes(node);
+                reach::spawn_checks(node);
                 match (next, error_response) {
                     (Next::Again, _) => node.recorder.metrics().retry(ending),
                     // `Failure::Passed` without an error response that may be forwarded is
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -9,6 +9,7 @@
 use forward::Dialect;
 use kernel::HostName;
 use route::directory::Change;
+use route::reach::State;
 use telemetry::{Event, Gauges, Links, RefusedUpdate, Value};
 
 use crate::host::Host;
@@ -234,6 +235,7 @@
         endpoints: endpoints as u64,
         ejected: resting as u64,
         endpoints_limited: router.directory().limited_count() as u64,
+        endpoints_unreachable: u64::from(router.reach() == State::CutOff),
         data_centres_evacuated: router.directory().evacuations().evacuated().count() as u64,
         hosts: hosts as u64,
         is_reader: u64::from(host.is_reader()),
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -269,13 +269,17 @@
     /// Returns the number of endpoints that take requests, and how many of them are ejected.
     #[must_use]
     pub fn endpoint_counts(&self, now: Duration) -> (usize, usize) {
-        let takes: Vec<_> = self
-            .endpoints
-            .values()
-            .filter(|it| it.takes_work())
-            .collect();
-        let ejected = takes.iter().filter(|it| it.health.is_ejected(now));
-        (takes.len(), ejected.count())
+        let (mut takes, mut ejected) = (0, 0);
+        for (_, it) in self.taking_work() {
+            takes += 1;
+            ejected += usize::from(it.health.is_ejected(now));
+        }
+        (takes, ejected)
+    }
+
+    /// Iterates over the endpoints that take requests.
+    pub(crate) fn taking_work(&self) -> impl Iterator<Item = (Key, &Endpoint)> {
+        self.endpoints.iter().filter(|(_, it)| it.takes_work())
     }
 
     /// Returns the endpoint with this key.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -21,6 +21,7 @@
 mod prefill;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reach;
 mod revision;
 pub mod rollout;
 mod router;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -9,6 +9,7 @@
 mod permits;
 mod place;
 mod placement;
+mod reach;
 mod reports;
 mod rollouts;
 
@@ -25,6 +26,7 @@
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key};
 use crate::prefill::PrefillEstimator;
+use crate::reach::Monitor;
 use crate::rollout::Order;
 use crate::sessions::Sessions;
 use crate::{Directory, HostCount, Quarantine, RequestFingerprint, RetryBudget, Rollout, Settings};
@@ -65,6 +67,7 @@
     listing_time: Option<Duration>,
     /// Endpoints that were ejected since the last [`Self::take_ejected`], except unreachable ones.
     ejected: Vec<(EndpointId, Ending)>,
+    reach: Monitor,
     /// `None` until this host knows the others.
     host_count: Option<HostCount>,
     rng: Pcg32,
@@ -88,6 +91,7 @@
             first_byte_times: HashMap::new(),
             listing_time: None,
             ejected: Vec::new(),
+            reach: Monitor::default(),
             host_count: None,
             rng: Pcg32::seed_from_u64(seed),
         }
--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -94,6 +94,10 @@
         "barleypin_endpoints_limited",
         "Endpoints that state a limit on the rate of requests from all hosts together.",
     ),
+    (
+        "barleypin_endpoints_unreachable",
+        "Whether this host can't open a connection to any endpoint: 1 or 0.",
+    ),
     (
         "barleypin_limited_attempts_total",
         "Attempts sent to endpoints that were known to state such a limit.",
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -49,6 +49,9 @@
 
     ListingRefused, 1607, Warning, "An update of the listing of endpoints from another host can't be applied.";
 
+    EndpointsUnreachable, 1608, Warning, "No connection to an endpoint can be opened: this host is cut off from them.";
+    EndpointsReachable, 1609, Info, "Connections to endpoints can be opened again.";
+
     DataCentreEmptied, 1650, Warning, "Operators evacuated a data centre; its endpoints get no requests.";
     DataCentreOpen, 1651, Info, "Operators reopened a data centre; its endpoints get requests again.";
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -26,6 +26,8 @@
     pub ejected: u64,
     /// Endpoints that state a limit on the rate of requests.
     pub endpoints_limited: u64,
+    /// 1 if this host can't open a connection to any endpoint, else 0.
+    pub endpoints_unreachable: u64,
     /// Data centres that operators have evacuated.
     pub data_centres_evacuated: u64,
     /// Hosts in the list for callers.
@@ -86,6 +88,7 @@
     endpoints: Gauge<u64>,
     ejected: Gauge<u64>,
     endpoints_limited: Gauge<u64>,
+    endpoints_unreachable: Gauge<u64>,
     data_centres_evacuated: Gauge<u64>,
     hosts: Gauge<u64>,
     is_reader: Gauge<u64>,
@@ -131,6 +134,7 @@
             endpoints: it.int_gauge("endpoints"),
             ejected: it.int_gauge("endpoints_resting"),
             endpoints_limited: it.int_gauge("endpoints_limited"),
+            endpoints_unreachable: it.int_gauge("endpoints_unreachable"),
             data_centres_evacuated: it.int_gauge("data_centres_emptied"),
             hosts: it.int_gauge("hosts"),
             is_reader: it.int_gauge("reads_for_all"),
@@ -243,6 +247,8 @@
         self.endpoints.record(gauges.endpoints, &[]);
         self.ejected.record(gauges.ejected, &[]);
         self.endpoints_limited.record(gauges.endpoints_limited, &[]);
+        self.endpoints_unreachable
+            .record(gauges.endpoints_unreachable, &[]);
         self.data_centres_evacuated
             .record(gauges.data_centres_evacuated, &[]);
         self.hosts.record(gauges.hosts, &[]);
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -161,9 +161,10 @@
     }
 
     /// Records whether a connection to an endpoint could be opened.
-    pub fn record_connect(&self, endpoint: &EndpointId, took: Duration, result: &io::Result<()>) {
-        self.metrics.connect(result.is_ok());
-        if let Err(err) = result {
+    /// `error` is the reason if it couldn't.
+    pub fn record_connect(&self, endpoint: &EndpointId, took: Duration, error: Option<&io::Error>) {
+        self.metrics.connect(error.is_none());
+        if let Some(err) = error {
             self.log_event(
                 Event::Connect,
                 &[
--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -106,7 +106,7 @@
         config_version: None,
     };
     recorder.record_request(&report);
-    recorder.record_connect(&"i-1".into(), Duration::ZERO, &Ok(()));
+    recorder.record_connect(&"i-1".into(), Duration::ZERO, None);
     let text = recorder.metrics().text();
     let exported: BTreeSet<&str> = text
         .lines()
