Open connections to endpoints through an interface

Hosts that run in a test can then lose their paths to some addresses while others stay reachable, which the network of processes on one machine can't. No change of behaviour: one allocation a new connection.

--- a/crates/forward/src/conn.rs
+++ b/crates/forward/src/conn.rs
@@ -8,6 +8,8 @@
 use async_std::net::TcpStream;
 use futures::FutureExt;
 
+use crate::Connector;
+
 /// The size of one read in bytes. Most requests and responses fit.
 const READ_SIZE: usize = 8 * 1024;
 
@@ -31,8 +33,12 @@
         }
     }
 
-    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let stream = async_std::future::timeout(limit, TcpStream::connect(address))
+    pub(crate) async fn open(
+        connector: &dyn Connector,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> io::Result<Self> {
+        let stream = async_std::future::timeout(limit, connector.connect(address))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         Ok(Self::new(stream))
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod buffers;
 mod caller;
 mod conn;
+mod connector;
 mod dialect;
 mod lazy_timeout;
 mod listener;
@@ -21,6 +22,7 @@
 mod timeouts;
 mod upstream;
 
+pub use connector::{Connector, TcpConnector};
 pub use dialect::{Dialect, ForwardedFields, RequestFields, ResponseFields};
 pub use listener::Listener;
 pub use node::{Node, Phase};
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -16,7 +16,7 @@
 
 use crate::buffers::Buffers;
 use crate::pool::Pool;
-use crate::{Dialect, Timeouts};
+use crate::{Connector, Dialect, Timeouts};
 
 /// The state that the tasks of a host share. They run on one thread, and none holds a
 /// borrow across an `await`.
@@ -24,6 +24,7 @@
     pub(crate) dialect: D,
     pub(crate) recorder: Rc<Recorder>,
     pub(crate) timeouts: Timeouts,
+    pub(crate) connector: Box<dyn Connector>,
     pub(crate) pool: Pool,
     pub(crate) buffers: Rc<Buffers>,
     /// The endpoints that are being probed.
@@ -68,11 +69,13 @@
         timeouts: Timeouts,
         buffer_bytes: usize,
         clock: Arc<dyn Clock>,
+        connector: Box<dyn Connector>,
     ) -> Rc<Self> {
         Rc::new(Self {
             dialect,
             recorder,
             timeouts,
+            connector,
             pool: Pool::default(),
             buffers: Buffers::new(buffer_bytes),
             probing: RefCell::default(),
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -27,7 +27,7 @@
     limit: Duration,
 ) -> io::Result<Conn> {
     let began = node.now();
-    let opened = Conn::open(address, limit).await;
+    let opened = Conn::open(&*node.connector, address, limit).await;
     record(node, key, id, began, &opened);
     opened
 }
@@ -51,7 +51,8 @@
             return;
         }
         let began = node.now();
-        let connects = endpoints.iter().map(|it| Conn::open(it.2, CHECK_TIMEOUT));
+        let connect = |address| Conn::open(&*node.connector, address, CHECK_TIMEOUT);
+        let connects = endpoints.iter().map(|it| connect(it.2));
         let results = join_all(connects).await;
         let mut opened = Vec::new();
         for ((key, id, _), result) in endpoints.iter().zip(results) {
