Take no refused connection for an exit while this host reaches no endpoint

After a break a host opens a connection, and took the refusal for the end of the process. It told all others, and nine requests that had run at three endpoints were quarantined everywhere for an hour, though no endpoint had exited.

Now a refusal counts only if a connection to one of four other endpoints opens at the same time; else the probe is repeated, and after three tries nothing is known. Four, since others may have exited too.

Not covered: a host that is cut off from some endpoints only and refused by those.

--- a/crates/forward/src/probe.rs
+++ b/crates/forward/src/probe.rs
@@ -36,7 +36,8 @@
 }
 
 /// Finds out whether an endpoint's process has ended. A refused connection proves it, since
-/// nothing listens there; a timeout doesn't, since the network may be partitioned.
+/// nothing listens there; a timeout doesn't, since the network may be partitioned. Where all
+/// connections of this host are refused, nothing is proved.
 async fn probe<D: Dialect>(node: &Node<D>, key: Key, id: &EndpointId, address: SocketAddr) {
     for _ in 0..MAX_PROBES {
         match reach::open(node, (key, id, address), CONNECT_TIMEOUT).await {
@@ -47,12 +48,13 @@
                     return node.router().process_alive(key);
                 }
             }
-            Err(err) => {
-                if err.kind() == ErrorKind::ConnectionRefused {
+            Err(err) if err.kind() == ErrorKind::ConnectionRefused => {
+                if reach::reaches_another(node, key).await {
                     let now = node.now();
                     return node.router().process_ended(now, key);
                 }
             }
+            Err(_) => {}
         }
     }
 }
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -43,6 +43,12 @@
     }
 }
 
+/// Returns whether a connection opens to an endpoint other than this one, or there is no other.
+pub(crate) async fn reaches_another<D: Dialect>(node: &Node<D>, endpoint: Key) -> bool {
+    let others = node.router().reach_references(endpoint);
+    others.is_empty() || check(node, &others).await
+}
+
 /// Opens connections to some endpoints until one opens.
 async fn run_checks<D: Dialect>(node: &Node<D>) {
     loop {
@@ -50,27 +56,34 @@
         if endpoints.is_empty() {
             return;
         }
-        let began = node.now();
-        let connect = |address| Conn::open(&*node.connector, address, CHECK_TIMEOUT);
-        let connects = endpoints.iter().map(|it| connect(it.2));
-        let results = join_all(connects).await;
-        let mut opened = Vec::new();
-        for ((key, id, _), result) in endpoints.iter().zip(results) {
-            match result {
-                Ok(conn) => opened.push((*key, id, conn)),
-                failed @ Err(_) => record(node, *key, id, began, &failed),
-            }
+        check(node, &endpoints).await;
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Opens a connection to each of these endpoints, and returns whether one opened.
+async fn check<D: Dialect>(node: &Node<D>, endpoints: &[(Key, EndpointId, SocketAddr)]) -> bool {
+    let began = node.now();
+    let connect = |address| Conn::open(&*node.connector, address, CHECK_TIMEOUT);
+    let connects = endpoints.iter().map(|it| connect(it.2));
+    let results = join_all(connects).await;
+    let mut opened = Vec::new();
+    for ((key, id, _), result) in endpoints.iter().zip(results) {
+        match result {
+            Ok(conn) => opened.push((*key, id, conn)),
+            failed @ Err(_) => record(node, *key, id, began, &failed),
         }
-        // One connection that opens outweighs the failures of the same round.
-        for (key, id, conn) in opened {
-            let opened = Ok(conn);
-            record(node, key, id, began, &opened);
-            if let Ok(conn) = opened {
-                node.pool.put(node.now(), key, conn, None);
-            }
+    }
+    let has_opened = !opened.is_empty();
+    // One connection that opens outweighs the failures of the same round.
+    for (key, id, conn) in opened {
+        let opened = Ok(conn);
+        record(node, key, id, began, &opened);
+        if let Ok(conn) = opened {
+            node.pool.put(node.now(), key, conn, None);
         }
-        sleep(CHECK_INTERVAL).await;
     }
+    has_opened
 }
 
 fn record<D: Dialect>(
--- a/crates/route/src/router/reach.rs
+++ b/crates/route/src/router/reach.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use kernel::EndpointId;
-use rand::RngExt;
+use rand::seq::IteratorRandom;
+use rand_pcg::Pcg32;
 
 use super::Router;
 use crate::endpoint::Key;
@@ -41,16 +42,36 @@
     /// centre or service that is down aren't taken for all.
     pub fn reach_checks(&mut self) -> Vec<(Key, EndpointId, SocketAddr)> {
         let count = self.reach.checks();
-        let mut order = Vec::new();
-        for (key, it) in self.directory.taking_work() {
-            let has_failed = self.reach.has_failed(key);
-            order.push((has_failed, self.rng.random::<u32>(), key, &it.entry));
+        self.reach_sample(count, None)
+    }
+
+    /// Returns some endpoints other than this one, by which to tell whether a connection to it was
+    /// refused because its process has exited or because this host reaches no endpoint.
+    pub fn reach_references(&mut self, endpoint: Key) -> Vec<(Key, EndpointId, SocketAddr)> {
+        /// Several, since other endpoints may have exited too.
+        const COUNT: usize = 4;
+        self.reach_sample(COUNT, Some(endpoint))
+    }
+
+    fn reach_sample(
+        &mut self,
+        count: usize,
+        except: Option<Key>,
+    ) -> Vec<(Key, EndpointId, SocketAddr)> {
+        let (directory, reach) = (&self.directory, &self.reach);
+        let sample = |has_failed: bool, count: usize, rng: &mut Pcg32| {
+            directory
+                .taking_work()
+                .filter(|it| Some(it.0) != except && reach.has_failed(it.0) == has_failed)
+                .sample(rng, count)
+        };
+        let mut endpoints = sample(false, count, &mut self.rng);
+        if endpoints.len() < count {
+            endpoints.extend(sample(true, count - endpoints.len(), &mut self.rng));
         }
-        order.sort_unstable_by_key(|it| (it.0, it.1));
-        order.truncate(count);
-        order
+        endpoints
             .into_iter()
-            .map(|(_, _, key, entry)| (key, entry.id.clone(), entry.address))
+            .map(|(key, it)| (key, it.entry.id.clone(), it.entry.address))
             .collect()
     }
 }
