Serve callers through another host while this one reaches no endpoint

Cause: each endpoint's health was kept by itself, so that nothing the host knew said that it, and not the endpoints, was cut off; each request tried four endpoints anew, in 7 to 15 ms where connections are refused and in 1.2 s where they hang. Class: evidence about the observer is kept with the observed.

Connections tried for a request while no host can be asked: one in place of four.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -26,7 +26,7 @@
 /// The longest response body that isn't a stream; an attempt with a longer one ends as
 /// [`Ending::Broken`]. Such responses are buffered, so that the request can be retried if
 /// the connection breaks.
-const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 
 /// One attempt to forward a request to an endpoint.
 pub(crate) struct Attempt<'a, D: Dialect> {
@@ -406,6 +406,6 @@
 
 /// Returns whether callers take the status to mean that the request has not run. An endpoint
 /// that sends it without the not-run field may have run the request.
-fn promises_not_run(status: u16) -> bool {
+pub(crate) fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -5,7 +5,7 @@
 use framing::{request, response};
 use kernel::{Customer, RequestId};
 use route::endpoint::Load;
-use route::{Placement, RequestProfile, RequestRate};
+use route::{Placement, Relayed, RequestProfile, RequestRate};
 
 /// Encodes and decodes the header fields of callers' requests and endpoints' responses.
 ///
@@ -17,6 +17,10 @@
     /// Returns the head of a request to an endpoint, including the final blank line.
     fn encode_head(&self, head: &request::Head, to: &ForwardedFields<'_>) -> Vec<u8>;
 
+    /// Returns the head of a request that is forwarded through another host, including the final
+    /// blank line.
+    fn encode_relayed_head(&self, head: &request::Head, to: &RelayedFields) -> Vec<u8>;
+
     /// Parses the fields of an endpoint's response.
     fn parse_response(&self, head: &response::Head) -> ResponseFields;
 
@@ -40,6 +44,8 @@
     pub last_event: Option<u64>,
     /// The properties that placement depends on.
     pub profile: RequestProfile,
+    /// Set if another host forwards the request.
+    pub relayed: Option<Relayed>,
 }
 
 /// The values that are added to the caller's head when a request is sent to an endpoint.
@@ -59,6 +65,19 @@
     pub priority: u8,
 }
 
+/// The values that are set in the caller's head when a request is forwarded through another host.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayedFields {
+    /// The time left until the request's deadline.
+    pub time_left: Duration,
+    /// The id of the event after which to resume a stream.
+    pub last_event: Option<u64>,
+    /// The length of the body in bytes.
+    pub body_len: usize,
+    /// The state of the request at this host.
+    pub relayed: Relayed,
+}
+
 /// The fields of an endpoint's response that `forward` and `route` use.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseFields {
--- /dev/null
+++ b/crates/forward/src/event_forwarder.rs
@@ -0,0 +1,77 @@
+//! Forwards the events of a stream to the caller, each once and in order.
+
+use std::time::Duration;
+
+use framing::{Events, response};
+use route::Call;
+
+use crate::response_writer::ResponseWriter;
+use crate::serve::Progress;
+use crate::{Dialect, Node};
+
+/// Forwards the events of one response to the caller.
+pub(crate) struct EventForwarder<'a, D> {
+    pub(crate) node: &'a Node<D>,
+    pub(crate) progress: &'a Progress,
+    /// The id of the last event that the caller has, or that was buffered for it.
+    pub(crate) last_event: &'a mut Option<u64>,
+}
+
+/// The result of forwarding the buffered events.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Forwarded {
+    pub(crate) count: u32,
+    /// Whether the id of the next event shows that events are missing.
+    pub(crate) has_gap: bool,
+}
+
+impl<D: Dialect> EventForwarder<'_, D> {
+    /// Moves the complete events from the input buffer to the output buffer of `writer`, each
+    /// once and in order, and stops before a gap in the event ids.
+    pub(crate) fn forward(
+        &mut self,
+        events: &mut Events,
+        head: &response::Head,
+        call: &mut Call,
+        writer: &mut ResponseWriter,
+    ) -> Forwarded {
+        let mut forwarded = Forwarded::default();
+        while let Some(event) = events.take() {
+            if let (Some(id), Some(last)) = (event.id, *self.last_event) {
+                if id <= last {
+                    continue;
+                }
+                if id > last + 1 {
+                    forwarded.has_gap = true;
+                    return forwarded;
+                }
+            }
+            if !call.has_started() {
+                call.start_stream();
+                writer.start_stream(&self.node.dialect, head);
+            }
+            writer.push_event(event.bytes);
+            let events = &self.progress.events;
+            events.set(events.get() + 1);
+            *self.last_event = event.id.or(*self.last_event);
+            forwarded.count += 1;
+        }
+        forwarded
+    }
+
+    /// Records that a part of the response is about to be written, and the pause since the
+    /// previous part.
+    pub(crate) fn record_write(&self, last_write: &mut Option<Duration>) {
+        let now = self.node.now();
+        let progress = self.progress;
+        if progress.first_byte.get().is_none() {
+            progress.first_byte.set(Some(now));
+        }
+        if let Some(last) = last_write.replace(now) {
+            let pause = now.saturating_sub(last);
+            progress
+                .max_pause
+                .set(progress.max_pause.get().max(Some(pause)));
+        }
+    }
+}
--- a/crates/forward/src/response_writer.rs
+++ b/crates/forward/src/response_writer.rs
@@ -48,13 +48,13 @@
 
 impl From<Denial> for LocalResponse {
     fn from(denial: Denial) -> Self {
-        /// Applies while a host is starting or stopping. Short, since other hosts can serve
-        /// the request now.
+        /// Applies while a host is starting, stopping or cut off from the endpoints. Short, since
+        /// other hosts can serve the request now.
         const RETRY_DELAY: Duration = Duration::from_millis(200);
         /// Long enough for some requests to end; until then other hosts may serve this one.
         const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
         match denial {
-            Denial::NotReady | Denial::Stopping => Self {
+            Denial::NotReady | Denial::Stopping | Denial::Unreachable => Self {
                 status: 503,
                 retry_after: Some(RETRY_DELAY),
             },
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -1,7 +1,8 @@
 //! Serves one request: admission, attempts and the final report.
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::fmt::Write;
+use std::fmt::{Display, Write};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,11 +10,13 @@
 use framing::request;
 use kernel::RequestId;
 use route::config::{Customer, Route};
+use route::reach::State;
 use route::{Call, Denial, Ending, Failure, IncomingRequest, Next, Placement, RequestFingerprint};
-use telemetry::{AttemptSummary, Event, Outcome, RequestReport, Value};
+use telemetry::{AttemptSummary, Event, Outcome, RelayResult, RequestReport, Value};
 
 use crate::attempt::{Attempt, AttemptOutcome};
 use crate::caller::Request;
+use crate::relay::{Relay, RelayOutcome};
 use crate::response_writer::{LocalResponse, ResponseWriter};
 use crate::{Dialect, Node, Phase, RequestFields, probe, reach};
 
@@ -113,6 +116,7 @@
         key: request_fields.key.as_deref(),
         timeout: request_fields.timeout,
         profile: request_fields.profile.clone(),
+        relayed: request_fields.relayed,
     };
     let call = node
         .router()
@@ -134,6 +138,10 @@
     let node = record.node;
     let mut last_event = request_fields.last_event;
     loop {
+        let relayed = relay(record, request, call, response, &mut last_event).await;
+        if let Some(outcome) = relayed {
+            return outcome;
+        }
         let now = node.now();
         let Some(placement) = node.router().place(now, call) else {
             let failure = node.router().unplaced_failure(now, call);
@@ -182,6 +190,46 @@
     }
 }
 
+/// Forwards the request through other hosts if this one reaches no endpoint. Returns `None` if it
+/// does, or knows no other host to ask.
+async fn relay<D: Dialect>(
+    record: &RequestRecord<'_, D>,
+    request: &Request,
+    call: &mut Call,
+    response: &mut ResponseWriter,
+    last_event: &mut Option<u64>,
+) -> Option<Outcome> {
+    let node = record.node;
+    let mut longest = Duration::ZERO;
+    loop {
+        let Some(host) = node.router().next_relay(call) else {
+            if !call.was_relayed() || node.router().reach() == State::Reachable {
+                return None;
+            }
+            let failure = node.router().unrelayed_failure(node.now(), call, longest);
+            return Some(send_failure(call, response, failure).await);
+        };
+        let relay = Relay {
+            node,
+            request,
+            id: record.id,
+            progress: &record.progress,
+            last_event,
+        };
+        match relay.run(host, call, response).await {
+            RelayOutcome::Delivered => return Some(Outcome::Answered),
+            RelayOutcome::CallerGone => return Some(Outcome::CallerGone),
+            RelayOutcome::NotRun { retry_after } => longest = longest.max(retry_after),
+            RelayOutcome::Failed(Failure::Passed) => {
+                return Some(Outcome::Failed(Failure::Passed));
+            }
+            RelayOutcome::Failed(failure) => {
+                return Some(send_failure(call, response, failure).await);
+            }
+        }
+    }
+}
+
 /// Logs and counts the endpoints that were ejected since the last call.
 fn report_ejections<D: Dialect>(node: &Node<D>) {
     let ejected = node.router().take_ejected();
@@ -235,15 +283,25 @@
 impl Progress {
     /// Appends a finished attempt to `trail`.
     pub(crate) fn record_attempt(&self, placement: &Placement, ending: Ending, took: Duration) {
+        self.extend_trail(&placement.id, &ending, took);
+        if AttemptSummary::from(ending) == AttemptSummary::SomeFailed {
+            self.attempt_summary.set(AttemptSummary::SomeFailed);
+        }
+    }
+
+    /// Appends the forwarding through another host to `trail`.
+    pub(crate) fn record_relay(&self, host: SocketAddr, result: RelayResult, took: Duration) {
+        self.extend_trail(&host, &result, took);
+        self.attempt_summary.set(AttemptSummary::SomeFailed);
+    }
+
+    fn extend_trail(&self, to: &dyn Display, result: &dyn Display, took: Duration) {
         let mut trail = self.trail.borrow_mut();
         if !trail.is_empty() {
             trail.push_str(", ");
         }
         // Writing to a `String` can't fail.
-        let _ = write!(trail, "{} {ending} {}", placement.id, took.as_millis());
-        if AttemptSummary::from(ending) == AttemptSummary::SomeFailed {
-            self.attempt_summary.set(AttemptSummary::SomeFailed);
-        }
+        let _ = write!(trail, "{to} {result} {}", took.as_millis());
     }
 }
 
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -59,6 +59,11 @@
 impl Upstream {
     /// Creates an exchange for the request. The permit ensures that the router has allowed it.
     pub(crate) fn new(conn: Conn, request: Vec<u8>, _: Permit) -> Self {
+        Self::to_host(conn, request)
+    }
+
+    /// Creates an exchange with another host, which asks for the permit itself.
+    pub(crate) fn to_host(conn: Conn, request: Vec<u8>) -> Self {
         Self {
             conn,
             request,
--- a/crates/host/src/gossip/record.rs
+++ b/crates/host/src/gossip/record.rs
@@ -35,6 +35,8 @@
     Silent,
     /// The host reported that it ends.
     Gone,
+    /// The host serves callers through other hosts, since it reaches no endpoint.
+    Isolated,
 }
 
 impl Record {
--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kernel::{HostName, Incarnation, hash};
-use route::{HostCount, Peers};
+use route::{HostCount, Peers, Relay};
 
 use super::{Graph, Record, State};
 use crate::Member;
@@ -43,6 +43,8 @@
     hosts: BTreeMap<HostName, KnownHost>,
     /// Incremented when a host appears, becomes live or no longer live, or its `Member` changes.
     epoch: u64,
+    /// See [`Self::ready_epoch`].
+    ready_epoch: u64,
     fingerprint: u64,
 }
 
@@ -75,6 +77,7 @@
             own: own.name.clone(),
             hosts: BTreeMap::new(),
             epoch: 0,
+            ready_epoch: 0,
             fingerprint: 0,
         };
         let state = State::Starting;
@@ -133,10 +136,10 @@
     pub fn addresses(&self, now: Duration) -> Vec<Address> {
         let silent_grace = SILENT_GRACE_PER_HOP * Graph::estimated_hops(self.hosts.len());
         let serves = |it: &&KnownHost| match it.record.state {
-            State::Ready => true,
+            State::Ready | State::Isolated => true,
             State::Listed => now.saturating_sub(it.stored_at) < LISTED_TIMEOUT,
             State::Silent => {
-                it.last_live_state == State::Ready
+                matches!(it.last_live_state, State::Ready | State::Isolated)
                     && now.saturating_sub(it.stored_at) < silent_grace
             }
             State::Starting | State::Leaving | State::Gone => false,
@@ -191,9 +194,10 @@
                 .filter(|it| it.order() < own && state(it.record.state))
                 .count()
         };
-        let is_any_ready = self.live().any(|it| it.state == State::Ready);
-        if is_any_ready {
-            before(|it| it == State::Ready)
+        // A host that reaches no endpoint may still reach the store.
+        let serves = |it| matches!(it, State::Ready | State::Isolated);
+        if self.live().any(|it| serves(it.state)) {
+            before(serves)
         } else {
             before(|it| matches!(it, State::Listed | State::Starting))
         }
@@ -213,6 +217,39 @@
         self.fingerprint
     }
 
+    /// Returns some hosts that reach endpoints, a bounded number of them in this host's data centre
+    /// and elsewhere. Each host has others, so that no host serves all those that are cut off.
+    #[must_use]
+    pub fn relays(&self) -> Vec<Relay> {
+        /// Number of hosts in the same data centre, and of hosts elsewhere.
+        const COUNT: usize = 4;
+        let own = &self.own().member;
+        let others = self
+            .live()
+            .filter(|it| it.state == State::Ready && it.member.name != own.name);
+        let mut order: Vec<_> = others
+            .map(|it| (hash::of(&(&own.name, &it.member.name)), &it.member))
+            .collect();
+        order.sort_unstable_by_key(|it| it.0);
+        let (local, remote): (Vec<_>, Vec<_>) = order
+            .into_iter()
+            .map(|it| it.1)
+            .partition(|it| it.data_centre == own.data_centre);
+        let local = local.into_iter().take(COUNT);
+        let chosen = local.chain(remote.into_iter().take(COUNT));
+        let relay = |it: &Member| Relay {
+            address: it.front,
+            data_centre: it.data_centre.clone(),
+        };
+        chosen.map(relay).collect()
+    }
+
+    /// Incremented when a host becomes able or unable to serve others' requests, or its `Member`
+    /// changes.
+    pub(crate) fn ready_epoch(&self) -> u64 {
+        self.ready_epoch
+    }
+
     /// Returns all known hosts as the peers that share the capacity of cold endpoints.
     #[must_use]
     pub fn peers(&self) -> Peers {
@@ -357,6 +394,11 @@
             let (old, new) = (&it.record, &record);
             old.is_live() != new.is_live() || old.member != new.member
         });
+        let changes_ready = before.is_none_or(|it| {
+            let (old, new) = (&it.record, &record);
+            let is_ready = |it: &Record| it.state == State::Ready;
+            is_ready(old) != is_ready(new) || old.member != new.member
+        });
         if let Some(it) = before {
             self.fingerprint ^= fingerprint_part(it);
         }
@@ -379,6 +421,9 @@
         };
         self.fingerprint ^= fingerprint_part(&known);
         self.hosts.insert(name, known);
+        if changes_ready {
+            self.ready_epoch += 1;
+        }
         if changes_graph {
             self.epoch += 1;
             self.remove_expired(now);
@@ -397,7 +442,7 @@
 fn fingerprint_part(it: &KnownHost) -> u64 {
     match it.record.state {
         State::Listed | State::Silent | State::Gone => 0,
-        State::Starting | State::Ready | State::Leaving => it.record_hash,
+        State::Starting | State::Ready | State::Leaving | State::Isolated => it.record_hash,
     }
 }
 
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -19,6 +19,7 @@
 use link::{Incoming, Link, Peer};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use route::reach::State as Reach;
 use telemetry::{Event, Recorder, Value};
 use wire::{Frame, Identity, Payload};
 
@@ -100,6 +101,8 @@
     pub(crate) joined_at: Cell<Option<Duration>>,
     /// The epoch of the roster that the router received last.
     peers_epoch: Cell<Option<u64>>,
+    /// The epoch of the relays that the router received last.
+    relays_epoch: Cell<Option<u64>>,
     /// Whether the store's listing had this host at the join, or this host has written its
     /// entry.
     pub(crate) is_registered: Cell<bool>,
@@ -156,6 +159,7 @@
             hosts_found: Cell::new(None),
             joined_at: Cell::new(None),
             peers_epoch: Cell::new(None),
+            relays_epoch: Cell::new(None),
             is_registered: Cell::new(false),
             link: RefCell::default(),
             era: Cell::new(None),
@@ -281,7 +285,10 @@
         }
         let state = match (self.is_leaving(), self.is_ready()) {
             (true, _) => State::Leaving,
-            (false, true) => State::Ready,
+            (false, true) => match self.node.router().reach() {
+                Reach::Reachable => State::Ready,
+                Reach::CutOff => State::Isolated,
+            },
             (false, false) => State::Starting,
         };
         if gossip.set_state(now, state) {
@@ -297,6 +304,11 @@
             let peers = gossip.roster().peers();
             self.node.router().set_peers(Some(peers));
         }
+        let epoch = Some(gossip.roster().ready_epoch());
+        if self.relays_epoch.replace(epoch) != epoch {
+            let relays = gossip.roster().relays();
+            self.node.router().set_relays(relays);
+        }
     }
 
     /// Returns whether the roster has all hosts: the store listed them at the join, unless it lists
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -1,5 +1,6 @@
 //! The state of a caller's request across its attempts.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use crate::config::{Customer, RetryPolicy, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
-use crate::{Cascade, RequestFingerprint, Revision};
+use crate::{Cascade, Relayed, RequestFingerprint, Revision};
 
 /// The request fails after this many attempts that ended before anything was sent. They
 /// aren't included in [`Call::attempts`], but each may cost the caller a connection timeout.
@@ -60,6 +61,9 @@
     /// Whether an attempt ended as [`Ending::Broken`]; the endpoint's process may have exited.
     pub(crate) connection_broke: bool,
     pub(crate) retry: Retry,
+    pub(crate) origin: Origin,
+    /// The hosts through which this one has tried to forward the request.
+    pub(crate) relays: Vec<SocketAddr>,
 }
 
 /// The release that a request is assigned to, relative to one roll-out order.
@@ -71,6 +75,15 @@
     pub(crate) revision: Revision,
 }
 
+/// Who sent a request to this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another host, which reaches no endpoint.
+    Host,
+}
+
 /// The state of a request's next retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Retry {
@@ -198,9 +211,23 @@
             may_have_run: false,
             connection_broke: false,
             retry: Retry::NotRequested,
+            origin: Origin::Caller,
+            relays: Vec::new(),
         }
     }
 
+    /// Takes over the state of a request that another host forwards to this one.
+    pub(crate) fn continue_relayed(&mut self, relayed: Relayed) {
+        self.origin = Origin::Host;
+        self.attempts = relayed.attempts.min(self.route.attempts);
+    }
+
+    /// Returns whether this host has tried to forward the request through another one.
+    #[must_use]
+    pub fn was_relayed(&self) -> bool {
+        !self.relays.is_empty()
+    }
+
     /// Returns the release that the request is assigned to during a roll-out.
     pub(crate) fn side(&self) -> Option<Side> {
         self.assignment.map(|it| it.side)
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -10,6 +10,7 @@
 mod place;
 mod placement;
 mod reach;
+mod relays;
 mod reports;
 mod rollouts;
 
@@ -26,10 +27,12 @@
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key};
 use crate::prefill::PrefillEstimator;
-use crate::reach::Monitor;
+use crate::reach::{Monitor, State};
 use crate::rollout::Order;
 use crate::sessions::Sessions;
-use crate::{Directory, HostCount, Quarantine, RequestFingerprint, RetryBudget, Rollout, Settings};
+use crate::{
+    Directory, HostCount, Quarantine, Relay, RequestFingerprint, RetryBudget, Rollout, Settings,
+};
 
 pub use denial::Denial;
 pub use in_flight::InFlight;
@@ -68,6 +71,8 @@
     /// Endpoints that were ejected since the last [`Self::take_ejected`], except unreachable ones.
     ejected: Vec<(EndpointId, Ending)>,
     reach: Monitor,
+    /// Some of the other hosts that reach endpoints.
+    relays: Vec<Relay>,
     /// `None` until this host knows the others.
     host_count: Option<HostCount>,
     rng: Pcg32,
@@ -92,6 +97,7 @@
             listing_time: None,
             ejected: Vec::new(),
             reach: Monitor::default(),
+            relays: Vec::new(),
             host_count: None,
             rng: Pcg32::seed_from_u64(seed),
         }
@@ -236,8 +242,17 @@
             timeout,
             profile,
             id,
+            relayed,
         } = incoming;
         let config = self.config.as_ref().ok_or(Denial::NotReady)?;
+        if let Some(relayed) = relayed {
+            if self.reach() == State::CutOff {
+                return Err(Denial::Unreachable);
+            }
+            if config.version < relayed.version {
+                return Err(Denial::NotReady);
+            }
+        }
         let route = config.route(host, path).ok_or(Denial::NoRoute)?;
         let customer = match route.access {
             RouteAccess::Keyed => {
@@ -273,7 +288,11 @@
             now + timeout,
         );
         call.assignment = self.assign_release(now, &call, number);
-        self.budget(&call.service).record_request(now);
+        match relayed {
+            // The host that received it from the caller has counted it.
+            Some(relayed) => call.continue_relayed(relayed),
+            None => self.budget(&call.service).record_request(now),
+        }
         Ok(call)
     }
 
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -6,6 +6,7 @@
 
 use super::{CROWDED_UTILIZATION, InFlight, Placement, Router, SESSION_GAP_MARGIN};
 use crate::call::{Call, Ending, Failure, Next, Retry};
+use crate::reach::State;
 use crate::rollout::Side;
 
 impl Router {
@@ -101,6 +102,11 @@
         if !call.may_retry(now, ending) || self.quarantine.blocks_retry(now, call.fingerprint) {
             return Next::Fail(self.failure(now, call, ending));
         }
+        // No endpoint is expected to be reachable, so trying others would only delay the refusal.
+        let is_cut_off = self.reach() == State::CutOff && !self.may_relay(call);
+        if ending == Ending::NotSent && is_cut_off {
+            return Next::Fail(self.failure(now, call, ending));
+        }
         if ending.is_unsent() || self.take_retry(now, call, ending) {
             call.retry = Retry::NotRequested;
             return Next::Again;
--- a/crates/route/src/router/denial.rs
+++ b/crates/route/src/router/denial.rs
@@ -23,6 +23,9 @@
     /// The API key is missing or unknown.
     #[display("unknown_key")]
     UnknownKey,
+    /// Another host forwards the request to this one, and neither reaches endpoints.
+    #[display("unreachable")]
+    Unreachable,
     /// The request is quarantined, since endpoints' processes exit while they run it.
     #[display("quarantined")]
     Quarantined {
@@ -35,12 +38,13 @@
 
 impl Denial {
     /// All variants.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::NotReady,
         Self::Stopping,
         Self::NoMemory,
         Self::NoRoute,
         Self::UnknownKey,
+        Self::Unreachable,
         Self::Quarantined {
             fingerprint: RequestFingerprint::NONE,
             retry_after: Duration::ZERO,
--- a/crates/route/src/router/incoming.rs
+++ b/crates/route/src/router/incoming.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::RequestProfile;
+use crate::{Relayed, RequestProfile};
 
 /// A request that was received from a caller.
 #[derive(Clone, Debug)]
@@ -21,4 +21,6 @@
     pub timeout: Option<Duration>,
     /// The properties that placement depends on.
     pub profile: RequestProfile,
+    /// Set if another host forwards the request.
+    pub relayed: Option<Relayed>,
 }
--- a/crates/route/tests/harness/router.rs
+++ b/crates/route/tests/harness/router.rs
@@ -76,5 +76,6 @@
         key: None,
         timeout: None,
         profile: RequestProfile::default(),
+        relayed: None,
     }
 }
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -261,6 +261,7 @@
             key: line.text("key"),
             timeout,
             profile,
+            relayed: None,
         };
         let now = self.now;
         match self.router().admit(now, arrival) {
--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -98,6 +98,10 @@
         "barleypin_endpoints_unreachable",
         "Whether this host can't open a connection to any endpoint: 1 or 0.",
     ),
+    (
+        "barleypin_relayed_total",
+        "Requests sent to another host because no endpoint could be reached, by result.",
+    ),
     (
         "barleypin_limited_attempts_total",
         "Attempts sent to endpoints that were known to state such a limit.",
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -27,5 +27,6 @@
 pub use slog::Level;
 
 pub use report::{
-    AttemptReport, AttemptSummary, ConnectionOrigin, Outcome, RefusedUpdate, RequestReport,
+    AttemptReport, AttemptSummary, ConnectionOrigin, Outcome, RefusedUpdate, RelayResult,
+    RequestReport,
 };
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use route::{Denial, Ending, Withheld};
 
-use crate::{CATALOGUE, Instruments, Outcome, RefusedUpdate, RequestReport};
+use crate::{CATALOGUE, Instruments, Outcome, RefusedUpdate, RelayResult, RequestReport};
 
 /// The bounds of all histograms in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 14] = [
@@ -73,6 +73,7 @@
     attempts: Counter<u64>,
     limited_attempts: Counter<u64>,
     refused_updates: Counter<u64>,
+    relayed: Counter<u64>,
     strays: Counter<u64>,
     connections: Counter<u64>,
     ejections: Counter<u64>,
@@ -119,6 +120,7 @@
             attempts: it.counter("attempts"),
             limited_attempts: it.counter("limited_attempts"),
             refused_updates: it.counter("refused_updates"),
+            relayed: it.counter("relayed"),
             strays: it.counter("strays"),
             connections: it.counter("connections"),
             ejections: it.counter("ejections"),
@@ -218,6 +220,11 @@
             .add(1, &[label("kind", update.to_string())]);
     }
 
+    /// Counts a request that was forwarded through another host.
+    pub fn relay(&self, result: RelayResult) {
+        self.relayed.add(1, &[label("result", result.to_string())]);
+    }
+
     /// Counts an ejection of an endpoint.
     pub fn ejection(&self, reason: Ending) {
         self.ejections
@@ -315,6 +322,9 @@
             self.refused_updates
                 .add(0, &[label("kind", update.to_string())]);
         }
+        for result in RelayResult::ALL {
+            self.relayed.add(0, &[label("result", result.to_string())]);
+        }
         self.limited_attempts.add(0, &[]);
         self.strays.add(0, &[]);
         self.lines_dropped.add(0, &[]);
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -56,6 +56,33 @@
     CallerGone,
 }
 
+/// The result of forwarding a request through another host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum RelayResult {
+    /// The complete response was written to the caller.
+    #[display("relayed")]
+    Delivered,
+    /// The caller disconnected.
+    #[display("caller_gone")]
+    CallerGone,
+    /// The request has not run there.
+    #[display("not_run")]
+    NotRun,
+    /// The request failed, or its response is lost.
+    #[display("failed")]
+    Failed,
+}
+
+impl RelayResult {
+    /// All variants.
+    pub const ALL: [Self; 4] = [
+        Self::Delivered,
+        Self::CallerGone,
+        Self::NotRun,
+        Self::Failed,
+    ];
+}
+
 /// A summary of how a request's attempts ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AttemptSummary {
