Divide the slots of endpoints that exit when they refuse many requests

Cause of the falls in the tests: each host sees room at an endpoint until its own request is refused there. Class: the same as of stated rates, a bound on all hosts together of which each knows its own part.

Tried and left out: a few requests more than a host's part, within the bound; they take slots from other hosts' parts (10 refusals at 6 hosts).

--- a/crates/forward/src/attempt/status.rs
+++ b/crates/forward/src/attempt/status.rs
@@ -1,6 +1,7 @@
 //! The status that an endpoint reports in the head of a response.
 
 use framing::response;
+use route::InFlight;
 use telemetry::{Event, Value};
 
 use super::Attempt;
@@ -8,7 +9,7 @@
 use crate::{Dialect, ResponseFields};
 
 impl<D: Dialect> Attempt<'_, D> {
-    /// Tells the router the load, shutdown, pause and rate limit that a response reports.
+    /// Tells the router the load, shutdown, pause, brittleness and rate limit that a response reports.
     pub(super) fn record_status(
         &self,
         head: &response::Head,
@@ -28,9 +29,26 @@
         if let (Some(pause), Some(in_flight)) = (fields.retry_after, &guard.in_flight) {
             self.node.router().record_pause(now, in_flight, pause);
         }
+        if let (Some(max_refusals), Some(in_flight)) = (fields.max_refusals, &guard.in_flight) {
+            self.report_brittle(max_refusals, in_flight);
+        }
         self.report_rate_limit(head, fields, guard);
     }
 
+    /// Marks the endpoint's service as brittle, as the response says.
+    fn report_brittle(&self, max_refusals: u64, in_flight: &InFlight) {
+        let now = self.node.now();
+        if self.node.router().record_brittle(now, in_flight) {
+            self.node.recorder.log_event(
+                Event::EndpointBrittle,
+                &[
+                    ("endpoint", Value::Text(&self.placement.id)),
+                    ("refusals_per_second", Value::Count(max_refusals)),
+                ],
+            );
+        }
+    }
+
     /// Marks the endpoint as leaving, as its response says, so that it gets no new requests.
     fn report_leaving(&self, guard: &AttemptGuard<'_, D>) {
         let Some(in_flight) = &guard.in_flight else {
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -95,6 +95,8 @@
     pub confidence: Option<u8>,
     /// The rate that the endpoint takes from all hosts together.
     pub rate_limit: Option<RequestRate>,
+    /// The requests that the endpoint may refuse in a second; it exits if there are more.
+    pub max_refusals: Option<u64>,
     /// The time for which the endpoint asks to get no further requests.
     pub retry_after: Option<Duration>,
     /// The endpoint's idle timeout for the connection.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 //! I/O, reads no clock (the time is a parameter) and is independent of any wire
 //! format. See `docs/design/relay.md`.
 
+mod brittle;
 mod budget;
 mod call;
 mod cascade;
--- a/crates/route/src/peers.rs
+++ b/crates/route/src/peers.rs
@@ -21,6 +21,8 @@
 pub struct Peers {
     own: u64,
     others: Vec<u64>,
+    /// This host's position in the order of all hashes, from 0.
+    position: u64,
 }
 
 /// This host's part in the division of an endpoint's request rate.
@@ -38,9 +40,12 @@
     /// Creates the set from this host and all others that it knows.
     pub fn new<'a>(own: &HostName, others: impl Iterator<Item = &'a HostName>) -> Self {
         let hash_of = |it: &HostName| hash::of(it.as_str());
+        let others: Vec<_> = others.filter(|it| *it != own).map(hash_of).collect();
+        let own = hash_of(own);
         Self {
-            own: hash_of(own),
-            others: others.filter(|it| *it != own).map(hash_of).collect(),
+            own,
+            position: others.iter().filter(|it| **it < own).count() as u64,
+            others,
         }
     }
 
@@ -69,6 +74,18 @@
             interval: interval.unwrap_or(MAX_INTERVAL).min(MAX_INTERVAL),
         }
     }
+
+    /// Returns this host's part of an endpoint's slots. The parts of all hosts together are the
+    /// slots: what doesn't divide evenly goes to hosts that follow each other in the order of
+    /// their hashes, from a place that depends on the endpoint. Unlike a rank, this takes no time
+    /// that grows with the number of hosts.
+    pub(crate) fn slot_share(&self, slots: u32, endpoint: ProcessId) -> u32 {
+        let hosts = 1 + self.others.len() as u64;
+        let slots = u64::from(slots);
+        let distance = (self.position + endpoint.rank(0) % hosts) % hosts;
+        let share = slots / hosts + u64::from(distance < slots % hosts);
+        u32::try_from(share).unwrap_or(u32::MAX)
+    }
 }
 
 fn to_f64(count: usize) -> f64 {
--- a/crates/route/src/permit.rs
+++ b/crates/route/src/permit.rs
@@ -26,9 +26,18 @@
     /// The endpoint states a request rate, and this host may not send it a request now.
     #[display("limited")]
     Limited,
+    /// The endpoint exits if it refuses many requests, and has no room for one of this host.
+    #[display("brittle")]
+    Brittle,
 }
 
 impl Withheld {
     /// All variants.
-    pub const ALL: [Self; 4] = [Self::Evacuated, Self::Leaving, Self::Cold, Self::Limited];
+    pub const ALL: [Self; 5] = [
+        Self::Evacuated,
+        Self::Leaving,
+        Self::Cold,
+        Self::Limited,
+        Self::Brittle,
+    ];
 }
--- a/crates/route/src/router/permits.rs
+++ b/crates/route/src/router/permits.rs
@@ -37,6 +37,11 @@
     /// # Errors
     /// Returns the reason if it may no longer be sent.
     pub fn permit(&mut self, now: Duration, in_flight: &InFlight) -> Result<Permit, Withheld> {
+        let known = self.directory.get(in_flight.endpoint);
+        let known = known.ok_or(Withheld::Leaving)?;
+        if !self.directory.has_room_for(now, known, known.in_flight) {
+            return Err(Withheld::Brittle);
+        }
         let it = self.directory.get_mut(in_flight.endpoint);
         let it = it.ok_or(Withheld::Leaving)?;
         if it.access == DataCentreAccess::Evacuated {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -132,6 +132,7 @@
             it.takes_work()
                 && it.wait(now).is_zero()
                 && !it.is_rate_limited(now)
+                && self.directory.has_room(now, it)
                 && !call.refused.contains(&key)
         };
         self.directory.endpoints_of(&call.service).any(is_open)
@@ -154,7 +155,8 @@
         let rollout = self.rollouts.get(&call.service);
         let mut scored = Vec::new();
         for (key, it) in self.directory.endpoints_of(&call.service) {
-            if !is_candidate(now, call, leniency, rollout, it) || is_tried(call, leniency, key) {
+            let is_candidate = is_candidate(now, call, leniency, rollout, it);
+            if !is_candidate || is_tried(call, leniency, key) || !self.directory.has_room(now, it) {
                 continue;
             }
             let mut score = self.directory.endpoint_utilization(now, it);
@@ -214,7 +216,8 @@
         let it = self.directory.get(key)?;
         let share = it.entry.slots * FILL_SHARE_FACTOR / self.live_hosts();
         let has_room = self.directory.endpoint_utilization(now, it) < FILL_UTILIZATION
-            && it.in_flight < share.max(1);
+            && it.in_flight < share.max(1)
+            && self.directory.has_room(now, it);
         (has_room && call.profile.prompt_tokens <= MAX_FILL_PROMPT_TOKENS).then_some(key)
     }
 
--- a/crates/route/src/router/reports.rs
+++ b/crates/route/src/router/reports.rs
@@ -67,6 +67,12 @@
         self.directory.get(in_flight.endpoint)?.rate_limit.rate()
     }
 
+    /// Records that an endpoint stated in a response that it exits if it refuses many requests.
+    /// Returns whether it is new that its service is brittle.
+    pub fn record_brittle(&mut self, now: Duration, in_flight: &InFlight) -> bool {
+        self.directory.record_brittle(now, in_flight.endpoint)
+    }
+
     /// Records that an endpoint asked in a response that this host send it nothing for `pause`.
     pub fn record_pause(&mut self, now: Duration, in_flight: &InFlight, pause: Duration) {
         self.directory
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -52,6 +52,8 @@
     EndpointsUnreachable, 1608, Warning, "No connection to an endpoint can be opened: this host is cut off from them.";
     EndpointsReachable, 1609, Info, "Connections to endpoints can be opened again.";
 
+    EndpointBrittle, 1610, Warning, "An endpoint states that it exits if it refuses many requests; the slots of its service are divided among hosts.";
+
     DataCentreEmptied, 1650, Warning, "Operators evacuated a data centre; its endpoints get no requests.";
     DataCentreOpen, 1651, Info, "Operators reopened a data centre; its endpoints get requests again.";
 
