--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -4,6 +4,7 @@
 mod status;
 mod stream;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -89,6 +90,7 @@
             node,
             id: self.id,
             fingerprint: call.fingerprint,
+            parts: Arc::clone(&call.profile.parts),
             placement: self.placement,
             progress: self.progress,
             number: call.attempts(),
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -1,9 +1,10 @@
 //! Reports the end of an attempt, also when it is cancelled.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Ending, InFlight, Placement, RequestFingerprint, RequestRate, Withheld};
+use route::{Ending, InFlight, PartId, Placement, RequestFingerprint, RequestRate, Withheld};
 use telemetry::{AttemptReport, ConnectionOrigin};
 
 use crate::serve::Progress;
@@ -14,6 +15,7 @@
     pub(super) node: &'a Node<D>,
     pub(super) id: &'a RequestId,
     pub(super) fingerprint: RequestFingerprint,
+    pub(super) parts: Arc<[PartId]>,
     pub(super) placement: &'a Placement,
     pub(super) progress: &'a Progress,
     pub(super) number: u32,
@@ -49,6 +51,7 @@
         self.node.recorder.record_attempt(&AttemptReport {
             id: self.id,
             fingerprint: self.fingerprint,
+            parts: &self.parts,
             number: self.number,
             placement: self.placement,
             ending,
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -9,7 +9,7 @@
 use crate::config::{Customer, RetryPolicy, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
-use crate::{Cascade, Relayed, RequestFingerprint, Revision};
+use crate::{Cascade, PartId, Relayed, RequestFingerprint, Revision};
 
 /// The request fails after this many attempts that ended before anything was sent. They
 /// aren't included in [`Call::attempts`], but each may cost the caller a connection timeout.
@@ -25,6 +25,8 @@
     /// The longest prefix of the prompt that is shared with other requests: the ID of its last
     /// part, and its length in tokens.
     pub shared_prefix: Option<(u64, u64)>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub parts: Arc<[PartId]>,
     /// The session that the request belongs to.
     pub session: Option<SessionId>,
 }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -1,6 +1,7 @@
 //! Records requests, attempts and events in the log and the metrics.
 
 use std::cell::RefCell;
+use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::sync::Arc;
@@ -8,7 +9,7 @@
 
 use kernel::{Clock, EndpointId, RequestId};
 use route::rate_limit::Change;
-use route::{Denial, Failure};
+use route::{Denial, Failure, PartId};
 
 use crate::line_limiter::{LineLimiter, LinePriority};
 use crate::{
@@ -127,11 +128,13 @@
             return;
         }
         let placement = attempt.placement;
+        let parts = (!attempt.parts.is_empty()).then_some(Parts(attempt.parts));
         self.log.write(
             Event::Attempt,
             &[
                 ("request", Value::Text(attempt.id)),
                 ("print", Value::Text(&attempt.fingerprint)),
+                ("parts", optional_text(parts.as_ref())),
                 ("attempt", Value::Count(attempt.number.into())),
                 ("endpoint", Value::Text(&placement.id)),
                 ("address", Value::Text(&placement.address)),
@@ -182,6 +185,19 @@
     }
 }
 
+/// Displays the parts of a prompt, separated by spaces.
+struct Parts<'a>(&'a [PartId]);
+
+impl fmt::Display for Parts<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (nr, part) in self.0.iter().enumerate() {
+            let separator = if nr == 0 { "" } else { " " };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
+
 /// One in `SAMPLE_INTERVAL` requests without failures is selected for the log, with all its
 /// attempts. The rate limit may drop some of their lines.
 const SAMPLE_INTERVAL: u64 = 50;
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Denial, Ending, Failure, Placement, RequestFingerprint, RequestRate, Withheld};
+use route::{
+    Denial, Ending, Failure, PartId, Placement, RequestFingerprint, RequestRate, Withheld,
+};
 
 /// The report on a request that has ended.
 #[derive(Clone, Debug)]
@@ -110,6 +112,8 @@
     pub id: &'a RequestId,
     /// The request's fingerprint.
     pub fingerprint: RequestFingerprint,
+    /// The parts of the prompt that other requests may share.
+    pub parts: &'a [PartId],
     /// The number of the attempt within the request, from 1. An attempt that wasn't sent has
     /// the same number as the next one.
     pub number: u32,
