--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Ending, InFlight, PartId, Placement, RequestFingerprint, RequestRate, Withheld};
+use route::{Ending, Fingerprint, InFlight, PartId, Placement, RequestRate, Withheld};
 use telemetry::{AttemptReport, ConnectionOrigin};
 
 use crate::serve::Progress;
@@ -14,7 +14,7 @@
 pub(super) struct AttemptGuard<'a, D: Dialect> {
     pub(super) node: &'a Node<D>,
     pub(super) id: &'a RequestId,
-    pub(super) fingerprint: RequestFingerprint,
+    pub(super) fingerprint: Fingerprint,
     pub(super) parts: Arc<[PartId]>,
     pub(super) placement: &'a Placement,
     pub(super) progress: &'a Progress,
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -11,7 +11,7 @@
 use kernel::RequestId;
 use route::config::{Customer, Route};
 use route::reach::State;
-use route::{Call, Denial, Ending, Failure, IncomingRequest, Next, Placement, RequestFingerprint};
+use route::{Call, Denial, Ending, Failure, Fingerprint, IncomingRequest, Next, Placement};
 use telemetry::{AttemptSummary, Event, Outcome, RelayResult, RequestReport, Value};
 
 use crate::attempt::{Attempt, AttemptOutcome};
@@ -267,7 +267,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     route: OnceCell<(Arc<Route>, Option<Arc<Customer>>)>,
-    fingerprint: Cell<Option<RequestFingerprint>>,
+    fingerprint: Cell<Option<Fingerprint>>,
     pub(crate) attempts: Cell<u32>,
     /// The time at which writing an endpoint's response to the caller began.
     pub(crate) first_byte: Cell<Option<Duration>>,
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -7,7 +7,7 @@
 use kernel::EndpointId;
 use link::keys::Authority;
 use route::endpoint::Entry;
-use route::{Config, RequestFingerprint, Revision};
+use route::{Config, Fingerprint, Revision};
 
 use crate::{Documents, Member, RolloutVerdict};
 
@@ -69,13 +69,13 @@
     /// Writes quarantined requests, for hosts that start.
     fn add_quarantined(
         &self,
-        prints: &[RequestFingerprint],
+        prints: &[Fingerprint],
     ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Deletes quarantined requests.
     fn remove_quarantined(
         &self,
-        prints: &[RequestFingerprint],
+        prints: &[Fingerprint],
     ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Writes a verdict on a roll-out if the stored one still has `rollout_verdict.revision`,
@@ -96,7 +96,7 @@
     /// The hosts in the store's listing.
     pub members: Vec<Member>,
     /// The quarantined requests.
-    pub quarantined: Vec<RequestFingerprint>,
+    pub quarantined: Vec<Fingerprint>,
 }
 
 /// The listing of endpoints in the store.
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -9,7 +9,7 @@
 use crate::config::{Customer, RetryPolicy, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
-use crate::{Cascade, PartId, Relayed, RequestFingerprint, Revision};
+use crate::{Cascade, Fingerprint, PartId, Relayed, Revision};
 
 /// The request fails after this many attempts that ended before anything was sent. They
 /// aren't included in [`Call::attempts`], but each may cost the caller a connection timeout.
@@ -43,7 +43,7 @@
     /// The properties that placement depends on.
     pub profile: RequestProfile,
     /// Identifies the same request when it is sent again under another ID.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// The time at which the request arrived.
     pub arrived: Duration,
     /// The time at which the caller's or the route's timeout expires, whichever is first.
@@ -191,7 +191,7 @@
         customer: Option<Arc<Customer>>,
         service: ServiceName,
         profile: RequestProfile,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         arrived: Duration,
         deadline: Duration,
     ) -> Self {
--- a/crates/route/src/fingerprint.rs
+++ b/crates/route/src/fingerprint.rs
@@ -12,9 +12,9 @@
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[display("{_0:016x}")]
-pub struct RequestFingerprint(u64);
+pub struct Fingerprint(u64);
 
-impl RequestFingerprint {
+impl Fingerprint {
     /// A placeholder that belongs to no request.
     pub(crate) const NONE: Self = Self(0);
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,7 +38,7 @@
 pub use config::Config;
 pub use directory::Directory;
 pub use evacuation::{Evacuation, Evacuations};
-pub use fingerprint::RequestFingerprint;
+pub use fingerprint::Fingerprint;
 pub use host_count::HostCount;
 pub use part::PartId;
 pub use peers::Peers;
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -14,7 +14,7 @@
 use quarantined::QuarantinedRequest;
 use survived::SurvivedRequests;
 
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 use crate::endpoint::ProcessId;
 
 pub(crate) use finished::{FinishedAttempt, Outcome};
@@ -60,17 +60,17 @@
 pub struct Quarantine {
     exits: BTreeMap<ProcessId, Exit>,
     /// The exits of which a request is a suspect.
-    exits_by_request: HashMap<RequestFingerprint, BTreeSet<ProcessId>>,
+    exits_by_request: HashMap<Fingerprint, BTreeSet<ProcessId>>,
     /// The quarantined requests.
-    quarantined: HashMap<RequestFingerprint, QuarantinedRequest>,
+    quarantined: HashMap<Fingerprint, QuarantinedRequest>,
     /// Requests released from quarantine since the last [`Self::take_released`].
-    released: Vec<RequestFingerprint>,
+    released: Vec<Fingerprint>,
     /// Recently finished attempts whose endpoints may still exit because of them.
     finished: VecDeque<FinishedAttempt>,
     /// Requests after whose response a process recently kept running.
     survived: SurvivedRequests,
     /// Requests quarantined since the last [`Self::take_quarantined`].
-    newly_quarantined: Vec<RequestFingerprint>,
+    newly_quarantined: Vec<Fingerprint>,
     /// The time at which the last periodic update with all quarantined requests was built.
     last_full_update: Duration,
     /// Whether anything changed since the last [`Self::take_changed`].
@@ -80,14 +80,14 @@
 impl Quarantine {
     /// Returns the time that a request stays quarantined, or `None` if it isn't.
     #[must_use]
-    pub fn remaining(&self, now: Duration, fingerprint: RequestFingerprint) -> Option<Duration> {
+    pub fn remaining(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
         let time_left = self.quarantined.get(&fingerprint)?.time_left(now);
         (!time_left.is_zero()).then_some(time_left)
     }
 
     /// Returns whether a request must not be retried: it is quarantined, or `MIN_EXITS` exits would
     /// count against it if the endpoints whose connections broke during its attempts have exited.
-    pub(crate) fn blocks_retry(&self, now: Duration, fingerprint: RequestFingerprint) -> bool {
+    pub(crate) fn blocks_retry(&self, now: Duration, fingerprint: Fingerprint) -> bool {
         if self.remaining(now, fingerprint).is_some() {
             return true;
         }
@@ -114,10 +114,9 @@
 
     /// Takes the requests quarantined since the last call, each with the number of exits of which
     /// it is a suspect, as far as this host knows.
-    pub fn take_quarantined(&mut self) -> Vec<(RequestFingerprint, usize)> {
+    pub fn take_quarantined(&mut self) -> Vec<(Fingerprint, usize)> {
         let newly_quarantined = std::mem::take(&mut self.newly_quarantined);
-        let exits =
-            |it: &RequestFingerprint| self.exits_by_request.get(it).map_or(0, BTreeSet::len);
+        let exits = |it: &Fingerprint| self.exits_by_request.get(it).map_or(0, BTreeSet::len);
         newly_quarantined
             .into_iter()
             .map(|it| (it, exits(&it)))
@@ -182,9 +181,8 @@
                 self.clear(now, fingerprint);
             }
         }
-        let is_over =
-            |it: &(&RequestFingerprint, &QuarantinedRequest)| it.1.time_left(now).is_zero();
-        let over: Vec<RequestFingerprint> = self
+        let is_over = |it: &(&Fingerprint, &QuarantinedRequest)| it.1.time_left(now).is_zero();
+        let over: Vec<Fingerprint> = self
             .quarantined
             .iter()
             .filter(is_over)
@@ -196,7 +194,7 @@
     }
 
     /// Clears a request because a process kept running after its response.
-    fn clear(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+    fn clear(&mut self, now: Duration, fingerprint: Fingerprint) {
         let Some(processes) = self.exits_by_request.get(&fingerprint) else {
             return;
         };
@@ -208,7 +206,7 @@
         self.release(fingerprint);
     }
 
-    fn release(&mut self, fingerprint: RequestFingerprint) {
+    fn release(&mut self, fingerprint: Fingerprint) {
         if self.quarantined.remove(&fingerprint).is_some() {
             self.released.push(fingerprint);
         }
@@ -252,12 +250,7 @@
     }
 
     /// Adds a request to an exit's suspects. Returns whether it is new there.
-    fn add_suspect(
-        &mut self,
-        now: Duration,
-        process: ProcessId,
-        fingerprint: RequestFingerprint,
-    ) -> bool {
+    fn add_suspect(&mut self, now: Duration, process: ProcessId, fingerprint: Fingerprint) -> bool {
         let is_new = self
             .exits
             .get_mut(&process)
@@ -295,7 +288,7 @@
         }
     }
 
-    fn add_quarantined(&mut self, now: Duration, fingerprint: RequestFingerprint, since: Duration) {
+    fn add_quarantined(&mut self, now: Duration, fingerprint: Fingerprint, since: Duration) {
         if self.quarantined.len() == MAX_QUARANTINED
             && let Some((&oldest, _)) = self.quarantined.iter().min_by_key(|it| it.1.since)
         {
@@ -323,7 +316,7 @@
 
     /// Returns the exits that count against a request: those that no other quarantined request
     /// explains.
-    fn counted_exits(&self, fingerprint: RequestFingerprint) -> BTreeSet<ProcessId> {
+    fn counted_exits(&self, fingerprint: Fingerprint) -> BTreeSet<ProcessId> {
         let found = self.exits_by_request.get(&fingerprint);
         let counts = |it: &&ProcessId| {
             self.exits.get(it).is_some_and(|exit| {
@@ -342,13 +335,13 @@
     }
 
     /// Returns whether another request is a suspect of all exits that count against this one.
-    fn has_rival(&self, fingerprint: RequestFingerprint) -> bool {
+    fn has_rival(&self, fingerprint: Fingerprint) -> bool {
         let counted_exits = self.counted_exits(fingerprint);
         let mut exits = counted_exits.iter().filter_map(|it| self.exits.get(it));
         let Some(first) = exits.next() else {
             return false;
         };
-        let mut rivals: BTreeSet<RequestFingerprint> = first
+        let mut rivals: BTreeSet<Fingerprint> = first
             .uncleared_suspects()
             .filter(|it| *it != fingerprint)
             .collect();
--- a/crates/route/src/quarantine/exit.rs
+++ b/crates/route/src/quarantine/exit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::MAX_SUSPECTS;
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 
 /// The exit of an endpoint's process.
 #[derive(Clone, Debug)]
@@ -14,9 +14,9 @@
     /// The time at which this host's information on it last changed.
     changed: Duration,
     /// The requests in flight there at the exit or up to `MAX_EXIT_DELAY` before.
-    suspects: BTreeSet<RequestFingerprint>,
+    suspects: BTreeSet<Fingerprint>,
     /// Requests after whose response a process kept running.
-    cleared: BTreeSet<RequestFingerprint>,
+    cleared: BTreeSet<Fingerprint>,
 }
 
 impl Exit {
@@ -40,7 +40,7 @@
     }
 
     /// Adds a suspect. Returns whether it is new.
-    pub(super) fn add_suspect(&mut self, now: Duration, fingerprint: RequestFingerprint) -> bool {
+    pub(super) fn add_suspect(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
         let is_new = self.suspects.len() < MAX_SUSPECTS && self.suspects.insert(fingerprint);
         if is_new {
             self.changed = now;
@@ -50,7 +50,7 @@
 
     /// Clears a request. Returns whether that is new. A request may be cleared before it becomes a
     /// suspect here.
-    pub(super) fn clear(&mut self, now: Duration, fingerprint: RequestFingerprint) -> bool {
+    pub(super) fn clear(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
         let is_new = self.cleared.len() < MAX_SUSPECTS && self.cleared.insert(fingerprint);
         if is_new {
             self.changed = now;
@@ -59,22 +59,22 @@
     }
 
     /// Returns whether a request is a suspect and not cleared.
-    pub(super) fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+    pub(super) fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         self.suspects.contains(&fingerprint) && !self.cleared.contains(&fingerprint)
     }
 
     /// Returns the suspects that are not cleared.
-    pub(super) fn uncleared_suspects(&self) -> impl Iterator<Item = RequestFingerprint> {
+    pub(super) fn uncleared_suspects(&self) -> impl Iterator<Item = Fingerprint> {
         self.suspects.difference(&self.cleared).copied()
     }
 
     /// Returns all suspects.
-    pub(super) fn suspects(&self) -> impl Iterator<Item = RequestFingerprint> {
+    pub(super) fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
         self.suspects.iter().copied()
     }
 
     /// Returns the cleared requests.
-    pub(super) fn cleared(&self) -> impl Iterator<Item = RequestFingerprint> {
+    pub(super) fn cleared(&self) -> impl Iterator<Item = Fingerprint> {
         self.cleared.iter().copied()
     }
 }
--- a/crates/route/src/quarantine/finished.rs
+++ b/crates/route/src/quarantine/finished.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::endpoint::ProcessId;
-use crate::{Ending, RequestFingerprint};
+use crate::{Ending, Fingerprint};
 
 /// A finished attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,7 +13,7 @@
     /// The endpoint's process.
     pub(crate) process: ProcessId,
     /// The request.
-    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) fingerprint: Fingerprint,
     /// The conclusion on the process from its ending.
     pub(crate) outcome: Outcome,
 }
@@ -47,7 +47,7 @@
 
 impl FinishedAttempt {
     /// Returns whether this is an attempt of the given request whose connection broke.
-    pub(super) fn broke_connection(&self, fingerprint: RequestFingerprint) -> bool {
+    pub(super) fn broke_connection(&self, fingerprint: Fingerprint) -> bool {
         self.fingerprint == fingerprint && self.outcome == Outcome::Broken
     }
 }
--- a/crates/route/src/quarantine/persistence.rs
+++ b/crates/route/src/quarantine/persistence.rs
@@ -3,18 +3,18 @@
 use std::time::Duration;
 
 use super::Quarantine;
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 
 impl Quarantine {
     /// Returns the quarantined requests that the store doesn't contain yet.
     #[must_use]
-    pub fn unpersisted(&self) -> Vec<RequestFingerprint> {
+    pub fn unpersisted(&self) -> Vec<Fingerprint> {
         let unpersisted = self.quarantined.iter().filter(|it| !it.1.is_persisted);
         unpersisted.map(|it| *it.0).collect()
     }
 
     /// Records that the store contains these requests.
-    pub fn mark_persisted(&mut self, now: Duration, fingerprints: &[RequestFingerprint]) {
+    pub fn mark_persisted(&mut self, now: Duration, fingerprints: &[Fingerprint]) {
         for fingerprint in fingerprints {
             if let Some(it) = self.quarantined.get_mut(fingerprint) {
                 it.is_persisted = true;
@@ -32,7 +32,7 @@
     }
 
     /// Quarantines requests that the store contains from before this host's start.
-    pub fn load_persisted(&mut self, now: Duration, fingerprints: &[RequestFingerprint]) {
+    pub fn load_persisted(&mut self, now: Duration, fingerprints: &[Fingerprint]) {
         for fingerprint in fingerprints {
             if !self.quarantined.contains_key(fingerprint) {
                 self.add_quarantined(now, *fingerprint, now);
@@ -42,7 +42,7 @@
     }
 
     /// Takes the requests released from quarantine since the last call.
-    pub fn take_released(&mut self) -> Vec<RequestFingerprint> {
+    pub fn take_released(&mut self) -> Vec<Fingerprint> {
         std::mem::take(&mut self.released)
     }
 }
--- a/crates/route/src/quarantine/survived.rs
+++ b/crates/route/src/quarantine/survived.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 
 /// Time for which a request counts as safe after a process survived it. Longer than the time in
 /// which many endpoints exit at once, and than that between two reads that many callers send alike.
@@ -15,13 +15,13 @@
 /// was not seen to exit within `MAX_EXIT_DELAY`.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SurvivedRequests {
-    latest: HashMap<RequestFingerprint, Duration>,
-    order: VecDeque<(Duration, RequestFingerprint)>,
+    latest: HashMap<Fingerprint, Duration>,
+    order: VecDeque<(Duration, Fingerprint)>,
 }
 
 impl SurvivedRequests {
     /// Records that a process survived a request.
-    pub(super) fn record(&mut self, now: Duration, fingerprint: RequestFingerprint) {
+    pub(super) fn record(&mut self, now: Duration, fingerprint: Fingerprint) {
         if self.order.len() == MAX_REQUESTS
             && let Some((at, oldest)) = self.order.pop_front()
             && self.latest.get(&oldest) == Some(&at)
@@ -33,7 +33,7 @@
     }
 
     /// Returns whether a process recently survived the request.
-    pub(super) fn contains(&self, now: Duration, fingerprint: RequestFingerprint) -> bool {
+    pub(super) fn contains(&self, now: Duration, fingerprint: Fingerprint) -> bool {
         let at = self.latest.get(&fingerprint);
         at.is_some_and(|it| now.saturating_sub(*it) <= SURVIVED_TTL)
     }
--- a/crates/route/src/quarantine/update.rs
+++ b/crates/route/src/quarantine/update.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{QUARANTINE_TIME, Quarantine};
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 use crate::endpoint::ProcessId;
 use crate::rollout::Scope;
 
@@ -37,9 +37,9 @@
     /// The time since it was detected.
     pub age: Duration,
     /// The requests in flight there at the exit or shortly before.
-    pub suspects: Vec<RequestFingerprint>,
+    pub suspects: Vec<Fingerprint>,
     /// Requests after whose response a process kept running.
-    pub cleared: Vec<RequestFingerprint>,
+    pub cleared: Vec<Fingerprint>,
 }
 
 /// A quarantined request.
@@ -47,7 +47,7 @@
 pub struct QuarantineReport {
     /// The request.
     #[serde(rename = "print")]
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// The time since it was quarantined.
     pub age: Duration,
     /// Whether the store contains it.
@@ -157,7 +157,7 @@
     }
 
     /// Returns whether this host knows that a request quarantined elsewhere was cleared.
-    fn is_cleared(&self, fingerprint: RequestFingerprint) -> bool {
+    fn is_cleared(&self, fingerprint: Fingerprint) -> bool {
         let found = self
             .exits_by_request
             .get(&fingerprint)
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -30,9 +30,7 @@
 use crate::reach::{Monitor, State};
 use crate::rollout::Order;
 use crate::sessions::Sessions;
-use crate::{
-    Directory, HostCount, Quarantine, Relay, RequestFingerprint, RetryBudget, Rollout, Settings,
-};
+use crate::{Directory, Fingerprint, HostCount, Quarantine, Relay, RetryBudget, Rollout, Settings};
 
 pub use denial::Denial;
 pub use in_flight::InFlight;
@@ -271,7 +269,7 @@
             .clone();
         let timeout = timeout.unwrap_or(route.timeout).min(route.timeout);
         let route = route.clone();
-        let fingerprint = RequestFingerprint::of(path, customer.as_ref().map(|it| &it.name), body);
+        let fingerprint = Fingerprint::of(path, customer.as_ref().map(|it| &it.name), body);
         if let Some(retry_after) = self.quarantine.remaining(now, fingerprint) {
             return Err(Denial::Quarantined {
                 fingerprint,
--- a/crates/route/src/router/denial.rs
+++ b/crates/route/src/router/denial.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 
 /// The reason that a request is denied before any endpoint is considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
@@ -30,7 +30,7 @@
     #[display("quarantined")]
     Quarantined {
         /// The request's fingerprint.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// The remaining time of the quarantine.
         retry_after: Duration,
     },
@@ -46,7 +46,7 @@
         Self::UnknownKey,
         Self::Unreachable,
         Self::Quarantined {
-            fingerprint: RequestFingerprint::NONE,
+            fingerprint: Fingerprint::NONE,
             retry_after: Duration::ZERO,
         },
     ];
--- a/crates/route/src/router/in_flight.rs
+++ b/crates/route/src/router/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 use crate::endpoint::{Key, ProcessId};
 use crate::rollout::Observation;
 
@@ -12,7 +12,7 @@
     /// The endpoint.
     pub endpoint: Key,
     /// The request's fingerprint.
-    pub(super) fingerprint: RequestFingerprint,
+    pub(super) fingerprint: Fingerprint,
     /// The endpoint's process when the attempt began.
     pub(super) process: Option<ProcessId>,
     pub(super) started: Duration,
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{
-    Denial, Ending, Failure, PartId, Placement, RequestFingerprint, RequestRate, Withheld,
-};
+use route::{Denial, Ending, Failure, Fingerprint, PartId, Placement, RequestRate, Withheld};
 
 /// The report on a request that has ended.
 #[derive(Clone, Debug)]
@@ -13,7 +11,7 @@
     /// The request id.
     pub id: &'a RequestId,
     /// The request's fingerprint, if it was accepted for forwarding or quarantined.
-    pub fingerprint: Option<RequestFingerprint>,
+    pub fingerprint: Option<Fingerprint>,
     /// Its route, if it was accepted for forwarding.
     pub route: Option<&'a str>,
     /// The customer, if the route requires a key and the configuration has customers.
@@ -111,7 +109,7 @@
     /// The request id.
     pub id: &'a RequestId,
     /// The request's fingerprint.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// The parts of the prompt that other requests may share.
     pub parts: &'a [PartId],
     /// The number of the attempt within the request, from 1. An attempt that wasn't sent has
