Quarantine parts of prompts that make endpoints exit

Cause: the quarantine knew whole requests, and no two of these were alike. Class: the evidence is kept with something narrower than the cause.

Requests that were quarantined only for exits that a part explains are released: they were in flight beside it.

--- a/crates/host/src/follow/quarantine.rs
+++ b/crates/host/src/follow/quarantine.rs
@@ -29,8 +29,13 @@
             (quarantine.take_changed(), quarantine.take_quarantined())
         };
         for (fingerprint, ends) in quarantined {
+            let event = if fingerprint.is_part() {
+                Event::PartHeld
+            } else {
+                Event::RequestHeld
+            };
             host.recorder().log_event(
-                Event::RequestHeld,
+                event,
                 &[
                     ("print", Value::Text(&fingerprint)),
                     ("ends", Value::Count(ends as u64)),
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -44,6 +44,8 @@
     pub profile: RequestProfile,
     /// Identifies the same request when it is sent again under another ID.
     pub fingerprint: Fingerprint,
+    /// The fingerprints of the parts of its prompt.
+    pub(crate) parts: Arc<[Fingerprint]>,
     /// The time at which the request arrived.
     pub arrived: Duration,
     /// The time at which the caller's or the route's timeout expires, whichever is first.
@@ -200,6 +202,7 @@
             route,
             customer,
             service,
+            parts: Arc::default(),
             profile,
             fingerprint,
             arrived,
@@ -360,3 +363,11 @@
         self.route.target_latency / RETRY_AFTER_DIVISOR
     }
 }
+
+/// Returns the fingerprints of the parts of a prompt.
+pub(crate) fn part_fingerprints(parts: &[PartId]) -> Arc<[Fingerprint]> {
+    let parts = parts.iter().enumerate();
+    parts
+        .map(|(index, it)| Fingerprint::of_part(*it, index))
+        .collect()
+}
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -1,7 +1,8 @@
-//! Quarantine of requests that make endpoint processes exit.
+//! Quarantine of requests, and of parts of prompts, that make endpoint processes exit.
 
 mod exit;
 mod finished;
+mod parts;
 mod persistence;
 mod quarantined;
 mod survived;
@@ -26,6 +27,9 @@
 /// Number of exits after which it is quarantined even if another request is a suspect of all of
 /// them.
 const MIN_SHARED_EXITS: usize = 5;
+/// Duration of a part's quarantine. Shorter than that of a request, since many requests may have
+/// the part.
+const PART_QUARANTINE_TIME: Duration = Duration::from_mins(10);
 /// Duration of a request's quarantine. Its caller is told to retry after that; a release that can
 /// handle it may be in use by then.
 const QUARANTINE_TIME: Duration = Duration::from_hours(1);
@@ -36,10 +40,11 @@
 /// Maximum number of remembered exits. Only a request during which an endpoint exited takes a
 /// place, so a caller that sends a million different ones fills no memory.
 const MAX_EXITS: usize = 256;
-/// Maximum number of suspects per exit.
+/// Maximum number of requests, and of parts, that are suspects of an exit.
 const MAX_SUSPECTS: usize = 128;
-/// Maximum number of recently finished attempts whose endpoints may still exit.
-const MAX_FINISHED_ATTEMPTS: usize = 4_096;
+/// Maximum number of recently finished attempts whose endpoints may still exit. Each takes a place
+/// for its request and one for each part of its prompt.
+const MAX_FINISHED_ATTEMPTS: usize = 12_288;
 /// Maximum number of quarantined requests; the latest are kept.
 const MAX_QUARANTINED: usize = 64;
 
@@ -67,10 +72,14 @@
     released: Vec<Fingerprint>,
     /// Recently finished attempts whose endpoints may still exit because of them.
     finished: VecDeque<FinishedAttempt>,
+    /// Attempts that ended with an answer and whose parts are cleared if the endpoint keeps running.
+    answered_parts: VecDeque<FinishedAttempt>,
     /// Requests after whose response a process recently kept running.
     survived: SurvivedRequests,
     /// Requests quarantined since the last [`Self::take_quarantined`].
     newly_quarantined: Vec<Fingerprint>,
+    /// The last time at which exits were evaluated for parts that cause them.
+    parts_evaluated: Duration,
     /// The time at which the last periodic update with all quarantined requests was built.
     last_full_update: Duration,
     /// Whether anything changed since the last [`Self::take_changed`].
@@ -85,10 +94,27 @@
         (!time_left.is_zero()).then_some(time_left)
     }
 
-    /// Returns whether a request must not be retried: it is quarantined, or `MIN_EXITS` exits would
-    /// count against it if the endpoints whose connections broke during its attempts have exited.
-    pub(crate) fn blocks_retry(&self, now: Duration, fingerprint: Fingerprint) -> bool {
-        if self.remaining(now, fingerprint).is_some() {
+    /// Returns which of these is quarantined, and for how long.
+    pub(crate) fn find(
+        &self,
+        now: Duration,
+        fingerprints: impl IntoIterator<Item = Fingerprint>,
+    ) -> Option<(Fingerprint, Duration)> {
+        let mut fingerprints = fingerprints.into_iter();
+        fingerprints.find_map(|it| Some((it, self.remaining(now, it)?)))
+    }
+
+    /// Returns whether a request must not be retried: it or a part of its prompt is quarantined, or
+    /// `MIN_EXITS` exits would count against it if the endpoints whose connections broke during its
+    /// attempts have exited.
+    pub(crate) fn blocks_retry(
+        &self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        parts: &[Fingerprint],
+    ) -> bool {
+        let all = [fingerprint].into_iter().chain(parts.iter().copied());
+        if self.find(now, all).is_some() {
             return true;
         }
         let mut exits = self.counted_exits(fingerprint);
@@ -138,10 +164,17 @@
             }
             return;
         }
-        if self.finished.len() == MAX_FINISHED_ATTEMPTS {
-            self.finished.pop_front();
+        let is_answered_part =
+            finished.fingerprint.is_part() && finished.outcome == Outcome::Answered;
+        let queue = if is_answered_part {
+            &mut self.answered_parts
+        } else {
+            &mut self.finished
+        };
+        if queue.len() == MAX_FINISHED_ATTEMPTS {
+            queue.pop_front();
         }
-        self.finished.push_back(finished);
+        queue.push_back(finished);
     }
 
     /// Records that an endpoint's process has exited.
@@ -181,6 +214,8 @@
                 self.clear(now, fingerprint);
             }
         }
+        self.clear_answered_parts(now);
+        self.quarantine_parts(now);
         let is_over = |it: &(&Fingerprint, &QuarantinedRequest)| it.1.time_left(now).is_zero();
         let over: Vec<Fingerprint> = self
             .quarantined
@@ -221,7 +256,12 @@
             .into_iter()
             .partition::<VecDeque<_>, _>(|it| it.process == process);
         self.finished = rest;
-        for it in here {
+        let answered = std::mem::take(&mut self.answered_parts);
+        let (answered, rest) = answered
+            .into_iter()
+            .partition::<VecDeque<_>, _>(|it| it.process == process);
+        self.answered_parts = rest;
+        for it in here.into_iter().chain(answered) {
             self.add_suspect(now, process, it.fingerprint);
         }
     }
@@ -262,11 +302,16 @@
                 .insert(process);
             self.has_changes = true;
         }
-        if is_new
-            && self.survived.contains(now, fingerprint)
-            && let Some(exit) = self.exits.get_mut(&process)
-        {
-            exit.clear(now, fingerprint);
+        if is_new && let Some(exit) = self.exits.get_mut(&process) {
+            let is_sound = if fingerprint.is_part() {
+                let sound_until = self.survived.latest(fingerprint);
+                sound_until.is_some_and(|it| it >= exit.at)
+            } else {
+                self.survived.contains(now, fingerprint)
+            };
+            if is_sound {
+                exit.clear(now, fingerprint);
+            }
         }
         is_new
     }
@@ -277,7 +322,7 @@
         while let Some(exit) = self.exits.get(&process) {
             let worst = exit
                 .suspects()
-                .filter(|it| !self.quarantined.contains_key(it))
+                .filter(|it| !it.is_part() && !self.quarantined.contains_key(it))
                 .map(|it| (self.counted_exits(it).len(), it))
                 .filter(|&(n, it)| n >= MIN_SHARED_EXITS || (n >= MIN_EXITS && !self.has_rival(it)))
                 .max();
@@ -297,6 +342,7 @@
         let quarantined = QuarantinedRequest {
             since,
             changed: now,
+            duration: quarantine_time(fingerprint),
             is_persisted: false,
         };
         self.quarantined.insert(fingerprint, quarantined);
@@ -343,7 +389,7 @@
         };
         let mut rivals: BTreeSet<Fingerprint> = first
             .uncleared_suspects()
-            .filter(|it| *it != fingerprint)
+            .filter(|it| *it != fingerprint && !it.is_part())
             .collect();
         for exit in exits {
             rivals.retain(|it| exit.is_suspect(*it));
@@ -351,3 +397,12 @@
         !rivals.is_empty()
     }
 }
+
+/// Returns for how long a request or part is quarantined.
+fn quarantine_time(fingerprint: Fingerprint) -> Duration {
+    if fingerprint.is_part() {
+        PART_QUARANTINE_TIME
+    } else {
+        QUARANTINE_TIME
+    }
+}
--- a/crates/route/src/quarantine/exit.rs
+++ b/crates/route/src/quarantine/exit.rs
@@ -13,9 +13,9 @@
     pub(super) at: Duration,
     /// The time at which this host's information on it last changed.
     changed: Duration,
-    /// The requests in flight there at the exit or up to `MAX_EXIT_DELAY` before.
+    /// The requests, and the parts of prompts, in flight there at the exit or up to `MAX_EXIT_DELAY` before.
     suspects: BTreeSet<Fingerprint>,
-    /// Requests after whose response a process kept running.
+    /// Requests and parts after whose response a process kept running.
     cleared: BTreeSet<Fingerprint>,
 }
 
@@ -41,7 +41,9 @@
 
     /// Adds a suspect. Returns whether it is new.
     pub(super) fn add_suspect(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
-        let is_new = self.suspects.len() < MAX_SUSPECTS && self.suspects.insert(fingerprint);
+        let is_alike = |it: &&Fingerprint| it.is_part() == fingerprint.is_part();
+        let count = self.suspects.iter().filter(is_alike).count();
+        let is_new = count < MAX_SUSPECTS && self.suspects.insert(fingerprint);
         if is_new {
             self.changed = now;
         }
@@ -51,7 +53,7 @@
     /// Clears a request. Returns whether that is new. A request may be cleared before it becomes a
     /// suspect here.
     pub(super) fn clear(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
-        let is_new = self.cleared.len() < MAX_SUSPECTS && self.cleared.insert(fingerprint);
+        let is_new = self.cleared.len() < 2 * MAX_SUSPECTS && self.cleared.insert(fingerprint);
         if is_new {
             self.changed = now;
         }
--- a/crates/route/src/quarantine/survived.rs
+++ b/crates/route/src/quarantine/survived.rs
@@ -32,6 +32,11 @@
         self.order.push_back((now, fingerprint));
     }
 
+    /// Returns the last time recorded for a request or part.
+    pub(super) fn latest(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        self.latest.get(&fingerprint).copied()
+    }
+
     /// Returns whether a process recently survived the request.
     pub(super) fn contains(&self, now: Duration, fingerprint: Fingerprint) -> bool {
         let at = self.latest.get(&fingerprint);
--- a/crates/route/src/quarantine/update.rs
+++ b/crates/route/src/quarantine/update.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{QUARANTINE_TIME, Quarantine};
+use super::{QUARANTINE_TIME, Quarantine, quarantine_time};
 use crate::Fingerprint;
 use crate::endpoint::ProcessId;
 use crate::rollout::Scope;
@@ -131,7 +131,11 @@
             {
                 is_new = true;
                 self.has_changes = true;
-                self.release(*fingerprint);
+                if fingerprint.is_part() {
+                    self.release_cleared_part(*fingerprint);
+                } else {
+                    self.release(*fingerprint);
+                }
             }
         }
         for fingerprint in &report.suspects {
@@ -144,7 +148,10 @@
 
     fn apply_quarantined(&mut self, now: Duration, report: &QuarantineReport) {
         let is_known = self.quarantined.contains_key(&report.fingerprint);
-        if report.age < QUARANTINE_TIME && !is_known && !self.is_cleared(report.fingerprint) {
+        let is_current = report.age < quarantine_time(report.fingerprint);
+        let is_refuted =
+            self.is_cleared(report.fingerprint) || self.is_explained(report.fingerprint);
+        if is_current && !is_known && !is_refuted {
             self.add_quarantined(now, report.fingerprint, now.saturating_sub(report.age));
         }
         let is_persisted = self
@@ -156,8 +163,12 @@
         }
     }
 
-    /// Returns whether this host knows that a request quarantined elsewhere was cleared.
+    /// Returns whether this host knows that a request quarantined elsewhere was cleared. A part may
+    /// be the cause of some exits although it was sound before.
     fn is_cleared(&self, fingerprint: Fingerprint) -> bool {
+        if fingerprint.is_part() {
+            return false;
+        }
         let found = self
             .exits_by_request
             .get(&fingerprint)
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -22,7 +22,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
-use crate::call::{Call, Ending};
+use crate::call::{Call, Ending, part_fingerprints};
 use crate::config::{Config, RouteAccess};
 use crate::directory::{Absence, Change};
 use crate::endpoint::{Entry, Key};
@@ -270,7 +270,9 @@
         let timeout = timeout.unwrap_or(route.timeout).min(route.timeout);
         let route = route.clone();
         let fingerprint = Fingerprint::of(path, customer.as_ref().map(|it| &it.name), body);
-        if let Some(retry_after) = self.quarantine.remaining(now, fingerprint) {
+        let parts = part_fingerprints(&profile.parts);
+        let all = [fingerprint].into_iter().chain(parts.iter().copied());
+        if let Some((fingerprint, retry_after)) = self.quarantine.find(now, all) {
             return Err(Denial::Quarantined {
                 fingerprint,
                 retry_after,
@@ -285,6 +287,7 @@
             now,
             now + timeout,
         );
+        call.parts = parts;
         call.assignment = self.assign_release(now, &call, number);
         match relayed {
             // The host that received it from the caller has counted it.
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -1,5 +1,6 @@
 //! The life cycle of attempts, and the decision to retry.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::hash;
@@ -39,6 +40,7 @@
         InFlight {
             endpoint: placement.endpoint,
             fingerprint: call.fingerprint,
+            parts: Arc::clone(&call.parts),
             process: process.map(|it| it.entry.process()),
             started: now,
             pending_prefill,
@@ -99,7 +101,11 @@
         if ending.is_unsent() {
             call.attempts -= 1;
         }
-        if !call.may_retry(now, ending) || self.quarantine.blocks_retry(now, call.fingerprint) {
+        let is_blocked = || {
+            self.quarantine
+                .blocks_retry(now, call.fingerprint, &call.parts)
+        };
+        if !call.may_retry(now, ending) || is_blocked() {
             return Next::Fail(self.failure(now, call, ending));
         }
         // No endpoint is expected to be reachable, so trying others would only delay the refusal.
--- a/crates/route/src/router/exits.rs
+++ b/crates/route/src/router/exits.rs
@@ -20,14 +20,16 @@
         if outcome == Outcome::Broken && !self.quarantine.has_exited(process) {
             self.probe_candidates.push(in_flight.endpoint);
         }
-        let fingerprint = in_flight.fingerprint;
-        let finished = FinishedAttempt {
-            at: now,
-            process,
-            fingerprint,
-            outcome,
-        };
-        self.quarantine.record_attempt(now, finished);
+        let parts = in_flight.parts.iter().copied();
+        for fingerprint in [in_flight.fingerprint].into_iter().chain(parts) {
+            let finished = FinishedAttempt {
+                at: now,
+                process,
+                fingerprint,
+                outcome,
+            };
+            self.quarantine.record_attempt(now, finished);
+        }
     }
 
     /// Returns the quarantine.
--- a/crates/route/src/router/in_flight.rs
+++ b/crates/route/src/router/in_flight.rs
@@ -1,5 +1,6 @@
 //! Attempts in flight.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Fingerprint;
@@ -13,6 +14,8 @@
     pub endpoint: Key,
     /// The request's fingerprint.
     pub(super) fingerprint: Fingerprint,
+    /// The fingerprints of the parts of its prompt.
+    pub(super) parts: Arc<[Fingerprint]>,
     /// The endpoint's process when the attempt began.
     pub(super) process: Option<ProcessId>,
     pub(super) started: Duration,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -54,6 +54,8 @@
 
     EndpointBrittle, 1610, Warning, "An endpoint states that it exits if it refuses many requests; the slots of its service are divided among hosts.";
 
+    PartHeld, 1611, Warning, "Requests with a part of a prompt were quarantined because endpoints exited while running some of them.";
+
     DataCentreEmptied, 1650, Warning, "Operators evacuated a data centre; its endpoints get no requests.";
     DataCentreOpen, 1651, Info, "Operators reopened a data centre; its endpoints get requests again.";
 
