--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -28,7 +28,12 @@
 ) -> io::Result<Conn> {
     let began = node.now();
     let opened = Conn::open(&*node.connector, address, limit).await;
-    record(node, key, id, began, &opened);
+    record_connect(node, id, began, &opened);
+    match opened {
+        Ok(_) => node.router().connect_opened(),
+        Err(_) => node.router().connect_failed(node.now(), key),
+    }
+    log_change(node);
     opened
 }
 
@@ -61,46 +66,42 @@
     }
 }
 
-/// Opens a connection to each of these endpoints, and returns whether one opened.
+/// Opens a connection to each of these endpoints, and returns whether one opened. One that opens
+/// outweighs the others, whose processes may have exited.
 async fn check<D: Dialect>(node: &Node<D>, endpoints: &[(Key, EndpointId, SocketAddr)]) -> bool {
     let began = node.now();
     let connect = |address| Conn::open(&*node.connector, address, CHECK_TIMEOUT);
     let connects = endpoints.iter().map(|it| connect(it.2));
     let results = join_all(connects).await;
-    let mut opened = Vec::new();
+    let has_opened = results.iter().any(Result::is_ok);
+    if has_opened {
+        node.router().connect_opened();
+    }
     for ((key, id, _), result) in endpoints.iter().zip(results) {
+        record_connect(node, id, began, &result);
         match result {
-            Ok(conn) => opened.push((*key, id, conn)),
-            failed @ Err(_) => record(node, *key, id, began, &failed),
-        }
-    }
-    let has_opened = !opened.is_empty();
-    // One connection that opens outweighs the failures of the same round.
-    for (key, id, conn) in opened {
-        let opened = Ok(conn);
-        record(node, key, id, began, &opened);
-        if let Ok(conn) = opened {
-            node.pool.put(node.now(), key, conn, None);
+            Ok(conn) => node.pool.put(node.now(), *key, conn, None),
+            Err(_) if has_opened => {}
+            Err(_) => node.router().connect_failed(node.now(), *key),
         }
     }
+    log_change(node);
     has_opened
 }
 
-fn record<D: Dialect>(
+fn record_connect<D: Dialect>(
     node: &Node<D>,
-    endpoint: Key,
     id: &EndpointId,
     began: Duration,
     opened: &io::Result<Conn>,
 ) {
-    let now = node.now();
-    let took = now.saturating_sub(began);
-    node.recorder
-        .record_connect(id, took, opened.as_ref().err());
-    match opened {
-        Ok(_) => node.router().connect_opened(),
-        Err(_) => node.router().connect_failed(now, endpoint),
-    }
+    let took = node.now().saturating_sub(began);
+    let error = opened.as_ref().err();
+    node.recorder.record_connect(id, took, error);
+}
+
+/// Logs whether this host reaches endpoints, if that has changed.
+fn log_change<D: Dialect>(node: &Node<D>) {
     let reach = node.router().reach();
     if node.reach.replace(reach) != reach {
         let event = match reach {
