Judge a release by its share of slow responses

Class: a mean is taken of a mixture.

Now the slow responses of both releases are counted and compared like failures. The verdict's log line has the ratios and the slow responses, and so has a line at the scheduled end of the trial (1703).

--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -99,10 +99,22 @@
     host: &Host<S, D>,
     rollout: &Rollout,
     source: &str,
+) {
+    log_evidence(host, Event::RolloutJudged, rollout, source);
+}
+
+/// Logs an event of a roll-out with the evidence of all hosts. Latencies are given as the mean ratio
+/// of the new release's to the old one's, and as the slow responses of all, of the new and the old
+/// release.
+fn log_evidence<S: Store, D: Dialect>(
+    host: &Host<S, D>,
+    event: Event,
+    rollout: &Rollout,
+    source: &str,
 ) {
     let pooled = rollout.pooled();
     host.recorder().log_event(
-        Event::RolloutJudged,
+        event,
         &[
             ("service", Value::Text(&rollout.order.service)),
             ("release", Value::Text(&rollout.order.release)),
@@ -117,6 +129,11 @@
             ("crowded_bad", Value::Count(pooled.crowded.failures.into())),
             ("old_answers", Value::Count(pooled.old.responses.into())),
             ("old_bad", Value::Count(pooled.old.failures.into())),
+            ("start_ratio", Value::Text(&pooled.response_start)),
+            ("relative_start_ratio", Value::Text(&pooled.relative_start)),
+            ("interval_ratio", Value::Text(&pooled.event_interval)),
+            ("slow_starts", Value::Text(&pooled.slow_starts)),
+            ("slow_intervals", Value::Text(&pooled.slow_intervals)),
         ],
     );
 }
@@ -190,6 +207,7 @@
     let mut unwritten_verdicts = Vec::new();
     for rollout in router.rollouts() {
         if rollout.try_end_trial(now) {
+            log_evidence(host, Event::TrialEnding, rollout, "own evidence");
             host.schedule_update();
         }
         let found = rollout.own_verdict(now);
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -15,11 +15,11 @@
 
 use crate::Revision;
 
-use latency::{LatencyKind, MovingMean};
+use latency::{Baseline, LatencyKind};
 use pooled::Pool;
 
 pub use evidence::{Evidence, ResponseCounts};
-pub use latency::LatencyRatios;
+pub use latency::{LatencyRatios, SlowShare};
 pub use observation::Observation;
 pub use order::{Order, Verdict};
 pub use pooled::{PartialSum, Total};
@@ -90,8 +90,8 @@
     trial_end_notice: Duration,
     trial_end: Option<Duration>,
     pool: Pool,
-    /// Moving means of the old release's latencies, as logarithms, by class of request.
-    baselines: HashMap<(u64, LatencyKind), MovingMean>,
+    /// The old release's latencies, as logarithms, by class of request.
+    baselines: HashMap<(u64, LatencyKind), Baseline>,
     /// Sessions that other hosts reported as begun on the old release. They stay on it during the
     /// first half of the roll-out.
     pinned_sessions: HashSet<u64>,
@@ -301,24 +301,32 @@
         }
     }
 
-    /// Adds a latency to the baseline (old release), or compares it with the baseline of its class
-    /// (new release).
+    /// Adds a latency to the baseline (old release), and compares it with the baseline of its class.
     fn record_latency(&mut self, side: Side, key: (u64, LatencyKind), value: Option<f64>) {
         let Some(value) = value.filter(|it| *it > 0.0).map(f64::ln) else {
             return;
         };
         let baseline = self.baselines.entry(key).or_default();
-        match side {
-            Side::Old => baseline.add(value),
-            Side::New if baseline.is_known() => {
-                let ratios = match key.1 {
-                    LatencyKind::RelativeStart => &mut self.pool.own.relative_start,
-                    LatencyKind::ResponseStart => &mut self.pool.own.response_start,
-                    LatencyKind::EventInterval => &mut self.pool.own.event_interval,
-                };
-                ratios.add(value - baseline.value);
+        if baseline.is_known() {
+            let own = &mut self.pool.own;
+            // The start of a response on a route that chooses the model depends on caches, which
+            // are empty at a new release's endpoints.
+            let (ratios, slow) = match key.1 {
+                LatencyKind::RelativeStart => (&mut own.relative_start, None),
+                LatencyKind::ResponseStart => (&mut own.response_start, Some(&mut own.slow_starts)),
+                LatencyKind::EventInterval => {
+                    (&mut own.event_interval, Some(&mut own.slow_intervals))
+                }
+            };
+            if let Some(slow) = slow {
+                slow.add(side, baseline.is_slow(value));
+            }
+            if side == Side::New {
+                ratios.add(value - baseline.mean);
             }
-            Side::New => {}
+        }
+        if side == Side::Old {
+            baseline.add(value);
         }
     }
 
@@ -409,7 +417,9 @@
             .any(|it| it.failures >= MIN_FAILURES && it.min_failure_rate() > max_failure_rate);
         let is_slow = all.event_interval.exceeds(MAX_EVENT_INTERVAL_RATIO)
             || all.relative_start.exceeds(MAX_RELATIVE_START_RATIO)
-            || all.response_start.exceeds(MAX_RESPONSE_START_RATIO);
+            || all.response_start.exceeds(MAX_RESPONSE_START_RATIO)
+            || all.slow_starts.is_worse()
+            || all.slow_intervals.is_worse();
         all.old.responses >= MIN_RESPONSES && (fails || is_slow)
     }
 
--- a/crates/route/src/rollout/evidence.rs
+++ b/crates/route/src/rollout/evidence.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::LatencyRatios;
+use super::{LatencyRatios, SlowShare};
 
 /// Responses of both releases, as observed by one or more hosts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -22,6 +22,10 @@
     /// Ratios of the time between events.
     #[serde(rename = "step")]
     pub event_interval: LatencyRatios,
+    /// Slow responses by the time until they start, on routes that don't choose the model.
+    pub slow_starts: SlowShare,
+    /// Slow responses by the time between events.
+    pub slow_intervals: SlowShare,
 }
 
 impl Evidence {
@@ -33,6 +37,8 @@
         self.relative_start.merge(other.relative_start);
         self.response_start.merge(other.response_start);
         self.event_interval.merge(other.event_interval);
+        self.slow_starts.merge(other.slow_starts);
+        self.slow_intervals.merge(other.slow_intervals);
     }
 
     /// Returns the number of responses counted.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -62,4 +62,5 @@
     RolloutSeen, 1700, Info, "A roll-out was ordered.";
     RolloutJudged, 1701, Info, "A roll-out has a verdict.";
     RolloutWritten, 1702, Info, "This host wrote a roll-out's verdict to the store.";
+    TrialEnding, 1703, Info, "This host scheduled the end of a roll-out's trial.";
 }
