End attempts at endpoints that send bytes without end

A head had a limit of 64 KB and a whole body of 8 MB. Informational responses, responses to other requests and the fields of a trailer had none in sum, and neither had a stream without an event. The loops that read them never wait while bytes are there, and the host has one thread: with endless informational responses a request of another caller took 8.4 and 8.7 s, until the endpoint stopped sending.

Now what precedes a head is limited to 1 MB, an event to 1 MB and a trailer to 16 KB. Not covered: bytes that come slowly and never end an event keep a stream waiting until its deadline.

--- a/crates/forward/src/attempt/stream.rs
+++ b/crates/forward/src/attempt/stream.rs
@@ -37,14 +37,14 @@
                 progress: self.progress,
                 last_event: self.last_event,
             };
-            let Forwarded { count, has_gap } = forwarder.forward(&mut events, head, call, writer);
+            let Forwarded { count, is_broken } = forwarder.forward(&mut events, head, call, writer);
             if writer.has_pending() {
                 forwarder.record_write(&mut last_write);
             }
             if let Some(in_flight) = &mut guard.in_flight {
                 in_flight.events(node.now(), count);
             }
-            let is_done = decoder.is_done() && !has_gap && !events.has_unread();
+            let is_done = decoder.is_done() && !is_broken && !events.has_unread();
             // A resumed stream may have no further events: the caller has the last one.
             if is_done && (call.has_started() || self.last_event.is_some()) {
                 if !call.has_started() {
@@ -61,7 +61,7 @@
                 Ok(Ok(())) => {}
                 _ => return ExchangeOutcome::CallerGone,
             }
-            if decoder.is_done() || has_gap || !is_valid {
+            if decoder.is_done() || is_broken || !is_valid {
                 return Ending::Broken.into();
             }
             match lazy_timeout
--- a/crates/forward/src/event_forwarder.rs
+++ b/crates/forward/src/event_forwarder.rs
@@ -9,6 +9,10 @@
 use crate::serve::Progress;
 use crate::{Dialect, Node};
 
+/// The most bytes of an event. Without a limit, bytes that contain no event would fill the host's
+/// memory for as long as an endpoint sends them.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Forwards the events of one response to the caller.
 pub(crate) struct EventForwarder<'a, D> {
     pub(crate) node: &'a Node<D>,
@@ -21,8 +25,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Forwarded {
     pub(crate) count: u32,
-    /// Whether the id of the next event shows that events are missing.
-    pub(crate) has_gap: bool,
+    /// Whether no later event can be forwarded: the id of the next one shows that events are
+    /// missing, or the next one is too long.
+    pub(crate) is_broken: bool,
 }
 
 impl<D: Dialect> EventForwarder<'_, D> {
@@ -42,7 +47,7 @@
                     continue;
                 }
                 if id > last + 1 {
-                    forwarded.has_gap = true;
+                    forwarded.is_broken = true;
                     return forwarded;
                 }
             }
@@ -56,6 +61,7 @@
             *self.last_event = event.id.or(*self.last_event);
             forwarded.count += 1;
         }
+        forwarded.is_broken = events.unread_len() > MAX_EVENT_BYTES;
         forwarded
     }
 
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -200,7 +200,7 @@
             if writer.has_pending() {
                 forwarder.record_write(&mut last_write);
             }
-            if decoder.is_done() && !moved.has_gap && !events.has_unread() {
+            if decoder.is_done() && !moved.is_broken && !events.has_unread() {
                 if !call.has_started() {
                     call.start_stream();
                     writer.start_stream(&node.dialect, head);
@@ -216,7 +216,7 @@
             ) {
                 return RelayOutcome::CallerGone;
             }
-            if decoder.is_done() || moved.has_gap || !is_valid {
+            if decoder.is_done() || moved.is_broken || !is_valid {
                 return RelayOutcome::Failed(Failure::Lost);
             }
             let left = call.time_left(node.now());
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -13,6 +13,9 @@
 
 /// The longest head of a response.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The most bytes before the end of a response's head: informational and stray responses. An
+/// endpoint that sends them without end would keep this host's only thread busy.
+const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 
 /// A connection to an endpoint with a request in progress.
 ///
@@ -26,6 +29,8 @@
     strays: u32,
     /// The stray response that is being skipped.
     stray: Option<Stray>,
+    /// The bytes of heads and stray responses so far.
+    skipped: usize,
 }
 
 /// The state of reading the body of a stray response.
@@ -70,6 +75,7 @@
             sent: 0,
             strays: 0,
             stray: None,
+            skipped: 0,
         }
     }
 
@@ -98,11 +104,15 @@
     /// Reads the head of the next response. It can be called again after cancellation.
     pub(crate) async fn head(&mut self, method: &str) -> Result<response::Head, UpstreamError> {
         self.read_stray().await?;
+        if self.skipped > MAX_SKIPPED_BYTES {
+            return Err(UpstreamError::Broken);
+        }
         loop {
             let unread = self.conn.unread();
             if let Some(end) = framing::head_end(unread) {
                 let head = response::Head::parse(&unread[..end], method);
                 self.conn.consume(end);
+                self.skipped += end;
                 return head.map_err(|_| UpstreamError::Broken);
             }
             if unread.len() > MAX_HEAD_BYTES {
@@ -171,18 +181,17 @@
 
     /// Reads the rest of the stray response.
     async fn read_stray(&mut self) -> Result<(), UpstreamError> {
-        /// The longest body that is skipped, in bytes.
-        const MAX_STRAY_BYTES: usize = 1024 * 1024;
         while let Some(Stray { decoder, body }) = &mut self.stray {
             let taken = decoder
                 .decode(self.conn.unread(), body)
                 .map_err(|_| UpstreamError::Broken)?;
             self.conn.consume(taken);
+            self.skipped += taken;
             if decoder.is_done() {
                 self.stray = None;
                 return Ok(());
             }
-            if body.len() > MAX_STRAY_BYTES || !matches!(self.advance().await, Ok(1..)) {
+            if body.len() > MAX_SKIPPED_BYTES || !matches!(self.advance().await, Ok(1..)) {
                 return Err(UpstreamError::Broken);
             }
         }
--- a/crates/framing/src/body.rs
+++ b/crates/framing/src/body.rs
@@ -8,6 +8,10 @@
 /// arrived.
 const MAX_INCOMPLETE_LINE: usize = 1024;
 
+/// Maximum number of bytes of a trailer. Its fields are dropped, and a peer could send them without
+/// end.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// The length of a body, as the framing of its message determines it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Length {
@@ -23,6 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct Decoder {
     state: State,
+    trailer_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +51,10 @@
             Length::Chunked => State::ChunkSize,
             Length::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            trailer_bytes: 0,
+        }
     }
 
     /// Returns whether the whole body has been decoded.
@@ -140,7 +148,13 @@
             },
             State::ChunkEnd if line.is_empty() => State::ChunkSize,
             State::Trailer if line.is_empty() => State::Done,
-            State::Trailer => State::Trailer,
+            State::Trailer => {
+                self.trailer_bytes += lf + 1;
+                if self.trailer_bytes > MAX_TRAILER_BYTES {
+                    return Err(Error::Malformed);
+                }
+                State::Trailer
+            }
             _ => return Err(Error::Malformed),
         };
         Ok(lf + 1)
--- a/crates/framing/src/events.rs
+++ b/crates/framing/src/events.rs
@@ -45,6 +45,12 @@
         })
     }
 
+    /// Returns the number of buffered bytes that [`Events::take`] hasn't returned.
+    #[must_use]
+    pub fn unread_len(&self) -> usize {
+        self.pending.len() - self.start
+    }
+
     /// Returns whether bytes are buffered that [`Events::take`] hasn't returned.
     #[must_use]
     pub fn has_unread(&self) -> bool {
--- a/crates/framing/tests/framing.rs
+++ b/crates/framing/tests/framing.rs
@@ -190,3 +190,16 @@
         .assert_eq(&format!("{seen:?}"));
     assert!(events.has_unread());
 }
+
+/// Guards against a trailer without end, whose fields are dropped and never fill a buffer.
+#[test]
+fn a_trailer_has_a_limit() {
+    let mut decoder = framing::Decoder::new(framing::Length::Chunked);
+    let mut body = Vec::new();
+    assert_eq!(decoder.decode(b"0\r\n", &mut body), Ok(3));
+    let field = b"X-More: 1\r\n";
+    let fits = (0..1_000).all(|_| decoder.decode(field, &mut body) == Ok(field.len()));
+    assert!(fits);
+    let is_refused = (0..1_000).any(|_| decoder.decode(field, &mut body).is_err());
+    assert!(is_refused);
+}
