--- a/crates/host/src/gossip.rs
+++ b/crates/host/src/gossip.rs
@@ -8,6 +8,7 @@
 mod failure_detector;
 mod graph;
 mod record;
+mod relays;
 mod roster;
 
 use std::collections::HashMap;
--- a/crates/route/src/quarantine/exit.rs
+++ b/crates/route/src/quarantine/exit.rs
@@ -13,7 +13,8 @@
     pub(super) at: Duration,
     /// The time at which this host's information on it last changed.
     changed: Duration,
-    /// The requests, and the parts of prompts, in flight there at the exit or up to `MAX_EXIT_DELAY` before.
+    /// The requests, and the parts of prompts, in flight there at the exit or up to
+    /// `MAX_EXIT_DELAY` before.
     suspects: BTreeSet<Fingerprint>,
     /// Requests and parts after whose response a process kept running.
     cleared: BTreeSet<Fingerprint>,
