Check for endpoints also while all requests are forwarded

A host that learned from a probe that it is cut off forwarded all requests from then on, made no attempt, and so never checked whether it reaches endpoints again: checks started only at the end of an attempt. Its callers are served, but by a hop too many and for good, as long as other hosts serve its requests.

a_host_that_learned_of_its_cut_from_a_probe_uses_endpoints_again: no connection opened after the cut before, some now. The other tests of hosts that are cut off pass.

--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -209,6 +209,8 @@
             let failure = node.router().unrelayed_failure(node.now(), call, longest);
             return Some(send_failure(call, response, failure).await);
         };
+        // No attempt ends while requests are forwarded, so the checks start here as well.
+        reach::spawn_checks(node);
         let relay = Relay {
             node,
             request,
