--- a/crates/route/src/quarantine/quarantined.rs
+++ b/crates/route/src/quarantine/quarantined.rs
@@ -9,7 +9,7 @@
     pub(super) since: Duration,
     /// The time at which this host's information on it last changed.
     pub(super) changed: Duration,
-    /// How long the quarantine lasts.
+    /// The duration of the quarantine.
     pub(super) duration: Duration,
     /// Whether the store contains it, so that it survives a restart of all hosts.
     pub(super) is_persisted: bool,
