--- a/crates/route/tests/prompt_parts.rs
+++ b/crates/route/tests/prompt_parts.rs
@@ -13,8 +13,8 @@
 use route::directory::Absence;
 use route::rollout::Scope;
 use route::{
-    Call, Denial, Ending, HostCount, InFlight, IncomingRequest, Next, PartId, RequestProfile,
-    Router,
+    Call, Denial, Ending, Fingerprint, HostCount, InFlight, IncomingRequest, Next, PartId,
+    RequestProfile, Router,
 };
 
 const STEP: Duration = Duration::from_millis(20);
@@ -323,3 +323,21 @@
         }
     }
 }
+
+/// Guards against a part that ends endpoints anew after all hosts restarted: the store has it in its
+/// hexadecimal form.
+#[test]
+fn a_host_that_starts_knows_quarantined_parts_from_the_store() {
+    let mut fleet = Fleet::new(6, 18, 1);
+    fleet.run(Duration::from_secs(6), FATAL_RATE);
+    let stored = fleet.routers[0].quarantine().unpersisted();
+    let stored: Vec<_> = stored.iter().map(ToString::to_string).collect();
+    let read = stored.iter().map(|it| Fingerprint::read(it).unwrap());
+    let read: Vec<_> = read.collect();
+    let mut restarted = Fleet::new(1, 18, 2);
+    let now = restarted.now;
+    restarted.routers[0].quarantine().load_persisted(now, &read);
+    restarted.run(Duration::from_secs(3), FATAL_RATE);
+    assert!(restarted.fatal_sends.is_empty());
+    assert!(restarted.sound_denials.is_empty());
+}
