Add the load policy, the pace of endpoints and the terms of scores

Two new customers have short room and uneven endpoints (docs/design/hard-load.md). The types come first, so that the parts can be built side by side: the policy by deployment and service, the fourth figure of the load header, and an endpoint's score by term. No decision changes.

--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -44,6 +44,8 @@
     warm_ups: HashMap<ServiceName, WarmUp>,
     rate_limits: RateLimits,
     brittle: BrittleServices,
+    /// Services of which an endpoint has reported the pace of its machine.
+    uneven: HashSet<ServiceName>,
     /// The hosts that share request rates of endpoints, once this host knows them.
     peers: Option<Peers>,
     /// The last time at which endpoints that are gone were removed.
@@ -325,6 +327,13 @@
         it.utilization(now, typical_utilization.unwrap_or_default())
     }
 
+    /// Returns whether an endpoint of the service has reported the pace of its machine. The
+    /// endpoints of such a service share their machines with other programs.
+    #[must_use]
+    pub fn is_uneven(&self, service: &ServiceName) -> bool {
+        self.uneven.contains(service)
+    }
+
     /// Records an endpoint's load report.
     pub(crate) fn record_load(&mut self, now: Duration, key: Key, load: Load) {
         /// Weight of a new report in the moving average.
@@ -332,6 +341,9 @@
         if let Some(it) = self.endpoints.get_mut(key) {
             it.load = Some((now, load));
             it.sent_since_load = 0;
+            if load.pace.is_some() && !self.uneven.contains(&it.entry.service) {
+                self.uneven.insert(it.entry.service.clone());
+            }
             let typical_utilization = self
                 .typical_utilization
                 .entry(it.entry.service.clone())
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -6,6 +6,8 @@
 use kernel::{DataCentre, EndpointId, Incarnation, Release, ServiceName, hash};
 use serde::{Deserialize, Serialize};
 
+use crate::Pace;
+
 slotmap::new_key_type! {
     /// Identifies an endpoint in the [`Directory`](crate::Directory) of this host.
     pub struct Key;
@@ -78,6 +80,8 @@
     pub waiting: u32,
     /// The number of requests that it can run concurrently.
     pub slots: u32,
+    /// The pace of its machine, if it reports one.
+    pub pace: Option<Pace>,
 }
 
 impl Load {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -13,6 +13,7 @@
 mod relays;
 mod reports;
 mod rollouts;
+mod score;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -30,13 +31,17 @@
 use crate::reach::{Monitor, State};
 use crate::rollout::Order;
 use crate::sessions::Sessions;
-use crate::{Directory, Fingerprint, HostCount, Quarantine, Relay, RetryBudget, Rollout, Settings};
+use crate::{
+    Directory, Fingerprint, HostCount, LoadPolicy, Quarantine, Relay, RetryBudget, Rollout,
+    Settings,
+};
 
 pub use denial::Denial;
 pub use in_flight::InFlight;
 pub use incoming::IncomingRequest;
 pub use placement::Placement;
 pub use rollouts::RolloutChanges;
+pub use score::Score;
 
 /// Added to the session gap: callers measure the gap from the end of a response, which may be
 /// later than the last activity recorded here.
@@ -203,6 +208,17 @@
         self.budgets.iter().map(retries_left).collect()
     }
 
+    /// Returns how load is handled at a service: as the settings ask for, and as contended if its
+    /// endpoints report the pace of their machines.
+    #[must_use]
+    pub fn load_policy(&self, service: &ServiceName) -> LoadPolicy {
+        if self.directory.is_uneven(service) {
+            LoadPolicy::Contended
+        } else {
+            self.settings.load_policy
+        }
+    }
+
     /// Returns the known endpoints.
     #[must_use]
     pub fn directory(&self) -> &Directory {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -7,7 +7,7 @@
 use kernel::{ServiceName, hash};
 use rand::RngExt;
 
-use super::{Placement, Router};
+use super::{Placement, Router, Score};
 use crate::call::{Call, ReleaseAssignment};
 use crate::directory::Endpoint;
 use crate::endpoint::Key;
@@ -109,7 +109,8 @@
     fn place_with(&mut self, now: Duration, call: &Call, leniency: Leniency) -> Option<Placement> {
         let scored = self.score_endpoints(now, call, leniency);
         let candidates = scored.len();
-        let (_, endpoint) = scored.into_iter().min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let by_score = |a: &(Score, Key), b: &(Score, Key)| a.0.total().total_cmp(&b.0.total());
+        let (_, endpoint) = scored.into_iter().min_by(by_score)?;
         let it = self.directory.get(endpoint)?;
         Some(Placement {
             endpoint,
@@ -144,7 +145,7 @@
         now: Duration,
         call: &Call,
         leniency: Leniency,
-    ) -> Vec<(f64, Key)> {
+    ) -> Vec<(Score, Key)> {
         // Cache affinity is ignored after a broken connection. Otherwise requests that failed
         // together would be retried together, and a request that crashes endpoints couldn't be
         // told apart from the others that were in flight there.
@@ -159,21 +160,24 @@
             if !is_candidate || is_tried(call, leniency, key) || !self.directory.has_room(now, it) {
                 continue;
             }
-            let mut score = self.directory.endpoint_utilization(now, it);
-            score += it.pending_prefill.div_duration_f64(PREFILL_UNIT);
-            score += ERROR_RATE_PENALTY * it.health.error_rate();
-            score += RANDOM_RANGE * self.rng.random::<f64>();
+            let mut score = Score {
+                utilization: self.directory.endpoint_utilization(now, it),
+                pending_prefill: it.pending_prefill.div_duration_f64(PREFILL_UNIT),
+                errors: ERROR_RATE_PENALTY * it.health.error_rate(),
+                random: RANDOM_RANGE * self.rng.random::<f64>(),
+                ..Score::default()
+            };
             if it.entry.data_centre != self.settings.data_centre {
-                score += REMOTE_PENALTY;
+                score.remote = REMOTE_PENALTY;
             }
             if it.cold_start.is_cold(now) {
-                score += COLD_PENALTY;
+                score.cold = COLD_PENALTY;
             }
             if fill == Some(key) {
-                score -= FILL_BONUS;
+                score.fill = -FILL_BONUS;
             }
             if affinity_endpoint == Some(key) {
-                score -= CACHE_BONUS * cached_fraction(call);
+                score.cache = -CACHE_BONUS * cached_fraction(call);
             }
             scored.push((score, key));
         }
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -4,6 +4,8 @@
 
 use kernel::DataCentre;
 
+use crate::LoadPolicy;
+
 /// Settings of a deployment.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -25,4 +27,6 @@
     pub max_propagation_delay: Duration,
     /// The longest pause between two requests of a session.
     pub session_gap: Duration,
+    /// The handling of load at services whose endpoints report no [`Pace`](crate::Pace).
+    pub load_policy: LoadPolicy,
 }
--- a/crates/route/tests/brittle.rs
+++ b/crates/route/tests/brittle.rs
@@ -105,6 +105,7 @@
             let endpoint = &mut self.endpoints[it.endpoint];
             endpoint.running -= 1;
             let load = Load {
+                pace: None,
                 running: endpoint.running,
                 waiting: 0,
                 slots: SLOTS,
--- a/crates/route/tests/harness/line.rs
+++ b/crates/route/tests/harness/line.rs
@@ -7,7 +7,7 @@
 use kernel::{DataCentre, Incarnation};
 use route::config::{ResponseKind, RetryPolicy, Route, RouteAccess, Target};
 use route::endpoint::{Entry, State};
-use route::{Ending, Settings};
+use route::{Ending, LoadPolicy, Settings};
 
 /// A parsed line of a script: a command with positional and named arguments.
 pub(crate) struct Line<'a> {
@@ -49,6 +49,7 @@
         heartbeat: Duration::from_millis(1_200),
         max_propagation_delay: Duration::from_secs(2),
         session_gap: Duration::from_secs(5),
+        load_policy: LoadPolicy::Standard,
     }
 }
 
--- a/crates/route/tests/harness/router.rs
+++ b/crates/route/tests/harness/router.rs
@@ -7,7 +7,7 @@
     Config, Limits, ResponseKind, RetryPolicy, Route, RouteAccess, Service, Target,
 };
 use route::endpoint::{Entry, State};
-use route::{IncomingRequest, RequestProfile, Router, Settings, WarmUp};
+use route::{IncomingRequest, LoadPolicy, RequestProfile, Router, Settings, WarmUp};
 
 /// Returns a router with one route to the service `pool`.
 pub(crate) fn router(warm_up: Option<WarmUp>, seed: u64) -> Router {
@@ -20,6 +20,7 @@
         heartbeat: Duration::from_millis(1_200),
         max_propagation_delay: Duration::from_secs(2),
         session_gap: Duration::from_secs(5),
+        load_policy: LoadPolicy::Standard,
     };
     let service = Service {
         name: "pool".into(),
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -234,6 +234,7 @@
     fn load(&mut self, line: &Line<'_>) {
         let open = self.calls.get_mut(line.args[0]).unwrap();
         let load = Load {
+            pace: None,
             running: line.number::<u32>("running", 0),
             waiting: line.number::<u32>("waiting", 0),
             slots: 10,
