Learn the speed of endpoints and state their slowness

Endpoint::slowness(now) is the factor that the endpoint's streams show relative to the mean of their model, with the reported pace divided out, times the reported pace while that is fresh. It is learned where the load policy is Contended, and no decision uses it yet.

Formatter, linter of route and its scripts ran, no other test.

--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -4,7 +4,10 @@
 mod cold_start;
 mod endpoint;
 mod evacuate;
+mod event_intervals;
+mod pace_clock;
 mod rate_limits;
+mod speed;
 
 use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
@@ -22,6 +25,8 @@
 
 pub use endpoint::Endpoint;
 pub(crate) use endpoint::Listed;
+use event_intervals::EventIntervals;
+pub(crate) use event_intervals::Stream;
 use rate_limits::RateLimits;
 
 /// Ejections for failed or missing responses stay below this fraction of a service's endpoints. If
@@ -46,6 +51,7 @@
     brittle: BrittleServices,
     /// Services of which an endpoint has reported the pace of its machine.
     uneven: HashSet<ServiceName>,
+    event_intervals: EventIntervals,
     /// The hosts that share request rates of endpoints, once this host knows them.
     peers: Option<Peers>,
     /// The last time at which endpoints that are gone were removed.
@@ -341,6 +347,7 @@
         if let Some(it) = self.endpoints.get_mut(key) {
             it.load = Some((now, load));
             it.sent_since_load = 0;
+            it.pace_clock.record(now, load.pace);
             if load.pace.is_some() && !self.uneven.contains(&it.entry.service) {
                 self.uneven.insert(it.entry.service.clone());
             }
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use super::cold_start::ColdStart;
+use super::pace_clock::PaceClock;
+use super::speed::Speed;
+use crate::Pace;
 use crate::endpoint::{Entry, Load, State};
 use crate::evacuation::DataCentreAccess;
 use crate::health::Health;
@@ -36,6 +39,10 @@
     pub(crate) load: Option<(Duration, Load)>,
     pub(crate) sent_since_load: u32,
     pub(crate) health: Health,
+    /// The pace that its machine reports.
+    pub(crate) pace_clock: PaceClock,
+    /// Its speed as its streams show it.
+    pub(super) speed: Speed,
 }
 
 /// Whether the listing contains an endpoint.
@@ -61,6 +68,8 @@
             load: None,
             sent_since_load: 0,
             health: Health::default(),
+            pace_clock: PaceClock::default(),
+            speed: Speed::default(),
         }
     }
 
@@ -92,6 +101,23 @@
         self.cold_start.is_cold(now) || self.rate_limit.rate().is_some()
     }
 
+    /// Returns how many times longer work takes there than at a usual endpoint of its service: the
+    /// factor that its streams show, multiplied by the reported pace while that is fresh. It is 1
+    /// if nothing is known, and learned only under
+    /// [`LoadPolicy::Contended`](crate::LoadPolicy::Contended).
+    #[must_use]
+    pub fn slowness(&self, now: Duration) -> f64 {
+        let pace = self.pace_clock.pace(now);
+        self.speed.factor(now) * pace.map_or(1.0, Pace::factor)
+    }
+
+    /// Returns [`Self::slowness`] if something is known about it.
+    #[must_use]
+    pub fn known_slowness(&self, now: Duration) -> Option<f64> {
+        let is_known = self.speed.is_known() || self.pace_clock.pace(now).is_some();
+        is_known.then(|| self.slowness(now))
+    }
+
     pub(super) fn utilization(&self, now: Duration, typical_utilization: f64) -> f64 {
         /// Time for which a load report is used. Requests last about as long.
         const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -6,7 +6,9 @@
 use kernel::hash;
 
 use super::{CROWDED_UTILIZATION, InFlight, Placement, Router, SESSION_GAP_MARGIN};
+use crate::LoadPolicy;
 use crate::call::{Call, Ending, Failure, Next, Retry};
+use crate::directory::Stream;
 use crate::reach::State;
 use crate::rollout::Side;
 
@@ -48,6 +50,7 @@
             is_filling,
             expected_latency,
             response_started: None,
+            pace_seconds: 0.0,
             events: 0,
             last_event: now,
         }
@@ -59,6 +62,9 @@
             return;
         }
         in_flight.response_started = Some(now);
+        if let Some(it) = self.directory.get(in_flight.endpoint) {
+            in_flight.pace_seconds = it.pace_clock.seconds(now);
+        }
         self.finish_prefill(in_flight);
         let took = now.saturating_sub(in_flight.started);
         let Some(model) = call.model() else {
@@ -168,6 +174,23 @@
         self.failure(now, call, Ending::NotSent)
     }
 
+    /// Records the speed of an attempt's stream at its endpoint.
+    fn record_stream(&mut self, now: Duration, call: &Call, in_flight: &InFlight) {
+        if self.load_policy(&call.service) != LoadPolicy::Contended {
+            return;
+        }
+        let started = in_flight.response_started.and(in_flight.intervals());
+        let Some((intervals, last_event)) = started else {
+            return;
+        };
+        let key = in_flight.endpoint;
+        if let (Some(model), Some(it)) = (call.model(), self.directory.get(key)) {
+            let seconds = it.pace_clock.seconds(last_event) - in_flight.pace_seconds;
+            let stream = Stream { intervals, seconds };
+            self.directory.record_stream(now, key, model, stream);
+        }
+    }
+
     fn record_outcome(
         &mut self,
         now: Duration,
@@ -176,6 +199,7 @@
         ending: Ending,
     ) {
         self.finish_prefill(&mut in_flight);
+        self.record_stream(now, call, &in_flight);
         let key = in_flight.endpoint;
         let Some(it) = self.directory.get_mut(key) else {
             return;
--- a/crates/route/src/router/in_flight.rs
+++ b/crates/route/src/router/in_flight.rs
@@ -27,6 +27,8 @@
     /// The expected time until the response starts.
     pub(super) expected_latency: Option<Duration>,
     pub(super) response_started: Option<Duration>,
+    /// The endpoint's pace clock when the response started.
+    pub(super) pace_seconds: f64,
     pub(super) events: u32,
     pub(super) last_event: Duration,
 }
@@ -38,10 +40,15 @@
         self.last_event = now;
     }
 
-    pub(super) fn observation(&self, class: u64, failed: bool) -> Observation {
-        /// The least number of events for a meaningful mean interval. With fewer, a stream's pace
-        /// can't be told from its bursts.
+    /// Returns the number of intervals between events and the time of the last event, if there
+    /// are enough of them for a meaningful mean interval.
+    pub(super) fn intervals(&self) -> Option<(u32, Duration)> {
+        /// With fewer events, a stream's pace can't be told from its bursts.
         const MIN_EVENTS: u32 = 4;
+        (self.events >= MIN_EVENTS).then(|| (self.events - 1, self.last_event))
+    }
+
+    pub(super) fn observation(&self, class: u64, failed: bool) -> Observation {
         let took = self
             .response_started
             .map(|it| it.saturating_sub(self.started));
@@ -51,13 +58,11 @@
             }
             (took, _) => (None, took.map(|it| it.as_secs_f64())),
         };
-        let event_interval = self
-            .response_started
-            .filter(|_| self.events >= MIN_EVENTS)
-            .map(|it| {
-                let span = self.last_event.saturating_sub(it).as_secs_f64();
-                span / f64::from(self.events - 1)
-            });
+        let event_interval = self.response_started.zip(self.intervals());
+        let event_interval = event_interval.map(|(started, (intervals, last_event))| {
+            let span = last_event.saturating_sub(started).as_secs_f64();
+            span / f64::from(intervals)
+        });
         Observation {
             class,
             failed,
