--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -238,6 +238,14 @@
         self.assignment.map(|it| it.side)
     }
 
+    /// Assigns the request to the other release.
+    pub(crate) fn switch_side(&mut self) {
+        self.assignment = self.assignment.map(|it| ReleaseAssignment {
+            side: it.side.other(),
+            ..it
+        });
+    }
+
     /// Returns the model to use, if the route chooses it.
     #[must_use]
     pub fn model(&self) -> Option<&ModelName> {
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -70,7 +70,7 @@
         self.is_ready() && self.access == DataCentreAccess::Open
     }
 
-    pub(super) fn is_listed(&self) -> bool {
+    pub(crate) fn is_listed(&self) -> bool {
         self.listed == Listed::Yes
     }
 
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -35,6 +35,11 @@
         now < self.ejected_until
     }
 
+    /// Returns how much longer it is ejected.
+    pub(crate) fn ejection_left(&self, now: Duration) -> Duration {
+        self.ejected_until.saturating_sub(now)
+    }
+
     /// Returns the error rate, biased towards zero while there are few responses.
     pub(crate) fn error_rate(&self) -> f64 {
         self.failures / (self.successes + self.failures + 1.0)
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,6 +18,7 @@
 mod health;
 mod host_count;
 mod load_policy;
+mod millis;
 mod pace;
 mod part;
 mod peers;
@@ -52,6 +53,9 @@
 pub use relay::{Relay, Relayed};
 pub use revision::Revision;
 pub use rollout::Rollout;
-pub use router::{Denial, InFlight, IncomingRequest, Placement, RolloutChanges, Router, Score};
+pub use router::{
+    Assignment, Candidate, Denial, Excluded, Exclusion, Explanation, InFlight, IncomingRequest,
+    Leniency, Placement, Prospect, RolloutChanges, Router, Score,
+};
 pub use settings::Settings;
 pub use warm_up::WarmUp;
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -7,6 +7,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
 use crate::endpoint::Key;
 
 /// Number of endpoints to which connections fail, without one that opens in between, after which
@@ -20,12 +23,15 @@
 const FAILURE_TTL: Duration = Duration::from_secs(2);
 
 /// Whether connections to endpoints can be opened.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum State {
     /// A connection was opened recently, or too few were tried to tell.
     #[default]
+    #[display("reachable")]
     Reachable,
     /// Connections to several endpoints failed, and none was opened since.
+    #[display("cut off")]
     CutOff,
 }
 
--- a/crates/route/src/rollout/side.rs
+++ b/crates/route/src/rollout/side.rs
@@ -1,9 +1,11 @@
 //! The two sides of a roll-out.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 /// One of the two releases of a roll-out.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Side {
     /// The release that was in use before.
     #[display("old")]
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -2,10 +2,14 @@
 
 mod attempts;
 mod denial;
+mod exclusion;
 mod exits;
+mod explain;
+mod explanation;
 mod in_flight;
 mod incoming;
 mod latency;
+mod leniency;
 mod permits;
 mod place;
 mod placement;
@@ -37,8 +41,11 @@
 };
 
 pub use denial::Denial;
+pub use exclusion::Exclusion;
+pub use explanation::{Assignment, Candidate, Excluded, Explanation, Prospect};
 pub use in_flight::InFlight;
 pub use incoming::IncomingRequest;
+pub use leniency::Leniency;
 pub use placement::Placement;
 pub use rollouts::RolloutChanges;
 pub use score::Score;
@@ -248,6 +255,18 @@
     /// # Errors
     /// Returns the reason if the request is denied.
     pub fn admit(&mut self, now: Duration, incoming: IncomingRequest<'_>) -> Result<Call, Denial> {
+        let relayed = incoming.relayed;
+        let mut call = self.resolve(now, incoming)?;
+        match relayed {
+            // The host that received it from the caller has counted it.
+            Some(relayed) => call.continue_relayed(relayed),
+            None => self.budget(&call.service).record_request(now),
+        }
+        Ok(call)
+    }
+
+    /// Selects the route, customer, service and release of a request, or the reason to deny it.
+    fn resolve(&self, now: Duration, incoming: IncomingRequest<'_>) -> Result<Call, Denial> {
         let IncomingRequest {
             host,
             path,
@@ -305,11 +324,6 @@
         );
         call.parts = parts;
         call.assignment = self.assign_release(now, &call, number);
-        match relayed {
-            // The host that received it from the caller has counted it.
-            Some(relayed) => call.continue_relayed(relayed),
-            None => self.budget(&call.service).record_request(now),
-        }
         Ok(call)
     }
 
--- a/crates/route/src/router/denial.rs
+++ b/crates/route/src/router/denial.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Fingerprint;
 
 /// The reason that a request is denied before any endpoint is considered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Denial {
     /// The host has not loaded a configuration yet.
     #[display("no_configuration")]
@@ -32,6 +35,7 @@
         /// The request's fingerprint.
         fingerprint: Fingerprint,
         /// The remaining time of the quarantine.
+        #[serde(rename = "retry_after_ms", with = "crate::millis")]
         retry_after: Duration,
     },
 }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -7,7 +7,7 @@
 use kernel::{ServiceName, hash};
 use rand::RngExt;
 
-use super::{Placement, Router, Score};
+use super::{Exclusion, Leniency, Placement, Router, Score};
 use crate::call::{Call, ReleaseAssignment};
 use crate::directory::Endpoint;
 use crate::endpoint::Key;
@@ -24,7 +24,7 @@
 const ERROR_RATE_PENALTY: f64 = 2.0;
 /// The range of the random term, which keeps hosts with the same information from all
 /// choosing the same endpoint.
-const RANDOM_RANGE: f64 = 0.03;
+pub(super) const RANDOM_RANGE: f64 = 0.03;
 /// The penalty for a cold endpoint.
 const COLD_PENALTY: f64 = 0.5;
 /// The bonus for the endpoint that is being filled. Larger than the usual penalties.
@@ -40,18 +40,6 @@
 /// The percentage of an endpoint's connection limit that all hosts together use.
 const CONNECTIONS_PERCENT: u32 = 90;
 
-/// The leniency of the filter of endpoints, from the strictest to the most lenient. Each level also
-/// admits the endpoints of the previous ones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
-enum Leniency {
-    /// Endpoints that were neither tried before nor are ejected.
-    Healthy,
-    /// Endpoints that were not tried before.
-    Untried,
-    /// All endpoints that accept requests and haven't refused this one.
-    Any,
-}
-
 impl Router {
     /// Chooses the endpoint for the next attempt. Returns `None` if there is no suitable one.
     pub fn place(&mut self, now: Duration, call: &mut Call) -> Option<Placement> {
@@ -70,23 +58,27 @@
         }
         // The new release's endpoints may not have started yet, and either release's may be
         // down. Using the other release is better than failing the request.
-        call.assignment = call.assignment.map(|it| ReleaseAssignment {
-            side: it.side.other(),
-            ..it
-        });
+        call.switch_side();
         self.place_on_side(now, call)
     }
 
-    fn place_on_side(&mut self, now: Duration, call: &Call) -> Option<Placement> {
+    /// Returns the eligible endpoints of the strictest leniency that has any, with their scores
+    /// but for the random term.
+    pub(super) fn candidates(
+        &self,
+        now: Duration,
+        call: &Call,
+    ) -> Option<(Leniency, Vec<(Score, Key)>)> {
         [Leniency::Healthy, Leniency::Untried, Leniency::Any]
             .into_iter()
-            .find_map(|it| self.place_with(now, call, it))
+            .map(|it| (it, self.score_endpoints(now, call, it)))
+            .find(|(_, scored)| !scored.is_empty())
     }
 
     /// Updates the assigned release to the roll-out's current state: moves the request off a
     /// reverted release and onto a complete one. A request that arrived before the current
     /// order stays on the old release, even if an earlier order assigned it to the new one.
-    fn update_assignment(&self, call: &mut Call) {
+    pub(super) fn update_assignment(&self, call: &mut Call) {
         call.assignment = self.rollouts.get(&call.service).map(|it| {
             let revision = it.initial_revision();
             let chosen = call
@@ -101,13 +93,16 @@
         });
     }
 
-    fn has_running_rollout(&self, call: &Call) -> bool {
+    pub(super) fn has_running_rollout(&self, call: &Call) -> bool {
         let rollout = self.rollouts.get(&call.service);
         rollout.is_some_and(|it| it.verdict == Verdict::Running)
     }
 
-    fn place_with(&mut self, now: Duration, call: &Call, leniency: Leniency) -> Option<Placement> {
-        let scored = self.score_endpoints(now, call, leniency);
+    fn place_on_side(&mut self, now: Duration, call: &Call) -> Option<Placement> {
+        let (_, mut scored) = self.candidates(now, call)?;
+        for (score, _) in &mut scored {
+            score.random = RANDOM_RANGE * self.rng.random::<f64>();
+        }
         let candidates = scored.len();
         let by_score = |a: &(Score, Key), b: &(Score, Key)| a.0.total().total_cmp(&b.0.total());
         let (_, endpoint) = scored.into_iter().min_by(by_score)?;
@@ -139,13 +134,8 @@
         self.directory.endpoints_of(&call.service).any(is_open)
     }
 
-    /// Returns the eligible endpoints with their scores.
-    fn score_endpoints(
-        &mut self,
-        now: Duration,
-        call: &Call,
-        leniency: Leniency,
-    ) -> Vec<(Score, Key)> {
+    /// Returns the eligible endpoints with their scores. The random term is zero.
+    fn score_endpoints(&self, now: Duration, call: &Call, leniency: Leniency) -> Vec<(Score, Key)> {
         // Cache affinity is ignored after a broken connection. Otherwise requests that failed
         // together would be retried together, and a request that crashes endpoints couldn't be
         // told apart from the others that were in flight there.
@@ -156,15 +146,14 @@
         let rollout = self.rollouts.get(&call.service);
         let mut scored = Vec::new();
         for (key, it) in self.directory.endpoints_of(&call.service) {
-            let is_candidate = is_candidate(now, call, leniency, rollout, it);
-            if !is_candidate || is_tried(call, leniency, key) || !self.directory.has_room(now, it) {
+            let exclusion = self.exclusion(now, call, leniency, rollout, (key, it));
+            if exclusion.is_some() {
                 continue;
             }
             let mut score = Score {
                 utilization: self.directory.endpoint_utilization(now, it),
                 pending_prefill: it.pending_prefill.div_duration_f64(PREFILL_UNIT),
                 errors: ERROR_RATE_PENALTY * it.health.error_rate(),
-                random: RANDOM_RANGE * self.rng.random::<f64>(),
                 ..Score::default()
             };
             if it.entry.data_centre != self.settings.data_centre {
@@ -202,7 +191,7 @@
     }
 
     /// Returns this host's share of an endpoint's connection limit.
-    fn connections(&self, service: &ServiceName) -> Option<u32> {
+    pub(super) fn connections(&self, service: &ServiceName) -> Option<u32> {
         let total = self.config.as_ref()?.service(service)?.max_connections;
         let used = total.saturating_mul(CONNECTIONS_PERCENT) / 100;
         Some((used / self.live_hosts()).max(1))
@@ -212,7 +201,7 @@
     /// suitable and this host's share of the endpoint has room. Since the largest model
     /// handles such requests, streams that have started are excluded: they would change
     /// models midway.
-    fn endpoint_to_fill(&self, now: Duration, call: &Call) -> Option<Key> {
+    pub(super) fn endpoint_to_fill(&self, now: Duration, call: &Call) -> Option<Key> {
         if call.has_started() {
             return None;
         }
@@ -249,22 +238,7 @@
     rollout: Option<&Rollout>,
     it: &Endpoint,
 ) -> bool {
-    let fits = match (rollout, call.side()) {
-        (Some(rollout), Some(side)) => rollout.is_eligible(side, &it.entry.release),
-        _ => true,
-    };
-    let is_open = it.takes_work() && it.wait(now).is_zero();
-    fits && is_open && (leniency > Leniency::Healthy || !it.health.is_ejected(now))
-}
-
-/// Returns whether an endpoint is excluded because of an earlier attempt.
-///
-/// An endpoint that refused the request is never tried again. It is probably still full, and a
-/// late duplicate of its refusal could be taken for the response to a second attempt, since
-/// all attempts have the same request ID. The request would then be reported as not run although
-/// the second attempt may be running.
-fn is_tried(call: &Call, leniency: Leniency, key: Key) -> bool {
-    call.refused.contains(&key) || (leniency < Leniency::Any && call.tried.contains(&key))
+    Exclusion::of_endpoint(now, call, leniency, rollout, it).is_none()
 }
 
 /// Returns the fraction of the prompt that an endpoint may have cached.
--- a/crates/route/src/router/score.rs
+++ b/crates/route/src/router/score.rs
@@ -1,8 +1,10 @@
 //! The scores by which endpoints are compared.
 
+use serde::{Deserialize, Serialize};
+
 /// The terms of an endpoint's score, in units of its utilization. The endpoint with the lowest sum
 /// is chosen.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Score {
     /// The endpoint's estimated utilization.
     pub utilization: f64,
@@ -23,16 +25,24 @@
 }
 
 impl Score {
+    /// Returns the terms with their names.
+    #[must_use]
+    pub fn terms(&self) -> [(&'static str, f64); 8] {
+        [
+            ("utilization", self.utilization),
+            ("pending_prefill", self.pending_prefill),
+            ("errors", self.errors),
+            ("random", self.random),
+            ("remote", self.remote),
+            ("cold", self.cold),
+            ("fill", self.fill),
+            ("cache", self.cache),
+        ]
+    }
+
     /// Returns the sum of all terms.
     #[must_use]
     pub fn total(&self) -> f64 {
-        self.utilization
-            + self.pending_prefill
-            + self.errors
-            + self.random
-            + self.remote
-            + self.cold
-            + self.fill
-            + self.cache
+        self.terms().iter().map(|it| it.1).sum()
     }
 }
