Place by the expected prefill, and send short prompts as more urgent

Where load is contended, a cached prefix weighs as much as the prefill time that it saves, long prompts prefer endpoints that their streams show to be fast, and the priority sent to endpoints falls with the length of the prompt. The prior of an endpoint's speed weighs one stream instead of three.

Cause: a fixed bonus of up to 0.7 sent nearly every request to the endpoint of its prefix, for milliseconds saved; ten to twenty requests a second were abandoned behind one long prompt while most endpoints stood idle.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -233,13 +233,14 @@
 
     /// Returns the request as it is sent to the endpoint.
     fn encode_request(&self, call: &Call) -> Vec<u8> {
+        let now = self.node.now();
         let to = ForwardedFields {
             placement: self.placement,
             customer: call.customer.as_deref().map(|it| &it.name),
-            time_left: call.time_left(self.node.now()),
+            time_left: call.time_left(now),
             last_event: *self.last_event,
             body_len: self.request.body.len(),
-            priority: call.priority(),
+            priority: self.node.router().request_priority(now, call),
         };
         let mut bytes = self.node.dialect.encode_head(&self.request.head, &to);
         bytes.extend_from_slice(&self.request.body);
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kernel::ServiceName;
 
@@ -26,6 +27,8 @@
     customers: Vec<Arc<Customer>>,
     keys: HashMap<String, usize>,
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
+    /// The shortest target latency of the streaming routes to a service.
+    min_target_latencies: HashMap<ServiceName, Duration>,
 }
 
 impl Config {
@@ -53,12 +56,26 @@
             config.customers.push(Arc::new(it));
         }
         for it in routes {
+            config.record_target_latency(&it);
             let host = config.routes.entry(it.host.clone()).or_default();
             host.insert(it.prefix.clone(), Arc::new(it));
         }
         config
     }
 
+    fn record_target_latency(&mut self, route: &Route) {
+        for target in route.targets.iter().filter(|_| route.is_stream()) {
+            let shortest = self.min_target_latencies.entry(target.service.clone());
+            let shortest = shortest.or_insert(route.target_latency);
+            *shortest = route.target_latency.min(*shortest);
+        }
+    }
+
+    /// Returns the shortest target latency of the streaming routes to a service.
+    pub(crate) fn min_target_latency(&self, service: &ServiceName) -> Option<Duration> {
+        self.min_target_latencies.get(service).copied()
+    }
+
     /// Returns the route of `host` whose prefix is the longest that matches `path`.
     ///
     /// Prefixes end with a slash, so this takes one lookup per slash in the path,
--- a/crates/route/src/directory/speed.rs
+++ b/crates/route/src/directory/speed.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-/// The weight of the prior, in intervals between events. About three streams.
-const PRIOR_INTERVALS: f64 = 100.0;
+/// The weight of the prior, in intervals between events. About one stream: the interval hardly
+/// varies between the streams of an endpoint, and a host has few streams at each of many.
+const PRIOR_INTERVALS: f64 = 30.0;
 /// The decay constant of the moving average, in intervals: a stream with `n` of them multiplies
 /// the weight of earlier ones by `WINDOW_INTERVALS / (WINDOW_INTERVALS + n)`. About 30 streams.
 const WINDOW_INTERVALS: f64 = 1_000.0;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -13,11 +13,13 @@
 mod permits;
 mod place;
 mod placement;
+mod prefill_terms;
 mod reach;
 mod relays;
 mod reports;
 mod rollouts;
 mod score;
+mod urgency;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -13,13 +13,9 @@
 use crate::endpoint::Key;
 use crate::rollout::{Rollout, Side, Verdict};
 
-/// The pending prefill time that weighs as much as full utilization.
-const PREFILL_UNIT: Duration = Duration::from_secs(1);
 /// The penalty for an endpoint in another data centre. Small: it costs bytes between data centres,
 /// and nobody waits for them.
 const REMOTE_PENALTY: f64 = 0.04;
-/// The bonus for an endpoint that has the whole prompt cached.
-const CACHE_BONUS: f64 = 0.7;
 /// The penalty per unit of an endpoint's error rate.
 const ERROR_RATE_PENALTY: f64 = 2.0;
 /// The range of the random term, which keeps hosts with the same information from all
@@ -144,15 +140,18 @@
             .filter(|_| !call.connection_broke);
         let fill = self.endpoint_to_fill(now, call);
         let rollout = self.rollouts.get(&call.service);
+        let prefill_weights = self.prefill_weights(call);
         let mut scored = Vec::new();
         for (key, it) in self.directory.endpoints_of(&call.service) {
             let exclusion = self.exclusion(now, call, leniency, rollout, (key, it));
             if exclusion.is_some() {
                 continue;
             }
+            let prefill = prefill_weights.terms(now, it);
             let mut score = Score {
                 utilization: self.directory.endpoint_utilization(now, it),
-                pending_prefill: it.pending_prefill.div_duration_f64(PREFILL_UNIT),
+                pending_prefill: prefill.pending,
+                prefill: prefill.own,
                 errors: ERROR_RATE_PENALTY * it.health.error_rate(),
                 ..Score::default()
             };
@@ -166,7 +165,7 @@
                 score.fill = -FILL_BONUS;
             }
             if affinity_endpoint == Some(key) {
-                score.cache = -CACHE_BONUS * cached_fraction(call);
+                score.cache = -prefill.cache_bonus * cached_fraction(call);
             }
             scored.push((score, key));
         }
--- a/crates/route/src/router/score.rs
+++ b/crates/route/src/router/score.rs
@@ -10,6 +10,9 @@
     pub utilization: f64,
     /// The prefill time of this host's requests there that have no response yet.
     pub pending_prefill: f64,
+    /// The request's own prefill time, as long as it takes at this endpoint. Zero under
+    /// [`LoadPolicy::Standard`](crate::LoadPolicy::Standard).
+    pub prefill: f64,
     /// The penalty for bad responses.
     pub errors: f64,
     /// The random term.
@@ -27,10 +30,11 @@
 impl Score {
     /// Returns the terms with their names.
     #[must_use]
-    pub fn terms(&self) -> [(&'static str, f64); 8] {
+    pub fn terms(&self) -> [(&'static str, f64); 9] {
         [
             ("utilization", self.utilization),
             ("pending_prefill", self.pending_prefill),
+            ("prefill", self.prefill),
             ("errors", self.errors),
             ("random", self.random),
             ("remote", self.remote),
