Decode the load header strictly and count unusable reports

A report with a wrong number of figures, an empty, unreadable, negative or overflowing one, a pace of 0, no slots or more running requests than slots is not used, and neither are several reports in one response. Before, the fourth figure was dropped where it was faulty and further ones were ignored. barleypin_load_errors_total counts them by reason, and the request goes on. The load of a 421 is not recorded: it is that of another endpoint.

The line of an attempt has the reported pace and the endpoint's slowness, and barleypin_endpoint_slowness shows uneven endpoints by service.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -222,8 +222,10 @@
     /// Asks the router whether the request may still be sent, now that the connection is open.
     fn permit(&self, guard: &mut AttemptGuard<'_, D>) -> Result<Permit, Ending> {
         let in_flight = guard.in_flight.as_ref().ok_or(Ending::Withheld)?;
+        let now = self.node.now();
         guard.details.rate_limit = self.node.router().rate_limit(in_flight);
-        let permit = self.node.router().permit(self.node.now(), in_flight);
+        guard.details.slowness = self.node.router().slowness(now, in_flight);
+        let permit = self.node.router().permit(now, in_flight);
         permit.map_err(|why| {
             self.node.recorder.metrics().withheld(why);
             guard.details.withheld = Some(why);
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Ending, Fingerprint, InFlight, PartId, Placement, RequestRate, Withheld};
+use route::{Ending, Fingerprint, InFlight, Pace, PartId, Placement, RequestRate, Withheld};
 use telemetry::{AttemptReport, ConnectionOrigin};
 
 use crate::serve::Progress;
@@ -35,6 +35,10 @@
     /// The limit that the endpoint was known to state when the request was sent.
     pub(super) rate_limit: Option<RequestRate>,
     pub(super) withheld: Option<Withheld>,
+    /// The pace that the response reported.
+    pub(super) pace: Option<Pace>,
+    /// The endpoint's slowness, if it was known when the request was sent.
+    pub(super) slowness: Option<f64>,
     /// Set when the exchange with the endpoint ends; `None` if the attempt is dropped.
     pub(super) last_event: Option<u64>,
     pub(super) connection: Option<ConnectionOrigin>,
@@ -62,6 +66,8 @@
             is_leaving: self.details.is_leaving,
             rate_limit: self.details.rate_limit,
             withheld: self.details.withheld,
+            pace: self.details.pace,
+            slowness: self.details.slowness,
             last_event: self.details.last_event,
             status: self.details.status,
             connection: self.details.connection,
--- a/crates/forward/src/attempt/status.rs
+++ b/crates/forward/src/attempt/status.rs
@@ -20,9 +20,7 @@
         guard.details.status = Some(head.status);
         guard.details.confidence = fields.confidence;
         guard.details.is_leaving = Some(fields.is_leaving);
-        if let (Some(load), Some(in_flight)) = (fields.load, &mut guard.in_flight) {
-            self.node.router().record_load(now, in_flight, load);
-        }
+        self.record_load(head, fields, guard);
         if fields.is_leaving {
             self.report_leaving(guard);
         }
@@ -35,6 +33,27 @@
         self.report_rate_limit(head, fields, guard);
     }
 
+    /// Records the load that the response reports, or counts why it can't be used. A 421 comes
+    /// from another endpoint, and so does its load.
+    fn record_load(
+        &self,
+        head: &response::Head,
+        fields: &ResponseFields,
+        guard: &mut AttemptGuard<'_, D>,
+    ) {
+        let now = self.node.now();
+        match fields.load {
+            Some(Ok(load)) if head.status != 421 => {
+                guard.details.pace = load.pace;
+                if let Some(in_flight) = &mut guard.in_flight {
+                    self.node.router().record_load(now, in_flight, load);
+                }
+            }
+            Some(Err(err)) => self.node.recorder.metrics().load_error(err),
+            Some(Ok(_)) | None => {}
+        }
+    }
+
     /// Marks the endpoint's service as brittle, as the response says.
     fn report_brittle(&self, max_refusals: u64, in_flight: &InFlight) {
         let now = self.node.now();
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -5,7 +5,7 @@
 use framing::{request, response};
 use kernel::{Customer, RequestId};
 use route::endpoint::Load;
-use route::{Placement, Relayed, RequestProfile, RequestRate};
+use route::{LoadError, Placement, Relayed, RequestProfile, RequestRate};
 
 /// Encodes and decodes the header fields of callers' requests and endpoints' responses.
 ///
@@ -89,8 +89,8 @@
     pub is_leaving: bool,
     /// Whether the endpoint's signature is present.
     pub is_signed: bool,
-    /// The load that the endpoint reports.
-    pub load: Option<Load>,
+    /// The load that the endpoint reports, or why its report can't be used.
+    pub load: Option<Result<Load, LoadError>>,
     /// The model's confidence in its response, from 0 to 100.
     pub confidence: Option<u8>,
     /// The rate that the endpoint takes from all hosts together.
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -243,6 +243,11 @@
         callers: host.node.open_connections() as u64,
         requests: host.node.active_requests() as u64,
         quarantined: router.quarantine().len() as u64,
+        slowness: router
+            .slowness_by_service(now)
+            .into_iter()
+            .map(|(service, it)| (service.to_string(), it))
+            .collect(),
         retry_budgets: budgets
             .into_iter()
             .map(|(service, left)| (service.to_string(), left))
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -22,6 +22,12 @@
         }
     }
 
+    /// Returns the percentage of the usual time that work takes.
+    #[must_use]
+    pub const fn percent(self) -> u32 {
+        self.percent
+    }
+
     /// Returns the time that work takes as a multiple of the usual time, from 0.1 to 10. An
     /// endpoint may report any number, and a single report must not outweigh everything else.
     #[must_use]
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -14,6 +14,7 @@
 mod reports;
 mod rollouts;
 mod score;
+mod speeds;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -6,9 +6,7 @@
 use kernel::hash;
 
 use super::{CROWDED_UTILIZATION, InFlight, Placement, Router, SESSION_GAP_MARGIN};
-use crate::LoadPolicy;
 use crate::call::{Call, Ending, Failure, Next, Retry};
-use crate::directory::Stream;
 use crate::reach::State;
 use crate::rollout::Side;
 
@@ -174,23 +172,6 @@
         self.failure(now, call, Ending::NotSent)
     }
 
-    /// Records the speed of an attempt's stream at its endpoint.
-    fn record_stream(&mut self, now: Duration, call: &Call, in_flight: &InFlight) {
-        if self.load_policy(&call.service) != LoadPolicy::Contended {
-            return;
-        }
-        let started = in_flight.response_started.and(in_flight.intervals());
-        let Some((intervals, last_event)) = started else {
-            return;
-        };
-        let key = in_flight.endpoint;
-        if let (Some(model), Some(it)) = (call.model(), self.directory.get(key)) {
-            let seconds = it.pace_clock.seconds(last_event) - in_flight.pace_seconds;
-            let stream = Stream { intervals, seconds };
-            self.directory.record_stream(now, key, model, stream);
-        }
-    }
-
     fn record_outcome(
         &mut self,
         now: Duration,
--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -110,6 +110,14 @@
         "barleypin_refused_updates_total",
         "Updates of the listing of endpoints from other hosts that couldn't be applied, by kind.",
     ),
+    (
+        "barleypin_load_errors_total",
+        "Load reports of endpoints that weren't used, by reason.",
+    ),
+    (
+        "barleypin_endpoint_slowness",
+        "How many times longer work takes at the fastest, the median and the slowest endpoint than at a usual one, by service.",
+    ),
     (
         "barleypin_requests_held",
         "Requests that go nowhere because endpoints end under them.",
--- a/crates/telemetry/src/field.rs
+++ b/crates/telemetry/src/field.rs
@@ -15,7 +15,7 @@
     Text(&'a dyn Display),
     /// An integer.
     Count(u64),
-    /// A ratio from 0 to 1, written with three decimals.
+    /// A ratio, written with three decimals.
     Ratio(f64),
     /// A duration, written in milliseconds.
     Time(Duration),
@@ -38,6 +38,12 @@
         count.map_or(Self::Unknown, Self::Count)
     }
 
+    /// Returns a ratio, or `Unknown` for `None`.
+    #[must_use]
+    pub fn ratio(ratio: Option<f64>) -> Self {
+        ratio.map_or(Self::Unknown, Self::Ratio)
+    }
+
     /// Returns a boolean, or `Unknown` for `None`.
     #[must_use]
     pub fn flag(flag: Option<bool>) -> Self {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
-use route::{Denial, Ending, Withheld};
+use route::{Denial, Ending, LoadError, Slowness, Withheld};
 
 use crate::{CATALOGUE, Instruments, Outcome, RefusedUpdate, RelayResult, RequestReport};
 
@@ -42,6 +42,8 @@
     pub requests: u64,
     /// Requests that are quarantined because endpoints exited while running them.
     pub quarantined: u64,
+    /// The slowness of endpoints, by service.
+    pub slowness: Vec<(String, Slowness)>,
     /// The retries that this host may still send, by service. May be negative.
     pub retry_budgets: Vec<(String, f64)>,
     /// For each roll-out: the service, the new release's share of the requests, and the
@@ -74,6 +76,7 @@
     limited_attempts: Counter<u64>,
     refused_updates: Counter<u64>,
     relayed: Counter<u64>,
+    load_errors: Counter<u64>,
     strays: Counter<u64>,
     connections: Counter<u64>,
     ejections: Counter<u64>,
@@ -100,6 +103,7 @@
     callers: Gauge<u64>,
     requests_open: Gauge<u64>,
     requests_held: Gauge<u64>,
+    endpoint_slowness: Gauge<f64>,
     budget_left: Gauge<f64>,
     rollout_answers: Gauge<u64>,
     rollout_share: Gauge<f64>,
@@ -121,6 +125,7 @@
             limited_attempts: it.counter("limited_attempts"),
             refused_updates: it.counter("refused_updates"),
             relayed: it.counter("relayed"),
+            load_errors: it.counter("load_errors"),
             strays: it.counter("strays"),
             connections: it.counter("connections"),
             ejections: it.counter("ejections"),
@@ -147,6 +152,7 @@
             callers: it.int_gauge("callers"),
             requests_open: it.int_gauge("requests_open"),
             requests_held: it.int_gauge("requests_held"),
+            endpoint_slowness: it.float_gauge("endpoint_slowness"),
             budget_left: it.float_gauge("retry_budget_left"),
             rollout_answers: it.int_gauge("rollout_answers"),
             rollout_share: it.float_gauge("rollout_share"),
@@ -220,6 +226,12 @@
             .add(1, &[label("kind", update.to_string())]);
     }
 
+    /// Counts a load report that wasn't used.
+    pub fn load_error(&self, reason: LoadError) {
+        self.load_errors
+            .add(1, &[label("reason", reason.to_string())]);
+    }
+
     /// Counts a request that was forwarded through another host.
     pub fn relay(&self, result: RelayResult) {
         self.relayed.add(1, &[label("result", result.to_string())]);
@@ -267,6 +279,18 @@
         self.callers.record(gauges.callers, &[]);
         self.requests_open.record(gauges.requests, &[]);
         self.requests_held.record(gauges.quarantined, &[]);
+        for (service, it) in &gauges.slowness {
+            let rows = [
+                ("fastest", it.fastest),
+                ("median", it.median),
+                ("slowest", it.slowest),
+            ];
+            for (endpoint, slowness) in rows {
+                let service = label("service", service.clone());
+                self.endpoint_slowness
+                    .record(slowness, &[service, label("endpoint", endpoint)]);
+            }
+        }
         for (service, left) in &gauges.retry_budgets {
             self.budget_left
                 .record(*left, &[label("service", service.clone())]);
@@ -322,6 +346,10 @@
             self.refused_updates
                 .add(0, &[label("kind", update.to_string())]);
         }
+        for reason in LoadError::ALL {
+            self.load_errors
+                .add(0, &[label("reason", reason.to_string())]);
+        }
         for result in RelayResult::ALL {
             self.relayed.add(0, &[label("result", result.to_string())]);
         }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -149,6 +149,11 @@
                 ("withheld", optional_text(attempt.withheld.as_ref())),
                 ("leaving", Value::flag(attempt.is_leaving)),
                 ("per_second", optional_text(attempt.rate_limit.as_ref())),
+                (
+                    "pace",
+                    Value::count(attempt.pace.map(|it| it.percent().into())),
+                ),
+                ("slowness", Value::ratio(attempt.slowness)),
                 ("last_event", Value::count(attempt.last_event)),
                 ("connection", optional_text(attempt.connection.as_ref())),
                 ("strays", Value::Count(attempt.strays.into())),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::RequestId;
-use route::{Denial, Ending, Failure, Fingerprint, PartId, Placement, RequestRate, Withheld};
+use route::{Denial, Ending, Failure, Fingerprint, Pace, PartId, Placement, RequestRate, Withheld};
 
 /// The report on a request that has ended.
 #[derive(Clone, Debug)]
@@ -133,6 +133,11 @@
     pub rate_limit: Option<RequestRate>,
     /// The reason why the request wasn't sent, if the router withheld it.
     pub withheld: Option<Withheld>,
+    /// The pace of the endpoint's machine, as the response reported it.
+    pub pace: Option<Pace>,
+    /// How many times longer work took at the endpoint than at a usual one, if that was known
+    /// when the request was sent.
+    pub slowness: Option<f64>,
     /// The id after which a stream would be resumed: of the last event that was forwarded, or
     /// the one in the caller's request. `None` if the attempt was dropped.
     pub last_event: Option<u64>,
--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -8,6 +8,7 @@
 
 use expect_test::expect_file;
 use kernel::RequestId;
+use route::Slowness;
 use route::rollout::Evidence;
 use telemetry::{CATALOGUE, Event, Gauges, Metrics};
 
@@ -75,6 +76,7 @@
 fn exported_metrics_match_the_catalogue() {
     let metrics = Metrics::new();
     metrics.set_gauges(&Gauges {
+        slowness: vec![("pool".to_owned(), Slowness::default())],
         retry_budgets: vec![("pool".to_owned(), 3.0)],
         rollouts: vec![("pool".to_owned(), 0.1, Evidence::default())],
         ..Gauges::default()
