--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -31,6 +31,16 @@
     pub session: Option<SessionId>,
 }
 
+impl RequestProfile {
+    /// Returns the tokens that the request holds in an endpoint's memory at most. Each count is
+    /// capped at 32 bits, because callers may send any number.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        let capped = |it: u64| it.min(u32::MAX.into());
+        capped(self.prompt_tokens) + capped(self.output_tokens)
+    }
+}
+
 /// The state of a caller's request across its attempts.
 #[derive(Debug)]
 pub struct Call {
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -35,6 +35,8 @@
     pub(crate) in_flight: u32,
     /// Estimated prefill time of those requests that have no response yet.
     pub(crate) pending_prefill: Duration,
+    /// The tokens that those requests hold in its memory at most: prompts and output.
+    pub(crate) memory_used: u64,
     /// The latest load report with the time of its arrival, and the number of requests sent since.
     pub(crate) load: Option<(Duration, Load)>,
     pub(crate) sent_since_load: u32,
@@ -65,6 +67,7 @@
             listed: Listed::Yes,
             in_flight: 0,
             pending_prefill: Duration::ZERO,
+            memory_used: 0,
             load: None,
             sent_since_load: 0,
             health: Health::default(),
@@ -101,6 +104,13 @@
         self.cold_start.is_cold(now) || self.rate_limit.rate().is_some()
     }
 
+    /// Returns the tokens that this host's requests in flight hold in its memory at most: their
+    /// prompts and the output that callers expect. Zero for a new process of the endpoint.
+    #[must_use]
+    pub fn memory_used(&self) -> u64 {
+        self.memory_used
+    }
+
     /// Returns how many times longer work takes there than at a usual endpoint of its service: the
     /// factor that its streams show, multiplied by the reported pace while that is fresh. It is 1
     /// if nothing is known, and learned only under
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -6,6 +6,7 @@
 mod in_flight;
 mod incoming;
 mod latency;
+mod memory;
 mod permits;
 mod place;
 mod placement;
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -25,6 +25,7 @@
             .model()
             .map(|it| self.expected_latency(call, it));
         let pending_prefill = expected_latency.unwrap_or_default();
+        let tokens = call.profile.tokens();
         let is_filling = self.endpoint_being_filled(now, call) == Some(placement.endpoint);
         if let Some(it) = self.directory.get_mut(placement.endpoint) {
             if let Some(session) = &call.profile.session {
@@ -35,6 +36,7 @@
             it.in_flight += 1;
             it.sent_since_load += 1;
             it.pending_prefill += pending_prefill;
+            it.memory_used += tokens;
         }
         let process = self.directory.get(placement.endpoint);
         InFlight {
@@ -44,6 +46,7 @@
             process: process.map(|it| it.entry.process()),
             started: now,
             pending_prefill,
+            tokens,
             is_crowded: placement.utilization >= CROWDED_UTILIZATION,
             is_filling,
             expected_latency,
@@ -163,6 +166,7 @@
         self.finish_prefill(&mut in_flight);
         if let Some(it) = self.directory.get_mut(in_flight.endpoint) {
             it.in_flight = it.in_flight.saturating_sub(1);
+            it.memory_used = it.memory_used.saturating_sub(in_flight.tokens);
         }
     }
 
@@ -186,6 +190,7 @@
             return;
         };
         it.in_flight = it.in_flight.saturating_sub(1);
+        it.memory_used = it.memory_used.saturating_sub(in_flight.tokens);
         let release = it.entry.release.clone();
         if let Some(session) = &call.profile.session {
             self.sessions.touch(now, session);
--- a/crates/route/src/router/in_flight.rs
+++ b/crates/route/src/router/in_flight.rs
@@ -20,6 +20,8 @@
     pub(super) process: Option<ProcessId>,
     pub(super) started: Duration,
     pub(super) pending_prefill: Duration,
+    /// The tokens that it holds in the endpoint's memory at most.
+    pub(super) tokens: u64,
     /// Whether the endpoint was crowded.
     pub(super) is_crowded: bool,
     /// Whether the endpoint was being filled, to test a new release under load.
