--- a/crates/route/src/directory/speed.rs
+++ b/crates/route/src/directory/speed.rs
@@ -10,7 +10,7 @@
 const WINDOW_INTERVALS: f64 = 1_000.0;
 /// The time in which the weight of a stream halves. An endpoint that is avoided because it was
 /// slow has few further streams, so it must become usual again without any.
-const HALF_LIFE: Duration = Duration::from_mins(2);
+const HALF_LIFE: Duration = Duration::from_secs(75);
 /// The bound of a single stream's ratio, since a caller that reads slowly delays a stream too.
 /// Equal to the bound of [`Pace::factor`](crate::Pace::factor), so that a false pace shows here.
 const MAX_RATIO: f64 = 10.0;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 mod fingerprint;
 mod health;
 mod host_count;
+mod load_error;
 mod load_policy;
 mod millis;
 mod pace;
@@ -33,6 +34,7 @@
 mod router;
 mod sessions;
 mod settings;
+mod slowness;
 mod warm_up;
 
 pub use budget::RetryBudget;
@@ -43,6 +45,7 @@
 pub use evacuation::{Evacuation, Evacuations};
 pub use fingerprint::Fingerprint;
 pub use host_count::HostCount;
+pub use load_error::LoadError;
 pub use load_policy::LoadPolicy;
 pub use pace::Pace;
 pub use part::PartId;
@@ -58,4 +61,5 @@
     Leniency, Placement, Prospect, RolloutChanges, Router, Score,
 };
 pub use settings::Settings;
+pub use slowness::Slowness;
 pub use warm_up::WarmUp;
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -10,6 +10,7 @@
 mod incoming;
 mod latency;
 mod leniency;
+mod memory;
 mod permits;
 mod place;
 mod placement;
@@ -19,6 +20,7 @@
 mod reports;
 mod rollouts;
 mod score;
+mod speeds;
 mod urgency;
 
 use std::collections::HashMap;
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -6,9 +6,7 @@
 use kernel::hash;
 
 use super::{CROWDED_UTILIZATION, InFlight, Placement, Router, SESSION_GAP_MARGIN};
-use crate::LoadPolicy;
 use crate::call::{Call, Ending, Failure, Next, Retry};
-use crate::directory::Stream;
 use crate::reach::State;
 use crate::rollout::Side;
 
@@ -27,6 +25,7 @@
             .model()
             .map(|it| self.expected_latency(call, it));
         let pending_prefill = expected_latency.unwrap_or_default();
+        let tokens = call.profile.tokens();
         let is_filling = self.endpoint_being_filled(now, call) == Some(placement.endpoint);
         if let Some(it) = self.directory.get_mut(placement.endpoint) {
             if let Some(session) = &call.profile.session {
@@ -37,6 +36,7 @@
             it.in_flight += 1;
             it.sent_since_load += 1;
             it.pending_prefill += pending_prefill;
+            it.memory_used += tokens;
         }
         let process = self.directory.get(placement.endpoint);
         InFlight {
@@ -46,6 +46,7 @@
             process: process.map(|it| it.entry.process()),
             started: now,
             pending_prefill,
+            tokens,
             is_crowded: placement.utilization >= CROWDED_UTILIZATION,
             is_filling,
             expected_latency,
@@ -165,6 +166,7 @@
         self.finish_prefill(&mut in_flight);
         if let Some(it) = self.directory.get_mut(in_flight.endpoint) {
             it.in_flight = it.in_flight.saturating_sub(1);
+            it.memory_used = it.memory_used.saturating_sub(in_flight.tokens);
         }
     }
 
@@ -174,23 +176,6 @@
         self.failure(now, call, Ending::NotSent)
     }
 
-    /// Records the speed of an attempt's stream at its endpoint.
-    fn record_stream(&mut self, now: Duration, call: &Call, in_flight: &InFlight) {
-        if self.load_policy(&call.service) != LoadPolicy::Contended {
-            return;
-        }
-        let started = in_flight.response_started.and(in_flight.intervals());
-        let Some((intervals, last_event)) = started else {
-            return;
-        };
-        let key = in_flight.endpoint;
-        if let (Some(model), Some(it)) = (call.model(), self.directory.get(key)) {
-            let seconds = it.pace_clock.seconds(last_event) - in_flight.pace_seconds;
-            let stream = Stream { intervals, seconds };
-            self.directory.record_stream(now, key, model, stream);
-        }
-    }
-
     fn record_outcome(
         &mut self,
         now: Duration,
@@ -205,6 +190,7 @@
             return;
         };
         it.in_flight = it.in_flight.saturating_sub(1);
+        it.memory_used = it.memory_used.saturating_sub(in_flight.tokens);
         let release = it.entry.release.clone();
         if let Some(session) = &call.profile.session {
             self.sessions.touch(now, session);
