Write at-most-once requests to new connections after the time of a reset

Where capacity is contended, a new connection is watched for 3 to 5 ms, about the time that connecting took, and at most a twenty-fifth of the target latency and of the time left. If the endpoint closes or resets it by then, the attempt ends as NotSent, which may be tried again. Counted by barleypin_no_connection_total and logged as no_connection.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: forwards a request to one endpoint and relays the response.
 
+mod connect;
 mod guard;
 mod status;
 mod stream;
@@ -12,16 +13,14 @@
 use kernel::RequestId;
 use route::config::RetryPolicy;
 use route::{Call, Ending, InFlight, Permit, Placement};
-use telemetry::ConnectionOrigin;
 
 use crate::buffers::Reservation;
 use crate::caller::Request;
-use crate::conn::Conn;
 use crate::lazy_timeout::LazyTimeout;
 use crate::response_writer::ResponseWriter;
 use crate::serve::Progress;
 use crate::upstream::{Upstream, UpstreamError};
-use crate::{Dialect, ForwardedFields, Node, ResponseFields, reach};
+use crate::{Dialect, ForwardedFields, Node, ResponseFields};
 use guard::{AttemptDetails, AttemptGuard};
 
 /// The longest response body that isn't a stream; an attempt with a longer one ends as
@@ -134,7 +133,7 @@
         writer: &mut ResponseWriter,
         guard: &mut AttemptGuard<'_, D>,
     ) -> ExchangeOutcome {
-        let (conn, connection) = match self.connect(call).await {
+        let (conn, connection) = match self.connect(call, guard).await {
             Ok(it) => it,
             Err(ending) => return ending.into(),
         };
@@ -201,24 +200,6 @@
         .await
     }
 
-    async fn connect(&self, call: &Call) -> Result<(Conn, ConnectionOrigin), Ending> {
-        let (node, placement) = (self.node, self.placement);
-        let max_idle = match call.route.retry_policy {
-            RetryPolicy::Idempotent => node.timeouts.idempotent_max_idle,
-            RetryPolicy::AtMostOnce => node.timeouts.at_most_once_max_idle,
-        };
-        let now = node.now();
-        if let Some(conn) = node.pool.take(now, placement.endpoint, max_idle) {
-            return Ok((conn, ConnectionOrigin::Reused));
-        }
-        let limit = node.timeouts.connect.min(call.time_left(now));
-        let endpoint = (placement.endpoint, &placement.id, placement.address);
-        match reach::open(node, endpoint, limit).await {
-            Ok(conn) => Ok((conn, ConnectionOrigin::Opened)),
-            Err(_) => Err(Ending::NotSent),
-        }
-    }
-
     /// Asks the router whether the request may still be sent, now that the connection is open.
     fn permit(&self, guard: &mut AttemptGuard<'_, D>) -> Result<Permit, Ending> {
         let in_flight = guard.in_flight.as_ref().ok_or(Ending::Withheld)?;
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -5,7 +5,7 @@
 
 use kernel::RequestId;
 use route::{Ending, Fingerprint, InFlight, PartId, Placement, RequestRate, Withheld};
-use telemetry::{AttemptReport, ConnectionOrigin};
+use telemetry::{AttemptReport, ConnectionOrigin, NoConnection};
 
 use crate::serve::Progress;
 use crate::{Dialect, Node};
@@ -38,6 +38,7 @@
     /// Set when the exchange with the endpoint ends; `None` if the attempt is dropped.
     pub(super) last_event: Option<u64>,
     pub(super) connection: Option<ConnectionOrigin>,
+    pub(super) no_connection: Option<NoConnection>,
     pub(super) strays: u32,
 }
 
@@ -65,6 +66,7 @@
             last_event: self.details.last_event,
             status: self.details.status,
             connection: self.details.connection,
+            no_connection: self.details.no_connection,
             strays: self.details.strays,
         });
         Some(in_flight)
--- a/crates/forward/src/conn.rs
+++ b/crates/forward/src/conn.rs
@@ -100,6 +100,14 @@
         self.stream.peek(&mut byte).now_or_never().is_none()
     }
 
+    /// Returns whether the peer closes or resets the connection, or sends data that belongs to no
+    /// request, within `limit`. Returns as soon as it does.
+    pub(crate) async fn is_unusable_within(&self, limit: Duration) -> bool {
+        let mut byte = [0];
+        let event = self.stream.peek(&mut byte);
+        async_std::future::timeout(limit, event).await.is_ok()
+    }
+
     /// Shuts down the write half; the peer reads the rest of the data and then the end.
     pub(crate) fn shutdown_write(&self) {
         // It fails only if the connection is already closed.
--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -25,6 +25,10 @@
         "barleypin_connections_total",
         "Connections to endpoints, by whether they could be opened.",
     ),
+    (
+        "barleypin_no_connection_total",
+        "Attempts ended for lack of a connection to their endpoint, by reason.",
+    ),
     (
         "barleypin_ejections_total",
         "Endpoints that were left alone for a while, by reason.",
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -27,6 +27,6 @@
 pub use slog::Level;
 
 pub use report::{
-    AttemptReport, AttemptSummary, ConnectionOrigin, Outcome, RefusedUpdate, RelayResult,
-    RequestReport,
+    AttemptReport, AttemptSummary, ConnectionOrigin, NoConnection, Outcome, RefusedUpdate,
+    RelayResult, RequestReport,
 };
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,9 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use route::{Denial, Ending, Withheld};
 
-use crate::{CATALOGUE, Instruments, Outcome, RefusedUpdate, RelayResult, RequestReport};
+use crate::{
+    CATALOGUE, Instruments, NoConnection, Outcome, RefusedUpdate, RelayResult, RequestReport,
+};
 
 /// The bounds of all histograms in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 14] = [
@@ -76,6 +78,7 @@
     relayed: Counter<u64>,
     strays: Counter<u64>,
     connections: Counter<u64>,
+    no_connection: Counter<u64>,
     ejections: Counter<u64>,
     request_seconds: Histogram<f64>,
     first_piece_seconds: Histogram<f64>,
@@ -123,6 +126,7 @@
             relayed: it.counter("relayed"),
             strays: it.counter("strays"),
             connections: it.counter("connections"),
+            no_connection: it.counter("no_connection"),
             ejections: it.counter("ejections"),
             request_seconds: it.histogram("request_seconds"),
             first_piece_seconds: it.histogram("first_piece_seconds"),
@@ -200,6 +204,11 @@
         self.connections.add(1, &[label("result", result)]);
     }
 
+    pub(crate) fn no_connection(&self, reason: NoConnection) {
+        self.no_connection
+            .add(1, &[label("reason", reason.to_string())]);
+    }
+
     pub(crate) fn lines_dropped(&self, lines: u64) {
         self.lines_dropped.add(lines, &[]);
     }
@@ -318,6 +327,10 @@
         for reason in Withheld::ALL {
             self.withheld.add(0, &[label("reason", reason.to_string())]);
         }
+        for reason in NoConnection::ALL {
+            self.no_connection
+                .add(0, &[label("reason", reason.to_string())]);
+        }
         for update in RefusedUpdate::ALL {
             self.refused_updates
                 .add(0, &[label("kind", update.to_string())]);
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -122,6 +122,9 @@
         if attempt.rate_limit.is_some() {
             self.metrics.limited_attempt();
         }
+        if let Some(reason) = attempt.no_connection {
+            self.metrics.no_connection(reason);
+        }
         self.metrics.strays(attempt.strays);
         let is_routine = AttemptSummary::from(attempt.ending) == AttemptSummary::NoneFailed;
         if !self.may_write(priority(is_routine, attempt.id)) {
@@ -151,6 +154,10 @@
                 ("per_second", optional_text(attempt.rate_limit.as_ref())),
                 ("last_event", Value::count(attempt.last_event)),
                 ("connection", optional_text(attempt.connection.as_ref())),
+                (
+                    "no_connection",
+                    optional_text(attempt.no_connection.as_ref()),
+                ),
                 ("strays", Value::Count(attempt.strays.into())),
                 ("candidates", Value::Count(placement.candidates as u64)),
                 ("used", Value::Ratio(placement.utilization)),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -141,6 +141,8 @@
     /// Whether the connection was new or reused. `None` if none could be opened, or if the
     /// router withheld the request.
     pub connection: Option<ConnectionOrigin>,
+    /// The reason why the attempt ended for lack of a connection, if it did.
+    pub no_connection: Option<NoConnection>,
     /// The number of responses to other requests that came first and were skipped.
     pub strays: u32,
 }
@@ -157,6 +159,20 @@
     Reused,
 }
 
+/// The reason why an attempt ended for lack of a connection to an endpoint that accepts
+/// connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum NoConnection {
+    /// The endpoint reset or closed the new connection before the request was written.
+    #[display("reset")]
+    Reset,
+}
+
+impl NoConnection {
+    /// All variants.
+    pub const ALL: [Self; 1] = [Self::Reset];
+}
+
 impl Outcome {
     /// Returns the name of the outcome in metrics.
     #[must_use]
