Enforce this host's share of the connections to an endpoint

Where capacity is contended, open connections are counted by endpoint, and none is opened beyond Placement::connections. A request waits briefly for one to become free, most urgent first and then earliest; otherwise its attempt ends as NotSent, which isn't held against the endpoint. Idle connections are kept up to the share. For 200 ms after a reset, no more connections are opened than were open then.

--- a/crates/forward/src/attempt.rs
+++ b/crates/forward/src/attempt.rs
@@ -377,6 +377,7 @@
                 self.placement.endpoint,
                 conn,
                 response_fields.keep_alive,
+                &node.connections,
             );
         }
     }
--- a/crates/forward/src/attempt/guard.rs
+++ b/crates/forward/src/attempt/guard.rs
@@ -39,6 +39,8 @@
     pub(super) last_event: Option<u64>,
     pub(super) connection: Option<ConnectionOrigin>,
     pub(super) no_connection: Option<NoConnection>,
+    /// How long the attempt waited for a connection to become free, if it did.
+    pub(super) connection_wait: Option<Duration>,
     pub(super) strays: u32,
 }
 
@@ -67,6 +69,7 @@
             status: self.details.status,
             connection: self.details.connection,
             no_connection: self.details.no_connection,
+            connection_wait: self.details.connection_wait,
             strays: self.details.strays,
         });
         Some(in_flight)
--- a/crates/forward/src/conn.rs
+++ b/crates/forward/src/conn.rs
@@ -9,16 +9,18 @@
 use futures::FutureExt;
 
 use crate::Connector;
+use crate::connections::Lease;
 
 /// The size of one read in bytes. Most requests and responses fit.
 const READ_SIZE: usize = 8 * 1024;
 
 /// A TCP connection with a read buffer.
-#[derive(Debug)]
 pub(crate) struct Conn {
     stream: TcpStream,
     buf: Vec<u8>,
     start: usize,
+    /// Counts the connection if it is to an endpoint.
+    lease: Option<Lease>,
 }
 
 impl Conn {
@@ -30,6 +32,7 @@
             stream,
             buf: Vec::new(),
             start: 0,
+            lease: None,
         }
     }
 
@@ -44,6 +47,21 @@
         Ok(Self::new(stream))
     }
 
+    /// Counts the connection until it is closed.
+    pub(crate) fn with_lease(self, lease: Lease) -> Self {
+        let lease = Some(lease);
+        Self { lease, ..self }
+    }
+
+    pub(crate) fn lease(&self) -> Option<&Lease> {
+        self.lease.as_ref()
+    }
+
+    /// Closes the connection, and returns the lease for another one.
+    pub(crate) fn into_lease(self) -> Option<Lease> {
+        self.lease
+    }
+
     /// Returns the bytes that were read and not yet consumed.
     pub(crate) fn unread(&self) -> &[u8] {
         &self.buf[self.start..]
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod buffers;
 mod caller;
 mod conn;
+mod connections;
 mod connector;
 mod dialect;
 mod event_forwarder;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -15,6 +15,7 @@
 use telemetry::Recorder;
 
 use crate::buffers::Buffers;
+use crate::connections::ConnectionControl;
 use crate::pool::Pool;
 use crate::{Connector, Dialect, Timeouts};
 
@@ -26,6 +27,7 @@
     pub(crate) timeouts: Timeouts,
     pub(crate) connector: Box<dyn Connector>,
     pub(crate) pool: Pool,
+    pub(crate) connections: Rc<ConnectionControl>,
     pub(crate) buffers: Rc<Buffers>,
     /// The endpoints that are being probed.
     pub(crate) probing: RefCell<HashSet<Key>>,
@@ -77,6 +79,7 @@
             timeouts,
             connector,
             pool: Pool::default(),
+            connections: ConnectionControl::new(Arc::clone(&clock)),
             buffers: Buffers::new(buffer_bytes),
             probing: RefCell::default(),
             checks_reach: Cell::new(false),
--- a/crates/forward/src/probe.rs
+++ b/crates/forward/src/probe.rs
@@ -40,11 +40,13 @@
 /// connections of this host are refused, nothing is proved.
 async fn probe<D: Dialect>(node: &Node<D>, key: Key, id: &EndpointId, address: SocketAddr) {
     for _ in 0..MAX_PROBES {
-        match reach::open(node, (key, id, address), CONNECT_TIMEOUT).await {
+        let lease = node.connections.lease(key);
+        match reach::open(node, (key, id, address), CONNECT_TIMEOUT, lease).await {
             Ok(mut conn) => {
                 sleep(MIN_OPEN_TIME).await;
                 if conn.is_reusable() {
-                    node.pool.put(node.now(), key, conn, None);
+                    node.pool
+                        .put(node.now(), key, conn, None, &node.connections);
                     return node.router().process_alive(key);
                 }
             }
--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -13,6 +13,7 @@
 use telemetry::Event;
 
 use crate::conn::Conn;
+use crate::connections::Lease;
 use crate::{Dialect, Node};
 
 /// The timeout for opening a connection that only shows whether an endpoint is reachable.
@@ -25,6 +26,7 @@
     node: &Node<D>,
     (key, id, address): (Key, &EndpointId, SocketAddr),
     limit: Duration,
+    lease: Lease,
 ) -> io::Result<Conn> {
     let began = node.now();
     let opened = Conn::open(&*node.connector, address, limit).await;
@@ -34,7 +36,7 @@
         Err(_) => node.router().connect_failed(node.now(), key),
     }
     log_change(node);
-    opened
+    opened.map(|it| it.with_lease(lease))
 }
 
 /// Starts checks if connections to several endpoints failed in a row.
@@ -70,8 +72,12 @@
 /// outweighs the others, whose processes may have exited.
 async fn check<D: Dialect>(node: &Node<D>, endpoints: &[(Key, EndpointId, SocketAddr)]) -> bool {
     let began = node.now();
-    let connect = |address| Conn::open(&*node.connector, address, CHECK_TIMEOUT);
-    let connects = endpoints.iter().map(|it| connect(it.2));
+    let connect = async |key: Key, address| {
+        let lease = node.connections.lease(key);
+        let opened = Conn::open(&*node.connector, address, CHECK_TIMEOUT).await;
+        opened.map(|it| it.with_lease(lease))
+    };
+    let connects = endpoints.iter().map(|it| connect(it.0, it.2));
     let results = join_all(connects).await;
     let has_opened = results.iter().any(Result::is_ok);
     if has_opened {
@@ -80,7 +86,9 @@
     for ((key, id, _), result) in endpoints.iter().zip(results) {
         record_connect(node, id, began, &result);
         match result {
-            Ok(conn) => node.pool.put(node.now(), *key, conn, None),
+            Ok(conn) => node
+                .pool
+                .put(node.now(), *key, conn, None, &node.connections),
             Err(_) if has_opened => {}
             Err(_) => node.router().connect_failed(node.now(), *key),
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod cascade;
 pub mod config;
+pub mod connections;
 pub mod directory;
 pub mod endpoint;
 pub mod evacuation;
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -50,6 +50,7 @@
             response_started: None,
             events: 0,
             last_event: now,
+            lacks_connection: false,
         }
     }
 
@@ -187,6 +188,7 @@
         }
         match ending {
             Ending::Answered | Ending::LowConfidence => it.health.record_success(now),
+            Ending::NotSent if in_flight.lacks_connection => {}
             Ending::NotSent | Ending::Misdirected => it.health.record_unreachable(now),
             Ending::Failed | Ending::Broken | Ending::TimedOut => {
                 let id = it.entry.id.clone();
--- a/crates/route/src/router/in_flight.rs
+++ b/crates/route/src/router/in_flight.rs
@@ -29,6 +29,8 @@
     pub(super) response_started: Option<Duration>,
     pub(super) events: u32,
     pub(super) last_event: Duration,
+    /// Whether the endpoint was left out because this host had no free connection to it.
+    pub(super) lacks_connection: bool,
 }
 
 impl InFlight {
@@ -38,6 +40,12 @@
         self.last_event = now;
     }
 
+    /// Records that this host has no free connection to the endpoint, which isn't held against
+    /// the endpoint if the attempt ends as [`Ending::NotSent`](crate::Ending::NotSent).
+    pub fn connection_unavailable(&mut self) {
+        self.lacks_connection = true;
+    }
+
     pub(super) fn observation(&self, class: u64, failed: bool) -> Observation {
         /// The least number of events for a meaningful mean interval. With fewer, a stream's pace
         /// can't be told from its bursts.
--- a/crates/route/src/router/placement.rs
+++ b/crates/route/src/router/placement.rs
@@ -21,7 +21,8 @@
     pub model: Option<ModelName>,
     /// The release that the request is assigned to during a roll-out.
     pub side: Option<Side>,
-    /// This host's share of the endpoint's connection limit. It isn't enforced.
+    /// This host's share of the endpoint's connection limit. It is enforced where the load
+    /// policy is [`LoadPolicy::Contended`](crate::LoadPolicy::Contended).
     pub connections: u32,
     /// The number of eligible endpoints.
     pub candidates: usize,
--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -29,6 +29,10 @@
         "barleypin_no_connection_total",
         "Attempts ended for lack of a connection to their endpoint, by reason.",
     ),
+    (
+        "barleypin_connection_waits_total",
+        "Attempts that waited for a connection to their endpoint to become free.",
+    ),
     (
         "barleypin_ejections_total",
         "Endpoints that were left alone for a while, by reason.",
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -79,6 +79,7 @@
     strays: Counter<u64>,
     connections: Counter<u64>,
     no_connection: Counter<u64>,
+    connection_waits: Counter<u64>,
     ejections: Counter<u64>,
     request_seconds: Histogram<f64>,
     first_piece_seconds: Histogram<f64>,
@@ -127,6 +128,7 @@
             strays: it.counter("strays"),
             connections: it.counter("connections"),
             no_connection: it.counter("no_connection"),
+            connection_waits: it.counter("connection_waits"),
             ejections: it.counter("ejections"),
             request_seconds: it.histogram("request_seconds"),
             first_piece_seconds: it.histogram("first_piece_seconds"),
@@ -209,6 +211,10 @@
             .add(1, &[label("reason", reason.to_string())]);
     }
 
+    pub(crate) fn connection_wait(&self) {
+        self.connection_waits.add(1, &[]);
+    }
+
     pub(crate) fn lines_dropped(&self, lines: u64) {
         self.lines_dropped.add(lines, &[]);
     }
@@ -339,6 +345,7 @@
             self.relayed.add(0, &[label("result", result.to_string())]);
         }
         self.limited_attempts.add(0, &[]);
+        self.connection_waits.add(0, &[]);
         self.strays.add(0, &[]);
         self.lines_dropped.add(0, &[]);
     }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -125,6 +125,9 @@
         if let Some(reason) = attempt.no_connection {
             self.metrics.no_connection(reason);
         }
+        if attempt.connection_wait.is_some() {
+            self.metrics.connection_wait();
+        }
         self.metrics.strays(attempt.strays);
         let is_routine = AttemptSummary::from(attempt.ending) == AttemptSummary::NoneFailed;
         if !self.may_write(priority(is_routine, attempt.id)) {
@@ -158,6 +161,7 @@
                     "no_connection",
                     optional_text(attempt.no_connection.as_ref()),
                 ),
+                ("connection_wait_ms", Value::time(attempt.connection_wait)),
                 ("strays", Value::Count(attempt.strays.into())),
                 ("candidates", Value::Count(placement.candidates as u64)),
                 ("used", Value::Ratio(placement.utilization)),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -143,6 +143,8 @@
     pub connection: Option<ConnectionOrigin>,
     /// The reason why the attempt ended for lack of a connection, if it did.
     pub no_connection: Option<NoConnection>,
+    /// How long the attempt waited for one of this host's connections to become free, if it did.
+    pub connection_wait: Option<Duration>,
     /// The number of responses to other requests that came first and were skipped.
     pub strays: u32,
 }
@@ -166,11 +168,14 @@
     /// The endpoint reset or closed the new connection before the request was written.
     #[display("reset")]
     Reset,
+    /// All connections of this host's share were in use, and none became free in time.
+    #[display("busy")]
+    Busy,
 }
 
 impl NoConnection {
     /// All variants.
-    pub const ALL: [Self; 1] = [Self::Reset];
+    pub const ALL: [Self; 2] = [Self::Reset, Self::Busy];
 }
 
 impl Outcome {
