--- a/crates/route/src/router/in_flight.rs
+++ b/crates/route/src/router/in_flight.rs
@@ -33,6 +33,8 @@
     pub(super) pace_seconds: f64,
     pub(super) events: u32,
     pub(super) last_event: Duration,
+    /// Whether the endpoint was left out because this host had no free connection to it.
+    pub(super) lacks_connection: bool,
 }
 
 impl InFlight {
@@ -42,6 +44,12 @@
         self.last_event = now;
     }
 
+    /// Records that this host has no free connection to the endpoint, which isn't held against
+    /// the endpoint if the attempt ends as [`Ending::NotSent`](crate::Ending::NotSent).
+    pub fn connection_unavailable(&mut self) {
+        self.lacks_connection = true;
+    }
+
     /// Returns the number of intervals between events and the time of the last event, if there
     /// are enough of them for a meaningful mean interval.
     pub(super) fn intervals(&self) -> Option<(u32, Duration)> {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,9 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use route::{Denial, Ending, LoadError, Slowness, Withheld};
 
-use crate::{CATALOGUE, Instruments, Outcome, RefusedUpdate, RelayResult, RequestReport};
+use crate::{
+    CATALOGUE, Instruments, NoConnection, Outcome, RefusedUpdate, RelayResult, RequestReport,
+};
 
 /// The bounds of all histograms in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 14] = [
@@ -79,6 +81,8 @@
     load_errors: Counter<u64>,
     strays: Counter<u64>,
     connections: Counter<u64>,
+    no_connection: Counter<u64>,
+    connection_waits: Counter<u64>,
     ejections: Counter<u64>,
     request_seconds: Histogram<f64>,
     first_piece_seconds: Histogram<f64>,
@@ -128,6 +132,8 @@
             load_errors: it.counter("load_errors"),
             strays: it.counter("strays"),
             connections: it.counter("connections"),
+            no_connection: it.counter("no_connection"),
+            connection_waits: it.counter("connection_waits"),
             ejections: it.counter("ejections"),
             request_seconds: it.histogram("request_seconds"),
             first_piece_seconds: it.histogram("first_piece_seconds"),
@@ -206,6 +212,15 @@
         self.connections.add(1, &[label("result", result)]);
     }
 
+    pub(crate) fn no_connection(&self, reason: NoConnection) {
+        self.no_connection
+            .add(1, &[label("reason", reason.to_string())]);
+    }
+
+    pub(crate) fn connection_wait(&self) {
+        self.connection_waits.add(1, &[]);
+    }
+
     pub(crate) fn lines_dropped(&self, lines: u64) {
         self.lines_dropped.add(lines, &[]);
     }
@@ -342,6 +357,10 @@
         for reason in Withheld::ALL {
             self.withheld.add(0, &[label("reason", reason.to_string())]);
         }
+        for reason in NoConnection::ALL {
+            self.no_connection
+                .add(0, &[label("reason", reason.to_string())]);
+        }
         for update in RefusedUpdate::ALL {
             self.refused_updates
                 .add(0, &[label("kind", update.to_string())]);
@@ -354,6 +373,7 @@
             self.relayed.add(0, &[label("result", result.to_string())]);
         }
         self.limited_attempts.add(0, &[]);
+        self.connection_waits.add(0, &[]);
         self.strays.add(0, &[]);
         self.lines_dropped.add(0, &[]);
     }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -122,6 +122,12 @@
         if attempt.rate_limit.is_some() {
             self.metrics.limited_attempt();
         }
+        if let Some(reason) = attempt.no_connection {
+            self.metrics.no_connection(reason);
+        }
+        if attempt.connection_wait.is_some() {
+            self.metrics.connection_wait();
+        }
         self.metrics.strays(attempt.strays);
         let is_routine = AttemptSummary::from(attempt.ending) == AttemptSummary::NoneFailed;
         if !self.may_write(priority(is_routine, attempt.id)) {
@@ -156,6 +162,11 @@
                 ("slowness", Value::ratio(attempt.slowness)),
                 ("last_event", Value::count(attempt.last_event)),
                 ("connection", optional_text(attempt.connection.as_ref())),
+                (
+                    "no_connection",
+                    optional_text(attempt.no_connection.as_ref()),
+                ),
+                ("connection_wait_ms", Value::time(attempt.connection_wait)),
                 ("strays", Value::Count(attempt.strays.into())),
                 ("candidates", Value::Count(placement.candidates as u64)),
                 ("used", Value::Ratio(placement.utilization)),
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -146,6 +146,10 @@
     /// Whether the connection was new or reused. `None` if none could be opened, or if the
     /// router withheld the request.
     pub connection: Option<ConnectionOrigin>,
+    /// The reason why the attempt ended for lack of a connection, if it did.
+    pub no_connection: Option<NoConnection>,
+    /// How long the attempt waited for one of this host's connections to become free, if it did.
+    pub connection_wait: Option<Duration>,
     /// The number of responses to other requests that came first and were skipped.
     pub strays: u32,
 }
@@ -162,6 +166,23 @@
     Reused,
 }
 
+/// The reason why an attempt ended for lack of a connection to an endpoint that accepts
+/// connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum NoConnection {
+    /// The endpoint reset or closed the new connection before the request was written.
+    #[display("reset")]
+    Reset,
+    /// All connections of this host's share were in use, and none became free in time.
+    #[display("busy")]
+    Busy,
+}
+
+impl NoConnection {
+    /// All variants.
+    pub const ALL: [Self; 2] = [Self::Reset, Self::Busy];
+}
+
 impl Outcome {
     /// Returns the name of the outcome in metrics.
     #[must_use]
