--- a/crates/route/tests/even_load.rs
+++ b/crates/route/tests/even_load.rs
@@ -1,5 +1,7 @@
 //! Tests of how evenly a fleet of hosts loads endpoints while load reports are old.
 
+#[path = "even_load/customer.rs"]
+mod customer;
 #[path = "even_load/endpoint.rs"]
 mod endpoint;
 #[path = "even_load/exchange.rs"]
@@ -21,21 +23,22 @@
 
 use route::LoadPolicy;
 
+use customer::Customer;
 use fleet::Fleet;
 use scenario::Scenario;
 use tally::Tally;
 
 #[test]
 fn table() {
+    use scenario::Machines;
     println!("{}", Tally::HEADER);
-    for load in [0.5, 0.8, 0.95, 1.1] {
-        for policy in [LoadPolicy::Standard, LoadPolicy::Contended] {
-            let t = std::time::Instant::now();
+    for customer in [Customer::Voicemail, Customer::Courier] {
+        for (load, machines, ms) in [(0.5, Machines::Exclusive, 1000), (0.5, Machines::Exclusive, 100),(0.5, Machines::Shared, 1000),(0.8, Machines::Exclusive,1000),(0.8, Machines::Shared,1000)] {
             let tally = Fleet::run(Scenario {
-                load,
-                ..Scenario::new(policy)
+                load, machines, report_age: std::time::Duration::from_millis(ms),
+                ..Scenario::new(LoadPolicy::Standard, customer)
             });
-            println!("{tally} {:?}", t.elapsed());
+            println!("{tally}");
         }
     }
 }
--- a/crates/route/tests/even_load/endpoint.rs
+++ b/crates/route/tests/even_load/endpoint.rs
@@ -7,8 +7,9 @@
 use route::Pace;
 use route::endpoint::Load;
 
+use crate::customer::Customer;
 use crate::prompt::{Prompt, Task};
-use crate::scenario::Machines;
+use crate::scenario::{Machines, Scenario};
 
 /// The models, smallest first, with the seconds of prefill per token.
 pub(crate) const MODELS: [(&str, f64); 3] = [
@@ -16,7 +17,6 @@
     ("medium", 0.009e-3),
     ("large", 0.027e-3),
 ];
-pub(crate) const SLOTS: u32 = 48;
 /// The waiting requests from which further ones are refused.
 const MAX_WAITING: usize = 48;
 /// The seconds between two events if hardly any request is running, and those that each running
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     nr: usize,
+    slots: u32,
     machines: Machines,
     /// By priority, then by arrival.
     waiting: BTreeMap<(u8, u64), Prompt>,
@@ -69,8 +70,8 @@
 }
 
 /// Returns the seconds of an event in a full batch.
-pub(crate) fn decode_seconds() -> f64 {
-    DECODE_BASE / f64::from(SLOTS) + DECODE_PER_REQUEST
+pub(crate) fn decode_seconds(customer: Customer) -> f64 {
+    DECODE_BASE / f64::from(customer.slots()) + DECODE_PER_REQUEST
 }
 
 fn speed(nr: usize) -> f64 {
@@ -82,10 +83,11 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(nr: usize, machines: Machines) -> Self {
+    pub(crate) fn new(nr: usize, scenario: &Scenario) -> Self {
         Self {
             nr,
-            machines,
+            slots: scenario.customer.slots(),
+            machines: scenario.machines,
             waiting: BTreeMap::new(),
             arrivals: 0,
             step: Step::Idle,
@@ -105,7 +107,7 @@
     }
 
     fn has_slot(&self) -> bool {
-        self.running.len() < SLOTS as usize
+        self.running.len() < self.slots as usize
     }
 
     /// Queues a request and returns whether it is accepted.
@@ -208,7 +210,7 @@
         let load = Load {
             running: u32::try_from(self.running.len()).unwrap() + prefilling,
             waiting,
-            slots: SLOTS,
+            slots: self.slots,
             pace: None,
         };
         self.history.push_back((now, load));
@@ -221,7 +223,7 @@
         }
         let first = self.history.front().filter(|it| it.0 <= at);
         Load {
-            slots: SLOTS,
+            slots: self.slots,
             pace: self.pace(at),
             ..first.map_or_else(Load::default, |it| it.1)
         }
--- a/crates/route/tests/even_load/exchange.rs
+++ b/crates/route/tests/even_load/exchange.rs
@@ -4,17 +4,24 @@
 
 use route::{Call, InFlight};
 
+use crate::customer::Customer;
 use crate::prompt::{Prompt, Task};
 use crate::request::Request;
 
+/// As `response_start_fraction` in `crates/forward/src/timeouts.rs`.
+pub(crate) const RESPONSE_START_FRACTION: f64 = 0.6;
+
 /// The exchange with one caller.
 #[derive(Debug)]
 pub(crate) struct Exchange {
     pub(crate) request: Request,
+    customer: Customer,
     pub(crate) call: Option<Call>,
     pub(crate) attempt: Option<Attempt>,
     /// The number of attempts sent.
     pub(crate) sent: u32,
+    /// The number of attempts abandoned at silent endpoints.
+    pub(crate) abandoned: u32,
     /// The time that its attempts waited at endpoints for other requests.
     pub(crate) waited: Duration,
     /// The time from the arrival to the first event.
@@ -32,12 +39,14 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(request: Request) -> Self {
+    pub(crate) fn new(request: Request, customer: Customer) -> Self {
         Self {
             request,
+            customer,
             call: None,
             attempt: None,
             sent: 0,
+            abandoned: 0,
             waited: Duration::ZERO,
             latency: None,
         }
@@ -50,8 +59,21 @@
     }
 
     pub(crate) fn is_late(&self) -> bool {
-        let target = self.request.kind.target();
-        self.latency.is_none_or(|it| it > target)
+        self.latency.is_none_or(|it| it > self.target())
+    }
+
+    /// Returns whether its attempts waited for others beyond its target.
+    pub(crate) fn is_blocked(&self) -> bool {
+        self.waited > self.target()
+    }
+
+    /// Returns whether its attempts waited for others so long that a host abandons a silent one.
+    pub(crate) fn is_delayed(&self) -> bool {
+        self.waited > self.target().mul_f64(RESPONSE_START_FRACTION)
+    }
+
+    fn target(&self) -> Duration {
+        self.request.kind.target(self.customer)
     }
 
     /// Returns the request as an endpoint receives it.
@@ -62,7 +84,7 @@
             model,
             tokens: self.request.tokens,
             prefix: self.request.prefix,
-            events: self.request.kind.events(),
+            events: self.request.kind.events(self.customer),
             arrived: at,
             waited: Duration::ZERO,
             is_cancelled: false,
--- a/crates/route/tests/even_load/fleet.rs
+++ b/crates/route/tests/even_load/fleet.rs
@@ -7,7 +7,7 @@
 use route::{Ending, Next, Placement, Router};
 
 use crate::endpoint::{Endpoint, MODELS, Output};
-use crate::exchange::{Attempt, Exchange};
+use crate::exchange::{Attempt, Exchange, RESPONSE_START_FRACTION};
 use crate::hosts;
 use crate::prompt::{Prompt, Task};
 use crate::request::Request;
@@ -16,8 +16,6 @@
 
 /// The time of a message between a host and an endpoint.
 const NETWORK_DELAY: Duration = Duration::from_millis(2);
-/// As `response_start_fraction` in `crates/forward/src/timeouts.rs`.
-const RESPONSE_START_FRACTION: f64 = 0.6;
 
 /// A fleet of routers before modelled endpoints.
 pub(crate) struct Fleet {
@@ -64,13 +62,14 @@
     }
 
     fn new(scenario: Scenario) -> Self {
-        let endpoint = |nr| Endpoint::new(nr, scenario.machines);
+        let endpoint = |nr| Endpoint::new(nr, &scenario);
+        let exchange = |it| Exchange::new(it, scenario.customer);
         let requests = Request::traffic(&scenario);
         let mut fleet = Self {
             scenario,
             routers: hosts::routers(&scenario),
             endpoints: (0..scenario.endpoints).map(endpoint).collect(),
-            exchanges: requests.into_iter().map(Exchange::new).collect(),
+            exchanges: requests.into_iter().map(exchange).collect(),
             events: BTreeMap::new(),
             scheduled: 0,
             now: Duration::ZERO,
@@ -106,7 +105,10 @@
         let exchange = &mut self.exchanges[nr];
         let id = format!("q{nr}");
         let router = &mut self.routers[exchange.request.host];
-        let call = router.admit(self.now, exchange.request.incoming(&id));
+        let call = router.admit(
+            self.now,
+            exchange.request.incoming(&id, self.scenario.customer),
+        );
         // A denied request counts as failed.
         exchange.call = call.ok();
         self.place(nr);
@@ -273,6 +275,7 @@
         let left = call.time_left(self.now);
         if left.is_zero() || router.reserve_retry(self.now, call, Ending::TimedOut) {
             exchange.waited += self.now - attempt.sent_at;
+            exchange.abandoned += 1;
             self.cancel(task);
             self.end_attempt(task.request, Ending::TimedOut);
         } else {
--- a/crates/route/tests/even_load/hosts.rs
+++ b/crates/route/tests/even_load/hosts.rs
@@ -9,7 +9,6 @@
 use route::endpoint::{Entry, State};
 use route::{HostCount, Peers, Router, Settings};
 
-use crate::endpoint::SLOTS;
 use crate::kind::Kind;
 use crate::scenario::{Peering, Scenario};
 
@@ -19,14 +18,16 @@
 pub(crate) fn routers(scenario: &Scenario) -> Vec<Router> {
     let service = Service {
         name: "pool".into(),
-        max_connections: 710,
+        max_connections: scenario.customer.connections(),
         warm_up: None,
         engine: None,
     };
-    let routes = Kind::ALL.map(Kind::route).to_vec();
+    let routes = Kind::ALL.map(|it| it.route(scenario.customer)).to_vec();
     let config = Config::new(1, Limits::default(), vec![service], Vec::new(), routes);
     let config = Arc::new(config);
-    let entries: Vec<_> = (0..scenario.endpoints).map(entry).collect();
+    let entries: Vec<_> = (0..scenario.endpoints)
+        .map(|nr| entry(nr, scenario.customer.slots()))
+        .collect();
     let name = |nr| HostName::from(format!("host-{nr}"));
     let names: Vec<HostName> = (0..scenario.hosts).map(name).collect();
     let router = |(nr, own): (usize, &HostName)| {
@@ -60,7 +61,7 @@
     }
 }
 
-fn entry(nr: usize) -> Entry {
+fn entry(nr: usize, slots: u32) -> Entry {
     Entry {
         id: format!("e{nr}").as_str().into(),
         incarnation: None,
@@ -68,7 +69,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: data_centre(nr),
         release: "v1".into(),
-        slots: SLOTS,
+        slots,
         state: State::Ready,
         cold: Duration::ZERO,
     }
--- a/crates/route/tests/even_load/request.rs
+++ b/crates/route/tests/even_load/request.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg32;
 use route::{IncomingRequest, RequestProfile};
 
+use crate::customer::Customer;
 use crate::endpoint::capacity;
 use crate::kind::{Kind, UNSURE_FRACTION};
 use crate::scenario::Scenario;
@@ -36,11 +37,14 @@
     /// Returns the requests of a scenario, in no order. They don't depend on the policy.
     pub(crate) fn traffic(scenario: &Scenario) -> Vec<Self> {
         let mut rng = Pcg32::seed_from_u64(scenario.seed);
-        let total: f64 = Kind::ALL.iter().map(|it| it.rate()).sum();
-        let work: f64 = Kind::ALL.iter().map(|it| it.rate() * it.work()).sum();
+        let total: f64 = Kind::ALL.iter().map(|it| it.rate(scenario.customer)).sum();
+        let work: f64 = Kind::ALL
+            .iter()
+            .map(|it| it.rate(scenario.customer) * it.work(scenario.customer))
+            .sum();
         let count = |kind: Kind| {
             let rate = scenario.load * capacity(scenario.endpoints) * total / work;
-            let count = rate * scenario.length.as_secs_f64() * kind.rate() / total;
+            let count = rate * scenario.length.as_secs_f64() * kind.rate(scenario.customer) / total;
             std::iter::repeat_n(kind, Duration::from_secs_f64(count).as_secs() as usize)
         };
         Kind::ALL
@@ -75,7 +79,7 @@
     }
 
     /// Returns the request as a host receives it.
-    pub(crate) fn incoming<'a>(&self, id: &'a str) -> IncomingRequest<'a> {
+    pub(crate) fn incoming<'a>(&self, id: &'a str, customer: Customer) -> IncomingRequest<'a> {
         IncomingRequest {
             id,
             host: "shop",
@@ -85,7 +89,7 @@
             timeout: None,
             profile: RequestProfile {
                 prompt_tokens: self.tokens,
-                output_tokens: u64::from(self.kind.events()) * 9,
+                output_tokens: u64::from(self.kind.events(customer)) * 9,
                 shared_prefix: self.prefix,
                 ..RequestProfile::default()
             },
--- a/crates/route/tests/even_load/scenario.rs
+++ b/crates/route/tests/even_load/scenario.rs
@@ -5,10 +5,13 @@
 
 use route::LoadPolicy;
 
+use crate::customer::Customer;
+
 /// The parameters of a simulation.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Scenario {
     pub(crate) policy: LoadPolicy,
+    pub(crate) customer: Customer,
     pub(crate) hosts: usize,
     pub(crate) endpoints: usize,
     /// The work that arrives, relative to what the endpoints can do.
@@ -40,10 +43,11 @@
 }
 
 impl Scenario {
-    /// Returns the first customer's fleet at half of its capacity.
-    pub(crate) fn new(policy: LoadPolicy) -> Self {
+    /// Returns a fleet at half of its capacity.
+    pub(crate) fn new(policy: LoadPolicy, customer: Customer) -> Self {
         Self {
             policy,
+            customer,
             hosts: 75,
             endpoints: 90,
             load: 0.5,
@@ -66,8 +70,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:9} {:5} {:5} {:4.2} {:3.1} {:4}",
+            "{:9} {:9} {:5} {:5} {:4.2} {:3.1} {:4}",
             format!("{:?}", self.policy),
+            format!("{:?}", self.customer),
             self.hosts,
             self.endpoints,
             self.load,
--- a/crates/route/tests/even_load/tally.rs
+++ b/crates/route/tests/even_load/tally.rs
@@ -16,6 +16,8 @@
     /// no endpoint.
     pub(crate) attempts: usize,
     pub(crate) refused: usize,
+    /// Attempts abandoned at silent endpoints.
+    abandoned: usize,
     pub(crate) unplaced: usize,
     /// Requests whose caller got no event.
     pub(crate) failed: usize,
@@ -23,6 +25,8 @@
     pub(crate) kinds: [(usize, usize); 3],
     /// Short requests that waited for others beyond their target.
     pub(crate) blocked: usize,
+    /// Short requests that waited for others so long that a host abandons a silent attempt.
+    pub(crate) delayed: usize,
     /// The time in which endpoints prefill, and that in which they could prefill prompts that wait
     /// at others; both summed over endpoints.
     prefill: Duration,
@@ -34,8 +38,8 @@
 }
 
 impl Tally {
-    pub(crate) const HEADER: &str = "policy    hosts  endp load age seed | requests attempts \
-        refused unplaced failed | busy idle ratio | late% long short  tag | blocked | wait ms p50 p99";
+    pub(crate) const HEADER: &str = "policy    customer  hosts  endp load age seed | requests attempts silent \
+        refused unplaced failed | busy idle ratio | late% long short  tag | delayed blocked | wait ms p50 p99";
 
     pub(crate) fn new(scenario: Scenario) -> Self {
         let seconds = usize::try_from(scenario.length.as_secs()).unwrap() + 1;
@@ -48,6 +52,8 @@
             failed: 0,
             kinds: [(0, 0); 3],
             blocked: 0,
+            delayed: 0,
+            abandoned: 0,
             prefill: Duration::ZERO,
             idle: Duration::ZERO,
             work: vec![vec![0.0; scenario.endpoints]; seconds],
@@ -87,7 +93,9 @@
         let (count, late) = &mut self.kinds[kind as usize];
         *count += 1;
         *late += usize::from(exchange.is_late());
-        self.blocked += usize::from(kind == Kind::Short && exchange.waited > kind.target());
+        self.abandoned += exchange.abandoned as usize;
+        self.delayed += usize::from(kind == Kind::Short && exchange.is_delayed());
+        self.blocked += usize::from(kind == Kind::Short && exchange.is_blocked());
         self.waits.push(exchange.waited);
     }
 
@@ -127,8 +135,8 @@
         let [long, short, tag] = Kind::ALL.map(|it| 100.0 * self.late(it));
         write!(
             f,
-            "{} | {:8} {:8}",
-            self.scenario, self.requests, self.attempts
+            "{} | {:8} {:8} {:6}",
+            self.scenario, self.requests, self.attempts, self.abandoned
         )?;
         write!(
             f,
@@ -142,7 +150,7 @@
             self.share(self.idle)
         )?;
         write!(f, " {:5.1} | {long:10.2} {short:5.2}", self.imbalance())?;
-        write!(f, " {tag:4.1} | {:7}", self.blocked)?;
+        write!(f, " {tag:4.1} | {:7} {:7}", self.delayed, self.blocked)?;
         write!(f, " | {:11} {:4}", self.wait(50), self.wait(99))
     }
 }
