--- a/crates/route/tests/even_load/endpoint.rs
+++ b/crates/route/tests/even_load/endpoint.rs
@@ -7,7 +7,6 @@
 use route::Pace;
 use route::endpoint::Load;
 
-use crate::customer::Customer;
 use crate::prompt::{Prompt, Task};
 use crate::scenario::{Machines, Scenario};
 
@@ -70,8 +69,8 @@
 }
 
 /// Returns the seconds of an event in a full batch.
-pub(crate) fn decode_seconds(customer: Customer) -> f64 {
-    DECODE_BASE / f64::from(customer.slots()) + DECODE_PER_REQUEST
+pub(crate) fn decode_seconds(slots: u32) -> f64 {
+    DECODE_BASE / f64::from(slots) + DECODE_PER_REQUEST
 }
 
 fn speed(nr: usize) -> f64 {
--- a/crates/route/tests/even_load/exchange.rs
+++ b/crates/route/tests/even_load/exchange.rs
@@ -4,7 +4,6 @@
 
 use route::{Call, InFlight};
 
-use crate::customer::Customer;
 use crate::prompt::{Prompt, Task};
 use crate::request::Request;
 
@@ -15,7 +14,6 @@
 #[derive(Debug)]
 pub(crate) struct Exchange {
     pub(crate) request: Request,
-    customer: Customer,
     pub(crate) call: Option<Call>,
     pub(crate) attempt: Option<Attempt>,
     /// The number of attempts sent.
@@ -39,10 +37,9 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(request: Request, customer: Customer) -> Self {
+    pub(crate) fn new(request: Request) -> Self {
         Self {
             request,
-            customer,
             call: None,
             attempt: None,
             sent: 0,
@@ -59,32 +56,29 @@
     }
 
     pub(crate) fn is_late(&self) -> bool {
-        self.latency.is_none_or(|it| it > self.target())
+        self.latency
+            .is_none_or(|it| it > self.request.demand.target)
     }
 
     /// Returns whether its attempts waited for others beyond its target.
     pub(crate) fn is_blocked(&self) -> bool {
-        self.waited > self.target()
+        self.waited > self.request.demand.target
     }
 
     /// Returns whether its attempts waited for others so long that a host abandons a silent one.
     pub(crate) fn is_delayed(&self) -> bool {
-        self.waited > self.target().mul_f64(RESPONSE_START_FRACTION)
-    }
-
-    fn target(&self) -> Duration {
-        self.request.kind.target(self.customer)
+        self.waited > self.request.demand.target.mul_f64(RESPONSE_START_FRACTION)
     }
 
     /// Returns the request as an endpoint receives it.
-    pub(crate) fn prompt(&self, task: Task, model: usize, priority: u8, at: Duration) -> Prompt {
+    pub(crate) fn prompt(&self, task: Task, model: usize, at: Duration) -> Prompt {
         Prompt {
             task,
-            priority,
+            priority: self.request.demand.kind.priority(),
             model,
             tokens: self.request.tokens,
             prefix: self.request.prefix,
-            events: self.request.kind.events(self.customer),
+            events: self.request.demand.events,
             arrived: at,
             waited: Duration::ZERO,
             is_cancelled: false,
--- a/crates/route/tests/even_load/fleet.rs
+++ b/crates/route/tests/even_load/fleet.rs
@@ -63,13 +63,12 @@
 
     fn new(scenario: Scenario) -> Self {
         let endpoint = |nr| Endpoint::new(nr, &scenario);
-        let exchange = |it| Exchange::new(it, scenario.customer);
         let requests = Request::traffic(&scenario);
         let mut fleet = Self {
             scenario,
             routers: hosts::routers(&scenario),
             endpoints: (0..scenario.endpoints).map(endpoint).collect(),
-            exchanges: requests.into_iter().map(exchange).collect(),
+            exchanges: requests.into_iter().map(Exchange::new).collect(),
             events: BTreeMap::new(),
             scheduled: 0,
             now: Duration::ZERO,
@@ -105,10 +104,7 @@
         let exchange = &mut self.exchanges[nr];
         let id = format!("q{nr}");
         let router = &mut self.routers[exchange.request.host];
-        let call = router.admit(
-            self.now,
-            exchange.request.incoming(&id, self.scenario.customer),
-        );
+        let call = router.admit(self.now, exchange.request.incoming(&id));
         // A denied request counts as failed.
         exchange.call = call.ok();
         self.place(nr);
@@ -121,29 +117,22 @@
             return;
         };
         let router = &mut self.routers[exchange.request.host];
-        loop {
-            let Some(placement) = router.place(self.now, call) else {
-                self.tally.unplaced += 1;
-                return;
-            };
-            let in_flight = router.begin_attempt(self.now, call, &placement);
-            if router.permit(self.now, &in_flight).is_ok() {
-                let endpoint = placement.id.as_str()[1..].parse().unwrap();
-                exchange.sent += 1;
-                exchange.attempt = Some(Attempt {
-                    in_flight,
-                    endpoint,
-                    number: exchange.sent,
-                    sent_at: self.now,
-                    has_started: false,
-                });
-                return self.send(nr, &placement);
-            }
-            let next = router.end_attempt(self.now, call, in_flight, Ending::Withheld);
-            if next != Next::Again {
-                return;
-            }
-        }
+        let Some(placement) = router.place(self.now, call) else {
+            self.tally.unplaced += 1;
+            return;
+        };
+        let in_flight = router.begin_attempt(self.now, call, &placement);
+        // Nothing here limits the rate of endpoints or makes them leave.
+        let _permit = router.permit(self.now, &in_flight).unwrap();
+        exchange.sent += 1;
+        exchange.attempt = Some(Attempt {
+            in_flight,
+            endpoint: placement.id.as_str()[1..].parse().unwrap(),
+            number: exchange.sent,
+            sent_at: self.now,
+            has_started: false,
+        });
+        self.send(nr, &placement);
     }
 
     fn send(&mut self, nr: usize, placement: &Placement) {
@@ -163,7 +152,7 @@
                 .is_some_and(|name| name.as_str() == it.0)
         });
         let arrival = self.now + NETWORK_DELAY;
-        let prompt = exchange.prompt(task, model.unwrap(), call.priority(), arrival);
+        let prompt = exchange.prompt(task, model.unwrap(), arrival);
         let mut timeout = call.time_left(self.now);
         if call.attempts() < call.route.attempts && !call.is_retry_denied() {
             let router = &self.routers[exchange.request.host];
--- a/crates/route/tests/even_load/request.rs
+++ b/crates/route/tests/even_load/request.rs
@@ -6,9 +6,10 @@
 use rand_pcg::Pcg32;
 use route::{IncomingRequest, RequestProfile};
 
-use crate::customer::Customer;
+use crate::demand::{Demand, UNSURE_FRACTION};
 use crate::endpoint::capacity;
-use crate::kind::{Kind, UNSURE_FRACTION};
+use crate::harness;
+use crate::kind::Kind;
 use crate::scenario::Scenario;
 
 /// The quantiles in steps of 1/20 of the tokens of long prompts: log-normal with a mean of 12,000.
@@ -25,7 +26,7 @@
 pub(crate) struct Request {
     pub(crate) arrived: Duration,
     pub(crate) host: usize,
-    pub(crate) kind: Kind,
+    pub(crate) demand: Demand,
     pub(crate) tokens: u64,
     /// The subject whose prompts share a prefix, and the prefix's length.
     pub(crate) prefix: Option<(u64, u64)>,
@@ -37,24 +38,21 @@
     /// Returns the requests of a scenario, in no order. They don't depend on the policy.
     pub(crate) fn traffic(scenario: &Scenario) -> Vec<Self> {
         let mut rng = Pcg32::seed_from_u64(scenario.seed);
-        let total: f64 = Kind::ALL.iter().map(|it| it.rate(scenario.customer)).sum();
-        let work: f64 = Kind::ALL
-            .iter()
-            .map(|it| it.rate(scenario.customer) * it.work(scenario.customer))
-            .sum();
-        let count = |kind: Kind| {
-            let rate = scenario.load * capacity(scenario.endpoints) * total / work;
-            let count = rate * scenario.length.as_secs_f64() * kind.rate(scenario.customer) / total;
-            std::iter::repeat_n(kind, Duration::from_secs_f64(count).as_secs() as usize)
+        let demands = scenario.customer.demands();
+        let slots = scenario.customer.slots();
+        let work: f64 = demands.iter().map(|it| it.rate * it.work(slots)).sum();
+        let factor = scenario.load * capacity(scenario.endpoints) / work;
+        let count = |it: Demand| {
+            // Rounded down to whole requests.
+            let count = scenario.length.mul_f64(it.rate * factor).as_secs();
+            std::iter::repeat_n(it, usize::try_from(count).unwrap())
         };
-        Kind::ALL
-            .into_iter()
-            .flat_map(count)
-            .map(|kind| Self::random(kind, scenario, &mut rng))
-            .collect()
+        let all = demands.into_iter().flat_map(count);
+        all.map(|it| Self::random(it, scenario, &mut rng)).collect()
     }
 
-    fn random(kind: Kind, scenario: &Scenario, rng: &mut Pcg32) -> Self {
+    fn random(demand: Demand, scenario: &Scenario, rng: &mut Pcg32) -> Self {
+        let kind = demand.kind;
         let tokens = match kind {
             Kind::Long => {
                 let idx = rng.random_range(0..LONG_TOKENS.len() - 1);
@@ -71,7 +69,7 @@
         Self {
             arrived: scenario.length.mul_f64(rng.random()),
             host: rng.random_range(0..scenario.hosts),
-            kind,
+            demand,
             tokens,
             prefix,
             confidence: if is_unsure { 5 } else { 95 },
@@ -79,21 +77,17 @@
     }
 
     /// Returns the request as a host receives it.
-    pub(crate) fn incoming<'a>(&self, id: &'a str, customer: Customer) -> IncomingRequest<'a> {
+    pub(crate) fn incoming<'a>(&self, id: &'a str) -> IncomingRequest<'a> {
         IncomingRequest {
-            id,
-            host: "shop",
-            path: self.kind.path(),
+            path: self.demand.kind.path(),
             body: id.as_bytes(),
-            key: None,
-            timeout: None,
             profile: RequestProfile {
                 prompt_tokens: self.tokens,
-                output_tokens: u64::from(self.kind.events(customer)) * 9,
+                output_tokens: u64::from(self.demand.events) * 9,
                 shared_prefix: self.prefix,
                 ..RequestProfile::default()
             },
-            relayed: None,
+            ..harness::request(id)
         }
     }
 }
--- a/crates/route/tests/even_load/scenario.rs
+++ b/crates/route/tests/even_load/scenario.rs
@@ -60,6 +60,19 @@
         }
     }
 
+    pub(crate) fn with_seed(self, seed: u64) -> Self {
+        Self { seed, ..self }
+    }
+
+    /// Returns a shorter run.
+    pub(crate) fn brief(self) -> Self {
+        Self {
+            length: Duration::from_secs(4),
+            margin: Duration::from_secs(1),
+            ..self
+        }
+    }
+
     /// Returns whether what happens at this time is counted.
     pub(crate) fn is_counted(&self, at: Duration) -> bool {
         (self.margin..self.length - self.margin).contains(&at)
--- a/crates/route/tests/even_load/tally.rs
+++ b/crates/route/tests/even_load/tally.rs
@@ -20,9 +20,9 @@
     abandoned: usize,
     pub(crate) unplaced: usize,
     /// Requests whose caller got no event.
-    pub(crate) failed: usize,
+    failed: usize,
     /// Requests and late ones by kind.
-    pub(crate) kinds: [(usize, usize); 3],
+    kinds: [(usize, usize); 3],
     /// Short requests that waited for others beyond their target.
     pub(crate) blocked: usize,
     /// Short requests that waited for others so long that a host abandons a silent attempt.
@@ -86,7 +86,7 @@
         if !self.scenario.is_counted(exchange.request.arrived) {
             return;
         }
-        let kind = exchange.request.kind;
+        let kind = exchange.request.demand.kind;
         self.requests += 1;
         self.attempts += exchange.sent as usize;
         self.failed += usize::from(exchange.latency.is_none());
@@ -99,10 +99,9 @@
         self.waits.push(exchange.waited);
     }
 
-    /// Returns the share of a kind's requests whose first event was late.
-    pub(crate) fn late(&self, kind: Kind) -> f64 {
-        let (count, late) = self.kinds[kind as usize];
-        ratio(late, count)
+    /// Returns the number of a kind's requests whose first event was late.
+    pub(crate) fn late(&self, kind: Kind) -> usize {
+        self.kinds[kind as usize].1
     }
 
     /// Returns the mean over seconds of the work of the busiest endpoint relative to the mean.
@@ -132,7 +131,7 @@
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let [long, short, tag] = Kind::ALL.map(|it| 100.0 * self.late(it));
+        let [long, short, tag] = self.kinds.map(|(count, late)| 100.0 * ratio(late, count));
         write!(
             f,
             "{} | {:8} {:8} {:6}",
