--- a/crates/route/tests/even_load/endpoint.rs
+++ b/crates/route/tests/even_load/endpoint.rs
@@ -138,7 +138,7 @@
         }
         let next = self.has_slot().then(|| self.waiting.pop_first()).flatten();
         let seconds = if let Some((_, mut it)) = next {
-            it.waited = now - it.arrived;
+            it.waited = now.saturating_sub(it.arrived);
             let seconds = self.prefill_seconds(&it);
             self.step = Step::Prefill(it);
             seconds
--- a/crates/route/tests/even_load/fleet.rs
+++ b/crates/route/tests/even_load/fleet.rs
@@ -53,7 +53,7 @@
             let [prefilling, free, waiting] = fleet.backlog;
             fleet.tally.advance(at, prefilling, free, waiting);
             fleet.now = at;
-            fleet.handle(event);
+            fleet.handle(&event);
         }
         for it in &fleet.exchanges {
             fleet.tally.record(it);
@@ -87,8 +87,8 @@
             .insert((self.now + delay, self.scheduled), event);
     }
 
-    fn handle(&mut self, event: Event) {
-        match event {
+    fn handle(&mut self, event: &Event) {
+        match *event {
             Event::Arrival(nr) => self.admit(nr),
             Event::Prompt(to, prompt) => self.receive(to, prompt),
             Event::Cancellation(to, task) => self.change_endpoint(to, |it| it.cancel(task)),
@@ -228,7 +228,7 @@
             self.end_attempt(task.request, Ending::LowConfidence);
         } else {
             call.start_stream();
-            exchange.latency = Some(self.now - exchange.request.arrived);
+            exchange.latency = Some(self.now.saturating_sub(exchange.request.arrived));
         }
     }
 
@@ -263,7 +263,7 @@
         let router = &mut self.routers[exchange.request.host];
         let left = call.time_left(self.now);
         if left.is_zero() || router.reserve_retry(self.now, call, Ending::TimedOut) {
-            exchange.waited += self.now - attempt.sent_at;
+            exchange.waited += self.now.saturating_sub(attempt.sent_at);
             exchange.abandoned += 1;
             self.cancel(task);
             self.end_attempt(task.request, Ending::TimedOut);
--- a/crates/route/tests/even_load/hosts.rs
+++ b/crates/route/tests/even_load/hosts.rs
@@ -37,8 +37,8 @@
 }
 
 fn config(scenario: &Scenario) -> Config {
-    let router = harness::router(None, 0);
-    let base = router.config().and_then(|it| it.route("shop", "/"));
+    let template = harness::router(None, 0);
+    let base = template.config().and_then(|it| it.route("shop", "/"));
     let routes = scenario
         .customer
         .demands()
--- a/crates/route/tests/even_load/scenario.rs
+++ b/crates/route/tests/even_load/scenario.rs
@@ -54,7 +54,7 @@
             report_age: Duration::from_secs(1),
             peers: Peering::Known,
             machines: Machines::Exclusive,
-            length: Duration::from_secs(10),
+            length: Duration::from_secs(14),
             margin: Duration::from_secs(2),
             seed: 1,
         }
@@ -73,9 +73,14 @@
         }
     }
 
+    /// Returns the time that is counted.
+    pub(crate) fn counted(&self) -> Duration {
+        self.length.saturating_sub(self.margin * 2)
+    }
+
     /// Returns whether what happens at this time is counted.
     pub(crate) fn is_counted(&self, at: Duration) -> bool {
-        (self.margin..self.length - self.margin).contains(&at)
+        at >= self.margin && at + self.margin < self.length
     }
 }
 
--- a/crates/route/tests/even_load/tally.rs
+++ b/crates/route/tests/even_load/tally.rs
@@ -65,7 +65,7 @@
     /// Records the time until `now`, in which so many endpoints were prefilling, could prefill a
     /// prompt, and so many prompts were waiting.
     pub(crate) fn advance(&mut self, now: Duration, prefilling: u32, free: u32, waiting: u32) {
-        let took = now - self.now;
+        let took = now.saturating_sub(self.now);
         if self.scenario.is_counted(self.now) {
             self.prefill += took * prefilling;
             self.idle += took * free.min(waiting);
@@ -117,8 +117,7 @@
 
     /// Returns the fraction of the endpoints' time.
     fn share(&self, time: Duration) -> f64 {
-        let counted = self.scenario.length - self.scenario.margin * 2;
-        time.div_duration_f64(counted) / to_f64(self.scenario.endpoints)
+        time.div_duration_f64(self.scenario.counted()) / to_f64(self.scenario.endpoints)
     }
 
     fn wait(&self, percent: usize) -> u128 {
