--- a/crates/route/src/router/explain.rs
+++ b/crates/route/src/router/explain.rs
@@ -7,7 +7,7 @@
     Assignment, Candidate, Excluded, Explanation, IncomingRequest, Leniency, Prospect, Router,
     Score,
 };
-use crate::call::Call;
+use crate::call::{Call, Failure};
 use crate::endpoint::Key;
 use crate::rollout::Side;
 
@@ -48,6 +48,7 @@
             random_range: RANDOM_RANGE,
             candidates: self.explain_candidates(now, &scored),
             excluded: self.explain_exclusions(now, &call, leniency),
+            retry_after: self.retry_after(now, &call, &scored),
             connections: self.connections(&call.service),
             live_hosts: self.live_hosts(),
             retries_left: self.retries_left(now, &call),
@@ -118,6 +119,13 @@
         excluded
     }
 
+    fn retry_after(&self, now: Duration, call: &Call, scored: &[(Score, Key)]) -> Option<Duration> {
+        match self.unplaced_failure(now, call) {
+            Failure::NotRun { retry_after } if scored.is_empty() => Some(retry_after),
+            _ => None,
+        }
+    }
+
     fn retries_left(&self, now: Duration, call: &Call) -> Option<f64> {
         let budget = self.budgets.get(&call.service)?;
         Some(budget.remaining(now, self.budget_hosts()))
--- a/crates/route/src/router/explanation.rs
+++ b/crates/route/src/router/explanation.rs
@@ -49,6 +49,9 @@
     pub candidates: Vec<Candidate>,
     /// The other endpoints of the service, by ID.
     pub excluded: Vec<Excluded>,
+    /// If there is no candidate, the time after which the caller would be asked to retry.
+    #[serde(rename = "retry_after_ms", with = "crate::millis::optional")]
+    pub retry_after: Option<Duration>,
     /// This host's share of the connections that each endpoint accepts.
     pub connections: Option<u32>,
     /// The number of live hosts that this host knows, including itself.
--- a/crates/route/tests/harness/line.rs
+++ b/crates/route/tests/harness/line.rs
@@ -4,10 +4,10 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use kernel::{DataCentre, Incarnation};
+use kernel::{DataCentre, Incarnation, SessionId};
 use route::config::{ResponseKind, RetryPolicy, Route, RouteAccess, Target};
 use route::endpoint::{Entry, State};
-use route::{Ending, LoadPolicy, Settings};
+use route::{Ending, IncomingRequest, LoadPolicy, RequestProfile, Settings};
 
 /// A parsed line of a script: a command with positional and named arguments.
 pub(crate) struct Line<'a> {
@@ -33,6 +33,31 @@
         self.named.get(name).copied()
     }
 
+    /// Returns the request whose ID is the first argument.
+    pub(crate) fn request(&self) -> IncomingRequest<'a> {
+        let id = self.args[0];
+        let profile = RequestProfile {
+            prompt_tokens: self.number::<u64>("tokens", 0),
+            session: self.text("session").map(SessionId::from),
+            shared_prefix: self.text("prefix").map(|it| {
+                let (part, tokens) = it.split_once(':').unwrap();
+                (part.parse().unwrap(), tokens.parse().unwrap())
+            }),
+            ..RequestProfile::default()
+        };
+        let timeout = self.text("waits");
+        IncomingRequest {
+            id,
+            host: self.text("host").unwrap_or("shop"),
+            path: self.text("path").unwrap_or("/a/x"),
+            body: self.text("body").unwrap_or(id).as_bytes(),
+            key: self.text("key"),
+            timeout: timeout.map(|it| Duration::from_millis(it.parse().unwrap())),
+            profile,
+            relayed: None,
+        }
+    }
+
     pub(crate) fn number<T: FromStr>(&self, name: &str, default: T) -> T {
         let parse = |it: &str| it.parse().ok().unwrap();
         self.text(name).map_or(default, parse)
--- a/crates/route/tests/harness/script.rs
+++ b/crates/route/tests/harness/script.rs
@@ -4,20 +4,19 @@
 mod evacuations;
 #[path = "exits.rs"]
 mod exits;
+#[path = "explanations.rs"]
+mod explanations;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{EndpointId, HostName, Release, ServiceName, SessionId};
+use kernel::{EndpointId, HostName, Release, ServiceName};
 use route::config::{Config, Customer, Limits, Service};
 use route::directory::Absence;
 use route::endpoint::Load;
 use route::rollout::{Order, Scope, Verdict};
-use route::{
-    Call, Ending, HostCount, InFlight, IncomingRequest, Placement, RequestProfile, Revision,
-    Router, WarmUp,
-};
+use route::{Call, Ending, HostCount, InFlight, Placement, Revision, Router, WarmUp};
 
 use crate::line::{Line, ending_of, entry, route, settings};
 
@@ -132,6 +131,7 @@
                 None
             }
             "arrive" => Some(self.arrive(&line)),
+            "explain" => Some(self.explain(&line)),
             "send" => Some(self.send(line.args[0])),
             "begun" => {
                 self.calls
@@ -246,26 +246,8 @@
     fn arrive(&mut self, line: &Line<'_>) -> String {
         self.advance();
         let id = line.args[0];
-        let profile = RequestProfile {
-            prompt_tokens: line.number::<u64>("tokens", 0),
-            session: line.text("session").map(SessionId::from),
-            ..RequestProfile::default()
-        };
-        let timeout = line
-            .text("waits")
-            .map(|it| Duration::from_millis(it.parse().unwrap()));
-        let arrival = IncomingRequest {
-            id,
-            host: line.text("host").unwrap_or("shop"),
-            path: line.text("path").unwrap_or("/a/x"),
-            body: line.text("body").unwrap_or(id).as_bytes(),
-            key: line.text("key"),
-            timeout,
-            profile,
-            relayed: None,
-        };
         let now = self.now;
-        match self.router().admit(now, arrival) {
+        match self.router().admit(now, line.request()) {
             Ok(call) => {
                 let line = format!("to {} by {}", call.service, call.route.name);
                 let call = OpenCall {
