--- a/crates/route/tests/explain.rs
+++ b/crates/route/tests/explain.rs
@@ -47,8 +47,12 @@
 fn profile(number: u32) -> RequestProfile {
     RequestProfile {
         prompt_tokens: u64::from(number % 7) * 400,
-        shared_prefix: (number % 2 == 0).then_some((u64::from(number % 3), 300)),
-        session: (number % 5 == 0).then(|| format!("s-{}", number % 11).into()),
+        shared_prefix: number
+            .is_multiple_of(2)
+            .then_some((u64::from(number % 3), 300)),
+        session: number
+            .is_multiple_of(5)
+            .then(|| format!("s-{}", number % 11).into()),
         ..RequestProfile::default()
     }
 }
