--- a/crates/route/tests/harness/explanations.rs
+++ b/crates/route/tests/harness/explanations.rs
@@ -1,6 +1,6 @@
 //! The script command that explains where a request would go.
 
-use std::fmt::Display;
+use std::fmt::{Display, Write};
 
 use route::{Candidate, Explanation, Prospect};
 
@@ -44,7 +44,7 @@
 
 fn push(line: &mut String, name: &str, value: Option<impl Display>) {
     if let Some(it) = value {
-        *line += &format!(" {name} {it}");
+        let _ = write!(line, " {name} {it}");
     }
 }
 
@@ -52,7 +52,8 @@
 fn format_candidate(it: &Candidate) -> String {
     let terms = it.score.terms();
     let terms = terms.iter().filter(|it| it.1 != 0.0);
-    let terms: String = terms.map(|(name, it)| format!(" {name} {it:.3}")).collect();
+    let terms: Vec<_> = terms.map(|(name, it)| format!(" {name} {it:.3}")).collect();
+    let terms = terms.concat();
     let chance = if it.may_be_chosen { "" } else { " never" };
     format!("{} {:.3} ={terms}{chance}", it.id, it.total)
 }
