--- a/crates/barleyctl/src/cli.rs
+++ b/crates/barleyctl/src/cli.rs
@@ -1,5 +1,6 @@
 //! Definition of the command line.
 
+mod place;
 mod value;
 
 use std::net::SocketAddr;
@@ -15,21 +16,29 @@
     pub(crate) const AUTHOR: &str = "author";
     pub(crate) const CHANGE: &str = "change";
     pub(crate) const COMPLETION_PRICE: &str = "completion-price";
+    pub(crate) const CUSTOMER_KEY_FILE: &str = "customer-key-file";
+    pub(crate) const DEADLINE: &str = "deadline-ms";
     pub(crate) const DIRECTORY: &str = "directory";
     pub(crate) const FILE: &str = "file";
     pub(crate) const FLEET: &str = "fleet";
     pub(crate) const FORCE: &str = "force";
     pub(crate) const HOST: &str = "host";
+    pub(crate) const ID: &str = "id";
     pub(crate) const KEY_FILE: &str = "key-file";
     pub(crate) const LIMIT: &str = "limit";
     pub(crate) const NAME: &str = "name";
     pub(crate) const OUTPUT: &str = "output";
+    pub(crate) const OUTPUT_TOKENS: &str = "output-tokens";
+    pub(crate) const PARTS: &str = "parts";
     pub(crate) const PROMPT_PRICE: &str = "prompt-price";
     pub(crate) const REPLACES: &str = "replaces";
     pub(crate) const REVISION: &str = "revision";
+    pub(crate) const SESSION: &str = "session";
     pub(crate) const SHELL: &str = "shell";
     pub(crate) const STEPS: &str = "steps";
+    pub(crate) const TARGET: &str = "target";
     pub(crate) const TIMEOUT: &str = "timeout";
+    pub(crate) const TOKENS: &str = "tokens";
 }
 
 /// Names of commands, except those that are named after a kind of entry.
@@ -49,6 +58,7 @@
     pub(crate) const KEYS: &str = "keys";
     pub(crate) const LIST: &str = "list";
     pub(crate) const PAUSE: &str = "pause";
+    pub(crate) const PLACE: &str = "place";
     pub(crate) const PUT: &str = "put";
     pub(crate) const REMOVE: &str = "remove";
     pub(crate) const RESUME: &str = "resume";
@@ -83,6 +93,7 @@
         .subcommand(customers())
         .subcommand(entry_command(EntryKind::Service, "Plain services"))
         .subcommand(explain())
+        .subcommand(place::command())
         .subcommand(hosts())
         .subcommand(
             Command::new(verb::STATUS)
--- a/crates/barleyctl/src/cli/value.rs
+++ b/crates/barleyctl/src/cli/value.rs
@@ -25,3 +25,13 @@
         ))
     }
 }
+
+/// Parses the target of a request into its host name and path.
+pub(super) fn request_target(text: &str) -> Result<(String, String), String> {
+    let (host, path) = text.split_once('/').unwrap_or((text, ""));
+    if host.is_empty() {
+        Err("expected a host name and a path, like `shop.example/chat/x`".to_owned())
+    } else {
+        Ok((host.to_owned(), format!("/{path}")))
+    }
+}
--- a/crates/barleyctl/src/client.rs
+++ b/crates/barleyctl/src/client.rs
@@ -1,6 +1,7 @@
 //! Client of the operator interface, for several hosts.
 
 mod change;
+mod explained;
 mod outcome;
 
 use std::net::SocketAddr;
@@ -19,11 +20,15 @@
 use crate::error::{Error, FailedAttempt};
 
 pub(crate) use change::{Change, Submission};
+pub(crate) use explained::{Answer, Explained};
 use outcome::AttemptOutcome;
 
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
+/// The header that carries the customer's API key to relaying hosts.
+const CUSTOMER_KEY: &str = "Barleypin-Customer-Key";
+
 /// Timeout of connecting to a host; the next host is tried after it.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -91,6 +96,42 @@
         Ok(statuses)
     }
 
+    /// Asks each host where it would send a request, and returns what each responds, in the order
+    /// given; at least one responds.
+    ///
+    /// # Errors
+    /// Fails if no host responds, or if one refuses the call permanently.
+    pub(crate) async fn explanations(
+        &self,
+        target: &str,
+        customer_key: Option<&str>,
+    ) -> Result<Vec<Explained>, Report<Error>> {
+        let request = || match customer_key {
+            Some(key) => Request::get(target).header(CUSTOMER_KEY, key),
+            None => Request::get(target),
+        };
+        let calls = self.hosts.iter().map(|host| {
+            let hosts = std::slice::from_ref(host);
+            self.first_response(hosts, request, parse_json)
+        });
+        let mut explained = Vec::new();
+        for response in join_all(calls).await {
+            explained.push(match response {
+                Ok(answer) => Explained::Answer(answer),
+                Err(report) => match report.current_context() {
+                    Error::Unreachable(failed) => Explained::Failed(failed.clone()),
+                    _ => return Err(report),
+                },
+            });
+        }
+        let failed = explained.iter().filter_map(Explained::failed);
+        let failed: Vec<_> = failed.flatten().cloned().collect();
+        if explained.iter().all(|it| it.answer().is_none()) {
+            return Err(Error::Unreachable(failed).into());
+        }
+        Ok(explained)
+    }
+
     pub(crate) async fn history(&self, limit: usize) -> Result<History, Report<Error>> {
         self.get(&format!("/operator/v1/history?limit={limit}"))
             .await
--- a/crates/barleyctl/src/command.rs
+++ b/crates/barleyctl/src/command.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod hosts;
 mod keys;
+mod place;
 mod rollout;
 mod status;
 mod versions;
@@ -33,6 +34,7 @@
         verb::EXPLAIN => explain::run(matches, console),
         verb::KEYS => keys::run(matches, console),
         verb::STATUS => status::run(&mut Session::open(matches, console)?).await,
+        verb::PLACE => place::run(matches, &mut Session::open(matches, console)?).await,
         verb::HOSTS => hosts::run(matches, &mut Session::open(matches, console)?).await,
         plural => {
             let kind =
--- a/crates/barleyctl/src/session.rs
+++ b/crates/barleyctl/src/session.rs
@@ -119,9 +119,9 @@
     Error::Usage(text.to_owned()).into()
 }
 
-/// Reads the operators' key from a file. It isn't accepted as an argument, since
+/// Reads a key from a file. It isn't accepted as an argument, since
 /// process lists and shell histories expose command lines.
-fn read_key(path: &Path) -> Result<String, Report<Error>> {
+pub(crate) fn read_key(path: &Path) -> Result<String, Report<Error>> {
     let text = std::fs::read_to_string(path).change_context(Error::ReadFile(path.to_owned()))?;
     let key = text.trim();
     let is_valid = !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
