--- a/crates/telemetry/tests/catalogue.rs
+++ b/crates/telemetry/tests/catalogue.rs
@@ -63,7 +63,7 @@
 #[test]
 fn metrics_page_lists_every_metric() {
     let mut page = String::from(
-        "# Metrics of a relaying host\n\n`barleypin-platform` answers any request at its metrics address in the Prometheus text format. Times are in seconds. Every reason of a refusal or retry is there as zero from the start.\n\n| metric | tells |\n|---|---|\n",
+        "# Metrics of a relaying host\n\n`barleypin-platform` answers any request at its metrics address, except for `/explain` ([design/explain.md](../design/explain.md)), in the Prometheus text format. Times are in seconds. Every reason of a refusal or retry is there as zero from the start.\n\n| metric | tells |\n|---|---|\n",
     );
     for (name, help) in CATALOGUE {
         writeln!(page, "| `{name}` | {help} |").unwrap();
