Refuse requests for which capacity is short

Where the load policy is Contended, a host refuses a request that no endpoint is expected to start before its deadline, one of a customer that has used its share while most endpoints have queues, and one that is retried before its Retry-After has passed. The state is in memory and bounded.

--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -9,7 +9,7 @@
 use crate::config::{Customer, RetryPolicy, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
-use crate::{Cascade, Fingerprint, PartId, Relayed, Revision};
+use crate::{Cascade, Fingerprint, PartId, Relayed, Revision, Shortage};
 
 /// The request fails after this many attempts that ended before anything was sent. They
 /// aren't included in [`Call::attempts`], but each may cost the caller a connection timeout.
@@ -64,6 +64,7 @@
     pub(crate) may_have_run: bool,
     /// Whether an attempt ended as [`Ending::Broken`]; the endpoint's process may have exited.
     pub(crate) connection_broke: bool,
+    pub(crate) capacity_check: CapacityCheck,
     pub(crate) retry: Retry,
     pub(crate) origin: Origin,
     /// The hosts through which this one has tried to forward the request.
@@ -88,6 +89,15 @@
     Host,
 }
 
+/// Whether a request has been admitted while capacity may be short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CapacityCheck {
+    /// It has not been checked.
+    Pending,
+    /// It was admitted, and counts as one of its customer's requests.
+    Passed,
+}
+
 /// The state of a request's next retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Retry {
@@ -154,6 +164,13 @@
         /// The delay after which the caller should retry.
         retry_after: Duration,
     },
+    /// The request was refused for lack of capacity and was not run; the caller may retry later.
+    Overloaded {
+        /// Why it was refused.
+        shortage: Shortage,
+        /// The delay after which the caller should retry.
+        retry_after: Duration,
+    },
     /// The request may have run, and the response is lost.
     Lost,
     /// The request may have run, and it timed out.
@@ -215,6 +232,7 @@
             unsent: 0,
             may_have_run: false,
             connection_broke: false,
+            capacity_check: CapacityCheck::Pending,
             retry: Retry::NotRequested,
             origin: Origin::Caller,
             relays: Vec::new(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 //! I/O, reads no clock (the time is a parameter) and is independent of any wire
 //! format. See `docs/design/relay.md`.
 
+mod admission;
 mod brittle;
 mod budget;
 mod call;
@@ -34,6 +35,7 @@
 mod settings;
 mod warm_up;
 
+pub use admission::Shortage;
 pub use budget::RetryBudget;
 pub use call::{Call, Ending, Failure, Next, RequestProfile};
 pub use cascade::{Cascade, Escalation};
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,5 +1,6 @@
 //! The router: a host's state and its routing decisions.
 
+mod admission;
 mod attempts;
 mod denial;
 mod exits;
@@ -23,6 +24,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
+use crate::admission::Admission;
 use crate::call::{Call, Ending, part_fingerprints};
 use crate::config::{Config, RouteAccess};
 use crate::directory::{Absence, Change};
@@ -63,6 +65,7 @@
     previous_orders: HashMap<ServiceName, Vec<Order>>,
     sessions: Sessions,
     quarantine: Quarantine,
+    admission: Admission,
     /// Endpoints whose connections broke since the last [`Self::take_probe_candidates`]. The caller
     /// probes whether their processes have exited.
     probe_candidates: Vec<Key>,
@@ -94,6 +97,7 @@
             previous_orders: HashMap::new(),
             sessions: Sessions::default(),
             quarantine: Quarantine::default(),
+            admission: Admission::default(),
             probe_candidates: Vec::new(),
             prefill_estimators: HashMap::new(),
             first_byte_times: HashMap::new(),
@@ -118,6 +122,8 @@
             .services()
             .filter_map(|it| Some((it.name.clone(), it.warm_up?)));
         self.directory.set_warm_ups(warm_ups.collect());
+        self.admission
+            .retain_services(|it| config.service(it).is_some());
         self.config = Some(config);
         true
     }
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -96,6 +96,7 @@
             call.refused.push(in_flight.endpoint);
         }
         self.record_finished(now, &in_flight, ending);
+        self.record_service_time(now, call, &in_flight, ending);
         self.record_outcome(now, call, in_flight, ending);
         call.record_ending(ending);
         if ending.is_unsent() {
