--- a/crates/forward/src/response_writer.rs
+++ b/crates/forward/src/response_writer.rs
@@ -75,7 +75,7 @@
 impl From<Failure> for LocalResponse {
     fn from(failure: Failure) -> Self {
         match failure {
-            Failure::NotRun { retry_after } => Self {
+            Failure::NotRun { retry_after } | Failure::Overloaded { retry_after, .. } => Self {
                 status: 503,
                 retry_after: Some(retry_after),
             },
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -143,6 +143,13 @@
             return outcome;
         }
         let now = node.now();
+        // A caller that resumes a stream has received part of it, possibly from another host.
+        if last_event.is_none() {
+            let checked = node.router().check_capacity(now, call);
+            if let Err(failure) = checked {
+                return send_failure(call, response, failure).await;
+            }
+        }
         let Some(placement) = node.router().place(now, call) else {
             let failure = node.router().unplaced_failure(now, call);
             return send_failure(call, response, failure).await;
