--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -2,9 +2,9 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
-use route::{Denial, Ending, Withheld};
+use route::{Denial, Ending, Shortage, Withheld};
 
-use crate::{CATALOGUE, Instruments, Outcome, RefusedUpdate, RelayResult, RequestReport};
+use crate::{CATALOGUE, Instruments, RefusedUpdate, RelayResult, RequestReport};
 
 /// The bounds of all histograms in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 14] = [
@@ -165,14 +165,8 @@
     pub(crate) fn request(&self, report: &RequestReport<'_>) {
         let outcome = report.outcome;
         self.requests.add(1, &[label("outcome", outcome.name())]);
-        match outcome {
-            Outcome::Denied(denial) => {
-                self.refusals.add(1, &[label("reason", denial.to_string())]);
-            }
-            Outcome::Failed(_) | Outcome::Rejected => {
-                self.refusals.add(1, &[label("reason", outcome.name())]);
-            }
-            Outcome::Answered | Outcome::CallerGone => {}
+        if let Some(reason) = outcome.reason() {
+            self.refusals.add(1, &[label("reason", reason)]);
         }
         self.request_seconds.record(report.total.as_secs_f64(), &[]);
         if let Some(first) = report.time_to_first_byte {
@@ -306,6 +300,10 @@
         for denial in Denial::ALL {
             self.refusals.add(0, &[label("reason", denial.to_string())]);
         }
+        for shortage in Shortage::ALL {
+            self.refusals
+                .add(0, &[label("reason", shortage.to_string())]);
+        }
         for reason in ["rejected", "refused", "passed", "lost", "late"] {
             self.refusals.add(0, &[label("reason", reason)]);
         }
--- a/crates/telemetry/src/recorder.rs
+++ b/crates/telemetry/src/recorder.rs
@@ -9,7 +9,7 @@
 
 use kernel::{Clock, EndpointId, RequestId};
 use route::rate_limit::Change;
-use route::{Denial, Failure, PartId};
+use route::{Denial, Failure, PartId, Shortage};
 
 use crate::line_limiter::{LineLimiter, LinePriority};
 use crate::{
@@ -81,6 +81,9 @@
             Outcome::Denied(it) => (Event::Denied, Some(it.to_string())),
             Outcome::Rejected => (Event::Rejected, None),
             Outcome::Failed(Failure::NotRun { .. }) => (Event::Refused, None),
+            Outcome::Failed(Failure::Overloaded { shortage, .. }) => {
+                (Event::Refused, Some(shortage.to_string()))
+            }
             Outcome::Failed(Failure::Passed) => (Event::Passed, None),
             Outcome::Failed(_) => (Event::Failed, Some(report.outcome.name().to_owned())),
             Outcome::CallerGone => (Event::CallerGone, None),
@@ -91,10 +94,16 @@
             return;
         }
         let retry_after = match report.outcome {
-            Outcome::Failed(Failure::NotRun { retry_after })
+            Outcome::Failed(
+                Failure::NotRun { retry_after } | Failure::Overloaded { retry_after, .. },
+            )
             | Outcome::Denied(Denial::Quarantined { retry_after, .. }) => Some(retry_after),
             _ => None,
         };
+        let (wait, admitted, allowed) = match report.outcome {
+            Outcome::Failed(Failure::Overloaded { shortage, .. }) => shortage_fields(shortage),
+            _ => (None, None, None),
+        };
         self.log.write(
             event,
             &[
@@ -111,6 +120,9 @@
                 ("first_ms", Value::time(report.time_to_first_byte)),
                 ("pause_ms", Value::time(report.max_pause)),
                 ("retry_after_ms", Value::time(retry_after)),
+                ("wait_ms", Value::time(wait)),
+                ("admitted", Value::count(admitted)),
+                ("allowed", Value::count(allowed)),
                 ("ms", Value::Time(report.total)),
             ],
         );
@@ -218,6 +230,18 @@
     hasher.finish().is_multiple_of(SAMPLE_INTERVAL)
 }
 
+/// Returns the expected wait, the customer's admitted requests and how many were allowed, as far as
+/// they were the reason of a refusal.
+fn shortage_fields(shortage: Shortage) -> (Option<Duration>, Option<u64>, Option<u64>) {
+    match shortage {
+        Shortage::NoCapacity { wait } => (Some(wait), None, None),
+        Shortage::OverShare { admitted, allowed } => {
+            (None, Some(admitted.into()), Some(allowed.into()))
+        }
+        Shortage::EarlyRetry => (None, None, None),
+    }
+}
+
 fn optional_text<T: std::fmt::Display>(value: Option<&T>) -> Value<'_> {
     value.map_or(Value::Unknown, |it| Value::Text(it))
 }
--- a/crates/telemetry/src/report.rs
+++ b/crates/telemetry/src/report.rs
@@ -158,6 +158,16 @@
 }
 
 impl Outcome {
+    /// Returns the reason of a refusal or failure in metrics and the log.
+    pub(crate) fn reason(self) -> Option<String> {
+        match self {
+            Self::Denied(it) => Some(it.to_string()),
+            Self::Failed(Failure::Overloaded { shortage, .. }) => Some(shortage.to_string()),
+            Self::Failed(_) | Self::Rejected => Some(self.name().to_owned()),
+            Self::Answered | Self::CallerGone => None,
+        }
+    }
+
     /// Returns the name of the outcome in metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -165,7 +175,7 @@
             Self::Answered => "answered",
             Self::Denied(_) => "denied",
             Self::Rejected => "rejected",
-            Self::Failed(Failure::NotRun { .. }) => "refused",
+            Self::Failed(Failure::NotRun { .. } | Failure::Overloaded { .. }) => "refused",
             Self::Failed(Failure::Passed) => "passed",
             Self::Failed(Failure::Lost) => "lost",
             Self::Failed(Failure::Late) => "late",
