--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -6,6 +6,7 @@
 mod arrival;
 mod deferrals;
 mod priorities;
+mod progress;
 mod queue;
 mod queues;
 mod refusal;
@@ -22,13 +23,14 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
-pub(crate) use arrival::Arrival;
 use arrival::ArrivalKind;
+pub(crate) use arrival::{Arrival, QueueOrder};
 use deferrals::Deferrals;
 pub(crate) use queue::Queue;
 pub(crate) use queues::Queues;
 pub(crate) use refusal::Refusal;
 use service_load::ServiceLoad;
+pub(crate) use service_time::Wait;
 pub use shortage::Shortage;
 
 /// The shortest time after which a refused request may be retried, unless its deadline is nearer.
@@ -115,11 +117,15 @@
         }
     }
 
-    /// Records how long a request took at an endpoint of the service without its wait in the
-    /// queue.
-    pub(crate) fn record_service_time(&mut self, service: &ServiceName, took: Duration) {
+    /// Records how long a request took at an endpoint of the service.
+    pub(crate) fn record_service_time(
+        &mut self,
+        service: &ServiceName,
+        took: Duration,
+        wait: Wait,
+    ) {
         if let Some(it) = self.services.get_mut(service) {
-            it.record_service_time(took);
+            it.record_service_time(took, wait);
         }
     }
 
--- a/crates/route/src/admission/arrival.rs
+++ b/crates/route/src/admission/arrival.rs
@@ -16,6 +16,15 @@
     /// 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) time_left: Duration,
+    pub(crate) order: QueueOrder,
+}
+
+/// The order in which endpoints start the requests that wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QueueOrder {
+    /// They know the priorities, and start the most urgent first.
+    Priority,
+    Unknown,
 }
 
 /// Whether a request was sent again too soon.
--- a/crates/route/src/admission/priorities.rs
+++ b/crates/route/src/admission/priorities.rs
@@ -12,8 +12,7 @@
 
 /// How many of a service's recent requests had each priority.
 ///
-/// Endpoints get the priority with the request, so a request waits behind those that are at least
-/// as urgent. Their part of an endpoint's queue is taken to be their part of this host's requests.
+/// The other hosts' requests are taken to have the same priorities.
 #[derive(Clone, Debug)]
 pub(super) struct Priorities {
     counts: [Tally; PRIORITIES],
@@ -38,16 +37,21 @@
     /// Returns the fraction of requests that are at least as urgent as this priority; 1 if none is
     /// known.
     pub(super) fn fraction_ahead(&self, priority: u8) -> f64 {
-        // All counts are compared at the same time, at which none of them has decayed to zero.
+        self.fraction(index(priority) + 1).unwrap_or(1.0)
+    }
+
+    /// Returns the fraction of requests that are more urgent than this priority; 0 if none is known.
+    pub(super) fn fraction_overtaking(&self, priority: u8) -> f64 {
+        self.fraction(index(priority)).unwrap_or(0.0)
+    }
+
+    /// Returns the fraction of requests with one of the `count` most urgent priorities.
+    fn fraction(&self, count: usize) -> Option<f64> {
+        // All counts are compared at the same time, at which the total hasn't decayed to zero.
         let now = self.total.last();
-        let ahead = &self.counts[..=index(priority)];
-        let ahead: f64 = ahead.iter().map(|it| it.value(now)).sum();
         let total = self.total.value(now);
-        if total > 0.0 {
-            (ahead / total).min(1.0)
-        } else {
-            1.0
-        }
+        let chosen: f64 = self.counts[..count].iter().map(|it| it.value(now)).sum();
+        (total > 0.0).then(|| (chosen / total).min(1.0))
     }
 }
 
--- a/crates/route/src/admission/queue.rs
+++ b/crates/route/src/admission/queue.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::progress::Progress;
 use crate::directory::Endpoint;
 
 /// The age up to which a load report is evidence, as in placement.
@@ -66,17 +67,16 @@
         self.waiting > 0.0
     }
 
-    /// Returns the expected time until a new request starts. `fraction_ahead` is the fraction of
-    /// the waiting requests that start before it, and `service_time` is how long a request
-    /// occupies a slot.
-    pub(super) fn wait(&self, fraction_ahead: f64, service_time: Duration) -> Duration {
+    /// Returns the expected time until a new request starts.
+    pub(super) fn wait(&self, progress: Progress) -> Duration {
         /// Reports may contain any number.
         const MAX_WAIT: f64 = 3_600.0;
         if !self.is_full {
             return Duration::ZERO;
         }
-        let departures = self.waiting.max(0.0) * fraction_ahead + 1.0;
-        let wait = departures / self.slots * service_time.as_secs_f64();
+        let departures = self.waiting.max(0.0) * progress.fraction_ahead + 1.0;
+        let wait = departures / self.slots * progress.service_time.as_secs_f64();
+        let wait = wait / (1.0 - progress.fraction_overtaking);
         Duration::from_secs_f64(wait.min(MAX_WAIT)).saturating_sub(self.age)
     }
 }
--- a/crates/route/src/admission/queues.rs
+++ b/crates/route/src/admission/queues.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Queue;
+use super::progress::Progress;
 
 /// The queues of the endpoints that a request may be sent to; `None` where nothing is known.
 #[derive(Clone, Debug)]
@@ -24,10 +25,8 @@
 
     /// Returns the shortest expected time until an endpoint starts a new request. Zero if it isn't
     /// known for one of them, or if there are no endpoints.
-    pub(super) fn wait(&self, fraction_ahead: f64, service_time: Duration) -> Duration {
-        let wait = |it: &Option<Queue>| {
-            it.map_or(Duration::ZERO, |it| it.wait(fraction_ahead, service_time))
-        };
+    pub(super) fn wait(&self, progress: Progress) -> Duration {
+        let wait = |it: &Option<Queue>| it.map_or(Duration::ZERO, |it| it.wait(progress));
         self.all.iter().map(wait).min().unwrap_or_default()
     }
 }
--- a/crates/route/src/admission/service_load.rs
+++ b/crates/route/src/admission/service_load.rs
@@ -5,9 +5,10 @@
 
 use kernel::Customer;
 
-use super::arrival::ArrivalKind;
+use super::arrival::{ArrivalKind, QueueOrder};
 use super::priorities::Priorities;
-use super::service_time::ServiceTime;
+use super::progress::Progress;
+use super::service_time::{ServiceTime, Wait};
 use super::usage::{RECENT, Usage};
 use super::{Arrival, Queues, Shortage};
 
@@ -35,6 +36,8 @@
     customers: HashMap<Option<Customer>, Usage>,
     total: Usage,
     priorities: Priorities,
+    /// The priorities of the requests that were admitted.
+    admitted: Priorities,
     service_time: ServiceTime,
     /// The time without shortage. The usual load must not decay during a long shortage.
     usual_time: Duration,
@@ -69,14 +72,15 @@
     }
 
     pub(super) fn record_admitted(&mut self, now: Duration, arrival: &Arrival<'_>) {
+        self.admitted.record(now, arrival.priority);
         self.total.admitted.add(now);
         if let Some(it) = self.customers.get_mut(&arrival.customer.cloned()) {
             it.admitted.add(now);
         }
     }
 
-    pub(super) fn record_service_time(&mut self, took: Duration) {
-        self.service_time.record(took);
+    pub(super) fn record_service_time(&mut self, took: Duration, wait: Wait) {
+        self.service_time.record(took, wait);
     }
 
     /// Checks that an endpoint is expected to start the request before its deadline.
@@ -91,14 +95,32 @@
         let Some(service_time) = self.service_time.get() else {
             return Ok(());
         };
-        let fraction_ahead = self.priorities.fraction_ahead(arrival.priority);
-        let wait = queues.wait(fraction_ahead, service_time);
+        let wait = queues.wait(self.progress(arrival, service_time));
         if wait.is_zero() || wait < arrival.time_left {
             return Ok(());
         }
         Err((Shortage::NoCapacity { wait }, wait))
     }
 
+    /// Returns the progress of a request in a queue. Where the order isn't known, it is the fastest
+    /// that is possible.
+    ///
+    /// The queue of an endpoint with too much work consists mostly of requests that others overtake,
+    /// so the fraction ahead is that of all requests, and not only of admitted ones.
+    fn progress(&self, arrival: &Arrival<'_>, service_time: Duration) -> Progress {
+        /// At most doubles the expected wait: the slots may be less busy than they seem.
+        const MAX_OVERTAKING: f64 = 0.5;
+        let fraction_overtaking = match arrival.order {
+            QueueOrder::Priority => self.admitted.fraction_overtaking(arrival.priority),
+            QueueOrder::Unknown => 0.0,
+        };
+        Progress {
+            service_time,
+            fraction_ahead: self.priorities.fraction_ahead(arrival.priority),
+            fraction_overtaking: fraction_overtaking.min(MAX_OVERTAKING),
+        }
+    }
+
     /// Checks that the customer has not used its share while capacity is short.
     ///
     /// The larger of an equal share and its usual share of the admitted requests is the customer's.
--- a/crates/route/src/admission/service_time.rs
+++ b/crates/route/src/admission/service_time.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// The number of requests from which the average is used. Requests of different kinds take very
+/// The number of requests from which an estimate is used. Requests of different kinds take very
 /// different times.
 const MIN_SAMPLES: u32 = 10;
 /// The least weight of one request in the moving average.
@@ -11,15 +11,34 @@
 /// caller, for which no endpoint works.
 const MAX_FACTOR: f64 = 4.0;
 
-/// A moving average of the time for which a service's requests occupy a slot.
+/// Whether a request may have waited for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Wait {
+    Unlikely,
+    Possible,
+}
+
+/// An estimate of the time for which a service's requests occupy a slot.
+///
+/// It is the moving average of the requests that probably did not wait. While there are too few, as
+/// at a host that starts during an overload, it is the shortest time of any request, which is too
+/// low rather than too high. The time of a request that waited can't be scaled down by the length
+/// of the queue instead: an urgent request overtakes the queue.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ServiceTime {
     seconds: f64,
     samples: u32,
+    shortest: Option<Duration>,
+    all_samples: u32,
 }
 
 impl ServiceTime {
-    pub(super) fn record(&mut self, took: Duration) {
+    pub(super) fn record(&mut self, took: Duration, wait: Wait) {
+        self.all_samples = self.all_samples.saturating_add(1);
+        self.shortest = Some(self.shortest.map_or(took, |it| it.min(took)));
+        if wait == Wait::Possible {
+            return;
+        }
         self.samples = self.samples.saturating_add(1);
         let weight = f64::from(self.samples).recip().max(MIN_WEIGHT);
         let mut seconds = took.as_secs_f64();
@@ -29,8 +48,12 @@
         self.seconds += weight * (seconds - self.seconds);
     }
 
-    /// Returns the average, or `None` while there are too few requests.
+    /// Returns the estimate, or `None` while there are too few requests.
     pub(super) fn get(&self) -> Option<Duration> {
-        (self.samples >= MIN_SAMPLES).then(|| Duration::from_secs_f64(self.seconds))
+        if self.samples >= MIN_SAMPLES {
+            Some(Duration::from_secs_f64(self.seconds))
+        } else {
+            self.shortest.filter(|_| self.all_samples >= MIN_SAMPLES)
+        }
     }
 }
--- a/crates/route/src/router/admission.rs
+++ b/crates/route/src/router/admission.rs
@@ -4,7 +4,7 @@
 
 use super::{InFlight, Router};
 use crate::LoadPolicy;
-use crate::admission::{Arrival, Queue, Queues};
+use crate::admission::{Arrival, Queue, QueueOrder, Queues, Wait};
 use crate::call::{Call, CapacityCheck, Ending, Failure};
 use crate::directory::Endpoint;
 use crate::endpoint::Key;
@@ -29,12 +29,17 @@
             return Ok(());
         }
         let queues = self.queues(now, call);
+        // Endpoints are sent the priority together with the model.
+        let order = call
+            .model()
+            .map_or(QueueOrder::Unknown, |_| QueueOrder::Priority);
         let arrival = Arrival {
             service: &call.service,
             customer: call.customer.as_ref().map(|it| &it.name),
             fingerprint: call.fingerprint,
             priority: call.priority(),
             time_left: call.time_left(now),
+            order,
         };
         let (admission, rng) = (&mut self.admission, &mut self.rng);
         let checked = match call.capacity_check {
@@ -64,10 +69,8 @@
         Queues::new(used.map(|it| it.1).collect())
     }
 
-    /// Records how long a response took that an attempt received completely.
-    ///
-    /// The time includes the wait in the endpoint's queue. By Little's law, the fraction of it for
-    /// which a request runs is that of the endpoint's requests that are running.
+    /// Records how long an attempt took whose response is complete. It may have waited if the
+    /// endpoint reported a queue with the response.
     pub(super) fn record_service_time(
         &mut self,
         now: Duration,
@@ -87,10 +90,13 @@
         if at < in_flight.started {
             return;
         }
-        let running_fraction = f64::from(load.running.max(1)) / load.requests().max(1.0);
+        let wait = match load.waiting {
+            0 => Wait::Unlikely,
+            _ => Wait::Possible,
+        };
         let took = now.saturating_sub(in_flight.started);
-        let took = took.mul_f64(running_fraction.min(1.0));
-        self.admission.record_service_time(&call.service, took);
+        self.admission
+            .record_service_time(&call.service, took, wait);
     }
 }
 
