Test admission at new customers, starting hosts, and few reports

Each of these tests fails if the rule that it guards is removed: the equal share, the margin of requests, the time after which the usual load is known, and the margin for a sample of the endpoints.

--- a/crates/route/src/admission/service_load.rs
+++ b/crates/route/src/admission/service_load.rs
@@ -135,12 +135,12 @@
         arrival: &Arrival<'_>,
         queues: &Queues,
     ) -> Result<(), (Shortage, Duration)> {
-        let Some(share) = self.share(now, arrival.customer) else {
-            return Ok(());
-        };
         if !queues.are_short() {
             return Ok(());
         }
+        let Some(share) = self.share(now, arrival.customer) else {
+            return Ok(());
+        };
         // Up to twice the share for the most urgent requests, so that others are refused first.
         let urgency = 2.0 - self.priorities.fraction_ahead(arrival.priority);
         let expected = share * urgency * self.total.admitted.value(now);
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -168,13 +168,30 @@
     assert!(refused * 1_000 <= sent, "{refused} of {sent}");
 }
 
-/// Guards against refusals by share at hosts that have just started and know no usual load.
+/// Guards against starving a customer that was small or absent before and sends no more than an
+/// equal share of the requests.
+#[test]
+fn a_new_customer_gets_an_equal_share() {
+    let mut fleet = Fleet::new(LoadPolicy::Contended, 6, 6, Callers::Patient);
+    let rate = 0.75 * fleet.capacity();
+    learn(&mut fleet, rate, [0.4, 0.3, 0.2, 0.1, 0.0]);
+    fleet.list(4);
+    let shares = [0.35, 0.25, 0.15, 0.05, 0.2];
+    fleet.run(&loads(rate, shares, BURST), BURST + 2 * TIMEOUT);
+    let new = &fleet.outcomes[4];
+    assert_eq!((new.over_share, new.late), (0, 0), "{new:?}");
+}
+
+/// Guards against refusals by share at hosts that started some seconds ago, in which a large
+/// customer happened to send little.
 #[test]
 fn a_host_that_starts_refuses_by_deadline_only() {
     let mut fleet = Fleet::new(LoadPolicy::Contended, 6, 6, Callers::Patient);
-    let mut shares = SHARES;
-    shares[0] *= 7.5;
-    let rate = 0.6 * fleet.capacity();
+    let rate = 0.75 * fleet.capacity();
+    let before = Duration::from_secs(3);
+    fleet.run(&loads(rate, [0.0, 0.4, 0.2, 0.2, 0.2], before), before);
+    fleet.list(3);
+    let shares = [0.6, 0.1, 0.1, 0.1, 0.1];
     fleet.run(&loads(rate, shares, BURST), BURST + 2 * TIMEOUT);
     for it in &fleet.outcomes {
         assert_eq!(it.over_share, 0, "{it:?}");
@@ -256,11 +273,26 @@
 #[test]
 fn a_host_with_little_traffic_does_not_refuse_because_of_rounding() {
     let mut host = Host::new(3);
-    host.learn();
+    host.learn_little();
     host.report_waiting(1);
-    for nr in 0..3 {
+    for nr in 0..4 {
+        assert_eq!(host.reason("c1", PLAIN, nr), None);
+    }
+}
+
+/// Guards against taking queues at a few of many endpoints for a shortage of all.
+#[test]
+fn queues_at_few_of_many_endpoints_are_no_shortage() {
+    let mut host = Host::new(3);
+    host.learn_little();
+    host.list(90);
+    host.report_waiting_at(3, 1);
+    for nr in 0..50 {
         assert_eq!(host.reason("c1", PLAIN, nr), None);
     }
+    host.report_waiting_at(12, 1);
+    let refused = (50..100).filter_map(|nr| host.reason("c1", PLAIN, nr));
+    assert!(refused.count() > 0);
 }
 
 /// Guards against unbounded memory under a flood of refusals, and against forgetting the first.
--- a/crates/route/tests/admission/host.rs
+++ b/crates/route/tests/admission/host.rs
@@ -6,7 +6,7 @@
 use route::endpoint::Load;
 use route::{Call, Ending, Failure, LoadPolicy, Router};
 
-use super::site::{self, PLAIN, SLOTS, TIMEOUT};
+use super::site::{self, CUSTOMERS, PLAIN, SLOTS, TIMEOUT};
 
 /// A router whose endpoints report a given load.
 pub(crate) struct Host {
@@ -47,9 +47,24 @@
         }
     }
 
+    /// Lets the host learn a usual load of a request in two seconds, equally of all customers.
+    pub(crate) fn learn_little(&mut self) {
+        for nr in 0..150 {
+            self.advance(Duration::from_secs(2));
+            let mut call = self.admit(CUSTOMERS[nr % CUSTOMERS.len()], PLAIN, 1_000_000 + nr);
+            assert_eq!(self.check_call(&mut call), Ok(()));
+            self.answer(&mut call, 0);
+        }
+    }
+
     /// Lets every endpoint report full slots and this many waiting requests.
     pub(crate) fn report_waiting(&mut self, waiting: u32) {
-        let mut calls: Vec<_> = (0..self.endpoints)
+        self.report_waiting_at(self.endpoints, waiting);
+    }
+
+    /// Lets some endpoints report full slots and this many waiting requests.
+    pub(crate) fn report_waiting_at(&mut self, endpoints: usize, waiting: u32) {
+        let mut calls: Vec<_> = (0..endpoints)
             .map(|it| self.admit("c0", PLAIN, 2_000_000 + it))
             .collect();
         for call in &mut calls {
