--- a/crates/telemetry/src/catalogue.rs
+++ b/crates/telemetry/src/catalogue.rs
@@ -6,7 +6,7 @@
     ("barleypin_requests_total", "Requests ended, by outcome."),
     (
         "barleypin_refusals_total",
-        "Requests that got a refusal of this host's own, by reason.",
+        "Requests that got a refusal of this host's own, by reason; no_capacity, over_share and early_retry are for lack of capacity.",
     ),
     (
         "barleypin_retries_total",
