--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -36,8 +36,7 @@
 /// Lets the fleet learn the usual load, and forgets the outcomes so far.
 fn learn(fleet: &mut Fleet, rate: f64, shares: [f64; 5]) {
     fleet.run(&loads(rate, shares, LEARNING), LEARNING);
-    fleet.outcomes = <[Outcomes; 5]>::default();
-    fleet.trace.clear();
+    fleet.reset();
 }
 
 /// Runs a burst of the first customer: 7.5 times its usual load, 1.4 times the capacity in all.
--- a/crates/route/tests/admission/fleet.rs
+++ b/crates/route/tests/admission/fleet.rs
@@ -76,6 +76,8 @@
     callers: Callers,
     rng: Pcg32,
     pub(crate) outcomes: [Outcomes; CUSTOMERS.len()],
+    /// The first request whose outcome is counted.
+    first_counted: usize,
     /// The refusals by whether the request was urgent.
     pub(crate) urgent_refusals: usize,
     pub(crate) plain_refusals: usize,
@@ -106,6 +108,7 @@
             callers,
             rng: Pcg32::seed_from_u64(7),
             outcomes: [Outcomes::default(); CUSTOMERS.len()],
+            first_counted: 0,
             urgent_refusals: 0,
             plain_refusals: 0,
             trace: Vec::new(),
@@ -142,6 +145,13 @@
         }
     }
 
+    /// Counts only the outcomes of requests that are sent from now on.
+    pub(crate) fn reset(&mut self) {
+        self.outcomes = <[Outcomes; CUSTOMERS.len()]>::default();
+        self.first_counted = self.requests.len();
+        self.trace.clear();
+    }
+
     /// Returns the requests per second that all endpoints together can run.
     pub(crate) fn capacity(&self) -> f64 {
         f64::from(u32::try_from(self.engines.len()).unwrap() * SLOTS) / SERVICE_TIME.as_secs_f64()
@@ -269,9 +279,10 @@
         router.response_started(self.now, &call, &mut in_flight);
         router.end_attempt(self.now, &mut call, in_flight, Ending::Answered);
         let body = request.body;
-        if !std::mem::replace(&mut self.requests[body].is_answered, true) {
-            let took =
-                TIMEOUT.saturating_sub(self.requests[body].deadline.saturating_sub(self.now));
+        let is_first = !std::mem::replace(&mut self.requests[body].is_answered, true);
+        if is_first && body >= self.first_counted {
+            let left = self.requests[body].deadline.saturating_sub(self.now);
+            let took = TIMEOUT.saturating_sub(left);
             let outcomes = &mut self.outcomes[self.requests[body].customer];
             outcomes.answered += 1;
             outcomes.on_time += usize::from(took <= TARGET_LATENCY);
@@ -287,7 +298,9 @@
         let router = &mut self.hosts[request.host];
         let next = router.end_attempt(self.now, &mut call, in_flight, Ending::TimedOut);
         assert_eq!(next, Next::Fail(Failure::Late));
-        self.outcomes[request.customer].late += 1;
+        if request.body >= self.first_counted {
+            self.outcomes[request.customer].late += 1;
+        }
     }
 
     fn refused(&mut self, number: usize, failure: Failure) {
