--- a/crates/route/tests/even_load/endpoint.rs
+++ b/crates/route/tests/even_load/endpoint.rs
@@ -16,15 +16,15 @@
     ("medium", 0.009e-3),
     ("large", 0.027e-3),
 ];
-/// The waiting requests from which further ones are refused.
+/// The waiting requests from which further ones are refused. Chosen, not measured.
 const MAX_WAITING: usize = 48;
-/// The seconds between two events if hardly any request is running, and those that each running
-/// request adds.
+/// The seconds between two events if hardly any request is running. Chosen, not measured.
 const DECODE_BASE: f64 = 0.02;
+/// The seconds that each running request adds to this interval. Chosen, not measured.
 const DECODE_PER_REQUEST: f64 = 0.000_5;
-/// The prefixes that memory for 465,801 tokens holds beside the requests.
+/// The prefixes that an endpoint keeps. They take less than half of its memory.
 const CACHED_PREFIXES: usize = 32;
-/// Every fourth endpoint is faster than the usual ones.
+/// Every endpoint whose number is a multiple of this is fast.
 const FAST_INTERVAL: usize = 4;
 const FAST_SPEED: f64 = 2.2;
 
@@ -215,7 +215,7 @@
         self.history.push_back((now, load));
     }
 
-    /// Returns the load at an earlier time, which never goes back.
+    /// Returns the load at an earlier time, no earlier than at the previous call.
     pub(crate) fn load_at(&mut self, at: Duration) -> Load {
         while self.history.get(1).is_some_and(|it| it.0 <= at) {
             self.history.pop_front();
--- a/crates/route/tests/even_load/scenario.rs
+++ b/crates/route/tests/even_load/scenario.rs
@@ -16,7 +16,7 @@
     pub(crate) endpoints: usize,
     /// The work that arrives, relative to what the endpoints can do.
     pub(crate) load: f64,
-    /// The age of a load report when a host receives it.
+    /// The age of a load report when a host receives it. The host takes it for new.
     pub(crate) report_age: Duration,
     pub(crate) peers: Peering,
     pub(crate) machines: Machines,
