--- a/crates/route/src/router/admission.rs
+++ b/crates/route/src/router/admission.rs
@@ -37,7 +37,7 @@
             service: &call.service,
             customer: call.customer.as_ref().map(|it| &it.name),
             fingerprint: call.fingerprint,
-            priority: call.priority(),
+            priority: self.request_priority(now, call),
             time_left: call.time_left(now),
             order,
         };
--- a/crates/route/src/router/explain.rs
+++ b/crates/route/src/router/explain.rs
@@ -40,7 +40,7 @@
             route: call.route.name.clone(),
             customer: call.customer.as_ref().map(|it| it.name.clone()),
             service: call.service.clone(),
-            priority: call.priority(),
+            priority: self.request_priority(now, &call),
             model: call.model().cloned(),
             assignment: assigned.and_then(|it| self.explain_assignment(now, &call, it)),
             reach: self.reach(),
--- a/crates/route/src/router/explanation.rs
+++ b/crates/route/src/router/explanation.rs
@@ -31,7 +31,7 @@
     pub customer: Option<Customer>,
     /// The service that handles the request.
     pub service: ServiceName,
-    /// The request's priority; 0 is the most urgent.
+    /// The priority with which the endpoint would be sent the request; 0 is the most urgent.
     pub priority: u8,
     /// The model of the first attempt, if the route chooses it.
     pub model: Option<ModelName>,
--- a/crates/route/tests/explain.rs
+++ b/crates/route/tests/explain.rs
@@ -267,6 +267,7 @@
                 "score": {
                   "utilization": 0.0,
                   "pending_prefill": 0.0,
+                  "prefill": 0.0,
                   "errors": 0.0,
                   "random": 0.0,
                   "remote": 0.04,
