--- a/crates/route/src/admission/service_load.rs
+++ b/crates/route/src/admission/service_load.rs
@@ -37,7 +37,7 @@
     total: Usage,
     priorities: Priorities,
     /// The priorities of the requests that were admitted.
-    admitted: Priorities,
+    admitted_priorities: Priorities,
     service_time: ServiceTime,
     /// The time without shortage. The usual load must not decay during a long shortage.
     usual_time: Duration,
@@ -72,7 +72,7 @@
     }
 
     pub(super) fn record_admitted(&mut self, now: Duration, arrival: &Arrival<'_>) {
-        self.admitted.record(now, arrival.priority);
+        self.admitted_priorities.record(now, arrival.priority);
         self.total.admitted.add(now);
         if let Some(it) = self.customers.get_mut(&arrival.customer.cloned()) {
             it.admitted.add(now);
@@ -111,7 +111,9 @@
         /// At most doubles the expected wait: the slots may be less busy than they seem.
         const MAX_OVERTAKING: f64 = 0.5;
         let fraction_overtaking = match arrival.order {
-            QueueOrder::Priority => self.admitted.fraction_overtaking(arrival.priority),
+            QueueOrder::Priority => self
+                .admitted_priorities
+                .fraction_overtaking(arrival.priority),
             QueueOrder::Unknown => 0.0,
         };
         Progress {
