--- a/crates/route/src/router/admission.rs
+++ b/crates/route/src/router/admission.rs
@@ -2,20 +2,10 @@
 
 use std::time::Duration;
 
-use super::{InFlight, Router};
+use super::{InFlight, Leniency, Router};
 use crate::LoadPolicy;
 use crate::admission::{Arrival, Queue, QueueOrder, Queues, Wait};
 use crate::call::{Call, CapacityCheck, Ending, Failure};
-use crate::directory::Endpoint;
-use crate::endpoint::Key;
-
-/// The conditions under which placement uses an endpoint, from the first that it tries to the last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
-    Healthy,
-    Ejected,
-    Tried,
-}
 
 impl Router {
     /// Checks whether there is capacity for a request that has not started. Call it before
@@ -56,17 +46,16 @@
     /// Returns the queues of the endpoints among which placement will choose. Those of both
     /// releases are included during a roll-out: it may use either.
     fn queues(&self, now: Duration, call: &Call) -> Queues {
-        let eligible = |(key, it): (Key, &Endpoint)| {
-            let is_open = it.takes_work() && it.wait(now).is_zero();
-            let is_eligible =
-                is_open && self.directory.has_room(now, it) && !call.refused.contains(&key);
-            is_eligible.then(|| (tier(now, call, key, it), Queue::of(now, it)))
+        let queues = |leniency| {
+            let endpoints = self.directory.endpoints_of(&call.service);
+            let eligible =
+                endpoints.filter(|&it| self.exclusion(now, call, leniency, None, it).is_none());
+            eligible
+                .map(|(_, it)| Queue::of(now, it))
+                .collect::<Vec<_>>()
         };
-        let endpoints = self.directory.endpoints_of(&call.service);
-        let all: Vec<_> = endpoints.filter_map(eligible).collect();
-        let best = all.iter().map(|it| it.0).min();
-        let used = all.into_iter().filter(|it| Some(it.0) == best);
-        Queues::new(used.map(|it| it.1).collect())
+        let mut all = Leniency::ALL.into_iter().map(queues);
+        Queues::new(all.find(|it| !it.is_empty()).unwrap_or_default())
     }
 
     /// Records how long an attempt took whose response is complete. It may have waited if the
@@ -109,13 +98,3 @@
     };
     !has_run && !call.has_started()
 }
-
-fn tier(now: Duration, call: &Call, key: Key, it: &Endpoint) -> Tier {
-    if call.tried.contains(&key) {
-        Tier::Tried
-    } else if it.health.is_ejected(now) {
-        Tier::Ejected
-    } else {
-        Tier::Healthy
-    }
-}
--- a/crates/route/src/router/leniency.rs
+++ b/crates/route/src/router/leniency.rs
@@ -18,3 +18,8 @@
     #[display("any")]
     Any,
 }
+
+impl Leniency {
+    /// All variants, the strictest first.
+    pub(super) const ALL: [Self; 3] = [Self::Healthy, Self::Untried, Self::Any];
+}
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -65,7 +65,7 @@
         now: Duration,
         call: &Call,
     ) -> Option<(Leniency, Vec<(Score, Key)>)> {
-        [Leniency::Healthy, Leniency::Untried, Leniency::Any]
+        Leniency::ALL
             .into_iter()
             .map(|it| (it, self.score_endpoints(now, call, it)))
             .find(|(_, scored)| !scored.is_empty())
