--- a/crates/route/src/admission/queue.rs
+++ b/crates/route/src/admission/queue.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use super::progress::Progress;
-use crate::directory::Endpoint;
-
-/// The age up to which a load report is evidence, as in placement.
-const REPORT_TTL: Duration = Duration::from_millis(1_500);
+use crate::directory::{Endpoint, LOAD_REPORT_TTL};
 
 /// What a host knows about an endpoint's queue, from a fresh report or its own requests there.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,7 +26,7 @@
     fn reported(now: Duration, it: &Endpoint) -> Option<Self> {
         let (at, load) = it.load?;
         let age = now.saturating_sub(at);
-        if age >= REPORT_TTL {
+        if age >= LOAD_REPORT_TTL {
             return None;
         }
         let slots = f64::from(load.slots.max(it.entry.slots).max(1));
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -24,7 +24,7 @@
 use crate::warm_up::WarmUp;
 
 pub use endpoint::Endpoint;
-pub(crate) use endpoint::Listed;
+pub(crate) use endpoint::{LOAD_REPORT_TTL, Listed};
 use event_intervals::EventIntervals;
 pub(crate) use event_intervals::Stream;
 use rate_limits::RateLimits;
--- a/crates/route/src/directory/endpoint.rs
+++ b/crates/route/src/directory/endpoint.rs
@@ -11,6 +11,9 @@
 use crate::health::Health;
 use crate::rate_limit::RateLimit;
 
+/// The time for which a load report is used. Requests last about as long.
+pub(crate) const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
+
 /// An endpoint and what this host knows about it.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -129,8 +132,6 @@
     }
 
     pub(super) fn utilization(&self, now: Duration, typical_utilization: f64) -> f64 {
-        /// Time for which a load report is used. Requests last about as long.
-        const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
         let slots = f64::from(self.entry.slots.max(1));
         let own = f64::from(self.in_flight);
         let reported = match self.load {
