--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -9,8 +9,9 @@
 use crate::conn::Conn;
 use crate::connections::{ConnectionControl, release};
 
-/// The maximum number of idle connections to one endpoint where the share isn't enforced. The hosts share the connections
-/// that an endpoint accepts, and idle ones of this host are unavailable to the others.
+/// The maximum number of idle connections to one endpoint where the share isn't enforced. The hosts
+/// share the connections that an endpoint accepts, and idle ones of this host are unavailable to
+/// the others.
 const MAX_IDLE_PER_ENDPOINT: usize = 8;
 /// Subtracted from an endpoint's keep-alive time, which is in whole seconds and doesn't
 /// account for the time that a request takes to arrive.
--- a/crates/route/src/call.rs
+++ b/crates/route/src/call.rs
@@ -4,43 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kernel::{ModelName, ServiceName, SessionId};
+use kernel::{ModelName, ServiceName};
 
 use crate::config::{Customer, RetryPolicy, Route};
 use crate::endpoint::Key;
 use crate::rollout::Side;
-use crate::{Cascade, Fingerprint, PartId, Relayed, Revision, Shortage};
+use crate::{Cascade, Fingerprint, PartId, Relayed, RequestProfile, Revision, Shortage};
 
 /// The request fails after this many attempts that ended before anything was sent. They
 /// aren't included in [`Call::attempts`], but each may cost the caller a connection timeout.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
-/// The properties of a request that placement depends on.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RequestProfile {
-    /// The number of tokens in the prompt.
-    pub prompt_tokens: u64,
-    /// The maximum number of tokens to generate.
-    pub output_tokens: u64,
-    /// The longest prefix of the prompt that is shared with other requests: the ID of its last
-    /// part, and its length in tokens.
-    pub shared_prefix: Option<(u64, u64)>,
-    /// The parts of the prompt that other requests may share, in order.
-    pub parts: Arc<[PartId]>,
-    /// The session that the request belongs to.
-    pub session: Option<SessionId>,
-}
-
-impl RequestProfile {
-    /// Returns the tokens that the request holds in an endpoint's memory at most. Each count is
-    /// capped at 32 bits, because callers may send any number.
-    #[must_use]
-    pub fn tokens(&self) -> u64 {
-        let capped = |it: u64| it.min(u32::MAX.into());
-        capped(self.prompt_tokens) + capped(self.output_tokens)
-    }
-}
-
 /// The state of a caller's request across its attempts.
 #[derive(Debug)]
 pub struct Call {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod rate_limit;
 pub mod reach;
 mod relay;
+mod request_profile;
 mod revision;
 pub mod rollout;
 mod router;
@@ -41,7 +42,7 @@
 
 pub use admission::Shortage;
 pub use budget::RetryBudget;
-pub use call::{Call, Ending, Failure, Next, RequestProfile};
+pub use call::{Call, Ending, Failure, Next};
 pub use cascade::{Cascade, Escalation};
 pub use config::Config;
 pub use directory::Directory;
@@ -57,6 +58,7 @@
 pub use quarantine::Quarantine;
 pub use rate_limit::RequestRate;
 pub use relay::{Relay, Relayed};
+pub use request_profile::RequestProfile;
 pub use revision::Revision;
 pub use rollout::Rollout;
 pub use router::{
