--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -88,6 +88,17 @@
     assert!(after.on_time * 15 > after.sent * 2, "{after:?}");
 }
 
+/// Guards against a single customer that is delayed although the others are on time together.
+#[test]
+fn a_burst_leaves_each_other_customer_on_time() {
+    for callers in [Callers::Patient, Callers::Eager] {
+        let fleet = burst(Fleet::new(LoadPolicy::Contended, 6, 6, callers));
+        for it in &fleet.outcomes[1..] {
+            assert!(it.on_time * 100 >= it.sent * 85, "{callers:?}: {it:?}");
+        }
+    }
+}
+
 /// Guards against the same where each host has fresh reports of a fraction of the endpoints only.
 #[test]
 fn a_burst_is_contained_by_hosts_that_know_few_endpoints() {
--- a/crates/route/tests/even_load/endpoint.rs
+++ b/crates/route/tests/even_load/endpoint.rs
@@ -16,11 +16,11 @@
     ("medium", 0.009e-3),
     ("large", 0.027e-3),
 ];
-/// The waiting requests from which further ones are refused. Chosen, not measured.
+/// The waiting requests from which further ones are refused.
 const MAX_WAITING: usize = 48;
-/// The seconds between two events if hardly any request is running. Chosen, not measured.
+/// The seconds between two events if hardly any request is running.
 const DECODE_BASE: f64 = 0.02;
-/// The seconds that each running request adds to this interval. Chosen, not measured.
+/// The seconds that each running request adds to this interval.
 const DECODE_PER_REQUEST: f64 = 0.000_5;
 /// The prefixes that an endpoint keeps. They take less than half of its memory.
 const CACHED_PREFIXES: usize = 32;
--- a/crates/route/tests/even_load/request.rs
+++ b/crates/route/tests/even_load/request.rs
@@ -19,7 +19,7 @@
     12_300, 13_600, 15_100, 16_900, 19_400, 23_000, 29_700, 54_600,
 ];
 const SHARED_TOKENS: u64 = 5_400;
-/// Chosen, not measured.
+/// The number of subjects that long prompts are about.
 const SUBJECTS: u64 = 200;
 
 /// A request of a caller.
