--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -37,7 +37,9 @@
         if message.field("transfer-encoding") == Some("chunked") {
             message.read_chunks(reader)?;
         } else {
-            let len = message.field("content-length").and_then(|it| it.parse().ok());
+            let len = message
+                .field("content-length")
+                .and_then(|it| it.parse().ok());
             message.body.resize(len.unwrap_or(0), 0);
             reader.read_exact(&mut message.body)?;
         }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -89,7 +89,9 @@
     }
     let mut hosts = Hosts(Vec::new());
     for nr in 0..HOSTS {
-        hosts.0.push(start_host(program, folder, nr, store.address)?);
+        hosts
+            .0
+            .push(start_host(program, folder, nr, store.address)?);
     }
     for (_, _, ready) in &hosts.0 {
         wait_ready(*ready)?;
@@ -101,8 +103,15 @@
     for round in 0..ROUNDS {
         let key = format!("k-{round}");
         version += 1;
-        store.put("op", "config", &config(version, &["k-lasting", &key]), false);
-        record.line(&format!("round {round}: version {version} acknowledged, with key {key}"));
+        store.put(
+            "op",
+            "config",
+            &config(version, &["k-lasting", &key]),
+            false,
+        );
+        record.line(&format!(
+            "round {round}: version {version} acknowledged, with key {key}"
+        ));
         sleep(Duration::from_secs(3));
         for (_, front, _) in &hosts.0 {
             let status = ask(*front, &key, &format!("r{round}-before-{}", front.port()))?;
@@ -114,7 +123,9 @@
         version += 1;
         let text = config(version, &["k-lasting", &key, "k-other"]);
         store.put("op", "config", &text, has_trouble);
-        record.line(&format!("version {version} acknowledged, with a further key"));
+        record.line(&format!(
+            "version {version} acknowledged, with a further key"
+        ));
         if has_trouble {
             record.line("store: silent from now on");
             sleep(SILENCE);
@@ -131,7 +142,9 @@
         version += 1;
         store.put("op", "config", &config(version, &["k-lasting"]), false);
         let bound = (Instant::now() + CONFIG_APPLY).max(calm_from);
-        record.line(&format!("version {version} acknowledged, without key {key}"));
+        record.line(&format!(
+            "version {version} acknowledged, without key {key}"
+        ));
         sleep(bound.saturating_duration_since(Instant::now()) + Duration::from_millis(50));
         record.line("from now on each request with that key must be refused");
         broken += watch(&hosts, &key, round, &record)?;
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -160,13 +160,14 @@
         if with_deleted {
             found.sort_by_key(|it| it.1.1);
         }
-        let row = |((table, key), (value, version)): (&(String, String), &(Option<String>, u64))| {
-            let value = match value {
-                Some(it) => format!("\"value\":\"{it}\""),
-                None => "\"deleted\":true".to_owned(),
+        let row =
+            |((table, key), (value, version)): (&(String, String), &(Option<String>, u64))| {
+                let value = match value {
+                    Some(it) => format!("\"value\":\"{it}\""),
+                    None => "\"deleted\":true".to_owned(),
+                };
+                format!(r#"{{"table":"{table}","part":"","key":"{key}","ver":{version},{value}}}"#)
             };
-            format!(r#"{{"table":"{table}","part":"","key":"{key}","ver":{version},{value}}}"#)
-        };
         found.into_iter().map(row).collect::<Vec<_>>().join(",")
     }
 
