Confirm the configuration by answers only

What callers saw: requests with keys that had been taken away ran up to 5.65 s after the store had acknowledged the change, and proper requests got 401 or 404, after the store had been silent for a quarter of a second. Cause: an open long poll for documents counted as proof that nothing changed. One that the store received and never answered counted until it timed out after 6 s, and since the same change ends the polls of both readers, one silence lost both. Change: only an answered call confirms the configuration, as of the end of its wait. The polls wait as long as those for endpoints; the second reader asks only if the first is late, so it isn't caught by what catches the first. Availability no longer keeps since when the store responds: it was asked for open polls only, and its tests lose the lines about that. Result: lost_polls_for_documents_delay_no_change failed before (5.96 s with two lost calls) and passes, with one, two, four and six lost calls.

--- a/crates/host/src/availability.rs
+++ b/crates/host/src/availability.rs
@@ -6,9 +6,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Availability {
     last_success: Option<Duration>,
-    /// The time from which on the store is known to respond; `None` since a failure, until a call
-    /// succeeds.
-    available_since: Option<Duration>,
     /// The last failure since the last success.
     failed_at: Option<Duration>,
     /// Whether the store's response to another host was taken into account since the last success.
@@ -16,20 +13,8 @@
 }
 
 impl Availability {
-    /// Creates the state of a host that has made no call yet. A first failed call counts as an
-    /// outage.
-    #[must_use]
-    pub fn new(now: Duration) -> Self {
-        Self {
-            last_success: None,
-            available_since: Some(now),
-            ..Self::default()
-        }
-    }
-
     /// Records a failed call.
     pub fn record_failure(&mut self, now: Duration) {
-        self.available_since = None;
         self.failed_at = Some(now);
     }
 
@@ -48,15 +33,10 @@
     /// returns the time from which on the store is known to respond: calls that began earlier may
     /// never be answered.
     pub fn record_success(&mut self, began: Duration, now: Duration) -> Option<Duration> {
-        let failed_at = self.failed_at.take();
         self.last_success = Some(now);
         self.has_heard = false;
-        if self.available_since.is_some() {
-            return None;
-        }
         // A call that began before the failure proves nothing of the time of the failure.
-        self.available_since = failed_at.max(Some(began));
-        self.available_since
+        self.failed_at.take().map(|it| it.max(began))
     }
 
     /// Returns the time of the last successful call.
@@ -64,10 +44,4 @@
     pub fn last_success(&self) -> Option<Duration> {
         self.last_success
     }
-
-    /// Returns whether the store is known to have responded from `at` until now.
-    #[must_use]
-    pub fn has_been_available_since(&self, at: Duration) -> bool {
-        self.available_since.is_some_and(|it| it <= at)
-    }
 }
--- a/crates/host/src/follow.rs
+++ b/crates/host/src/follow.rs
@@ -21,12 +21,8 @@
 use crate::Store;
 use crate::host::Host;
 
-/// Timeout of a long poll. Each poll is billed. Before it times out, keep-alive detects a
-/// dead connection, see `http`, and other calls detect a store that stops responding.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(5);
-/// The same while no configuration is known. It is shorter so that the readers'
-/// confirmations arrive before the other hosts start to read the store.
-const STARTUP_LONG_POLL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest wait of a long poll. Not zero, with which a store could answer before it looks.
+const MIN_WAIT: Duration = Duration::from_millis(20);
 /// Interval at which a host that doesn't read the store checks whether it should.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The same for a host that isn't ready, so that the checks don't delay its start.
--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -9,15 +9,19 @@
 use route::{Revision, Rollout};
 use telemetry::{Event, Value};
 
-use super::{LONG_POLL_TIMEOUT, is_of_another_era, wait_for_config, wait_to_read};
+use super::{is_of_another_era, wait_for_config, wait_to_read};
 use crate::host::Host;
 use crate::{Backoff, Documents, RolloutVerdict, Store, StoreError, report, succession};
 
+/// Wait of a long poll for verdicts. Each poll is billed. An open one proves nothing: a verdict
+/// whose poll is lost arrives with other hosts' updates, or as a conflict with this host's own.
+const LONG_POLL_WAIT: Duration = Duration::from_secs(5);
 /// Interval at which roll-outs are evaluated.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay per rank before a host writes a verdict. The first host writes, and the others
 /// learn of it before their delay has passed.
 const RANK_DELAY: Duration = Duration::from_millis(300);
+
 pub(crate) async fn follow<S: Store, D: Dialect>(host: Rc<Host<S, D>>) {
     wait_for_config(&host).await;
     let mut since: Option<Revision> = None;
@@ -31,7 +35,7 @@
         }
         since = since.filter(|it| it.era == host.store.era());
         let began = host.node.now();
-        let call = host.store.verdicts(since, LONG_POLL_TIMEOUT);
+        let call = host.store.verdicts(since, LONG_POLL_WAIT);
         let result = match since {
             None => Some(call.await),
             Some(_) => host.verdicts_poll.run(began, call).await,
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -168,7 +168,7 @@
             verdicts_poll: LongPoll::default(),
             endpoints_poll: LongPoll::default(),
             store_returns: Cell::new(0),
-            availability: Cell::new(Availability::new(node.now())),
+            availability: Cell::default(),
             failing_calls: RefCell::default(),
             unusable_entries: RefCell::default(),
             config_confirmed: Cell::new(None),
--- a/crates/host/src/host/readers.rs
+++ b/crates/host/src/host/readers.rs
@@ -10,7 +10,7 @@
 use super::Host;
 use crate::{Store, succession};
 
-/// Least interval between two readings of the listing of endpoints by a reader.
+/// Least interval between two readings of the same state by a reader.
 const MIN_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Least age of the known state at which a host that isn't a reader reads the store: readers
 /// send what they read once a second.
@@ -24,7 +24,23 @@
 /// host before it may read the store. If all hosts were down, nobody answers, and all wait for it.
 const BOOTSTRAP_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// The time after which the standby reads, beyond the interval between readings and as a fraction
+/// of it. Longer than an update takes from the reader to the standby.
+const STANDBY_DELAY_FRACTION: f64 = 0.15;
+
 impl<S: Store, D: Dialect> Host<S, D> {
+    /// Returns whether this host should follow state in the store that it knows as of `known_at`.
+    /// The second reader does so only when the first is late: it is a standby, and each call is
+    /// billed. What delays the first reader's calls then doesn't delay its own.
+    pub(crate) fn should_follow_store(&self, known_at: Option<Duration>) -> bool {
+        let late = self.read_interval().mul_f64(1.0 + STANDBY_DELAY_FRACTION);
+        let is_fresh = known_at.is_some_and(|at| self.node.now() < at + late);
+        match self.rank() {
+            1 if is_fresh => false,
+            _ => self.should_read_store(known_at),
+        }
+    }
+
     /// Returns whether this host should read the store itself, given that its state is as of
     /// `known_at`.
     ///
@@ -64,8 +80,8 @@
         self.is_fetching_listing.get() && is_recent
     }
 
-    /// Returns the interval between two readings of the listing of endpoints by a reader. Each
-    /// reading is billed, and the next one must reach all hosts before they read for themselves.
+    /// Returns the interval between two readings of the same state by a reader. Each reading is
+    /// billed, and the next one must reach all hosts before they read for themselves.
     pub(crate) fn read_interval(&self) -> Duration {
         /// Fraction of the age at which hosts read for themselves; the rest is for the reading and
         /// its way to all hosts.
--- a/crates/host/src/host/store_calls.rs
+++ b/crates/host/src/host/store_calls.rs
@@ -51,15 +51,6 @@
         }
     }
 
-    /// Returns whether the store would have told this host of a change of the documents: a long
-    /// poll for them is open, and began while the store was available. One that began in an
-    /// outage may never be answered. If it counted, all hosts would take an outdated configuration
-    /// for confirmed, and none would read the store.
-    pub(crate) fn is_following_documents(&self) -> bool {
-        let began = self.documents_poll.began();
-        began.is_some_and(|it| self.availability.get().has_been_available_since(it))
-    }
-
     /// Records that the store responded to another host at `at`. If this host is a reader and the
     /// store didn't respond to it before, its open polls are restarted, and its waits after failed
     /// calls end.
--- a/crates/host/src/long_poll.rs
+++ b/crates/host/src/long_poll.rs
@@ -33,11 +33,6 @@
         result
     }
 
-    /// Returns the time at which the open poll began; `None` if none is open.
-    pub(crate) fn began(&self) -> Option<Duration> {
-        self.began.get()
-    }
-
     /// Restarts the open poll if it began before `before`. Returns when it began.
     pub(crate) fn restart(&self, before: Duration) -> Option<Duration> {
         let began = self.began.get().filter(|it| *it < before)?;
