Log whether entries missing from the listing may only have lapsed

Cause: a host's logs don't tell whether it keeps endpoints in use although their entries are missing, nor whether it decided that itself or took it over. Change: events 1612 and 1613, with the age of the listing that changed it: 0 ms is the host's own reading.

--- a/crates/host/src/follow/endpoints.rs
+++ b/crates/host/src/follow/endpoints.rs
@@ -10,7 +10,7 @@
 use async_std::task::sleep;
 use forward::Dialect;
 use route::Revision;
-use route::directory;
+use route::directory::{self, Absence};
 use route::endpoint::Entry;
 
 use super::{MIN_WAIT, wait_for_config, wait_to_read};
@@ -216,7 +216,7 @@
             }
         }
     };
-    host.listing_meta.set(Some(meta));
+    set_meta(host, meta);
     if before.is_none_or(|it| !it.covers(meta.fingerprint, meta.absence)) {
         host.schedule_update();
     }
@@ -225,6 +225,13 @@
     Acceptance::InUse
 }
 
+/// Sets the properties of the listing in use, and logs whether the meaning of an absence changes.
+pub(crate) fn set_meta<S: Store, D: Dialect>(host: &Host<S, D>, meta: ListingMeta) {
+    let before = host.listing_meta.replace(Some(meta));
+    let before = before.map_or(Absence::Gone, |it| it.absence);
+    report::log_absence(host, before, &meta);
+}
+
 fn update_directory<S: Store, D: Dialect>(
     host: &Host<S, D>,
     meta: ListingMeta,
--- a/crates/host/src/messaging/apply.rs
+++ b/crates/host/src/messaging/apply.rs
@@ -248,7 +248,7 @@
     match host.listing_meta.get() {
         Some(own) if !theirs.supersedes(&own) => false,
         Some(own) if own.covers(theirs.fingerprint, theirs.absence) => {
-            host.listing_meta.set(Some(theirs));
+            endpoints::set_meta(host, theirs);
             host.node.router().confirm_listing(theirs.at);
             is_much_later(theirs.at, Some(own.at))
         }
--- a/crates/host/src/report.rs
+++ b/crates/host/src/report.rs
@@ -8,11 +8,11 @@
 use async_std::task::sleep;
 use forward::Dialect;
 use kernel::HostName;
-use route::directory::Change;
+use route::directory::{Absence, Change};
 use route::reach::State;
 use telemetry::{Event, Gauges, Links, RefusedUpdate, Value};
 
-use crate::host::Host;
+use crate::host::{Host, ListingMeta};
 use crate::{Store, StoreError};
 
 /// The interval at which gauges are set and dropped log lines are reported.
@@ -153,6 +153,22 @@
     }
 }
 
+/// Logs that an absence from the listing means something else than before.
+pub(crate) fn log_absence<S: Store, D: Dialect>(
+    host: &Host<S, D>,
+    before: Absence,
+    meta: &ListingMeta,
+) {
+    let event = match (before, meta.absence) {
+        (Absence::Gone, Absence::Lapsed) => Event::AbsenceDoubtful,
+        (Absence::Lapsed, Absence::Gone) => Event::AbsenceReliable,
+        (Absence::Gone, Absence::Gone) | (Absence::Lapsed, Absence::Lapsed) => return,
+    };
+    let age = host.node.now().saturating_sub(meta.at);
+    let listing_age = ("listing_age_ms", Value::Time(age));
+    host.recorder().log_event(event, &[listing_age]);
+}
+
 /// Sets the gauges, and logs changes of readiness and of the set of serving hosts.
 pub(crate) async fn run_gauges<S: Store, D: Dialect>(host: Rc<Host<S, D>>) {
     let mut was_ready = false;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -56,6 +56,9 @@
 
     PartHeld, 1611, Warning, "Requests with a part of a prompt were quarantined because endpoints exited while running some of them.";
 
+    AbsenceDoubtful, 1612, Warning, "Entries that are missing from the listing may only have lapsed in an outage of the store; their endpoints stay in use.";
+    AbsenceReliable, 1613, Info, "Entries that are missing from the listing are gone again.";
+
     DataCentreEmptied, 1650, Warning, "Operators evacuated a data centre; its endpoints get no requests.";
     DataCentreOpen, 1651, Info, "Operators reopened a data centre; its endpoints get requests again.";
 
