Date a reported coverage by the time of the request

Cause, by reading: a change of the listing that another host sends is dated by the time at which it was requested, so that a late response isn't taken for current; the beginning of its coverage then appeared earlier by the time of the response, up to 0.4 s, and all hosts would take it over. After an outage live endpoints could be dropped that much too early. Change: the time of the response is taken off the length of the coverage. Result: a_reported_coverage_is_no_longer_than_the_true_one; the simulation uses the same code now. The tests of coverage and stalls pass.

--- a/crates/host/src/coverage.rs
+++ b/crates/host/src/coverage.rs
@@ -24,6 +24,16 @@
     (heartbeat * MISSED_HEARTBEATS).saturating_sub(REMOVAL_MARGIN)
 }
 
+/// Allowance for the transfer time, added to each age that another host sends. Without it, hosts
+/// would take state that was passed on by several others for newer than it is.
+const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(20);
+
+/// Returns the local time at which something was read, given its age in a message that another host
+/// sent at `sent` or later.
+pub(crate) fn age_to_time(sent: Duration, age: Duration) -> Duration {
+    sent.saturating_sub(age.saturating_add(TRANSFER_ALLOWANCE))
+}
+
 /// A span of time in which hosts read the listing of endpoints again and again, so that no outage
 /// of the store in which entries lapse can have happened.
 ///
@@ -52,6 +62,21 @@
         Self { until, length }
     }
 
+    /// Creates the coverage that another host reported between `sent` and `now`, by its length and
+    /// the age of its last reading.
+    ///
+    /// The last reading doesn't appear later than it was, nor the first one earlier, which would
+    /// move back with each host that passes the coverage on. A coverage too short for both begins
+    /// as late as it may.
+    #[must_use]
+    pub fn of_report(sent: Duration, now: Duration, age: Duration, length: Duration) -> Self {
+        let uncertainty = now.saturating_sub(sent) + TRANSFER_ALLOWANCE;
+        match length.checked_sub(uncertainty) {
+            Some(length) => Self::new(age_to_time(sent, age), length),
+            None => Self::of_reading(now.saturating_sub(age + length)),
+        }
+    }
+
     /// Returns the time of the last reading.
     #[must_use]
     pub fn until(self) -> Duration {
--- a/crates/host/src/messaging/apply.rs
+++ b/crates/host/src/messaging/apply.rs
@@ -10,6 +10,7 @@
 use telemetry::RefusedUpdate;
 
 use super::{listing, peer, request};
+use crate::coverage::age_to_time;
 use crate::follow::endpoints::{self, Acceptance, Content};
 use crate::follow::{documents, evacuations, rate_limits, verdicts};
 use crate::gossip::Record;
@@ -52,7 +53,7 @@
     }
     let now = host.node.now();
     let received = host.received_at(now);
-    let confirmed = update.confirmed.map(|age| read_at(received, age));
+    let confirmed = update.confirmed.map(|age| age_to_time(received, age));
     if let Some(at) = confirmed {
         host.hear_from_store(at);
     }
@@ -183,14 +184,11 @@
     }
 }
 
-/// Returns the properties of another host's listing, which it sent at `sent` or later, with the
-/// listing's age as a local time.
-pub(super) fn meta(sent: Duration, status: ListingStatus) -> ListingMeta {
-    // The beginning of the coverage must not appear earlier than it is, or it would move back with
-    // each host that passes it on.
-    let covered = status.covered.saturating_sub(TRANSFER_ALLOWANCE);
+/// Returns the properties of another host's listing, which it sent between `sent` and `now`, with
+/// local times.
+pub(super) fn meta(sent: Duration, now: Duration, status: ListingStatus) -> ListingMeta {
     ListingMeta {
-        coverage: Coverage::new(read_at(sent, status.age), covered),
+        coverage: Coverage::of_report(sent, now, status.age, status.covered),
         fingerprint: status.fingerprint,
         revision: status.revision,
     }
@@ -212,8 +210,8 @@
     if own != Some(it.change.from) {
         return request_patch(host, link, from);
     }
-    let acceptance =
-        endpoints::put_in_use(host, meta(sent, it.status), Content::Change(&it.change));
+    let meta = meta(sent, host.node.now(), it.status);
+    let acceptance = endpoints::put_in_use(host, meta, Content::Change(&it.change));
     if acceptance == Acceptance::Refused {
         report::log_refused_listing(host, &from.host, RefusedUpdate::Change);
         request_patch(host, link, from);
@@ -232,25 +230,16 @@
     sent: Duration,
     it: &ListingPatch,
 ) {
+    let meta = meta(sent, host.node.now(), it.status);
     let change = host.listing.borrow().change_of(&it.patch);
     let acceptance = change.map_or(Acceptance::Refused, |change| {
-        endpoints::put_in_use(host, meta(sent, it.status), Content::Change(&change))
+        endpoints::put_in_use(host, meta, Content::Change(&change))
     });
     if acceptance == Acceptance::Refused {
         report::log_refused_listing(host, &from.host, RefusedUpdate::Patch);
     }
 }
 
-/// Allowance for the transfer time, added to each age that another host sends. Without it, hosts
-/// would take state that was passed on by several others for newer than it is.
-const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(20);
-
-/// Returns the local time at which something was read, given its age in a message that another host
-/// sent at `sent` or later.
-fn read_at(sent: Duration, age: Duration) -> Duration {
-    sent.saturating_sub(age.saturating_add(TRANSFER_ALLOWANCE))
-}
-
 /// Compares this host's listing with another host's. If the other one was read later, takes over
 /// its properties if it has the same entries, and otherwise requests its changes. Returns whether a
 /// read time was taken over that is much later than before.
@@ -264,7 +253,8 @@
         listing::fetch(host, link, from);
         return false;
     };
-    let theirs = meta(host.node.now(), status);
+    let now = host.node.now();
+    let theirs = meta(now, now, status);
     if !theirs.supersedes(&own) {
         endpoints::extend_coverage(host, &theirs);
         return false;
--- a/crates/host/src/messaging/listing.rs
+++ b/crates/host/src/messaging/listing.rs
@@ -79,7 +79,7 @@
         let change = listing.change_of(&patch)?;
         listing.apply(&change);
         let entries = listing.entries().cloned().collect();
-        let meta = apply::meta(sent, status);
+        let meta = apply::meta(sent, self.host.node.now(), status);
         let _ = endpoints::put_in_use(self.host, meta, Content::Whole(entries));
         Some(())
     }
--- a/crates/host/tests/coverage.rs
+++ b/crates/host/tests/coverage.rs
@@ -87,6 +87,26 @@
     }
 }
 
+/// Guards against a slow response making a coverage appear longer than it is, or its listing newer.
+#[test]
+fn a_reported_coverage_is_no_longer_than_the_true_one() {
+    let age = millis(100);
+    for (length, response_time) in [(0, 0), (5, 0), (5, 300), (250, 300), (2_000, 300)] {
+        let (sent, now) = (millis(9_000), millis(9_000 + response_time));
+        let coverage = Coverage::of_report(sent, now, age, millis(length));
+        let began = coverage.until().checked_sub(coverage.length()).unwrap();
+        assert_eq!(
+            began,
+            now.checked_sub(age + millis(length)).unwrap(),
+            "{length}"
+        );
+        assert!(
+            coverage.until() <= now.checked_sub(age).unwrap(),
+            "{length}"
+        );
+    }
+}
+
 /// Guards against a coverage that grows on its way through other hosts and back: endpoints whose
 /// entries lapsed would be dropped too early.
 #[test]
--- a/crates/host/tests/coverage/fleet.rs
+++ b/crates/host/tests/coverage/fleet.rs
@@ -17,8 +17,6 @@
 const UPDATE_INTERVAL: u64 = 500;
 /// Range of the time that an update takes to another host.
 const TRANSFER_TIME: [u64; 2] = [2, 20];
-/// Added to the age of each listing that another host sends.
-const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(20);
 
 /// A span of time in milliseconds.
 #[derive(Clone, Copy, Default)]
@@ -192,10 +190,8 @@
         if !self.hosts[nr].detector.possible_delay(now).is_zero() {
             return;
         }
-        let at = now.saturating_sub(message.age + TRANSFER_ALLOWANCE);
-        let covered = message.listing.coverage.length();
-        let covered = covered.saturating_sub(TRANSFER_ALLOWANCE);
-        let coverage = Coverage::new(at, covered);
+        let length = message.listing.coverage.length();
+        let coverage = Coverage::of_report(now, now, message.age, length);
         self.put_in_use(
             nr,
             ListingMeta {
