--- a/crates/host/src/gossip/roster.rs
+++ b/crates/host/src/gossip/roster.rs
@@ -1,6 +1,7 @@
 //! The table of known hosts.
 
-use std::cmp::Reverse;
+mod known_host;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use super::{Graph, Record, State};
 use crate::Member;
 use crate::addresses::Address;
+use known_host::KnownHost;
 
 /// Minimum time for which a silent or gone host is kept, so that outdated records don't revive it.
 /// After that, the host is found again through the store's listing.
@@ -48,29 +50,6 @@
     fingerprint: u64,
 }
 
-#[derive(Clone, Debug)]
-struct KnownHost {
-    record: Record,
-    name_hash: u32,
-    record_hash: u64,
-    /// The time at which this record was stored.
-    stored_at: Duration,
-    /// The last live state before this record; the record's own state if the host was unknown.
-    last_live_state: State,
-    /// The last time at which the host was live again after it was silent.
-    returned_at: Option<Duration>,
-}
-
-impl KnownHost {
-    /// Returns the key by which hosts are ordered.
-    fn order(&self) -> (Reverse<u64>, u32) {
-        (
-            Reverse(self.record.member.capacity.rating()),
-            self.name_hash,
-        )
-    }
-}
-
 impl Roster {
     pub(super) fn new(own: Member, incarnation: Incarnation, now: Duration) -> Self {
         let mut roster = Self {
@@ -373,26 +352,10 @@
             is_ready(old) != is_ready(new) || old.member != new.member
         });
         if let Some(it) = before {
-            self.fingerprint ^= fingerprint_part(it);
+            self.fingerprint ^= it.fingerprint_part();
         }
-        let known = KnownHost {
-            last_live_state: before.map_or(record.state, |it| {
-                if it.record.is_live() {
-                    it.record.state
-                } else {
-                    it.last_live_state
-                }
-            }),
-            returned_at: match before {
-                Some(it) if !it.record.is_live() && record.is_live() => Some(now),
-                _ => before.and_then(|it| it.returned_at),
-            },
-            name_hash: name_hash(&name),
-            record_hash: record_hash(&record),
-            record,
-            stored_at: now,
-        };
-        self.fingerprint ^= fingerprint_part(&known);
+        let known = KnownHost::new(now, record, before);
+        self.fingerprint ^= known.fingerprint_part();
         self.hosts.insert(name, known);
         if changes_ready {
             self.ready_epoch += 1;
@@ -410,19 +373,6 @@
     }
 }
 
-/// Returns a host's part of the fingerprint. Silent and gone hosts have none because each host
-/// forgets them at a different time, and listed hosts have none because no host reported them.
-fn fingerprint_part(it: &KnownHost) -> u64 {
-    match it.record.state {
-        State::Listed | State::Silent | State::Gone => 0,
-        State::Starting | State::Ready | State::Leaving | State::Isolated => it.record_hash,
-    }
-}
-
-fn record_hash(it: &Record) -> u64 {
-    hash::of(&(&it.member.name, it.incarnation, it.sequence, it.state))
-}
-
 /// Returns a short hash that identifies a host in place of its longer name.
 pub(super) fn name_hash(host: &HostName) -> u32 {
     u32::try_from(hash::of(host.as_str()) & u64::from(u32::MAX)).unwrap_or_default()
