Reject responses with a status that HTTP doesn't have

Cause: httparse takes any three digits as a status, and nothing after it looked at the number. The head was sound otherwise, so the attempt ended as answered. Written anew, 000 lost its zeros, so the caller couldn't even parse it.

Change: a head whose status isn't 100 to 599 is malformed, as RFC 9110 (section 15) has it, and so is 101: it ends the use of HTTP on the connection, is sent only where the client asked for it, and was skipped like an interim response. The attempt ends as broken: an idempotent request is answered by another endpoint, one that must run once fails with 502, which promises nothing. All responses of endpoints and of hosts that forward for this one pass through this parser.

--- a/crates/framing/src/response.rs
+++ b/crates/framing/src/response.rs
@@ -33,6 +33,9 @@
         let (Some(status), Some(minor)) = (parsed.code, parsed.version) else {
             return Err(Error::Malformed);
         };
+        if !is_valid_status(status) {
+            return Err(Error::Malformed);
+        }
         let fields = Fields::from_parsed(parsed.headers);
         let bodiless = method == "HEAD" || matches!(status, 100..200 | 204 | 304);
         let length = match fields.length()? {
@@ -50,8 +53,7 @@
         })
     }
 
-    /// Returns whether the status is informational (1xx). Except for 101, such a response precedes
-    /// the final one.
+    /// Returns whether the status is informational (1xx). Such a response precedes the final one.
     #[must_use]
     pub fn is_informational(&self) -> bool {
         (100..200).contains(&self.status)
@@ -63,3 +65,11 @@
         (200..300).contains(&self.status)
     }
 }
+
+/// Returns whether a response to a relayed request can have this status.
+///
+/// Those below 100 and above 599 are invalid (RFC 9110, section 15), though parsers accept any
+/// three digits. After a 101 the connection uses another protocol, which a relay never asks for.
+fn is_valid_status(status: u16) -> bool {
+    matches!(status, 100 | 102..=599)
+}
--- a/crates/framing/tests/framing.rs
+++ b/crates/framing/tests/framing.rs
@@ -1,7 +1,7 @@
 //! Tests of parsing heads, decoding bodies and splitting event streams.
 
 use expect_test::{Expect, expect};
-use framing::{Decoder, Events, Length, head_end, request, response};
+use framing::{Decoder, Error, Events, Length, head_end, request, response};
 
 fn check_request(input: &str, expect: &Expect) {
     let head = input.replace('\n', "\r\n");
@@ -130,6 +130,45 @@
     );
 }
 
+/// Guards against delivering bytes as a response that HTTP doesn't allow as its head.
+#[test]
+fn a_response_with_an_invalid_status_is_rejected() {
+    for status in [
+        "000", "001", "099", "101", "600", "999", "20", "2000", "2x0",
+    ] {
+        let head = format!("HTTP/1.1 {status} Status\r\nContent-Length: 0\r\n\r\n");
+        let parsed = response::Head::parse(head.as_bytes(), "GET");
+        assert_eq!(parsed, Err(Error::Malformed), "{status}");
+    }
+    for status in [100, 102, 199, 200, 299, 304, 499, 599] {
+        let head = format!("HTTP/1.1 {status} Status\r\nContent-Length: 0\r\n\r\n");
+        let parsed = response::Head::parse(head.as_bytes(), "GET");
+        assert_eq!(parsed.map(|it| it.status), Ok(status));
+    }
+}
+
+/// Guards against an endpoint's bytes that another parser reads as a field, or as another one.
+#[test]
+fn a_response_with_an_invalid_field_is_rejected() {
+    for line in [
+        "X Bad: 1",
+        "X\x01Bad: 1",
+        "X\x7fBad: 1",
+        "X-Bad : 1",
+        " X-Bad: 1",
+        ": 1",
+        "X-Bad",
+        "X-Bad: \x00",
+        "Content-Length : 2",
+        " Content-Length: 2",
+    ] {
+        for lines in [format!("{line}\nA: b"), format!("A: b\n{line}")] {
+            let head = format!("HTTP/1.1 200 OK\n{lines}\n\n");
+            check_response(&head, "GET", &expect!["message is malformed"]);
+        }
+    }
+}
+
 #[test]
 fn bodies_are_decoded_and_malformed_chunks_rejected() {
     check_body(
