Take an early response for whole only if the request is written too

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent "only a part", and its connection ended while the upload was still being written.

A connection that is simply reset was handled: reading or writing fails, and the attempt ends as broken (three moments of the reset, tested). But the kernel of a process that ends after it has read all that had arrived first ends the response in order, and resets the connection when more of the request arrives. The host stopped writing as soon as it had read the end, so it never saw the reset.

Change: a body that ends with the connection is complete once the rest of the request is written as well; if that fails, it was cut off. An endpoint that ends its response and reads on loses nothing. The same function reads whole responses, streams, and both from a host that forwards for this one. Bodies with a length or in chunks show their end themselves and wait for nothing.

Not covered: a request that the socket's buffers hold whole counts as written, so a response that ends in order before the reset is still taken for complete.

--- a/crates/forward/src/attempt/stream.rs
+++ b/crates/forward/src/attempt/stream.rs
@@ -65,12 +65,14 @@
                 return Ending::Broken.into();
             }
             match lazy_timeout
-                .within(self.event_timeout(call), upstream.advance())
+                .within(
+                    self.event_timeout(call),
+                    upstream.advance_body(&mut decoder),
+                )
                 .await
             {
-                Some(Ok(1..)) => call.clear_denied_retry(),
-                Some(Ok(0)) if decoder.finish().is_ok() => {}
-                Some(_) => return Ending::Broken.into(),
+                Some(Ok(())) => call.clear_denied_retry(),
+                Some(Err(err)) => return err.ending().into(),
                 None if self.try_abandon(call) => return Ending::TimedOut.into(),
                 None => {}
             }
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -220,10 +220,9 @@
                 return RelayOutcome::Failed(Failure::Lost);
             }
             let left = call.time_left(node.now());
-            match timeout(left, upstream.advance()).await {
-                Ok(Ok(1..)) => {}
-                Ok(Ok(0)) if decoder.finish().is_ok() => {}
-                Ok(_) => return RelayOutcome::Failed(Failure::Lost),
+            match timeout(left, upstream.advance_body(&mut decoder)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return RelayOutcome::Failed(Failure::Lost),
                 Err(_) => return RelayOutcome::Failed(Failure::Late),
             }
         }
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -86,7 +86,7 @@
 
     /// Reads once while writing the rest of the request, and returns the number of bytes, 0 at
     /// the end of the connection.
-    pub(crate) async fn advance(&mut self) -> io::Result<usize> {
+    async fn advance(&mut self) -> io::Result<usize> {
         while self.sent < self.request.len() {
             let writer = self.conn.writer();
             let mut writer = &writer;
@@ -154,12 +154,40 @@
             if decoder.is_done() {
                 return Ok(());
             }
-            match self.advance().await {
-                Ok(1..) => {}
-                Ok(0) => return decoder.finish().map_err(|_| UpstreamError::Broken),
-                Err(_) => return Err(UpstreamError::Broken),
-            }
+            self.advance_body(&mut decoder).await?;
+        }
+    }
+
+    /// Reads the next bytes of a body, or finishes the decoder at the end of the connection.
+    ///
+    /// A body that ends with the connection is complete only if the endpoint also takes the rest of
+    /// the request. If its process ends while the request is being written, its kernel may end the
+    /// response as if it were complete, and reset the connection only when more of the request
+    /// arrives.
+    pub(crate) async fn advance_body(
+        &mut self,
+        decoder: &mut Decoder,
+    ) -> Result<(), UpstreamError> {
+        match self.advance().await {
+            Ok(1..) => return Ok(()),
+            Ok(0) => {}
+            Err(_) => return Err(UpstreamError::Broken),
+        }
+        let mut finished = decoder.clone();
+        finished.finish().map_err(|_| UpstreamError::Broken)?;
+        self.write_rest().await.map_err(|_| UpstreamError::Broken)?;
+        // Only now: this future may be cancelled while it writes.
+        *decoder = finished;
+        Ok(())
+    }
+
+    /// Writes the rest of the request. It can be called again after cancellation.
+    async fn write_rest(&mut self) -> io::Result<()> {
+        while self.sent < self.request.len() {
+            let mut writer = self.conn.writer();
+            self.sent += writer.write(&self.request[self.sent..]).await?;
         }
+        Ok(())
     }
 
     /// Starts skipping the body of a stray response; the next call of [`Self::head`] reads it. The
