Reject a response that switches protocols in the HTTP client

Bytes that follow a 101 belong to another protocol, and the client took them for the final response: "101, then 200 ok" was delivered as 200.

Cause: a 101 was skipped like an interim response. The client of the product's own daemon, of barleyctl and of the store never asks for another protocol.

Change: a 101 is malformed, as in the relay's parser.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -14,7 +14,7 @@
 use crate::conn::{Conn, HeadError, HeadPolicy, MAX_HEAD};
 use crate::h1;
 use crate::write::{CopyError, copy_to_stream};
-use crate::{Body, Cause, Error, Request, Response};
+use crate::{Body, Cause, Error, Request, Response, Status};
 
 use pool::Reuse;
 
@@ -217,8 +217,11 @@
     loop {
         let wait = first_byte.min(time_left(deadline));
         let head = read_head(conn, wait, deadline).await?;
-        if !head.status().is_informational() {
-            return Ok(head);
+        match head.status() {
+            // The client never asks for another protocol.
+            Status::SwitchingProtocols => return Err(Error::Cut(Cause::Malformed)),
+            status if status.is_informational() => {}
+            _ => return Ok(head),
         }
     }
 }
--- a/crates/http/tests/suite/client.rs
+++ b/crates/http/tests/suite/client.rs
@@ -1,5 +1,6 @@
 //! Tests of the client against scripted peers.
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -13,6 +14,9 @@
 
 use crate::{message, support};
 
+/// The time for which a peer sends bytes without end, if the client doesn't close the connection.
+const MAX_ENDLESS_TIME: Duration = Duration::from_secs(4);
+
 /// A peer that plays one script for each connection, in the order in which they are accepted.
 struct Peer {
     address: SocketAddr,
@@ -57,6 +61,10 @@
     for line in script.lines() {
         match line.split_once(' ').unwrap_or((line, "")) {
             ("recv", _) => drop(message::read_message(&mut stream)),
+            // Reads only the first bytes of a request. At the end of the script the connection is
+            // then reset.
+            ("recv-part", _) => stream.read_exact(&mut [0; 64]).unwrap(),
+            ("send-endlessly", text) => send_endlessly(&mut stream, text),
             ("send", text) => support::send(&mut stream, text),
             // Waits until the test drops the senders in `release`.
             ("hold", _) => drop(hold.recv()),
@@ -65,6 +73,13 @@
     }
 }
 
+/// Sends the text again and again until the connection ends or [`MAX_ENDLESS_TIME`] is over.
+fn send_endlessly(stream: &mut std::net::TcpStream, text: &str) {
+    let end = Instant::now() + MAX_ENDLESS_TIME;
+    let bytes = support::unescape(text).repeat(100);
+    while Instant::now() < end && stream.write_all(&bytes).is_ok() {}
+}
+
 async fn send_request(
     client: &Client,
     to: SocketAddr,
@@ -72,6 +87,12 @@
     options: &Options,
 ) -> String {
     let request = Request::new(method, "/").body(Body::bytes("question"));
+    send(client, to, request, options).await
+}
+
+/// Returns the response, or the error with which sending the request or reading the response
+/// ended.
+async fn send(client: &Client, to: SocketAddr, request: Request, options: &Options) -> String {
     let response = match client.send(to, request, options).await {
         Ok(response) => response,
         Err(err) => return format!("{err:?}"),
@@ -94,6 +115,8 @@
         .unwrap()
         .unwrap_or(30_000);
     let total = case.try_take_arg("total-ms").unwrap().unwrap_or(60_000);
+    let body_bytes = case.try_take_arg("body-bytes").unwrap();
+    let body = body_bytes.map_or_else(|| b"question".to_vec(), |it| vec![b'x'; it]);
     let retry_policy = if case.take_flag("idempotent").unwrap() {
         RetryPolicy::Idempotent
     } else {
@@ -112,7 +135,9 @@
         if await_close && idx > 0 {
             peer.closed.recv().unwrap();
         }
-        let line = block_on(send_request(&client, peer.address, method, &options));
+        let body = Body::bytes(body.clone());
+        let request = Request::new(method, "/").body(body);
+        let line = block_on(send(&client, peer.address, request, &options));
         output.push_str(line.trim_end());
         output.push('\n');
     }
