Limit the interim responses before the final one in the HTTP client

A peer that sends interim responses without end kept a thread of the client busy for as long as it sent, past all timeouts: 4 s in the test, which is when its peer stops.

Cause: each of them began the wait for the first byte anew, and a read that finds bytes is ready before its timeout is looked at.

Change: a hundred interim responses, then the response is malformed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,6 +21,10 @@
 pub use pool::PoolLimits;
 pub(crate) use response_body::ResponseBody;
 
+/// Maximum number of interim responses before the final one. A peer that sends them without end
+/// would keep a thread busy: a read that finds bytes never waits, so no timeout ends it.
+const MAX_INTERIM_RESPONSES: usize = 100;
+
 /// An HTTP client with a connection pool. Clones share the pool.
 #[derive(Clone)]
 pub struct Client {
@@ -214,16 +218,17 @@
     first_byte: Duration,
     deadline: Instant,
 ) -> Result<http_types::Response, Error> {
-    loop {
+    for _ in 0..=MAX_INTERIM_RESPONSES {
         let wait = first_byte.min(time_left(deadline));
         let head = read_head(conn, wait, deadline).await?;
         match head.status() {
             // The client never asks for another protocol.
-            Status::SwitchingProtocols => return Err(Error::Cut(Cause::Malformed)),
+            Status::SwitchingProtocols => break,
             status if status.is_informational() => {}
             _ => return Ok(head),
         }
     }
+    Err(Error::Cut(Cause::Malformed))
 }
 
 async fn read_head(
