Take no early response for whole whose reset the client's write reported

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. This is the HTTP client of the product's daemon, of barleyctl and of the store, not the relay, whose reads and writes see the reset themselves.

Cause: the kernel reports a reset once. The client writes first and reads later; the write took the error, the client then read the early response, which says why a peer didn't read the request, and found an end of the connection that looked in order.

Change: after such an error, a response whose end only the connection shows counts as not received. One with a length or in chunks shows its end itself and is delivered as before.

Evidence: the case with body-bytes and no length in tests/data/client/broken.txt gave "200 only a part" before and gives MaybeSent(Closed); the one with a length gave "413 too long" before and after.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -129,7 +129,13 @@
             // response, if there is one, is more useful than the write error.
             Err(WriteError::Connection(err @ Error::MaybeSent(Cause::Closed))) => {
                 let early_head = read_final_head(&conn, options.first_byte, deadline).await;
-                early_head.map_err(|_| err)?
+                let early_head = early_head.map_err(|_| err)?;
+                // The write has reported the reset. To the reader of the body, the connection now
+                // ends in order, and a part of a body would look like all of it.
+                if response_body::ends_with_connection(&early_head, request.method) {
+                    return Err(err);
+                }
+                early_head
             }
             Err(WriteError::Connection(err) | WriteError::Body(err)) => return Err(err),
         };
--- a/crates/http/src/client/response_body.rs
+++ b/crates/http/src/client/response_body.rs
@@ -62,6 +62,11 @@
     Ok(response)
 }
 
+/// Returns whether only the end of the connection shows the end of the body.
+pub(super) fn ends_with_connection(head: &http_types::Response, method: Method) -> bool {
+    length(head, method) == Some(Length::UntilClose)
+}
+
 /// Returns the length of a body, or `None` if the head is invalid or has an unsupported transfer
 /// coding.
 ///
