Keep no bytes of responses to other requests

With 200 requests at endpoints that slowly send the body of a response to another request, the process took 244 MB where its settings allow 110 MB. Such a process is killed, and the requests of all callers on it are lost.

Cause: the body of a stray response was decoded into memory, up to 1 MB for each request, until it was over, though nothing reads it. One such response is harmless and was tested; many at once weren't.

Change: what is decoded of a stray response is dropped at once. The bytes read are counted as before, so the limit of 1 MB stays.

--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -27,22 +27,16 @@
     sent: usize,
     /// The number of stray responses: responses to other requests.
     strays: u32,
-    /// The stray response that is being skipped.
-    stray: Option<Stray>,
+    /// The decoder of the stray response that is being skipped.
+    ///
+    /// It belongs to the connection, not to the future that waits for a head: that future may time
+    /// out in the middle of the body, and the next one would look for a head in the rest of the
+    /// body and lose the valid response that follows.
+    stray: Option<Decoder>,
     /// The bytes of heads and stray responses so far.
     skipped: usize,
 }
 
-/// The state of reading the body of a stray response.
-///
-/// It belongs to the connection, not to the future that waits for a head: that future may
-/// time out in the middle of the body, and the next one would look for a head in the rest of
-/// the body and lose the valid response that follows.
-struct Stray {
-    decoder: Decoder,
-    body: Vec<u8>,
-}
-
 /// An error in the exchange with an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpstreamError {
@@ -200,18 +194,17 @@
             return Err(UpstreamError::Broken);
         }
         self.strays += 1;
-        self.stray = Some(Stray {
-            decoder: Decoder::new(head.length),
-            body: Vec::new(),
-        });
+        self.stray = Some(Decoder::new(head.length));
         Ok(())
     }
 
-    /// Reads the rest of the stray response.
+    /// Reads the rest of the stray response, and keeps none of it: there may be one for each of many
+    /// requests.
     async fn read_stray(&mut self) -> Result<(), UpstreamError> {
-        while let Some(Stray { decoder, body }) = &mut self.stray {
+        while let Some(decoder) = &mut self.stray {
+            let mut dropped = Vec::new();
             let taken = decoder
-                .decode(self.conn.unread(), body)
+                .decode(self.conn.unread(), &mut dropped)
                 .map_err(|_| UpstreamError::Broken)?;
             self.conn.consume(taken);
             self.skipped += taken;
@@ -219,7 +212,7 @@
                 self.stray = None;
                 return Ok(());
             }
-            if body.len() > MAX_SKIPPED_BYTES || !matches!(self.advance().await, Ok(1..)) {
+            if self.skipped > MAX_SKIPPED_BYTES || !matches!(self.advance().await, Ok(1..)) {
                 return Err(UpstreamError::Broken);
             }
         }
