Reserve memory for long incomplete events

With 200 streams whose endpoints slowly send a body that contains no event, the process took 222 MB where its settings allow 110 MB.

Cause: up to 1 MB of an incomplete event is held for each stream, and these bytes weren't counted among those that bodies may take, a quarter of the process's memory.

Change: what an incomplete event takes beyond 16 KB is reserved as bodies are. Where there is no room the attempt ends as broken, like one with too long an event, and the stream goes on at another endpoint if it may. The first 16 KB are free, so that usual streams go on while bodies take all memory. The memory is given back once the event is complete.

--- a/crates/forward/src/attempt/stream.rs
+++ b/crates/forward/src/attempt/stream.rs
@@ -29,6 +29,7 @@
         let node = self.node;
         let mut decoder = Decoder::new(head.length);
         let mut events = Events::default();
+        let mut reservation = node.buffers.reserve();
         let mut last_write = None;
         loop {
             let is_valid = upstream.decode(&mut decoder, events.input()).is_ok();
@@ -36,6 +37,7 @@
                 node,
                 progress: self.progress,
                 last_event: self.last_event,
+                reservation: &mut reservation,
             };
             let Forwarded { count, is_broken } = forwarder.forward(&mut events, head, call, writer);
             if writer.has_pending() {
--- a/crates/forward/src/buffers.rs
+++ b/crates/forward/src/buffers.rs
@@ -1,8 +1,9 @@
-//! Limits the memory of requests and responses that are held as a whole.
+//! Limits the memory of requests, responses and events that are held as a whole.
 //!
-//! A request body is held until its attempts have ended, and a response until its caller has read
-//! it. With many slow callers, or many large bodies, these would take more memory than the process
-//! has, and it would be killed with all its requests.
+//! A request body is held until its attempts have ended, a response until its caller has read it,
+//! and an event of a stream until it is complete. With many slow callers, many large bodies, or
+//! endpoints that send bytes without an event, these would take more memory than the process has,
+//! and it would be killed with all its requests.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -64,6 +65,18 @@
         true
     }
 
+    /// Reserves memory for a body of this length, and frees what was reserved beyond it. Returns
+    /// whether there is room.
+    pub(crate) fn try_resize(&mut self, body_len: usize) -> bool {
+        let wanted = body_len.saturating_mul(COPIES);
+        if wanted < self.bytes {
+            let used = self.buffers.used.get();
+            self.buffers.used.set(used - (self.bytes - wanted));
+            self.bytes = wanted;
+        }
+        self.try_hold(body_len)
+    }
+
     /// Waits until there is room for a body of this length.
     pub(crate) async fn hold(&mut self, body_len: usize) {
         while !self.try_hold(body_len) {
--- a/crates/forward/src/event_forwarder.rs
+++ b/crates/forward/src/event_forwarder.rs
@@ -5,6 +5,7 @@
 use framing::{Events, response};
 use route::Call;
 
+use crate::buffers::Reservation;
 use crate::response_writer::ResponseWriter;
 use crate::serve::Progress;
 use crate::{Dialect, Node};
@@ -12,6 +13,9 @@
 /// The most bytes of an event. Without a limit, bytes that contain no event would fill the host's
 /// memory for as long as an endpoint sends them.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// The bytes of an incomplete event for which no memory is reserved, so that usual streams go on
+/// when bodies take all memory.
+const UNRESERVED_EVENT_BYTES: usize = 16 * 1024;
 
 /// Forwards the events of one response to the caller.
 pub(crate) struct EventForwarder<'a, D> {
@@ -19,6 +23,8 @@
     pub(crate) progress: &'a Progress,
     /// The id of the last event that the caller has, or that was buffered for it.
     pub(crate) last_event: &'a mut Option<u64>,
+    /// The memory that the incomplete event takes.
+    pub(crate) reservation: &'a mut Reservation,
 }
 
 /// The result of forwarding the buffered events.
@@ -26,7 +32,7 @@
 pub(crate) struct Forwarded {
     pub(crate) count: u32,
     /// Whether no later event can be forwarded: the id of the next one shows that events are
-    /// missing, or the next one is too long.
+    /// missing, the next one is too long, or there is no memory for it.
     pub(crate) is_broken: bool,
 }
 
@@ -61,7 +67,9 @@
             *self.last_event = event.id.or(*self.last_event);
             forwarded.count += 1;
         }
-        forwarded.is_broken = events.unread_len() > MAX_EVENT_BYTES;
+        let unread = events.unread_len();
+        let reserved = unread.saturating_sub(UNRESERVED_EVENT_BYTES);
+        forwarded.is_broken = unread > MAX_EVENT_BYTES || !self.reservation.try_resize(reserved);
         forwarded
     }
 
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -188,6 +188,7 @@
         let node = self.node;
         let mut decoder = Decoder::new(head.length);
         let mut events = Events::default();
+        let mut reservation = node.buffers.reserve();
         let mut last_write = None;
         loop {
             let is_valid = upstream.decode(&mut decoder, events.input()).is_ok();
@@ -195,6 +196,7 @@
                 node,
                 progress: self.progress,
                 last_event: self.last_event,
+                reservation: &mut reservation,
             };
             let moved = forwarder.forward(&mut events, head, call, writer);
             if writer.has_pending() {
--- a/crates/framing/src/events.rs
+++ b/crates/framing/src/events.rs
@@ -2,6 +2,9 @@
 
 use memchr::memmem;
 
+/// The capacity in bytes that the buffer keeps.
+const KEPT_CAPACITY: usize = 64 * 1024;
+
 /// Buffer that splits an event stream into complete events, so that an event whose sender
 /// failed halfway is not passed on.
 #[derive(Clone, Debug, Default)]
@@ -25,6 +28,8 @@
         if self.start > 0 {
             self.pending.drain(..self.start);
             self.start = 0;
+            // Frees the memory of a long event.
+            self.pending.shrink_to(KEPT_CAPACITY);
         }
         &mut self.pending
     }
