Let other tasks run while bytes of a connection never run out

An endpoint repeated the first event of three streams without end. A request of another caller took 8.7 s, the time for which the stand-in sends, and the streams outlasted their timeout of 4 s.

Cause: a read that finds bytes is ready at once, so a task that reads from a fast peer never waits. A host has one thread: no other task ran, and no timeout was noticed. Repeated events are skipped and count towards no limit, unlike the bytes of heads, bodies and incomplete events.

Change: after 64 KB a connection lets other tasks run before it reads on. It is in the function that reads all connections, so it holds for callers, endpoints and other hosts, and for what is read and dropped before a connection is closed.

--- a/crates/forward/src/conn.rs
+++ b/crates/forward/src/conn.rs
@@ -6,6 +6,7 @@
 
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
+use async_std::task;
 use futures::FutureExt;
 
 use crate::Connector;
@@ -14,11 +15,18 @@
 /// The size of one read in bytes. Most requests and responses fit.
 const READ_SIZE: usize = 8 * 1024;
 
+/// The bytes that are read before other tasks get a turn. A read that finds bytes doesn't wait, so
+/// a peer that sends faster than its bytes are handled would keep the host's only thread busy, and
+/// no timeout would be noticed.
+const MAX_TURN_BYTES: usize = 64 * 1024;
+
 /// A TCP connection with a read buffer.
 pub(crate) struct Conn {
     stream: TcpStream,
     buf: Vec<u8>,
     start: usize,
+    /// The bytes that were read since other tasks had a turn.
+    turn_bytes: usize,
     /// Counts the connection if it is to an endpoint.
     lease: Option<Lease>,
 }
@@ -32,6 +40,7 @@
             stream,
             buf: Vec::new(),
             start: 0,
+            turn_bytes: 0,
             lease: None,
         }
     }
@@ -82,6 +91,10 @@
 
     /// Reads once into the buffer and returns the number of bytes, 0 at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        if self.turn_bytes >= MAX_TURN_BYTES {
+            self.turn_bytes = 0;
+            task::yield_now().await;
+        }
         if self.start > 0 {
             self.buf.drain(..self.start);
             self.start = 0;
@@ -95,6 +108,7 @@
         let read = (&self.stream).read(&mut guard.buf[len..]).await;
         if let Ok(read) = read {
             guard.len += read;
+            self.turn_bytes += read;
         }
         read
     }
