Find a reset that follows the end of an early response

Cause: the endpoint's process closes the connection when it has read what had arrived. Its kernel ends the response in order and resets the connection when the rest of the request arrives. Reads report the end, not the reset that has come after it, and there is nothing left to write.

Change: at the end of a response without a length the host asks the socket for its error. It costs one system call for each such response.

Not covered: a reset that comes after the host has read the end.

--- a/crates/forward/src/conn.rs
+++ b/crates/forward/src/conn.rs
@@ -8,6 +8,7 @@
 use async_std::net::TcpStream;
 use async_std::task;
 use futures::FutureExt;
+use socket2::SockRef;
 
 use crate::Connector;
 use crate::connections::Lease;
@@ -140,6 +141,13 @@
         async_std::future::timeout(limit, event).await.is_ok()
     }
 
+    /// Fails if the peer has reset the connection after it ended its data, which no read reports.
+    pub(crate) fn check_not_reset(&self) -> io::Result<()> {
+        SockRef::from(&self.stream)
+            .take_error()?
+            .map_or(Ok(()), Err)
+    }
+
     /// Shuts down the write half; the peer reads the rest of the data and then the end.
     pub(crate) fn shutdown_write(&self) {
         // It fails only if the connection is already closed.
--- a/crates/forward/src/upstream.rs
+++ b/crates/forward/src/upstream.rs
@@ -155,9 +155,8 @@
     /// Reads the next bytes of a body, or finishes the decoder at the end of the connection.
     ///
     /// A body that ends with the connection is complete only if the endpoint also takes the rest of
-    /// the request. If its process ends while the request is being written, its kernel may end the
-    /// response as if it were complete, and reset the connection only when more of the request
-    /// arrives.
+    /// the request. If its process ends before it has read all of it, its kernel may end the response
+    /// as if it were complete, and reset the connection only when more of the request arrives.
     pub(crate) async fn advance_body(
         &mut self,
         decoder: &mut Decoder,
@@ -175,13 +174,14 @@
         Ok(())
     }
 
-    /// Writes the rest of the request. It can be called again after cancellation.
+    /// Writes the rest of the request, and fails if the endpoint doesn't take it. It can be called
+    /// again after cancellation.
     async fn write_rest(&mut self) -> io::Result<()> {
         while self.sent < self.request.len() {
             let mut writer = self.conn.writer();
             self.sent += writer.write(&self.request[self.sent..]).await?;
         }
-        Ok(())
+        self.conn.check_not_reset()
     }
 
     /// Starts skipping the body of a stray response; the next call of [`Self::head`] reads it. The
