--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -3,9 +3,10 @@
 
 use std::fs::{self, File};
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,8 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     process: Child,
+    settings: PathBuf,
+    log: PathBuf,
 }
 
 impl Host {
@@ -31,8 +34,25 @@
         let settings = settings(name, zone, store, &ports);
         let path = folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the settings of a host");
-        let process = spawn(&path, &folder.join(format!("{name}.log")));
-        Self { name: name.to_owned(), front, ready, process }
+        let log = folder.join(format!("{name}.log"));
+        let process = spawn(&path, &log);
+        Self { name: name.to_owned(), front, ready, process, settings: path, log }
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        // The standard library has no call for it; the shell has one.
+        let order = format!("kill -TERM {}", self.process.id());
+        let _ = Command::new("sh").arg("-c").arg(order).status();
+    }
+
+    /// Starts the process again after it has ended; the whole system doesn't start for the first
+    /// time then.
+    pub fn restart(&mut self) {
+        let text = fs::read_to_string(&self.settings).expect("the settings of a host");
+        let text = text.replace("first_start = true", "first_start = false");
+        fs::write(&self.settings, text).expect("the settings of a host");
+        self.process = spawn(&self.settings, &self.log.with_extension("2.log"));
     }
 
     /// Waits until the host is ready; false after 20 seconds.
@@ -129,9 +149,17 @@
     values.iter().fold(template, |text, (from, to)| text.replace(from, to))
 }
 
-/// Returns ports that were free a moment ago, for TCP and UDP alike.
+/// Returns ports that are free for TCP and UDP, below those that the kernel gives to connections.
 fn free_ports(count: usize) -> Vec<u16> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-    listeners.iter().map(|it| it.local_addr().expect("its address").port()).collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(61);
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let nr = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = 12_000 + (nr % 18_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    ports
 }
--- a/review/standins-2/lost.rs
+++ b/review/standins-2/lost.rs
@@ -50,7 +50,7 @@
         let entry = Entry { id, service, zone, version: "v1".to_owned(), slots: SLOTS, queue: QUEUE, work };
         Replica::start(entry, &store, record)
     };
-    let stream = Work::Stream { events: EVENTS, gap: GAP };
+    let stream = Work::Stream { events: EVENTS, gap: GAP, bad: 0 };
     let whole = Work::Whole { time: Duration::from_millis(20), bad: 0 };
     let pool: Vec<Replica> = ZONES
         .iter()
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,7 @@
 mod model;
 mod record;
 mod replica;
+mod sessions;
 mod store;
 mod wire;
 
@@ -54,6 +55,8 @@
     let verdict = match case.as_str() {
         "lost" => lost::run(&context),
         "model" => model::run(&context),
+        "withdrawn" => sessions::run_withdrawn(&context),
+        "restarts" => sessions::run_restarts(&context),
         _ => Verdict::NotRun(format!("there is no case {case}")),
     };
     if env::var("KEEP_LOGS").is_err() {
--- a/review/standins-2/model.rs
+++ b/review/standins-2/model.rs
@@ -29,7 +29,7 @@
             version: "v1".to_owned(),
             slots: 48,
             queue: 4,
-            work: Work::Stream { events: 5, gap: Duration::from_millis(10) },
+            work: Work::Stream { events: 5, gap: Duration::from_millis(10), bad: 0 },
         };
         Replica::start(entry, &store, record)
     };
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -25,8 +25,8 @@
 /// What a replica does with a request.
 #[derive(Clone, Copy, Debug)]
 pub enum Work {
-    /// A stream of events, one each `gap`.
-    Stream { events: u64, gap: Duration },
+    /// A stream of events, one each `gap`; one of `bad` answers is a failure, none if it is 0.
+    Stream { events: u64, gap: Duration, bad: u64 },
     /// One answer after `time`; one of `bad` of them is a failure, none if it is 0.
     Whole { time: Duration, bad: u64 },
 }
@@ -245,29 +245,42 @@
     fn run(&self, id: &str, head: &Head, writer: &mut TcpStream) -> bool {
         let model = head.get("model").unwrap_or("-").to_owned();
         match self.entry.work {
-            Work::Stream { events, gap } => {
+            Work::Stream { bad, .. } if self.is_bad(bad) => {
+                self.note_run(id, &model, true);
+                self.answer(id, 500, writer)
+            }
+            Work::Stream { events, gap, .. } => {
                 let last = head.get("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
                 self.note_run(id, &model, false);
-                self.record.note(&format!("replica {} runs {id} (Model: {model}) after event {last}", self.entry.id));
+                let Entry { id: own, version, .. } = &self.entry;
+                self.record.note(&format!("replica {own} ({version}) runs {id} (Model: {model}) after event {last}"));
                 self.stream(id, last, events, gap, writer)
             }
             Work::Whole { time, bad } => {
                 sleep(time);
-                let nr = self.runs.lock().expect("the runs").len() as u64;
-                let failed = bad > 0 && nr % bad == 0;
+                let failed = self.is_bad(bad);
                 self.note_run(id, &model, failed);
-                let status = if failed { 500 } else { 200 };
-                self.record.note(&format!("replica {} ({}) runs {id}: {status}", self.entry.id, self.entry.version));
-                let load = self.load_header();
-                let text = format!(
-                    "HTTP/1.1 {status} X\r\nRequest-Id: {id}\r\nReplica-Stamp: stamp-of-{}\r\nReplica-Load: {load}\r\nContent-Length: 2\r\n\r\nok",
-                    self.entry.id
-                );
-                writer.write_all(text.as_bytes()).is_ok()
+                self.answer(id, if failed { 500 } else { 200 }, writer)
             }
         }
     }
 
+    /// Returns whether the next answer is one of the failures of a bad version.
+    fn is_bad(&self, bad: u64) -> bool {
+        let nr = self.runs.lock().expect("the runs").len() as u64;
+        bad > 0 && nr % bad == 0
+    }
+
+    fn answer(&self, id: &str, status: u16, writer: &mut TcpStream) -> bool {
+        self.record.note(&format!("replica {} ({}) runs {id}: {status}", self.entry.id, self.entry.version));
+        let load = self.load_header();
+        let text = format!(
+            "HTTP/1.1 {status} X\r\nRequest-Id: {id}\r\nReplica-Stamp: stamp-of-{}\r\nReplica-Load: {load}\r\nContent-Length: 2\r\n\r\nok",
+            self.entry.id
+        );
+        writer.write_all(text.as_bytes()).is_ok()
+    }
+
     fn note_run(&self, id: &str, model: &str, failed: bool) {
         if failed {
             self.failures.fetch_add(1, Ordering::Relaxed);
@@ -277,6 +290,8 @@
     }
 
     fn stream(&self, id: &str, last: u64, events: u64, gap: Duration, writer: &mut TcpStream) -> bool {
+        // Reading the prompt takes as long as an event.
+        sleep(gap);
         let load = self.load_header();
         let text = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nReplica-Stamp: stamp-of-{}\r\nContent-Type: text/event-stream\r\n\
