Refuse requests that name a model where the route chooses it

Cause: nothing read the caller's field, and encode_head replaced it on each route that chooses the model. Ruled out: a fallback for unknown names, and a later attempt that replaces it: each of eleven values, of listed models, unlisted ones, none and several, ran on the smallest model at its first attempt.

Change: the router denies such a request with 421 before an endpoint is chosen, on every way to one.

The same cause on related paths: fields that the caller lists in Connection were dropped as the connection's own, so that endpoints ran requests without the caller's Model, Token-Usage or Prefix-Hash, couldn't read them without Host, and a host that forwards a request lost its key; an endpoint could so take its signature off its own answer. These fields are end to end now.

--- a/crates/barleyctl/tests/place.rs
+++ b/crates/barleyctl/tests/place.rs
@@ -17,7 +17,8 @@
 use route::evacuation::DataCentreAccess;
 use route::rollout::Order;
 use route::{
-    Evacuation, HostCount, IncomingRequest, LoadPolicy, RequestProfile, Revision, Router, Settings,
+    Evacuation, HostCount, IncomingRequest, LoadPolicy, ModelChoice, RequestProfile, Revision,
+    Router, Settings,
 };
 use serde_json::json;
 
@@ -116,6 +117,7 @@
             prompt_tokens: query("tokens").parse().unwrap_or_default(),
             ..RequestProfile::default()
         },
+        model_choice: ModelChoice::Route,
         relayed: None,
     };
     let explanation = router.explain(NOW + Duration::from_millis(250), incoming);
--- a/crates/forward/src/dialect.rs
+++ b/crates/forward/src/dialect.rs
@@ -5,7 +5,7 @@
 use framing::{request, response};
 use kernel::{Customer, RequestId};
 use route::endpoint::Load;
-use route::{LoadError, Placement, Relayed, RequestProfile, RequestRate};
+use route::{LoadError, ModelChoice, Placement, Relayed, RequestProfile, RequestRate};
 
 /// Encodes and decodes the header fields of callers' requests and endpoints' responses.
 ///
@@ -24,8 +24,8 @@
     /// Parses the fields of an endpoint's response.
     fn parse_response(&self, head: &response::Head) -> ResponseFields;
 
-    /// Returns whether a field of an endpoint's response is forwarded to the caller.
-    fn forwards_field(&self, field: &str) -> bool;
+    /// Returns whether this field of an endpoint's response is forwarded to the caller.
+    fn forwards_field(&self, head: &response::Head, field: &str) -> bool;
 
     /// Returns the name of the field that carries the request id.
     fn request_id_field(&self) -> &'static str;
@@ -44,6 +44,8 @@
     pub last_event: Option<u64>,
     /// The properties that placement depends on.
     pub profile: RequestProfile,
+    /// Who chooses the model, if the route has several.
+    pub model_choice: ModelChoice,
     /// Set if another host forwards the request.
     pub relayed: Option<Relayed>,
 }
--- a/crates/forward/src/response_writer.rs
+++ b/crates/forward/src/response_writer.rs
@@ -68,6 +68,9 @@
             },
             Denial::NoRoute => Self::of(404),
             Denial::UnknownKey => Self::of(401),
+            // Promises that the request hasn't run. It would be refused again, so there is no time
+            // after which to retry.
+            Denial::NamedModel => Self::of(421),
         }
     }
 }
@@ -187,7 +190,7 @@
         self.start_head(head.status);
         for (name, value) in head.fields.iter() {
             let is_framing = name.eq_ignore_ascii_case("content-length");
-            if !is_framing && !head.fields.is_hop_by_hop(name) && dialect.forwards_field(name) {
+            if !is_framing && dialect.forwards_field(head, name) {
                 self.push_field(name, value);
             }
         }
@@ -228,6 +231,7 @@
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        421 => "Misdirected Request",
         431 => "Request Header Fields Too Large",
         500 => "Internal Server Error",
         502 => "Bad Gateway",
--- a/crates/forward/src/serve.rs
+++ b/crates/forward/src/serve.rs
@@ -116,6 +116,7 @@
         key: request_fields.key.as_deref(),
         timeout: request_fields.timeout,
         profile: request_fields.profile.clone(),
+        model_choice: request_fields.model_choice,
         relayed: request_fields.relayed,
     };
     let call = node
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -42,8 +42,8 @@
 use crate::rollout::Order;
 use crate::sessions::Sessions;
 use crate::{
-    Directory, Fingerprint, HostCount, LoadPolicy, Quarantine, Relay, RetryBudget, Rollout,
-    Settings,
+    Directory, Fingerprint, HostCount, LoadPolicy, ModelChoice, Quarantine, Relay, RetryBudget,
+    Rollout, Settings,
 };
 
 pub use denial::Denial;
@@ -284,6 +284,7 @@
             key,
             timeout,
             profile,
+            model_choice,
             id,
             relayed,
         } = incoming;
@@ -304,6 +305,10 @@
             }
             RouteAccess::Public => None,
         };
+        // A request must not run on a model that its caller didn't ask for.
+        if !route.models.is_empty() && model_choice == ModelChoice::Caller {
+            return Err(Denial::NamedModel);
+        }
         let number = match &profile.session {
             Some(session) => hash::of(session.as_str()),
             None => hash::of(id),
--- a/crates/route/src/router/denial.rs
+++ b/crates/route/src/router/denial.rs
@@ -26,6 +26,9 @@
     /// The API key is missing or unknown.
     #[display("unknown_key")]
     UnknownKey,
+    /// The route chooses the model, and the request doesn't leave the choice to it.
+    #[display("named_model")]
+    NamedModel,
     /// Another host forwards the request to this one, and neither reaches endpoints.
     #[display("unreachable")]
     Unreachable,
@@ -42,12 +45,13 @@
 
 impl Denial {
     /// All variants.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::NotReady,
         Self::Stopping,
         Self::NoMemory,
         Self::NoRoute,
         Self::UnknownKey,
+        Self::NamedModel,
         Self::Unreachable,
         Self::Quarantined {
             fingerprint: Fingerprint::NONE,
--- a/crates/route/src/router/incoming.rs
+++ b/crates/route/src/router/incoming.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Relayed, RequestProfile};
+use crate::{ModelChoice, Relayed, RequestProfile};
 
 /// A request that was received from a caller.
 #[derive(Clone, Debug)]
@@ -21,6 +21,8 @@
     pub timeout: Option<Duration>,
     /// The properties that placement depends on.
     pub profile: RequestProfile,
+    /// Who chooses the model, if the route has several.
+    pub model_choice: ModelChoice,
     /// Set if another host forwards the request.
     pub relayed: Option<Relayed>,
 }
--- a/crates/route/tests/admission/site.rs
+++ b/crates/route/tests/admission/site.rs
@@ -7,7 +7,9 @@
     Config, Customer, Limits, ResponseKind, RetryPolicy, Route, RouteAccess, Service, Target,
 };
 use route::endpoint::{Entry, State};
-use route::{HostCount, IncomingRequest, LoadPolicy, RequestProfile, Router, Settings};
+use route::{
+    HostCount, IncomingRequest, LoadPolicy, ModelChoice, RequestProfile, Router, Settings,
+};
 
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(4);
 pub(crate) const TARGET_LATENCY: Duration = Duration::from_secs(1);
@@ -100,6 +102,7 @@
         key: Some(customer),
         timeout: Some(timeout),
         profile: RequestProfile::default(),
+        model_choice: ModelChoice::Route,
         relayed: None,
     }
 }
--- a/crates/route/tests/harness/line.rs
+++ b/crates/route/tests/harness/line.rs
@@ -7,7 +7,7 @@
 use kernel::{DataCentre, Incarnation, SessionId};
 use route::config::{ResponseKind, RetryPolicy, Route, RouteAccess, Target};
 use route::endpoint::{Entry, State};
-use route::{Ending, IncomingRequest, LoadPolicy, RequestProfile, Settings};
+use route::{Ending, IncomingRequest, LoadPolicy, ModelChoice, RequestProfile, Settings};
 
 /// A parsed line of a script: a command with positional and named arguments.
 pub(crate) struct Line<'a> {
@@ -54,6 +54,10 @@
             key: self.text("key"),
             timeout: timeout.map(|it| Duration::from_millis(it.parse().unwrap())),
             profile,
+            model_choice: match self.text("model") {
+                None => ModelChoice::Route,
+                Some(_) => ModelChoice::Caller,
+            },
             relayed: None,
         }
     }
--- a/crates/route/tests/harness/router.rs
+++ b/crates/route/tests/harness/router.rs
@@ -7,7 +7,7 @@
     Config, Limits, ResponseKind, RetryPolicy, Route, RouteAccess, Service, Target,
 };
 use route::endpoint::{Entry, State};
-use route::{IncomingRequest, LoadPolicy, RequestProfile, Router, Settings, WarmUp};
+use route::{IncomingRequest, LoadPolicy, ModelChoice, RequestProfile, Router, Settings, WarmUp};
 
 /// Returns a router with one route to the service `pool`.
 pub(crate) fn router(warm_up: Option<WarmUp>, seed: u64) -> Router {
@@ -77,6 +77,7 @@
         key: None,
         timeout: None,
         profile: RequestProfile::default(),
+        model_choice: ModelChoice::Route,
         relayed: None,
     }
 }
