Keep withdrawn releases out when the next one is ordered

Cause: a host knew one roll-out per service, and the old side was every release but the new one. Ruled out: hosts that hadn't heard the verdict (one router alone does it), and endpoints that come back.

Change: a roll-out keeps how those before it ended. A release that was withdrawn and not completed since is on neither side. Hosts tell each other, and the row of the hosts' own that is written with the status has it for hosts that start when no other runs. A verdict that is older than an order is not applied to it.

The same cause on related paths: several withdrawn in a row, endpoints that leave late, hosts that start later or all at once, the next order before the verdict, a restored store, a withdrawn release ordered again (it was reverted at once by the old status), evidence, and silent attempts that were given up for endpoints that get nothing.

--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -5,7 +5,7 @@
 
 use async_std::task::sleep;
 use forward::{Dialect, Node};
-use route::rollout::Verdict;
+use route::rollout::{Record, Verdict};
 use route::{Revision, Rollout};
 use telemetry::{Event, Value};
 
@@ -89,12 +89,8 @@
 pub(crate) fn apply<S: Store, D: Dialect>(host: &Host<S, D>) {
     let mut router = host.node.router();
     for it in host.verdicts.borrow().values() {
-        if let Some(rollout) = router.rollout(&it.service)
-            && rollout.order.release == it.release
-            && it.verdict != Verdict::Running
-            && it.verdict != rollout.verdict
-        {
-            rollout.verdict = it.verdict;
+        let changed = router.apply_verdict(&it.service, &it.release, it.verdict, it.revision);
+        if let Some(rollout) = changed {
             log_verdict(host, rollout, "the store");
         }
     }
@@ -152,23 +148,34 @@
         let Some(delay) = succession::write_delay(host.rank(), RANK_DELAY) else {
             continue;
         };
-        for it in unwritten_verdicts {
+        for (it, record) in unwritten_verdicts {
             sleep(delay).await;
+            // Another host may have written it meanwhile.
             let is_known = host
                 .verdicts
                 .borrow()
                 .get(&it.service)
-                .is_some_and(|known| known.release == it.release && known.verdict == it.verdict);
+                .is_some_and(|known| {
+                    let is_same = known.release == it.release && known.verdict == it.verdict;
+                    is_same && known.revision != it.revision
+                });
             if !is_known {
-                write(&host, it).await;
+                write(&host, it, &record).await;
             }
         }
     }
 }
 
-async fn write<S: Store, D: Dialect>(host: &Host<S, D>, rollout_verdict: RolloutVerdict) {
+async fn write<S: Store, D: Dialect>(
+    host: &Host<S, D>,
+    rollout_verdict: RolloutVerdict,
+    rollout_record: &Record,
+) {
     let began = host.node.now();
-    let written = host.store.write_verdict(&rollout_verdict).await;
+    let written = host
+        .store
+        .write_verdict(&rollout_verdict, rollout_record)
+        .await;
     report::record_store_call(host, "judge", began, &written);
     match written {
         Ok(revision) => {
@@ -202,11 +209,12 @@
     }
 }
 
-/// Updates the roll-outs, and returns the verdicts that have to be written to the store.
+/// Updates the roll-outs, and returns the verdicts that have to be written to the store, with the
+/// roll-outs' records.
 fn unwritten_verdicts<S: Store, D: Dialect>(
     node: &Node<D>,
     host: &Host<S, D>,
-) -> Vec<RolloutVerdict> {
+) -> Vec<(RolloutVerdict, Record)> {
     let now = node.now();
     let mut router = node.router();
     let known = host.verdicts.borrow();
@@ -225,7 +233,11 @@
         }
         let service = &rollout.order.service;
         let written = known.get(service);
-        let is_written = written.is_some_and(|it| it.release == rollout.order.release);
+        // One that is older than the order is that of an earlier roll-out of the same release.
+        let is_written = written.is_some_and(|it| {
+            let is_newer = |revision| revision > rollout.order.revision;
+            it.release == rollout.order.release && it.revision.is_none_or(is_newer)
+        });
         let verdict = match (found, is_written) {
             (Some(found), _) => found,
             (None, false) => rollout.verdict,
@@ -237,12 +249,13 @@
         if is_written && written.is_some_and(|it| it.verdict == verdict) {
             continue;
         }
-        unwritten_verdicts.push(RolloutVerdict {
+        let unwritten = RolloutVerdict {
             service: service.clone(),
             release: rollout.order.release.clone(),
             verdict,
             revision: written.and_then(|it| it.revision),
-        });
+        };
+        unwritten_verdicts.push((unwritten, rollout.record()));
     }
     unwritten_verdicts
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -358,6 +358,7 @@
             authority,
             members,
             quarantined,
+            rollouts,
         } = joined.ok()?;
         self.hosts_found.set(Some(members.len()));
         self.joined_at.set(Some(self.node.now()));
@@ -368,6 +369,7 @@
             .router()
             .quarantine()
             .load_persisted(now, &quarantined);
+        self.node.router().load_rollout_records(rollouts);
         let keys = authority.issue(&self.own.name).ok()?;
         self.recorder()
             .log_event(Event::Joined, &[("address", Value::Text(&self.own.link))]);
--- a/crates/host/src/store.rs
+++ b/crates/host/src/store.rs
@@ -7,7 +7,7 @@
 use kernel::EndpointId;
 use link::keys::Authority;
 use route::endpoint::Entry;
-use route::{Config, Fingerprint, Revision};
+use route::{Config, Fingerprint, Revision, rollout};
 
 use crate::{Documents, Member, RolloutVerdict};
 
@@ -34,8 +34,8 @@
     /// Returns [`StoreError::Unreadable`] if the text isn't a valid configuration.
     fn parse_config(&self, text: &[u8]) -> Result<Arc<Config>, StoreError>;
 
-    /// Reads what a host needs to find and authenticate the others, and the quarantined
-    /// requests. If the store has no certificate authority yet, it writes `candidate`.
+    /// Reads what a host needs to find and authenticate the others, the quarantined requests and the
+    /// records of roll-outs. If the store has no certificate authority yet, it writes `candidate`.
     fn join(&self, candidate: Authority) -> impl Future<Output = Result<JoinInfo, StoreError>>;
 
     /// Reads the verdicts on roll-outs; with `since`, waits up to `wait` for those that
@@ -78,17 +78,18 @@
         prints: &[Fingerprint],
     ) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Writes a verdict on a roll-out if the stored one still has `rollout_verdict.revision`,
-    /// or if none is stored and that is `None`. Returns the revision of the written one, if the
-    /// store tells it.
+    /// Writes a verdict on a roll-out, and the roll-out's record, if the stored verdict still has
+    /// `rollout_verdict.revision`, or if none is stored and that is `None`. Returns the revision of
+    /// the written ones, if the store tells it.
     fn write_verdict(
         &self,
         rollout_verdict: &RolloutVerdict,
+        record: &rollout::Record,
     ) -> impl Future<Output = Result<Option<Revision>, StoreError>>;
 }
 
 /// The data that a host reads from the store to join the fleet: to find and authenticate the other
-/// hosts, and to deny quarantined requests.
+/// hosts, to deny quarantined requests, and to go on with roll-outs.
 #[derive(Clone, Debug)]
 pub struct JoinInfo {
     /// The authority that issues the hosts' certificates.
@@ -97,6 +98,8 @@
     pub members: Vec<Member>,
     /// The quarantined requests.
     pub quarantined: Vec<Fingerprint>,
+    /// The records of roll-outs.
+    pub rollouts: Vec<rollout::Record>,
 }
 
 /// The listing of endpoints in the store.
--- a/crates/route/src/permit.rs
+++ b/crates/route/src/permit.rs
@@ -20,6 +20,9 @@
     /// The endpoint is shutting down or no longer listed.
     #[display("leaving")]
     Leaving,
+    /// The endpoint's release gets no more requests.
+    #[display("withdrawn")]
+    Withdrawn,
     /// The endpoint is cold, and this host may not send it a request now.
     #[display("cold")]
     Cold,
@@ -33,9 +36,10 @@
 
 impl Withheld {
     /// All variants.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Evacuated,
         Self::Leaving,
+        Self::Withdrawn,
         Self::Cold,
         Self::Limited,
         Self::Brittle,
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -1,10 +1,12 @@
 //! Progressive roll-out of a release: which requests it gets, and whether it is good or bad.
 
 mod evidence;
+mod history;
 mod latency;
 mod observation;
 mod order;
 mod pooled;
+mod record;
 mod side;
 mod update;
 
@@ -15,14 +17,17 @@
 
 use crate::Revision;
 
+pub(crate) use history::History;
 use latency::{Baseline, LatencyKind};
 use pooled::Pool;
 
 pub use evidence::{Evidence, ResponseCounts};
+pub use history::Replaced;
 pub use latency::{LatencyRatios, SlowShare};
 pub use observation::Observation;
 pub use order::{Order, Verdict};
 pub use pooled::{PartialSum, Total};
+pub use record::Record;
 pub use side::Side;
 pub use update::{Scope, Update};
 
@@ -83,6 +88,7 @@
     pub order: Order,
     /// The current verdict.
     pub verdict: Verdict,
+    pub(crate) history: History,
     initial_revision: Revision,
     started: Duration,
     session_exchange: Duration,
@@ -110,6 +116,7 @@
             initial_revision: order.revision,
             order,
             verdict: Verdict::Running,
+            history: History::default(),
             started,
             exposure,
             trial_end_notice: TRIAL_END_NOTICE * if hosts > 1 { 1 + extra_hops } else { 0 },
@@ -254,10 +261,37 @@
         now.saturating_sub(self.started)
     }
 
-    /// Returns whether an endpoint that runs `release` may take a request of this side.
+    /// Returns the side that an endpoint with this release serves. `None` if the release was
+    /// withdrawn before this order: its endpoints get no requests, however late they leave.
     #[must_use]
-    pub fn is_eligible(&self, side: Side, release: &Release) -> bool {
-        (side == Side::New) == (*release == self.order.release)
+    pub fn side_of(&self, release: &Release) -> Option<Side> {
+        if *release == self.order.release {
+            Some(Side::New)
+        } else {
+            (!self.history.is_withdrawn(release)).then_some(Side::Old)
+        }
+    }
+
+    /// Returns whether the release gets no more requests: it was withdrawn, or the roll-out of the
+    /// other one is complete.
+    #[must_use]
+    pub(crate) fn is_out_of_use(&self, release: &Release) -> bool {
+        match self.side_of(release) {
+            Some(Side::New) => self.verdict == Verdict::Reverted,
+            Some(Side::Old) => self.verdict == Verdict::Complete,
+            None => true,
+        }
+    }
+
+    /// Returns the roll-out as the store keeps it.
+    #[must_use]
+    pub fn record(&self) -> Record {
+        Record {
+            service: self.order.service.clone(),
+            release: self.order.release.clone(),
+            revision: self.order.revision,
+            replaced: self.history.withdrawals(),
+        }
     }
 
     /// Returns the verdict that this host reaches from the evidence, if one is due.
@@ -360,6 +394,7 @@
             partial_sums: Vec::new(),
             totals: self.pool.totals(scope),
             pinned_sessions: pinned_sessions.into_iter().collect(),
+            replaced: self.history.withdrawals(),
         }
     }
 
--- a/crates/route/src/rollout/update.rs
+++ b/crates/route/src/rollout/update.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Evidence, Order, PartialSum, Total, Verdict};
+use super::{Evidence, Order, PartialSum, Replaced, Total, Verdict};
 
 /// One host's update on a roll-out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +29,9 @@
     /// Hashes of sessions that are on the old release and would otherwise be on the new one.
     #[serde(rename = "held")]
     pub pinned_sessions: Vec<u64>,
+    /// The last roll-out of each release that was ever withdrawn, as far as later orders replaced
+    /// it.
+    pub replaced: Vec<Replaced>,
 }
 
 /// The part of a host's state that an update contains.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -39,7 +39,7 @@
 use crate::endpoint::{Entry, Key};
 use crate::prefill::PrefillEstimator;
 use crate::reach::{Monitor, State};
-use crate::rollout::Order;
+use crate::rollout;
 use crate::sessions::Sessions;
 use crate::{
     Directory, Fingerprint, HostCount, LoadPolicy, ModelChoice, Quarantine, Relay, RetryBudget,
@@ -72,8 +72,8 @@
     directory: Directory,
     budgets: HashMap<ServiceName, RetryBudget>,
     rollouts: HashMap<ServiceName, Rollout>,
-    /// Previous orders of each service, newest first.
-    previous_orders: HashMap<ServiceName, Vec<Order>>,
+    /// The store's records of roll-outs when this host started.
+    rollout_records: HashMap<ServiceName, rollout::Record>,
     sessions: Sessions,
     quarantine: Quarantine,
     admission: Admission,
@@ -105,7 +105,7 @@
             directory: Directory::default(),
             budgets: HashMap::new(),
             rollouts: HashMap::new(),
-            previous_orders: HashMap::new(),
+            rollout_records: HashMap::new(),
             sessions: Sessions::default(),
             quarantine: Quarantine::default(),
             admission: Admission::default(),
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -8,7 +8,6 @@
 use super::{CROWDED_UTILIZATION, InFlight, Placement, Router, SESSION_GAP_MARGIN};
 use crate::call::{Call, Ending, Failure, Next, Retry};
 use crate::reach::State;
-use crate::rollout::Side;
 
 impl Router {
     /// Starts an attempt at the chosen endpoint.
@@ -220,10 +219,9 @@
             return;
         }
         if let Some(rollout) = self.rollouts.get_mut(&call.service) {
-            let side = if release == rollout.order.release {
-                Side::New
-            } else {
-                Side::Old
+            // What a withdrawn release still answers or fails says nothing about the other two.
+            let Some(side) = rollout.side_of(&release) else {
+                return;
             };
             let class = hash::of(&(&call.route.name, call.cascade.model()));
             let mut observation = in_flight.observation(class, failed);
--- a/crates/route/src/router/exclusion.rs
+++ b/crates/route/src/router/exclusion.rs
@@ -30,6 +30,9 @@
     /// It runs the other release of a roll-out.
     #[display("other release")]
     OtherRelease,
+    /// Its release was found bad in an earlier roll-out.
+    #[display("withdrawn release")]
+    Withdrawn,
     /// It asked this host to send nothing.
     #[display("paused for {} ms", millis::whole(*left))]
     Paused {
@@ -82,9 +85,10 @@
             return Some(Self::of_unavailable(it));
         }
         if let (Some(rollout), Some(side)) = (rollout, call.side())
-            && !rollout.is_eligible(side, &it.entry.release)
+            && let used = rollout.side_of(&it.entry.release)
+            && used != Some(side)
         {
-            return Some(Self::OtherRelease);
+            return Some(used.map_or(Self::Withdrawn, |_| Self::OtherRelease));
         }
         if !it.wait(now).is_zero() {
             return Some(Self::of_waiting(now, it));
--- a/crates/route/src/router/permits.rs
+++ b/crates/route/src/router/permits.rs
@@ -42,6 +42,10 @@
         if !self.directory.has_room_for(now, known, known.in_flight) {
             return Err(Withheld::Brittle);
         }
+        let rollout = self.rollouts.get(&known.entry.service);
+        if rollout.is_some_and(|it| it.is_out_of_use(&known.entry.release)) {
+            return Err(Withheld::Withdrawn);
+        }
         let it = self.directory.get_mut(in_flight.endpoint);
         let it = it.ok_or(Withheld::Leaving)?;
         if it.access == DataCentreAccess::Evacuated {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -120,8 +120,10 @@
     /// Returns whether an endpoint is certain to take another attempt of the request now. One with
     /// a limited rate isn't: another request may use this host's part of it first.
     pub(super) fn has_other_endpoint(&self, now: Duration, call: &Call) -> bool {
+        let rollout = self.rollouts.get(&call.service);
         let is_open = |(key, it): (Key, &Endpoint)| {
             it.takes_work()
+                && !rollout.is_some_and(|rollout| rollout.is_out_of_use(&it.entry.release))
                 && it.wait(now).is_zero()
                 && !it.is_rate_limited(now)
                 && self.directory.has_room(now, it)
--- a/crates/route/src/router/rollouts.rs
+++ b/crates/route/src/router/rollouts.rs
@@ -1,14 +1,14 @@
 //! Roll-outs of releases.
 
-use std::collections::HashMap;
+use std::mem;
 use std::time::Duration;
 
-use kernel::{HostName, ServiceName, hash};
+use kernel::{HostName, Release, ServiceName, hash};
 
 use super::{Router, SESSION_GAP_MARGIN};
-use crate::Rollout;
 use crate::call::{Call, ReleaseAssignment};
-use crate::rollout::{self, Order, Scope};
+use crate::rollout::{self, History, Order, Replaced, Scope, Verdict};
+use crate::{Revision, Rollout};
 
 /// The changes made by another host's update on roll-outs.
 #[derive(Clone, Debug, Default)]
@@ -21,48 +21,65 @@
     pub is_news: bool,
 }
 
-/// The maximum number of previous orders kept per service.
-const MAX_PREVIOUS_ORDERS: usize = 8;
-
-/// Returns whether an order is a previous one that reappeared because the store was restored
-/// from an older copy, which lacks the order that replaced it.
-fn is_restored(previous_orders: &HashMap<ServiceName, Vec<Order>>, order: &Order) -> bool {
-    let previous_orders = previous_orders
-        .get(&order.service)
-        .map_or(&[][..], Vec::as_slice);
-    previous_orders.iter().any(|it| {
-        let is_same = it.release == order.release && it.revision.version == order.revision.version;
-        is_same && it.revision.era < order.revision.era
-    })
-}
-
 impl Router {
     /// Applies an operator's order and returns whether it starts a roll-out. Ignores orders that
     /// aren't newer than the current one, and previous orders that a restored store repeats. If the
     /// store lost the current order and it was written again, only its revision is updated.
     pub fn apply_order(&mut self, order: Order, started: Duration) -> bool {
+        let mut history = History::default();
         if let Some(known) = self.rollouts.get_mut(&order.service) {
             let is_not_newer = known.order.revision >= order.revision;
-            if is_not_newer
-                || is_restored(&self.previous_orders, &order)
-                || known.adopt_rewritten(&order)
-            {
+            if is_not_newer || known.history.has_restored(&order) || known.adopt_rewritten(&order) {
                 return false;
             }
-            let previous_orders = self
-                .previous_orders
-                .entry(order.service.clone())
-                .or_default();
-            previous_orders.truncate(MAX_PREVIOUS_ORDERS - 1);
-            previous_orders.insert(0, known.order.clone());
+            history = mem::take(&mut known.history);
+            history.add(Replaced::of(&known.order, known.verdict));
         }
         let exposure = self.settings.exposure_share;
         let service = order.service.clone();
-        let rollout = Rollout::new(order, started, exposure, self.live_hosts());
+        let mut rollout = Rollout::new(order, started, exposure, self.live_hosts());
+        rollout.history = history;
+        if let Some(record) = self.rollout_records.get(&service) {
+            apply_record(&mut rollout, record);
+        }
         self.rollouts.insert(service, rollout);
         true
     }
 
+    /// Applies the store's records of roll-outs, for those that are known and those whose orders
+    /// are still to be read.
+    pub fn load_rollout_records(&mut self, records: Vec<rollout::Record>) {
+        for record in records {
+            if let Some(rollout) = self.rollouts.get_mut(&record.service) {
+                apply_record(rollout, &record);
+            }
+            self.rollout_records.insert(record.service.clone(), record);
+        }
+    }
+
+    /// Applies a verdict that the store has for the roll-out of a release, written at `written` if
+    /// that is known. Returns the roll-out if its verdict changed.
+    pub fn apply_verdict(
+        &mut self,
+        service: &ServiceName,
+        release: &Release,
+        verdict: Verdict,
+        written: Option<Revision>,
+    ) -> Option<&Rollout> {
+        let rollout = self.rollouts.get_mut(service)?;
+        if let Some(written) = written {
+            rollout.history.record_verdict(release, verdict, written);
+        }
+        // A verdict that is older than the order is that of an earlier roll-out of the release.
+        let is_current = rollout.order.release == *release
+            && written.is_none_or(|it| it > rollout.order.revision);
+        if !is_current || verdict == Verdict::Running || verdict == rollout.verdict {
+            return None;
+        }
+        rollout.verdict = verdict;
+        Some(rollout)
+    }
+
     /// Returns this host's updates on roll-outs for other hosts.
     pub fn rollout_updates(&mut self, now: Duration, scope: Scope) -> Vec<rollout::Update> {
         let gap = self.settings.session_gap + SESSION_GAP_MARGIN;
@@ -93,9 +110,17 @@
                 changed.new_orders.push(it.order.clone());
                 changed.is_news = true;
             }
-            if let Some(rollout) = self.rollouts.get_mut(&it.order.service)
-                && rollout.order.revision == it.order.revision
-            {
+            let Some(rollout) = self.rollouts.get_mut(&it.order.service) else {
+                continue;
+            };
+            for replaced in it.replaced.iter().cloned() {
+                changed.is_news |= rollout.history.add(replaced);
+            }
+            if it.order.revision < rollout.order.revision {
+                // The sender doesn't know the current order yet, but maybe how the last one ended.
+                changed.is_news |= rollout.history.add(Replaced::of(&it.order, it.verdict));
+            }
+            if rollout.order.revision == it.order.revision {
                 let before = rollout.verdict;
                 changed.is_news |= rollout.apply_update(now, host, &it);
                 if rollout.verdict != before {
@@ -137,3 +162,18 @@
         })
     }
 }
+
+/// Applies the store's record to the roll-out of the same service.
+fn apply_record(rollout: &mut Rollout, record: &rollout::Record) {
+    for replaced in record.replaced.iter().cloned() {
+        rollout.history.add(replaced);
+    }
+    if record.revision < rollout.order.revision {
+        // Its verdict is in the store's status, unless the next roll-out has replaced that.
+        rollout.history.add(Replaced {
+            release: record.release.clone(),
+            revision: record.revision,
+            verdict: Verdict::Running,
+        });
+    }
+}
