Let clocks begin before the process, so that told ages can be subtracted

Cause: hosts tell each other how old an order is, and now.saturating_sub(age) was cut off at zero, where the clock of the process began. Such a host was in the first seconds of the roll-out while all others had moved all sessions. Ruled out: unknown sessions (which release they get depends on their hash and the phase alone), and missing evidence (the trial's end comes with the same update).

Change: the operating system's clock has its origin a year before the process. This mends each place that subtracts a told age: roll-outs, quarantine, coverage, rates, and the daemon's loads. Two places that took zero for the start are given the start.

When all hosts start again nobody knows the age. The row that is written beside a roll-out's status has the time of the order on the store's clock.

--- a/crates/barleypind/src/contact.rs
+++ b/crates/barleypind/src/contact.rs
@@ -8,20 +8,30 @@
 /// Distinguishes an isolated host from an outage of the table. A host that is cut off from
 /// everything but its callers misses a withdrawal and would go on using the withdrawn version.
 /// During an outage of the table alone, the host list and the other hosts are still heard from.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct LastContact {
     micros: AtomicU64,
 }
 
 impl LastContact {
+    /// Creates the time of the last contact of a host that starts at `now`.
+    pub(crate) fn new(now: Duration) -> Self {
+        Self {
+            micros: AtomicU64::new(micros(now)),
+        }
+    }
+
     /// Records a contact at `now`.
     pub(crate) fn record(&self, now: Duration) {
-        let micros = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
-        self.micros.fetch_max(micros, Ordering::Relaxed);
+        self.micros.fetch_max(micros(now), Ordering::Relaxed);
     }
 
-    /// Returns the time since the last contact, or since the start of the clock without one.
+    /// Returns the time since the last contact, or since the host's start without one.
     pub(crate) fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(Duration::from_micros(self.micros.load(Ordering::Relaxed)))
     }
 }
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -199,7 +199,7 @@
         self.run_housekeeping(cx);
     }
 
-    /// Drops pending probes and extends suspicions after the process was frozen, for
+    /// At the first event, begins to wait for responses. Later, drops pending probes and extends suspicions after the process was frozen, for
     /// example by SIGSTOP. Otherwise all of them would have expired, and this
     /// host would declare live hosts unreachable.
     ///
@@ -210,7 +210,10 @@
         let gap = cx.now.saturating_sub(self.timers.last_event);
         let is_first = self.timers.last_event.is_zero();
         self.timers.last_event = cx.now;
-        if is_first || gap <= self.tuning.probe_every * 2 {
+        if is_first {
+            return self.prober.reset(cx.now);
+        }
+        if gap <= self.tuning.probe_every * 2 {
             return;
         }
         self.prober.reset(cx.now);
--- a/crates/fleet/src/prober.rs
+++ b/crates/fleet/src/prober.rs
@@ -17,7 +17,7 @@
     pending: BTreeMap<u32, PendingProbe>,
     relayed: BTreeMap<u32, RelayedProbe>,
     /// The time at which this host's own probe was last acknowledged, or at which
-    /// the process resumed after a freeze.
+    /// the process started or resumed after a freeze.
     pub(crate) last_response: Duration,
 }
 
--- a/crates/host/src/follow/documents.rs
+++ b/crates/host/src/follow/documents.rs
@@ -107,13 +107,21 @@
     verdicts::apply(host);
 }
 
+/// Logs an order, and how long ago it was first seen by any host: the share of requests that the
+/// release gets depends on it.
 pub(crate) fn log_order<S: Store, D: Dialect>(host: &Host<S, D>, order: &Order) {
+    let now = host.node.now();
+    let elapsed = match host.node.router().rollout(&order.service) {
+        Some(rollout) => rollout.elapsed(now),
+        None => Duration::ZERO,
+    };
     host.recorder().log_event(
         Event::RolloutSeen,
         &[
             ("service", Value::Text(&order.service)),
             ("release", Value::Text(&order.release)),
             ("over_ms", Value::Time(order.duration)),
+            ("elapsed_ms", Value::Time(elapsed)),
         ],
     );
 }
--- a/crates/host/src/follow/verdicts.rs
+++ b/crates/host/src/follow/verdicts.rs
@@ -255,7 +255,7 @@
             verdict,
             revision: written.and_then(|it| it.revision),
         };
-        unwritten_verdicts.push((unwritten, rollout.record()));
+        unwritten_verdicts.push((unwritten, rollout.record(now)));
     }
     unwritten_verdicts
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -369,7 +369,7 @@
             .router()
             .quarantine()
             .load_persisted(now, &quarantined);
-        self.node.router().load_rollout_records(rollouts);
+        self.node.router().load_rollout_records(now, rollouts);
         let keys = authority.issue(&self.own.name).ok()?;
         self.recorder()
             .log_event(Event::Joined, &[("address", Value::Text(&self.own.link))]);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -11,7 +11,7 @@
 mod registry;
 mod secret;
 
-pub use clock::{Clock, ManualClock, SystemClock};
+pub use clock::{Clock, MAX_AGE, ManualClock, SystemClock};
 pub use id::{
     AttemptId, ChangeId, Customer, DataCentre, EndpointId, HostName, Incarnation, ModelName,
     ProfileName, Region, Release, RequestId, RequestKey, Revision, ServiceName, SessionId,
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -257,7 +257,9 @@
         self.trial_end.is_some_and(|it| self.elapsed(now) >= it)
     }
 
-    fn elapsed(&self, now: Duration) -> Duration {
+    /// Returns the time since the order was first seen by any host, as far as this one knows.
+    #[must_use]
+    pub fn elapsed(&self, now: Duration) -> Duration {
         now.saturating_sub(self.started)
     }
 
@@ -285,15 +287,35 @@
 
     /// Returns the roll-out as the store keeps it.
     #[must_use]
-    pub fn record(&self) -> Record {
+    pub fn record(&self, now: Duration) -> Record {
         Record {
             service: self.order.service.clone(),
             release: self.order.release.clone(),
             revision: self.order.revision,
+            elapsed: self.elapsed(now),
             replaced: self.history.withdrawals(),
         }
     }
 
+    /// Applies the store's record of this service's roll-outs, which was read at `read_at`.
+    pub(crate) fn apply_record(&mut self, read_at: Duration, record: &Record) {
+        for replaced in record.replaced.iter().cloned() {
+            self.history.add(replaced);
+        }
+        let is_same_release = record.release == self.order.release;
+        let is_rewritten = record.revision.era < self.order.revision.era;
+        if is_same_release && (record.revision == self.order.revision || is_rewritten) {
+            self.started = self.started.min(read_at.saturating_sub(record.elapsed));
+        } else if record.revision < self.order.revision {
+            // Its verdict is in the store's status, unless the next roll-out has replaced that.
+            self.history.add(Replaced {
+                release: record.release.clone(),
+                revision: record.revision,
+                verdict: Verdict::Running,
+            });
+        }
+    }
+
     /// Returns the verdict that this host reaches from the evidence, if one is due.
     #[must_use]
     pub fn own_verdict(&self, now: Duration) -> Option<Verdict> {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -72,8 +72,8 @@
     directory: Directory,
     budgets: HashMap<ServiceName, RetryBudget>,
     rollouts: HashMap<ServiceName, Rollout>,
-    /// The store's records of roll-outs when this host started.
-    rollout_records: HashMap<ServiceName, rollout::Record>,
+    /// The store's records of roll-outs when this host started, and when they were read.
+    rollout_records: HashMap<ServiceName, (Duration, rollout::Record)>,
     sessions: Sessions,
     quarantine: Quarantine,
     admission: Admission,
--- a/crates/route/src/router/rollouts.rs
+++ b/crates/route/src/router/rollouts.rs
@@ -39,21 +39,22 @@
         let service = order.service.clone();
         let mut rollout = Rollout::new(order, started, exposure, self.live_hosts());
         rollout.history = history;
-        if let Some(record) = self.rollout_records.get(&service) {
-            apply_record(&mut rollout, record);
+        if let Some((read_at, record)) = self.rollout_records.get(&service) {
+            rollout.apply_record(*read_at, record);
         }
         self.rollouts.insert(service, rollout);
         true
     }
 
-    /// Applies the store's records of roll-outs, for those that are known and those whose orders
-    /// are still to be read.
-    pub fn load_rollout_records(&mut self, records: Vec<rollout::Record>) {
+    /// Applies the store's records of roll-outs, which were read at `read_at`, to those that are
+    /// known and those whose orders are still to be read.
+    pub fn load_rollout_records(&mut self, read_at: Duration, records: Vec<rollout::Record>) {
         for record in records {
             if let Some(rollout) = self.rollouts.get_mut(&record.service) {
-                apply_record(rollout, &record);
+                rollout.apply_record(read_at, &record);
             }
-            self.rollout_records.insert(record.service.clone(), record);
+            let service = record.service.clone();
+            self.rollout_records.insert(service, (read_at, record));
         }
     }
 
@@ -162,18 +163,3 @@
         })
     }
 }
-
-/// Applies the store's record to the roll-out of the same service.
-fn apply_record(rollout: &mut Rollout, record: &rollout::Record) {
-    for replaced in record.replaced.iter().cloned() {
-        rollout.history.add(replaced);
-    }
-    if record.revision < rollout.order.revision {
-        // Its verdict is in the store's status, unless the next roll-out has replaced that.
-        rollout.history.add(Replaced {
-            release: record.release.clone(),
-            revision: record.revision,
-            verdict: Verdict::Running,
-        });
-    }
-}
