--- a/crates/http/tests/suite/client.rs
+++ b/crates/http/tests/suite/client.rs
@@ -305,3 +305,26 @@
         assert_eq!(line, "200 two", "after {received:?}");
     }
 }
+
+/// Guards against a success whose head broke off: the rest of the head might have framed its body.
+#[test]
+fn a_response_whose_head_breaks_off_is_an_error() {
+    for framing in [
+        "content-length: 4\r\n",
+        "transfer-encoding: chunked\r\n",
+        "",
+    ] {
+        let head = format!("HTTP/1.1 200 OK\r\n{framing}x-more: 1\r\n\r\n");
+        for len in 0..head.len() {
+            for read in ["recv", "recv-part"] {
+                let sent = head[..len].escape_default();
+                let peer = Peer::start(&format!("conn\n{read}\nsend {sent}\n"));
+                let client = Client::new(Arc::new(SystemClock::new()), PoolLimits::default());
+                let request = Request::new(Method::Post, "/").body(Body::bytes(vec![b'x'; 500]));
+                let line = block_on(send(&client, peer.address, request, &Options::default()));
+                let is_error = line.starts_with("MaybeSent(") || line.starts_with("Cut(");
+                assert!(is_error, "{read} {sent}: {line}");
+            }
+        }
+    }
+}
